--- /dev/null
+++ b/crates/core/src/bundle.rs
@@ -0,0 +1,1 @@
+//! Bundle content as operators write and sign it, and its checks.
--- /dev/null
+++ b/crates/core/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! State machine of the control group: bundle revisions, placement, leases.
--- /dev/null
+++ b/crates/core/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! VM membership after the published SWIM, without input or output.
--- /dev/null
+++ b/crates/core/src/orders.rs
@@ -0,0 +1,1 @@
+//! Fenced orders to endpoints: loading and dropping model versions.
--- /dev/null
+++ b/crates/core/src/wire/mod.rs
@@ -0,0 +1,29 @@
+//! Messages that leave the process: between VMs, and into the data folder.
+//!
+//! The types are generated from `crates/core/proto` by `gypsumglade-wiregen` and committed, so
+//! that the build needs no generator. See docs/ARCHITECTURE.md for who sends which.
+
+/// Types that several schemas share.
+#[path = "generated/gypsumglade.common.rs"]
+#[allow(missing_docs, clippy::all)]
+pub mod common;
+
+/// Bundles, placement and leases: what the control group stores and answers.
+#[path = "generated/gypsumglade.control.rs"]
+#[allow(missing_docs, clippy::all)]
+pub mod control;
+
+/// Datagrams of VM membership.
+#[path = "generated/gypsumglade.membership.rs"]
+#[allow(missing_docs, clippy::all)]
+pub mod membership;
+
+/// Requests to a program group and its answers.
+#[path = "generated/gypsumglade.program.rs"]
+#[allow(missing_docs, clippy::all)]
+pub mod program;
+
+/// Messages and log records of the replicated log.
+#[path = "generated/gypsumglade.replication.rs"]
+#[allow(missing_docs, clippy::all)]
+pub mod replication;
--- /dev/null
+++ b/crates/gypsumglade/src/bench/mod.rs
@@ -0,0 +1,1 @@
+//! Measurements that a person runs; none of them is a test.
--- /dev/null
+++ b/crates/gypsumglade/src/bin/gypsumglade-entry.rs
@@ -0,0 +1,3 @@
+//! The `gypsumglade-entry` daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/gypsumglade/src/bin/gypsumglade-store.rs
@@ -0,0 +1,3 @@
+//! The `gypsumglade-store` daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/gypsumglade/src/cli/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/gypsumglade/src/disk/mod.rs
@@ -0,0 +1,1 @@
+//! Log, vote and snapshots of replicas in the data folder.
--- /dev/null
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: callers' interface, dispatch and endpoint announcements.
--- /dev/null
+++ b/crates/gypsumglade/src/lib.rs
@@ -0,0 +1,18 @@
+//! Scheduler for agent programs: the library behind the `gypsumglade` daemons.
+//!
+//! Sockets, files and timers live here; every decision is in `gypsumglade-core`. Start with
+//! docs/ARCHITECTURE.md.
+
+pub mod admin;
+pub mod bench;
+pub mod cli;
+pub mod demo;
+pub mod disk;
+pub mod entry;
+pub mod logs;
+pub mod membership;
+pub mod metrics;
+pub mod replica;
+pub mod rpc;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/crates/gypsumglade/src/logs.rs
@@ -0,0 +1,1 @@
+//! Structured logs as JSON lines.
--- /dev/null
+++ b/crates/gypsumglade/src/main.rs
@@ -0,0 +1,3 @@
+//! The `gypsumglade` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/gypsumglade/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! VM membership over UDP datagrams.
--- /dev/null
+++ b/crates/gypsumglade/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics of a process and their Prometheus page.
--- /dev/null
+++ b/crates/gypsumglade/src/replica/mod.rs
@@ -0,0 +1,1 @@
+//! Drives replicated logs: disk, timers and messages round the core.
--- /dev/null
+++ b/crates/gypsumglade/src/rpc/mod.rs
@@ -0,0 +1,1 @@
+//! Calls between the system's own processes.
--- /dev/null
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -0,0 +1,1 @@
+//! The store daemon: control and program groups on durable replicas.
