--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -1,1 +1,4 @@
 //! The entry daemon: callers' interface, dispatch and endpoint announcements.
+
+pub mod endpoint_client;
+pub mod problem;
--- /dev/null
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -0,0 +1,121 @@
+//! Connections to other processes of the system, opened on first use and reopened after a loss.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::header::AUTHORIZATION;
+use http::{HeaderMap, HeaderValue};
+use jsonrpsee::core::client::{ClientT as _, Error as ClientError};
+use jsonrpsee::core::params::ArrayParams;
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use thiserror::Error;
+
+use super::method::Method;
+use super::server::MAX_MESSAGE_BYTES;
+use crate::secret::Secret;
+
+/// Longest time to open a connection; a silent partition is noticed this fast.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Calls in flight on one connection.
+const MAX_CALLS: usize = 8_192;
+
+/// Why a call to another process has no answer.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum RpcError {
+    /// No connection: the call was not sent.
+    #[error("cannot reach {0}")]
+    Unreachable(SocketAddr),
+    /// The call may have been handled.
+    #[error("no answer from {0}")]
+    Lost(SocketAddr),
+    /// The other process refused the call.
+    #[error("refused by {0}: {1}")]
+    Refused(SocketAddr, String),
+}
+
+/// One connection a peer address, shared by all tasks of a process.
+#[derive(Clone)]
+pub struct PeerClients {
+    token: Secret,
+    connections: Arc<Mutex<HashMap<SocketAddr, Arc<Connection>>>>,
+}
+
+type Connection = tokio::sync::Mutex<Option<Arc<WsClient>>>;
+
+impl PeerClients {
+    /// Creates an empty set that presents `token` on each connection.
+    pub fn new(token: Secret) -> PeerClients {
+        PeerClients { token, connections: Arc::default() }
+    }
+
+    /// Calls `method` with `parameters` and returns the answer's text.
+    ///
+    /// # Errors
+    /// Tells apart what was surely not sent from what may have been handled.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        parameters: ArrayParams,
+        timeout: Duration,
+    ) -> Result<String, RpcError> {
+        let client = self.client(address).await?;
+        let answer =
+            tokio::time::timeout(timeout, client.request::<String, _>(method.name(), parameters));
+        match answer.await {
+            Ok(Ok(text)) => Ok(text),
+            Ok(Err(ClientError::Call(error))) => {
+                Err(RpcError::Refused(address, error.message().to_owned()))
+            }
+            Ok(Err(_)) | Err(_) => {
+                self.forget_broken(address, &client).await;
+                Err(RpcError::Lost(address))
+            }
+        }
+    }
+
+    async fn client(&self, address: SocketAddr) -> Result<Arc<WsClient>, RpcError> {
+        let connection = self.connection(address);
+        let mut slot = connection.lock().await;
+        if let Some(client) = slot.as_ref().filter(|client| client.is_connected()) {
+            return Ok(Arc::clone(client));
+        }
+        let client = self.open(address).await.ok_or(RpcError::Unreachable(address))?;
+        let client = Arc::new(client);
+        *slot = Some(Arc::clone(&client));
+        Ok(client)
+    }
+
+    fn connection(&self, address: SocketAddr) -> Arc<Connection> {
+        let mut connections = self.connections.lock().expect("no panic while held");
+        Arc::clone(connections.entry(address).or_default())
+    }
+
+    async fn open(&self, address: SocketAddr) -> Option<WsClient> {
+        let mut headers = HeaderMap::new();
+        let bearer = format!("Bearer {}", self.token.reveal());
+        headers.insert(AUTHORIZATION, HeaderValue::from_str(&bearer).ok()?);
+        let builder = WsClientBuilder::default()
+            .set_headers(headers)
+            .connection_timeout(CONNECT_TIMEOUT)
+            .max_concurrent_requests(MAX_CALLS)
+            .max_request_size(MAX_MESSAGE_BYTES)
+            .max_response_size(MAX_MESSAGE_BYTES);
+        let opening = builder.build(format!("ws://{address}"));
+        tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()?.ok()
+    }
+
+    /// Drops a connection that lost an answer, unless another task has replaced it already.
+    ///
+    /// A peer that was frozen keeps its socket open; without this every later call would wait out
+    /// its timeout on the same dead connection.
+    async fn forget_broken(&self, address: SocketAddr, broken: &Arc<WsClient>) {
+        let connection = self.connection(address);
+        let mut slot = connection.lock().await;
+        if slot.as_ref().is_some_and(|client| Arc::ptr_eq(client, broken)) {
+            *slot = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/rpc/method.rs
@@ -0,0 +1,29 @@
+//! The closed set of calls between processes.
+
+/// A call that one process may make to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Method {
+    /// Entry to store: a request to a program group.
+    Program,
+    /// Store to store: a batch of replication messages.
+    Replication,
+    /// Entry or operator to store: a command or question to the control group.
+    Control,
+    /// Entry to store or entry: renews the configuration lease.
+    Lease,
+    /// Entry to entry: an endpoint's announcement.
+    Announce,
+}
+
+impl Method {
+    /// Returns the name on the wire.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Method::Program => "program",
+            Method::Replication => "replication",
+            Method::Control => "control",
+            Method::Lease => "lease",
+            Method::Announce => "announce",
+        }
+    }
+}
--- a/crates/gypsumglade/src/rpc/mod.rs
+++ b/crates/gypsumglade/src/rpc/mod.rs
@@ -1,1 +1,14 @@
-//! Calls between the system's own processes.
+//! Calls between the system's own processes: JSON-RPC over WebSocket by `jsonrpsee`.
+//!
+//! Payloads are protobuf in base64, so that the same generated types serve disk and wire; see
+//! docs/design/rpc.md for the forms that were weighed.
+
+mod client;
+mod codec;
+mod method;
+mod server;
+
+pub use client::{PeerClients, RpcError};
+pub use codec::{decode, encode};
+pub use method::Method;
+pub use server::{RpcServer, invalid_payload};
--- /dev/null
+++ b/crates/gypsumglade/src/rpc/server.rs
@@ -0,0 +1,107 @@
+//! The listener for calls from other processes of the system.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use http::header::AUTHORIZATION;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use jsonrpsee::Methods;
+use jsonrpsee::core::BoxError;
+use jsonrpsee::server::{HttpBody, Server, ServerConfig, StopHandle, stop_channel};
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::types::error::INVALID_PARAMS_CODE;
+use tokio_util::sync::CancellationToken;
+
+use crate::listener::{Listener, ListenerOptions};
+use crate::secret::Secret;
+
+/// Most bytes of one call or answer: a whole history plus its base64 overhead.
+pub(super) const MAX_MESSAGE_BYTES: u32 = 32 * 1024 * 1024;
+/// Most connections from peers; 390 VMs with a spare for each.
+const MAX_CONNECTIONS: u32 = 1_024;
+
+/// A running listener for peers.
+pub struct RpcServer {
+    listener: Listener,
+}
+
+impl RpcServer {
+    /// Serves `methods` to peers that present `token`.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        token: Secret,
+        methods: Methods,
+        options: ListenerOptions,
+        stop: CancellationToken,
+    ) -> anyhow::Result<RpcServer> {
+        let (stop_handle, server_handle) = stop_channel();
+        tokio::spawn(async move {
+            stop.clone().cancelled().await;
+            // The only error is "already stopped".
+            let _ = server_handle.stop();
+        });
+        let config = ServerConfig::builder()
+            .max_request_body_size(MAX_MESSAGE_BYTES)
+            .max_response_body_size(MAX_MESSAGE_BYTES)
+            .max_connections(MAX_CONNECTIONS)
+            .build();
+        let builder = Server::builder().set_config(config).to_service_builder();
+        let stopped = CancellationToken::new();
+        watch_stop(stop_handle.clone(), stopped.clone());
+        let service = tower::service_fn(move |request: Request<Incoming>| {
+            let mut rpc = builder.clone().build(methods.clone(), stop_handle.clone());
+            let allowed = bears(&request, &token);
+            async move {
+                if !allowed {
+                    return Ok::<_, Infallible>(denied());
+                }
+                let answer: Result<Response<HttpBody>, BoxError> =
+                    tower::Service::call(&mut rpc, request).await;
+                Ok(answer.unwrap_or_else(|_| status_only(StatusCode::INTERNAL_SERVER_ERROR)))
+            }
+        });
+        let listener = Listener::bind(address, service, options, stopped).await?;
+        Ok(RpcServer { listener })
+    }
+
+    /// Returns the address in use.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+}
+
+fn watch_stop(stop: StopHandle, stopped: CancellationToken) {
+    tokio::spawn(async move {
+        stop.shutdown().await;
+        stopped.cancel();
+    });
+}
+
+/// Tells whether the request carries the peers' token.
+///
+/// A stranger that reaches the port could otherwise settle calls or vote; the handshake is where
+/// it is turned away, before a single call is parsed.
+fn bears(request: &Request<Incoming>, token: &Secret) -> bool {
+    let Some(header) = request.headers().get(AUTHORIZATION) else { return false };
+    let Ok(text) = header.to_str() else { return false };
+    text.strip_prefix("Bearer ").is_some_and(|given| token.matches(given))
+}
+
+fn denied() -> Response<HttpBody> {
+    status_only(StatusCode::UNAUTHORIZED)
+}
+
+fn status_only(status: StatusCode) -> Response<HttpBody> {
+    let mut response = Response::new(HttpBody::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns the error for a call whose payload cannot be read.
+pub fn invalid_payload(error: &anyhow::Error) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(INVALID_PARAMS_CODE, format!("unreadable payload: {error}"), None::<()>)
+}
--- /dev/null
+++ b/crates/gypsumglade/src/secret.rs
@@ -0,0 +1,36 @@
+//! A shared secret, compared in constant time and never printed.
+
+use std::fmt;
+
+use compact_str::CompactString;
+use sha2::{Digest as _, Sha256};
+
+/// A token or key from the settings.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(CompactString);
+
+impl Secret {
+    /// Wraps the text of a secret.
+    pub fn new(text: impl Into<CompactString>) -> Secret {
+        Secret(text.into())
+    }
+
+    /// Returns the text, for the header that presents it.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+
+    /// Tells whether `given` is this secret.
+    ///
+    /// Both sides are hashed before they are compared, so that the time taken says nothing about
+    /// how long a prefix of a guess was right.
+    pub fn matches(&self, given: &str) -> bool {
+        !self.0.is_empty() && Sha256::digest(self.0.as_bytes()) == Sha256::digest(given.as_bytes())
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
