--- /dev/null
+++ b/crates/gypsumglade/src/entry/chat_request.rs
@@ -0,0 +1,113 @@
+//! The body of a chat call in the published shape; members not known here pass through.
+
+use bytes::Bytes;
+use serde_json::{Map, Value};
+use sha2::{Digest as _, Sha256};
+
+use super::problem::{Problem, ProblemKind};
+use gypsumglade_core::prelude::*;
+
+/// Output limit of a call that names none.
+const DEFAULT_OUTPUT: u64 = 1_024;
+
+/// A chat call as the caller sent it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChatRequest {
+    /// Model asked for.
+    pub model: CompactString,
+    /// JSON array of messages.
+    pub messages: Bytes,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Whether the caller wants usage as the stream's last chunk.
+    pub usage: bool,
+    /// Most tokens that may be generated.
+    pub output: u64,
+    rest: Map<String, Value>,
+}
+
+impl ChatRequest {
+    /// Parses and checks a body.
+    ///
+    /// # Errors
+    /// Says which member is wrong and what is allowed.
+    pub fn parse(body: &[u8]) -> Result<ChatRequest, Problem> {
+        let mut rest: Map<String, Value> = serde_json::from_slice(body)
+            .map_err(|error| bad(&format!("the body is not a JSON object: {error}")))?;
+        let model = match rest.get("model") {
+            Some(Value::String(model)) if !model.is_empty() => model.into(),
+            _ => return Err(bad("`model` must be the name of a model")),
+        };
+        let messages = match rest.remove("messages") {
+            Some(Value::Array(list)) if valid_messages(&list) => Value::Array(list),
+            _ => return Err(bad("`messages` must be a list of objects with a `role`, not empty")),
+        };
+        let stream = flag(rest.remove("stream"), "stream")?;
+        let usage = match rest.remove("stream_options") {
+            Some(Value::Object(options)) => {
+                flag(options.get("include_usage").cloned(), "stream_options.include_usage")?
+            }
+            None | Some(Value::Null) => false,
+            Some(_) => return Err(bad("`stream_options` must be an object")),
+        };
+        let output = output_limit(&rest)?;
+        Ok(ChatRequest { model, messages: encode(&messages), stream, usage, output, rest })
+    }
+
+    /// Digest of everything but the messages, part of what an idempotency key stands for.
+    ///
+    /// Whether the caller wants a stream is left out: a resend may ask for the other form.
+    pub fn digest(&self) -> Bytes {
+        let mut hash = Sha256::new();
+        hash.update(encode(&Value::Object(self.rest.clone())));
+        Bytes::copy_from_slice(&hash.finalize())
+    }
+
+    /// Builds the engine's body: the whole history, the granted limit, and what passes through.
+    ///
+    /// # Errors
+    /// Fails when the stored history is not JSON, which means a damaged store.
+    pub fn engine_body(&self, history: &[u8], output: u64) -> anyhow::Result<Bytes> {
+        let mut body = self.rest.clone();
+        body.remove("max_completion_tokens");
+        body.insert("messages".into(), serde_json::from_slice(history)?);
+        body.insert("max_tokens".into(), output.into());
+        body.insert("stream".into(), self.stream.into());
+        if self.stream {
+            body.insert("stream_options".into(), serde_json::json!({"include_usage": true}));
+        }
+        Ok(encode(&Value::Object(body)))
+    }
+}
+
+fn output_limit(rest: &Map<String, Value>) -> Result<u64, Problem> {
+    let given = rest.get("max_completion_tokens").or_else(|| rest.get("max_tokens"));
+    match given {
+        None | Some(Value::Null) => Ok(DEFAULT_OUTPUT),
+        Some(value) => match value.as_u64() {
+            Some(count) if count > 0 => Ok(count),
+            _ => Err(bad("`max_tokens` must be a whole number above zero")),
+        },
+    }
+}
+
+fn valid_messages(list: &[Value]) -> bool {
+    !list.is_empty() && list.iter().all(|message| message.get("role").is_some_and(Value::is_string))
+}
+
+fn flag(value: Option<Value>, name: &str) -> Result<bool, Problem> {
+    match value {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(flag),
+        Some(_) => Err(bad(&format!("`{name}` must be true or false"))),
+    }
+}
+
+fn bad(message: &str) -> Problem {
+    Problem::not_run(ProblemKind::BadRequest, message)
+}
+
+fn encode(value: &Value) -> Bytes {
+    // Writing a JSON value to memory cannot fail.
+    Bytes::from(serde_json::to_vec(value).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/gypsumglade/src/entry/groups.rs
@@ -0,0 +1,155 @@
+//! Finds the leader of a program's group and asks it, across redirects and losses.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::program::reply::Body as ReplyBody;
+use gypsumglade_core::wire::program::{Refusal, Reply, Request};
+use jsonrpsee::core::params::ArrayParams;
+use rand::RngExt as _;
+
+use crate::rpc::{Method, PeerClients, RpcError, decode, encode};
+
+/// Pause before a replica is asked again; doubled by jitter so that a fleet does not ask in step.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause between two askings.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+
+/// No replica of a group gave an answer in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupUnavailable {
+    /// True when a request may have reached a leader.
+    pub sent: bool,
+}
+
+/// Where the replicas of the program groups are.
+#[derive(Clone, Debug, Default)]
+pub struct GroupMap {
+    /// Replicas of each group, by the group's number less one.
+    pub replicas: Vec<Vec<VmId>>,
+    /// Address of each store.
+    pub stores: HashMap<VmId, SocketAddr>,
+}
+
+impl GroupMap {
+    /// Returns the group of a program, by the slot of its root.
+    pub fn group_of(&self, org: &str, program: &str) -> GroupId {
+        let slot = Slot::of(org, gypsumglade_core::program::root_of(program));
+        GroupId(1 + u32::from(slot.0) % self.replicas.len().max(1) as u32)
+    }
+
+    fn replicas_of(&self, group: GroupId) -> &[VmId] {
+        let index = group.0.wrapping_sub(1) as usize;
+        self.replicas.get(index).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Asks program groups on behalf of one VM.
+#[derive(Clone)]
+pub struct GroupClient {
+    vm: VmId,
+    peers: PeerClients,
+    map: Arc<GroupMap>,
+    leaders: Arc<Mutex<HashMap<GroupId, VmId>>>,
+    timeout: Duration,
+}
+
+impl GroupClient {
+    /// Creates a client that gives each asking `timeout`.
+    pub fn new(vm: VmId, peers: PeerClients, map: GroupMap, timeout: Duration) -> GroupClient {
+        GroupClient { vm, peers, map: Arc::new(map), leaders: Arc::default(), timeout }
+    }
+
+    /// Asks the group of `org` and `program` until it answers or `patience` is over.
+    ///
+    /// Requests are idempotent by their key, nonce or dispatch id, so asking again is safe.
+    ///
+    /// # Errors
+    /// Fails when no leader answered in time, and says whether one may have been reached.
+    pub async fn ask(
+        &self,
+        org: &str,
+        program: &str,
+        request: &Request,
+        patience: Duration,
+    ) -> Result<ReplyBody, GroupUnavailable> {
+        let group = self.map.group_of(org, program);
+        let payload = encode(request);
+        let started = Instant::now();
+        let mut sent = false;
+        let mut pause = RETRY_PAUSE;
+        let mut turn = rand::rng().random_range(0..self.map.replicas_of(group).len().max(1));
+        while started.elapsed() < patience {
+            let Some((vm, address)) = self.target(group, turn) else { break };
+            let left = patience.saturating_sub(started.elapsed());
+            let asked = self.ask_one(group, address, &payload, left.min(self.timeout)).await;
+            match asked {
+                Ok(ReplyBody::Refused(refused)) if refused.code() == Refusal::NotLeader => {
+                    self.redirect(group, vm, VmId(refused.leader));
+                }
+                Ok(body) => {
+                    self.remember(group, vm);
+                    return Ok(body);
+                }
+                Err(error) => {
+                    sent |= matches!(error, RpcError::Lost(_));
+                    self.forget(group, vm);
+                }
+            }
+            turn += 1;
+            let jitter = rand::rng().random_range(0.5..1.5);
+            tokio::time::sleep(pause.mul_f64(jitter)).await;
+            pause = (pause * 2).min(MAX_PAUSE);
+        }
+        Err(GroupUnavailable { sent })
+    }
+
+    async fn ask_one(
+        &self,
+        group: GroupId,
+        address: SocketAddr,
+        payload: &str,
+        timeout: Duration,
+    ) -> Result<ReplyBody, RpcError> {
+        let mut parameters = ArrayParams::new();
+        let inserted = parameters
+            .insert(group)
+            .and_then(|()| parameters.insert(self.vm))
+            .and_then(|()| parameters.insert(payload));
+        inserted.map_err(|error| RpcError::Refused(address, error.to_string()))?;
+        let text = self.peers.call(address, Method::Program, parameters, timeout).await?;
+        let reply: Reply =
+            decode(&text).map_err(|error| RpcError::Refused(address, error.to_string()))?;
+        reply.body.ok_or_else(|| RpcError::Refused(address, "empty reply".to_owned()))
+    }
+
+    fn target(&self, group: GroupId, turn: usize) -> Option<(VmId, SocketAddr)> {
+        let known = self.leaders.lock().expect("no panic while held").get(&group).copied();
+        let replicas = self.map.replicas_of(group);
+        let vm = known.or_else(|| replicas.get(turn % replicas.len().max(1)).copied())?;
+        Some((vm, *self.map.stores.get(&vm)?))
+    }
+
+    /// Follows a redirect, unless it points back to the replica that gave it.
+    fn redirect(&self, group: GroupId, from: VmId, leader: VmId) {
+        if leader != from && self.map.stores.contains_key(&leader) {
+            self.remember(group, leader);
+        } else {
+            self.forget(group, from);
+        }
+    }
+
+    fn remember(&self, group: GroupId, leader: VmId) {
+        self.leaders.lock().expect("no panic while held").insert(group, leader);
+    }
+
+    fn forget(&self, group: GroupId, vm: VmId) {
+        let mut leaders = self.leaders.lock().expect("no panic while held");
+        if leaders.get(&group) == Some(&vm) {
+            leaders.remove(&group);
+        }
+    }
+}
