Read settings from YAML and report every finding

A process learns its addresses, peers, secrets and bounds from one YAML file. Serde stops at the first error, so an operator would mend a file one run at a time. The reader takes each bad value out, goes on, and then checks the values against one another; unknown keys are findings too.

--- /dev/null
+++ b/crates/gypsumglade/src/settings/load.rs
@@ -0,0 +1,140 @@
+//! Reading a settings file so that one bad value doesn't hide the next.
+
+use std::path::Path;
+
+use serde_path_to_error::{Path as KeyPath, Segment, Track};
+use serde_yaml_ng::{Mapping, Value};
+
+use super::{Findings, Settings};
+
+/// Most type errors that one check reports; more of them mean that the file is of another kind.
+const TYPE_ERRORS: usize = 64;
+
+/// Reads, parses and checks a file.
+pub(super) fn from_file(path: &Path) -> Result<Settings, Findings> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => from_text(path, &text),
+        Err(error) => {
+            let mut findings = Findings::new(path);
+            findings.add("file", error, "a readable UTF-8 text file");
+            Err(findings)
+        }
+    }
+}
+
+/// Parses and checks text.
+pub(super) fn from_text(path: &Path, text: &str) -> Result<Settings, Findings> {
+    let mut findings = Findings::new(path);
+    let Some(tree) = parse(text, &mut findings) else {
+        return Err(findings);
+    };
+    let mut settings = decode(tree, &mut findings);
+    let folder = path.parent().unwrap_or(Path::new(""));
+    settings.tokens.resolve(folder, &mut findings);
+    settings.check(&mut findings);
+    if findings.list.is_empty() { Ok(settings) } else { Err(findings) }
+}
+
+fn parse(text: &str, findings: &mut Findings) -> Option<Value> {
+    match serde_yaml_ng::from_str::<Value>(text) {
+        Ok(Value::Null) => Some(Value::Mapping(Mapping::new())),
+        Ok(tree) => Some(tree),
+        Err(error) => {
+            let place = match error.location() {
+                Some(at) => format!("line {}, column {}", at.line(), at.column()),
+                None => "file".to_owned(),
+            };
+            findings.add(&place, error, "valid YAML");
+            None
+        }
+    }
+}
+
+/// Decodes the tree, taking each bad value out and starting over until the rest decodes.
+///
+/// Serde stops at the first type error. The key that failed is removed, so that its default stands
+/// in, and the next pass finds the next error.
+fn decode(mut tree: Value, findings: &mut Findings) -> Settings {
+    for _ in 0..TYPE_ERRORS {
+        let mut unknown = Vec::new();
+        let mut track = Track::new();
+        let decoder = serde_path_to_error::Deserializer::new(tree.clone(), &mut track);
+        let result: Result<Settings, _> =
+            serde_ignored::deserialize(decoder, |path| unknown.push(path.to_string()));
+        let error = match result {
+            Ok(settings) => {
+                report_unknown(&tree, &unknown, findings);
+                return settings;
+            }
+            Err(error) => error,
+        };
+        let path = track.path();
+        let bad = take(&mut tree, &path);
+        findings.add(&path.to_string(), shown(bad.as_ref()), &error.to_string());
+        if bad.is_none() {
+            break;
+        }
+    }
+    Settings::default()
+}
+
+fn report_unknown(tree: &Value, unknown: &[String], findings: &mut Findings) {
+    for path in unknown {
+        let siblings = known_keys(path);
+        let value = path.split('.').try_fold(tree, |at, key| match key.parse::<usize>() {
+            Ok(index) => at.get(index),
+            Err(_) => at.get(key),
+        });
+        let found = format!("unknown key with value {}", shown(value));
+        findings.add(path, found, siblings);
+    }
+}
+
+/// Tells where the keys that may stand beside an unknown one are listed.
+fn known_keys(path: &str) -> &'static str {
+    if path.contains('.') {
+        "a key that `gypsumglade settings example store` shows in this section"
+    } else {
+        "vm, listen, peers, store, tokens, operators, limits, timeouts, log, tls"
+    }
+}
+
+/// Removes what `path` names, and returns it; a list element is emptied, to keep the positions of
+/// its neighbours.
+fn take(tree: &mut Value, path: &KeyPath) -> Option<Value> {
+    let segments: Vec<&Segment> = path.iter().collect();
+    let (last, front) = segments.split_last()?;
+    let parent = front.iter().try_fold(tree, |at, segment| step(at, segment))?;
+    match last {
+        Segment::Map { key } => parent.as_mapping_mut()?.remove(key.as_str()),
+        Segment::Seq { index } => {
+            let slot = parent.as_sequence_mut()?.get_mut(*index)?;
+            let empty = if slot.is_mapping() || slot.is_string() {
+                return None;
+            } else {
+                Value::Mapping(Mapping::new())
+            };
+            Some(std::mem::replace(slot, empty))
+        }
+        Segment::Enum { .. } | Segment::Unknown => None,
+    }
+}
+
+fn step<'a>(at: &'a mut Value, segment: &Segment) -> Option<&'a mut Value> {
+    match segment {
+        Segment::Map { key } => at.get_mut(key.as_str()),
+        Segment::Seq { index } => at.get_mut(*index),
+        Segment::Enum { .. } | Segment::Unknown => None,
+    }
+}
+
+/// Shows a value on one line, as a person would write it.
+fn shown(value: Option<&Value>) -> String {
+    match value {
+        None => "nothing".to_owned(),
+        Some(Value::Mapping(_)) => "a section".to_owned(),
+        Some(Value::Sequence(_)) => "a list".to_owned(),
+        Some(Value::String(text)) => format!("{text:?}"),
+        Some(other) => serde_yaml_ng::to_string(other).unwrap_or_default().trim().to_owned(),
+    }
+}
--- a/crates/gypsumglade/src/settings/mod.rs
+++ b/crates/gypsumglade/src/settings/mod.rs
@@ -1,1 +1,145 @@
 //! Settings of a process, read from YAML and checked as a whole.
+//!
+//! Each part has its own file, with its defaults in one place and its checks beside them. A file is
+//! never half accepted: [`Settings::load`] collects every finding and reports them together. The
+//! keys are described for operators in docs/OPERATING.md.
+
+mod example;
+mod finding;
+mod limits;
+mod listen;
+mod load;
+mod log;
+mod operators;
+mod peers;
+mod store;
+mod timeouts;
+mod tls;
+mod tokens;
+mod vm;
+
+use std::path::Path;
+
+use gypsumglade_core::prelude::*;
+
+pub use self::example::Role;
+pub use self::finding::{Finding, Findings};
+pub use self::limits::LimitSettings;
+pub use self::listen::ListenSettings;
+pub use self::log::{Level, LogSettings};
+pub use self::operators::OperatorSettings;
+pub use self::peers::PeerSettings;
+pub use self::store::StoreSettings;
+pub use self::timeouts::TimeoutSettings;
+pub use self::tls::{CertificateSettings, TlsSettings};
+pub use self::tokens::{Secret, TokenSettings};
+pub use self::vm::VmSettings;
+
+/// Everything a process learns from outside before it starts.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Settings {
+    /// Who this VM is and where it stands.
+    pub vm: VmSettings,
+    /// Addresses that the process listens on.
+    pub listen: ListenSettings,
+    /// The other VMs known from the start: every store, and enough seeds for membership.
+    pub peers: Vec<PeerSettings>,
+    /// The durable role; absent on a VM without a disk.
+    pub store: Option<StoreSettings>,
+    /// Shared secrets of the listeners.
+    pub tokens: TokenSettings,
+    /// Who may sign a bundle.
+    pub operators: OperatorSettings,
+    /// Bounds on size and concurrency.
+    pub limits: LimitSettings,
+    /// Bounds on time.
+    pub timeouts: TimeoutSettings,
+    /// Where log lines go.
+    pub log: LogSettings,
+    /// Certificates of the listeners.
+    pub tls: TlsSettings,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding at once, each with its place, the bad value and what is allowed.
+    pub fn load(path: &Path) -> Result<Settings, Findings> {
+        load::from_file(path)
+    }
+
+    /// Checks settings text as if it stood in the file `path`, which need not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding, as [`Settings::load`] does.
+    pub fn parse(path: &Path, text: &str) -> Result<Settings, Findings> {
+        load::from_text(path, text)
+    }
+
+    /// Returns the settings of one process that is the whole deployment, with its state in `folder`.
+    ///
+    /// Every listener takes a free port on loopback and the tokens are fresh, so that two runs on
+    /// one machine can't reach each other.
+    pub fn embedded(folder: &Path) -> Settings {
+        Settings {
+            vm: VmSettings { id: 1, domain: "local".into(), region: "local".into() },
+            store: Some(StoreSettings { folder: folder.to_path_buf(), ..StoreSettings::default() }),
+            tokens: TokenSettings::fresh(),
+            ..Settings::default()
+        }
+    }
+
+    /// Returns an annotated settings file for a VM of this role.
+    pub fn example(role: Role) -> &'static str {
+        role.text()
+    }
+
+    /// Returns the names of all failure domains, sorted, so that each VM counts them alike.
+    pub fn domains(&self) -> Vec<CompactString> {
+        let peers = self.peers.iter().map(|p| p.domain.clone());
+        sorted(peers.chain([self.vm.domain.clone()]).collect())
+    }
+
+    /// Returns the names of all regions, sorted, so that each VM counts them alike.
+    pub fn regions(&self) -> Vec<CompactString> {
+        let peers = self.peers.iter().map(|p| p.region.clone());
+        sorted(peers.chain([self.vm.region.clone()]).collect())
+    }
+
+    /// Returns the position of a failure domain in [`Settings::domains`].
+    pub fn domain_id(&self, name: &str) -> Option<DomainId> {
+        let index = self.domains().iter().position(|d| d == name)?;
+        u16::try_from(index).ok().map(DomainId)
+    }
+
+    /// Returns the position of a region in [`Settings::regions`].
+    pub fn region_id(&self, name: &str) -> Option<RegionId> {
+        let index = self.regions().iter().position(|r| r == name)?;
+        u16::try_from(index).ok().map(RegionId)
+    }
+
+    /// Collects what is wrong in the values, each alone and against one another.
+    fn check(&self, findings: &mut Findings) {
+        self.vm.check(findings);
+        self.listen.check(findings);
+        peers::check(&self.vm, &self.peers, self.store.is_some(), findings);
+        if let Some(store) = &self.store {
+            store.check(findings);
+        }
+        self.tokens.check(findings);
+        self.operators.check(findings);
+        self.limits.check(findings);
+        self.timeouts.check(findings);
+        self.tls.check(findings);
+    }
+}
+
+fn sorted(mut names: Vec<CompactString>) -> Vec<CompactString> {
+    names.sort();
+    names.dedup();
+    names
+}
--- /dev/null
+++ b/crates/gypsumglade/src/settings/peers.rs
@@ -0,0 +1,95 @@
+//! The other VMs of the deployment.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use gypsumglade_core::prelude::*;
+
+use super::{Findings, VmSettings};
+
+/// Another VM, as this one may reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct PeerSettings {
+    /// Its number.
+    pub vm: u32,
+    /// Its listener for calls between VMs.
+    pub peers: SocketAddr,
+    /// Its membership socket.
+    pub gossip: SocketAddr,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// Its region.
+    pub region: CompactString,
+    /// Whether it has a disk and holds replicas.
+    pub store: bool,
+}
+
+impl Default for PeerSettings {
+    fn default() -> PeerSettings {
+        PeerSettings {
+            vm: 0,
+            peers: SocketAddr::from(([0, 0, 0, 0], 0)),
+            gossip: SocketAddr::from(([0, 0, 0, 0], 0)),
+            domain: CompactString::default(),
+            region: CompactString::default(),
+            store: false,
+        }
+    }
+}
+
+impl PeerSettings {
+    /// Returns the number as the core's type.
+    pub fn id(&self) -> VmId {
+        VmId(self.vm)
+    }
+}
+
+/// Checks the list against itself and against this VM, which may stand in it too, so that one list
+/// serves all VMs.
+pub(super) fn check(vm: &VmSettings, peers: &[PeerSettings], store: bool, findings: &mut Findings) {
+    let mut seen = HashSet::new();
+    for (i, peer) in peers.iter().enumerate() {
+        let at = |key: &str| format!("peers[{i}].{key}");
+        let number = u64::from(peer.vm);
+        findings.range(&at("vm"), number, 1..=u64::from(u32::MAX), "as a VM's number");
+        if !seen.insert(peer.vm) {
+            findings.add(&at("vm"), peer.vm, "a number that no earlier peer has");
+        }
+        findings.name(&at("domain"), &peer.domain);
+        findings.name(&at("region"), &peer.region);
+        for (key, address) in [("peers", peer.peers), ("gossip", peer.gossip)] {
+            if address.port() == 0 || address.ip().is_unspecified() {
+                findings.add(&at(key), address, "an IP address and port that others can reach");
+            }
+        }
+        if peer.vm == vm.id {
+            check_self(vm, peer, store, i, findings);
+        }
+    }
+    let stores = peers.iter().any(|p| p.store) || store;
+    if !stores {
+        findings.add("peers", "no store", "at least one peer with `store: true`");
+    }
+}
+
+/// Finds where this VM's own line in the list says something else than its other settings.
+fn check_self(
+    vm: &VmSettings,
+    peer: &PeerSettings,
+    store: bool,
+    index: usize,
+    findings: &mut Findings,
+) {
+    let at = |key: &str| format!("peers[{index}].{key}");
+    if peer.domain != vm.domain {
+        findings.add(&at("domain"), &peer.domain, &format!("{:?} as in vm.domain", vm.domain));
+    }
+    if peer.region != vm.region {
+        findings.add(&at("region"), &peer.region, &format!("{:?} as in vm.region", vm.region));
+    }
+    if peer.store != store {
+        let allowed = "true with a `store` section, false without one";
+        findings.add(&at("store"), peer.store, allowed);
+    }
+}
