Give the store daemon listeners of its own in the settings

Cause: entry and store are two processes on one VM, and one address cannot serve both. Change: store.peers, store.admin, and the store's address in the peers list instead of a flag. One settings file serves both daemons.

--- a/crates/gypsumglade/src/secret.rs
+++ b/crates/gypsumglade/src/secret.rs
@@ -3,10 +3,12 @@
 use std::fmt;
 
 use compact_str::CompactString;
+use serde::Deserialize;
 use sha2::{Digest as _, Sha256};
 
 /// A token or key from the settings.
-#[derive(Clone, PartialEq, Eq)]
+#[derive(Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
 pub struct Secret(CompactString);
 
 impl Secret {
--- a/crates/gypsumglade/src/settings/listen.rs
+++ b/crates/gypsumglade/src/settings/listen.rs
@@ -23,7 +23,7 @@
 }
 
 /// Loopback with a free port, which suits an embedded process and a test.
-const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+pub(super) const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 impl Default for ListenSettings {
     fn default() -> ListenSettings {
--- a/crates/gypsumglade/src/settings/peers.rs
+++ b/crates/gypsumglade/src/settings/peers.rs
@@ -21,8 +21,8 @@
     pub domain: CompactString,
     /// Its region.
     pub region: CompactString,
-    /// Whether it has a disk and holds replicas.
-    pub store: bool,
+    /// The listener of its store daemon, if it has a disk and holds replicas.
+    pub store: Option<SocketAddr>,
 }
 
 impl Default for PeerSettings {
@@ -33,7 +33,7 @@
             gossip: SocketAddr::from(([0, 0, 0, 0], 0)),
             domain: CompactString::default(),
             region: CompactString::default(),
-            store: false,
+            store: None,
         }
     }
 }
@@ -63,13 +63,16 @@
                 findings.add(&at(key), address, "an IP address and port that others can reach");
             }
         }
+        if let Some(address) = peer.store.filter(|a| a.port() == 0 || a.ip().is_unspecified()) {
+            findings.add(&at("store"), address, "an IP address and port that others can reach");
+        }
         if peer.vm == vm.id {
             check_self(vm, peer, store, i, findings);
         }
     }
-    let stores = peers.iter().any(|p| p.store) || store;
+    let stores = peers.iter().any(|p| p.store.is_some()) || store;
     if !stores {
-        findings.add("peers", "no store", "at least one peer with `store: true`");
+        findings.add("peers", "no store", "at least one peer with `store: IP:PORT`");
     }
 }
 
@@ -88,8 +91,9 @@
     if peer.region != vm.region {
         findings.add(&at("region"), &peer.region, &format!("{:?} as in vm.region", vm.region));
     }
-    if peer.store != store {
-        let allowed = "true with a `store` section, false without one";
-        findings.add(&at("store"), peer.store, allowed);
+    if peer.store.is_some() != store {
+        let allowed = "an address with a `store` section, nothing without one";
+        let found = peer.store.map_or("nothing".into(), |address| address.to_compact_string());
+        findings.add(&at("store"), found, allowed);
     }
 }
--- a/crates/gypsumglade/src/settings/store.rs
+++ b/crates/gypsumglade/src/settings/store.rs
@@ -1,10 +1,12 @@
 //! The durable role of a VM with a disk.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use gypsumglade_core::prelude::*;
 
 use super::Findings;
+use super::listen::LOOPBACK;
 
 /// Replicas on this VM's disk.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -12,6 +14,10 @@
 pub struct StoreSettings {
     /// The one folder that all durable files live under.
     pub folder: PathBuf,
+    /// Calls from the other VMs to the store daemon, which is a process of its own.
+    pub peers: SocketAddr,
+    /// The operators' interface of the store daemon.
+    pub admin: SocketAddr,
     /// Number of program groups; the same on every store, and fixed once programs exist.
     pub groups: u32,
     /// Milliseconds between a leader's heartbeats.
@@ -24,6 +30,8 @@
     fn default() -> StoreSettings {
         StoreSettings {
             folder: PathBuf::from("data"),
+            peers: LOOPBACK,
+            admin: LOOPBACK,
             groups: 8,
             heartbeat_ms: 100,
             election_ms: 1_000,
