--- /dev/null
+++ b/crates/gypsumglade/src/entry/active_bundle.rs
@@ -0,0 +1,89 @@
+//! The bundle revision in force, indexed for the data path.
+
+use std::collections::HashMap;
+
+use gypsumglade_core::bundle::{Agent, Bundle, Model, Operation, Organisation, Service};
+use gypsumglade_core::prelude::*;
+use sha2::{Digest as _, Sha256};
+
+use super::call::CallHeaders;
+use super::problem::{Problem, ProblemKind};
+
+/// A parsed revision with the look-ups that each call needs.
+#[derive(Debug)]
+pub struct ActiveBundle {
+    /// Revision number.
+    pub revision: RevisionNumber,
+    /// Its content.
+    pub bundle: Bundle,
+    organisations: HashMap<CompactString, usize>,
+    agents: HashMap<CompactString, usize>,
+}
+
+impl ActiveBundle {
+    /// Indexes a revision's content.
+    pub fn new(revision: RevisionNumber, bundle: Bundle) -> ActiveBundle {
+        let organisations = bundle.organisations.iter().enumerate();
+        let organisations = organisations.map(|(i, org)| (org.key_digest.clone(), i)).collect();
+        let agents = bundle.agents.iter().enumerate();
+        let agents = agents.map(|(i, agent)| (agent.name.clone(), i)).collect();
+        ActiveBundle { revision, bundle, organisations, agents }
+    }
+
+    /// Finds the organisation of an API key.
+    ///
+    /// # Errors
+    /// Refuses a key of no organisation.
+    pub fn organisation(&self, token: &str) -> Result<&Organisation, Problem> {
+        let digest = hex::encode(Sha256::digest(token.as_bytes()));
+        let index = self.organisations.get(digest.as_str());
+        let found = index.and_then(|index| self.bundle.organisations.get(*index));
+        found.ok_or_else(|| Problem::not_run(ProblemKind::Unauthorized, "unknown API key"))
+    }
+
+    /// Finds the agent program of a call: the named one, or the organisation's first.
+    ///
+    /// # Errors
+    /// Refuses an agent program that the organisation may not run.
+    pub fn agent(&self, org: &Organisation, headers: &CallHeaders) -> Result<&Agent, Problem> {
+        let name = headers.agent.as_ref().or(org.agents.first());
+        let allowed = name.filter(|name| org.agents.contains(name));
+        let index = allowed.and_then(|name| self.agents.get(name));
+        index.and_then(|index| self.bundle.agents.get(*index)).ok_or_else(|| {
+            let shown = name.map_or("(none)", CompactString::as_str);
+            let message = format!("agent program {shown:?} is not one of {:?}", org.agents);
+            Problem::not_run(ProblemKind::NotFound, message)
+        })
+    }
+
+    /// Finds a model that the agent program may use.
+    ///
+    /// # Errors
+    /// Refuses any other model, and names those allowed.
+    pub fn model(&self, agent: &Agent, name: &str) -> Result<&Model, Problem> {
+        let allowed = agent.models.iter().any(|model| model == name);
+        allowed.then(|| self.bundle.model(name)).flatten().ok_or_else(|| {
+            let message = format!("model {name:?} is not one of {:?}", agent.models);
+            Problem::not_run(ProblemKind::NotFound, message)
+        })
+    }
+
+    /// Finds an operation of a plain service that the agent program may use.
+    ///
+    /// # Errors
+    /// Refuses any other service or operation.
+    pub fn operation(
+        &self,
+        agent: &Agent,
+        service: &str,
+        operation: &str,
+    ) -> Result<(&Service, &Operation), Problem> {
+        let allowed = agent.services.iter().any(|name| name == service);
+        let service = allowed.then(|| self.bundle.service(service)).flatten();
+        let found = service.and_then(|service| Some((service, service.operation(operation)?)));
+        found.ok_or_else(|| {
+            let message = format!("no operation {operation:?} of a service in {:?}", agent.services);
+            Problem::not_run(ProblemKind::NotFound, message)
+        })
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -0,0 +1,300 @@
+//! The callers' HTTP interface; docs/API.md describes it with worked examples.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::rejection::BytesRejection;
+use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::response::sse::{KeepAlive, Sse};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{delete, get, post};
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::common::Class;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_util::sync::CancellationToken;
+
+use super::active_bundle::ActiveBundle;
+use super::admit::Offer;
+use super::answer::finish;
+use super::call::CallHeaders;
+use super::chat_request::ChatRequest;
+use super::problem::{OUTCOME_HEADER, Problem, ProblemKind};
+use super::state::EntryState;
+use super::turn::{Caller, TurnCall};
+use super::turn::Sink;
+use super::{sse, tool, turn};
+
+/// Program that a call belonged to, told to callers that named none.
+const PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program-id");
+/// Outcomes as labels, which must be known in advance.
+const OUTCOMES: [&str; 3] = ["done", "not-run", "unknown"];
+/// Events that may wait for a slow caller before the engine's stream is read more slowly.
+const STREAM_BUFFER: usize = 64;
+
+/// Returns the routes that callers may use.
+pub fn routes(state: Arc<EntryState>) -> Router {
+    let limit = usize::try_from(state.settings.limits.body_bytes).unwrap_or(usize::MAX);
+    Router::new()
+        .route("/v1/chat/completions", post(chat))
+        .route("/v1/tools/{service}/{operation}", post(tools))
+        .route("/v1/programs/{*program}", delete(end_program))
+        .route("/healthz", get(health))
+        .route("/readyz", get(ready))
+        .fallback(no_route)
+        .layer(DefaultBodyLimit::max(limit))
+        .with_state(state)
+}
+
+/// A body, or why it could not be read.
+type ReadBody = Result<Bytes, BytesRejection>;
+
+async fn chat(State(state): State<Arc<EntryState>>, headers: HeaderMap, body: ReadBody) -> Response {
+    let started = state.clock.now();
+    let answered = chat_answer(&state, &headers, body).await;
+    let response = answered.unwrap_or_else(IntoResponse::into_response);
+    count(&state, started, "model", &response);
+    response
+}
+
+async fn chat_answer(
+    state: &Arc<EntryState>,
+    headers: &HeaderMap,
+    body: ReadBody,
+) -> Result<Response, Problem> {
+    let body = whole_body(body)?;
+    let headers = CallHeaders::read(headers)?;
+    let active = state.config.active(state.clock.now())?;
+    let request = ChatRequest::parse(&body)?;
+    let call = turn_call(state, &active, &headers, request)?;
+    let permit = state.gate.admit(state, &offer(&active, &call)).await?;
+    let program = call.program.clone();
+    let made_up = headers.program.is_none();
+    let stream = call.request.stream;
+    let usage = call.request.usage;
+    let (caller, mut watch) = caller_of(&call);
+    let task_state = Arc::clone(state);
+    let running = state.tasks.spawn(async move {
+        let answer = turn::run(&task_state, &call, &caller).await;
+        drop(permit);
+        if made_up {
+            tool::end_quietly(&task_state, &call.org, &call.program).await;
+        }
+        watch_end(&caller, &answer, usage).await;
+        answer
+    });
+    let response = if stream {
+        let events = watch.events.take().expect("a stream has a receiver");
+        streamed(events)
+    } else {
+        let answer = running.await.map_err(|_| Problem::unknown("the call's task ended"))?;
+        watch.keep();
+        json_answer(&answer?)
+    };
+    Ok(with_program(response, &program))
+}
+
+/// The handler's side of a call: what tells the task that the caller has gone.
+struct Watch {
+    events: Option<mpsc::Receiver<Result<axum::response::sse::Event, std::convert::Infallible>>>,
+    gone: Option<tokio_util::sync::DropGuard>,
+}
+
+impl Watch {
+    fn keep(mut self) {
+        if let Some(guard) = self.gone.take() {
+            guard.disarm();
+        }
+    }
+}
+
+/// Pairs a call's task with its handler.
+///
+/// The server drops the handler when the connection closes. A caller that gave a key will ask
+/// again, so its call goes on and is recorded; any other call is cancelled at the engine.
+fn caller_of(call: &TurnCall) -> (Caller, Watch) {
+    let gone = CancellationToken::new();
+    let guard = (!call.resends && !call.request.stream).then(|| gone.clone().drop_guard());
+    let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
+    let events = call.request.stream.then_some(sender);
+    let receiver = call.request.stream.then_some(receiver);
+    (Caller { events, gone }, Watch { events: receiver, gone: guard })
+}
+
+/// Writes what the stream held back until the outcome was durable.
+async fn watch_end(caller: &Caller, answer: &Result<Value, Problem>, usage: bool) {
+    let Some(events) = &caller.events else { return };
+    match answer {
+        Ok(answer) => {
+            for chunk in finish(answer, usage) {
+                let _ = events.send(sse::event(&chunk)).await;
+            }
+            let _ = events.send(sse::done()).await;
+        }
+        Err(problem) => {
+            // No `[DONE]`: a client library must not take a cut stream for a whole answer.
+            let body = serde_json::to_value(problem.body()).unwrap_or_default();
+            let _ = events.send(sse::event(&body)).await;
+        }
+    }
+}
+
+fn streamed(
+    events: mpsc::Receiver<Result<axum::response::sse::Event, std::convert::Infallible>>,
+) -> Response {
+    Sse::new(ReceiverStream::new(events)).keep_alive(KeepAlive::default()).into_response()
+}
+
+fn json_answer(answer: &Value) -> Response {
+    let mut response = axum::Json(answer).into_response();
+    response.headers_mut().insert(OUTCOME_HEADER, HeaderValue::from_static("done"));
+    response
+}
+
+fn with_program(mut response: Response, program: &str) -> Response {
+    if let Ok(value) = HeaderValue::from_str(program) {
+        response.headers_mut().insert(PROGRAM_HEADER, value);
+    }
+    response
+}
+
+fn turn_call(
+    state: &EntryState,
+    active: &ActiveBundle,
+    headers: &CallHeaders,
+    request: ChatRequest,
+) -> Result<TurnCall, Problem> {
+    let org = active.organisation(&headers.token)?;
+    let agent = active.agent(org, headers)?;
+    let model = active.model(agent, &request.model)?;
+    let program = headers.program.clone().unwrap_or_else(|| super::fresh_id(state).into());
+    super::check_parent(&program, headers.parent.as_deref())?;
+    Ok(TurnCall {
+        org: org.name.clone(),
+        program,
+        parent: headers.parent.clone().unwrap_or_default(),
+        agent: agent.clone(),
+        model: model.clone(),
+        revision: active.revision,
+        key: headers.key.clone().unwrap_or_else(|| super::fresh_id(state).into()),
+        turn: headers.turn.unwrap_or(0),
+        class: headers.class.unwrap_or_else(|| super::class_of(agent)),
+        deadline: headers.deadline.map(|deadline| state.clock.now() + deadline),
+        request,
+        resends: headers.key.is_some(),
+    })
+}
+
+fn offer(active: &ActiveBundle, call: &TurnCall) -> Offer {
+    let share = active.bundle.organisation(&call.org).map_or(1, |org| org.share);
+    Offer {
+        org: call.org.clone(),
+        share,
+        class: call.class,
+        under_way: call.turn > 1,
+        deadline: call.deadline,
+    }
+}
+
+async fn tools(
+    State(state): State<Arc<EntryState>>,
+    Path((service, operation)): Path<(String, String)>,
+    headers: HeaderMap,
+    body: ReadBody,
+) -> Response {
+    let started = state.clock.now();
+    let answered = tool_answer(&state, &service, &operation, &headers, body).await;
+    let response = answered.unwrap_or_else(IntoResponse::into_response);
+    count(&state, started, "tool", &response);
+    response
+}
+
+async fn tool_answer(
+    state: &Arc<EntryState>,
+    service: &str,
+    operation: &str,
+    headers: &HeaderMap,
+    body: ReadBody,
+) -> Result<Response, Problem> {
+    let body = whole_body(body)?;
+    let headers = CallHeaders::read(headers)?;
+    let active = state.config.active(state.clock.now())?;
+    let call = tool::ToolCall::new(state, &active, &headers, service, operation, body)?;
+    let program = call.program.clone();
+    let (sender, receiver) = oneshot::channel();
+    let task_state = Arc::clone(state);
+    // A call that may not be repeated goes on without its caller, so that its outcome is known.
+    state.tasks.spawn(async move {
+        let _ = sender.send(tool::run(&task_state, &call).await);
+    });
+    let answer = receiver.await.map_err(|_| Problem::unknown("the call's task ended"))??;
+    let mut response = Response::new(Body::from(answer.body));
+    *response.status_mut() = answer.status;
+    let headers = response.headers_mut();
+    headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static("done"));
+    Ok(with_program(response, &program))
+}
+
+async fn end_program(
+    State(state): State<Arc<EntryState>>,
+    Path(program): Path<String>,
+    headers: HeaderMap,
+) -> Response {
+    match end_answer(&state, &program, &headers).await {
+        Ok(()) => StatusCode::NO_CONTENT.into_response(),
+        Err(problem) => problem.into_response(),
+    }
+}
+
+async fn end_answer(
+    state: &EntryState,
+    program: &str,
+    headers: &HeaderMap,
+) -> Result<(), Problem> {
+    let headers = CallHeaders::read(headers)?;
+    let active = state.config.active(state.clock.now())?;
+    let org = active.organisation(&headers.token)?;
+    tool::end(state, &org.name, program).await
+}
+
+async fn health() -> &'static str {
+    "ok"
+}
+
+/// Tells the balancer whether to send callers here.
+async fn ready(State(state): State<Arc<EntryState>>) -> Response {
+    if state.stop.is_cancelled() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "stopping").into_response();
+    }
+    match state.config.active(state.clock.now()) {
+        Ok(_) => "ready".into_response(),
+        Err(problem) => (StatusCode::SERVICE_UNAVAILABLE, problem.message.to_string()).into_response(),
+    }
+}
+
+async fn no_route() -> Problem {
+    Problem::not_run(ProblemKind::NotFound, "no such path; see docs/API.md")
+}
+
+fn whole_body(body: ReadBody) -> Result<Bytes, Problem> {
+    body.map_err(|rejection| {
+        let kind = match rejection.status() {
+            StatusCode::PAYLOAD_TOO_LARGE => ProblemKind::TooLarge,
+            _ => ProblemKind::BadRequest,
+        };
+        Problem::not_run(kind, rejection)
+    })
+}
+
+fn count(state: &EntryState, started: Time, kind: &'static str, response: &Response) {
+    let seconds = state.clock.now().since(started).as_secs_f64();
+    let header = response.headers().get(OUTCOME_HEADER).and_then(|value| value.to_str().ok());
+    // A stream's outcome comes with its end; its head only says that it began.
+    let outcome = OUTCOMES.into_iter().find(|name| header == Some(*name)).unwrap_or("streamed");
+    state.metrics.call(seconds, kind, outcome);
+}
--- a/crates/gypsumglade/src/entry/problem.rs
+++ b/crates/gypsumglade/src/entry/problem.rs
@@ -5,9 +5,12 @@
 use compact_str::{CompactString, ToCompactString};
 use gypsumglade_core::wire::common::Outcome;
 use gypsumglade_core::wire::program::{Refusal, Refused, Unknown};
-use http::{HeaderValue, StatusCode, header};
+use http::{HeaderName, HeaderValue, StatusCode, header};
 use serde::Serialize;
 
+/// Outcome of a call, on every answer.
+pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("x-program-outcome");
+
 /// What kind of problem a call met; each has one status, one code and one advice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProblemKind {
@@ -183,6 +186,8 @@
 impl IntoResponse for Problem {
     fn into_response(self) -> Response {
         let mut response = (self.kind.status(), Json(self.body())).into_response();
+        let outcome = HeaderValue::from_static(outcome_name(self.outcome));
+        response.headers_mut().insert(OUTCOME_HEADER, outcome);
         if let Some(millis) = self.retry {
             let seconds = HeaderValue::from(millis.div_ceil(1_000));
             response.headers_mut().insert(header::RETRY_AFTER, seconds);
--- /dev/null
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -0,0 +1,129 @@
+//! What all tasks of an entry VM share.
+
+use std::sync::{Mutex, MutexGuard};
+
+use gypsumglade_core::policy::registry::{DispatchKey, Registry};
+use gypsumglade_core::policy::route::{Choice, Place, RouteAsk, RouteError, Router};
+use gypsumglade_core::prelude::*;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::admit::Gate;
+use super::config::ConfigView;
+use super::endpoint_client::EndpointClient;
+use super::groups::GroupClient;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+
+/// One entry VM.
+pub struct EntryState {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its failure domain and region.
+    pub place: Place,
+    /// Its clock.
+    pub clock: Clock,
+    /// The program groups.
+    pub groups: GroupClient,
+    /// HTTP towards endpoints.
+    pub endpoints: EndpointClient,
+    /// The bundle in force and the lease on it.
+    pub config: ConfigView,
+    /// Who is let in, and when.
+    pub gate: Gate,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    /// Log of the process.
+    pub log: slog::Logger,
+    /// Cancelled when a planned stop begins.
+    pub stop: CancellationToken,
+    /// Calls under way, which a planned stop waits for.
+    pub tasks: TaskTracker,
+    pub(super) desk: Mutex<Desk>,
+}
+
+/// The routing decisions' state, behind one lock that is never held across a wait.
+pub(super) struct Desk {
+    pub(super) registry: Registry,
+    pub(super) router: Router,
+}
+
+/// An endpoint chosen for a dispatch, counted as in flight there until it is settled.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// Instance name.
+    pub name: EndpointName,
+    /// `ip:port`.
+    pub address: CompactString,
+    /// Region, for the paid link's count.
+    pub region: RegionId,
+    /// Prompt tokens that the engine has to compute.
+    pub fill: u64,
+    key: DispatchKey,
+}
+
+/// How a dispatch on an endpoint ended, for the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DispatchEnd {
+    /// The endpoint answered.
+    Finished,
+    /// The endpoint failed.
+    Failed,
+    /// The caller went away, or the call was never sent.
+    Cancelled,
+}
+
+impl EntryState {
+    pub(super) fn desk(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().expect("no panic while held")
+    }
+
+    /// Chooses an endpoint and counts the dispatch there.
+    ///
+    /// # Errors
+    /// Says why no endpoint can take the call, and when to come back.
+    pub fn place_call(&self, ask: &RouteAsk) -> Result<Placed, RouteError> {
+        let now = self.clock.now();
+        let mut desk = self.desk();
+        let desk = &mut *desk;
+        let choice = desk.router.choose(now, &desk.registry, ask)?;
+        Ok(desk.count(now, &choice, ask.isolate))
+    }
+
+    /// Counts a dispatch out of flight.
+    pub fn release_call(&self, placed: &Placed, end: DispatchEnd) {
+        let now = self.clock.now();
+        let mut desk = self.desk();
+        match end {
+            DispatchEnd::Finished => desk.registry.finished(now, placed.key),
+            DispatchEnd::Failed => desk.registry.failed(now, placed.key),
+            DispatchEnd::Cancelled => desk.registry.cancelled(now, placed.key),
+        }
+    }
+
+    /// Notes that an engine has computed a dispatch's prompt.
+    pub fn prompt_filled(&self, placed: &Placed) {
+        self.desk().registry.filled(placed.key);
+    }
+
+    /// Returns the address of an endpoint with a live lease.
+    pub fn endpoint_address(&self, name: &str) -> Option<CompactString> {
+        let desk = self.desk();
+        let key = desk.registry.key(name)?;
+        desk.registry.get(key).map(|endpoint| endpoint.address.clone())
+    }
+}
+
+impl Desk {
+    fn count(&mut self, now: Time, choice: &Choice, alone: bool) -> Placed {
+        use gypsumglade_core::policy::registry::DispatchLoad;
+        let load = DispatchLoad { fill_tokens: choice.fill_tokens, alone };
+        let key = self.registry.dispatched(now, choice.endpoint, load);
+        let endpoint = self.registry.get(choice.endpoint);
+        let (name, address, region) = endpoint
+            .map(|found| (found.name.clone(), found.address.clone(), found.region))
+            .unwrap_or_default();
+        Placed { name, address, region, fill: choice.fill_tokens, key }
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -0,0 +1,407 @@
+//! Runs one call of a plain service, at most once where it may not be repeated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gypsumglade_core::policy::route::{RouteAsk, Target};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::common::{Class, Outcome};
+use gypsumglade_core::wire::program::reply::Body as ReplyBody;
+use gypsumglade_core::wire::program::request::Body as RequestBody;
+use gypsumglade_core::wire::program::{
+    BeginCall, EndProgram, Grant, ProgramRef, Request, Settle, Usage,
+};
+use http::{HeaderValue, StatusCode};
+use sha2::{Digest as _, Sha256};
+
+use super::active_bundle::ActiveBundle;
+use super::call::CallHeaders;
+use super::endpoint_client::{Dispatch, KEY_HEADER, PROGRAM_HEADER, SendError};
+use super::problem::{Problem, ProblemKind};
+use super::state::{DispatchEnd, EntryState, Placed};
+
+/// Attempts at a repeatable call whose endpoint went away.
+const MAX_ATTEMPTS: usize = 3;
+/// Longest wait for a grant or an end of program.
+const GROUP_PATIENCE: Duration = Duration::from_secs(15);
+/// Longest wait for a group to take an outcome, across a change of leader.
+const SETTLE_PATIENCE: Duration = Duration::from_secs(30);
+/// When to come back after no replica of a group answered.
+const GROUP_RETRY_MS: u64 = 1_000;
+/// Askings after the status of a call in doubt, each after twice the pause before it.
+const INQUIRIES: u32 = 6;
+/// First pause before a service is asked what became of a call.
+const INQUIRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// One call of a plain service, from its headers, body and bundle.
+#[derive(Clone, Debug)]
+pub struct ToolCall {
+    /// Organisation.
+    pub org: OrgName,
+    /// Program.
+    pub program: ProgramName,
+    begin: BeginCall,
+    service: CompactString,
+    operation: CompactString,
+    allowed: Vec<gypsumglade_core::bundle::EndpointPattern>,
+    timeout: Duration,
+    micros: u64,
+    deadline: Option<Time>,
+    class: Class,
+    body: Bytes,
+}
+
+/// A plain service's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ToolAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl ToolCall {
+    /// Reads and checks a call.
+    ///
+    /// # Errors
+    /// Refuses what the bundle does not offer, and a call without a program or key where the
+    /// operation may not be repeated.
+    pub fn new(
+        state: &EntryState,
+        active: &ActiveBundle,
+        headers: &CallHeaders,
+        service: &str,
+        operation: &str,
+        body: Bytes,
+    ) -> Result<ToolCall, Problem> {
+        let org = active.organisation(&headers.token)?;
+        let agent = active.agent(org, headers)?;
+        let (service, operation) = active.operation(agent, service, operation)?;
+        let program = headers.program.clone().ok_or_else(|| missing("x-program-id"))?;
+        super::check_parent(&program, headers.parent.as_deref())?;
+        let key = match &headers.key {
+            Some(key) => key.clone(),
+            None if operation.repeatable => super::fresh_id(state).into(),
+            None => return Err(missing("idempotency-key")),
+        };
+        let timeout = Duration::from_millis(operation.timeout_ms);
+        let begin = BeginCall {
+            program: Some(ProgramRef { org: org.name.to_string(), program: program.to_string() }),
+            key: key.to_string(),
+            service: service.name.to_string(),
+            operation: operation.name.to_string(),
+            digest: Bytes::copy_from_slice(&Sha256::digest(&body)),
+            repeatable: operation.repeatable,
+            max_micros: operation.micros,
+            deadline_ms: headers.deadline.unwrap_or(timeout).as_millis() as u64,
+            revision: active.revision.0,
+            agent: agent.name.to_string(),
+            budget: Some(super::call_budget(&agent.budget)),
+            idle_ms: agent.idle_ms,
+            parent: headers.parent.as_deref().unwrap_or_default().to_owned(),
+            ..BeginCall::default()
+        };
+        Ok(ToolCall {
+            org: org.name.clone(),
+            program,
+            begin,
+            service: service.name.clone(),
+            operation: operation.name.clone(),
+            allowed: service.endpoints.clone(),
+            timeout,
+            micros: operation.micros,
+            deadline: headers.deadline.map(|deadline| state.clock.now() + deadline),
+            class: headers.class.unwrap_or_else(|| super::class_of(agent)),
+            body,
+        })
+    }
+
+    fn repeatable(&self) -> bool {
+        self.begin.repeatable
+    }
+}
+
+fn missing(header: &str) -> Problem {
+    let message = format!("header {header} is required for this operation");
+    Problem::not_run(ProblemKind::BadRequest, message)
+}
+
+/// Runs the call to its recorded outcome.
+///
+/// # Errors
+/// Every problem says whether the call ran.
+pub async fn run(state: &Arc<EntryState>, call: &ToolCall) -> Result<ToolAnswer, Problem> {
+    let attempts = if call.repeatable() { MAX_ATTEMPTS } else { 1 };
+    let mut last = Problem::not_run(ProblemKind::Unavailable, "no attempt was possible");
+    for attempt in 0..attempts {
+        if attempt > 0 {
+            state.metrics.retry("service_lost");
+        }
+        let grant = match ask_grant(state, call).await? {
+            Granted::Run(grant) => grant,
+            Granted::Answer(answer) => return Ok(answer),
+        };
+        match run_granted(state, call, &grant).await {
+            Ok(answer) => return Ok(answer),
+            Err(problem) if problem.outcome == Outcome::NotRun => return Err(problem),
+            Err(problem) => last = problem,
+        }
+    }
+    Err(last)
+}
+
+enum Granted {
+    Run(Grant),
+    Answer(ToolAnswer),
+}
+
+async fn ask_grant(state: &EntryState, call: &ToolCall) -> Result<Granted, Problem> {
+    let mut begin = call.begin.clone();
+    begin.nonce = super::fresh_id(state);
+    let request = Request { body: Some(RequestBody::BeginCall(begin)) };
+    let patience = call.deadline.map_or(GROUP_PATIENCE, |at| at.since(state.clock.now()));
+    match state.groups.ask(&call.org, &call.program, &request, patience).await {
+        Ok(ReplyBody::Grant(grant)) => Ok(Granted::Run(grant)),
+        Ok(ReplyBody::Recorded(recorded)) => Ok(Granted::Answer(ToolAnswer {
+            status: status_of(recorded.status),
+            body: recorded.answer,
+        })),
+        Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
+        Ok(ReplyBody::Unknown(unknown)) => Err(unknown.into()),
+        Ok(ReplyBody::Done(_)) => Err(Problem::unknown("the program group gave no grant")),
+        // A grant may have been given, but this VM never learnt of it and will not use it.
+        Err(_) => Err(Problem::not_run(
+            ProblemKind::Unavailable,
+            "no quorum of the program's group answered",
+        )
+        .retry_after(GROUP_RETRY_MS)),
+    }
+}
+
+fn status_of(status: u32) -> StatusCode {
+    let code = u16::try_from(status).unwrap_or_default();
+    StatusCode::from_u16(code).unwrap_or(StatusCode::OK)
+}
+
+async fn run_granted(
+    state: &Arc<EntryState>,
+    call: &ToolCall,
+    grant: &Grant,
+) -> Result<ToolAnswer, Problem> {
+    let mut excluded = not_allowed(state, call);
+    loop {
+        let placed = match state.place_call(&route_ask(state, call, &excluded)) {
+            Ok(placed) => placed,
+            Err(error) => {
+                let problem = Problem::not_run(ProblemKind::Unavailable, &error)
+                    .retry_after(super::route_retry_ms(&error));
+                return not_run(state, call, grant, problem).await;
+            }
+        };
+        let dispatch = dispatch(call, grant, &placed);
+        match state.endpoints.send_once(&dispatch, call.timeout).await {
+            Ok((status, body)) => {
+                state.release_call(&placed, DispatchEnd::Finished);
+                return done(state, call, grant, ToolAnswer { status, body }).await;
+            }
+            Err(SendError::NotSent) => {
+                state.release_call(&placed, DispatchEnd::Failed);
+                state.metrics.retry("refused");
+                excluded.push(placed.name.clone());
+            }
+            Err(error) => {
+                state.release_call(&placed, DispatchEnd::Failed);
+                return in_doubt(state, call, grant, &placed, error).await;
+            }
+        }
+    }
+}
+
+async fn done(
+    state: &EntryState,
+    call: &ToolCall,
+    grant: &Grant,
+    answer: ToolAnswer,
+) -> Result<ToolAnswer, Problem> {
+    settle(state, call, done_settle(call, grant, &answer)).await?;
+    Ok(answer)
+}
+
+fn done_settle(call: &ToolCall, grant: &Grant, answer: &ToolAnswer) -> Settle {
+    Settle {
+        answer: answer.body.clone(),
+        status: u32::from(answer.status.as_u16()),
+        usage: Some(Usage { micros: call.micros, ..Usage::default() }),
+        ..outcome(call, grant, Outcome::Done, "")
+    }
+}
+
+async fn not_run(
+    state: &EntryState,
+    call: &ToolCall,
+    grant: &Grant,
+    problem: Problem,
+) -> Result<ToolAnswer, Problem> {
+    // Nothing was sent, whether or not the group has heard of it yet; a resend under the key is
+    // granted again only once it has.
+    let _ = settle(state, call, outcome(call, grant, Outcome::NotRun, &problem.message)).await;
+    Err(problem)
+}
+
+/// Handles a call that may have run: it is recorded as unknown, and the service is asked.
+///
+/// It is never sent again under its key. The service's own record can still settle it, also after
+/// the caller was told.
+async fn in_doubt(
+    state: &Arc<EntryState>,
+    call: &ToolCall,
+    grant: &Grant,
+    placed: &Placed,
+    error: SendError,
+) -> Result<ToolAnswer, Problem> {
+    slog::warn!(state.log, "a service call is in doubt";
+        "program" => %call.program, "dispatch" => &grant.dispatch,
+        "endpoint" => %placed.name, "error" => ?error);
+    if let Some(answer) = inquire(state, call, placed).await {
+        return done(state, call, grant, answer).await;
+    }
+    let mut settled = outcome(call, grant, Outcome::Unknown, "no answer from the service");
+    settled.endpoint = placed.name.to_string();
+    settle(state, call, settled).await?;
+    if !call.repeatable() {
+        keep_asking(state, call, grant, placed);
+    }
+    Err(Problem::unknown(format!("service {} gave no answer", call.service)))
+}
+
+fn keep_asking(state: &Arc<EntryState>, call: &ToolCall, grant: &Grant, placed: &Placed) {
+    let (state, call) = (Arc::clone(state), call.clone());
+    let (grant, placed) = (grant.clone(), placed.clone());
+    tokio::spawn(async move {
+        let mut pause = INQUIRY_PAUSE;
+        for _ in 0..INQUIRIES {
+            tokio::time::sleep(pause).await;
+            pause *= 2;
+            if let Some(answer) = inquire(&state, &call, &placed).await {
+                let _ = settle(&state, &call, done_settle(&call, &grant, &answer)).await;
+                return;
+            }
+        }
+    });
+}
+
+/// A service's word on a key.
+#[derive(Deserialize)]
+struct Status {
+    ran: bool,
+    #[serde(default)]
+    status: Option<u16>,
+    #[serde(default)]
+    answer: Option<serde_json::Value>,
+}
+
+/// Asks the service what became of the key; only "it ran, with this answer" settles anything.
+///
+/// "It did not run" does not: the request may still be on its way.
+async fn inquire(state: &EntryState, call: &ToolCall, placed: &Placed) -> Option<ToolAnswer> {
+    let path = format!("/v1/tools/status/{}", service_key(call));
+    let timeout = state.settings.timeouts.peer();
+    let asked =
+        state.endpoints.control(http::Method::GET, &placed.address, &path, Bytes::new(), timeout);
+    let (status, body) = asked.await.ok()?;
+    if !status.is_success() {
+        return None;
+    }
+    let told: Status = serde_json::from_slice(&body).ok()?;
+    let answer = told.answer.filter(|_| told.ran)?;
+    let status = status_of(u32::from(told.status.unwrap_or(200)));
+    Some(ToolAnswer { status, body: Bytes::from(answer.to_string()) })
+}
+
+/// Key under which the service knows the call: callers' own keys are unique only in a program.
+fn service_key(call: &ToolCall) -> String {
+    let text = format!("{}\n{}\n{}", call.org, call.program, call.begin.key);
+    hex::encode(&Sha256::digest(text.as_bytes())[..SERVICE_KEY_BYTES])
+}
+
+/// Bytes of a service key: enough that two never meet.
+const SERVICE_KEY_BYTES: usize = 16;
+
+fn dispatch(call: &ToolCall, grant: &Grant, placed: &Placed) -> Dispatch {
+    let mut headers = Vec::new();
+    if let Ok(value) = HeaderValue::from_str(&service_key(call)) {
+        headers.push((KEY_HEADER, value));
+    }
+    if let Ok(value) = HeaderValue::from_str(&format!("{}/{}", call.org, call.program)) {
+        headers.push((PROGRAM_HEADER, value));
+    }
+    Dispatch {
+        address: placed.address.clone(),
+        path: format!("/v1/tools/{}", call.operation).into(),
+        id: grant.dispatch.as_str().into(),
+        headers,
+        body: call.body.clone(),
+    }
+}
+
+fn route_ask(state: &EntryState, call: &ToolCall, excluded: &[EndpointName]) -> RouteAsk {
+    RouteAsk {
+        target: Target::Service(call.service.clone()),
+        program: super::program_hash(&call.org, &call.program),
+        prompt_tokens: 0,
+        prior_tokens: 0,
+        output_guess: 0,
+        last: Vec::new(),
+        class: call.class,
+        place: state.place,
+        excluded: excluded.to_vec(),
+        isolate: false,
+    }
+}
+
+fn not_allowed(state: &EntryState, call: &ToolCall) -> Vec<EndpointName> {
+    let desk = state.desk();
+    let keys = desk.registry.services(&call.service).iter();
+    let names = keys.filter_map(|key| desk.registry.get(*key)).map(|found| &found.name);
+    names.filter(|name| !super::allows(&call.allowed, name)).cloned().collect()
+}
+
+fn outcome(call: &ToolCall, grant: &Grant, outcome: Outcome, reason: &str) -> Settle {
+    Settle {
+        program: call.begin.program.clone(),
+        dispatch: grant.dispatch.clone(),
+        outcome: outcome.into(),
+        reason: reason.to_owned(),
+        ..Settle::default()
+    }
+}
+
+async fn settle(state: &EntryState, call: &ToolCall, settle: Settle) -> Result<(), Problem> {
+    super::settle(state, &call.org, &call.program, settle, SETTLE_PATIENCE).await
+}
+
+/// Ends a program by its caller's word.
+///
+/// # Errors
+/// Fails when no quorum of the program's group answers.
+pub async fn end(state: &EntryState, org: &str, program: &str) -> Result<(), Problem> {
+    let program_ref = ProgramRef { org: org.to_owned(), program: program.to_owned() };
+    let request = Request {
+        body: Some(RequestBody::EndProgram(EndProgram { program: Some(program_ref) })),
+    };
+    match state.groups.ask(org, program, &request, GROUP_PATIENCE).await {
+        Ok(ReplyBody::Done(_)) => Ok(()),
+        Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
+        _ => Err(Problem::unknown("the end of the program is not confirmed")
+            .retry_after(GROUP_RETRY_MS)),
+    }
+}
+
+/// Ends a program that exists for one call only; idle time ends it if this does not.
+pub async fn end_quietly(state: &EntryState, org: &str, program: &str) {
+    if let Err(problem) = end(state, org, program).await {
+        slog::info!(state.log, "a one-call program ends by idle time";
+            "program" => program, "reason" => %problem.message);
+    }
+}
--- a/crates/gypsumglade/src/metrics.rs
+++ b/crates/gypsumglade/src/metrics.rs
@@ -1,1 +1,154 @@
 //! Metrics of a process and their Prometheus page.
+//!
+//! The names are listed for operators in docs/OPERATING.md.
+
+use anyhow::Context as _;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _, UpDownCounter};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder as _, Registry, TextEncoder};
+
+/// Bounds of the whole-program latency histogram, in seconds: a lookup to an hour's chat.
+const PROGRAM_SECONDS: [f64; 14] =
+    [0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0, 40.0, 80.0, 160.0, 600.0, 1_800.0, 3_600.0];
+/// Bounds of the latency histograms of single calls, in seconds.
+const CALL_SECONDS: [f64; 14] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.59, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0];
+
+/// Instruments of one process.
+pub struct Metrics {
+    registry: Registry,
+    // Dropping the provider would stop the page from being filled.
+    _provider: SdkMeterProvider,
+    program_seconds: Histogram<f64>,
+    call_seconds: Histogram<f64>,
+    first_token: Histogram<f64>,
+    cache_tokens: Counter<u64>,
+    output_tokens: Counter<u64>,
+    outcomes: Counter<u64>,
+    shed: Counter<u64>,
+    retries: Counter<u64>,
+    region_bytes: Counter<u64>,
+    waiting: UpDownCounter<i64>,
+    flight: UpDownCounter<i64>,
+}
+
+/// What became of prefix tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CacheUse {
+    /// Computed into an engine's prefix memory.
+    Filled,
+    /// Found there by a later call.
+    Reused,
+    /// Computed before by the same program, and computed again: the earlier fill was wasted.
+    Refilled,
+    /// Freed at the end of a program, or left behind by a move.
+    Dropped,
+}
+
+impl Metrics {
+    /// Creates the instruments of the process that runs on `vm`.
+    ///
+    /// # Errors
+    /// Fails when the exporter cannot be set up, which is a fault of the program.
+    pub fn new() -> anyhow::Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .context("cannot set up the metrics exporter")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("gypsumglade");
+        let seconds = |name: &'static str, bounds: &[f64]| {
+            meter.f64_histogram(name).with_unit("s").with_boundaries(bounds.to_vec()).build()
+        };
+        let count = |name: &'static str| meter.u64_counter(name).build();
+        Ok(Metrics {
+            program_seconds: seconds("program_latency", &PROGRAM_SECONDS),
+            call_seconds: seconds("call_latency", &CALL_SECONDS),
+            first_token: seconds("first_token_latency", &CALL_SECONDS),
+            cache_tokens: count("prefix_cache_tokens"),
+            output_tokens: count("output_tokens"),
+            outcomes: count("call_outcomes"),
+            shed: count("calls_shed"),
+            retries: count("call_retries"),
+            region_bytes: count("region_link_bytes"),
+            waiting: meter.i64_up_down_counter("calls_waiting").build(),
+            flight: meter.i64_up_down_counter("calls_in_flight").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Returns the page in the Prometheus text format.
+    ///
+    /// # Errors
+    /// Fails when a metric cannot be written, which is a fault of the program.
+    pub fn page(&self) -> anyhow::Result<String> {
+        let mut page = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut page)?;
+        Ok(String::from_utf8(page)?)
+    }
+
+    /// Records a program's time from first call to last answer.
+    pub fn program(&self, seconds: f64, agent: &str) {
+        self.program_seconds.record(seconds, &[label("agent", agent)]);
+    }
+
+    /// Records a call's time and outcome; `kind` is `model` or `tool`.
+    pub fn call(&self, seconds: f64, kind: &'static str, outcome: &'static str) {
+        let labels = [label("kind", kind), label("outcome", outcome)];
+        self.call_seconds.record(seconds, &labels);
+        self.outcomes.add(1, &labels);
+    }
+
+    /// Records the time to the first token of a stream.
+    pub fn first_token(&self, seconds: f64, model: &str) {
+        self.first_token.record(seconds, &[label("model", model)]);
+    }
+
+    /// Counts prefix tokens by what became of them.
+    pub fn cache(&self, tokens: u64, usage: CacheUse) {
+        let name = match usage {
+            CacheUse::Filled => "filled",
+            CacheUse::Reused => "reused",
+            CacheUse::Refilled => "refilled",
+            CacheUse::Dropped => "dropped",
+        };
+        self.cache_tokens.add(tokens, &[label("use", name)]);
+    }
+
+    /// Counts generated tokens.
+    pub fn output(&self, tokens: u64, model: &str) {
+        self.output_tokens.add(tokens, &[label("model", model)]);
+    }
+
+    /// Counts a call that was given up on before it ran.
+    pub fn shed(&self, reason: &'static str) {
+        self.shed.add(1, &[label("reason", reason)]);
+    }
+
+    /// Counts another attempt at a call.
+    pub fn retry(&self, reason: &'static str) {
+        self.retries.add(1, &[label("reason", reason)]);
+    }
+
+    /// Counts bytes over the paid link between regions, by what they carry.
+    pub fn region_link(&self, bytes: u64, class: &'static str) {
+        self.region_bytes.add(bytes, &[label("class", class)]);
+    }
+
+    /// Counts a call into (+1) or out of (-1) the queue.
+    pub fn waiting(&self, change: i64) {
+        self.waiting.add(change, &[]);
+    }
+
+    /// Counts a call into (+1) or out of (-1) flight.
+    pub fn in_flight(&self, change: i64) {
+        self.flight.add(change, &[]);
+    }
+}
+
+fn label(name: &'static str, value: &str) -> KeyValue {
+    KeyValue::new(name, value.to_owned())
+}
