Add bundles, control state machine and configuration lease

Cause: the control group needs content that operators sign, a deterministic state machine for it and a lease that makes 'in force everywhere' a fact. Placement steps are refused for now.

--- /dev/null
+++ b/crates/core/src/control/delta.rs
@@ -0,0 +1,139 @@
+//! Changes between two contents, line by line, so that a small change stays small on the wire.
+//!
+//! A delta is a list of copies from the base and inserted bytes. Whoever applies one checks the
+//! digest of the result, so a delta never has to be trusted: at worst the whole is fetched.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+
+use crate::bundle::MAX_CONTENT;
+use crate::wire::control::{Delta, DeltaStep};
+
+/// Copies shorter than this cost more as a step than as inserted bytes.
+const MIN_COPY: usize = 24;
+
+/// Returns the change that turns `base` into `target`, in time linear in their lines.
+pub fn diff(base: &[u8], target: &[u8]) -> Delta {
+    let lines = Lines::of(base);
+    let mut builder = Builder { target, steps: Vec::new(), inserted: 0..0 };
+    let mut cursor = 0;
+    let mut offset = 0;
+    while offset < target.len() {
+        let run = lines.longest_run(&target[offset..], cursor);
+        let length = run.length.max(line_length(&target[offset..]));
+        if run.length >= MIN_COPY {
+            builder.copy(run.start, run.length, offset);
+            cursor = run.start + run.length;
+        }
+        offset += length;
+        if run.length < MIN_COPY {
+            builder.inserted.end = offset;
+        } else {
+            builder.inserted = offset..offset;
+        }
+    }
+    builder.finish()
+}
+
+/// Applies a change, or returns `None` when it doesn't fit the base or the result is too large.
+pub fn apply(base: &[u8], delta: &Delta) -> Option<Bytes> {
+    let mut result = Vec::with_capacity(base.len());
+    for step in &delta.steps {
+        let start = usize::try_from(step.start).ok()?;
+        let end = start.checked_add(usize::try_from(step.length).ok()?)?;
+        result.extend_from_slice(base.get(start..end)?);
+        result.extend_from_slice(&step.insert);
+        if result.len() > MAX_CONTENT {
+            return None;
+        }
+    }
+    Some(result.into())
+}
+
+/// The base's lines and where each one stands.
+struct Lines<'a> {
+    base: &'a [u8],
+    places: HashMap<&'a [u8], Vec<usize>>,
+}
+
+/// Bytes of the base that the target repeats.
+#[derive(Default)]
+struct Run {
+    start: usize,
+    length: usize,
+}
+
+impl<'a> Lines<'a> {
+    fn of(base: &'a [u8]) -> Lines<'a> {
+        let mut places: HashMap<&[u8], Vec<usize>> = HashMap::new();
+        let mut start = 0;
+        while start < base.len() {
+            let length = line_length(&base[start..]);
+            places.entry(&base[start..start + length]).or_default().push(start);
+            start += length;
+        }
+        Lines { base, places }
+    }
+
+    /// Finds a run of whole lines at the start of `rest`, at `cursor` if one goes on there.
+    fn longest_run(&self, rest: &[u8], cursor: usize) -> Run {
+        let ahead = self.run_at(cursor, rest);
+        if ahead.length >= MIN_COPY {
+            return ahead;
+        }
+        let line = &rest[..line_length(rest)];
+        let Some(places) = self.places.get(line) else { return Run::default() };
+        let next = places.partition_point(|place| *place < cursor) % places.len();
+        self.run_at(places[next], rest)
+    }
+
+    fn run_at(&self, start: usize, rest: &[u8]) -> Run {
+        let base = &self.base[start.min(self.base.len())..];
+        let mut length = 0;
+        while length < rest.len() {
+            let line = line_length(&rest[length..]);
+            if base.get(length..length + line) != Some(&rest[length..length + line]) {
+                break;
+            }
+            length += line;
+        }
+        Run { start, length }
+    }
+}
+
+fn line_length(text: &[u8]) -> usize {
+    text.iter().position(|byte| *byte == b'\n').map_or(text.len(), |end| end + 1)
+}
+
+/// Collects steps; inserted bytes wait until the next copy closes them.
+struct Builder<'a> {
+    target: &'a [u8],
+    steps: Vec<DeltaStep>,
+    inserted: std::ops::Range<usize>,
+}
+
+impl Builder<'_> {
+    fn copy(&mut self, start: usize, length: usize, offset: usize) {
+        self.inserted.end = offset;
+        self.flush();
+        let step = DeltaStep { start: start as u64, length: length as u64, insert: Bytes::new() };
+        self.steps.push(step);
+    }
+
+    fn flush(&mut self) {
+        if self.inserted.is_empty() {
+            return;
+        }
+        let insert = Bytes::copy_from_slice(&self.target[self.inserted.clone()]);
+        match self.steps.last_mut() {
+            Some(step) => step.insert = insert,
+            None => self.steps.push(DeltaStep { start: 0, length: 0, insert }),
+        }
+    }
+
+    fn finish(mut self) -> Delta {
+        self.flush();
+        Delta { steps: self.steps }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/history.rs
@@ -0,0 +1,147 @@
+//! The current revision and earlier ones, each kept as a delta from its successor.
+//!
+//! The control group keeps enough to roll back; a relaying entry VM keeps a few, so that VMs a
+//! little behind fetch a delta and not the whole content.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+
+use super::Revision;
+use super::delta;
+use crate::prelude::*;
+use crate::wire::control as wire;
+
+/// An earlier revision.
+#[derive(Clone, Debug, PartialEq)]
+struct Past {
+    /// Its content is left empty; `backward` makes it from the successor's.
+    revision: Revision,
+    backward: wire::Delta,
+}
+
+/// The newest revisions, in order of their numbers; numbers may be missing.
+#[derive(Clone, Debug)]
+pub struct History {
+    current: Option<Revision>,
+    past: VecDeque<Past>,
+    kept: usize,
+    /// Change from the last past revision to the current one: what nearly every asker needs.
+    forward: wire::Delta,
+}
+
+impl History {
+    /// Starts empty and keeps at most `kept` earlier revisions.
+    pub fn new(kept: usize) -> History {
+        History { current: None, past: VecDeque::new(), kept, forward: wire::Delta::default() }
+    }
+
+    /// Returns the newest revision.
+    pub fn current(&self) -> Option<&Revision> {
+        self.current.as_ref()
+    }
+
+    /// Returns the newest revision's number, zero before the first.
+    pub fn number(&self) -> RevisionNumber {
+        self.current.as_ref().map_or_else(RevisionNumber::default, |current| current.number)
+    }
+
+    /// Adds a revision; one that isn't newer than the current changes nothing.
+    pub fn push(&mut self, revision: Revision) {
+        if revision.number <= self.number() {
+            return;
+        }
+        self.replace(revision);
+    }
+
+    /// Makes `revision` the current one without looking at its number.
+    pub(super) fn replace(&mut self, revision: Revision) {
+        if let Some(mut before) = self.current.take() {
+            let backward = delta::diff(&revision.content, &before.content);
+            self.forward = delta::diff(&before.content, &revision.content);
+            before.content = Bytes::new();
+            self.past.push_back(Past { revision: before, backward });
+        }
+        self.current = Some(revision);
+        while self.past.len() > self.kept {
+            self.past.pop_front();
+        }
+    }
+
+    /// Returns a kept revision with its content.
+    pub fn find(&self, number: RevisionNumber) -> Option<Revision> {
+        let current = self.current.as_ref()?;
+        if current.number == number {
+            return Some(current.clone());
+        }
+        let mut content = current.content.clone();
+        for past in self.past.iter().rev() {
+            content = delta::apply(&content, &past.backward)?;
+            if past.revision.number == number {
+                return Some(Revision { content, ..past.revision.clone() });
+            }
+        }
+        None
+    }
+
+    /// Returns what a VM at revision `since` needs: a delta if its content is still kept, else
+    /// the whole. Returns `None` if there is nothing newer.
+    pub fn update(&self, since: RevisionNumber) -> Option<wire::Update> {
+        let current = self.current.as_ref().filter(|current| current.number > since)?;
+        let Some(delta) = self.delta_from(since) else {
+            return Some(wire::Update { revision: Some(current.to_wire()), delta: None });
+        };
+        let revision = wire::Revision { content: Bytes::new(), ..current.to_wire() };
+        Some(wire::Update { revision: Some(revision), delta: Some(delta) })
+    }
+
+    fn delta_from(&self, since: RevisionNumber) -> Option<wire::Delta> {
+        let last = self.past.back()?;
+        if last.revision.number == since {
+            return Some(self.forward.clone());
+        }
+        let base = self.find(since)?;
+        Some(delta::diff(&base.content, &self.current.as_ref()?.content))
+    }
+
+    /// Reads an update by the revision it changes, or `None` if it doesn't fit; the asker then
+    /// asks as one who has nothing. The caller verifies the result before it pushes it.
+    pub fn resolve(&self, update: wire::Update) -> Option<Revision> {
+        let mut revision = Revision::from_wire(update.revision?)?;
+        if let Some(change) = update.delta {
+            revision.content = delta::apply(&self.current.as_ref()?.content, &change)?;
+        }
+        let whole = crate::bundle::Digest::of(&revision.content) == revision.digest;
+        whole.then_some(revision)
+    }
+
+    /// Returns the current revision and the past ones as a snapshot carries them.
+    pub(super) fn to_wire(&self) -> (Option<wire::Revision>, Vec<wire::Past>) {
+        let past = self.past.iter().map(|past| wire::Past {
+            revision: Some(past.revision.to_wire()),
+            backward: Some(past.backward.clone()),
+        });
+        (self.current.as_ref().map(Revision::to_wire), past.collect())
+    }
+
+    /// Reads a snapshot's revisions, or `None` if one is malformed.
+    pub(super) fn from_wire(
+        kept: usize,
+        current: Option<wire::Revision>,
+        past: Vec<wire::Past>,
+    ) -> Option<History> {
+        let mut history = History::new(kept);
+        for past in past {
+            let revision = Revision::from_wire(past.revision?)?;
+            history.past.push_back(Past { revision, backward: past.backward? });
+        }
+        let Some(current) = current else { return Some(history) };
+        let current = Revision::from_wire(current)?;
+        if let Some(last) = history.past.back() {
+            let before = delta::apply(&current.content, &last.backward)?;
+            history.forward = delta::diff(&before, &current.content);
+        }
+        history.current = Some(current);
+        Some(history)
+    }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,1 +1,383 @@
-//! State machine of the control group: bundle revisions, placement, leases.
+//! The control group's state machine: bundle revisions, the order lease and placement.
+//!
+//! Every store VM of the control group applies the same commands in the same order, so
+//! [`Control::apply`] depends on nothing but the state and the command: no clock, no settings.
+//! What needs settings (the operators' keys) is checked by the leader before it proposes, with
+//! [`Control::check`], and again by each entry VM with [`Revision::verify`]. See
+//! docs/design/bundles.md.
+
+pub mod delta;
+mod history;
+mod memory;
+mod placement;
+mod revision;
+mod snapshot;
+
+pub use history::History;
+pub use memory::REMEMBERED;
+pub use revision::{Revision, RevisionError};
+pub use snapshot::RestoreError;
+
+use bytes::Bytes;
+
+use crate::bundle::{Bundle, Digest, OperatorKeys, RollBackOrder, Signature, Version};
+use crate::prelude::*;
+use crate::wire::control as wire;
+use crate::wire::control::Fault;
+use crate::wire::control::answer::Body as AnswerBody;
+use crate::wire::control::command::Body as CommandBody;
+use memory::{Memory, VersionRecord};
+
+/// Earlier revisions that can be rolled back to.
+pub const KEPT_REVISIONS: usize = 1024;
+
+/// Most bytes of an order id.
+pub const MAX_ORDER_ID: usize = 64;
+
+/// A safeguard switched off, so that a test can prove that it would notice. Never set outside
+/// tests.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mutation {
+    #[default]
+    None,
+    /// A command is applied whatever revision it was made for.
+    IgnoreBase,
+    /// Resent orders are carried out again.
+    ForgetOrders,
+    /// A version may be used for other content.
+    ForgetVersions,
+    /// The content's digest isn't compared.
+    TrustDigest,
+    /// A roll back takes the old revision's number.
+    RollBackFalls,
+    /// Records of versions are dropped without raising the floor.
+    NoVersionFloor,
+}
+
+/// The replicated state of the control group.
+#[derive(Clone, Debug)]
+pub struct Control {
+    history: History,
+    memory: Memory,
+    order_lease: Option<wire::OrderLease>,
+    groups: Vec<wire::GroupPlacement>,
+    mutation: Mutation,
+}
+
+impl Default for Control {
+    fn default() -> Control {
+        Control::new()
+    }
+}
+
+impl Control {
+    /// Starts with no bundle, no order lease and no groups.
+    pub fn new() -> Control {
+        Control::with_mutation(Mutation::None)
+    }
+
+    /// Starts with one safeguard off.
+    #[doc(hidden)]
+    pub fn with_mutation(mutation: Mutation) -> Control {
+        Control {
+            history: History::new(KEPT_REVISIONS),
+            memory: Memory::default(),
+            order_lease: None,
+            groups: Vec::new(),
+            mutation,
+        }
+    }
+
+    /// Returns the revision in force or being rolled out, `None` before the first bundle.
+    pub fn current(&self) -> Option<&Revision> {
+        self.history.current()
+    }
+
+    /// Returns the current and earlier revisions.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// Returns the order lease's holder as the log last recorded it.
+    pub fn order_lease(&self) -> Option<&wire::OrderLease> {
+        self.order_lease.as_ref()
+    }
+
+    /// Returns the placement of every program group.
+    pub fn groups(&self) -> &[wire::GroupPlacement] {
+        &self.groups
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: &wire::Command) -> wire::Answer {
+        let body = match &command.body {
+            Some(CommandBody::Accept(accept)) => self.accept(accept),
+            Some(CommandBody::RollBack(order)) => self.roll_back(order),
+            Some(CommandBody::TakeOrders(take)) => self.take_orders(take),
+            Some(CommandBody::Place(_)) => rejected(Fault::Malformed, "not yet"),
+            None => rejected(Fault::Malformed, "the command is empty"),
+        };
+        wire::Answer { body: Some(body) }
+    }
+
+    /// Checks a command with the leader's settings before it is proposed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to give at once: the first answer of a resent order, a conflict, or
+    /// why signatures or content don't hold. Nothing is proposed then.
+    pub fn check(&self, command: &wire::Command, keys: &OperatorKeys) -> Result<(), wire::Answer> {
+        let checked = match &command.body {
+            Some(CommandBody::Accept(accept)) => self.check_accept(accept, keys),
+            Some(CommandBody::RollBack(order)) => self.check_roll_back(order, keys),
+            Some(_) => Ok(()),
+            None => Err(rejected(Fault::Malformed, "the command is empty")),
+        };
+        checked.map_err(|body| wire::Answer { body: Some(body) })
+    }
+
+    fn accept(&mut self, accept: &wire::Accept) -> AnswerBody {
+        let fingerprint = accept_fingerprint(accept);
+        if let Err(answer) = self.recall_order(&accept.order_id, fingerprint) {
+            return answer;
+        }
+        let answer = self.accept_new(accept).unwrap_or_else(|refusal| refusal);
+        self.remember(&accept.order_id, fingerprint, &answer);
+        answer
+    }
+
+    fn accept_new(&mut self, accept: &wire::Accept) -> Result<AnswerBody, AnswerBody> {
+        let digest = wire_digest(&accept.digest)?;
+        self.recall_version(&accept.version, digest)?;
+        self.check_base(accept.base_revision)?;
+        let content = self.content(accept)?;
+        if Digest::of(&content) != digest && self.mutation != Mutation::TrustDigest {
+            return Err(rejected(Fault::DigestMismatch, "the content has another digest"));
+        }
+        let revision = Revision {
+            number: self.next_number(),
+            version: accept.version.to_compact_string(),
+            digest,
+            content,
+            signatures: wire_signatures(&accept.signatures)?,
+            origin: None,
+            base: RevisionNumber(accept.base_revision),
+        };
+        let record = VersionRecord { digest, revision: revision.number };
+        self.memory.add_version(&accept.version, record);
+        if self.mutation == Mutation::NoVersionFloor {
+            self.memory.floor = None;
+        }
+        Ok(self.push(revision))
+    }
+
+    fn roll_back(&mut self, order: &wire::RollBack) -> AnswerBody {
+        let fingerprint = roll_back_fingerprint(order);
+        if let Err(answer) = self.recall_order(&order.order_id, fingerprint) {
+            return answer;
+        }
+        let answer = self.roll_back_new(order).unwrap_or_else(|refusal| refusal);
+        self.remember(&order.order_id, fingerprint, &answer);
+        answer
+    }
+
+    fn roll_back_new(&mut self, order: &wire::RollBack) -> Result<AnswerBody, AnswerBody> {
+        self.check_base(order.base_revision)?;
+        let target = self.roll_back_target(order)?;
+        let falls = self.mutation == Mutation::RollBackFalls;
+        let revision = Revision {
+            number: if falls { target.number } else { self.next_number() },
+            signatures: wire_signatures(&order.signatures)?,
+            origin: Some(target.number),
+            base: RevisionNumber(order.base_revision),
+            ..target
+        };
+        Ok(self.push(revision))
+    }
+
+    fn roll_back_target(&self, order: &wire::RollBack) -> Result<Revision, AnswerBody> {
+        let target = self.history.find(RevisionNumber(order.to_revision));
+        target.ok_or_else(|| {
+            let detail = format!("revision {} is not among the kept ones", order.to_revision);
+            rejected(Fault::RevisionNotKept, &detail)
+        })
+    }
+
+    fn push(&mut self, revision: Revision) -> AnswerBody {
+        let accepted = wire::Accepted {
+            revision: revision.number.0,
+            digest: revision.digest.to_wire(),
+            version: revision.version.to_string(),
+        };
+        self.history.replace(revision);
+        AnswerBody::Accepted(accepted)
+    }
+
+    fn take_orders(&mut self, take: &wire::TakeOrderLease) -> AnswerBody {
+        let held = self.order_lease.as_ref();
+        let number = match held {
+            Some(lease) if lease.vm == take.vm && lease.incarnation == take.incarnation => {
+                lease.number
+            }
+            Some(lease) => lease.number + 1,
+            None => 1,
+        };
+        let lease = wire::OrderLease { vm: take.vm, incarnation: take.incarnation, number };
+        self.order_lease = Some(lease);
+        AnswerBody::Orders(lease)
+    }
+
+    fn check_accept(&self, accept: &wire::Accept, keys: &OperatorKeys) -> Result<(), AnswerBody> {
+        self.recall_order(&accept.order_id, accept_fingerprint(accept))?;
+        let digest = wire_digest(&accept.digest)?;
+        self.recall_version(&accept.version, digest)?;
+        self.check_base(accept.base_revision)?;
+        let revision = Revision {
+            number: self.next_number(),
+            version: accept.version.to_compact_string(),
+            digest,
+            content: self.content(accept)?,
+            signatures: wire_signatures(&accept.signatures)?,
+            origin: None,
+            base: RevisionNumber(accept.base_revision),
+        };
+        check_revision(&revision, keys).map(drop)
+    }
+
+    fn check_roll_back(
+        &self,
+        order: &wire::RollBack,
+        keys: &OperatorKeys,
+    ) -> Result<(), AnswerBody> {
+        self.recall_order(&order.order_id, roll_back_fingerprint(order))?;
+        self.check_base(order.base_revision)?;
+        let target = self.roll_back_target(order)?;
+        let signed = RollBackOrder {
+            base: RevisionNumber(order.base_revision),
+            target: target.number,
+            digest: target.digest,
+        };
+        let signatures = wire_signatures(&order.signatures)?;
+        keys.check_roll_back(&signed, &signatures)
+            .map_err(|error| rejected(Fault::NotSigned, &error.to_string()))
+    }
+
+    /// Gives a resent order its first answer. The failure it is for: the answer is lost, the
+    /// operator sends again, and the bundle would be accepted twice or be refused as stale.
+    fn recall_order(&self, id: &str, fingerprint: Digest) -> Result<(), AnswerBody> {
+        if id.is_empty() || id.len() > MAX_ORDER_ID {
+            return Err(rejected(Fault::Malformed, "an order id has 1 to 64 bytes"));
+        }
+        let Some(record) = self.memory.orders.get(id) else { return Ok(()) };
+        if record.fingerprint != fingerprint {
+            return Err(rejected(Fault::OrderIdReused, "use a new order id for another order"));
+        }
+        Err(record.answer.body.clone().unwrap_or(rejected(Fault::Malformed, "no answer kept")))
+    }
+
+    /// Gives content that was accepted before its first answer, and other content under a taken
+    /// version a conflict. Operators who race under one version number so learn who won.
+    fn recall_version(&self, version: &str, digest: Digest) -> Result<(), AnswerBody> {
+        let Ok(parsed) = version.parse::<Version>() else {
+            return Err(rejected(Fault::Malformed, "the version isn't dotted decimal numbers"));
+        };
+        let Some(record) = self.memory.versions.get(version) else {
+            let forgotten = self.memory.is_forgotten(&parsed);
+            let detail = "use a higher version than any accepted so far";
+            return if forgotten { Err(rejected(Fault::VersionTooOld, detail)) } else { Ok(()) };
+        };
+        if self.mutation == Mutation::ForgetVersions {
+            return Ok(());
+        }
+        if record.digest == digest {
+            return Err(AnswerBody::Accepted(wire::Accepted {
+                revision: record.revision.0,
+                digest: digest.to_wire(),
+                version: version.to_string(),
+            }));
+        }
+        Err(AnswerBody::Conflict(wire::VersionConflict {
+            version: version.to_string(),
+            accepted: record.digest.to_wire(),
+            offered: digest.to_wire(),
+            revision: record.revision.0,
+        }))
+    }
+
+    /// Refuses an order made for another revision than the current one, so that an operator
+    /// never overwrites a change that he hasn't seen.
+    fn check_base(&self, base: u64) -> Result<(), AnswerBody> {
+        let current = self.history.number().0;
+        if base == current || self.mutation == Mutation::IgnoreBase {
+            return Ok(());
+        }
+        let digest = self.current().map(|revision| revision.digest.to_wire());
+        let digest = digest.unwrap_or_default();
+        Err(AnswerBody::Stale(wire::StaleBase { base, current, digest }))
+    }
+
+    fn content(&self, accept: &wire::Accept) -> Result<Bytes, AnswerBody> {
+        use wire::content::Body;
+        let body = accept.content.as_ref().and_then(|content| content.body.as_ref());
+        let content = match body {
+            Some(Body::Whole(content)) => Some(content.clone()),
+            Some(Body::Delta(change)) => {
+                let base = self.current().map_or_else(Bytes::new, |base| base.content.clone());
+                delta::apply(&base, change)
+            }
+            None => None,
+        };
+        content.ok_or_else(|| rejected(Fault::Malformed, "the content doesn't fit its base"))
+    }
+
+    fn next_number(&self) -> RevisionNumber {
+        RevisionNumber(self.history.number().0 + 1)
+    }
+
+    fn remember(&mut self, id: &str, fingerprint: Digest, answer: &AnswerBody) {
+        if self.mutation != Mutation::ForgetOrders {
+            let answer = wire::Answer { body: Some(answer.clone()) };
+            self.memory.add_order(id, fingerprint, answer);
+        }
+    }
+}
+
+fn check_revision(revision: &Revision, keys: &OperatorKeys) -> Result<Bundle, AnswerBody> {
+    revision.verify(keys).map_err(|error| {
+        let fault = match error {
+            RevisionError::DigestMismatch => Fault::DigestMismatch,
+            RevisionError::Signature(_) => Fault::NotSigned,
+            RevisionError::VersionMismatch | RevisionError::Content(_) => Fault::InvalidContent,
+        };
+        rejected(fault, &error.to_string())
+    })
+}
+
+fn rejected(fault: Fault, detail: &str) -> AnswerBody {
+    AnswerBody::Rejected(wire::Rejected { fault: fault.into(), detail: detail.to_string() })
+}
+
+fn wire_digest(bytes: &[u8]) -> Result<Digest, AnswerBody> {
+    Digest::from_wire(bytes).ok_or_else(|| rejected(Fault::Malformed, "a digest has 32 bytes"))
+}
+
+fn wire_signatures(signatures: &[wire::Signature]) -> Result<Vec<Signature>, AnswerBody> {
+    let parsed: Option<Vec<Signature>> = signatures.iter().map(Signature::from_wire).collect();
+    parsed.ok_or_else(|| rejected(Fault::Malformed, "a public key has 32 bytes"))
+}
+
+fn accept_fingerprint(accept: &wire::Accept) -> Digest {
+    let mut meaning = b"accept".to_vec();
+    meaning.extend_from_slice(&accept.base_revision.to_be_bytes());
+    meaning.extend_from_slice(&accept.digest);
+    meaning.extend_from_slice(accept.version.as_bytes());
+    Digest::of(&meaning)
+}
+
+fn roll_back_fingerprint(order: &wire::RollBack) -> Digest {
+    let mut meaning = b"roll back".to_vec();
+    meaning.extend_from_slice(&order.base_revision.to_be_bytes());
+    meaning.extend_from_slice(&order.to_revision.to_be_bytes());
+    Digest::of(&meaning)
+}
--- /dev/null
+++ b/crates/core/src/control/placement.rs
@@ -0,0 +1,1 @@
+//! Where program groups live: the replicated record of it.
--- /dev/null
+++ b/crates/core/src/control/snapshot.rs
@@ -0,0 +1,107 @@
+//! The control group's state as one message, for snapshots and restarts.
+
+use bytes::Bytes;
+use prost::Message;
+
+use super::memory::{Memory, OrderRecord, VersionRecord};
+use super::{Control, History, KEPT_REVISIONS, Mutation};
+use crate::bundle::Digest;
+use crate::prelude::*;
+use crate::wire::control as wire;
+
+/// Format of the snapshot; a reader refuses a higher one.
+const FORMAT: u32 = 1;
+
+/// Why a snapshot can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RestoreError {
+    /// The bytes aren't a snapshot.
+    #[error("the control snapshot is damaged: {0}")]
+    Damaged(CompactString),
+    /// A newer version wrote it.
+    #[error("the control snapshot has format {0}, this version reads up to {FORMAT}: upgrade")]
+    Format(u32),
+}
+
+impl Control {
+    /// Returns the whole state.
+    pub fn snapshot(&self) -> Bytes {
+        let (current, past) = self.history.to_wire();
+        let snapshot = wire::Snapshot {
+            format: FORMAT,
+            current,
+            past,
+            versions: self.memory.versions.iter().map(version_to_wire).collect(),
+            orders: self.memory.orders.iter().map(order_to_wire).collect(),
+            floor: self.memory.floor.as_ref().map(ToString::to_string).unwrap_or_default(),
+            order_lease: self.order_lease,
+            groups: self.groups.clone(),
+        };
+        snapshot.encode_to_vec().into()
+    }
+
+    /// Reads a state that [`Control::snapshot`] wrote.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the bytes can't be read; the replica must not answer then.
+    pub fn restore(snapshot: &[u8]) -> Result<Control, RestoreError> {
+        let snapshot = wire::Snapshot::decode(snapshot)
+            .map_err(|error| RestoreError::Damaged(error.to_compact_string()))?;
+        if snapshot.format > FORMAT {
+            return Err(RestoreError::Format(snapshot.format));
+        }
+        let memory = restore_memory(&snapshot).ok_or_else(|| damaged("orders or versions"))?;
+        let history = History::from_wire(KEPT_REVISIONS, snapshot.current, snapshot.past)
+            .ok_or_else(|| damaged("revisions"))?;
+        let whole = history.current().is_none_or(|now| Digest::of(&now.content) == now.digest);
+        if !whole {
+            return Err(damaged("the current bundle's digest"));
+        }
+        Ok(Control {
+            history,
+            memory,
+            order_lease: snapshot.order_lease,
+            groups: snapshot.groups,
+            mutation: Mutation::None,
+        })
+    }
+}
+
+fn damaged(part: &str) -> RestoreError {
+    RestoreError::Damaged(part.into())
+}
+
+fn version_to_wire((version, record): (&CompactString, &VersionRecord)) -> wire::VersionRecord {
+    wire::VersionRecord {
+        version: version.to_string(),
+        digest: record.digest.to_wire(),
+        revision: record.revision.0,
+    }
+}
+
+fn order_to_wire((id, record): (&CompactString, &OrderRecord)) -> wire::OrderRecord {
+    wire::OrderRecord {
+        order_id: id.to_string(),
+        fingerprint: record.fingerprint.to_wire(),
+        answer: Some(record.answer.clone()),
+    }
+}
+
+fn restore_memory(snapshot: &wire::Snapshot) -> Option<Memory> {
+    let mut memory = Memory::default();
+    for record in &snapshot.versions {
+        let digest = Digest::from_wire(&record.digest)?;
+        let revision = RevisionNumber(record.revision);
+        memory.versions.insert((&record.version).into(), VersionRecord { digest, revision });
+    }
+    for record in &snapshot.orders {
+        let fingerprint = Digest::from_wire(&record.fingerprint)?;
+        let answer = record.answer.clone()?;
+        memory.orders.insert((&record.order_id).into(), OrderRecord { fingerprint, answer });
+    }
+    if !snapshot.floor.is_empty() {
+        memory.floor = Some(snapshot.floor.parse().ok()?);
+    }
+    Some(memory)
+}
