Add the endpoint registry, router, admission, retry and retention decisions

Cause: the entry daemon needs the data path's decisions to code against. Change: policy::{registry, route, admission, priority, retain, retry, outlier}, pure values that take the time and seeds as arguments.

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -1,1 +1,20 @@
 //! Decisions of the data path: where a call runs, whether it is let in, what is kept or retried.
+//!
+//! Each module is a value of its own and can be embedded without the others:
+//!
+//! - [`registry`]: which endpoints there are and how busy they are (docs/design/registry.md).
+//! - [`route`]: the endpoint a call goes to (docs/design/routing.md).
+//! - [`admission`]: whether and when a call is let in (docs/design/admission.md).
+//! - [`priority`]: the order among programs that wait.
+//! - [`retain`]: prefix memory across tool pauses.
+//! - [`retry`] and [`outlier`]: what is tried again and where (docs/design/retries.md).
+
+pub mod admission;
+pub mod outlier;
+pub mod priority;
+pub mod registry;
+pub mod retain;
+pub mod retry;
+pub mod route;
+
+pub use crate::wire::common::Class;
--- /dev/null
+++ b/crates/core/src/policy/priority.rs
@@ -0,0 +1,46 @@
+//! Order among programs, by what each has already had.
+//!
+//! Nobody knows how long a program will be, but most are short. Serving the one that has had the
+//! least so far (least attained service, in levels) lets the short ones finish without waiting for
+//! the long ones. docs/design/routing.md gives the measurement.
+
+use super::Class;
+use crate::prelude::*;
+
+/// Attained seconds at which a program falls to the next level; each is four times the last.
+const LEVELS: [f64; 4] = [8.0, 32.0, 128.0, 512.0];
+
+/// Wait that lifts a call by one level, which bounds how often it can be overtaken.
+const AGING: Duration = Duration::from_secs(3);
+
+/// What a program has had so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Attained {
+    /// Engine seconds of its calls, sub-agents counted.
+    pub service: f64,
+    /// Turns that ran.
+    pub turns: u32,
+}
+
+/// Order of a call: lower runs first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Priority(pub u8);
+
+impl Priority {
+    /// Ranks a call by its class and by what its program has had.
+    pub fn of(class: Class, attained: Attained) -> Priority {
+        if class == Class::Urgent {
+            return Priority(0);
+        }
+        let level = LEVELS.iter().filter(|bound| attained.service >= **bound).count();
+        Priority(1 + level as u8)
+    }
+
+    /// Returns how far behind its arrival the call is queued.
+    ///
+    /// A bounded delay in place of strict levels: a call is overtaken only by those that arrive
+    /// within the delay after it, so that no stream of short programs can starve a long one.
+    pub fn delay(self) -> Duration {
+        AGING * u32::from(self.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/registry/hints.rs
@@ -0,0 +1,76 @@
+//! What engines say they hold in prefix memory: late, gapped, and so only a hint with an age.
+
+use std::collections::HashMap;
+
+use super::announce::{CacheEvent, CacheEvents};
+use crate::prelude::*;
+
+/// Programs remembered for one engine; the oldest hints go first.
+const MAX_HINTS: usize = 1024;
+
+/// What an engine was last heard to hold of one program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CacheHint {
+    /// Tokens of the program's prefix.
+    pub tokens: u64,
+    /// When that was true.
+    pub at: Time,
+}
+
+/// Cache events of one engine, folded.
+#[derive(Clone, Debug, Default)]
+pub struct CacheHints {
+    held: HashMap<u64, CacheHint>,
+    next: u64,
+}
+
+impl CacheHints {
+    /// Folds a run of events in.
+    ///
+    /// After a gap every hint is dropped: a lost eviction would send a program to memory that is
+    /// gone, while a lost fill only costs a hint, and the program's own record still stands.
+    pub fn fold(&mut self, now: Time, run: &CacheEvents) {
+        if run.events.is_empty() {
+            return;
+        }
+        let end = run.first + run.events.len() as u64;
+        if end <= self.next {
+            return;
+        }
+        if run.first > self.next {
+            self.held.clear();
+        }
+        let known = self.next.saturating_sub(run.first) as usize;
+        for event in run.events.iter().skip(known) {
+            self.apply(now - run.age, *event);
+        }
+        self.next = end;
+    }
+
+    /// Returns what the engine was last heard to hold of `program`.
+    pub fn get(&self, program: u64) -> Option<CacheHint> {
+        self.held.get(&program).copied()
+    }
+
+    fn apply(&mut self, at: Time, event: CacheEvent) {
+        match event {
+            CacheEvent::Filled { program, tokens } => {
+                self.make_room(program);
+                self.held.insert(program, CacheHint { tokens, at });
+            }
+            CacheEvent::Evicted { program } => {
+                self.held.remove(&program);
+            }
+        }
+    }
+
+    fn make_room(&mut self, program: u64) {
+        if self.held.len() < MAX_HINTS || self.held.contains_key(&program) {
+            return;
+        }
+        let oldest = self.held.iter().min_by_key(|(program, hint)| (hint.at, **program));
+        if let Some((&oldest, _)) = oldest {
+            self.held.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/registry/home.rs
@@ -0,0 +1,20 @@
+//! Home VM of an endpoint: the one VM that keeps its load and cache state in full.
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::prelude::*;
+
+/// Returns the home of an endpoint among the live VMs, the same wherever it is computed.
+///
+/// The highest hash of VM and name wins (rendezvous hashing), so that the loss of one VM moves
+/// only the endpoints that it was the home of.
+pub fn home(name: &str, live: &[VmId]) -> Option<VmId> {
+    live.iter().copied().max_by_key(|vm| (weight(name, *vm), *vm))
+}
+
+fn weight(name: &str, vm: VmId) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(&vm.0.to_le_bytes());
+    hash.update(name.as_bytes());
+    hash.digest()
+}
--- /dev/null
+++ b/crates/core/src/policy/registry/mod.rs
@@ -0,0 +1,468 @@
+//! Endpoints as this VM knows them: leases, incarnations, load and hints about prefix memory.
+//!
+//! Nobody hands the system a list of endpoints. Each announces itself, its announcement is a
+//! lease, and this arena is what remains true of all of them at `now`. See
+//! docs/design/registry.md.
+
+mod announce;
+mod hints;
+mod home;
+mod load;
+
+use std::collections::HashMap;
+
+use slotmap::{SlotMap, new_key_type};
+
+pub use announce::{Announcement, CacheEvent, CacheEvents, EndpointKind, LoadReport, ModelId};
+pub use hints::{CacheHint, CacheHints};
+pub use home::home;
+pub use load::{LoadTracker, LoadView, STALE_AFTER};
+
+use super::outlier::{Health, HealthSettings};
+use crate::prelude::*;
+
+new_key_type! {
+    /// Names an endpoint in the registry; a new incarnation gets a new key.
+    pub struct EndpointKey;
+    /// Names a call in flight from this process.
+    pub struct DispatchKey;
+}
+
+/// Limits of the registry, and safeguards that tests switch off one at a time.
+#[derive(Clone, Debug)]
+pub struct RegistrySettings {
+    /// Longest lease granted, whatever an endpoint asks for.
+    pub max_lease: Duration,
+    /// How long the incarnation of a gone endpoint is remembered against replays.
+    pub memory: Duration,
+    /// When an endpoint is ejected and how it comes back.
+    pub health: HealthSettings,
+    /// Safeguards that a mutation test can switch off.
+    #[doc(hidden)]
+    pub safeguards: RegistrySafeguards,
+}
+
+impl Default for RegistrySettings {
+    fn default() -> Self {
+        RegistrySettings {
+            max_lease: Duration::from_secs(10),
+            memory: Duration::from_secs(3600),
+            health: HealthSettings::default(),
+            safeguards: RegistrySafeguards::default(),
+        }
+    }
+}
+
+/// Safeguards of the registry; all on outside tests.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug)]
+pub struct RegistrySafeguards {
+    /// An announcement past its lease gives no work.
+    pub lease: bool,
+    /// `leaving` holds for the rest of the incarnation.
+    pub sticky: bool,
+    /// Announcements of an older incarnation or sequence are ignored.
+    pub replay: bool,
+}
+
+impl Default for RegistrySafeguards {
+    fn default() -> Self {
+        RegistrySafeguards { lease: true, sticky: true, replay: true }
+    }
+}
+
+/// Why an announcement changed nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ignored {
+    /// A newer incarnation is known.
+    OldIncarnation,
+    /// This or a later announcement of the incarnation was already taken.
+    Replay,
+    /// The incarnation said that it leaves.
+    Left,
+}
+
+/// What an announcement did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Announced {
+    /// The endpoint is new here.
+    New(EndpointKey),
+    /// Its lease goes on.
+    Renewed(EndpointKey),
+    /// A restarted instance took its own place.
+    Replaced {
+        /// Key of the gone incarnation; calls in flight there will fail.
+        old: EndpointKey,
+        /// Key of the new one.
+        new: EndpointKey,
+    },
+    /// It gets no new work from here on; calls in flight go on.
+    Leaving(EndpointKey),
+    /// Nothing changed.
+    Ignored(Ignored),
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Instance name.
+    pub name: EndpointName,
+    /// Incarnation announced.
+    pub incarnation: u64,
+    /// What it runs.
+    pub kind: EndpointKind,
+    /// Where calls go.
+    pub address: CompactString,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its region.
+    pub region: RegionId,
+    /// Whether it checks fencing numbers.
+    pub fencing: bool,
+    /// True once it takes no new work.
+    pub leaving: bool,
+    /// End of its lease.
+    pub until: Time,
+    /// Failures and slow start.
+    pub health: Health,
+    load: LoadTracker,
+    hints: CacheHints,
+    alone: u32,
+}
+
+impl Endpoint {
+    /// Returns the load as known at `now`.
+    pub fn load(&self, now: Time) -> LoadView {
+        self.load.view(now)
+    }
+
+    /// Returns what the engine was last heard to hold of `program`.
+    pub fn hint(&self, program: u64) -> Option<CacheHint> {
+        self.hints.get(program)
+    }
+
+    /// Returns true while a crash suspect runs here and nothing else may.
+    pub fn isolated(&self) -> bool {
+        self.alone > 0
+    }
+}
+
+/// What a call is expected to ask of its endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DispatchLoad {
+    /// Prompt tokens to fill, the reused prefix not counted.
+    pub fill_tokens: u64,
+    /// True when nothing else may run beside it.
+    pub alone: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Dispatch {
+    endpoint: EndpointKey,
+    load: DispatchLoad,
+    at: Time,
+    filled: bool,
+}
+
+/// What is remembered of an instance name, also after the endpoint is gone.
+#[derive(Clone, Debug)]
+struct Seen {
+    incarnation: u64,
+    sequence: u64,
+    left: bool,
+    key: Option<EndpointKey>,
+    at: Time,
+}
+
+/// All endpoints that hold a lease, and who serves what.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    settings: RegistrySettings,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    dispatches: SlotMap<DispatchKey, Dispatch>,
+    seen: HashMap<EndpointName, Seen>,
+    models: HashMap<ModelId, Vec<EndpointKey>>,
+    services: HashMap<CompactString, Vec<EndpointKey>>,
+}
+
+impl Registry {
+    /// Makes an empty registry.
+    pub fn new(settings: RegistrySettings) -> Registry {
+        Registry { settings, ..Registry::default() }
+    }
+
+    /// Takes an announcement in, from the endpoint itself or from its home VM.
+    pub fn announce(&mut self, now: Time, news: Announcement) -> Announced {
+        if let Some(reason) = self.refuses(&news) {
+            return Announced::Ignored(reason);
+        }
+        let seen = self.seen.get(&news.name);
+        let old = seen.and_then(|seen| seen.key).filter(|key| self.endpoints.contains_key(*key));
+        let same = seen.is_some_and(|seen| seen.incarnation == news.incarnation);
+        let result = match old {
+            Some(key) if same => self.renew(now, key, &news),
+            Some(old) => {
+                self.remove(old);
+                Announced::Replaced { old, new: self.insert(now, &news) }
+            }
+            None => Announced::New(self.insert(now, &news)),
+        };
+        self.remember(now, &news, result);
+        result
+    }
+
+    /// Marks an incarnation as leaving; it gets no new work from this moment.
+    ///
+    /// Works for names not known here too: the news of leaving may overtake the announcement.
+    pub fn leave(&mut self, now: Time, name: &str, incarnation: u64) -> Option<EndpointKey> {
+        let seen = self.seen.entry(name.into()).or_insert(Seen {
+            incarnation,
+            sequence: 0,
+            left: true,
+            key: None,
+            at: now,
+        });
+        if seen.incarnation > incarnation {
+            return None;
+        }
+        seen.incarnation = incarnation;
+        seen.left = true;
+        seen.at = now;
+        let key = seen.key?;
+        let endpoint = self.endpoints.get_mut(key)?;
+        endpoint.leaving = true;
+        Some(key)
+    }
+
+    /// Removes the endpoints whose lease is over, and forgets old names.
+    pub fn expire(&mut self, now: Time) -> Vec<EndpointKey> {
+        let over =
+            |(key, endpoint): (EndpointKey, &Endpoint)| (endpoint.until <= now).then_some(key);
+        let keys: Vec<EndpointKey> = self.endpoints.iter().filter_map(over).collect();
+        for key in &keys {
+            self.remove(*key);
+        }
+        let memory = self.settings.memory;
+        let endpoints = &self.endpoints;
+        self.seen.retain(|_, seen| {
+            seen.key.is_some_and(|key| endpoints.contains_key(key)) || now.since(seen.at) < memory
+        });
+        keys
+    }
+
+    /// Counts a call as sent; the key closes it later.
+    pub fn dispatched(&mut self, now: Time, key: EndpointKey, load: DispatchLoad) -> DispatchKey {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.load.sent(now, load.fill_tokens);
+            endpoint.alone += u32::from(load.alone);
+        }
+        self.dispatches.insert(Dispatch { endpoint: key, load, at: now, filled: false })
+    }
+
+    /// Counts a call's prompt as filled: its first token came.
+    pub fn filled(&mut self, dispatch: DispatchKey) {
+        let Some(call) = self.dispatches.get_mut(dispatch) else { return };
+        if std::mem::replace(&mut call.filled, true) {
+            return;
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(call.endpoint) {
+            endpoint.load.filled(call.load.fill_tokens);
+        }
+    }
+
+    /// Counts a call as answered. Closing one twice changes nothing.
+    pub fn finished(&mut self, now: Time, dispatch: DispatchKey) {
+        self.close(now, dispatch, |endpoint, _, service| {
+            endpoint.load.over(now, Some(service));
+            endpoint.health.succeeded();
+        });
+    }
+
+    /// Counts a call as failed by its endpoint, which may eject it.
+    pub fn failed(&mut self, now: Time, dispatch: DispatchKey) {
+        self.close(now, dispatch, |endpoint, settings, _| {
+            endpoint.load.over(now, None);
+            endpoint.health.failed(now, settings);
+        });
+    }
+
+    /// Counts a call as given up by the caller, which says nothing about the endpoint.
+    pub fn cancelled(&mut self, now: Time, dispatch: DispatchKey) {
+        self.close(now, dispatch, |endpoint, _, _| endpoint.load.over(now, None));
+    }
+
+    /// Returns the endpoints that announced a model. Each must still pass [`Registry::open`].
+    pub fn candidates(&self, model: &ModelId) -> &[EndpointKey] {
+        self.models.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the endpoints of a plain service. Each must still pass [`Registry::open`].
+    pub fn services(&self, name: &str) -> &[EndpointKey] {
+        self.services.get(name).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns true when the endpoint may get new work at `now`.
+    ///
+    /// The lease is checked here and not only in [`Registry::expire`], because a late timer would
+    /// otherwise send work to an endpoint whose leaving was never heard.
+    pub fn open(&self, now: Time, key: EndpointKey) -> bool {
+        let Some(endpoint) = self.endpoints.get(key) else { return false };
+        let leased = endpoint.until > now || !self.settings.safeguards.lease;
+        leased && !endpoint.leaving
+    }
+
+    /// Returns the endpoint behind a key.
+    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// Returns the key of an instance name, if its lease holds.
+    pub fn key(&self, name: &str) -> Option<EndpointKey> {
+        self.seen.get(name)?.key.filter(|key| self.endpoints.contains_key(*key))
+    }
+
+    /// Returns all endpoints, in the arena's order.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        self.endpoints.iter()
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &RegistrySettings {
+        &self.settings
+    }
+
+    /// Tells why an announcement must not be taken.
+    ///
+    /// Datagrams and relays repeat and reorder. Without this an old announcement that arrives late
+    /// revives an endpoint that left or restarted, and calls go to a process that is gone.
+    fn refuses(&self, news: &Announcement) -> Option<Ignored> {
+        let seen = self.seen.get(&news.name)?;
+        let guards = self.settings.safeguards;
+        if guards.replay && news.incarnation < seen.incarnation {
+            return Some(Ignored::OldIncarnation);
+        }
+        if news.incarnation > seen.incarnation {
+            return None;
+        }
+        if seen.left && seen.key.is_none_or(|key| !self.endpoints.contains_key(key)) {
+            return guards.sticky.then_some(Ignored::Left);
+        }
+        (guards.replay && news.sequence <= seen.sequence).then_some(Ignored::Replay)
+    }
+
+    fn renew(&mut self, now: Time, key: EndpointKey, news: &Announcement) -> Announced {
+        let until = now + news.lease.min(self.settings.max_lease);
+        let sticky = self.settings.safeguards.sticky;
+        self.reindex(key, &news.kind);
+        let endpoint = &mut self.endpoints[key];
+        endpoint.kind = news.kind.clone();
+        endpoint.address = news.address.clone();
+        endpoint.until = until;
+        endpoint.leaving = news.leaving || (sticky && endpoint.leaving);
+        if let Some(load) = news.load {
+            endpoint.load.reported(now, load);
+        }
+        endpoint.hints.fold(now, &news.cache_events);
+        if endpoint.leaving { Announced::Leaving(key) } else { Announced::Renewed(key) }
+    }
+
+    fn insert(&mut self, now: Time, news: &Announcement) -> EndpointKey {
+        let mut endpoint = Endpoint {
+            name: news.name.clone(),
+            incarnation: news.incarnation,
+            kind: news.kind.clone(),
+            address: news.address.clone(),
+            domain: news.domain,
+            region: news.region,
+            fencing: news.fencing,
+            leaving: news.leaving,
+            until: now + news.lease.min(self.settings.max_lease),
+            health: Health::joined(now),
+            load: LoadTracker::default(),
+            hints: CacheHints::default(),
+            alone: 0,
+        };
+        if let Some(load) = news.load {
+            endpoint.load.reported(now, load);
+        }
+        endpoint.hints.fold(now, &news.cache_events);
+        let key = self.endpoints.insert(endpoint);
+        self.index(key, &news.kind);
+        key
+    }
+
+    fn remember(&mut self, now: Time, news: &Announcement, result: Announced) {
+        let key = match result {
+            Announced::New(key) | Announced::Renewed(key) | Announced::Leaving(key) => key,
+            Announced::Replaced { new, .. } => new,
+            Announced::Ignored(_) => return,
+        };
+        let left = self.endpoints.get(key).is_some_and(|endpoint| endpoint.leaving);
+        let seen = Seen {
+            incarnation: news.incarnation,
+            sequence: news.sequence,
+            left,
+            key: Some(key),
+            at: now,
+        };
+        self.seen.insert(news.name.clone(), seen);
+    }
+
+    fn remove(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.remove(key) {
+            self.unindex(key, &endpoint.kind);
+        }
+    }
+
+    fn reindex(&mut self, key: EndpointKey, kind: &EndpointKind) {
+        if self.endpoints[key].kind == *kind {
+            return;
+        }
+        let old = self.endpoints[key].kind.clone();
+        self.unindex(key, &old);
+        self.index(key, kind);
+    }
+
+    fn index(&mut self, key: EndpointKey, kind: &EndpointKind) {
+        match kind {
+            EndpointKind::Engine { models, .. } => {
+                for model in models {
+                    self.models.entry(model.clone()).or_default().push(key);
+                }
+            }
+            EndpointKind::Service { name, .. } => {
+                self.services.entry(name.clone()).or_default().push(key);
+            }
+        }
+    }
+
+    fn unindex(&mut self, key: EndpointKey, kind: &EndpointKind) {
+        match kind {
+            EndpointKind::Engine { models, .. } => {
+                for model in models {
+                    if let Some(keys) = self.models.get_mut(model) {
+                        keys.retain(|other| *other != key);
+                    }
+                }
+            }
+            EndpointKind::Service { name, .. } => {
+                if let Some(keys) = self.services.get_mut(name) {
+                    keys.retain(|other| *other != key);
+                }
+            }
+        }
+    }
+
+    fn close(
+        &mut self,
+        now: Time,
+        dispatch: DispatchKey,
+        settle: impl FnOnce(&mut Endpoint, &HealthSettings, f64),
+    ) {
+        self.filled(dispatch);
+        let Some(call) = self.dispatches.remove(dispatch) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(call.endpoint) else { return };
+        endpoint.alone -= u32::from(call.load.alone);
+        settle(endpoint, &self.settings.health, now.since(call.at).as_secs_f64());
+    }
+}
