--- a/crates/gypsumglade/src/settings/mod.rs
+++ b/crates/gypsumglade/src/settings/mod.rs
@@ -32,7 +32,7 @@
 pub use self::store::StoreSettings;
 pub use self::timeouts::TimeoutSettings;
 pub use self::tls::{CertificateSettings, TlsSettings};
-pub use self::tokens::{Secret, TokenSettings};
+pub use self::tokens::TokenSettings;
 pub use self::vm::VmSettings;
 
 /// Everything a process learns from outside before it starts.
--- a/crates/gypsumglade/src/settings/tokens.rs
+++ b/crates/gypsumglade/src/settings/tokens.rs
@@ -1,59 +1,42 @@
 //! Shared secrets of the listeners.
 
-use std::fmt;
 use std::path::Path;
 
 use gypsumglade_core::prelude::*;
 
 use super::Findings;
-
-/// Text that must not reach a log line or a dump.
-#[derive(Clone, Default, PartialEq, Eq, Deserialize)]
-#[serde(transparent)]
-pub struct Secret(CompactString);
+use crate::secret::Secret;
 
 /// Mark of a secret that stands in a file of its own.
 const FILE_MARK: &str = "file:";
 /// Shortest secret that a guess over the network can't find.
 const SECRET_BYTES: usize = 16;
 
-impl Secret {
-    /// Wraps a text.
-    pub fn new(text: impl Into<CompactString>) -> Secret {
-        Secret(text.into())
-    }
-
-    /// Returns the text, for a header or a comparison.
-    pub fn reveal(&self) -> &str {
-        &self.0
-    }
-
-    /// Compares without telling by its duration how much of `offered` was right.
-    pub fn matches(&self, offered: &str) -> bool {
-        let (own, other) = (self.0.as_bytes(), offered.as_bytes());
-        let differences = own.iter().zip(other).fold(0, |sum, (a, b)| sum | (a ^ b));
-        !own.is_empty() && own.len() == other.len() && differences == 0
-    }
-}
-
-impl fmt::Debug for Secret {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Secret(..)")
-    }
-}
-
 /// One secret for each listener that is not the callers', whose keys are in the bundle.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
 pub struct TokenSettings {
     /// Shared by the VMs of the deployment.
+    #[serde(deserialize_with = "secret")]
     pub peers: Secret,
     /// Asked of operators by the admin listener.
+    #[serde(deserialize_with = "secret")]
     pub admin: Secret,
     /// Asked of endpoints that announce themselves.
+    #[serde(deserialize_with = "secret")]
     pub endpoints: Secret,
 }
 
+impl Default for TokenSettings {
+    fn default() -> TokenSettings {
+        TokenSettings { peers: Secret::new(""), admin: Secret::new(""), endpoints: Secret::new("") }
+    }
+}
+
+fn secret<'de, D: serde::Deserializer<'de>>(decoder: D) -> Result<Secret, D::Error> {
+    CompactString::deserialize(decoder).map(Secret::new)
+}
+
 impl TokenSettings {
     /// Returns random tokens for a process that is the whole deployment.
     pub fn fresh() -> TokenSettings {
@@ -68,13 +51,13 @@
             ("tokens.admin", &mut self.admin),
             ("tokens.endpoints", &mut self.endpoints),
         ] {
-            let Some(path) = secret.0.strip_prefix(FILE_MARK) else {
+            let Some(path) = secret.reveal().strip_prefix(FILE_MARK) else {
                 continue;
             };
             match std::fs::read_to_string(folder.join(path)) {
                 Ok(text) => *secret = Secret::new(text.trim()),
                 Err(error) => {
-                    let found = format!("{:?} ({error})", secret.0);
+                    let found = format!("{:?} ({error})", secret.reveal());
                     findings.add(place, found, "`file:` and the path of a readable file");
                     // Long enough that the length check adds no second finding.
                     *secret = Secret::new("-".repeat(SECRET_BYTES));
@@ -89,7 +72,7 @@
             ("tokens.admin", &self.admin),
             ("tokens.endpoints", &self.endpoints),
         ] {
-            let length = secret.0.len();
+            let length = secret.reveal().len();
             if length < SECRET_BYTES {
                 let found = format!("a secret of {length} bytes");
                 findings.add(place, found, "at least 16 bytes, inline or as `file:PATH`");
