--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -5,25 +5,36 @@
 
 /// Types that several schemas share.
 #[path = "generated/gypsumglade.common.rs"]
+#[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod common;
 
 /// Bundles, placement and leases: what the control group stores and answers.
 #[path = "generated/gypsumglade.control.rs"]
+#[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod control;
 
 /// Datagrams of VM membership.
 #[path = "generated/gypsumglade.membership.rs"]
+#[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod membership;
 
+/// What operators ask of the control group.
+#[path = "generated/gypsumglade.operator.rs"]
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::all)]
+pub mod operator;
+
 /// Requests to a program group and its answers.
 #[path = "generated/gypsumglade.program.rs"]
+#[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod program;
 
 /// Messages and log records of the replicated log.
 #[path = "generated/gypsumglade.replication.rs"]
+#[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod replication;
--- a/crates/gypsumglade/src/entry/active_bundle.rs
+++ b/crates/gypsumglade/src/entry/active_bundle.rs
@@ -82,7 +82,8 @@
         let service = allowed.then(|| self.bundle.service(service)).flatten();
         let found = service.and_then(|service| Some((service, service.operation(operation)?)));
         found.ok_or_else(|| {
-            let message = format!("no operation {operation:?} of a service in {:?}", agent.services);
+            let message =
+                format!("no operation {operation:?} of a service in {:?}", agent.services);
             Problem::not_run(ProblemKind::NotFound, message)
         })
     }
--- /dev/null
+++ b/crates/gypsumglade/src/entry/admit.rs
@@ -0,0 +1,223 @@
+//! Waits until a call may start, or says at once that it may not.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use gypsumglade_core::policy::admission::{
+    Admission, AdmissionSettings, Admit, GivenUp, ShedReason, Signal, Ticket,
+};
+use gypsumglade_core::policy::priority::{Attained, Priority};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::common::Class;
+use tokio::sync::oneshot;
+
+use super::problem::{Problem, ProblemKind};
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+
+pub use gypsumglade_core::policy::admission::Offer;
+
+/// Pause between looks for waiting calls that can no longer be answered in time.
+pub const EXPIRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Admission of a process, one pool for each model.
+///
+/// Each pool is a lock of its own, so that one model's crowd does not slow another's calls.
+pub struct Gate {
+    settings: AdmissionSettings,
+    clock: Clock,
+    pools: Mutex<HashMap<CompactString, Arc<Pool>>>,
+}
+
+/// Calls of one model.
+struct Pool {
+    clock: Clock,
+    state: Mutex<PoolState>,
+}
+
+struct PoolState {
+    admission: Admission,
+    waiters: HashMap<Ticket, oneshot::Sender<Result<(), GivenUp>>>,
+}
+
+/// The right to run one call; dropping it lets the next one start.
+pub struct Permit {
+    pool: Arc<Pool>,
+    ticket: Ticket,
+}
+
+impl Gate {
+    /// Creates a gate without calls.
+    pub fn new(settings: AdmissionSettings, clock: Clock) -> Gate {
+        Gate { settings, clock, pools: Mutex::default() }
+    }
+
+    /// Waits for the call's start.
+    ///
+    /// # Errors
+    /// A call that is given up gets its final answer at once, with when to come back.
+    pub async fn admit(
+        &self,
+        metrics: &Metrics,
+        model: &str,
+        offer: Offer,
+    ) -> Result<Permit, Problem> {
+        let pool = self.pool(model);
+        let (admit, waiter) = pool.offer(offer);
+        match admit {
+            Admit::Now(ticket) => Ok(Permit { pool, ticket }),
+            Admit::Shed { retry_after, reason } => Err(shed(metrics, reason, retry_after)),
+            Admit::Queued(ticket) => {
+                // Taken before the wait: a caller that goes away drops it, and leaves the queue.
+                let permit = Permit { pool, ticket };
+                metrics.waiting(1);
+                let told = waiter.await;
+                metrics.waiting(-1);
+                match told {
+                    Ok(Ok(())) => Ok(permit),
+                    Ok(Err(given)) => Err(shed(metrics, given.reason, given.retry_after)),
+                    Err(_) => Err(shed(metrics, ShedReason::QueueFull, Duration::from_secs(1))),
+                }
+            }
+        }
+    }
+
+    /// Answers the waiting calls that can no longer be answered in time.
+    pub fn expire(&self) {
+        for pool in self.pools() {
+            pool.expire();
+        }
+    }
+
+    /// Tells how long a call of `model` waited inside its engine.
+    pub fn observe(&self, model: &str, signal: Signal) {
+        let pool = self.pool(model);
+        let now = self.clock.now();
+        let mut state = pool.state();
+        let started = state.admission.observe(now, signal);
+        state.wake(&started);
+    }
+
+    /// Bounds a model's calls by this VM's share of the slots that engines announce.
+    pub fn resize(&self, model: &str, most: f64) {
+        let pool = self.pool(model);
+        let mut state = pool.state();
+        let started = state.admission.resize(most);
+        state.wake(&started);
+    }
+
+    /// Returns calls running and waiting by model, for dumps.
+    pub fn loads(&self) -> Vec<PoolLoad> {
+        let pools = self.pools.lock().expect("no panic while held");
+        let loads = pools.iter().map(|(model, pool)| {
+            let state = pool.state();
+            PoolLoad {
+                model: model.clone(),
+                running: state.admission.running(),
+                waiting: state.admission.waiting(),
+                limit: state.admission.limit(),
+            }
+        });
+        loads.collect()
+    }
+
+    fn pool(&self, model: &str) -> Arc<Pool> {
+        let mut pools = self.pools.lock().expect("no panic while held");
+        if let Some(pool) = pools.get(model) {
+            return Arc::clone(pool);
+        }
+        let state =
+            PoolState { admission: Admission::new(self.settings.clone()), waiters: HashMap::new() };
+        let pool = Arc::new(Pool { clock: self.clock, state: Mutex::new(state) });
+        pools.insert(model.into(), Arc::clone(&pool));
+        pool
+    }
+
+    fn pools(&self) -> Vec<Arc<Pool>> {
+        self.pools.lock().expect("no panic while held").values().cloned().collect()
+    }
+}
+
+/// Load of one model's pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct PoolLoad {
+    /// The model.
+    pub model: CompactString,
+    /// Calls running.
+    pub running: u32,
+    /// Calls waiting.
+    pub waiting: u32,
+    /// Concurrency limit in force.
+    pub limit: u32,
+}
+
+impl Pool {
+    fn state(&self) -> std::sync::MutexGuard<'_, PoolState> {
+        self.state.lock().expect("no panic while held")
+    }
+
+    fn offer(&self, offer: Offer) -> (Admit, oneshot::Receiver<Result<(), GivenUp>>) {
+        let (sender, receiver) = oneshot::channel();
+        let now = self.clock.now();
+        let mut state = self.state();
+        let admit = state.admission.offer(now, offer);
+        if let Admit::Queued(ticket) = admit {
+            state.waiters.insert(ticket, sender);
+        }
+        (admit, receiver)
+    }
+
+    fn expire(&self) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        for given in state.admission.expire(now) {
+            if let Some(waiter) = state.waiters.remove(&given.ticket) {
+                // A caller that went away needs no answer.
+                let _ = waiter.send(Err(given));
+            }
+        }
+    }
+}
+
+impl PoolState {
+    fn wake(&mut self, started: &[Ticket]) {
+        for ticket in started {
+            if let Some(waiter) = self.waiters.remove(ticket) {
+                // A caller that went away drops its permit, which frees the start again.
+                let _ = waiter.send(Ok(()));
+            }
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.pool.clock.now();
+        let mut state = self.pool.state();
+        state.waiters.remove(&self.ticket);
+        let started = state.admission.cancel(now, self.ticket);
+        state.wake(&started);
+    }
+}
+
+/// Returns the priority of a call by its class and the turns its program has had.
+pub fn priority(class: Class, turns: u64) -> Priority {
+    let turns = u32::try_from(turns).unwrap_or(u32::MAX);
+    let service = f64::from(turns) * TURN_SECONDS;
+    Priority::of(class, Attained { service, turns })
+}
+
+/// Engine seconds assumed for a turn, until the program group reports what was attained.
+const TURN_SECONDS: f64 = 2.0;
+
+fn shed(metrics: &Metrics, reason: ShedReason, retry_after: Duration) -> Problem {
+    let (kind, label) = match reason {
+        ShedReason::OrgQueueFull => (ProblemKind::Overloaded, "organisation_queue"),
+        ShedReason::QueueFull => (ProblemKind::Overloaded, "queue"),
+        ShedReason::Deadline => (ProblemKind::Deadline, "deadline"),
+        ShedReason::Patience => (ProblemKind::Overloaded, "patience"),
+    };
+    metrics.shed(label);
+    let millis = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+    Problem::not_run(kind, reason).retry_after(millis)
+}
--- a/crates/gypsumglade/src/entry/callers.rs
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -19,20 +19,22 @@
 use tokio_util::sync::CancellationToken;
 
 use super::active_bundle::ActiveBundle;
-use super::admit::Offer;
+use super::admit::{self, Offer};
 use super::answer::finish;
 use super::call::CallHeaders;
 use super::chat_request::ChatRequest;
 use super::problem::{OUTCOME_HEADER, Problem, ProblemKind};
 use super::state::EntryState;
-use super::turn::{Caller, TurnCall};
 use super::turn::Sink;
+use super::turn::{Caller, TurnCall};
 use super::{sse, tool, turn};
 
 /// Program that a call belonged to, told to callers that named none.
 const PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program-id");
 /// Outcomes as labels, which must be known in advance.
 const OUTCOMES: [&str; 3] = ["done", "not-run", "unknown"];
+/// Time a call is expected to take, for the decision whether its deadline can be met.
+const SERVICE_GUESS: Duration = Duration::from_secs(2);
 /// Events that may wait for a slow caller before the engine's stream is read more slowly.
 const STREAM_BUFFER: usize = 64;
 
@@ -53,7 +55,11 @@
 /// A body, or why it could not be read.
 type ReadBody = Result<Bytes, BytesRejection>;
 
-async fn chat(State(state): State<Arc<EntryState>>, headers: HeaderMap, body: ReadBody) -> Response {
+async fn chat(
+    State(state): State<Arc<EntryState>>,
+    headers: HeaderMap,
+    body: ReadBody,
+) -> Response {
     let started = state.clock.now();
     let answered = chat_answer(&state, &headers, body).await;
     let response = answered.unwrap_or_else(IntoResponse::into_response);
@@ -71,7 +77,7 @@
     let active = state.config.active(state.clock.now())?;
     let request = ChatRequest::parse(&body)?;
     let call = turn_call(state, &active, &headers, request)?;
-    let permit = state.gate.admit(state, &offer(&active, &call)).await?;
+    let permit = state.gate.admit(&state.metrics, &call.model.name, offer(&call)).await?;
     let program = call.program.clone();
     let made_up = headers.program.is_none();
     let stream = call.request.stream;
@@ -189,14 +195,14 @@
     })
 }
 
-fn offer(active: &ActiveBundle, call: &TurnCall) -> Offer {
-    let share = active.bundle.organisation(&call.org).map_or(1, |org| org.share);
+fn offer(call: &TurnCall) -> Offer {
     Offer {
         org: call.org.clone(),
-        share,
         class: call.class,
         under_way: call.turn > 1,
+        priority: admit::priority(call.class, call.turn),
         deadline: call.deadline,
+        service: SERVICE_GUESS,
     }
 }
 
@@ -251,11 +257,7 @@
     }
 }
 
-async fn end_answer(
-    state: &EntryState,
-    program: &str,
-    headers: &HeaderMap,
-) -> Result<(), Problem> {
+async fn end_answer(state: &EntryState, program: &str, headers: &HeaderMap) -> Result<(), Problem> {
     let headers = CallHeaders::read(headers)?;
     let active = state.config.active(state.clock.now())?;
     let org = active.organisation(&headers.token)?;
@@ -273,7 +275,9 @@
     }
     match state.config.active(state.clock.now()) {
         Ok(_) => "ready".into_response(),
-        Err(problem) => (StatusCode::SERVICE_UNAVAILABLE, problem.message.to_string()).into_response(),
+        Err(problem) => {
+            (StatusCode::SERVICE_UNAVAILABLE, problem.message.to_string()).into_response()
+        }
     }
 }
 
--- /dev/null
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -0,0 +1,221 @@
+//! The bundle in force on this VM, and the lease without which it takes no new work.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::Duration;
+
+use gypsumglade_core::bundle::OperatorKeys;
+use gypsumglade_core::lease::{LeaseSettings, Relay, Upstream, VmRegion, upstreams};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::confirm_reply::Body;
+use gypsumglade_core::wire::control::{ConfirmReply, ConfirmRequest};
+use jsonrpsee::core::params::ArrayParams;
+use tokio_util::sync::CancellationToken;
+
+use super::active_bundle::ActiveBundle;
+use super::problem::{Problem, ProblemKind};
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::rpc::{Method, PeerClients, decode, encode};
+
+/// Longest wait for a lease's answer: well below its length, so that another VM can be asked.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause between looks at whether a renewal is due.
+const POLL: Duration = Duration::from_millis(50);
+/// When to come back to a VM without a lease; by then the balancer has another.
+const RETRY_MS: u64 = 1_000;
+
+/// Configuration as the data path sees it.
+pub struct ConfigView {
+    relay: Mutex<Relay>,
+    keys: OperatorKeys,
+    active: RwLock<Option<Arc<ActiveBundle>>>,
+}
+
+/// What the renewal loop needs besides the view.
+pub struct Renewal {
+    /// This VM.
+    pub me: VmRegion,
+    /// Addresses of the others.
+    pub directory: Arc<Directory>,
+    /// Calls to the others.
+    pub peers: PeerClients,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Ends the loop.
+    pub stop: CancellationToken,
+    /// Log of the process.
+    pub log: slog::Logger,
+}
+
+impl ConfigView {
+    /// Starts without a bundle and without a lease.
+    pub fn new(lease: LeaseSettings, vm: VmId, keys: OperatorKeys, now: Time) -> ConfigView {
+        // Two lives of one VM must differ, or the second would confirm for the first.
+        let incarnation = rand::random();
+        let relay = Mutex::new(Relay::new(lease, vm, incarnation, now));
+        ConfigView { relay, keys, active: RwLock::new(None) }
+    }
+
+    /// Returns the bundle under which new work may be taken now.
+    ///
+    /// A VM that was cut off would otherwise act on an old bundle for as long as the cut lasts;
+    /// once its lease is out, nobody counts on it any more.
+    ///
+    /// # Errors
+    /// Refuses when the lease is out: nothing was run, and another VM can take the call.
+    pub fn active(&self, now: Time) -> Result<Arc<ActiveBundle>, Problem> {
+        let working = self.relay().lease().working_revision(now);
+        let active = self.active.read().expect("no panic while held").clone();
+        match (working, active) {
+            (Some(working), Some(active)) if active.revision == working => Ok(active),
+            (None, Some(_)) | (_, None) | (Some(_), Some(_)) => {
+                let message = "this VM has no lease on the configuration in force";
+                Err(Problem::not_run(ProblemKind::NoLease, message).retry_after(RETRY_MS))
+            }
+        }
+    }
+
+    /// Returns the newest revision applied, for dumps.
+    pub fn applied(&self) -> RevisionNumber {
+        self.relay().lease().applied()
+    }
+
+    /// Returns how long the lease still runs, for dumps.
+    pub fn remaining(&self, now: Time) -> Duration {
+        self.relay().lease().remaining(now)
+    }
+
+    /// Asks sooner when a newer revision was heard of.
+    pub fn hint(&self, revision: RevisionNumber, now: Time) {
+        self.relay().hint(revision, now);
+    }
+
+    /// Answers a VM that renews its lease through this one.
+    pub fn serve(&self, request: &ConfirmRequest, now: Time) -> ConfirmReply {
+        self.relay().serve(request, now)
+    }
+
+    fn relay(&self) -> std::sync::MutexGuard<'_, Relay> {
+        self.relay.lock().expect("no panic while held")
+    }
+
+    fn take(&self, reply: ConfirmReply, now: Time, log: &slog::Logger) -> bool {
+        let updated = matches!(reply.body, Some(Body::Update(_)));
+        let mut relay = self.relay();
+        match relay.reply(reply, &self.keys, now) {
+            Ok(Some(bundle)) => {
+                let revision = relay.lease().applied();
+                slog::info!(log, "bundle applied"; "revision" => revision.0,
+                    "version" => %bundle.version);
+                let active = Arc::new(ActiveBundle::new(revision, bundle));
+                // Written before the relay is unlocked: no call sees a lease on a newer revision
+                // together with the older content.
+                *self.active.write().expect("no panic while held") = Some(active);
+            }
+            Ok(None) => {}
+            Err(error) => slog::error!(log, "bundle not applied"; "error" => %error),
+        }
+        updated
+    }
+}
+
+/// Keeps the lease fresh until the process stops; calls `applied` after each new bundle.
+pub async fn renew(view: &ConfigView, renewal: &Renewal, applied: impl Fn(&ActiveBundle)) {
+    let mut leaders = LeaderHint::default();
+    let mut last = RevisionNumber::default();
+    while !renewal.stop.is_cancelled() {
+        renew_once(view, renewal, &mut leaders).await;
+        let active = view.active.read().expect("no panic while held").clone();
+        if let Some(active) = active.filter(|active| active.revision != last) {
+            last = active.revision;
+            applied(&active);
+        }
+        tokio::select! {
+            () = renewal.stop.cancelled() => {}
+            () = tokio::time::sleep(POLL) => {}
+        }
+    }
+}
+
+async fn renew_once(view: &ConfigView, renewal: &Renewal, leaders: &mut LeaderHint) {
+    let now = renewal.clock.now();
+    let failures = view.relay().lease().failures();
+    let Some(request) = view.relay().ask(now) else { return };
+    let Some(address) = target(renewal, leaders, failures) else {
+        view.relay().fail(request.ask);
+        return;
+    };
+    let reply = ask(renewal, address, &request).await;
+    let now = renewal.clock.now();
+    match reply {
+        Some(reply) => {
+            leaders.learn(&reply);
+            view.take(reply, now, &renewal.log);
+        }
+        None => {
+            leaders.forget();
+            view.relay().fail(request.ask);
+        }
+    }
+}
+
+/// Which store was last said to lead the control group.
+#[derive(Debug, Default)]
+struct LeaderHint {
+    leader: Option<VmId>,
+    turn: usize,
+}
+
+impl LeaderHint {
+    fn learn(&mut self, reply: &ConfirmReply) {
+        if let Some(Body::Unavailable(unavailable)) = &reply.body {
+            self.leader = unavailable.leader.map(VmId);
+            self.turn += 1;
+        }
+    }
+
+    fn forget(&mut self) {
+        self.leader = None;
+        self.turn += 1;
+    }
+
+    fn address(&self, directory: &Directory) -> Option<std::net::SocketAddr> {
+        let stores = directory.stores();
+        let known = self.leader.and_then(|vm| stores.get(&vm).copied());
+        known.or_else(|| stores.values().nth(self.turn % stores.len().max(1)).copied())
+    }
+}
+
+fn target(
+    renewal: &Renewal,
+    leaders: &LeaderHint,
+    failures: usize,
+) -> Option<std::net::SocketAddr> {
+    let entries = renewal.directory.entries();
+    let members: Vec<VmRegion> =
+        entries.iter().map(|entry| VmRegion { vm: entry.vm, region: entry.region }).collect();
+    let path = upstreams(renewal.me, &members);
+    // After every ancestor failed once, the path is tried from its start again.
+    match path.get(failures % path.len().max(1))? {
+        Upstream::Vm(vm) => renewal.directory.entry(*vm),
+        Upstream::Control => leaders.address(&renewal.directory),
+    }
+}
+
+async fn ask(
+    renewal: &Renewal,
+    address: std::net::SocketAddr,
+    request: &ConfirmRequest,
+) -> Option<ConfirmReply> {
+    let mut parameters = ArrayParams::new();
+    parameters.insert(encode(request)).ok()?;
+    let text = renewal.peers.call(address, Method::Lease, parameters, ASK_TIMEOUT).await.ok()?;
+    decode(&text).ok()
+}
+
+/// Returns the operators' keys as the core checks them.
+pub fn operator_keys(settings: &crate::settings::OperatorSettings) -> OperatorKeys {
+    let keys = settings.keys.iter().filter_map(|key| key.parse().ok()).collect();
+    OperatorKeys { keys, threshold: settings.threshold as usize }
+}
--- a/crates/gypsumglade/src/entry/groups.rs
+++ b/crates/gypsumglade/src/entry/groups.rs
@@ -11,10 +11,14 @@
 use jsonrpsee::core::params::ArrayParams;
 use rand::RngExt as _;
 
+use crate::directory::Directory;
 use crate::rpc::{Method, PeerClients, RpcError, decode, encode};
+use crate::settings::Settings;
 
 /// Pause before a replica is asked again; doubled by jitter so that a fleet does not ask in step.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// More stores than any deployment has; the first asking starts at a random one of them.
+const MAX_STORES: usize = 1_024;
 /// Longest pause between two askings.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
@@ -26,33 +30,41 @@
 }
 
 /// Where the replicas of the program groups are.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct GroupMap {
-    /// Replicas of each group, by the group's number less one.
-    pub replicas: Vec<Vec<VmId>>,
-    /// Address of each store.
-    pub stores: HashMap<VmId, SocketAddr>,
+    directory: Arc<Directory>,
+    groups: u32,
 }
 
 impl GroupMap {
+    /// Creates the map of a deployment whose settings name the count of groups and the stores.
+    pub fn new(settings: &Settings, directory: &Arc<Directory>) -> GroupMap {
+        let groups = settings.store.as_ref().map_or(DEFAULT_GROUPS, |store| store.groups);
+        GroupMap { directory: Arc::clone(directory), groups: groups.max(1) }
+    }
+
     /// Returns the group of a program, by the slot of its root.
     pub fn group_of(&self, org: &str, program: &str) -> GroupId {
         let slot = Slot::of(org, gypsumglade_core::program::root_of(program));
-        GroupId(1 + u32::from(slot.0) % self.replicas.len().max(1) as u32)
+        GroupId(1 + u32::from(slot.0) % self.groups)
     }
 
-    fn replicas_of(&self, group: GroupId) -> &[VmId] {
-        let index = group.0.wrapping_sub(1) as usize;
-        self.replicas.get(index).map_or(&[], Vec::as_slice)
+    fn target(&self, known: Option<VmId>, turn: usize) -> Option<(VmId, SocketAddr)> {
+        let stores = self.directory.stores();
+        let known = known.and_then(|vm| Some((vm, *stores.get(&vm)?)));
+        known.or_else(|| stores.iter().nth(turn % stores.len().max(1)).map(|(vm, at)| (*vm, *at)))
     }
 }
 
+/// Program groups of a deployment whose settings name no count.
+const DEFAULT_GROUPS: u32 = 8;
+
 /// Asks program groups on behalf of one VM.
 #[derive(Clone)]
 pub struct GroupClient {
     vm: VmId,
     peers: PeerClients,
-    map: Arc<GroupMap>,
+    map: GroupMap,
     leaders: Arc<Mutex<HashMap<GroupId, VmId>>>,
     timeout: Duration,
 }
@@ -60,7 +72,7 @@
 impl GroupClient {
     /// Creates a client that gives each asking `timeout`.
     pub fn new(vm: VmId, peers: PeerClients, map: GroupMap, timeout: Duration) -> GroupClient {
-        GroupClient { vm, peers, map: Arc::new(map), leaders: Arc::default(), timeout }
+        GroupClient { vm, peers, map, leaders: Arc::default(), timeout }
     }
 
     /// Asks the group of `org` and `program` until it answers or `patience` is over.
@@ -81,7 +93,7 @@
         let started = Instant::now();
         let mut sent = false;
         let mut pause = RETRY_PAUSE;
-        let mut turn = rand::rng().random_range(0..self.map.replicas_of(group).len().max(1));
+        let mut turn = rand::rng().random_range(0..MAX_STORES);
         while started.elapsed() < patience {
             let Some((vm, address)) = self.target(group, turn) else { break };
             let left = patience.saturating_sub(started.elapsed());
@@ -128,14 +140,12 @@
 
     fn target(&self, group: GroupId, turn: usize) -> Option<(VmId, SocketAddr)> {
         let known = self.leaders.lock().expect("no panic while held").get(&group).copied();
-        let replicas = self.map.replicas_of(group);
-        let vm = known.or_else(|| replicas.get(turn % replicas.len().max(1)).copied())?;
-        Some((vm, *self.map.stores.get(&vm)?))
+        self.map.target(known, turn)
     }
 
     /// Follows a redirect, unless it points back to the replica that gave it.
     fn redirect(&self, group: GroupId, from: VmId, leader: VmId) {
-        if leader != from && self.map.stores.contains_key(&leader) {
+        if leader != from && self.map.directory.store(leader).is_some() {
             self.remember(group, leader);
         } else {
             self.forget(group, from);
--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -1,4 +1,106 @@
 //! The entry daemon: callers' interface, dispatch and endpoint announcements.
+//!
+//! docs/ARCHITECTURE.md follows one call through these modules.
 
+pub mod active_bundle;
+pub mod admit;
+pub mod announce;
+pub mod answer;
+pub mod call;
+pub mod callers;
+pub mod chat_request;
+pub mod config;
 pub mod endpoint_client;
+pub mod groups;
+mod peer_calls;
 pub mod problem;
+mod serve;
+pub mod sse;
+pub mod state;
+pub mod tool;
+pub mod turn;
+
+use gypsumglade_core::bundle::{Agent, AgentBudget, Class as BundleClass, EndpointPattern};
+use gypsumglade_core::policy::route::RouteError;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::common::Class;
+use gypsumglade_core::wire::program::reply::Body as ReplyBody;
+use gypsumglade_core::wire::program::request::Body as RequestBody;
+use gypsumglade_core::wire::program::{Budget, Request, Settle};
+use rand::RngExt as _;
+use xxhash_rust::xxh3::xxh3_64;
+
+use problem::{Problem, ProblemKind};
+pub use serve::{Entry, EntryAddresses};
+use state::EntryState;
+
+/// Returns an id that no other process and no other moment gives.
+fn fresh_id(state: &EntryState) -> String {
+    format!("{}-{:032x}", state.vm.0, rand::rng().random::<u128>())
+}
+
+/// Returns the hash under which cache events and routing know a program.
+fn program_hash(org: &str, program: &str) -> u64 {
+    xxh3_64(format!("{org}/{program}").as_bytes())
+}
+
+/// Returns the urgency that the bundle gives an agent program.
+fn class_of(agent: &Agent) -> Class {
+    match agent.class {
+        BundleClass::Normal => Class::Normal,
+        BundleClass::Urgent => Class::Urgent,
+    }
+}
+
+fn call_budget(budget: &AgentBudget) -> Budget {
+    Budget {
+        tokens: budget.tokens,
+        calls: budget.calls,
+        millis: budget.millis,
+        micros: budget.micros,
+    }
+}
+
+fn allows(patterns: &[EndpointPattern], endpoint: &str) -> bool {
+    patterns.iter().any(|pattern| pattern.matches(endpoint))
+}
+
+/// Checks that a child's id starts with its parent's, so that both share a program group.
+fn check_parent(program: &str, parent: Option<&str>) -> Result<(), Problem> {
+    let Some(parent) = parent else { return Ok(()) };
+    let suffix = program.strip_prefix(parent).and_then(|rest| rest.strip_prefix('/'));
+    if suffix.is_some_and(|suffix| !suffix.is_empty()) {
+        return Ok(());
+    }
+    let message = format!("x-program-id must be `{parent}/<name>` for a child of {parent:?}");
+    Err(Problem::not_run(ProblemKind::BadRequest, message))
+}
+
+fn route_retry_ms(error: &RouteError) -> u64 {
+    let (RouteError::NoEndpoint { retry_after, .. } | RouteError::NoneFree { retry_after, .. }) =
+        error;
+    u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Makes an outcome durable at the program's group.
+///
+/// # Errors
+/// Fails when no quorum took it in time; the caller then learns `unknown`.
+async fn settle(
+    state: &EntryState,
+    org: &str,
+    program: &str,
+    settle: Settle,
+    patience: Duration,
+) -> Result<(), Problem> {
+    let request = Request { body: Some(RequestBody::Settle(settle)) };
+    match state.groups.ask(org, program, &request, patience).await {
+        Ok(ReplyBody::Done(_) | ReplyBody::Recorded(_)) => Ok(()),
+        Ok(ReplyBody::Refused(refused)) => {
+            Err(Problem::unknown(format!("the outcome was refused: {}", refused.detail)))
+        }
+        Ok(_) | Err(_) => {
+            Err(Problem::unknown("no quorum of the program's group took the outcome"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/entry/peer_calls.rs
@@ -0,0 +1,43 @@
+//! Calls that other processes of the system make to an entry VM.
+
+use std::sync::Arc;
+
+use gypsumglade_core::wire::control::ConfirmRequest;
+use gypsumglade_core::wire::program::Release;
+use jsonrpsee::RpcModule;
+use jsonrpsee::types::ErrorObjectOwned;
+
+use super::announce::{self, AnnouncementBody};
+use super::state::EntryState;
+use crate::rpc::{Method, decode, encode, invalid_payload};
+
+/// Answer to a call that has nothing to tell.
+const DONE: &str = "done";
+
+/// Returns the methods of an entry VM.
+///
+/// # Errors
+/// Fails when a name is registered twice, which is a fault of the program.
+pub fn methods(state: Arc<EntryState>) -> anyhow::Result<RpcModule<Arc<EntryState>>> {
+    let mut module = RpcModule::new(state);
+    module.register_method(Method::Lease.name(), |parameters, state, _| {
+        let text: String = parameters.one()?;
+        let request: ConfirmRequest = decode(&text).map_err(|error| invalid_payload(&error))?;
+        let reply = state.config.serve(&request, state.clock.now());
+        Ok::<_, ErrorObjectOwned>(encode(&reply))
+    })?;
+    module.register_method(Method::Announce.name(), |parameters, state, _| {
+        let text: String = parameters.one()?;
+        let body: AnnouncementBody =
+            serde_json::from_str(&text).map_err(|error| invalid_payload(&error.into()))?;
+        announce::take(state, &body).map_err(|error| invalid_payload(&anyhow::anyhow!(error)))?;
+        Ok::<_, ErrorObjectOwned>(DONE.to_owned())
+    })?;
+    module.register_async_method(Method::Release.name(), |parameters, state, _| async move {
+        let text: String = parameters.one()?;
+        let release: Release = decode(&text).map_err(|error| invalid_payload(&error))?;
+        let freed = state.release_memory(&release).await;
+        Ok::<_, ErrorObjectOwned>(freed.to_string())
+    })?;
+    Ok(module)
+}
--- /dev/null
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -0,0 +1,207 @@
+//! Starts and stops an entry VM.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use anyhow::Context as _;
+use gypsumglade_core::lease::{LeaseSettings, VmRegion};
+use gypsumglade_core::policy::admission::AdmissionSettings;
+use gypsumglade_core::policy::registry::{Registry, RegistrySettings};
+use gypsumglade_core::policy::route::{Place, PolicyWeights, RouteSettings, Router};
+use gypsumglade_core::prelude::*;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::admit::{EXPIRY_PAUSE, Gate};
+use super::config::{self, ConfigView, Renewal};
+use super::endpoint_client::EndpointClient;
+use super::groups::{GroupClient, GroupMap};
+use super::peer_calls;
+use super::state::{Desk, EntryState};
+use super::{announce, callers};
+use crate::admin;
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::listener::{Listener, ListenerOptions};
+use crate::metrics::Metrics;
+use crate::rpc::{PeerClients, RpcServer};
+use crate::settings::Settings;
+
+/// A running entry VM.
+pub struct Entry {
+    state: Arc<EntryState>,
+    addresses: EntryAddresses,
+    listeners: Vec<Listener>,
+    _rpc: RpcServer,
+    /// Ends the background loops and the peers' listener; cancelled last.
+    halt: CancellationToken,
+}
+
+/// Addresses in use, with the ports that the kernel chose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct EntryAddresses {
+    /// Callers' interface.
+    pub callers: SocketAddr,
+    /// Announcements.
+    pub endpoints: SocketAddr,
+    /// Calls from other VMs.
+    pub peers: SocketAddr,
+    /// Operators' interface.
+    pub admin: SocketAddr,
+}
+
+impl Entry {
+    /// Binds every listener and starts the background loops.
+    ///
+    /// # Errors
+    /// Fails when an address cannot be bound or a certificate cannot be read.
+    pub async fn start(
+        settings: Settings,
+        directory: Arc<Directory>,
+        log: slog::Logger,
+    ) -> anyhow::Result<Entry> {
+        let state = Arc::new(entry_state(settings, directory, log)?);
+        let halt = CancellationToken::new();
+        let options = options(&state.settings);
+        let listen = state.settings.listen.clone();
+        let stop = state.stop.clone();
+        let callers = callers::routes(Arc::clone(&state));
+        let callers =
+            Listener::bind(listen.callers, callers, options.clone(), stop.clone()).await?;
+        let endpoints = announce::routes(Arc::clone(&state));
+        let endpoints =
+            Listener::bind(listen.endpoints, endpoints, options.clone(), halt.clone()).await?;
+        let admin = admin::entry_routes(Arc::clone(&state));
+        let admin = Listener::bind(listen.admin, admin, options.clone(), halt.clone()).await?;
+        let methods = peer_calls::methods(Arc::clone(&state))?;
+        let token = state.settings.tokens.peers.clone();
+        let rpc =
+            RpcServer::bind(listen.peers, token, methods.into(), options, halt.clone()).await?;
+        let addresses = EntryAddresses {
+            callers: callers.address(),
+            endpoints: endpoints.address(),
+            peers: rpc.address(),
+            admin: admin.address(),
+        };
+        spawn_loops(&state, &halt);
+        slog::info!(state.log, "entry started"; "callers" => %addresses.callers,
+            "endpoints" => %addresses.endpoints, "admin" => %addresses.admin);
+        let listeners = vec![callers, endpoints, admin];
+        Ok(Entry { state, addresses, listeners, _rpc: rpc, halt })
+    }
+
+    /// Returns the addresses in use.
+    pub fn addresses(&self) -> EntryAddresses {
+        self.addresses
+    }
+
+    /// Returns what its tasks share, for dumps and embedding.
+    pub fn state(&self) -> &Arc<EntryState> {
+        &self.state
+    }
+
+    /// Stops as planned: no new work, calls in flight finish, then everything closes.
+    ///
+    /// The balancer sees `/readyz` fail at once, so that callers stop coming before the listener
+    /// is gone. Announcements and the lease go on until the last call is done: without them a
+    /// long call could neither retry nor settle.
+    pub async fn stop(self) {
+        slog::info!(self.state.log, "entry stops"; "in_flight" => self.state.tasks.len());
+        self.state.stop.cancel();
+        self.state.tasks.close();
+        let drain = self.state.settings.timeouts.drain();
+        let mut listeners = self.listeners.into_iter();
+        let drained = async {
+            if let Some(callers) = listeners.next() {
+                callers.drained().await;
+            }
+            self.state.tasks.wait().await;
+        };
+        if tokio::time::timeout(drain, drained).await.is_err() {
+            slog::error!(self.state.log, "calls outlived the drain time; raise timeouts.drain_ms";
+                "in_flight" => self.state.tasks.len());
+        }
+        self.halt.cancel();
+        for listener in listeners {
+            listener.drained().await;
+        }
+    }
+}
+
+fn entry_state(
+    settings: Settings,
+    directory: Arc<Directory>,
+    log: slog::Logger,
+) -> anyhow::Result<EntryState> {
+    let clock = Clock::start();
+    let vm = settings.vm.vm();
+    let place = place(&settings).context("vm.domain or vm.region is not among the peers'")?;
+    let peers = PeerClients::new(settings.tokens.peers.clone());
+    let keys = config::operator_keys(&settings.operators);
+    let lease = LeaseSettings { length_ms: settings.timeouts.lease_ms, ..LeaseSettings::default() };
+    let registry = Registry::new(RegistrySettings::default());
+    let router = Router::new(RouteSettings::default(), rand::random());
+    let map = GroupMap::new(&settings, &directory);
+    Ok(EntryState {
+        vm,
+        place,
+        clock,
+        groups: GroupClient::new(vm, peers.clone(), map, settings.timeouts.peer()),
+        endpoints: EndpointClient::new(),
+        config: ConfigView::new(lease, vm, keys, clock.now()),
+        gate: Gate::new(AdmissionSettings::default(), clock),
+        metrics: Metrics::new()?,
+        stop: CancellationToken::new(),
+        tasks: TaskTracker::new(),
+        desk: Mutex::new(Desk { registry, router }),
+        log,
+        peers,
+        directory,
+        settings,
+    })
+}
+
+fn place(settings: &Settings) -> Option<Place> {
+    Some(Place {
+        domain: settings.domain_id(&settings.vm.domain)?,
+        region: settings.region_id(&settings.vm.region)?,
+    })
+}
+
+/// Returns how the process's listeners accept connections.
+pub(crate) fn options(settings: &Settings) -> ListenerOptions {
+    ListenerOptions {
+        tls: None,
+        header_bytes: usize::try_from(settings.limits.header_bytes).unwrap_or(usize::MAX),
+        drain: settings.timeouts.drain(),
+    }
+}
+
+fn spawn_loops(state: &Arc<EntryState>, halt: &CancellationToken) {
+    let renewal = Renewal {
+        me: VmRegion { vm: state.vm, region: state.place.region },
+        directory: Arc::clone(&state.directory),
+        peers: state.peers.clone(),
+        clock: state.clock,
+        stop: halt.clone(),
+        log: state.log.clone(),
+    };
+    let renewing = Arc::clone(state);
+    tokio::spawn(async move {
+        config::renew(&renewing.config, &renewal, |active| {
+            let policy = &active.bundle.policy;
+            let weights =
+                PolicyWeights { latency: policy.latency_weight, waste: policy.waste_weight };
+            renewing.desk().router.reweigh(weights);
+        })
+        .await;
+    });
+    let (expiring, halt) = (Arc::clone(state), halt.clone());
+    tokio::spawn(async move {
+        while !halt.is_cancelled() {
+            expiring.gate.expire();
+            expiring.expire_endpoints();
+            tokio::time::sleep(EXPIRY_PAUSE).await;
+        }
+    });
+}
--- a/crates/gypsumglade/src/entry/state.rs
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -1,10 +1,13 @@
 //! What all tasks of an entry VM share.
 
-use std::sync::{Mutex, MutexGuard};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
 
-use gypsumglade_core::policy::registry::{DispatchKey, Registry};
+use bytes::Bytes;
+use gypsumglade_core::policy::registry::{DispatchKey, DispatchLoad, EndpointKind, Registry};
 use gypsumglade_core::policy::route::{Choice, Place, RouteAsk, RouteError, Router};
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::program::Release;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -13,17 +16,25 @@
 use super::endpoint_client::EndpointClient;
 use super::groups::GroupClient;
 use crate::clock::Clock;
+use crate::directory::Directory;
 use crate::metrics::Metrics;
+use crate::rpc::PeerClients;
 use crate::settings::Settings;
 
 /// One entry VM.
 pub struct EntryState {
+    /// Its number.
+    pub vm: VmId,
     /// Its settings.
     pub settings: Settings,
     /// Its failure domain and region.
     pub place: Place,
     /// Its clock.
     pub clock: Clock,
+    /// Where the other VMs are.
+    pub directory: Arc<Directory>,
+    /// Calls to the other VMs.
+    pub peers: PeerClients,
     /// The program groups.
     pub groups: GroupClient,
     /// HTTP towards endpoints.
@@ -107,6 +118,42 @@
         self.desk().registry.filled(placed.key);
     }
 
+    /// Bounds each model's calls by this VM's share of the slots that engines announce.
+    ///
+    /// The balancer spreads callers evenly, so an equal share for each entry VM is fair; twice of
+    /// it is allowed, so that an uneven minute leaves no engine idle while calls wait.
+    pub fn resize_pools(&self) {
+        let entries = self.directory.entries().len().max(1) as f64;
+        for (model, slots) in self.desk().slots() {
+            self.gate.resize(&model, (f64::from(slots) / entries * POOL_SLACK).ceil());
+        }
+    }
+
+    /// Drops endpoints whose lease is over.
+    pub fn expire_endpoints(&self) {
+        let now = self.clock.now();
+        let gone = self.desk().registry.expire(now);
+        if !gone.is_empty() {
+            slog::info!(self.log, "endpoints expired"; "count" => gone.len());
+            self.resize_pools();
+        }
+    }
+
+    /// Frees an engine's memory of an ended program; true once nothing can be held there.
+    pub async fn release_memory(&self, release: &Release) -> bool {
+        let Some(address) = self.endpoint_address(&release.endpoint) else { return false };
+        let Some(program) = &release.program else { return true };
+        let body = serde_json::json!({"program": format!("{}/{}", program.org, program.program)});
+        let released = self.endpoints.control(
+            http::Method::POST,
+            &address,
+            "/v1/programs/release",
+            Bytes::from(body.to_string()),
+            self.settings.timeouts.peer(),
+        );
+        released.await.is_ok_and(|(status, _)| status.is_success())
+    }
+
     /// Returns the address of an endpoint with a live lease.
     pub fn endpoint_address(&self, name: &str) -> Option<CompactString> {
         let desk = self.desk();
@@ -115,9 +162,23 @@
     }
 }
 
+/// How far a VM may go beyond its even share of a model's slots.
+const POOL_SLACK: f64 = 2.0;
+
 impl Desk {
+    /// Returns the slots of each model's engines that take new work.
+    fn slots(&self) -> HashMap<CompactString, u32> {
+        let mut slots = HashMap::new();
+        for (_, endpoint) in self.registry.iter().filter(|(_, endpoint)| !endpoint.leaving) {
+            let EndpointKind::Engine { models, slots: own, .. } = &endpoint.kind else { continue };
+            for model in models {
+                *slots.entry(model.model.clone()).or_default() += *own;
+            }
+        }
+        slots
+    }
+
     fn count(&mut self, now: Time, choice: &Choice, alone: bool) -> Placed {
-        use gypsumglade_core::policy::registry::DispatchLoad;
         let load = DispatchLoad { fill_tokens: choice.fill_tokens, alone };
         let key = self.registry.dispatched(now, choice.endpoint, load);
         let endpoint = self.registry.get(choice.endpoint);
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -387,14 +387,15 @@
 /// Fails when no quorum of the program's group answers.
 pub async fn end(state: &EntryState, org: &str, program: &str) -> Result<(), Problem> {
     let program_ref = ProgramRef { org: org.to_owned(), program: program.to_owned() };
-    let request = Request {
-        body: Some(RequestBody::EndProgram(EndProgram { program: Some(program_ref) })),
-    };
+    let request =
+        Request { body: Some(RequestBody::EndProgram(EndProgram { program: Some(program_ref) })) };
     match state.groups.ask(org, program, &request, GROUP_PATIENCE).await {
         Ok(ReplyBody::Done(_)) => Ok(()),
         Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
-        _ => Err(Problem::unknown("the end of the program is not confirmed")
-            .retry_after(GROUP_RETRY_MS)),
+        _ => {
+            Err(Problem::unknown("the end of the program is not confirmed")
+                .retry_after(GROUP_RETRY_MS))
+        }
     }
 }
 
--- a/crates/gypsumglade/src/rpc/method.rs
+++ b/crates/gypsumglade/src/rpc/method.rs
@@ -11,6 +11,8 @@
     Control,
     /// Entry to store or entry: renews the configuration lease.
     Lease,
+    /// Store to entry: frees an engine's memory of an ended program.
+    Release,
     /// Entry to entry: an endpoint's announcement.
     Announce,
 }
@@ -23,6 +25,7 @@
             Method::Replication => "replication",
             Method::Control => "control",
             Method::Lease => "lease",
+            Method::Release => "release",
             Method::Announce => "announce",
         }
     }
--- /dev/null
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -0,0 +1,306 @@
+//! The control group on this store: bundles and configuration leases.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use bytes::Bytes;
+use gypsumglade_core::bundle::{Bundle, OperatorKeys};
+use gypsumglade_core::control::Control;
+use gypsumglade_core::lease::{ConfigGrants, InForce, LeaseSettings, serve};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::confirm_reply::Body as ConfirmBody;
+use gypsumglade_core::wire::control::{
+    Answer, Command, ConfirmReply, ConfirmRequest, Unavailable,
+};
+use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
+use gypsumglade_core::wire::operator::control_request::Body as RequestBody;
+use gypsumglade_core::wire::operator::{
+    ControlReply, ControlRequest, NotLeader, Status, StatusQuery, Uncertain, VmState,
+};
+use prost::Message as _;
+use tokio::sync::{mpsc, oneshot};
+
+use super::context::StoreContext;
+use super::program_group::GroupInput;
+use crate::replica::{Event, ProposeError};
+
+/// The control group's state on one store, and its leases while it leads.
+pub struct ControlGroup {
+    context: Arc<StoreContext>,
+    keys: OperatorKeys,
+    lease: LeaseSettings,
+    state: Mutex<ControlState>,
+}
+
+struct ControlState {
+    control: Control,
+    applied: u64,
+    role: Role,
+    waiting: Vec<(u64, oneshot::Sender<Answer>)>,
+    /// Latest answers, for an asker that learns its entry's place after it was applied.
+    recent: VecDeque<(u64, Answer)>,
+}
+
+/// Answers kept for askers that come late to them.
+const RECENT_ANSWERS: usize = 256;
+
+enum Role {
+    Leader(Box<ConfigGrants>),
+    Follower(Option<VmId>),
+}
+
+impl ControlGroup {
+    /// Creates the group's state machine, empty until the log is delivered.
+    pub fn new(
+        context: Arc<StoreContext>,
+        keys: OperatorKeys,
+        lease: LeaseSettings,
+    ) -> Arc<ControlGroup> {
+        let state = ControlState {
+            control: Control::new(),
+            applied: 0,
+            role: Role::Follower(None),
+            waiting: Vec::new(),
+            recent: VecDeque::new(),
+        };
+        Arc::new(ControlGroup { context, keys, lease, state: Mutex::new(state) })
+    }
+
+    /// Applies the log's news until the process ends.
+    pub async fn run(self: Arc<Self>, mut events: mpsc::Receiver<Event>) {
+        while let Some(event) = events.recv().await {
+            match event {
+                Event::Leader { term, .. } => self.lead(term),
+                Event::Follower { leader, .. } => self.state().role = Role::Follower(leader),
+                Event::Committed { index, data, .. } => self.committed(index, &data).await,
+                Event::Restore { index, data, .. } => self.restore(index, &data).await,
+                Event::NeedSnapshot { .. } => self.snapshot().await,
+                Event::Failed { .. } => {}
+            }
+        }
+    }
+
+    /// Serves an operator's command or question.
+    pub async fn ask(&self, request: ControlRequest) -> ControlReply {
+        let body = match request.body {
+            Some(RequestBody::Command(command)) => self.command(command).await,
+            Some(RequestBody::Status(query)) => self.status(&query).await,
+            None => not_leader(None),
+        };
+        ControlReply { body: Some(body) }
+    }
+
+    /// Serves an entry VM that renews its lease.
+    ///
+    /// Leadership is confirmed after the answer was worked out and before it leaves: a store that
+    /// was paused beyond its own lease would otherwise grant next to its successor, and a bundle
+    /// could be called in force while a VM still acts on the one before.
+    pub async fn renew(&self, request: &ConfirmRequest) -> ConfirmReply {
+        let reply = self.renewal(request);
+        let grants = matches!(reply.body, Some(ConfirmBody::Grant(_)));
+        if grants && self.context.host.read_barrier(GroupId::CONTROL).await.is_err() {
+            return unavailable(request, None);
+        }
+        reply
+    }
+
+    /// Returns the state for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let state = self.state();
+        let current = state.control.current();
+        serde_json::json!({
+            "applied": state.applied,
+            "leads": matches!(state.role, Role::Leader(_)),
+            "revision": current.map(|revision| revision.number),
+            "version": current.map(|revision| revision.version.clone()),
+            "digest": current.map(|revision| revision.digest.to_string()),
+            "order_lease": state.control.order_lease(),
+            "groups": state.control.groups(),
+        })
+    }
+
+    fn renewal(&self, request: &ConfirmRequest) -> ConfirmReply {
+        let now = self.context.clock.now();
+        let mut state = self.state();
+        let ControlState { control, role, .. } = &mut *state;
+        match role {
+            Role::Leader(grants) => {
+                serve(control.history(), grants, self.lease.length(), request, now)
+            }
+            Role::Follower(leader) => unavailable(request, *leader),
+        }
+    }
+
+    async fn command(&self, command: Command) -> ReplyBody {
+        if let Some(body) = self.refusal(&command) {
+            return body;
+        }
+        let data = Bytes::from(command.encode_to_vec());
+        match self.context.host.propose(GroupId::CONTROL, data).await {
+            Ok(index) => match self.answer_at(index.into()).await {
+                Some(answer) => ReplyBody::Answer(answer),
+                None => ReplyBody::Uncertain(Uncertain {}),
+            },
+            Err(ProposeError::NotLeader { hint }) => not_leader(hint),
+            Err(_) => ReplyBody::Uncertain(Uncertain {}),
+        }
+    }
+
+    /// Answers at once what need not, or must not, go into the log.
+    fn refusal(&self, command: &Command) -> Option<ReplyBody> {
+        let state = self.state();
+        if let Role::Follower(leader) = state.role {
+            return Some(not_leader(leader));
+        }
+        state.control.check(command, &self.keys).err().map(ReplyBody::Answer)
+    }
+
+    /// Waits until the entry at `index` is applied here, and returns its answer.
+    async fn answer_at(&self, index: u64) -> Option<Answer> {
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut state = self.state();
+            if state.applied >= index {
+                let found = state.recent.iter().find(|(at, _)| *at == index);
+                return found.map(|(_, answer)| answer.clone());
+            }
+            state.waiting.push((index, sender));
+        }
+        receiver.await.ok()
+    }
+
+    async fn status(&self, query: &StatusQuery) -> ReplyBody {
+        if self.context.host.read_barrier(GroupId::CONTROL).await.is_err() {
+            return not_leader(None);
+        }
+        let now = self.context.clock.now();
+        let state = self.state();
+        let Role::Leader(grants) = &state.role else { return not_leader(None) };
+        let current = state.control.history().number();
+        let revision = if query.revision == 0 { current } else { RevisionNumber(query.revision) };
+        let (in_force, waiting, until) = match grants.in_force(revision, now) {
+            InForce::Yes => (revision <= current, Vec::new(), now),
+            InForce::Waiting(waiting) => (false, waiting.vms, waiting.until),
+        };
+        let found = state.control.current();
+        ReplyBody::Status(Status {
+            revision: revision.0,
+            current: current.0,
+            version: found.map(|found| found.version.to_string()).unwrap_or_default(),
+            digest: found.map(|found| found.digest.to_wire()).unwrap_or_default(),
+            in_force,
+            waiting: waiting.iter().map(|vm| vm.0).collect(),
+            wait_ms: until.since(now).as_millis() as u64,
+            vms: grants.status(now).iter().map(|vm| vm_state(vm, now)).collect(),
+        })
+    }
+
+    fn lead(&self, term: u64) {
+        slog::info!(self.context.log, "leads the control group"; "term" => term);
+        let now = self.context.clock.now();
+        let grants = ConfigGrants::lead(self.lease, now);
+        self.state().role = Role::Leader(Box::new(grants));
+    }
+
+    async fn committed(&self, index: u64, data: &Bytes) {
+        let changed = {
+            let mut state = self.state();
+            state.applied = index;
+            let before = state.control.history().number();
+            if data.is_empty() {
+                false
+            } else {
+                // Every entry was encoded by a leader of this group.
+                let command = Command::decode(data.clone()).unwrap_or_default();
+                let answer = state.control.apply(&command);
+                state.answer(index, &answer);
+                state.control.history().number() != before
+            }
+        };
+        if changed {
+            self.tell_groups().await;
+        }
+    }
+
+    async fn restore(&self, index: u64, data: &Bytes) {
+        {
+            let mut state = self.state();
+            match Control::restore(data) {
+                Ok(control) => state.control = control,
+                Err(error) => {
+                    slog::crit!(self.context.log, "a control snapshot cannot be read; replace \
+                        this store's data folder"; "error" => %error);
+                    return;
+                }
+            }
+            state.applied = index;
+            state.waiting.clear();
+        }
+        self.tell_groups().await;
+    }
+
+    async fn snapshot(&self) {
+        let (index, data) = {
+            let state = self.state();
+            (state.applied, state.control.snapshot())
+        };
+        self.context.host.snapshot(GroupId::CONTROL, index, data).await;
+    }
+
+    /// Tells the program groups of the revision, so that no grant is given under an older one.
+    async fn tell_groups(&self) {
+        let found = self.state().control.current().cloned();
+        let Some(revision) = found else { return };
+        let bundle = Bundle::parse(&revision.content);
+        let lifted = bundle.map(|bundle| lifted(&bundle)).unwrap_or_default();
+        let number = revision.number;
+        let input = || GroupInput::Config { revision: number, lifted: lifted.clone() };
+        self.context.feed_all(input).await;
+    }
+
+    fn state(&self) -> MutexGuard<'_, ControlState> {
+        self.state.lock().expect("no panic while held")
+    }
+}
+
+impl ControlState {
+    fn answer(&mut self, index: u64, answer: &Answer) {
+        if self.recent.len() == RECENT_ANSWERS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back((index, answer.clone()));
+        let waiting = std::mem::take(&mut self.waiting);
+        for (wanted, sender) in waiting {
+            match wanted.cmp(&index) {
+                // The asker may have given up.
+                std::cmp::Ordering::Equal => drop(sender.send(answer.clone())),
+                // Applied before the asker got here; it learns `uncertain` and asks again.
+                std::cmp::Ordering::Less => drop(sender),
+                std::cmp::Ordering::Greater => self.waiting.push((wanted, sender)),
+            }
+        }
+    }
+}
+
+fn lifted(bundle: &Bundle) -> Vec<Bytes> {
+    let digests = bundle.quarantine.lift.iter().filter_map(|text| hex::decode(text).ok());
+    digests.map(Bytes::from).collect()
+}
+
+fn vm_state(vm: &gypsumglade_core::lease::VmStatus, now: Time) -> VmState {
+    VmState {
+        vm: vm.vm.0,
+        confirmed: vm.confirmed.0,
+        floor: vm.floor.unwrap_or_default().0,
+        lease_ms: vm.until.since(now).as_millis() as u64,
+    }
+}
+
+fn not_leader(leader: Option<VmId>) -> ReplyBody {
+    ReplyBody::NotLeader(NotLeader { leader: leader.unwrap_or_default().0 })
+}
+
+fn unavailable(request: &ConfirmRequest, leader: Option<VmId>) -> ConfirmReply {
+    let unavailable = Unavailable { leader: leader.map(|vm| vm.0) };
+    ConfirmReply { ask: request.ask, body: Some(ConfirmBody::Unavailable(unavailable)) }
+}
--- a/crates/wiregen/src/main.rs
+++ b/crates/wiregen/src/main.rs
@@ -6,8 +6,14 @@
 use std::path::PathBuf;
 
 /// Schemas in `crates/core/proto`, one generated module each.
-const SCHEMAS: [&str; 5] =
-    ["common.proto", "program.proto", "replication.proto", "control.proto", "membership.proto"];
+const SCHEMAS: [&str; 6] = [
+    "common.proto",
+    "program.proto",
+    "replication.proto",
+    "control.proto",
+    "membership.proto",
+    "operator.proto",
+];
 
 fn main() -> anyhow::Result<()> {
     let core = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../core");
