Add the program group's state and sequencer

Change: program::State applies log entries and decides everything when an entry is applied; program::Sequencer turns requests into proposals and replies on the leader.

--- /dev/null
+++ b/crates/core/src/program/admission.rs
@@ -0,0 +1,310 @@
+//! Decides what becomes of a request to run a call: answer, propose or park.
+//!
+//! All answers here come from committed state; a proposal is looked at again when it is applied.
+//! What is known of the key goes before every other reason to refuse, for a refusal says that the
+//! call was not run, and the call behind a known key may have been.
+
+use bytes::Bytes;
+
+use super::asked::Asked;
+use super::messages::{answer_message, canonical, compare_history, message_hash};
+use super::parking::Queue;
+use super::quarantine::WHOLE_DEATH;
+use super::replies::{recorded, refusal, unknown};
+use super::sequencer::{Effect, Sequencer, Ticket};
+use super::state::{CallKey, Name, Phase, Program};
+use crate::prelude::*;
+use crate::wire::common::Outcome;
+use crate::wire::program as wire;
+use crate::wire::program::{Refusal, Reply};
+
+/// What becomes of a request now.
+enum Verdict {
+    Answer(Reply),
+    Propose(Box<wire::Begin>),
+    Park(Queue),
+}
+
+/// What is known of a request's key.
+enum Known {
+    /// Nothing, or that the call may be granted.
+    Free,
+    Answer(Reply),
+    Running,
+}
+
+impl Sequencer {
+    /// Answers, proposes or parks a request.
+    pub(super) fn admit(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Effect>) {
+        let token = ticket.token;
+        match self.consider(now, &ticket) {
+            Verdict::Answer(reply) => out.push(Effect::Reply { token, reply }),
+            Verdict::Propose(mut begin) => {
+                begin.dispatch = self.next_dispatch().to_string();
+                if !self.settings.safeguards.intent_first {
+                    out.push(Effect::Reply { token, reply: early_grant(&begin) });
+                }
+                self.propose_begin(now, Box::new(ticket), *begin, out);
+            }
+            Verdict::Park(queue) => {
+                if let Err(ticket) = self.parking.park(queue, ticket, &self.settings) {
+                    let detail = "too many requests wait for this program: try again later";
+                    let reply = self.give_up(&ticket, Refusal::Overloaded, detail);
+                    out.push(Effect::Reply { token, reply });
+                }
+            }
+        }
+    }
+
+    /// Builds the final answer for a request that will not be looked at again.
+    ///
+    /// One that joined a call under way must not be told that its call was not run.
+    pub(super) fn give_up(&self, ticket: &Ticket, code: Refusal, detail: &str) -> Reply {
+        let known = self.state.find_call(&ticket.asked.name, &ticket.asked.key);
+        match known.map(|call| &self.state.calls[call]) {
+            Some(call) if matches!(call.phase, Phase::Running(_)) => {
+                unknown(call, "the call is still under way: ask again under the same key")
+            }
+            _ => refusal(code, detail),
+        }
+    }
+
+    fn consider(&self, now: Time, ticket: &Ticket) -> Verdict {
+        let asked = &ticket.asked;
+        if !self.lead.is_some_and(|lead| lead.ready) {
+            return Verdict::Park(Queue::Ready);
+        }
+        let known = self.state.find_call(&asked.name, &asked.key);
+        match known.map_or(Known::Free, |call| self.consider_key(call, ticket)) {
+            Known::Answer(reply) => return Verdict::Answer(reply),
+            Known::Running => return Verdict::Park(Queue::Program(asked.name.clone())),
+            Known::Free => {}
+        }
+        if let Some(reply) = self.consider_ticket(now, ticket) {
+            return Verdict::Answer(reply);
+        }
+        if self.busy.contains(&asked.name) {
+            return Verdict::Park(Queue::Program(asked.name.clone()));
+        }
+        match self.state.find(&asked.name) {
+            Some(program) => self.consider_program(now, ticket, program, known),
+            None => self.consider_turn(now, ticket, None),
+        }
+    }
+
+    fn consider_key(&self, call: CallKey, ticket: &Ticket) -> Known {
+        let call = &self.state.calls[call];
+        let bound = self.settings.safeguards.bind_content;
+        if bound && call.content != ticket.asked.content {
+            let detail = "the key was used for another request: take a new key";
+            return Known::Answer(refusal(Refusal::KeyReused, detail));
+        }
+        match &call.phase {
+            Phase::Ran { answer, status } => Known::Answer(recorded(answer, *status, call.turn)),
+            Phase::Running(attempt) => {
+                let retried = !attempt.ask.is_empty()
+                    && attempt.ask == ticket.asked.ask
+                    && attempt.holder == ticket.from;
+                if retried { Known::Free } else { Known::Running }
+            }
+            Phase::InDoubt(_) if !call.repeatable && self.settings.safeguards.doubt_final => {
+                Known::Answer(unknown(call, "the call may have run and will not be run again"))
+            }
+            Phase::InDoubt(_) | Phase::NotRun => Known::Free,
+        }
+    }
+
+    fn consider_ticket(&self, now: Time, ticket: &Ticket) -> Option<Reply> {
+        if ticket.until_ms <= self.now_ms(now) {
+            return Some(refusal(Refusal::DeadlinePassed, "the caller's deadline has passed"));
+        }
+        if ticket.asked.revision < self.revision {
+            let detail = format!("revision {} is in force", self.revision);
+            return Some(refusal(Refusal::StaleRevision, detail));
+        }
+        None
+    }
+
+    fn consider_program(
+        &self,
+        now: Time,
+        ticket: &Ticket,
+        program: &Program,
+        known: Option<CallKey>,
+    ) -> Verdict {
+        if let Some(ended) = program.ended {
+            let detail = format!("the program has ended: {}", ended.reason.as_str_name());
+            return Verdict::Answer(refusal(Refusal::ProgramEnded, detail));
+        }
+        if known.is_none() && program.calls.len() >= self.settings.program_keys {
+            return Verdict::Answer(refusal(Refusal::TooLarge, "the program has too many keys"));
+        }
+        let others = program.running.iter().any(|running| Some(*running) != known);
+        if self.settings.safeguards.serial_calls && others {
+            return Verdict::Park(Queue::Program(ticket.asked.name.clone()));
+        }
+        self.consider_turn(now, ticket, Some(program))
+    }
+
+    fn consider_turn(&self, now: Time, ticket: &Ticket, program: Option<&Program>) -> Verdict {
+        let asked = &ticket.asked;
+        let stored = program.map_or(&[][..], |program| program.history.hashes());
+        let Some(model) = &asked.model else {
+            return self.consider_crashes(now, ticket, begin_entry(ticket), stored, 0);
+        };
+        let next = program.map_or(0, |program| program.history.turns()) + 1;
+        if model.turn > next {
+            return Verdict::Park(Queue::Program(asked.name.clone()));
+        }
+        if model.turn > 0 && model.turn < next {
+            let detail = format!("turn {} is done: the next is {next}", model.turn);
+            return Verdict::Answer(refusal(Refusal::TurnOutOfOrder, detail));
+        }
+        let known = match compare_history(stored, &model.prompt) {
+            Ok(known) => known,
+            Err(conflict) => {
+                return Verdict::Answer(refusal(Refusal::HistoryConflict, conflict));
+            }
+        };
+        let messages = model.prompt.joined(known);
+        let bytes = program.map_or(0, |program| program.history.len()) + messages.len();
+        if bytes > self.settings.history_bytes {
+            return Verdict::Answer(refusal(Refusal::TooLarge, "the history is too large"));
+        }
+        let mut begin = begin_entry(ticket);
+        begin.turn = next;
+        begin.messages = messages;
+        begin.hashes = model.prompt.hash_bytes(known);
+        begin.max_output = model.max_output;
+        begin.prompt_tokens = match model.prompt_tokens {
+            0 => bytes as u64,
+            bound => bound,
+        };
+        self.consider_crashes(now, ticket, begin, stored, known)
+    }
+
+    fn consider_crashes(
+        &self,
+        now: Time,
+        ticket: &Ticket,
+        mut begin: wire::Begin,
+        stored: &[[u8; 16]],
+        known: usize,
+    ) -> Verdict {
+        let digest = ticket.asked.crash_digest(stored, known);
+        if self.state.scores.get(&digest).quarantined {
+            let detail = "this request crashed the endpoints that ran it: change it, or ask the \
+                          operators to lift its quarantine in the next bundle";
+            return Verdict::Answer(refusal(Refusal::Quarantined, detail));
+        }
+        let beside = self.state.flights.contains_key(&digest);
+        let isolate = self.settings.safeguards.isolate_suspects;
+        if isolate && beside && self.state.scores.is_suspect(&digest) {
+            return Verdict::Park(Queue::Suspect(digest));
+        }
+        begin.digest = Bytes::copy_from_slice(&digest);
+        begin.expires_ms = self.expiry_ms(now, &ticket.asked);
+        Verdict::Propose(Box::new(begin))
+    }
+
+    /// Returns the group time from which a grant without outcome counts as lost.
+    fn expiry_ms(&self, now: Time, asked: &Asked) -> u64 {
+        let run_ms = match asked.deadline_ms {
+            0 => self.settings.dispatch_ms,
+            millis => millis,
+        };
+        self.now_ms(now).saturating_add(run_ms).saturating_add(self.settings.grace_ms)
+    }
+
+    /// Builds the entry that records an outcome.
+    pub(super) fn settled_entry(&mut self, from: VmId, settle: wire::Settle) -> wire::Settled {
+        let crashed = self.crash_shares(&settle);
+        let name = Name::of(settle.program.as_ref());
+        let turn = self
+            .state
+            .find_dispatch(&name, &settle.dispatch)
+            .is_some_and(|call| self.state.calls[call].turn > 0);
+        let answered = turn && settle.outcome() == Outcome::Done && settle.status < 400;
+        let message = answered.then(|| answer_message(&settle.answer)).flatten();
+        self.started.remove(settle.dispatch.as_str());
+        wire::Settled {
+            program: settle.program,
+            dispatch: settle.dispatch,
+            holder: from.0,
+            outcome: settle.outcome,
+            answer: settle.answer,
+            status: settle.status,
+            usage: settle.usage,
+            endpoint: settle.endpoint,
+            message: message.as_ref().map_or(Bytes::new(), canonical),
+            hash: message
+                .as_ref()
+                .map_or(Bytes::new(), |m| Bytes::copy_from_slice(&message_hash(m))),
+            crashed,
+        }
+    }
+
+    /// Shares the blame for an endpoint's death among the requests it was running.
+    ///
+    /// Each of them will be reported as crashed by its own holder; only the first report counts,
+    /// else the last reporter would seem to have been alone.
+    fn crash_shares(&mut self, settle: &wire::Settle) -> Vec<wire::Share> {
+        if !settle.crashed || self.blamed.contains(settle.dispatch.as_str()) {
+            return vec![];
+        }
+        let on_it = |endpoint: &EndpointName| *endpoint == settle.endpoint;
+        let mut beside: Vec<CompactString> = self
+            .started
+            .iter()
+            .filter(|(dispatch, endpoint)| **dispatch != settle.dispatch && on_it(endpoint))
+            .map(|(dispatch, _)| dispatch.clone())
+            .collect();
+        beside.sort();
+        beside.insert(0, (&settle.dispatch).into());
+        let running: Vec<_> = self.state.running_attempts().collect();
+        let hit: Vec<_> = beside
+            .iter()
+            .filter_map(|dispatch| running.iter().find(|(call, _)| call.dispatch == *dispatch))
+            .filter_map(|(_, attempt)| Some((attempt.digest?, attempt.isolate)))
+            .collect();
+        let share = WHOLE_DEATH / hit.len().max(1) as u32;
+        let alone = hit.len() == 1;
+        let shares = hit.into_iter().map(|(digest, isolate)| wire::Share {
+            digest: Bytes::copy_from_slice(&digest),
+            share,
+            alone: alone && isolate,
+        });
+        let shares = shares.collect();
+        self.blamed.extend(beside);
+        shares
+    }
+}
+
+/// Fills what every begin has; the rest depends on the kind of call.
+fn begin_entry(ticket: &Ticket) -> wire::Begin {
+    let asked = &ticket.asked;
+    wire::Begin {
+        program: Some(asked.name.to_ref()),
+        key: asked.key.to_string(),
+        content: Bytes::copy_from_slice(&asked.content),
+        holder: ticket.from.0,
+        repeatable: asked.repeatable,
+        parent: asked.parent.to_string(),
+        budget: Some(asked.budget),
+        max_micros: asked.max_micros,
+        idle_ms: asked.idle_ms,
+        ask: asked.ask.to_string(),
+        ..wire::Begin::default()
+    }
+}
+
+/// The grant that the safeguard `intent_first` holds back until the intent is committed.
+fn early_grant(begin: &wire::Begin) -> Reply {
+    let grant = wire::Grant {
+        dispatch: begin.dispatch.clone(),
+        turn: begin.turn,
+        attempt: 1,
+        ..wire::Grant::default()
+    };
+    super::replies::reply(wire::reply::Body::Grant(grant))
+}
--- /dev/null
+++ b/crates/core/src/program/asked.rs
@@ -0,0 +1,112 @@
+//! What a caller asks for, model call and service call alike, read once and checked.
+
+use bytes::Bytes;
+
+use super::messages::{MessageHash, Prompt, fingerprint, parse_messages};
+use super::settings::Settings;
+use super::state::Name;
+use crate::prelude::*;
+use crate::wire::program as wire;
+
+/// A request to run a call.
+#[derive(Clone, Debug)]
+pub(super) struct Asked {
+    pub(super) name: Name,
+    pub(super) key: CompactString,
+    pub(super) content: MessageHash,
+    pub(super) revision: RevisionNumber,
+    pub(super) parent: CompactString,
+    pub(super) budget: wire::Budget,
+    pub(super) max_micros: u64,
+    pub(super) idle_ms: u64,
+    /// Milliseconds the caller waits; zero for no deadline.
+    pub(super) deadline_ms: u64,
+    pub(super) ask: CompactString,
+    pub(super) repeatable: bool,
+    pub(super) digest: Bytes,
+    pub(super) model: Option<ModelAsk>,
+}
+
+/// What only a model call has.
+#[derive(Clone, Debug)]
+pub(super) struct ModelAsk {
+    pub(super) prompt: Prompt,
+    /// Zero for the next turn.
+    pub(super) turn: u64,
+    pub(super) max_output: u64,
+    /// Zero for the bytes of the prompt.
+    pub(super) prompt_tokens: u64,
+}
+
+impl Asked {
+    /// Reads a model call, or tells what is wrong with it.
+    pub(super) fn of_turn(turn: &wire::BeginTurn, settings: &Settings) -> Result<Asked, String> {
+        let prompt = parse_messages(&turn.messages)?;
+        let content = fingerprint(&[b"turn".as_slice(), &turn.digest, &prompt.hash_bytes(0)]);
+        let asked = Asked {
+            name: checked_name(turn.program.as_ref(), &turn.key)?,
+            key: (&turn.key).into(),
+            content,
+            revision: RevisionNumber(turn.revision),
+            parent: (&turn.parent).into(),
+            budget: turn.budget.unwrap_or_default(),
+            max_micros: turn.max_micros,
+            idle_ms: turn.idle_ms,
+            deadline_ms: turn.deadline_ms,
+            ask: (&turn.ask).into(),
+            repeatable: true,
+            digest: turn.digest.clone(),
+            model: Some(ModelAsk {
+                prompt,
+                turn: turn.turn,
+                max_output: match turn.max_output {
+                    0 => settings.output_tokens,
+                    bound => bound,
+                },
+                prompt_tokens: turn.prompt_tokens,
+            }),
+        };
+        Ok(asked)
+    }
+
+    /// Reads a service call, or tells what is wrong with it.
+    pub(super) fn of_call(call: &wire::BeginCall) -> Result<Asked, String> {
+        let parts =
+            [b"call".as_slice(), call.service.as_bytes(), call.operation.as_bytes(), &call.digest];
+        let content = fingerprint(&parts);
+        Ok(Asked {
+            name: checked_name(call.program.as_ref(), &call.key)?,
+            key: (&call.key).into(),
+            content,
+            revision: RevisionNumber(call.revision),
+            parent: (&call.parent).into(),
+            budget: call.budget.unwrap_or_default(),
+            max_micros: call.max_micros,
+            idle_ms: call.idle_ms,
+            deadline_ms: call.deadline_ms,
+            ask: (&call.ask).into(),
+            repeatable: call.repeatable,
+            digest: Bytes::copy_from_slice(&content),
+            model: None,
+        })
+    }
+
+    /// Returns the digest of all that an engine would get: the same wherever it is sent from.
+    pub(super) fn crash_digest(&self, stored: &[MessageHash], known: usize) -> MessageHash {
+        let Some(model) = &self.model else { return self.content };
+        let fresh = model.prompt.hash_bytes(known);
+        let whole = [&stored.concat()[..], &fresh[..]].concat();
+        fingerprint(&[b"crash".as_slice(), &self.digest, &whole])
+    }
+}
+
+fn checked_name(program: Option<&wire::ProgramRef>, key: &str) -> Result<Name, String> {
+    let name = Name::of(program);
+    if name.org.is_empty() || name.program.is_empty() {
+        return Err("the request names no organisation or no program".into());
+    }
+    if key.is_empty() {
+        return Err("the request carries no idempotency key".into());
+    }
+    Ok(name)
+}
--- /dev/null
+++ b/crates/core/src/program/budget.rs
@@ -0,0 +1,110 @@
+//! Budgets: reserved before a dispatch, settled after it, and drawn from every ancestor.
+//!
+//! See docs/design/budget.md for why the reservation is an upper bound and what happens to it
+//! when a dispatch is lost.
+
+use crate::prelude::*;
+use crate::wire::program as wire;
+
+/// Amounts of the three resources that a budget counts. Time is a deadline, see
+/// docs/design/budget.md.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Amounts {
+    /// Prompt and output tokens together.
+    pub tokens: u64,
+    /// Dispatches, model and service alike.
+    pub calls: u64,
+    /// Money in millionths of the bundle's currency.
+    pub micros: u64,
+}
+
+impl Amounts {
+    pub(super) fn add(&mut self, other: Amounts) {
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.calls = self.calls.saturating_add(other.calls);
+        self.micros = self.micros.saturating_add(other.micros);
+    }
+
+    pub(super) fn sub(&mut self, other: Amounts) {
+        self.tokens = self.tokens.saturating_sub(other.tokens);
+        self.calls = self.calls.saturating_sub(other.calls);
+        self.micros = self.micros.saturating_sub(other.micros);
+    }
+
+    /// Returns what a settled dispatch consumed.
+    pub(super) fn of_usage(usage: &wire::Usage) -> Amounts {
+        let tokens = usage.prompt_tokens.saturating_add(usage.output_tokens);
+        Amounts { tokens, calls: 1, micros: usage.micros }
+    }
+}
+
+/// The resource that ran short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Shortage {
+    /// Too few tokens are left.
+    #[error("the token budget is used up: {left} left, {asked} needed")]
+    Tokens {
+        /// Tokens neither spent nor reserved.
+        left: u64,
+        /// Tokens that the call needs at the least.
+        asked: u64,
+    },
+    /// No call is left.
+    #[error("the call budget is used up")]
+    Calls,
+    /// Too little money is left.
+    #[error("the money budget is used up: {left} left, {asked} needed, in millionths")]
+    Micros {
+        /// Money neither spent nor reserved.
+        left: u64,
+        /// Price ceiling of the call.
+        asked: u64,
+    },
+}
+
+/// One program's account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Account {
+    pub(super) limits: wire::Budget,
+    pub(super) spent: Amounts,
+    pub(super) held: Amounts,
+}
+
+impl Account {
+    /// Returns what is left of each resource; a limit of zero stands for no limit.
+    pub(super) fn left(&self) -> Amounts {
+        let left = |limit: u64, spent: u64, held: u64| match limit {
+            0 => u64::MAX,
+            limit => limit.saturating_sub(spent).saturating_sub(held),
+        };
+        Amounts {
+            tokens: left(self.limits.tokens, self.spent.tokens, self.held.tokens),
+            calls: left(self.limits.calls, self.spent.calls, self.held.calls),
+            micros: left(self.limits.micros, self.spent.micros, self.held.micros),
+        }
+    }
+
+    /// Tells whether some resource is spent for good, so that no later call can be granted.
+    pub(super) fn is_spent(&self) -> bool {
+        let spent = |limit: u64, spent: u64| limit > 0 && spent >= limit;
+        spent(self.limits.tokens, self.spent.tokens)
+            || spent(self.limits.calls, self.spent.calls)
+            || spent(self.limits.micros, self.spent.micros)
+    }
+
+    /// Tells whether `asked` fits, given that its last `spare` tokens may be cut.
+    pub(super) fn check(&self, asked: Amounts, spare: u64) -> Result<(), Shortage> {
+        let left = self.left();
+        let least = asked.tokens.saturating_sub(spare);
+        if left.calls < asked.calls {
+            return Err(Shortage::Calls);
+        }
+        if left.tokens < least {
+            return Err(Shortage::Tokens { left: left.tokens, asked: least });
+        }
+        if left.micros < asked.micros {
+            return Err(Shortage::Micros { left: left.micros, asked: asked.micros });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/program/messages.rs
@@ -0,0 +1,189 @@
+//! Chat messages as the history compares and stores them.
+//!
+//! A caller may send the whole history or just the new messages; [`compare_history`] tells which
+//! it did. Messages are compared by meaning: client libraries reorder fields, add nulls and drop
+//! decorations when they send an answer back.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use serde_json::Value;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Hash of one message's meaning; see [`message_hash`].
+pub(super) type MessageHash = [u8; HASH_LEN];
+
+/// Bytes of a [`MessageHash`].
+pub(super) const HASH_LEN: usize = 16;
+
+/// Fields that engines add to an answer and that callers may drop when they send it back.
+const DECORATIONS: [&str; 4] = ["annotations", "reasoning", "reasoning_content", "refusal"];
+
+/// A request's messages, parsed once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// Canonical JSON of each message.
+    pub texts: Vec<Bytes>,
+    pub(super) hashes: Vec<MessageHash>,
+    roles: Vec<Role>,
+}
+
+impl Prompt {
+    /// Returns the messages from `start` on, joined by commas.
+    pub(super) fn joined(&self, start: usize) -> Bytes {
+        join(&self.texts[start.min(self.texts.len())..])
+    }
+
+    /// Returns the hashes of the messages from `start` on, one after the other.
+    pub(super) fn hash_bytes(&self, start: usize) -> Bytes {
+        Bytes::from(self.hashes[start.min(self.hashes.len())..].concat())
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    User,
+    Assistant,
+    Other,
+}
+
+/// Where a whole history that a caller sent parts from the stored one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "message {place} differs from the stored history of {stored} messages: send only the new \
+     messages, or begin a new program"
+)]
+pub struct Conflict {
+    /// Index of the first message that differs.
+    pub place: usize,
+    /// Messages in the stored history.
+    pub stored: usize,
+}
+
+/// Parses a JSON array of chat messages, or tells what is wrong with it.
+pub fn parse_messages(json: &[u8]) -> Result<Prompt, String> {
+    let value: Value = serde_json::from_slice(json).map_err(|e| format!("messages: {e}"))?;
+    let Value::Array(items) = value else {
+        return Err("messages: expected a JSON array".into());
+    };
+    let mut prompt = Prompt { texts: vec![], hashes: vec![], roles: vec![] };
+    for (place, item) in items.iter().enumerate() {
+        if !item.is_object() {
+            return Err(format!("messages[{place}]: expected an object"));
+        }
+        prompt.texts.push(canonical(item));
+        prompt.hashes.push(message_hash(item));
+        prompt.roles.push(role_of(item));
+    }
+    Ok(prompt)
+}
+
+/// Returns how many of the prompt's messages the stored history already holds.
+///
+/// A whole history holds every stored answer, so a prompt that neither starts with the stored
+/// messages nor carries an assistant's message is taken as new messages only. A prompt that looks
+/// whole and differs is refused: appending it would mix two conversations.
+pub fn compare_history(stored: &[[u8; HASH_LEN]], prompt: &Prompt) -> Result<usize, Conflict> {
+    if stored.is_empty() || prompt.hashes.is_empty() {
+        return Ok(0);
+    }
+    if prompt.hashes.starts_with(stored) {
+        return Ok(stored.len());
+    }
+    let same_start = prompt.hashes[0] == stored[0];
+    let lone_user = prompt.hashes.len() == 1 && prompt.roles[0] == Role::User;
+    let answered = prompt.roles.contains(&Role::Assistant);
+    if answered || (same_start && !lone_user) {
+        let equal = prompt.hashes.iter().zip(stored).take_while(|(a, b)| a == b).count();
+        return Err(Conflict { place: equal, stored: stored.len() });
+    }
+    Ok(0)
+}
+
+/// Returns the answer's message from a response body in the published chat shape.
+///
+/// A bare message is taken as it is, so that stand-ins need no envelope.
+pub(super) fn answer_message(body: &[u8]) -> Option<Value> {
+    let mut value: Value = serde_json::from_slice(body).ok()?;
+    if let Some(message) = value.pointer_mut("/choices/0/message") {
+        return Some(message.take());
+    }
+    value.get("role").is_some().then_some(value)
+}
+
+/// Serialises a value with its object keys in order, so that equal values give equal bytes.
+pub(super) fn canonical(value: &Value) -> Bytes {
+    let mut out = BytesMut::new();
+    write_canonical(value, &mut out);
+    out.freeze()
+}
+
+/// Hashes what a message means: its fields in order, without nulls, empty lists and decorations.
+pub(super) fn message_hash(message: &Value) -> MessageHash {
+    let mut kept = message.clone();
+    if let Value::Object(fields) = &mut kept {
+        fields.retain(|name, value| {
+            let empty = value.is_null() || value.as_array().is_some_and(Vec::is_empty);
+            !empty && !DECORATIONS.contains(&name.as_str())
+        });
+    }
+    fingerprint(&[&canonical(&kept)])
+}
+
+/// Hashes a list of byte strings; lengths are part of the hash, so boundaries count.
+pub(super) fn fingerprint(parts: &[&[u8]]) -> MessageHash {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest128().to_le_bytes()
+}
+
+/// Joins canonical messages by commas, the form in which the history keeps them.
+pub(super) fn join(texts: &[Bytes]) -> Bytes {
+    let mut out = BytesMut::new();
+    for text in texts {
+        if !out.is_empty() {
+            out.put_u8(b',');
+        }
+        out.put_slice(text);
+    }
+    out.freeze()
+}
+
+fn role_of(message: &Value) -> Role {
+    match message.get("role").and_then(Value::as_str) {
+        Some("user") => Role::User,
+        Some("assistant") => Role::Assistant,
+        _ => Role::Other,
+    }
+}
+
+fn write_canonical(value: &Value, out: &mut BytesMut) {
+    match value {
+        Value::Array(items) => {
+            out.put_u8(b'[');
+            for (i, item) in items.iter().enumerate() {
+                if i > 0 {
+                    out.put_u8(b',');
+                }
+                write_canonical(item, out);
+            }
+            out.put_u8(b']');
+        }
+        Value::Object(fields) => {
+            let mut names: Vec<&String> = fields.keys().collect();
+            names.sort();
+            out.put_u8(b'{');
+            for (i, name) in names.into_iter().enumerate() {
+                if i > 0 {
+                    out.put_u8(b',');
+                }
+                out.put_slice(Value::from(name.as_str()).to_string().as_bytes());
+                out.put_u8(b':');
+                write_canonical(&fields[name], out);
+            }
+            out.put_u8(b'}');
+        }
+        leaf => out.put_slice(leaf.to_string().as_bytes()),
+    }
+}
--- /dev/null
+++ b/crates/core/src/program/replies.rs
@@ -0,0 +1,65 @@
+//! Builds the replies of a program group.
+
+use std::fmt::Display;
+
+use bytes::Bytes;
+
+use super::messages::HASH_LEN;
+use super::state::{Call, CallKey, Phase, State};
+use crate::wire::program as wire;
+use crate::wire::program::Refusal;
+use crate::wire::program::reply::Body;
+
+/// Builds a refusal; its detail tells the caller what to do.
+pub fn refused(code: Refusal, detail: impl Display) -> wire::Refused {
+    wire::Refused { code: code.into(), detail: detail.to_string(), leader: 0, retry_ms: 0 }
+}
+
+/// Wraps a reply's body.
+pub(super) fn reply(body: Body) -> wire::Reply {
+    wire::Reply { body: Some(body) }
+}
+
+/// Builds the reply that refuses a request.
+pub(super) fn refusal(code: Refusal, detail: impl Display) -> wire::Reply {
+    reply(Body::Refused(refused(code, detail)))
+}
+
+/// Builds the reply for a call whose outcome is not known.
+pub(super) fn unknown(call: &Call, detail: &str) -> wire::Reply {
+    let dispatch = call.dispatch.to_string();
+    reply(Body::Unknown(wire::Unknown { dispatch, detail: detail.into() }))
+}
+
+/// Builds the reply that hands out a recorded answer.
+pub(super) fn recorded(answer: &Bytes, status: u32, turn: u64) -> wire::Reply {
+    reply(Body::Recorded(wire::Recorded { answer: answer.clone(), status, turn }))
+}
+
+/// Builds the grant of a call that is running; nothing else may be granted.
+pub(super) fn grant(state: &State, key: CallKey) -> Option<wire::Reply> {
+    let call = &state.calls[key];
+    let Phase::Running(attempt) = &call.phase else { return None };
+    let program = &state.programs[call.program];
+    let (history, prior) = match call.turn {
+        0 => (Bytes::new(), 0),
+        _ => program.history.assemble(&attempt.messages),
+    };
+    let due = state.deadline_ms(call.program);
+    Some(reply(Body::Grant(wire::Grant {
+        dispatch: call.dispatch.to_string(),
+        turn: call.turn,
+        history,
+        prior,
+        endpoints: program.endpoints.iter().map(ToString::to_string).collect(),
+        max_output: attempt.max_output,
+        attempt: call.attempt,
+        isolate: attempt.isolate,
+        remaining_ms: due.map_or(0, |due| due.saturating_sub(state.clock_ms).max(1)),
+    })))
+}
+
+/// Reads a content fingerprint off the wire.
+pub(super) fn read_hash(bytes: &[u8]) -> [u8; HASH_LEN] {
+    bytes.try_into().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/core/src/program/snapshot.rs
@@ -0,0 +1,232 @@
+//! Snapshots of a group's state: equal states give equal bytes on every replica.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use prost::Message;
+
+use super::budget::{Account, Amounts};
+use super::history::History;
+use super::quarantine::read_digest;
+use super::replies::read_hash;
+use super::state::{Attempt, Call, CallKey, Ended, Name, Phase, Program, ProgramKey, State};
+use crate::prelude::*;
+use crate::wire::program as wire;
+use crate::wire::program::KeyPhase;
+
+/// Why a snapshot could not be restored.
+#[derive(Debug, thiserror::Error)]
+pub enum RestoreError {
+    /// The bytes are no snapshot: the file is damaged or of another kind.
+    #[error("the snapshot cannot be read: {0}")]
+    Decode(#[from] prost::DecodeError),
+    /// A child is recorded without its parent.
+    #[error("the snapshot holds program {0} without its parent {1}")]
+    Orphan(ProgramName, ProgramName),
+}
+
+impl State {
+    /// Returns the whole state as bytes.
+    pub fn snapshot(&self) -> Bytes {
+        let mut keys: Vec<ProgramKey> = self.programs.keys().collect();
+        keys.sort_by(|a, b| self.programs[*a].name.cmp(&self.programs[*b].name));
+        let snapshot = wire::Snapshot {
+            clock_ms: self.clock_ms,
+            programs: keys.into_iter().map(|key| self.program_record(key)).collect(),
+            scores: self.scores.records(),
+            lifted: self.lifted,
+        };
+        Bytes::from(snapshot.encode_to_vec())
+    }
+
+    /// Replaces the whole state by that of a snapshot; on an error nothing changes.
+    pub fn restore(&mut self, bytes: &Bytes) -> Result<(), RestoreError> {
+        let snapshot = wire::Snapshot::decode(bytes.clone())?;
+        let mut fresh = State::with_safeguards(self.safeguards);
+        fresh.clock_ms = snapshot.clock_ms;
+        fresh.lifted = snapshot.lifted;
+        snapshot.scores.iter().for_each(|score| fresh.scores.restore(score));
+        for record in &snapshot.programs {
+            fresh.insert_program(record);
+        }
+        fresh.link_parents(&snapshot.programs)?;
+        for record in &snapshot.programs {
+            fresh.insert_calls(record);
+        }
+        *self = fresh;
+        Ok(())
+    }
+
+    fn program_record(&self, key: ProgramKey) -> wire::ProgramRecord {
+        let program = &self.programs[key];
+        let parent = program.parent.map(|parent| self.programs[parent].name.program.to_string());
+        let mut calls: Vec<CallKey> = program.calls.values().copied().collect();
+        calls.sort_by(|a, b| self.calls[*a].key.cmp(&self.calls[*b].key));
+        wire::ProgramRecord {
+            program: Some(program.name.to_ref()),
+            parent: parent.unwrap_or_default(),
+            budget: Some(program.account.limits),
+            spent: Some(spent_record(program.account.spent)),
+            started_ms: program.started_ms,
+            active_ms: program.active_ms,
+            idle_ms: program.idle_ms,
+            segments: program.history.records(),
+            keys: calls.into_iter().map(|call| key_record(&self.calls[call])).collect(),
+            endpoints: program.endpoints.iter().map(ToString::to_string).collect(),
+            ended: program.ended.is_some(),
+            reason: program.ended.map_or(0, |ended| ended.reason.into()),
+            ended_ms: program.ended.map_or(0, |ended| ended.at_ms),
+        }
+    }
+
+    fn insert_program(&mut self, record: &wire::ProgramRecord) {
+        let mut history = History::default();
+        for segment in &record.segments {
+            history.append(segment.messages.clone(), &segment.hashes);
+        }
+        let ended = record.ended.then(|| Ended { reason: record.reason(), at_ms: record.ended_ms });
+        let name = Name::of(record.program.as_ref());
+        let limits = record.budget.unwrap_or_default();
+        let spent = read_spent(record.spent.unwrap_or_default());
+        let key = self.programs.insert(Program {
+            name: name.clone(),
+            parent: None,
+            children: vec![],
+            account: Account { limits, spent, held: Amounts::default() },
+            started_ms: record.started_ms,
+            active_ms: record.active_ms,
+            idle_ms: record.idle_ms,
+            history,
+            calls: HashMap::with_capacity(record.keys.len()),
+            running: vec![],
+            endpoints: record.endpoints.iter().map(Into::into).collect(),
+            ended,
+        });
+        if ended.is_some() && !record.endpoints.is_empty() {
+            self.releasing.insert(key);
+        }
+        self.names.insert(name, key);
+    }
+
+    fn link_parents(&mut self, records: &[wire::ProgramRecord]) -> Result<(), RestoreError> {
+        for record in records.iter().filter(|record| !record.parent.is_empty()) {
+            let name = Name::of(record.program.as_ref());
+            let parent = Name { org: name.org.clone(), program: (&record.parent).into() };
+            let Some(above) = self.names.get(&parent).copied() else {
+                return Err(RestoreError::Orphan(name.program, parent.program));
+            };
+            let key = self.names[&name];
+            self.programs[key].parent = Some(above);
+            self.programs[above].children.push(key);
+        }
+        Ok(())
+    }
+
+    fn insert_calls(&mut self, record: &wire::ProgramRecord) {
+        let program = self.names[&Name::of(record.program.as_ref())];
+        for key in &record.keys {
+            let phase = read_phase(key);
+            let call = self.calls.insert(Call {
+                program,
+                key: (&key.key).into(),
+                content: read_hash(&key.content),
+                dispatch: (&key.dispatch).into(),
+                turn: key.turn,
+                attempt: key.attempt,
+                repeatable: key.repeatable,
+                phase: phase.clone(),
+            });
+            self.programs[program].calls.insert((&key.key).into(), call);
+            if let Phase::Running(attempt) = phase {
+                self.hold(program, call, &attempt);
+            }
+        }
+    }
+
+    /// Takes up a running attempt again: its reservation and its flight are derived state.
+    fn hold(&mut self, program: ProgramKey, call: CallKey, attempt: &Attempt) {
+        self.programs[program].running.push(call);
+        for key in self.charged(program) {
+            self.programs[key].account.held.add(attempt.reserved);
+        }
+        if let Some(digest) = attempt.digest {
+            *self.flights.entry(digest).or_default() += 1;
+        }
+    }
+}
+
+fn key_record(call: &Call) -> wire::KeyRecord {
+    let mut record = wire::KeyRecord {
+        key: call.key.to_string(),
+        content: Bytes::copy_from_slice(&call.content),
+        dispatch: call.dispatch.to_string(),
+        turn: call.turn,
+        attempt: call.attempt,
+        repeatable: call.repeatable,
+        ..wire::KeyRecord::default()
+    };
+    let phase = match &call.phase {
+        Phase::Running(attempt) => {
+            record.open = Some(attempt_record(attempt));
+            KeyPhase::Running
+        }
+        Phase::InDoubt(attempt) => {
+            record.open = Some(attempt_record(attempt));
+            KeyPhase::InDoubt
+        }
+        Phase::Ran { answer, status } => {
+            record.answer = answer.clone();
+            record.status = *status;
+            KeyPhase::Ran
+        }
+        Phase::NotRun => KeyPhase::ProvedNotRun,
+    };
+    record.phase = phase.into();
+    record
+}
+
+fn read_phase(record: &wire::KeyRecord) -> Phase {
+    let attempt = || Box::new(read_attempt(&record.open.clone().unwrap_or_default()));
+    match record.phase() {
+        KeyPhase::Running => Phase::Running(attempt()),
+        KeyPhase::InDoubt => Phase::InDoubt(attempt()),
+        KeyPhase::Ran => Phase::Ran { answer: record.answer.clone(), status: record.status },
+        KeyPhase::ProvedNotRun => Phase::NotRun,
+    }
+}
+
+fn attempt_record(attempt: &Attempt) -> wire::DispatchRecord {
+    wire::DispatchRecord {
+        holder: attempt.holder.0,
+        ask: attempt.ask.to_string(),
+        messages: attempt.messages.clone(),
+        hashes: attempt.hashes.clone(),
+        reserved: Some(spent_record(attempt.reserved)),
+        max_output: attempt.max_output,
+        expires_ms: attempt.expires_ms,
+        digest: attempt.digest.map_or(Bytes::new(), |d| Bytes::copy_from_slice(&d)),
+        isolate: attempt.isolate,
+    }
+}
+
+fn read_attempt(record: &wire::DispatchRecord) -> Attempt {
+    Attempt {
+        holder: VmId(record.holder),
+        ask: (&record.ask).into(),
+        messages: record.messages.clone(),
+        hashes: record.hashes.clone(),
+        reserved: read_spent(record.reserved.unwrap_or_default()),
+        max_output: record.max_output,
+        expires_ms: record.expires_ms,
+        digest: read_digest(&record.digest),
+        isolate: record.isolate,
+    }
+}
+
+fn spent_record(amounts: Amounts) -> wire::Spent {
+    wire::Spent { tokens: amounts.tokens, calls: amounts.calls, micros: amounts.micros }
+}
+
+fn read_spent(record: wire::Spent) -> Amounts {
+    Amounts { tokens: record.tokens, calls: record.calls, micros: record.micros }
+}
