--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -190,7 +190,7 @@
         agent: call.agent.name.to_string(),
         digest: call.request.digest(),
         idle_ms: call.agent.idle_ms,
-        nonce: super::fresh_id(state),
+        ask: super::fresh_id(state),
         ..BeginTurn::default()
     }
 }
