Add the stand-in engine, service and weight store

The system needs model engines and plain services to run against, and tests need to know what really ran. The engine batches in slots, keeps a bounded prefix cache, streams, resumes, cancels, takes fenced orders and announces itself with late and gapped reports; the service counts each key's effects and shows hangs, crashes, late and crossed answers.

--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,122 @@
+//! Prefix cache: one prefix for each program, the least recently used given up first.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+
+use crate::announce::{CacheEvent, ModelVersion};
+
+/// One message of a prompt, as far as the cache tells messages apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Part {
+    pub(super) hash: u64,
+    pub(super) tokens: u64,
+}
+
+/// A program's prefix.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) model: ModelVersion,
+    pub(super) parts: Vec<Part>,
+    used: u64,
+}
+
+impl Entry {
+    pub(super) fn tokens(&self) -> u64 {
+        self.parts.iter().map(|p| p.tokens).sum()
+    }
+}
+
+/// Prefixes of programs within a limit of tokens.
+pub(super) struct PrefixCache {
+    limit: u64,
+    held: u64,
+    clock: u64,
+    entries: BTreeMap<CompactString, Entry>,
+}
+
+impl PrefixCache {
+    pub(super) fn new(limit: u64) -> PrefixCache {
+        PrefixCache { limit, held: 0, clock: 0, entries: BTreeMap::new() }
+    }
+
+    /// Returns how many tokens of `parts` the program's prefix covers.
+    pub(super) fn covered(&mut self, program: &str, model: &ModelVersion, parts: &[Part]) -> u64 {
+        self.clock += 1;
+        let Some(entry) = self.entries.get_mut(program) else {
+            return 0;
+        };
+        if entry.model != *model {
+            return 0;
+        }
+        entry.used = self.clock;
+        let equal = entry.parts.iter().zip(parts).take_while(|(a, b)| a == b);
+        equal.map(|(part, _)| part.tokens).sum()
+    }
+
+    /// Replaces the program's prefix, and returns what changed, evictions included.
+    pub(super) fn store(
+        &mut self,
+        program: &str,
+        model: ModelVersion,
+        parts: Vec<Part>,
+    ) -> Vec<CacheEvent> {
+        self.clock += 1;
+        self.remove(program);
+        let entry = Entry { model, parts, used: self.clock };
+        let tokens = entry.tokens();
+        if tokens > self.limit {
+            return vec![event(program, tokens, true)];
+        }
+        let mut events = Vec::new();
+        while self.held + tokens > self.limit {
+            let Some(oldest) = self.oldest() else {
+                break;
+            };
+            let given_up = self.remove(&oldest);
+            events.push(event(&oldest, given_up, true));
+        }
+        self.held += tokens;
+        self.entries.insert(program.into(), entry);
+        events.push(event(program, tokens, false));
+        events
+    }
+
+    /// Frees a program's memory and returns how many tokens it held.
+    pub(super) fn remove(&mut self, program: &str) -> u64 {
+        let Some(entry) = self.entries.remove(program) else {
+            return 0;
+        };
+        let tokens = entry.tokens();
+        self.held -= tokens;
+        tokens
+    }
+
+    /// Frees the memory of every program on a model, and returns the events.
+    pub(super) fn remove_model(&mut self, model: &ModelVersion) -> Vec<CacheEvent> {
+        let on_model = self.entries.iter().filter(|(_, e)| e.model == *model);
+        let programs: Vec<CompactString> = on_model.map(|(p, _)| p.clone()).collect();
+        programs.iter().map(|p| event(p, self.remove(p), true)).collect()
+    }
+
+    pub(super) fn get(&self, program: &str) -> Option<&Entry> {
+        self.entries.get(program)
+    }
+
+    pub(super) fn held(&self) -> u64 {
+        self.held
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&CompactString, &Entry)> {
+        self.entries.iter()
+    }
+
+    fn oldest(&self) -> Option<CompactString> {
+        let entry = self.entries.iter().min_by_key(|(_, e)| e.used);
+        entry.map(|(program, _)| program.clone())
+    }
+}
+
+fn event(program: &str, tokens: u64, evicted: bool) -> CacheEvent {
+    CacheEvent { program: program.into(), tokens, evicted }
+}
--- /dev/null
+++ b/crates/standin/src/engine/chat.rs
@@ -0,0 +1,160 @@
+//! The published chat shape, and the deterministic answer to it.
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::cache::Part;
+
+/// One message as far as the engine reads it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Message {
+    /// Who speaks.
+    pub role: CompactString,
+    /// Text, or a list of parts, or nothing when the message is a tool call.
+    #[serde(default)]
+    pub content: Value,
+}
+
+/// A request as far as the engine reads it; the names of other fields are kept for the statistics.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct ChatRequest {
+    pub(super) model: CompactString,
+    pub(super) messages: Vec<Message>,
+    #[serde(default)]
+    pub(super) max_tokens: Option<u64>,
+    #[serde(default)]
+    pub(super) max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    pub(super) stream: bool,
+    #[serde(default)]
+    pub(super) stream_options: StreamOptions,
+    #[serde(flatten)]
+    pub(super) others: serde_json::Map<String, Value>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub(super) struct StreamOptions {
+    #[serde(default)]
+    pub(super) include_usage: bool,
+}
+
+impl ChatRequest {
+    /// Returns the most tokens that the caller lets the engine generate.
+    pub(super) fn limit(&self) -> u64 {
+        self.max_completion_tokens.or(self.max_tokens).unwrap_or(u64::MAX)
+    }
+
+    pub(super) fn parts(&self) -> Vec<Part> {
+        self.messages.iter().map(part).collect()
+    }
+
+    pub(super) fn contains(&self, marker: &str) -> bool {
+        self.messages.iter().any(|m| text(&m.content).contains(marker))
+    }
+}
+
+/// Returns how many tokens the stand-in counts in a text: its words, and at least one.
+pub fn count_tokens(text: &str) -> u64 {
+    (text.split_whitespace().count() as u64).max(1)
+}
+
+/// Returns the answer's tokens to these messages, the same on every engine and in every run.
+pub fn answer_tokens(messages: &[Message], count: u64) -> Vec<CompactString> {
+    let seed = messages.iter().fold(0, |seed, m| xxh3_64_with_seed(key(m).as_bytes(), seed));
+    let word = |i: u64| xxh3_64_with_seed(&i.to_le_bytes(), seed) & 0xffff;
+    (0..count).map(|i| compact_str::format_compact!("w{:04x}", word(i))).collect()
+}
+
+/// Returns the answer to these messages as one text.
+pub fn answer_text(messages: &[Message], count: u64) -> String {
+    answer_tokens(messages, count).join(" ")
+}
+
+/// Returns the part that an answer becomes once it stands in the history.
+pub(super) fn answer_part(answer: &str) -> Part {
+    part(&Message { role: "assistant".into(), content: Value::from(answer) })
+}
+
+fn part(message: &Message) -> Part {
+    let hash = xxh3_64_with_seed(key(message).as_bytes(), 0);
+    Part { hash, tokens: count_tokens(&text(&message.content)) }
+}
+
+fn key(message: &Message) -> String {
+    format!("{}\n{}", message.role, message.content)
+}
+
+fn text(content: &Value) -> String {
+    match content {
+        Value::String(text) => text.clone(),
+        Value::Null => String::new(),
+        other => other.to_string(),
+    }
+}
+
+/// Token counts of one answer.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(super) struct Usage {
+    pub(super) prompt_tokens: u64,
+    pub(super) completion_tokens: u64,
+    pub(super) total_tokens: u64,
+    pub(super) prompt_tokens_details: PromptDetails,
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(super) struct PromptDetails {
+    pub(super) cached_tokens: u64,
+}
+
+/// A whole answer.
+#[derive(Serialize)]
+pub(super) struct Completion {
+    pub(super) id: CompactString,
+    pub(super) object: &'static str,
+    pub(super) created: u64,
+    pub(super) model: CompactString,
+    pub(super) choices: [Choice; 1],
+    pub(super) usage: Usage,
+}
+
+#[derive(Serialize)]
+pub(super) struct Choice {
+    pub(super) index: u32,
+    pub(super) message: Answer,
+    pub(super) finish_reason: &'static str,
+}
+
+#[derive(Serialize)]
+pub(super) struct Answer {
+    pub(super) role: &'static str,
+    pub(super) content: String,
+}
+
+/// One event of a streamed answer.
+#[derive(Serialize)]
+pub(super) struct Chunk {
+    pub(super) id: CompactString,
+    pub(super) object: &'static str,
+    pub(super) created: u64,
+    pub(super) model: CompactString,
+    pub(super) choices: Vec<ChunkChoice>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+pub(super) struct ChunkChoice {
+    pub(super) index: u32,
+    pub(super) delta: Delta,
+    pub(super) finish_reason: Option<&'static str>,
+}
+
+#[derive(Default, Serialize)]
+pub(super) struct Delta {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) role: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) content: Option<String>,
+}
--- /dev/null
+++ b/crates/standin/src/engine/reports.rs
@@ -0,0 +1,70 @@
+//! Reports that lag, come late and have gaps.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use super::settings::ReportSettings;
+use crate::announce::{CacheEvent, Load};
+
+/// Most cache events held for the next announcement; older ones are lost, as in a real engine.
+const HELD_EVENTS: usize = 4_096;
+
+/// Load and cache events on their way out.
+pub(super) struct Reports {
+    settings: ReportSettings,
+    loads: VecDeque<(Instant, Load)>,
+    reported: Load,
+    events: VecDeque<(Instant, CacheEvent)>,
+    count: u64,
+}
+
+impl Reports {
+    pub(super) fn new(settings: ReportSettings) -> Reports {
+        Reports {
+            settings,
+            loads: VecDeque::new(),
+            reported: Load::default(),
+            events: VecDeque::new(),
+            count: 0,
+        }
+    }
+
+    /// Takes what is true now, and returns what was true one lag ago.
+    pub(super) fn load(&mut self, now: Instant, load: Load) -> Load {
+        if self.settings.load_lag_ms == 0 {
+            return load;
+        }
+        self.loads.push_back((now, load));
+        let lag = Duration::from_millis(self.settings.load_lag_ms);
+        while let Some((at, old)) = self.loads.front()
+            && now.duration_since(*at) >= lag
+        {
+            self.reported = *old;
+            self.loads.pop_front();
+        }
+        self.reported
+    }
+
+    /// Holds events back, but for those that fall into a gap.
+    pub(super) fn add(&mut self, now: Instant, events: Vec<CacheEvent>) {
+        for event in events {
+            self.count += 1;
+            let gap = self.settings.event_gap;
+            if gap != 0 && self.count.is_multiple_of(gap) {
+                continue;
+            }
+            if self.events.len() >= HELD_EVENTS {
+                self.events.pop_front();
+            }
+            self.events.push_back((now, event));
+        }
+    }
+
+    /// Returns the events that are old enough to be told.
+    pub(super) fn due(&mut self, now: Instant) -> Vec<CacheEvent> {
+        let delay = Duration::from_millis(self.settings.event_delay_ms);
+        let held = self.events.iter();
+        let count = held.take_while(|(at, _)| now.duration_since(*at) >= delay).count();
+        self.events.drain(..count).map(|(_, event)| event).collect()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/run.rs
@@ -0,0 +1,160 @@
+//! One generation: prefill, then token after token, whoever reads.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use compact_str::CompactString;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::cache::Part;
+use super::chat::{PromptDetails, Usage, answer_part};
+use super::slots::Slot;
+use super::state::Shared;
+use super::stats::RunState;
+use crate::announce::ModelVersion;
+
+/// Shortest sleep; the runtime's timer has millisecond steps, so shorter ones are saved up.
+const TICK: Duration = Duration::from_millis(1);
+/// Time from the start of a marked call to the engine's death.
+const CRASH_DELAY: Duration = Duration::from_millis(5);
+
+/// A generation under way, or lately ended.
+pub(super) struct Run {
+    pub(super) dispatch: CompactString,
+    pub(super) program: CompactString,
+    pub(super) model: ModelVersion,
+    pub(super) parts: Vec<Part>,
+    pub(super) tokens: Vec<CompactString>,
+    pub(super) cached_tokens: u64,
+    /// Whether the caller's limit cut the answer short.
+    pub(super) limited: bool,
+    pub(super) crash: bool,
+    pub(super) cancel: CancellationToken,
+    pub(super) progress: watch::Sender<Progress>,
+    pub(super) readers: AtomicUsize,
+}
+
+/// How far a generation is.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Progress {
+    pub(super) emitted: usize,
+    pub(super) state: RunState,
+}
+
+impl Run {
+    pub(super) fn usage(&self, emitted: usize) -> Usage {
+        let prompt_tokens = self.parts.iter().map(|p| p.tokens).sum();
+        let completion_tokens = emitted as u64;
+        Usage {
+            prompt_tokens,
+            completion_tokens,
+            total_tokens: prompt_tokens + completion_tokens,
+            prompt_tokens_details: PromptDetails { cached_tokens: self.cached_tokens },
+        }
+    }
+
+    pub(super) fn finish_reason(&self) -> &'static str {
+        if self.limited { "length" } else { "stop" }
+    }
+}
+
+/// Keeps a run alive while somebody reads it.
+pub(super) struct Reader {
+    pub(super) run: Arc<Run>,
+}
+
+impl Reader {
+    pub(super) fn new(run: Arc<Run>) -> Reader {
+        run.readers.fetch_add(1, Ordering::Relaxed);
+        Reader { run }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.run.readers.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Generates to the end, and frees the slot.
+pub(super) async fn generate(shared: Arc<Shared>, run: Arc<Run>, slot: Slot) {
+    let state = tokio::select! {
+        state = work(&shared, &run) => state,
+        () = run.cancel.cancelled() => RunState::Cancelled,
+        () = shared.process.dead.cancelled() => return,
+    };
+    finish(&shared, &run, state);
+    drop(slot);
+    tokio::time::sleep(Duration::from_millis(shared.settings.resume_ms)).await;
+    let mut inner = shared.lock();
+    let current = inner.runs.get(&run.dispatch);
+    if current.is_some_and(|r| Arc::ptr_eq(r, &run)) {
+        inner.runs.remove(&run.dispatch);
+    }
+}
+
+async fn work(shared: &Shared, run: &Run) -> RunState {
+    if run.crash {
+        tokio::time::sleep(CRASH_DELAY).await;
+        shared.process.dead.cancel();
+        // Not even an error may still reach the caller.
+        std::future::pending().await
+    }
+    let prompt: u64 = run.parts.iter().map(|p| p.tokens).sum();
+    let missing = prompt.saturating_sub(run.cached_tokens);
+    tokio::time::sleep(spent(missing, shared.settings.prefill_rate)).await;
+    let mut start = Instant::now();
+    let mut unread = None;
+    for emitted in 1..=run.tokens.len() {
+        let due = start + spent(emitted as u64, shared.settings.decode_rate);
+        if due.saturating_duration_since(Instant::now()) >= TICK {
+            tokio::time::sleep_until(due).await;
+        }
+        let paused = Instant::now();
+        shared.process.thawed().await;
+        start += paused.elapsed();
+        if abandoned(shared, run, &mut unread) {
+            return RunState::Cancelled;
+        }
+        run.progress.send_modify(|p| p.emitted = emitted);
+    }
+    RunState::Finished
+}
+
+/// Tells whether nobody has read the run for as long as it may be resumed.
+fn abandoned(shared: &Shared, run: &Run, unread: &mut Option<Instant>) -> bool {
+    if run.readers.load(Ordering::Relaxed) > 0 {
+        *unread = None;
+        return false;
+    }
+    let since = unread.get_or_insert_with(Instant::now);
+    since.elapsed() >= Duration::from_millis(shared.settings.resume_ms)
+}
+
+fn spent(tokens: u64, rate: u64) -> Duration {
+    Duration::from_secs_f64(tokens as f64 / rate.max(1) as f64)
+}
+
+/// Files the prefix and counts, before readers learn of the end.
+fn finish(shared: &Shared, run: &Run, state: RunState) {
+    let emitted = run.progress.borrow().emitted;
+    {
+        let mut inner = shared.lock();
+        inner.remembered.end(&run.dispatch, state, emitted as u64);
+        match state {
+            RunState::Finished => inner.counts.finished += 1,
+            RunState::Cancelled | RunState::Running => inner.counts.cancelled += 1,
+        }
+        if !run.program.is_empty() {
+            let mut parts = run.parts.clone();
+            if state == RunState::Finished {
+                parts.push(answer_part(&run.tokens.join(" ")));
+            }
+            inner.store(&run.program, run.model.clone(), parts);
+        }
+    }
+    run.progress.send_modify(|p| p.state = state);
+}
--- /dev/null
+++ b/crates/standin/src/service/mod.rs
@@ -0,0 +1,124 @@
+//! Stand-in plain service: counts how often each key really ran, and shows faults on request.
+
+mod fault;
+mod http;
+mod settings;
+mod state;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub use self::fault::Fault;
+pub use self::settings::ServiceSettings;
+pub use self::state::{KeyStats, ServiceStats};
+
+use self::state::Shared;
+use crate::announce::{Announcement, Kind, Load};
+use crate::{announcer, engine};
+
+/// Pause between two looks whether calls still run.
+const LEAVE_POLL: Duration = Duration::from_millis(10);
+
+/// A running service; it dies when the handle is dropped.
+pub struct Service {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Service {
+    /// Starts a service, which listens and announces itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be listened on.
+    pub async fn start(mut settings: ServiceSettings) -> anyhow::Result<Service> {
+        if settings.incarnation == 0 {
+            settings.incarnation = engine::millis_now();
+        }
+        let listen = settings.listen;
+        let announce = settings.announce.clone();
+        let shared = Shared::new(settings);
+        let address = shared.process.serve(listen, http::router(Arc::clone(&shared))).await?;
+        let source = {
+            let shared = Arc::clone(&shared);
+            move |sequence| announcement(&shared, address, sequence)
+        };
+        let now = Arc::clone(&shared.announce);
+        tokio::spawn(announcer::run(announce, shared.process.clone(), now, source));
+        Ok(Service { address, shared })
+    }
+
+    /// Returns where the service listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how often each key really ran.
+    pub fn stats(&self) -> ServiceStats {
+        self.shared.lock().stats()
+    }
+
+    /// Stops all progress or lets it go on, as a paused process would.
+    pub fn freeze(&self, on: bool) {
+        self.shared.process.freeze(on);
+    }
+
+    /// Kills the service: every connection drops and nothing more is announced.
+    pub fn crash(&self) {
+        self.shared.process.dead.cancel();
+    }
+
+    /// Tells whether the service has died.
+    pub fn is_dead(&self) -> bool {
+        self.shared.process.dead.is_cancelled()
+    }
+
+    /// Announces that the service leaves, refuses new calls and returns once none runs.
+    pub async fn leave(&self) {
+        self.shared.lock().leaving = true;
+        self.shared.announce.notify_one();
+        while self.shared.lock().running > 0 {
+            tokio::time::sleep(LEAVE_POLL).await;
+        }
+        // The last answers are handed to their sockets; they get time to leave.
+        tokio::time::sleep(LEAVE_POLL).await;
+    }
+
+    /// Ends the service at once, without a farewell.
+    pub fn stop(self) {
+        self.crash();
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+fn announcement(shared: &Shared, address: SocketAddr, sequence: u64) -> Announcement {
+    let settings = &shared.settings;
+    let state = shared.lock();
+    let waiting = state.running.saturating_sub(settings.slots);
+    Announcement {
+        name: settings.name.clone(),
+        incarnation: settings.incarnation,
+        kind: Kind::Service,
+        address,
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        models: Vec::new(),
+        service: settings.service.clone(),
+        slots: settings.slots,
+        prefill_rate: 0,
+        decode_rate: 0,
+        cache_tokens: 0,
+        fencing: false,
+        lease_ms: settings.announce.lease_ms,
+        leaving: state.leaving,
+        sequence,
+        load: Load { running: state.running - waiting, waiting, cached_tokens: 0 },
+        cache_events: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service/state.rs
@@ -0,0 +1,166 @@
+//! What the service did, key by key.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use compact_str::CompactString;
+use serde::Serialize;
+use tokio::sync::{Notify, Semaphore};
+
+use super::settings::ServiceSettings;
+use crate::process::Process;
+
+/// How often one key ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct KeyStats {
+    /// Idempotency key; calls without one are counted under the empty key.
+    pub key: CompactString,
+    /// Operation that ran.
+    pub operation: CompactString,
+    /// How often the operation took effect.
+    pub runs: u64,
+    /// Dispatches that ran it, in order.
+    pub dispatches: Vec<CompactString>,
+}
+
+/// Everything a service tells about itself.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ServiceStats {
+    /// Keys that took effect, in order.
+    pub keys: Vec<KeyStats>,
+    /// Calls that arrived, refused ones included.
+    pub calls: u64,
+    /// Calls refused before they started.
+    pub refused: u64,
+    /// What is left of the stock.
+    pub stock: u64,
+}
+
+impl ServiceStats {
+    /// Returns how often a key took effect.
+    pub fn runs(&self, key: &str) -> u64 {
+        self.keys.iter().filter(|k| k.key == key).map(|k| k.runs).sum()
+    }
+}
+
+/// The service behind its handlers.
+pub(super) struct Shared {
+    pub(super) settings: ServiceSettings,
+    pub(super) process: Process,
+    pub(super) announce: Arc<Notify>,
+    pub(super) slots: Semaphore,
+    state: Mutex<State>,
+}
+
+/// What changes while the service runs.
+pub(super) struct State {
+    pub(super) leaving: bool,
+    /// Calls admitted and not answered yet.
+    pub(super) running: u32,
+    pub(super) calls: u64,
+    pub(super) refused: u64,
+    pub(super) latest: Option<Answered>,
+    stock: u64,
+    keys: BTreeMap<CompactString, Effect>,
+}
+
+/// A call that took effect, as the next crossed answer would show it.
+#[derive(Clone)]
+pub(super) struct Answered {
+    pub(super) dispatch: CompactString,
+    pub(super) receipt: Receipt,
+}
+
+#[derive(Clone)]
+struct Effect {
+    stats: KeyStats,
+    receipt: Receipt,
+}
+
+/// The answer of an operation.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Receipt {
+    pub(super) service: CompactString,
+    pub(super) operation: CompactString,
+    pub(super) key: CompactString,
+    /// Number of the effect under this key, one for the first.
+    pub(super) run: u64,
+    /// Whether the stock had one left to give.
+    pub(super) granted: bool,
+}
+
+impl Shared {
+    pub(super) fn new(settings: ServiceSettings) -> Arc<Shared> {
+        let state = State {
+            leaving: false,
+            running: 0,
+            calls: 0,
+            refused: 0,
+            latest: None,
+            stock: settings.stock,
+            keys: BTreeMap::new(),
+        };
+        Arc::new(Shared {
+            process: Process::new(),
+            announce: Arc::new(Notify::new()),
+            slots: Semaphore::new(settings.slots as usize),
+            state: Mutex::new(state),
+            settings,
+        })
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Lets an operation take effect, again if its key ran before: the service trusts the system.
+    pub(super) fn apply(
+        &mut self,
+        service: &str,
+        operation: &str,
+        key: &str,
+        dispatch: &str,
+    ) -> Receipt {
+        let granted = operation != "slots" || self.stock > 0;
+        if operation == "slots" {
+            self.stock = self.stock.saturating_sub(1);
+        }
+        let mut receipt = Receipt {
+            service: service.into(),
+            operation: operation.into(),
+            key: key.into(),
+            run: 1,
+            granted,
+        };
+        let effect = self.keys.entry(key.into()).or_insert_with(|| Effect {
+            stats: KeyStats {
+                key: key.into(),
+                operation: operation.into(),
+                runs: 0,
+                dispatches: Vec::new(),
+            },
+            receipt: receipt.clone(),
+        });
+        effect.stats.runs += 1;
+        effect.stats.dispatches.push(dispatch.into());
+        receipt.run = effect.stats.runs;
+        effect.receipt = receipt.clone();
+        receipt
+    }
+
+    /// Returns the latest receipt of a key.
+    pub(super) fn receipt(&self, key: &str) -> Option<Receipt> {
+        self.keys.get(key).map(|e| e.receipt.clone())
+    }
+
+    pub(super) fn stats(&self) -> ServiceStats {
+        ServiceStats {
+            keys: self.keys.values().map(|e| e.stats.clone()).collect(),
+            calls: self.calls,
+            refused: self.refused,
+            stock: self.stock,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/weights.rs
@@ -0,0 +1,122 @@
+//! Stand-in weight store: one rate for all readers together.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Path, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures::stream;
+use tokio::time::Instant;
+
+use crate::process::Process;
+
+/// Bytes sent at a time.
+const CHUNK_BYTES: u64 = 64 << 10;
+
+/// How the store behaves.
+#[derive(Clone, Debug)]
+pub struct WeightSettings {
+    /// Where it listens; port zero takes a free one.
+    pub listen: SocketAddr,
+    /// Bytes a second, shared by all readers.
+    pub rate: u64,
+    /// Size of each model version in bytes.
+    pub size: u64,
+}
+
+impl Default for WeightSettings {
+    fn default() -> WeightSettings {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        WeightSettings { listen, rate: 64 << 20, size: 1 << 20 }
+    }
+}
+
+/// A running weight store; it dies when the handle is dropped.
+pub struct WeightStore {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    settings: WeightSettings,
+    process: Process,
+    state: Mutex<Pace>,
+}
+
+/// When the next chunk may leave, and what was read so far.
+struct Pace {
+    next: Instant,
+    reads: u64,
+}
+
+impl WeightStore {
+    /// Starts a store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be listened on.
+    pub async fn start(settings: WeightSettings) -> anyhow::Result<WeightStore> {
+        let listen = settings.listen;
+        let state = Mutex::new(Pace { next: Instant::now(), reads: 0 });
+        let shared = Arc::new(Shared { settings, process: Process::new(), state });
+        let router = Router::new()
+            .route("/v1/weights/{model}/{version}", get(read))
+            .with_state(Arc::clone(&shared));
+        let address = shared.process.serve(listen, router).await?;
+        Ok(WeightStore { address, shared })
+    }
+
+    /// Returns where the store listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how many reads were begun.
+    pub fn reads(&self) -> u64 {
+        self.shared.lock().reads
+    }
+}
+
+impl Drop for WeightStore {
+    fn drop(&mut self) {
+        self.shared.process.dead.cancel();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Pace> {
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Takes the next place in the common pace and returns when it is due.
+    fn place(&self, bytes: u64) -> Instant {
+        let cost = Duration::from_secs_f64(bytes as f64 / self.settings.rate.max(1) as f64);
+        let mut pace = self.lock();
+        pace.next = pace.next.max(Instant::now()) + cost;
+        pace.next
+    }
+}
+
+async fn read(
+    State(shared): State<Arc<Shared>>,
+    Path((_model, _version)): Path<(CompactString, CompactString)>,
+) -> Response {
+    shared.lock().reads += 1;
+    let left = shared.settings.size;
+    let chunks = stream::unfold((shared, left), |(shared, left)| async move {
+        if left == 0 {
+            return None;
+        }
+        let bytes = left.min(CHUNK_BYTES);
+        tokio::time::sleep_until(shared.place(bytes)).await;
+        let chunk = Bytes::from(vec![0; bytes as usize]);
+        Some((Ok::<_, std::convert::Infallible>(chunk), (shared, left - bytes)))
+    });
+    Body::from_stream(chunks).into_response()
+}
