--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod announce;
 pub mod engine;
 pub mod headers;
+pub mod load;
 
 pub mod service;
 pub mod weights;
--- /dev/null
+++ b/crates/standin/src/load/call.rs
@@ -0,0 +1,160 @@
+//! One call to the system, sent again after a refusal under the same idempotency key.
+
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use serde_json::Value;
+
+use super::report::End;
+use crate::client::HttpClient;
+use crate::headers;
+
+/// Pause before a call is sent again when the refusal names none.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause that a refusal can ask for.
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// Ends a streamed answer.
+const DONE: &str = "[DONE]";
+
+/// A call as it goes on the wire.
+#[derive(Clone)]
+pub(super) struct Call {
+    pub(super) method: Method,
+    pub(super) uri: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) stream: bool,
+}
+
+/// What one call came to.
+pub(super) struct Outcome {
+    pub(super) end: End,
+    /// Text of the model's answer.
+    pub(super) text: String,
+    pub(super) retries: u64,
+    pub(super) elapsed: Duration,
+    /// When each token came, from the call's start.
+    pub(super) arrivals: Vec<Duration>,
+}
+
+/// What one attempt came to.
+enum Attempt {
+    Answered(String, Vec<Duration>),
+    Refused(Duration),
+    Unknown,
+}
+
+/// Sends a call until it is answered, its outcome is unknown, or its retries are used up.
+pub(super) async fn send(client: &HttpClient, call: &Call, retries: u32) -> Outcome {
+    let start = Instant::now();
+    let mut outcome = Outcome {
+        end: End::Refused,
+        text: String::new(),
+        retries: 0,
+        elapsed: Duration::ZERO,
+        arrivals: Vec::new(),
+    };
+    for attempt in 0..=retries {
+        match attempt_once(client, call, start).await {
+            Attempt::Answered(text, arrivals) => {
+                outcome = Outcome { end: End::Finished, text, arrivals, ..outcome };
+                break;
+            }
+            Attempt::Unknown => {
+                outcome.end = End::Unknown;
+                break;
+            }
+            Attempt::Refused(pause) if attempt < retries => {
+                outcome.retries += 1;
+                tokio::time::sleep(pause).await;
+            }
+            Attempt::Refused(_) => {}
+        }
+    }
+    outcome.elapsed = start.elapsed();
+    outcome
+}
+
+async fn attempt_once(client: &HttpClient, call: &Call, start: Instant) -> Attempt {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    let Ok(uri) = call.uri.parse() else {
+        return Attempt::Refused(RETRY_PAUSE);
+    };
+    *request.uri_mut() = uri;
+    *request.headers_mut() = call.headers.clone();
+    let response = match client.request(request).await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => return Attempt::Refused(RETRY_PAUSE),
+        Err(_) => return Attempt::Unknown,
+    };
+    if !response.status().is_success() {
+        return refused(response.status(), response.headers().clone(), response.into_body()).await;
+    }
+    let body = response.into_body();
+    if call.stream { streamed(body, start).await } else { whole(body).await }
+}
+
+async fn refused(status: StatusCode, head: HeaderMap, body: Incoming) -> Attempt {
+    let body = body.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
+    let problem: Value = serde_json::from_slice(&body).unwrap_or_default();
+    if problem["error"]["outcome"] != "not-run" && !status.is_client_error() {
+        return Attempt::Unknown;
+    }
+    let seconds: u64 = headers::number(&head, header::RETRY_AFTER.as_str());
+    let millis = problem["error"]["retry_after_ms"].as_u64().unwrap_or(seconds * 1_000);
+    let pause = Duration::from_millis(millis).clamp(RETRY_PAUSE, LONGEST_PAUSE);
+    Attempt::Refused(pause)
+}
+
+async fn whole(body: Incoming) -> Attempt {
+    let Ok(body) = body.collect().await else {
+        return Attempt::Unknown;
+    };
+    let answer: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+    let text = answer["choices"][0]["message"]["content"].as_str().unwrap_or_default();
+    Attempt::Answered(text.to_owned(), Vec::new())
+}
+
+/// Reads a stream; one that ends without its closing event is not an answer.
+async fn streamed(mut body: Incoming, start: Instant) -> Attempt {
+    let mut buffer = BytesMut::new();
+    let mut text = String::new();
+    let mut arrivals = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Attempt::Unknown;
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        buffer.extend_from_slice(&data);
+        while let Some(event) = next_event(&mut buffer) {
+            if event == DONE {
+                return Attempt::Answered(text, arrivals);
+            }
+            let chunk: Value = serde_json::from_str(&event).unwrap_or_default();
+            if let Some(token) = chunk["choices"][0]["delta"]["content"].as_str() {
+                text += token;
+                arrivals.push(start.elapsed());
+            }
+        }
+    }
+    Attempt::Unknown
+}
+
+/// Takes the next whole line out of the buffer and returns its data, skipping other lines.
+fn next_event(buffer: &mut BytesMut) -> Option<CompactString> {
+    loop {
+        let end = buffer.iter().position(|b| *b == b'\n')?;
+        let line = buffer.split_to(end + 1);
+        let line = String::from_utf8_lossy(&line);
+        if let Some(data) = line.trim_end().strip_prefix("data:") {
+            return Some(data.trim_start().into());
+        }
+    }
+}
