--- a/crates/gypsumglade/src/directory.rs
+++ b/crates/gypsumglade/src/directory.rs
@@ -36,10 +36,7 @@
             peers: peer.peers,
         });
         let stores = settings.peers.iter().filter_map(|peer| Some((peer.id(), peer.store?)));
-        Directory {
-            entries: RwLock::new(entries.collect()),
-            stores: RwLock::new(stores.collect()),
-        }
+        Directory { entries: RwLock::new(entries.collect()), stores: RwLock::new(stores.collect()) }
     }
 
     /// Returns the entry VMs believed alive, this one included if it is listed.
--- a/crates/gypsumglade/src/entry/callers.rs
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -128,7 +128,10 @@
     let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
     let events = call.request.stream.then_some(sender);
     let receiver = call.request.stream.then_some(receiver);
-    (Caller { events, gone }, Watch { events: receiver, gone: guard })
+    (
+        Caller { events, gone, ended: CancellationToken::new() },
+        Watch { events: receiver, gone: guard },
+    )
 }
 
 /// Writes what the stream held back until the outcome was durable.
--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -31,7 +31,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use problem::{Problem, ProblemKind};
-pub use serve::{Entry, EntryAddresses};
+pub use serve::{Entry, EntryAddresses, listener_options};
 use state::EntryState;
 
 /// Returns an id that no other process and no other moment gives.
--- a/crates/gypsumglade/src/entry/peer_calls.rs
+++ b/crates/gypsumglade/src/entry/peer_calls.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::ConfirmRequest;
 use gypsumglade_core::wire::program::Release;
 use jsonrpsee::RpcModule;
@@ -36,8 +37,13 @@
     module.register_async_method(Method::Release.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
         let release: Release = decode(&text).map_err(|error| invalid_payload(&error))?;
-        let freed = state.release_memory(&release).await;
-        Ok::<_, ErrorObjectOwned>(freed.to_string())
+        let answer = state.release_memory(&release).await;
+        Ok::<_, ErrorObjectOwned>(answer.name().to_owned())
+    })?;
+    module.register_method(Method::Cancel.name(), |parameters, state, _| {
+        let dispatch: CompactString = parameters.one()?;
+        state.running.cancel(&dispatch);
+        Ok::<_, ErrorObjectOwned>(DONE.to_owned())
     })?;
     Ok(module)
 }
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -17,7 +17,7 @@
 use super::endpoint_client::EndpointClient;
 use super::groups::{GroupClient, GroupMap};
 use super::peer_calls;
-use super::state::{Desk, EntryState};
+use super::state::{Desk, EntryState, RunningCalls};
 use super::{announce, callers};
 use crate::admin;
 use crate::clock::Clock;
@@ -62,7 +62,7 @@
     ) -> anyhow::Result<Entry> {
         let state = Arc::new(entry_state(settings, directory, log)?);
         let halt = CancellationToken::new();
-        let options = options(&state.settings);
+        let options = listener_options(&state.settings);
         let listen = state.settings.listen.clone();
         let stop = state.stop.clone();
         let callers = callers::routes(Arc::clone(&state));
@@ -153,6 +153,7 @@
         metrics: Metrics::new()?,
         stop: CancellationToken::new(),
         tasks: TaskTracker::new(),
+        running: RunningCalls::default(),
         desk: Mutex::new(Desk { registry, router }),
         log,
         peers,
@@ -169,7 +170,7 @@
 }
 
 /// Returns how the process's listeners accept connections.
-pub(crate) fn options(settings: &Settings) -> ListenerOptions {
+pub fn listener_options(settings: &Settings) -> ListenerOptions {
     ListenerOptions {
         tls: None,
         header_bytes: usize::try_from(settings.limits.header_bytes).unwrap_or(usize::MAX),
--- a/crates/gypsumglade/src/entry/state.rs
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::Bytes;
-use gypsumglade_core::policy::registry::{DispatchKey, DispatchLoad, EndpointKind, Registry};
+use gypsumglade_core::policy::registry::{
+    DispatchKey, DispatchLoad, Endpoint, EndpointKind, Registry,
+};
 use gypsumglade_core::policy::route::{Choice, Place, RouteAsk, RouteError, Router};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::program::Release;
@@ -20,6 +22,7 @@
 use crate::metrics::Metrics;
 use crate::rpc::PeerClients;
 use crate::settings::Settings;
+use crate::store::ReleaseAnswer;
 
 /// One entry VM.
 pub struct EntryState {
@@ -51,9 +54,47 @@
     pub stop: CancellationToken,
     /// Calls under way, which a planned stop waits for.
     pub tasks: TaskTracker,
+    /// Dispatches under way from here, which a store may cancel.
+    pub running: RunningCalls,
     pub(super) desk: Mutex<Desk>,
 }
 
+/// Dispatches under way, by id.
+#[derive(Debug, Default)]
+pub struct RunningCalls {
+    tokens: Mutex<HashMap<CompactString, CancellationToken>>,
+}
+
+impl RunningCalls {
+    /// Adds a dispatch; the token is cancelled when its program ends.
+    pub fn add(&self, dispatch: &str) -> CancellationToken {
+        let token = CancellationToken::new();
+        self.lock().insert(dispatch.into(), token.clone());
+        token
+    }
+
+    /// Removes a dispatch that is settled.
+    pub fn remove(&self, dispatch: &str) {
+        self.lock().remove(dispatch);
+    }
+
+    /// Cancels a dispatch, if it is under way here.
+    pub fn cancel(&self, dispatch: &str) {
+        if let Some(token) = self.lock().get(dispatch) {
+            token.cancel();
+        }
+    }
+
+    /// Returns how many are under way.
+    pub fn count(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<CompactString, CancellationToken>> {
+        self.tokens.lock().expect("no panic while held")
+    }
+}
+
 /// The routing decisions' state, behind one lock that is never held across a wait.
 pub(super) struct Desk {
     pub(super) registry: Registry,
@@ -139,10 +180,16 @@
         }
     }
 
-    /// Frees an engine's memory of an ended program; true once nothing can be held there.
-    pub async fn release_memory(&self, release: &Release) -> bool {
-        let Some(address) = self.endpoint_address(&release.endpoint) else { return false };
-        let Some(program) = &release.program else { return true };
+    /// Frees an engine's memory of an ended program.
+    ///
+    /// An engine counts as gone for good only once this VM has been up for longer than any lease:
+    /// a VM that has just started does not know yet who is there, and would leave memory held.
+    pub async fn release_memory(&self, release: &Release) -> ReleaseAnswer {
+        let Some(address) = self.endpoint_address(&release.endpoint) else {
+            let settled = self.clock.now() > Time::ZERO + LONGEST_LEASE * 2;
+            return if settled { ReleaseAnswer::Gone } else { ReleaseAnswer::Failed };
+        };
+        let Some(program) = &release.program else { return ReleaseAnswer::Freed };
         let body = serde_json::json!({"program": format!("{}/{}", program.org, program.program)});
         let released = self.endpoints.control(
             http::Method::POST,
@@ -151,7 +198,10 @@
             Bytes::from(body.to_string()),
             self.settings.timeouts.peer(),
         );
-        released.await.is_ok_and(|(status, _)| status.is_success())
+        match released.await {
+            Ok((status, _)) if status.is_success() => ReleaseAnswer::Freed,
+            Ok(_) | Err(_) => ReleaseAnswer::Failed,
+        }
     }
 
     /// Returns the address of an endpoint with a live lease.
@@ -162,6 +212,8 @@
     }
 }
 
+/// Longest lease that an endpoint can have.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
 /// How far a VM may go beyond its even share of a model's slots.
 const POOL_SLACK: f64 = 2.0;
 
@@ -188,3 +240,43 @@
         Placed { name, address, region, fill: choice.fill_tokens, key }
     }
 }
+
+impl EntryState {
+    /// Returns the process's state, for an operator's dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.clock.now();
+        let desk = self.desk();
+        let endpoints: Vec<serde_json::Value> =
+            desk.registry.iter().map(|(_, endpoint)| endpoint_dump(endpoint, now)).collect();
+        drop(desk);
+        serde_json::json!({
+            "role": "entry",
+            "vm": self.vm,
+            "place": self.place,
+            "revision": self.config.applied(),
+            "lease_ms": self.config.remaining(now).as_millis() as u64,
+            "stopping": self.stop.is_cancelled(),
+            "running": self.running.count(),
+            "pools": self.gate.loads(),
+            "endpoints": endpoints,
+            "entries": self.directory.entries(),
+            "stores": self.directory.stores(),
+        })
+    }
+}
+
+fn endpoint_dump(endpoint: &Endpoint, now: Time) -> serde_json::Value {
+    let load = endpoint.load(now);
+    serde_json::json!({
+        "name": endpoint.name,
+        "incarnation": endpoint.incarnation,
+        "kind": endpoint.kind,
+        "address": endpoint.address,
+        "leaving": endpoint.leaving,
+        "lease_ms": endpoint.until.since(now).as_millis() as u64,
+        "in_flight": load.total,
+        "own": load.own,
+        "stale": load.stale,
+        "cached_tokens": load.cached_tokens,
+    })
+}
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -59,16 +59,26 @@
     pub events: Option<Sink>,
     /// Cancelled when a caller that will not resend has gone away.
     pub gone: CancellationToken,
+    /// Cancelled when the program ends with the call under way.
+    pub ended: CancellationToken,
 }
 
 impl Caller {
+    fn until(&self, ended: CancellationToken) -> Caller {
+        Caller { ended, ..self.clone() }
+    }
+
     async fn left(&self) {
-        match &self.events {
-            Some(events) => tokio::select! {
-                () = events.closed() => {}
-                () = self.gone.cancelled() => {}
-            },
-            None => self.gone.cancelled().await,
+        let closed = async {
+            match &self.events {
+                Some(events) => events.closed().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = closed => {}
+            () = self.gone.cancelled() => {}
+            () = self.ended.cancelled() => {}
         }
     }
 
@@ -138,7 +148,10 @@
             Granted::Run(grant) => grant,
             Granted::Answer(recorded) => return replay(caller, &builder, &recorded).await,
         };
-        match run_granted(state, call, &grant, caller, &mut builder).await {
+        let ended = state.running.add(&grant.dispatch);
+        let ran = run_granted(state, call, &grant, &caller.until(ended), &mut builder).await;
+        state.running.remove(&grant.dispatch);
+        match ran {
             Attempt::Whole(answer) => return Ok(answer),
             Attempt::Again(problem) => last = problem,
             Attempt::Failed(problem) => return Err(problem),
--- a/crates/gypsumglade/src/lib.rs
+++ b/crates/gypsumglade/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod admin;
 pub mod bench;
 pub mod cli;
+pub mod clock;
 pub mod demo;
+pub mod directory;
 pub mod disk;
 pub mod entry;
 pub mod listener;
--- a/crates/gypsumglade/src/rpc/method.rs
+++ b/crates/gypsumglade/src/rpc/method.rs
@@ -13,6 +13,10 @@
     Lease,
     /// Store to entry: frees an engine's memory of an ended program.
     Release,
+    /// Store to entry: cancels a dispatch of a program that ended.
+    Cancel,
+    /// Store to store: what is known of a request that crashes endpoints.
+    Score,
     /// Entry to entry: an endpoint's announcement.
     Announce,
 }
@@ -26,6 +30,8 @@
             Method::Control => "control",
             Method::Lease => "lease",
             Method::Release => "release",
+            Method::Cancel => "cancel",
+            Method::Score => "score",
             Method::Announce => "announce",
         }
     }
--- a/crates/gypsumglade/src/store/context.rs
+++ b/crates/gypsumglade/src/store/context.rs
@@ -77,8 +77,7 @@
         if parameters.insert(encode(release)).is_err() {
             return ReleaseAnswer::Failed;
         }
-        let called =
-            self.peers.call(entry.peers, Method::Release, parameters, PEER_TIMEOUT).await;
+        let called = self.peers.call(entry.peers, Method::Release, parameters, PEER_TIMEOUT).await;
         called.map_or(ReleaseAnswer::Failed, |name| ReleaseAnswer::from_name(&name))
     }
 
@@ -107,8 +106,7 @@
                 let mut parameters = ArrayParams::new();
                 if parameters.insert(encode(&score)).is_ok() {
                     // A store that misses it learns the score with the next death.
-                    let call =
-                        context.peers.call(address, Method::Score, parameters, PEER_TIMEOUT);
+                    let call = context.peers.call(address, Method::Score, parameters, PEER_TIMEOUT);
                     let _ = call.await;
                 }
             }
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -9,9 +9,7 @@
 use gypsumglade_core::lease::{ConfigGrants, InForce, LeaseSettings, serve};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::confirm_reply::Body as ConfirmBody;
-use gypsumglade_core::wire::control::{
-    Answer, Command, ConfirmReply, ConfirmRequest, Unavailable,
-};
+use gypsumglade_core::wire::control::{Answer, Command, ConfirmReply, ConfirmRequest, Unavailable};
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 use gypsumglade_core::wire::operator::control_request::Body as RequestBody;
 use gypsumglade_core::wire::operator::{
--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -183,8 +183,7 @@
     }
 
     fn propose(&self, proposal: ProposalId, data: Bytes) {
-        let (context, inputs, group) =
-            (Arc::clone(&self.context), self.inputs.clone(), self.group);
+        let (context, inputs, group) = (Arc::clone(&self.context), self.inputs.clone(), self.group);
         tokio::spawn(async move {
             if context.host.propose(group, data).await.is_err() {
                 let _ = inputs.send(GroupInput::Failed(proposal)).await;
