--- /dev/null
+++ b/crates/core/src/replication/follower.rs
@@ -0,0 +1,205 @@
+//! Entries and snapshots as they arrive from a leader.
+
+use super::effect::{Effect, Write};
+use super::replica::{Replica, Role};
+use super::types::{EntryMeta, LogIndex, Members, Position, Term};
+use crate::prelude::*;
+use crate::wire::replication as wire;
+use crate::wire::replication::message::Body;
+
+/// A snapshot of which some pieces have arrived.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    position: Position,
+    offset: u64,
+}
+
+impl Replica {
+    /// Takes entries or a heartbeat of this term's leader.
+    pub(super) fn append(
+        &mut self,
+        now: Time,
+        from: VmId,
+        mut append: wire::Append,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.note_leader(now, from, out) {
+            return;
+        }
+        let prev = self.skip_committed(&mut append);
+        if self.log.term(prev.index) != Some(prev.term) {
+            return self.refuse(from, &append, prev, out);
+        }
+        let matched = LogIndex(prev.index.0 + append.entries.len() as u64);
+        let commit = LogIndex(append.commit).min(matched);
+        let entries = std::mem::take(&mut append.entries);
+        let wrote = self.take_entries(entries, out);
+        if commit > self.commit {
+            self.commit = commit;
+            out.push(Effect::Commit { index: commit });
+        }
+        self.acknowledge(from, &append, matched, wrote, out);
+    }
+
+    /// Takes one piece of a snapshot.
+    pub(super) fn chunk(
+        &mut self,
+        now: Time,
+        from: VmId,
+        chunk: wire::Chunk,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.note_leader(now, from, out) {
+            return;
+        }
+        let position = Position { index: LogIndex(chunk.index), term: Term(chunk.term) };
+        if self.log.term(position.index) == Some(position.term) && position.index > self.commit {
+            self.commit = position.index;
+            out.push(Effect::Commit { index: position.index });
+        }
+        if position.index <= self.commit {
+            return self.answer_chunk(from, &chunk, chunk.offset, true, out);
+        }
+        let wanted = match &self.incoming {
+            Some(incoming) if incoming.position == position => incoming.offset,
+            _ => 0,
+        };
+        if chunk.offset != wanted {
+            return self.answer_chunk(from, &chunk, wanted, false, out);
+        }
+        let offset = wanted + chunk.data.len() as u64;
+        out.push(Effect::StoreChunk { position, offset: wanted, data: chunk.data.clone() });
+        self.incoming = Some(Incoming { position, offset });
+        if chunk.last {
+            self.install(position, &chunk, out);
+        }
+        self.answer_chunk(from, &chunk, offset, chunk.last, out);
+    }
+
+    fn install(&mut self, position: Position, chunk: &wire::Chunk, out: &mut Vec<Effect>) {
+        let members = chunk.members.as_ref().map(Members::from_wire).unwrap_or_default();
+        self.incoming = None;
+        self.unsync(self.log.snapshot().index.next());
+        self.log.reset(position, members.clone());
+        self.commit = position.index;
+        self.save_snapshot(position, members, out);
+        out.push(Effect::Restore { position });
+    }
+
+    /// Follows the sender if it can lead this term. Returns whether it does.
+    fn note_leader(&mut self, now: Time, from: VmId, out: &mut Vec<Effect>) -> bool {
+        if self.role == Role::Leader {
+            return false;
+        }
+        if self.role != Role::Follower || self.leader != Some(from) {
+            self.follow(now, self.ballot.term, Some(from), out);
+        }
+        self.heard = Some(now);
+        self.reset_timeout(now);
+        true
+    }
+
+    /// Drops entries that are committed here: they agree, and may be compacted already.
+    fn skip_committed(&self, append: &mut wire::Append) -> Position {
+        let prev = Position { index: LogIndex(append.prev_index), term: Term(append.prev_term) };
+        if prev.index >= self.commit {
+            return prev;
+        }
+        append.entries.retain(|entry| entry.index > self.commit.0);
+        let term = self.log.term(self.commit).unwrap_or_default();
+        Position { index: self.commit, term }
+    }
+
+    /// Appends what the log lacks, and drops what contradicts it. Returns whether it wrote.
+    fn take_entries(&mut self, mut entries: Vec<wire::Entry>, out: &mut Vec<Effect>) -> bool {
+        let known = entries
+            .iter()
+            .take_while(|e| self.log.term(LogIndex(e.index)) == Some(Term(e.term)))
+            .count();
+        entries.drain(..known);
+        let Some(first) = entries.first().map(|entry| LogIndex(entry.index)) else {
+            return false;
+        };
+        if first <= self.log.last().index {
+            self.unsync(first);
+            self.log.truncate(first);
+        }
+        for entry in &entries {
+            self.log.push(EntryMeta::of(entry));
+        }
+        self.save_entries(entries, out);
+        true
+    }
+
+    fn acknowledge(
+        &mut self,
+        to: VmId,
+        append: &wire::Append,
+        matched: LogIndex,
+        wrote: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut reply = wire::AppendReply {
+            ok: true,
+            index: matched.0,
+            sent: append.sent,
+            round: append.round,
+            commit: self.commit.0,
+            ..wire::AppendReply::default()
+        };
+        if wrote {
+            return self.send_stable(to, Body::AppendReply(reply), out);
+        }
+        // A heartbeat's answer claims only what is synced, so it need not wait for the disk: a
+        // slow sync would otherwise cost the leader its lease.
+        reply.index = matched.min(self.synced).0;
+        self.answer_ballot(to, reply, out);
+    }
+
+    fn refuse(&mut self, to: VmId, append: &wire::Append, prev: Position, out: &mut Vec<Effect>) {
+        let before = LogIndex(prev.index.0.saturating_sub(1));
+        let hint = self.log.agreement(before, prev.term);
+        let reply = wire::AppendReply {
+            ok: false,
+            index: prev.index.0,
+            hint_index: hint.index.0,
+            hint_term: hint.term.0,
+            sent: append.sent,
+            round: append.round,
+            commit: self.commit.0,
+            ..wire::AppendReply::default()
+        };
+        self.answer_ballot(to, reply, out);
+    }
+
+    /// Sends an answer that depends on no write but the ballot's.
+    fn answer_ballot(&mut self, to: VmId, reply: wire::AppendReply, out: &mut Vec<Effect>) {
+        match self.is_ballot_stable() {
+            true => self.send(to, Body::AppendReply(reply), out),
+            false => self.send_stable(to, Body::AppendReply(reply), out),
+        }
+    }
+
+    fn answer_chunk(
+        &mut self,
+        to: VmId,
+        chunk: &wire::Chunk,
+        offset: u64,
+        installed: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let reply = wire::ChunkReply {
+            index: chunk.index,
+            offset,
+            installed,
+            sent: chunk.sent,
+            round: chunk.round,
+        };
+        self.send_stable(to, Body::ChunkReply(reply), out);
+    }
+
+    fn save_snapshot(&mut self, position: Position, members: Members, out: &mut Vec<Effect>) {
+        let sequence = self.persist(Write::Snapshot { position, members }, out);
+        self.note_write(sequence, position.index);
+    }
+}
--- /dev/null
+++ b/crates/core/src/replication/lease.rs
@@ -0,0 +1,103 @@
+//! The leader's lease, and reads that rest on it or on a round of heartbeats.
+
+use super::effect::Effect;
+use super::leader::Lead;
+use super::replica::Replica;
+use super::types::LogIndex;
+use crate::prelude::*;
+
+/// A read that waits for a quorum to confirm the leader.
+#[derive(Debug)]
+pub(super) struct PendingRead {
+    token: u64,
+    index: LogIndex,
+    round: u64,
+}
+
+impl Lead {
+    /// Tells the readers that nothing will confirm their reads here any more.
+    pub(super) fn refuse_reads(self, leader: Option<VmId>, out: &mut Vec<Effect>) {
+        let refused = self.reads.into_iter();
+        out.extend(refused.map(|read| Effect::Unreadable { token: read.token, leader }));
+    }
+}
+
+impl Replica {
+    /// Tells whether no other replica can lead before the lease is out.
+    ///
+    /// Check it after the work and before the answer: a process that was paused in between finds
+    /// out only then that its lease has passed.
+    pub fn holds_lease(&self, now: Time) -> bool {
+        let Some(lead) = &self.lead else {
+            return false;
+        };
+        let fresh = self.quorum_answer(now).is_some_and(|sent| now < sent + self.settings.lease);
+        lead.announced && !lead.unleased && fresh
+    }
+
+    /// Takes a read: answered at once under the lease, else after a round of heartbeats.
+    pub(super) fn read(&mut self, now: Time, token: u64, out: &mut Vec<Effect>) {
+        let leased = self.holds_lease(now);
+        let Some(lead) = &mut self.lead else {
+            return out.push(Effect::Unreadable { token, leader: self.leader });
+        };
+        if leased {
+            return out.push(Effect::Readable { token, index: self.commit });
+        }
+        let index = self.commit.max(lead.first);
+        lead.round += 1;
+        lead.reads.push_back(PendingRead { token, index, round: lead.round });
+        self.send_heartbeats(now, out);
+    }
+
+    /// Answers the reads that a quorum has confirmed by now.
+    pub(super) fn answer_reads(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.lead.as_ref().is_none_or(|lead| lead.reads.is_empty() || !lead.announced) {
+            return;
+        }
+        let confirmed = match self.holds_lease(now) {
+            true => u64::MAX,
+            false => self.quorum_round(),
+        };
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        while lead.reads.front().is_some_and(|read| read.round <= confirmed) {
+            if let Some(read) = lead.reads.pop_front() {
+                out.push(Effect::Readable { token: read.token, index: read.index });
+            }
+        }
+    }
+
+    /// Returns when a quorum was last in contact, counted from the election at least.
+    pub(super) fn quorum_contact(&self, now: Time) -> Time {
+        let since = self.lead.as_ref().map_or(Time::ZERO, |lead| lead.since);
+        self.quorum_answer(now).unwrap_or(since).max(since)
+    }
+
+    /// Returns the latest point that a quorum's answers vouch for: what they answered was sent
+    /// then or later. The replica itself answers at any time.
+    fn quorum_answer(&self, now: Time) -> Option<Time> {
+        let lead = self.lead.as_ref()?;
+        let answered = |vm: &VmId| match *vm == self.id {
+            true => Some(now),
+            false => lead.progress.get(vm).and_then(|progress| progress.acked),
+        };
+        let mut all: Vec<_> = self.log.members().voters.iter().map(answered).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.get(self.quorum() - 1).copied().flatten()
+    }
+
+    fn quorum_round(&self) -> u64 {
+        let Some(lead) = &self.lead else {
+            return 0;
+        };
+        let round = |vm: &VmId| match *vm == self.id {
+            true => u64::MAX,
+            false => lead.progress.get(vm).map_or(0, |progress| progress.round),
+        };
+        let mut all: Vec<u64> = self.log.members().voters.iter().map(round).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.get(self.quorum() - 1).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/replication/replica.rs
@@ -0,0 +1,383 @@
+//! One group's replica on one VM: roles, terms, and answers that wait for a sync.
+
+use std::collections::VecDeque;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::effect::{Effect, Input, Write};
+use super::follower::Incoming;
+use super::leader::Lead;
+use super::log::Log;
+use super::settings::Settings;
+use super::types::{Ballot, LogIndex, Members, Position, Restored, Sequence, Term, quorum};
+use crate::prelude::*;
+use crate::wire::replication as wire;
+use crate::wire::replication::message::Body;
+
+/// What a replica does in its term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Takes entries from a leader, or waits for one.
+    Follower,
+    /// Asks whether it could win, and promises nothing yet.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Appends proposals.
+    Leader,
+}
+
+/// A replica's state for the dump and for tests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The group.
+    pub group: GroupId,
+    /// What the replica does.
+    pub role: Role,
+    /// The latest term it knows.
+    pub term: Term,
+    /// The leader that it knows of, itself included.
+    pub leader: Option<VmId>,
+    /// The last committed index it knows.
+    pub commit: LogIndex,
+    /// The last entry's place.
+    pub last: Position,
+    /// Where its snapshot stands.
+    pub snapshot: Position,
+    /// The members in force.
+    pub members: Members,
+    /// Whether it holds a leader's lease right now.
+    pub lease: bool,
+}
+
+/// A message that waits until the writes it depends on are synced.
+#[derive(Debug)]
+struct Held {
+    sequence: Sequence,
+    to: VmId,
+    message: wire::Message,
+}
+
+/// One group's replica on one VM.
+#[derive(Debug)]
+pub struct Replica {
+    pub(super) settings: Settings,
+    pub(super) id: VmId,
+    pub(super) group: GroupId,
+    rng: ChaCha8Rng,
+    pub(super) ballot: Ballot,
+    pub(super) log: Log,
+    pub(super) commit: LogIndex,
+    pub(super) role: Role,
+    pub(super) leader: Option<VmId>,
+    /// When a leader's last word arrived, of whichever term.
+    pub(super) heard: Option<Time>,
+    /// When to campaign without a leader's word.
+    pub(super) timeout: Time,
+    pub(super) votes: Vec<VmId>,
+    pub(super) lead: Option<Lead>,
+    pub(super) incoming: Option<Incoming>,
+    /// Last own index on stable storage.
+    pub(super) synced: LogIndex,
+    /// Entry writes under way, each with its last index.
+    writes: VecDeque<(Sequence, LogIndex)>,
+    issued: Sequence,
+    stable: Sequence,
+    ballot_write: Sequence,
+    held: VecDeque<Held>,
+}
+
+impl Replica {
+    /// Returns a replica that goes on from what was synced. `seed` spreads election timeouts.
+    pub fn new(
+        settings: Settings,
+        id: VmId,
+        group: GroupId,
+        seed: u64,
+        restored: Restored,
+        now: Time,
+    ) -> Replica {
+        let mut ballot = restored.ballot;
+        let log = Log::new(restored);
+        if ballot.term < log.last().term {
+            ballot = Ballot { term: log.last().term, vote: None };
+        }
+        let mut replica = Replica {
+            settings,
+            id,
+            group,
+            rng: ChaCha8Rng::seed_from_u64(seed ^ (u64::from(group.0) << 32) ^ u64::from(id.0)),
+            // A restarted replica may have answered a leader just before it died, and that answer
+            // still holds up a lease. Not knowing, it waits as if it had: otherwise it could
+            // elect a second leader while the first still answers reads.
+            heard: (ballot.term > Position::START.term).then_some(now),
+            ballot,
+            commit: log.snapshot().index,
+            role: Role::Follower,
+            leader: None,
+            timeout: now,
+            votes: Vec::new(),
+            lead: None,
+            incoming: None,
+            synced: log.last().index,
+            log,
+            writes: VecDeque::new(),
+            issued: Sequence(0),
+            stable: Sequence(0),
+            ballot_write: Sequence(0),
+            held: VecDeque::new(),
+        };
+        replica.reset_timeout(now);
+        replica
+    }
+
+    /// Takes one input and appends what is to be done to `out`, in order.
+    pub fn step(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
+        match input {
+            Input::Tick => self.tick(now, out),
+            Input::Message { from, message } => self.message(now, from, message, out),
+            Input::Propose { commands } => self.propose(commands, out),
+            Input::Read { token } => self.read(now, token, out),
+            Input::ChangeMembers(change) => self.change(now, change, out),
+            Input::Transfer => self.transfer(now, out),
+            Input::Synced(sequence) => self.note_synced(now, sequence, out),
+            Input::Snapshotted(index) => self.note_snapshot(index),
+        }
+        self.advance(now, out);
+    }
+
+    /// Returns when the next [`Input::Tick`] is due.
+    pub fn deadline(&self) -> Time {
+        match &self.lead {
+            Some(lead) => lead.heartbeat,
+            None if self.is_alone() && self.role == Role::Follower => Time::ZERO,
+            None => self.timeout,
+        }
+    }
+
+    /// Returns the replica's state.
+    pub fn status(&self, now: Time) -> Status {
+        Status {
+            group: self.group,
+            role: self.role,
+            term: self.ballot.term,
+            leader: self.leader,
+            commit: self.commit,
+            last: self.log.last(),
+            snapshot: self.log.snapshot(),
+            members: self.log.members().clone(),
+            lease: self.holds_lease(now),
+        }
+    }
+
+    /// Returns the last committed index that this replica knows.
+    pub fn commit(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Returns where this replica's snapshot stands.
+    pub fn snapshot(&self) -> Position {
+        self.log.snapshot()
+    }
+
+    /// Returns the last entry's place, synced or not.
+    pub fn last(&self) -> Position {
+        self.log.last()
+    }
+
+    /// Returns the term at `index` and the members as of it, for a snapshot there. Nothing when
+    /// the index is not committed or already compacted.
+    pub fn snapshot_mark(&self, index: LogIndex) -> Option<(Position, Members)> {
+        if index > self.commit {
+            return None;
+        }
+        let term = self.log.term(index)?;
+        Some((Position { index, term }, self.log.members_at(index).clone()))
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.lead.is_some() {
+            return self.lead_tick(now, out);
+        }
+        if now < self.deadline() || !self.log.members().is_voter(self.id) {
+            return self.reset_timeout_if_due(now);
+        }
+        self.begin_election(now, out);
+    }
+
+    fn message(&mut self, now: Time, from: VmId, message: wire::Message, out: &mut Vec<Effect>) {
+        let term = Term(message.term);
+        let Some(body) = message.body else {
+            return;
+        };
+        let body = match body {
+            Body::VoteRequest(request) => {
+                return self.vote_request(now, from, term, &request, out);
+            }
+            other => other,
+        };
+        let leads = matches!(body, Body::Append(_) | Body::Chunk(_));
+        let promise = matches!(&body, Body::VoteReply(reply) if reply.pre && reply.granted);
+        if term < self.ballot.term {
+            return self.answer_stale(from, leads, out);
+        }
+        if term > self.ballot.term && !promise {
+            self.follow(now, term, leads.then_some(from), out);
+        }
+        match body {
+            Body::VoteReply(reply) => self.vote_reply(now, from, term, &reply, out),
+            Body::Append(append) => self.append(now, from, append, out),
+            Body::AppendReply(reply) => self.append_reply(now, from, &reply, out),
+            Body::Chunk(chunk) => self.chunk(now, from, chunk, out),
+            Body::ChunkReply(reply) => self.chunk_reply(now, from, &reply, out),
+            Body::TimeoutNow(_) => self.take_over(now, from, out),
+            Body::VoteRequest(_) => {}
+        }
+    }
+
+    /// Tells a leader of an earlier term that it was replaced; without it a leader that missed
+    /// an election would try to lead for ever.
+    fn answer_stale(&mut self, from: VmId, leads: bool, out: &mut Vec<Effect>) {
+        if leads {
+            let reply = wire::AppendReply::default();
+            self.send_stable(from, Body::AppendReply(reply), out);
+        }
+    }
+
+    /// Becomes a follower, in a later term or in this one.
+    pub(super) fn follow(
+        &mut self,
+        now: Time,
+        term: Term,
+        leader: Option<VmId>,
+        out: &mut Vec<Effect>,
+    ) {
+        let changed = self.role == Role::Leader || self.leader != leader;
+        if term > self.ballot.term {
+            self.save_ballot(Ballot { term, vote: None }, out);
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.votes.clear();
+        self.incoming = None;
+        if let Some(lead) = self.lead.take() {
+            lead.refuse_reads(leader, out);
+        }
+        self.reset_timeout(now);
+        if changed {
+            out.push(Effect::Follower { leader });
+        }
+    }
+
+    pub(super) fn save_ballot(&mut self, ballot: Ballot, out: &mut Vec<Effect>) {
+        if ballot.term > self.ballot.term {
+            // Answers of an earlier term promise nothing in this one.
+            self.held.clear();
+        }
+        self.ballot = ballot;
+        self.ballot_write = self.persist(Write::Ballot(ballot), out);
+    }
+
+    pub(super) fn save_entries(&mut self, entries: Vec<wire::Entry>, out: &mut Vec<Effect>) {
+        let last = self.log.last().index;
+        let sequence = self.persist(Write::Entries(entries), out);
+        self.note_write(sequence, last);
+    }
+
+    /// Notes that the log is stable up to `last` once `sequence` is synced.
+    pub(super) fn note_write(&mut self, sequence: Sequence, last: LogIndex) {
+        self.writes.push_back((sequence, last));
+        if !self.settings.safeguards.sync {
+            self.synced = last;
+        }
+    }
+
+    pub(super) fn persist(&mut self, write: Write, out: &mut Vec<Effect>) -> Sequence {
+        self.issued = Sequence(self.issued.0 + 1);
+        out.push(Effect::Persist { sequence: self.issued, write });
+        self.issued
+    }
+
+    /// Forgets that the entries from `first` on were, or will be, synced.
+    pub(super) fn unsync(&mut self, first: LogIndex) {
+        let keep = LogIndex(first.0 - 1);
+        self.synced = self.synced.min(keep);
+        for (_, last) in &mut self.writes {
+            *last = keep.min(*last);
+        }
+    }
+
+    fn note_synced(&mut self, now: Time, sequence: Sequence, out: &mut Vec<Effect>) {
+        self.stable = self.stable.max(sequence);
+        while let Some(&(write, last)) = self.writes.front() {
+            if write > self.stable {
+                break;
+            }
+            self.synced = self.synced.max(last);
+            self.writes.pop_front();
+        }
+        while self.held.front().is_some_and(|held| held.sequence <= self.stable) {
+            if let Some(held) = self.held.pop_front() {
+                out.push(Effect::Send { to: held.to, message: held.message });
+            }
+        }
+        self.count_own_vote(now, out);
+    }
+
+    fn note_snapshot(&mut self, index: LogIndex) {
+        if index > self.log.snapshot().index && index <= self.commit {
+            self.log.compact(index);
+        }
+    }
+
+    /// Tells whether the last ballot is on stable storage.
+    pub(super) fn is_ballot_stable(&self) -> bool {
+        self.stable >= self.ballot_write || !self.settings.safeguards.sync
+    }
+
+    pub(super) fn send(&self, to: VmId, body: Body, out: &mut Vec<Effect>) {
+        out.push(Effect::Send { to, message: self.envelope(body) });
+    }
+
+    /// Sends once every write so far is on stable storage.
+    ///
+    /// An answer that goes out earlier can be lost with the process that gave it: a leader would
+    /// count an entry that is on no disk, or a restarted voter would vote twice in a term.
+    pub(super) fn send_stable(&mut self, to: VmId, body: Body, out: &mut Vec<Effect>) {
+        let message = self.envelope(body);
+        if self.stable >= self.issued || !self.settings.safeguards.sync {
+            out.push(Effect::Send { to, message });
+            return;
+        }
+        self.held.push_back(Held { sequence: self.issued, to, message });
+    }
+
+    pub(super) fn envelope(&self, body: Body) -> wire::Message {
+        wire::Message { group: self.group.0, term: self.ballot.term.0, body: Some(body) }
+    }
+
+    pub(super) fn quorum(&self) -> usize {
+        if !self.settings.safeguards.quorum {
+            return 1;
+        }
+        quorum(self.log.members().voters.len())
+    }
+
+    pub(super) fn is_alone(&self) -> bool {
+        self.log.members().voters == [self.id]
+    }
+
+    pub(super) fn reset_timeout(&mut self, now: Time) {
+        let patience = self.settings.patience();
+        let spread = self.rng.random::<f64>();
+        self.timeout = now + patience + patience.mul_f64(spread);
+    }
+
+    fn reset_timeout_if_due(&mut self, now: Time) {
+        if now >= self.timeout {
+            self.reset_timeout(now);
+        }
+    }
+}
