--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -187,6 +187,22 @@
         self.log.last()
     }
 
+    /// Returns the term of the entry at `index`, if it is in the log after the snapshot or the
+    /// snapshot stands there.
+    pub fn term_at(&self, index: LogIndex) -> Option<Term> {
+        self.log.term(index)
+    }
+
+    /// Tells what this replica does.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Tells whether this replica is its group's only voter.
+    pub fn is_only_voter(&self) -> bool {
+        self.is_alone()
+    }
+
     /// Returns the term at `index` and the members as of it, for a snapshot there. Nothing when
     /// the index is not committed or already compacted.
     pub fn snapshot_mark(&self, index: LogIndex) -> Option<(Position, Members)> {
--- a/crates/gypsumglade/src/disk/mod.rs
+++ b/crates/gypsumglade/src/disk/mod.rs
@@ -1,1 +1,21 @@
 //! Log, vote and snapshots of replicas in the data folder.
+//!
+//! One folder holds one VM's replicas. All groups share a log of segment files; a frame of the
+//! log is what one sync made stable, so one sync serves many groups. docs/design/disk.md has the
+//! format and the reasons.
+
+mod faults;
+mod folder;
+mod frame;
+mod inspect;
+mod reader;
+mod replay;
+mod snapshot;
+mod types;
+mod writer;
+
+pub use faults::Faults;
+pub use inspect::{Finding, GroupReport, Report, SegmentReport, inspect};
+pub use reader::Reader;
+pub use types::{Done, Job, JobWrite, Options, Place, RestoredGroup, Snapshot, Written};
+pub use writer::Disk;
--- /dev/null
+++ b/crates/gypsumglade/src/disk/snapshot.rs
@@ -0,0 +1,85 @@
+//! Snapshot files: a header with length and checksum, then the data.
+
+use std::fs::{self, File};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::LogIndex;
+
+use super::faults::Faults;
+use super::folder::write_whole;
+
+/// Bytes before the data: length and checksum.
+const HEADER_BYTES: u64 = 12;
+const PREFIX: &str = "snapshot-";
+
+pub(super) fn name(group: GroupId, index: LogIndex) -> String {
+    format!("{PREFIX}{}-{:020}", group.0, index.0)
+}
+
+pub(super) fn write(
+    folder: &Path,
+    group: GroupId,
+    index: LogIndex,
+    data: &[u8],
+    faults: &Faults,
+) -> io::Result<()> {
+    if faults.room(data.len()) < data.len() {
+        return Err(io::ErrorKind::StorageFull.into());
+    }
+    faults.check_sync()?;
+    let length = (data.len() as u64).to_le_bytes();
+    let checksum = crc32fast::hash(data).to_le_bytes();
+    write_whole(folder, &name(group, index), &[&length, &checksum, data])
+}
+
+/// Reads a piece of a snapshot. The whole was checked when the folder was opened or written.
+pub(super) fn read(
+    folder: &Path,
+    group: GroupId,
+    index: LogIndex,
+    offset: u64,
+    length: usize,
+) -> anyhow::Result<Bytes> {
+    let file = File::open(folder.join(name(group, index)))?;
+    let mut data = vec![0; length];
+    file.read_exact_at(&mut data, HEADER_BYTES + offset)?;
+    Ok(Bytes::from(data))
+}
+
+/// Checks a whole snapshot file against its checksum and the length that the log gives.
+pub(super) fn check(
+    folder: &Path,
+    group: GroupId,
+    index: LogIndex,
+    length: u64,
+) -> anyhow::Result<()> {
+    let path = folder.join(name(group, index));
+    let bytes = fs::read(&path).context("it can't be read")?;
+    let (header, data) = bytes.split_at_checked(HEADER_BYTES as usize).context("it is cut off")?;
+    let (stored, checksum) = header.split_at(8);
+    if stored != length.to_le_bytes() || data.len() as u64 != length {
+        bail!("its length is not the {length} bytes that the log gives");
+    }
+    if checksum != crc32fast::hash(data).to_le_bytes() {
+        bail!("its checksum doesn't fit its data");
+    }
+    Ok(())
+}
+
+/// Removes snapshot files that `keep` doesn't name, left behind by a crash.
+pub(super) fn remove_others(folder: &Path, keep: &[String]) -> io::Result<()> {
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        let name = entry.file_name();
+        let name = name.to_string_lossy();
+        if name.starts_with(PREFIX) && !keep.iter().any(|kept| *kept == name) {
+            fs::remove_file(entry.path())?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gypsumglade/src/disk/writer.rs
@@ -0,0 +1,294 @@
+//! Writes the log: one frame and one sync for all jobs at hand.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, bail};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{Ballot, LogIndex, Term};
+use gypsumglade_core::wire::replication as wire;
+use gypsumglade_core::wire::replication::record::Body;
+
+use super::folder::{check_format, lock, segment_path, sync_folder};
+use super::frame::FrameWriter;
+use super::reader::Reader;
+use super::replay::{Replay, ReplayedGroup, replay};
+use super::snapshot;
+use super::types::{Done, Job, JobWrite, Options, Place, RestoredGroup, Snapshot, Written};
+
+/// The open data folder of one VM.
+#[derive(Debug)]
+pub struct Disk {
+    folder: PathBuf,
+    options: Options,
+    /// Held for as long as the folder is used.
+    _lock: File,
+    file: File,
+    /// Numbers of the segment files; the last one is written to.
+    segments: Vec<u32>,
+    /// Where the next frame goes.
+    offset: u64,
+    /// Sequence of the last frame.
+    sequence: u64,
+    groups: BTreeMap<GroupId, Live>,
+}
+
+/// What a new segment repeats of a group, so that older ones can go.
+#[derive(Debug, Default)]
+struct Live {
+    ballot: Ballot,
+    mark: wire::SnapshotMark,
+    /// The highest index written in each segment.
+    written: BTreeMap<u32, LogIndex>,
+}
+
+impl Disk {
+    /// Opens a folder, and creates it if need be. Refuses one that is damaged, locked, of another
+    /// format or of another VM, and cuts off a last write that a crash cut short.
+    pub fn open(folder: &Path, options: Options) -> anyhow::Result<(Disk, Vec<RestoredGroup>)> {
+        fs::create_dir_all(folder)?;
+        let lock = lock(folder)?;
+        check_format(folder, options.vm)?;
+        let replay = replay(folder)?;
+        refuse_damage(&replay)?;
+        let groups: Vec<_> = replay.groups.iter().map(|(&id, g)| g.restored(id)).collect();
+        let kept: Vec<_> = replay
+            .groups
+            .iter()
+            .filter(|(_, group)| group.length > 0)
+            .map(|(&id, group)| snapshot::name(id, group.mark.index))
+            .collect();
+        snapshot::remove_others(folder, &kept)?;
+        let disk = Disk::resume(folder, options, lock, replay)?;
+        Ok((disk, groups))
+    }
+
+    /// Returns a reader of what this disk writes.
+    pub fn reader(&self) -> Reader {
+        Reader::new(self.folder.clone())
+    }
+
+    /// Writes all jobs and returns once they are stable. After an error nothing may be written
+    /// any more: it isn't known what the disk holds.
+    pub fn write(&mut self, jobs: &mut Vec<Job>) -> anyhow::Result<Vec<Done>> {
+        self.write_frame(jobs).with_context(|| {
+            format!(
+                "the data folder {} can't be written; make room or replace the disk, then \
+                 restart the process (nothing that was acknowledged is lost)",
+                self.folder.display()
+            )
+        })
+    }
+
+    fn write_frame(&mut self, jobs: &mut Vec<Job>) -> anyhow::Result<Vec<Done>> {
+        if self.offset >= self.options.segment_bytes {
+            self.begin_segment()?;
+        }
+        let mut frame = FrameWriter::new();
+        let mut done = Vec::with_capacity(jobs.len());
+        let mut stale = Vec::new();
+        for job in jobs.drain(..) {
+            done.push(self.push_job(&mut frame, job, &mut stale)?);
+        }
+        self.append_frame(frame)?;
+        for name in stale {
+            fs::remove_file(self.folder.join(name))?;
+        }
+        self.drop_segments()?;
+        Ok(done)
+    }
+
+    fn push_job(
+        &mut self,
+        frame: &mut FrameWriter,
+        job: Job,
+        stale: &mut Vec<String>,
+    ) -> anyhow::Result<Done> {
+        let mut done = Done::of_memory(&job);
+        match job.write {
+            JobWrite::Ballot(ballot) => {
+                self.groups.entry(job.group).or_default().ballot = ballot;
+                frame.push(&ballot_record(job.group, ballot));
+            }
+            JobWrite::Entries(entries) => {
+                for entry in entries {
+                    done.entries.push(self.push_entry(frame, job.group, entry));
+                }
+            }
+            JobWrite::Snapshot(snapshot) => {
+                stale.extend(self.push_snapshot(frame, job.group, &snapshot)?);
+            }
+        }
+        Ok(done)
+    }
+
+    fn push_entry(
+        &mut self,
+        frame: &mut FrameWriter,
+        group: GroupId,
+        entry: wire::Entry,
+    ) -> Written {
+        let (index, term) = (LogIndex(entry.index), Term(entry.term));
+        let segment = self.segment();
+        let live = self.groups.entry(group).or_default();
+        let written = live.written.entry(segment).or_default();
+        *written = index.max(*written);
+        let record = wire::Record { group: group.0, body: Some(Body::Entry(entry)) };
+        let (offset, length) = frame.push(&record);
+        let offset = self.offset as usize + offset;
+        let place = Place { segment, offset: offset as u32, length: length as u32 };
+        Written { index, term, place }
+    }
+
+    /// Writes a snapshot's file and then its mark: a mark never names a file that isn't there.
+    /// Returns the file that the mark makes useless.
+    fn push_snapshot(
+        &mut self,
+        frame: &mut FrameWriter,
+        group: GroupId,
+        snapshot: &Snapshot,
+    ) -> anyhow::Result<Option<String>> {
+        let index = snapshot.position.index;
+        let length = snapshot.data.len() as u64;
+        if length > 0 {
+            let faults = &self.options.faults;
+            snapshot::write(&self.folder, group, index, &snapshot.data, faults)?;
+        }
+        let mark = wire::SnapshotMark {
+            index: index.0,
+            term: snapshot.position.term.0,
+            members: Some(snapshot.members.to_wire()),
+            length,
+            reset: snapshot.reset,
+        };
+        let live = self.groups.entry(group).or_default();
+        let old = std::mem::replace(&mut live.mark, mark.clone());
+        if snapshot.reset {
+            live.written.clear();
+        }
+        frame.push(&mark_record(group, mark));
+        let replaced = old.length > 0 && old.index != index.0;
+        Ok(replaced.then(|| snapshot::name(group, LogIndex(old.index))))
+    }
+
+    fn append_frame(&mut self, frame: FrameWriter) -> anyhow::Result<()> {
+        if frame.is_empty() {
+            return Ok(());
+        }
+        let bytes = frame.finish(self.sequence + 1);
+        let room = self.options.faults.room(bytes.len());
+        self.file.write_all(&bytes[..room])?;
+        if room < bytes.len() {
+            bail!(std::io::Error::from(std::io::ErrorKind::StorageFull));
+        }
+        self.options.faults.check_sync()?;
+        self.file.sync_data()?;
+        self.sequence += 1;
+        self.offset += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Goes on in a new file that starts with the ballots and marks of all groups.
+    fn begin_segment(&mut self) -> anyhow::Result<()> {
+        let number = self.segments.last().map_or(1, |last| last + 1);
+        let path = segment_path(&self.folder, number);
+        self.file = File::options().create_new(true).append(true).open(path)?;
+        self.segments.push(number);
+        self.offset = 0;
+        let mut frame = FrameWriter::new();
+        for (&group, live) in &self.groups {
+            let mark = wire::SnapshotMark { reset: false, ..live.mark.clone() };
+            frame.push(&mark_record(group, mark));
+            frame.push(&ballot_record(group, live.ballot));
+        }
+        self.append_frame(frame)?;
+        sync_folder(&self.folder)?;
+        Ok(())
+    }
+
+    /// Removes the oldest files while no group has an entry in them after its snapshot.
+    fn drop_segments(&mut self) -> anyhow::Result<()> {
+        while self.segments.len() > 1 {
+            let oldest = self.segments[0];
+            let live = self.groups.values().any(|group| group.needs(oldest));
+            if live {
+                return Ok(());
+            }
+            fs::remove_file(segment_path(&self.folder, oldest))?;
+            self.segments.remove(0);
+            for group in self.groups.values_mut() {
+                group.written.remove(&oldest);
+            }
+        }
+        Ok(())
+    }
+
+    fn segment(&self) -> u32 {
+        self.segments.last().copied().unwrap_or_default()
+    }
+
+    /// Goes on at the end of the log, after cutting a torn last frame.
+    fn resume(folder: &Path, options: Options, lock: File, replay: Replay) -> anyhow::Result<Disk> {
+        let mut segments: Vec<u32> = replay.segments.iter().map(|s| s.number).collect();
+        let whole = replay.segments.last().map_or(0, |segment| segment.whole);
+        let fresh = segments.is_empty();
+        let number = segments.last().copied().unwrap_or(1);
+        if fresh {
+            segments.push(number);
+        }
+        let path = segment_path(folder, number);
+        let file = File::options().create(true).append(true).open(path)?;
+        file.set_len(whole)?;
+        file.sync_all()?;
+        sync_folder(folder)?;
+        let groups = replay.groups.into_iter().map(|(id, group)| (id, Live::of(group)));
+        Ok(Disk {
+            folder: folder.to_path_buf(),
+            options,
+            _lock: lock,
+            file,
+            segments,
+            offset: whole,
+            sequence: replay.sequence,
+            groups: groups.collect(),
+        })
+    }
+}
+
+impl Live {
+    fn of(group: ReplayedGroup) -> Live {
+        let mark = wire::SnapshotMark {
+            index: group.mark.index.0,
+            term: group.mark.term.0,
+            members: Some(group.members.to_wire()),
+            length: group.length,
+            reset: false,
+        };
+        Live { ballot: group.ballot, mark, written: group.written }
+    }
+
+    fn needs(&self, segment: u32) -> bool {
+        self.written.get(&segment).is_some_and(|last| last.0 > self.mark.index)
+    }
+}
+
+/// Refuses a folder with findings, and names them all.
+fn refuse_damage(replay: &Replay) -> anyhow::Result<()> {
+    if replay.findings.is_empty() {
+        return Ok(());
+    }
+    let list = replay.findings.iter().map(|f| format!("{} at {}: {}", f.file, f.offset, f.text));
+    bail!("it is damaged:\n{}", list.collect::<Vec<_>>().join("\n"))
+}
+
+fn ballot_record(group: GroupId, ballot: Ballot) -> wire::Record {
+    let vote = ballot.vote.map(|vm| vm.0);
+    let ballot = wire::Ballot { term: ballot.term.0, vote };
+    wire::Record { group: group.0, body: Some(Body::Ballot(ballot)) }
+}
+
+fn mark_record(group: GroupId, mark: wire::SnapshotMark) -> wire::Record {
+    wire::Record { group: group.0, body: Some(Body::Mark(mark)) }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/replica/calls.rs
@@ -0,0 +1,216 @@
+//! What callers and other VMs ask of the replicas.
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{
+    Effect, Input, LogIndex, MemberChange, Members, Refusal, Restored,
+};
+use gypsumglade_core::wire::replication as wire;
+use gypsumglade_core::wire::replication::message::Body;
+use prost::Message;
+use tokio::sync::oneshot;
+
+use super::engine::Engine;
+use super::event::{ChangeError, HostStatus, ProposeError, ReadError};
+use super::group::{Group, Reply, Waiter};
+use super::storage::Storage;
+use crate::disk::{Job, JobWrite, RestoredGroup, Snapshot};
+
+impl Engine {
+    pub(super) fn create(
+        &mut self,
+        group: GroupId,
+        members: Vec<VmId>,
+        reply: oneshot::Sender<bool>,
+    ) {
+        if self.failed.is_some() || self.groups.contains_key(&group) {
+            let _ = reply.send(self.failed.is_none());
+            return;
+        }
+        self.creating.push((group, reply));
+        self.add(group, Restored::created(Members::of(members)));
+    }
+
+    /// Starts a replica that isn't on disk yet.
+    fn add(&mut self, group: GroupId, state: Restored) {
+        let snapshot = Snapshot {
+            position: state.snapshot,
+            members: state.members.clone(),
+            data: Bytes::new(),
+            reset: true,
+        };
+        self.restore(RestoredGroup::empty(group, state));
+        self.submit(Job { group, sequence: None, write: JobWrite::Snapshot(snapshot) });
+        self.take_done();
+    }
+
+    pub(super) fn propose(
+        &mut self,
+        group: GroupId,
+        data: Bytes,
+        reply: oneshot::Sender<Result<LogIndex, ProposeError>>,
+    ) {
+        match self.groups.get_mut(&group) {
+            Some(found) if self.failed.is_none() => {
+                found.proposals.push((data, Reply::Propose(reply)));
+            }
+            _ => drop(reply.send(Err(ProposeError::NotLeader { hint: None }))),
+        }
+    }
+
+    /// Proposes what gathered since the last turn, in one write for each group.
+    pub(super) fn propose_gathered(&mut self) {
+        let gathered = |(&id, group): (&GroupId, &mut Group)| {
+            let proposals = std::mem::take(&mut group.proposals);
+            (!proposals.is_empty()).then_some((id, proposals))
+        };
+        let ready: Vec<_> = self.groups.iter_mut().filter_map(gathered).collect();
+        for (id, proposals) in ready {
+            let (commands, replies): (Vec<_>, Vec<_>) = proposals.into_iter().unzip();
+            self.append(id, Input::Propose { commands }, replies);
+        }
+    }
+
+    /// Steps a proposal or change, and notes who waits for it.
+    fn append(&mut self, id: GroupId, input: Input, replies: Vec<Reply>) {
+        let now = self.now();
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let mut effects = std::mem::take(&mut self.effects);
+        group.replica.step(now, input, &mut effects);
+        let answer = effects
+            .iter()
+            .position(|effect| matches!(effect, Effect::Accepted { .. } | Effect::Refused(_)));
+        match answer.map(|at| effects.remove(at)) {
+            Some(Effect::Accepted { first, term }) => {
+                for (index, reply) in (first.0..).map(LogIndex).zip(replies) {
+                    group.waiters.push_back(Waiter { index, term, reply });
+                }
+            }
+            Some(Effect::Refused(refusal)) => refuse(refusal, replies),
+            _ => {}
+        }
+        self.carry_out(id, effects);
+        self.take_done();
+    }
+
+    pub(super) fn read(
+        &mut self,
+        id: GroupId,
+        reply: oneshot::Sender<Result<LogIndex, ReadError>>,
+    ) {
+        self.tokens += 1;
+        let token = self.tokens;
+        match self.groups.get_mut(&id) {
+            Some(group) if self.failed.is_none() => {
+                group.reads.insert(token, reply);
+                self.step(id, Input::Read { token });
+            }
+            _ => drop(reply.send(Err(ReadError::NotLeader { hint: None }))),
+        }
+    }
+
+    pub(super) fn change(
+        &mut self,
+        id: GroupId,
+        change: MemberChange,
+        reply: oneshot::Sender<Result<LogIndex, ChangeError>>,
+    ) {
+        if self.failed.is_some() || !self.groups.contains_key(&id) {
+            let refusal = Refusal::NotLeader { leader: None };
+            let _ = reply.send(Err(ChangeError::Refused(refusal)));
+            return;
+        }
+        self.append(id, Input::ChangeMembers(change), vec![Reply::Change(reply)]);
+    }
+
+    pub(super) fn receive(&mut self, from: VmId, batch: Bytes) {
+        let Ok(batch) = wire::Batch::decode(batch) else {
+            return;
+        };
+        if self.failed.is_some() {
+            return;
+        }
+        for message in batch.messages {
+            let id = GroupId(message.group);
+            let leads = matches!(message.body, Some(Body::Append(_) | Body::Chunk(_)));
+            if leads && !self.groups.contains_key(&id) {
+                // A leader was told to add this VM; the members come with its snapshot.
+                self.add(id, Restored::default());
+            }
+            self.step(id, Input::Message { from, message });
+        }
+    }
+
+    pub(super) fn snapshot(
+        &mut self,
+        id: GroupId,
+        index: LogIndex,
+        data: Bytes,
+        reply: oneshot::Sender<()>,
+    ) {
+        let mark = self.groups.get(&id).and_then(|group| group.replica.snapshot_mark(index));
+        let Some((position, members)) = mark else {
+            return;
+        };
+        if let Some(group) = self.groups.get_mut(&id)
+            && matches!(self.storage, Storage::Memory)
+        {
+            group.snapshot = data.clone();
+            group.length = data.len() as u64;
+        }
+        self.snapshots.push((id, index, reply));
+        let snapshot = Snapshot { position, members, data, reset: false };
+        self.submit(Job { group: id, sequence: None, write: JobWrite::Snapshot(snapshot) });
+        self.take_done();
+    }
+
+    pub(super) fn transfer_all(&mut self, reply: oneshot::Sender<()>) {
+        let until = self.now() + self.settings.replication.patience().mul_f64(1.5);
+        self.transfers.push((until, reply));
+        let ids: Vec<_> = self.groups.keys().copied().collect();
+        for id in ids {
+            self.step(id, Input::Transfer);
+        }
+    }
+
+    pub(super) fn finish_transfers(&mut self) {
+        if self.transfers.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let leads = self.failed.is_none() && self.groups.values().any(Group::leads_others);
+        for (until, reply) in std::mem::take(&mut self.transfers) {
+            if leads && now < until {
+                self.transfers.push((until, reply));
+            } else {
+                let _ = reply.send(());
+            }
+        }
+    }
+
+    pub(super) fn status(&self) -> HostStatus {
+        let now = self.now();
+        HostStatus {
+            vm: self.settings.vm,
+            failed: self.failed.clone(),
+            groups: self.groups.values().map(|group| group.replica.status(now)).collect(),
+        }
+    }
+}
+
+/// Tells the callers that nothing was appended.
+fn refuse(refusal: Refusal, replies: Vec<Reply>) {
+    let hint = match refusal {
+        Refusal::NotLeader { leader } => Some(leader),
+        _ => None,
+    };
+    for reply in replies {
+        match (reply, hint) {
+            (Reply::Change(reply), _) => drop(reply.send(Err(ChangeError::Refused(refusal)))),
+            (reply, Some(hint)) => reply.send(Err(ProposeError::NotLeader { hint })),
+            (reply, None) => reply.send(Err(ProposeError::Dropped)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -0,0 +1,336 @@
+//! The loop that steps every replica of a VM and carries out what they decide.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{Effect, Input, LogIndex, MemberChange};
+use tokio::sync::{mpsc, oneshot};
+
+use super::event::{ChangeError, Event, HostStatus, Outbound, ProposeError, ReadError};
+use super::group::Group;
+use super::outbox::Outbox;
+use super::queue::EventQueue;
+use super::settings::HostSettings;
+use super::storage::Storage;
+use crate::disk::{Done, Job, RestoredGroup};
+
+/// Commands taken before effects that wait for a batch go out.
+const COMMANDS_PER_TURN: usize = 512;
+
+/// What the handle or the disk wants of the loop.
+#[derive(Debug)]
+pub(super) enum Command {
+    Create {
+        group: GroupId,
+        members: Vec<VmId>,
+        reply: oneshot::Sender<bool>,
+    },
+    Propose {
+        group: GroupId,
+        data: Bytes,
+        reply: oneshot::Sender<Result<LogIndex, ProposeError>>,
+    },
+    Read {
+        group: GroupId,
+        reply: oneshot::Sender<Result<LogIndex, ReadError>>,
+    },
+    Lease {
+        group: GroupId,
+        reply: oneshot::Sender<bool>,
+    },
+    Receive {
+        from: VmId,
+        batch: Bytes,
+    },
+    Snapshot {
+        group: GroupId,
+        index: LogIndex,
+        data: Bytes,
+        reply: oneshot::Sender<()>,
+    },
+    TransferAll {
+        reply: oneshot::Sender<()>,
+    },
+    Change {
+        group: GroupId,
+        change: MemberChange,
+        reply: oneshot::Sender<Result<LogIndex, ChangeError>>,
+    },
+    Status {
+        reply: oneshot::Sender<HostStatus>,
+    },
+    Written(Vec<Done>),
+    DiskFailed(CompactString),
+    Stop {
+        reply: oneshot::Sender<()>,
+    },
+}
+
+/// Runs the replicas until the last handle is gone or one of them says stop.
+pub(super) fn run(
+    settings: HostSettings,
+    outbound: mpsc::Sender<Outbound>,
+    events: mpsc::Sender<Event>,
+    inbox: mpsc::UnboundedReceiver<Command>,
+    back: mpsc::WeakUnboundedSender<Command>,
+    ready: oneshot::Sender<anyhow::Result<()>>,
+) {
+    let opened = Storage::open(&settings, back).and_then(|(storage, groups)| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+        Ok((runtime, Engine::new(settings, storage, groups, outbound, events)))
+    });
+    let (runtime, mut engine) = match opened {
+        Ok(opened) => opened,
+        Err(error) => return drop(ready.send(Err(error))),
+    };
+    let _ = ready.send(Ok(()));
+    let stop = runtime.block_on(engine.run(inbox));
+    engine.storage.close();
+    if let Some(reply) = stop {
+        let _ = reply.send(());
+    }
+}
+
+/// Every replica of one VM with its disk, its peers and its callers.
+pub(super) struct Engine {
+    pub(super) settings: HostSettings,
+    pub(super) seed: u64,
+    pub(super) started: Instant,
+    pub(super) groups: BTreeMap<GroupId, Group>,
+    pub(super) storage: Storage,
+    pub(super) outbox: Outbox,
+    pub(super) events: EventQueue,
+    pub(super) failed: Option<CompactString>,
+    pub(super) creating: Vec<(GroupId, oneshot::Sender<bool>)>,
+    pub(super) snapshots: Vec<(GroupId, LogIndex, oneshot::Sender<()>)>,
+    pub(super) transfers: Vec<(Time, oneshot::Sender<()>)>,
+    pub(super) tokens: u64,
+    pub(super) effects: Vec<Effect>,
+    /// Writes to memory, which are done at once.
+    pub(super) done: VecDeque<Done>,
+}
+
+impl Engine {
+    fn new(
+        settings: HostSettings,
+        storage: Storage,
+        groups: Vec<RestoredGroup>,
+        outbound: mpsc::Sender<Outbound>,
+        events: mpsc::Sender<Event>,
+    ) -> Engine {
+        let seed = settings.seed.unwrap_or_else(rand::random);
+        let mut engine = Engine {
+            settings,
+            seed,
+            started: Instant::now(),
+            groups: BTreeMap::new(),
+            storage,
+            outbox: Outbox::new(outbound),
+            events: EventQueue::new(events),
+            failed: None,
+            creating: Vec::new(),
+            snapshots: Vec::new(),
+            transfers: Vec::new(),
+            tokens: 0,
+            effects: Vec::new(),
+            done: VecDeque::new(),
+        };
+        for restored in groups {
+            engine.restore(restored);
+        }
+        engine
+    }
+
+    async fn run(
+        &mut self,
+        mut inbox: mpsc::UnboundedReceiver<Command>,
+    ) -> Option<oneshot::Sender<()>> {
+        loop {
+            self.tick();
+            self.propose_gathered();
+            self.outbox.flush();
+            if let Err(error) = self.events.deliver(&self.groups, &mut self.storage) {
+                self.fail(format!("{error:#}").into());
+            }
+            self.finish_transfers();
+            let sleep = tokio::time::sleep_until(self.wake());
+            tokio::select! {
+                command = inbox.recv() => {
+                    let mut next = Some(command?);
+                    for _ in 0..COMMANDS_PER_TURN {
+                        match next {
+                            Some(Command::Stop { reply }) => return Some(reply),
+                            Some(command) => self.take(command),
+                            None => break,
+                        }
+                        next = inbox.try_recv().ok();
+                    }
+                    if let Some(command) = next {
+                        if let Command::Stop { reply } = command {
+                            return Some(reply);
+                        }
+                        self.take(command);
+                    }
+                }
+                () = self.events.writable() => {}
+                () = sleep => {}
+            }
+        }
+    }
+
+    pub(super) fn now(&self) -> Time {
+        Time::ZERO + self.started.elapsed()
+    }
+
+    /// Returns when the next group wants a tick.
+    fn wake(&self) -> tokio::time::Instant {
+        let groups = self.groups.values().map(Group::deadline).min().unwrap_or(Time::MAX);
+        let transfers = self.transfers.iter().map(|(until, _)| *until).min().unwrap_or(Time::MAX);
+        let longest = self.now() + Duration::from_secs(60);
+        let wait = groups.min(transfers).min(longest).since(self.now());
+        tokio::time::Instant::now() + wait
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Create { group, members, reply } => self.create(group, members, reply),
+            Command::Propose { group, data, reply } => self.propose(group, data, reply),
+            Command::Read { group, reply } => self.read(group, reply),
+            Command::Lease { group, reply } => {
+                let now = self.now();
+                let held = self.groups.get(&group).is_some_and(|g| g.replica.holds_lease(now));
+                let _ = reply.send(held && self.failed.is_none());
+            }
+            Command::Receive { from, batch } => self.receive(from, batch),
+            Command::Snapshot { group, index, data, reply } => {
+                self.snapshot(group, index, data, reply);
+            }
+            Command::TransferAll { reply } => self.transfer_all(reply),
+            Command::Change { group, change, reply } => self.change(group, change, reply),
+            Command::Status { reply } => drop(reply.send(self.status())),
+            Command::Written(done) => done.into_iter().for_each(|done| self.written(done)),
+            Command::DiskFailed(reason) => self.fail(reason),
+            Command::Stop { .. } => {}
+        }
+    }
+
+    pub(super) fn restore(&mut self, restored: RestoredGroup) {
+        let id = restored.group;
+        let now = self.now();
+        let position = restored.state.snapshot;
+        let settings = self.settings.replication.clone();
+        let group = Group::new(settings, self.settings.vm, self.seed, restored, now);
+        if group.length > 0 {
+            let limit = usize::try_from(group.length).unwrap_or(usize::MAX);
+            match group.piece(&self.storage, 0, limit) {
+                Ok((data, _)) => self.events.restore(id, position.index, data),
+                Err(error) => self.fail(format!("{error:#}").into()),
+            }
+        }
+        self.events.start(id, position.index);
+        self.groups.insert(id, group);
+    }
+
+    fn tick(&mut self) {
+        if self.failed.is_some() {
+            return;
+        }
+        let now = self.now();
+        let due = self.groups.iter().filter(|(_, group)| group.deadline() <= now);
+        let due: Vec<_> = due.map(|(&id, _)| id).collect();
+        for id in due {
+            if let Some(group) = self.groups.get_mut(&id)
+                && group.settle.is_some_and(|settle| settle <= now)
+            {
+                group.give_up(LogIndex(u64::MAX));
+            }
+            self.step(id, Input::Tick);
+        }
+    }
+
+    pub(super) fn submit(&mut self, job: Job) {
+        self.done.extend(self.storage.submit(job));
+    }
+
+    /// Takes the writes that memory did at once, after the effects of the step that asked.
+    pub(super) fn take_done(&mut self) {
+        while let Some(done) = self.done.pop_front() {
+            self.written(done);
+        }
+    }
+
+    /// Takes the news that a write is on stable storage.
+    fn written(&mut self, done: Done) {
+        let id = done.group;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        for written in done.entries {
+            // An entry that was replaced while it was being written is not the log's any more.
+            if group.replica.term_at(written.index) == Some(written.term) {
+                group.tail.note_place(written.index, written.place);
+            }
+        }
+        group.tail.evict(self.settings.cache_bytes);
+        if let Some(sequence) = done.sequence {
+            self.step(id, Input::Synced(sequence));
+        }
+        if let Some(snapshot) = done.snapshot {
+            self.snapshot_written(id, snapshot, done.length);
+        }
+    }
+
+    fn snapshot_written(&mut self, id: GroupId, index: LogIndex, length: u64) {
+        for (_, reply) in self.creating.extract_if(.., |(group, _)| *group == id) {
+            let _ = reply.send(true);
+        }
+        self.step(id, Input::Snapshotted(index));
+        if let Some(group) = self.groups.get_mut(&id)
+            && group.replica.snapshot().index == index
+        {
+            if !matches!(self.storage, Storage::Memory) {
+                group.snapshot = Bytes::new();
+            }
+            group.length = length;
+            group.compact(index);
+        }
+        let taken = |(group, at, _): &mut (GroupId, LogIndex, _)| *group == id && *at <= index;
+        for (_, _, reply) in self.snapshots.extract_if(.., taken) {
+            let _ = reply.send(());
+        }
+    }
+
+    /// Stops answering. What was synced is kept; what wasn't was promised to nobody.
+    ///
+    /// After a failed sync the kernel may have dropped the pages and marked them clean, so a
+    /// second sync that succeeds proves nothing: only a restart finds out what is on the disk.
+    pub(super) fn fail(&mut self, reason: CompactString) {
+        if self.failed.is_some() {
+            return;
+        }
+        self.failed = Some(reason.clone());
+        for group in self.groups.values_mut() {
+            group.give_up(LogIndex(u64::MAX));
+            group.reads.clear();
+        }
+        self.creating.clear();
+        self.snapshots.clear();
+        self.events.fail(reason);
+    }
+
+    pub(super) fn step(&mut self, id: GroupId, input: Input) {
+        let now = self.now();
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        if self.failed.is_some() {
+            return;
+        }
+        let mut effects = std::mem::take(&mut self.effects);
+        group.replica.step(now, input, &mut effects);
+        self.carry_out(id, effects);
+        self.take_done();
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/replica/group.rs
@@ -0,0 +1,200 @@
+//! One group's replica with its entries, its callers and its snapshot.
+
+use std::collections::{HashMap, VecDeque};
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{LogIndex, Members, Position, Replica, Role, Settings, Term};
+use gypsumglade_core::wire::replication as wire;
+use tokio::sync::oneshot;
+
+use super::event::{ChangeError, ProposeError, ReadError};
+use super::storage::Storage;
+use super::tail::{Found, Tail};
+use crate::disk::{RestoredGroup, Snapshot};
+
+/// Whom to tell what became of an appended entry.
+#[derive(Debug)]
+pub(super) enum Reply {
+    Propose(oneshot::Sender<Result<LogIndex, ProposeError>>),
+    Change(oneshot::Sender<Result<LogIndex, ChangeError>>),
+}
+
+impl Reply {
+    pub(super) fn send(self, result: Result<LogIndex, ProposeError>) {
+        // A caller that has gone needs no answer.
+        match self {
+            Reply::Propose(reply) => drop(reply.send(result)),
+            Reply::Change(reply) => drop(reply.send(result.map_err(ChangeError::Lost))),
+        }
+    }
+}
+
+/// A caller whose entry is appended and not yet committed.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    pub(super) index: LogIndex,
+    pub(super) term: Term,
+    pub(super) reply: Reply,
+}
+
+/// One group on this VM.
+#[derive(Debug)]
+pub(super) struct Group {
+    id: GroupId,
+    pub(super) replica: Replica,
+    pub(super) tail: Tail,
+    /// Commands gathered for the next step.
+    pub(super) proposals: Vec<(Bytes, Reply)>,
+    pub(super) waiters: VecDeque<Waiter>,
+    pub(super) reads: HashMap<u64, oneshot::Sender<Result<LogIndex, ReadError>>>,
+    /// When callers of a deposed leader stop waiting.
+    pub(super) settle: Option<Time>,
+    /// Pieces of an arriving snapshot.
+    pub(super) incoming: Vec<u8>,
+    /// The snapshot, if it isn't in a file.
+    pub(super) snapshot: Bytes,
+    /// Length of the snapshot.
+    pub(super) length: u64,
+    /// The commit index at which a snapshot was last asked for.
+    pub(super) asked: LogIndex,
+}
+
+impl Group {
+    pub(super) fn new(
+        settings: Settings,
+        vm: VmId,
+        seed: u64,
+        restored: RestoredGroup,
+        now: Time,
+    ) -> Group {
+        let start = restored.state.snapshot.index;
+        let replica = Replica::new(settings, vm, restored.group, seed, restored.state, now);
+        Group {
+            id: restored.group,
+            replica,
+            tail: Tail::new(start, restored.places),
+            proposals: Vec::new(),
+            waiters: VecDeque::new(),
+            reads: HashMap::new(),
+            settle: None,
+            incoming: Vec::new(),
+            snapshot: Bytes::new(),
+            length: restored.length,
+            asked: start,
+        }
+    }
+
+    /// Returns when the group wants to be looked at.
+    pub(super) fn deadline(&self) -> Time {
+        let settle = self.settle.unwrap_or(Time::MAX);
+        self.replica.deadline().min(settle)
+    }
+
+    /// Reads one entry, from memory or from disk.
+    pub(super) fn entry(
+        &self,
+        storage: &mut Storage,
+        index: LogIndex,
+    ) -> anyhow::Result<wire::Entry> {
+        match self.tail.find(index) {
+            Some(Found::Cached(entry)) => Ok(entry),
+            Some(Found::OnDisk(place)) => storage.read_entry(place),
+            None => anyhow::bail!("entry {index} is not in the log"),
+        }
+    }
+
+    /// Answers the callers whose entries are settled by a commit up to `index`.
+    pub(super) fn settle_waiters(&mut self, index: LogIndex) {
+        while let Some(waiter) = self.next_waiter(index) {
+            let stands = self.replica.term_at(waiter.index) == Some(waiter.term);
+            let result = if stands { Ok(waiter.index) } else { Err(ProposeError::Dropped) };
+            waiter.reply.send(result);
+        }
+        if self.waiters.is_empty() {
+            self.settle = None;
+        }
+    }
+
+    /// Tells the callers up to `index` that nobody here can tell what became of their entries.
+    pub(super) fn give_up(&mut self, index: LogIndex) {
+        while let Some(waiter) = self.next_waiter(index) {
+            waiter.reply.send(Err(ProposeError::Uncertain));
+        }
+        if self.waiters.is_empty() {
+            self.settle = None;
+        }
+    }
+
+    fn next_waiter(&mut self, index: LogIndex) -> Option<Waiter> {
+        let due = self.waiters.front().is_some_and(|waiter| waiter.index <= index);
+        due.then(|| self.waiters.pop_front()).flatten()
+    }
+
+    /// Keeps a piece of an arriving snapshot.
+    pub(super) fn store_chunk(&mut self, offset: u64, data: &[u8]) {
+        if offset == 0 {
+            self.incoming.clear();
+        }
+        self.incoming.extend_from_slice(data);
+    }
+
+    /// Takes over a snapshot that arrived whole, and returns it.
+    pub(super) fn install(&mut self, position: Position, members: &Members) -> Snapshot {
+        let data = Bytes::from(std::mem::take(&mut self.incoming));
+        self.tail.reset(position.index);
+        self.asked = position.index;
+        self.snapshot = data.clone();
+        self.length = data.len() as u64;
+        Snapshot { position, members: members.clone(), data, reset: true }
+    }
+
+    /// Drops the log that a synced snapshot of the state machine covers.
+    pub(super) fn compact(&mut self, index: LogIndex) {
+        if self.replica.snapshot().index == index {
+            self.tail.compact(index);
+            self.asked = self.asked.max(index);
+        }
+    }
+
+    /// Reads a piece of the snapshot, and tells whether it is the last.
+    pub(super) fn piece(
+        &self,
+        storage: &Storage,
+        offset: u64,
+        limit: usize,
+    ) -> anyhow::Result<(Bytes, bool)> {
+        let left = self.length.saturating_sub(offset);
+        let length = usize::try_from(left).unwrap_or(usize::MAX).min(limit);
+        let last = length as u64 == left;
+        if length == 0 {
+            return Ok((Bytes::new(), last));
+        }
+        if self.snapshot.len() as u64 == self.length {
+            let start = usize::try_from(offset)?;
+            return Ok((self.snapshot.slice(start..start + length), last));
+        }
+        let index = self.replica.snapshot().index;
+        let data = storage.read_snapshot(self.id, index, offset, length)?;
+        Ok((data, last))
+    }
+
+    /// Tells whether the owner should be asked for a snapshot, and notes that it was.
+    pub(super) fn wants_snapshot(&mut self, entries: u64, bytes: u64) -> bool {
+        let commit = self.replica.commit();
+        let length = commit.0.saturating_sub(self.replica.snapshot().index.0);
+        let long = length >= entries || (length > 0 && self.tail.bytes() >= bytes);
+        // An owner that was asked is asked again only after a tenth of the limit, in case the
+        // first request was lost to it.
+        let again = commit.0.saturating_sub(self.asked.0) >= (entries / 10).max(1);
+        if long && again {
+            self.asked = commit;
+        }
+        long && again
+    }
+
+    /// Tells whether other VMs could lead in this one's place.
+    pub(super) fn leads_others(&self) -> bool {
+        self.replica.role() == Role::Leader && !self.replica.is_only_voter()
+    }
+}
--- a/crates/gypsumglade/src/replica/mod.rs
+++ b/crates/gypsumglade/src/replica/mod.rs
@@ -1,1 +1,20 @@
 //! Drives replicated logs: disk, timers and messages round the core.
+//!
+//! A [`Host`] runs every replica of one VM on a thread of its own, so that load elsewhere in the
+//! process can't starve heartbeats. See docs/design/replication.md.
+
+mod calls;
+mod effects;
+mod engine;
+mod event;
+mod group;
+mod host;
+mod outbox;
+mod queue;
+mod settings;
+mod storage;
+mod tail;
+
+pub use event::{ChangeError, Event, HostStatus, Outbound, ProposeError, ReadError};
+pub use host::Host;
+pub use settings::HostSettings;
--- /dev/null
+++ b/crates/gypsumglade/src/replica/outbox.rs
@@ -0,0 +1,58 @@
+//! Messages on their way out, gathered into one batch for each peer VM.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::replication as wire;
+use prost::Message;
+use tokio::sync::mpsc;
+
+use super::event::Outbound;
+
+/// Bytes after which a batch goes out without waiting for more.
+const BATCH_BYTES: usize = 1024 * 1024;
+
+/// Gathers messages until [`Outbox::flush`].
+#[derive(Debug)]
+pub(super) struct Outbox {
+    sender: mpsc::Sender<Outbound>,
+    batches: BTreeMap<VmId, Pending>,
+}
+
+#[derive(Debug, Default)]
+struct Pending {
+    batch: wire::Batch,
+    bytes: usize,
+}
+
+impl Outbox {
+    pub(super) fn new(sender: mpsc::Sender<Outbound>) -> Outbox {
+        Outbox { sender, batches: BTreeMap::new() }
+    }
+
+    pub(super) fn push(&mut self, to: VmId, message: wire::Message) {
+        let pending = self.batches.entry(to).or_default();
+        pending.bytes += message.encoded_len();
+        pending.batch.messages.push(message);
+        if pending.bytes >= BATCH_BYTES {
+            send(&self.sender, to, pending);
+        }
+    }
+
+    pub(super) fn flush(&mut self) {
+        for (&to, pending) in &mut self.batches {
+            if !pending.batch.messages.is_empty() || pending.batch.pulse.is_some() {
+                send(&self.sender, to, pending);
+            }
+        }
+    }
+}
+
+fn send(sender: &mpsc::Sender<Outbound>, to: VmId, pending: &mut Pending) {
+    let batch = Bytes::from(pending.batch.encode_to_vec());
+    *pending = Pending::default();
+    // A full queue means that the link is slow. Dropping is safe, for every message is repeated
+    // until it is answered, and waiting here would delay the heartbeats of all other links.
+    let _ = sender.try_send(Outbound { to, batch });
+}
--- /dev/null
+++ b/crates/gypsumglade/src/replica/queue.rs
@@ -0,0 +1,145 @@
+//! Events on their way to the owner, in the order of each group's log.
+//!
+//! Committed entries are read only when the owner has room for them. So a restart that replays
+//! a long log, or an owner that is slow, holds no more entries in memory than the channel does.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{LogIndex, Term};
+use gypsumglade_core::wire::replication::EntryKind;
+use tokio::sync::mpsc;
+
+use super::event::Event;
+use super::group::Group;
+use super::storage::Storage;
+
+/// Something to deliver; commits are held as a range.
+#[derive(Debug)]
+enum Pending {
+    Commit { group: GroupId, next: LogIndex, last: LogIndex },
+    Event(Event),
+}
+
+/// Events that the owner has not taken yet.
+#[derive(Debug)]
+pub(super) struct EventQueue {
+    sender: mpsc::Sender<Event>,
+    pending: VecDeque<Pending>,
+    /// The last index of each group that was put in the queue.
+    queued: BTreeMap<GroupId, LogIndex>,
+}
+
+impl EventQueue {
+    pub(super) fn new(sender: mpsc::Sender<Event>) -> EventQueue {
+        EventQueue { sender, pending: VecDeque::new(), queued: BTreeMap::new() }
+    }
+
+    /// Notes that a group's state machine starts after `index`; nothing is delivered for it.
+    pub(super) fn start(&mut self, group: GroupId, index: LogIndex) {
+        self.forget(group);
+        self.queued.insert(group, index);
+    }
+
+    pub(super) fn commit(&mut self, group: GroupId, last: LogIndex) {
+        let queued = self.queued.entry(group).or_default();
+        if last <= *queued {
+            return;
+        }
+        let next = queued.next();
+        *queued = last;
+        if let Some(Pending::Commit { group: same, last: end, .. }) = self.pending.back_mut()
+            && *same == group
+        {
+            *end = last;
+            return;
+        }
+        self.pending.push_back(Pending::Commit { group, next, last });
+    }
+
+    pub(super) fn restore(&mut self, group: GroupId, index: LogIndex, data: Bytes) {
+        self.start(group, index);
+        self.pending.push_back(Pending::Event(Event::Restore { group, index, data }));
+    }
+
+    pub(super) fn leader(&mut self, group: GroupId, term: Term) {
+        self.pending.push_back(Pending::Event(Event::Leader { group, term }));
+    }
+
+    pub(super) fn follower(&mut self, group: GroupId, leader: Option<VmId>) {
+        self.pending.push_back(Pending::Event(Event::Follower { group, leader }));
+    }
+
+    pub(super) fn need_snapshot(&mut self, group: GroupId) {
+        self.pending.push_back(Pending::Event(Event::NeedSnapshot { group }));
+    }
+
+    /// Drops what waits and tells the owner that the host answers no more.
+    pub(super) fn fail(&mut self, reason: CompactString) {
+        self.pending.clear();
+        self.pending.push_back(Pending::Event(Event::Failed { reason }));
+    }
+
+    /// Resolves when there is something to deliver and room for it.
+    pub(super) async fn writable(&self) {
+        if self.pending.is_empty() || self.sender.reserve().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Delivers as much as there is room for. Returns an entry's read error, if one failed.
+    pub(super) fn deliver(
+        &mut self,
+        groups: &BTreeMap<GroupId, Group>,
+        storage: &mut Storage,
+    ) -> anyhow::Result<()> {
+        while let Some(front) = self.pending.front_mut() {
+            let Ok(permit) = self.sender.try_reserve() else {
+                return Ok(());
+            };
+            match front {
+                Pending::Commit { group, next, last } => {
+                    if let Some(event) = committed(groups, storage, *group, *next)? {
+                        permit.send(event);
+                    }
+                    *next = next.next();
+                    if *next > *last {
+                        self.pending.pop_front();
+                    }
+                }
+                Pending::Event(_) => {
+                    if let Some(Pending::Event(event)) = self.pending.pop_front() {
+                        permit.send(event);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Drops a group's commits that a snapshot overtook: their entries are gone from the log.
+    fn forget(&mut self, group: GroupId) {
+        self.pending.retain(
+            |pending| !matches!(pending, Pending::Commit { group: of, .. } if *of == group),
+        );
+    }
+}
+
+/// Reads a committed entry. Nothing for the log's own entries.
+fn committed(
+    groups: &BTreeMap<GroupId, Group>,
+    storage: &mut Storage,
+    group: GroupId,
+    index: LogIndex,
+) -> anyhow::Result<Option<Event>> {
+    let Some(found) = groups.get(&group) else {
+        return Ok(None);
+    };
+    let entry = found.entry(storage, index)?;
+    if entry.kind() != EntryKind::Command {
+        return Ok(None);
+    }
+    let term = Term(entry.term);
+    Ok(Some(Event::Committed { group, index, term, data: entry.data }))
+}
--- /dev/null
+++ b/crates/gypsumglade/src/replica/settings.rs
@@ -0,0 +1,51 @@
+//! Settings of a replica host.
+
+use std::path::PathBuf;
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::Settings;
+
+use crate::disk::Faults;
+
+/// Settings of the replicas on one VM.
+#[derive(Clone, Debug)]
+pub struct HostSettings {
+    /// This VM.
+    pub vm: VmId,
+    /// The data folder; without one everything is held in memory, for tests.
+    pub folder: Option<PathBuf>,
+    /// Timeouts and limits of each replica.
+    pub replication: Settings,
+    /// Entries of a group after which its owner is asked for a snapshot.
+    pub snapshot_entries: u64,
+    /// Bytes of a group's entries after which its owner is asked for a snapshot.
+    pub snapshot_bytes: u64,
+    /// Bytes of a group's latest entries that stay in memory.
+    pub cache_bytes: usize,
+    /// Bytes after which the log goes on in a new file.
+    pub segment_bytes: u64,
+    /// How long a proposal waits for its outcome after its leader was deposed.
+    pub settle: Duration,
+    /// Spreads election timeouts; drawn at random when not set.
+    pub seed: Option<u64>,
+    /// Failures of the disk that a test wants to see.
+    #[doc(hidden)]
+    pub faults: Faults,
+}
+
+impl Default for HostSettings {
+    fn default() -> HostSettings {
+        HostSettings {
+            vm: VmId(0),
+            folder: None,
+            replication: Settings::default(),
+            snapshot_entries: 10_000,
+            snapshot_bytes: 64 * 1024 * 1024,
+            cache_bytes: 1024 * 1024,
+            segment_bytes: 64 * 1024 * 1024,
+            settle: Duration::from_secs(5),
+            seed: None,
+            faults: Faults::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/replica/storage.rs
@@ -0,0 +1,119 @@
+//! Where a host's replicas write: a thread with the data folder, or nowhere.
+
+use std::sync::mpsc;
+
+use anyhow::Context;
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use tokio::sync::mpsc::WeakUnboundedSender;
+
+use super::engine::Command;
+use super::settings::HostSettings;
+use crate::disk::{self, Disk, Done, Job, Place, Reader, RestoredGroup};
+
+/// Jobs that one sync covers at most; a bound on how long the first of them waits.
+const JOBS_PER_SYNC: usize = 4096;
+
+/// Where replicas write.
+#[derive(Debug)]
+pub(super) enum Storage {
+    /// Nowhere: every write counts as synced at once.
+    Memory,
+    /// To the data folder, through its thread.
+    Folder {
+        /// What the thread is to write.
+        jobs: mpsc::Sender<Job>,
+        /// Reads what it has written.
+        reader: Reader,
+        /// The thread.
+        thread: Option<std::thread::JoinHandle<()>>,
+    },
+}
+
+impl Storage {
+    pub(super) fn open(
+        settings: &HostSettings,
+        back: WeakUnboundedSender<Command>,
+    ) -> anyhow::Result<(Storage, Vec<RestoredGroup>)> {
+        let Some(folder) = &settings.folder else {
+            return Ok((Storage::Memory, Vec::new()));
+        };
+        let options = disk::Options {
+            vm: settings.vm,
+            segment_bytes: settings.segment_bytes,
+            faults: settings.faults.clone(),
+        };
+        let (disk, groups) = Disk::open(folder, options)
+            .with_context(|| format!("the data folder {} can't be used", folder.display()))?;
+        let reader = disk.reader();
+        let (jobs, queue) = mpsc::channel();
+        let thread = std::thread::Builder::new()
+            .name("disk".to_owned())
+            .spawn(move || write_all(disk, &queue, &back))?;
+        Ok((Storage::Folder { jobs, reader, thread: Some(thread) }, groups))
+    }
+
+    /// Hands a write to the disk. Returns what is done already.
+    pub(super) fn submit(&self, job: Job) -> Option<Done> {
+        match self {
+            Storage::Memory => Some(Done::of_memory(&job)),
+            Storage::Folder { jobs, .. } => {
+                // The thread ends only after it has reported its failure.
+                let _ = jobs.send(job);
+                None
+            }
+        }
+    }
+
+    pub(super) fn read_entry(
+        &mut self,
+        place: Place,
+    ) -> anyhow::Result<gypsumglade_core::wire::replication::Entry> {
+        match self {
+            Storage::Memory => anyhow::bail!("an entry is gone from memory"),
+            Storage::Folder { reader, .. } => reader.entry(place),
+        }
+    }
+
+    pub(super) fn read_snapshot(
+        &self,
+        group: GroupId,
+        index: gypsumglade_core::replication::LogIndex,
+        offset: u64,
+        length: usize,
+    ) -> anyhow::Result<Bytes> {
+        match self {
+            Storage::Memory => anyhow::bail!("a snapshot is gone from memory"),
+            Storage::Folder { reader, .. } => reader.snapshot(group, index, offset, length),
+        }
+    }
+
+    /// Waits until all is written and the folder is closed.
+    pub(super) fn close(self) {
+        if let Storage::Folder { jobs, thread: Some(thread), .. } = self {
+            drop(jobs);
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Writes jobs until there are none to come. While one sync runs, the next batch gathers, so a
+/// sync covers more groups the slower the disk is.
+fn write_all(mut disk: Disk, queue: &mpsc::Receiver<Job>, back: &WeakUnboundedSender<Command>) {
+    let mut batch = Vec::new();
+    while let Ok(job) = queue.recv() {
+        batch.push(job);
+        batch.extend(queue.try_iter().take(JOBS_PER_SYNC));
+        let command = match disk.write(&mut batch) {
+            Ok(done) => Command::Written(done),
+            Err(error) => Command::DiskFailed(format!("{error:#}").into()),
+        };
+        let failed = matches!(command, Command::DiskFailed(_));
+        if let Some(back) = back.upgrade() {
+            let _ = back.send(command);
+        }
+        if failed {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/replica/tail.rs
@@ -0,0 +1,125 @@
+//! The latest entries of a group in memory, and where the others are on disk.
+
+use std::collections::VecDeque;
+
+use gypsumglade_core::replication::LogIndex;
+use gypsumglade_core::wire::replication as wire;
+
+use crate::disk::Place;
+
+/// Where the entries of one group can be read, from the snapshot on.
+#[derive(Debug)]
+pub(super) struct Tail {
+    /// The entry after the snapshot.
+    first: u64,
+    /// Places of synced entries, from `first` on.
+    places: VecDeque<Place>,
+    /// The latest entries.
+    cache: VecDeque<wire::Entry>,
+    /// Bytes of data in the cache.
+    cached: usize,
+    /// Bytes of data after the snapshot.
+    bytes: u64,
+}
+
+/// What a [`Tail`] knows of an entry.
+#[derive(Debug)]
+pub(super) enum Found {
+    /// The entry itself.
+    Cached(wire::Entry),
+    /// Where to read it.
+    OnDisk(Place),
+}
+
+impl Tail {
+    pub(super) fn new(snapshot: LogIndex, places: VecDeque<Place>) -> Tail {
+        let bytes = places.iter().map(|place| u64::from(place.length)).sum();
+        Tail { first: snapshot.0 + 1, places, cache: VecDeque::new(), cached: 0, bytes }
+    }
+
+    /// Adds entries; the first one's index replaces whatever stood there and after.
+    pub(super) fn push(&mut self, entries: &[wire::Entry]) {
+        if let Some(first) = entries.first() {
+            self.truncate(first.index);
+        }
+        for entry in entries {
+            self.cached += entry.data.len();
+            self.bytes += entry.data.len() as u64;
+            self.cache.push_back(entry.clone());
+        }
+    }
+
+    /// Notes where an entry was written. The caller has checked that the entry still stands.
+    pub(super) fn note_place(&mut self, index: LogIndex, place: Place) {
+        let Some(slot) = index.0.checked_sub(self.first) else {
+            return;
+        };
+        let slot = slot as usize;
+        if slot < self.places.len() {
+            self.places[slot] = place;
+        } else if slot == self.places.len() {
+            self.places.push_back(place);
+        }
+    }
+
+    /// Drops entries from memory that are on disk, until `limit` bytes are left.
+    pub(super) fn evict(&mut self, limit: usize) {
+        while self.cached > limit {
+            let written = self.first + self.places.len() as u64;
+            if self.cache.front().is_none_or(|entry| entry.index >= written) {
+                return;
+            }
+            self.pop_cached();
+        }
+    }
+
+    /// Drops what a snapshot covers.
+    pub(super) fn compact(&mut self, snapshot: LogIndex) {
+        let first = snapshot.0 + 1;
+        let covered = first.saturating_sub(self.first).min(self.places.len() as u64);
+        for place in self.places.drain(..covered as usize) {
+            self.bytes = self.bytes.saturating_sub(u64::from(place.length));
+        }
+        while self.cache.front().is_some_and(|entry| entry.index < first) {
+            self.pop_cached();
+        }
+        self.first = first;
+    }
+
+    /// Drops everything, for a snapshot that replaces the log.
+    pub(super) fn reset(&mut self, snapshot: LogIndex) {
+        *self = Tail::new(snapshot, VecDeque::new());
+    }
+
+    pub(super) fn find(&self, index: LogIndex) -> Option<Found> {
+        if let Some(front) = self.cache.front()
+            && index.0 >= front.index
+        {
+            let slot = (index.0 - front.index) as usize;
+            return self.cache.get(slot).cloned().map(Found::Cached);
+        }
+        let slot = index.0.checked_sub(self.first)? as usize;
+        self.places.get(slot).copied().map(Found::OnDisk)
+    }
+
+    /// Returns the bytes of the entries after the snapshot, nearly.
+    pub(super) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    fn truncate(&mut self, first: u64) {
+        while self.cache.back().is_some_and(|entry| entry.index >= first) {
+            if let Some(entry) = self.cache.pop_back() {
+                self.cached -= entry.data.len();
+            }
+        }
+        let keep = first.saturating_sub(self.first) as usize;
+        self.places.truncate(keep);
+    }
+
+    fn pop_cached(&mut self) {
+        if let Some(entry) = self.cache.pop_front() {
+            self.cached -= entry.data.len();
+        }
+    }
+}
