--- a/crates/core/src/program/admission.rs
+++ b/crates/core/src/program/admission.rs
@@ -10,9 +10,9 @@
 use super::messages::{answer_message, canonical, compare_history, message_hash};
 use super::parking::Queue;
 use super::quarantine::WHOLE_DEATH;
-use super::replies::{recorded, refusal, unknown};
+use super::replies::{grant, recorded, refusal, unknown};
 use super::sequencer::{Effect, Sequencer, Ticket};
-use super::state::{CallKey, Name, Phase, Program};
+use super::state::{Attempt, CallKey, Name, Phase, Program};
 use crate::prelude::*;
 use crate::wire::common::Outcome;
 use crate::wire::program as wire;
@@ -92,8 +92,8 @@
         }
     }
 
-    fn consider_key(&self, call: CallKey, ticket: &Ticket) -> Known {
-        let call = &self.state.calls[call];
+    fn consider_key(&self, key: CallKey, ticket: &Ticket) -> Known {
+        let call = &self.state.calls[key];
         let bound = self.settings.safeguards.bind_content;
         if bound && call.content != ticket.asked.content {
             let detail = "the key was used for another request: take a new key";
@@ -101,12 +101,12 @@
         }
         match &call.phase {
             Phase::Ran { answer, status } => Known::Answer(recorded(answer, *status, call.turn)),
-            Phase::Running(attempt) => {
-                let retried = !attempt.ask.is_empty()
-                    && attempt.ask == ticket.asked.ask
-                    && attempt.holder == ticket.from;
-                if retried { Known::Free } else { Known::Running }
+            // The very ask that was granted comes again from its holder: the grant was lost on
+            // the way, and waiting for it would make the holder wait for itself.
+            Phase::Running(attempt) if attempt.is_for(ticket) => {
+                grant(&self.state, key).map_or(Known::Running, Known::Answer)
             }
+            Phase::Running(_) => Known::Running,
             Phase::InDoubt(_) if !call.repeatable && self.settings.safeguards.doubt_final => {
                 Known::Answer(unknown(call, "the call may have run and will not be run again"))
             }
@@ -280,6 +280,13 @@
     }
 }
 
+impl Attempt {
+    fn is_for(&self, ticket: &Ticket) -> bool {
+        let same = self.nonce == ticket.asked.nonce && self.holder == ticket.from;
+        same && !self.nonce.is_empty()
+    }
+}
+
 /// Fills what every begin has; the rest depends on the kind of call.
 fn begin_entry(ticket: &Ticket) -> wire::Begin {
     let asked = &ticket.asked;
@@ -293,7 +300,7 @@
         budget: Some(asked.budget),
         max_micros: asked.max_micros,
         idle_ms: asked.idle_ms,
-        ask: asked.ask.to_string(),
+        nonce: asked.nonce.to_string(),
         ..wire::Begin::default()
     }
 }
--- a/crates/core/src/program/asked.rs
+++ b/crates/core/src/program/asked.rs
@@ -21,7 +21,7 @@
     pub(super) idle_ms: u64,
     /// Milliseconds the caller waits; zero for no deadline.
     pub(super) deadline_ms: u64,
-    pub(super) ask: CompactString,
+    pub(super) nonce: CompactString,
     pub(super) repeatable: bool,
     pub(super) digest: Bytes,
     pub(super) model: Option<ModelAsk>,
@@ -53,7 +53,7 @@
             max_micros: turn.max_micros,
             idle_ms: turn.idle_ms,
             deadline_ms: turn.deadline_ms,
-            ask: (&turn.ask).into(),
+            nonce: (&turn.nonce).into(),
             repeatable: true,
             digest: turn.digest.clone(),
             model: Some(ModelAsk {
@@ -84,7 +84,7 @@
             max_micros: call.max_micros,
             idle_ms: call.idle_ms,
             deadline_ms: call.deadline_ms,
-            ask: (&call.ask).into(),
+            nonce: (&call.nonce).into(),
             repeatable: call.repeatable,
             digest: Bytes::copy_from_slice(&content),
             model: None,
--- a/crates/core/src/program/snapshot.rs
+++ b/crates/core/src/program/snapshot.rs
@@ -198,7 +198,7 @@
 fn attempt_record(attempt: &Attempt) -> wire::DispatchRecord {
     wire::DispatchRecord {
         holder: attempt.holder.0,
-        ask: attempt.ask.to_string(),
+        nonce: attempt.nonce.to_string(),
         messages: attempt.messages.clone(),
         hashes: attempt.hashes.clone(),
         reserved: Some(spent_record(attempt.reserved)),
@@ -212,7 +212,7 @@
 fn read_attempt(record: &wire::DispatchRecord) -> Attempt {
     Attempt {
         holder: VmId(record.holder),
-        ask: (&record.ask).into(),
+        nonce: (&record.nonce).into(),
         messages: record.messages.clone(),
         hashes: record.hashes.clone(),
         reserved: read_spent(record.reserved.unwrap_or_default()),
--- a/crates/core/src/program/state.rs
+++ b/crates/core/src/program/state.rs
@@ -80,7 +80,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
     pub(super) holder: VmId,
-    pub(super) ask: CompactString,
+    pub(super) nonce: CompactString,
     pub(super) messages: Bytes,
     pub(super) hashes: Bytes,
     pub(super) reserved: Amounts,
--- a/crates/gypsumglade/src/entry/problem.rs
+++ b/crates/gypsumglade/src/entry/problem.rs
@@ -204,14 +204,19 @@
             }
             Refusal::ProgramEnded => ProblemKind::Ended,
             Refusal::ProgramNotFound => ProblemKind::NotFound,
-            Refusal::TurnOutOfOrder | Refusal::HistoryConflict | Refusal::KeyReused => {
-                ProblemKind::Conflict
-            }
+            Refusal::TurnOutOfOrder
+            | Refusal::HistoryConflict
+            | Refusal::KeyReused
+            | Refusal::DispatchUnknown
+            | Refusal::NotHolder => ProblemKind::Conflict,
+            Refusal::Invalid => ProblemKind::BadRequest,
             Refusal::BudgetExceeded => ProblemKind::Budget,
             Refusal::DeadlinePassed => ProblemKind::Deadline,
             Refusal::Quarantined => ProblemKind::Quarantined,
             Refusal::Overloaded => ProblemKind::Overloaded,
             Refusal::TooLarge => ProblemKind::TooLarge,
+            Refusal::DispatchUnknown | Refusal::NotHolder => ProblemKind::Uncertain,
+            Refusal::Invalid => ProblemKind::BadRequest,
         };
         let problem = Problem::not_run(kind, refused.detail);
         if refused.retry_ms == 0 { problem } else { problem.retry_after(refused.retry_ms) }
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -203,7 +203,7 @@
         agent: call.agent.name.to_string(),
         digest: call.request.digest(),
         idle_ms: call.agent.idle_ms,
-        ask: super::fresh_id(state),
+        nonce: super::fresh_id(state),
         ..BeginTurn::default()
     }
 }
