--- a/crates/gypsumglade/src/entry/callers.rs
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -11,7 +11,6 @@
 use axum::routing::{delete, get, post};
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::wire::common::Class;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
@@ -25,7 +24,6 @@
 use super::chat_request::ChatRequest;
 use super::problem::{OUTCOME_HEADER, Problem, ProblemKind};
 use super::state::EntryState;
-use super::turn::Sink;
 use super::turn::{Caller, TurnCall};
 use super::{sse, tool, turn};
 
--- a/crates/gypsumglade/src/entry/config.rs
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -1,6 +1,5 @@
 //! The bundle in force on this VM, and the lease without which it takes no new work.
 
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
--- a/crates/gypsumglade/src/entry/problem.rs
+++ b/crates/gypsumglade/src/entry/problem.rs
@@ -215,8 +215,6 @@
             Refusal::Quarantined => ProblemKind::Quarantined,
             Refusal::Overloaded => ProblemKind::Overloaded,
             Refusal::TooLarge => ProblemKind::TooLarge,
-            Refusal::DispatchUnknown | Refusal::NotHolder => ProblemKind::Uncertain,
-            Refusal::Invalid => ProblemKind::BadRequest,
         };
         let problem = Problem::not_run(kind, refused.detail);
         if refused.retry_ms == 0 { problem } else { problem.retry_after(refused.retry_ms) }
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -8,6 +8,7 @@
 use gypsumglade_core::control::Control;
 use gypsumglade_core::lease::{ConfigGrants, InForce, LeaseSettings, serve};
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::LogIndex;
 use gypsumglade_core::wire::control::confirm_reply::Body as ConfirmBody;
 use gypsumglade_core::wire::control::{Answer, Command, ConfirmReply, ConfirmRequest, Unavailable};
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
@@ -32,11 +33,11 @@
 
 struct ControlState {
     control: Control,
-    applied: u64,
+    applied: LogIndex,
     role: Role,
-    waiting: Vec<(u64, oneshot::Sender<Answer>)>,
+    waiting: Vec<(LogIndex, oneshot::Sender<Answer>)>,
     /// Latest answers, for an asker that learns its entry's place after it was applied.
-    recent: VecDeque<(u64, Answer)>,
+    recent: VecDeque<(LogIndex, Answer)>,
 }
 
 /// Answers kept for askers that come late to them.
@@ -56,7 +57,7 @@
     ) -> Arc<ControlGroup> {
         let state = ControlState {
             control: Control::new(),
-            applied: 0,
+            applied: LogIndex::default(),
             role: Role::Follower(None),
             waiting: Vec::new(),
             recent: VecDeque::new(),
@@ -68,7 +69,7 @@
     pub async fn run(self: Arc<Self>, mut events: mpsc::Receiver<Event>) {
         while let Some(event) = events.recv().await {
             match event {
-                Event::Leader { term, .. } => self.lead(term),
+                Event::Leader { term, .. } => self.lead(term.0),
                 Event::Follower { leader, .. } => self.state().role = Role::Follower(leader),
                 Event::Committed { index, data, .. } => self.committed(index, &data).await,
                 Event::Restore { index, data, .. } => self.restore(index, &data).await,
@@ -135,7 +136,7 @@
         }
         let data = Bytes::from(command.encode_to_vec());
         match self.context.host.propose(GroupId::CONTROL, data).await {
-            Ok(index) => match self.answer_at(index.into()).await {
+            Ok(index) => match self.answer_at(index).await {
                 Some(answer) => ReplyBody::Answer(answer),
                 None => ReplyBody::Uncertain(Uncertain {}),
             },
@@ -154,7 +155,7 @@
     }
 
     /// Waits until the entry at `index` is applied here, and returns its answer.
-    async fn answer_at(&self, index: u64) -> Option<Answer> {
+    async fn answer_at(&self, index: LogIndex) -> Option<Answer> {
         let (sender, receiver) = oneshot::channel();
         {
             let mut state = self.state();
@@ -200,7 +201,7 @@
         self.state().role = Role::Leader(Box::new(grants));
     }
 
-    async fn committed(&self, index: u64, data: &Bytes) {
+    async fn committed(&self, index: LogIndex, data: &Bytes) {
         let changed = {
             let mut state = self.state();
             state.applied = index;
@@ -220,7 +221,7 @@
         }
     }
 
-    async fn restore(&self, index: u64, data: &Bytes) {
+    async fn restore(&self, index: LogIndex, data: &Bytes) {
         {
             let mut state = self.state();
             match Control::restore(data) {
@@ -262,7 +263,7 @@
 }
 
 impl ControlState {
-    fn answer(&mut self, index: u64, answer: &Answer) {
+    fn answer(&mut self, index: LogIndex, answer: &Answer) {
         if self.recent.len() == RECENT_ANSWERS {
             self.recent.pop_front();
         }
--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program::{Effect, Input, ProposalId, RequestToken, Sequencer};
+use gypsumglade_core::replication::LogIndex;
 use gypsumglade_core::wire::program::request::Body as RequestBody;
 use gypsumglade_core::wire::program::{Release, Released, Reply, Request, Score};
 use tokio::sync::{mpsc, oneshot};
@@ -151,15 +152,15 @@
         match event {
             Event::Leader { term, .. } => {
                 slog::info!(self.context.log, "leads a program group";
-                    "group" => self.group.0, "term" => term);
-                Some(Input::Leading { term })
+                    "group" => self.group.0, "term" => term.0);
+                Some(Input::Leading { term: term.0 })
             }
             Event::Follower { leader, .. } => Some(Input::Following { leader }),
-            Event::Committed { index, data, .. } => Some(Input::Committed { index, data }),
-            Event::Restore { index, data, .. } => Some(Input::Restored { index, data }),
+            Event::Committed { index, data, .. } => Some(Input::Committed { index: index.0, data }),
+            Event::Restore { index, data, .. } => Some(Input::Restored { index: index.0, data }),
             Event::NeedSnapshot { .. } => {
                 let snapshot = self.sequencer.state().snapshot();
-                let index = self.sequencer.applied();
+                let index = LogIndex(self.sequencer.applied());
                 self.context.host.snapshot(self.group, index, snapshot).await;
                 None
             }
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -181,7 +181,7 @@
                 "reason" => %reason);
             continue;
         }
-        match event.group() {
+        match group_of(&event) {
             Some(GroupId::CONTROL) => drop(control.send(event).await),
             Some(group) => {
                 if let Some(group) = context.group(group) {
@@ -193,6 +193,17 @@
     }
 }
 
+fn group_of(event: &Event) -> Option<GroupId> {
+    match event {
+        Event::Leader { group, .. }
+        | Event::Follower { group, .. }
+        | Event::Committed { group, .. }
+        | Event::Restore { group, .. }
+        | Event::NeedSnapshot { group } => Some(*group),
+        Event::Failed { .. } => None,
+    }
+}
+
 /// Sends replication batches, each peer's in order and none waiting for another's.
 async fn send_batches(context: Arc<StoreContext>, mut batches: mpsc::Receiver<Outbound>) {
     let mut queues: HashMap<VmId, mpsc::Sender<Outbound>> = HashMap::new();
