--- a/crates/core/src/program/deadlines.rs
+++ b/crates/core/src/program/deadlines.rs
@@ -1,8 +1,11 @@
 //! What time and departures bring about: deadlines, idle ends, lost grants, releases, retention.
 
+use std::collections::HashMap;
+
 use bytes::Bytes;
 
 use super::sequencer::{Effect, Sequencer};
+use super::settings::Settings;
 use super::state::{Attempt, Call, Phase, Program, ProgramKey, State};
 use crate::prelude::*;
 use crate::wire::program as wire;
@@ -68,11 +71,19 @@
         out: &mut Vec<Effect>,
     ) {
         self.revision = self.revision.max(revision);
-        if self.lead.is_some() && revision.0 > self.state.lifted && !lifted.is_empty() {
-            let entry = wire::Lifted { revision: revision.0, digests: lifted.clone() };
+        self.lifted = lifted;
+        if self.lead.is_some_and(|lead| lead.ready) {
+            self.propose_lift(now, out);
+        }
+    }
+
+    /// Lifts what the revision in force lifts, once for each revision.
+    pub(super) fn propose_lift(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let revision = self.revision.0;
+        if revision > self.state.lifted && !self.lifted.is_empty() {
+            let entry = wire::Lifted { revision, digests: self.lifted.clone() };
             self.propose_chore(now, Body::Lifted(entry), out);
         }
-        self.lifted = lifted;
     }
 
     /// Takes over what other groups found, but for digests that the bundle in force lifts.
@@ -130,29 +141,20 @@
     ///
     /// A release is fire and forget on a link that loses messages: one that is sent once and lost
     /// leaves an engine holding memory for good. So each is repeated until its confirmation is
-    /// committed or the endpoint is gone.
+    /// committed or the endpoint is gone. None is sent while a dispatch still runs: the engine
+    /// could fill memory again after it freed it, and the confirmation would hide that.
     pub(super) fn release_ended(&mut self, now: Time, out: &mut Vec<Effect>) {
         let now_ms = self.now_ms(now);
-        let mut due: Vec<ProgramKey> = self.state.releasing.iter().copied().collect();
-        due.extend(self.state.ended_running());
-        due.sort();
-        due.dedup();
-        self.sent.retain(|key, _| due.binary_search(key).is_ok());
-        due.retain(|key| self.is_release_due(*key, now_ms));
-        for key in due {
-            self.sent.insert(key, now_ms);
-            self.state.programs[key].emit_releases(out);
+        let mut running: Vec<ProgramKey> = self.state.ended_running().collect();
+        running.sort();
+        let mut idle: Vec<ProgramKey> = self.state.releasing.iter().copied().collect();
+        idle.retain(|key| self.state.programs[*key].running.is_empty());
+        idle.sort();
+        for key in self.cancelled.due(&running, now_ms, &self.settings) {
             self.emit_cancels(key, out);
         }
-    }
-
-    fn is_release_due(&self, key: ProgramKey, now_ms: u64) -> bool {
-        match self.sent.get(&key) {
-            Some(sent) if self.settings.safeguards.repeat_release => {
-                now_ms >= sent.saturating_add(self.settings.release_ms)
-            }
-            Some(_) => false,
-            None => true,
+        for key in self.released.due(&idle, now_ms, &self.settings) {
+            self.state.programs[key].emit_releases(out);
         }
     }
 
@@ -167,6 +169,34 @@
     }
 }
 
+/// When something was last sent for each program that still needs it.
+#[derive(Debug, Default)]
+pub(super) struct Repeats {
+    sent: HashMap<ProgramKey, u64>,
+}
+
+impl Repeats {
+    /// Returns the programs among `wanted`, which is sorted, for which it is time to send again.
+    fn due(&mut self, wanted: &[ProgramKey], now_ms: u64, settings: &Settings) -> Vec<ProgramKey> {
+        self.sent.retain(|key, _| wanted.binary_search(key).is_ok());
+        let is_due = |sent: Option<&u64>| match sent {
+            Some(sent) if settings.safeguards.repeat_release => {
+                now_ms >= sent.saturating_add(settings.release_ms)
+            }
+            Some(_) => false,
+            None => true,
+        };
+        let due = wanted.iter().copied().filter(|key| is_due(self.sent.get(key)));
+        let due: Vec<ProgramKey> = due.collect();
+        self.sent.extend(due.iter().map(|key| (*key, now_ms)));
+        due
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.sent.clear();
+    }
+}
+
 impl Program {
     fn emit_releases(&self, out: &mut Vec<Effect>) {
         for endpoint in &self.endpoints {
--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -10,11 +10,12 @@
 
 use super::State;
 use super::asked::Asked;
+use super::deadlines::Repeats;
 use super::parking::{Parking, Queue};
 use super::quarantine::Digest;
 use super::replies::{refusal, refused, reply};
 use super::settings::Settings;
-use super::state::{Applied, Name, ProgramKey};
+use super::state::{Applied, Name};
 use crate::prelude::*;
 use crate::wire::program as wire;
 use crate::wire::program::entry::Body as EntryBody;
@@ -187,8 +188,8 @@
     /// Dispatches that a crash report of their endpoint already blamed.
     pub(super) blamed: HashSet<CompactString>,
     pub(super) gone: Vec<VmId>,
-    /// Group time of the last release sent for a program.
-    pub(super) sent: HashMap<ProgramKey, u64>,
+    pub(super) released: Repeats,
+    pub(super) cancelled: Repeats,
     pub(super) scanned_ms: u64,
 }
 
@@ -214,7 +215,8 @@
             started: HashMap::new(),
             blamed: HashSet::new(),
             gone: vec![],
-            sent: HashMap::new(),
+            released: Repeats::default(),
+            cancelled: Repeats::default(),
             scanned_ms: 0,
         }
     }
@@ -469,6 +471,7 @@
         for vm in std::mem::take(&mut self.gone) {
             self.lose_held(now, vm, out);
         }
+        self.propose_lift(now, out);
         self.wake(now, &Queue::Ready, out);
     }
 
@@ -487,7 +490,8 @@
         self.busy.clear();
         self.started.clear();
         self.blamed.clear();
-        self.sent.clear();
+        self.released.clear();
+        self.cancelled.clear();
         self.gone.clear();
     }
 
--- /dev/null
+++ b/crates/core/tests/journal_calls.rs
@@ -0,0 +1,274 @@
+//! Calls that may not be repeated: intent, outcome, doubt, and who may say what.
+
+mod support;
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::program::{Effect, Input};
+use gypsumglade_core::wire::common::Outcome;
+use gypsumglade_core::wire::program::Refusal;
+use gypsumglade_core::wire::program::request::Body;
+use support::*;
+
+#[test]
+fn call_is_granted_only_after_its_intent_is_committed() {
+    // A grant sent before its intent is durable could run, be forgotten with the leader, and be
+    // granted again: the deposit would be taken twice.
+    let mut group = Group::new(3);
+    group.held = true;
+    let token = group.send(ENTRY, call("p", "k"));
+    assert_eq!(group.reply(token), None);
+    group.commit();
+    assert_eq!(granted(group.reply(token).unwrap()).attempt, 1);
+}
+
+#[test]
+fn call_resent_gets_the_recorded_answer() {
+    let mut group = Group::new(1);
+    let grant = group.grant(call("p", "k"));
+    group.ask(ENTRY, done("p", &grant.dispatch, "booked"));
+    assert_eq!(recorded(group.ask(OTHER, call("p", "k"))), "booked");
+}
+
+#[test]
+fn call_of_a_dead_vm_is_unknown_and_never_granted_again() {
+    // The entry VM dies with the grant in hand. It may have sent the booking, or may wake late
+    // and send it yet, so the resend is told `unknown` however often it comes.
+    let mut group = Group::new(3);
+    group.grant(call("p", "k"));
+    group.step(0, Input::Gone { vm: ENTRY });
+    assert!(is_unknown(&group.ask(OTHER, call("p", "k"))));
+    group.advance(10_000);
+    assert!(is_unknown(&group.ask(OTHER, call("p", "k"))));
+}
+
+#[test]
+fn call_that_expired_is_unknown_and_not_unrun() {
+    // No outcome arrives before the grant's time is over. Silence proves nothing, so the call is
+    // in doubt and its key is closed.
+    let mut group = Group::new(1);
+    let mut begin = begin_call("p", "k");
+    begin.deadline_ms = 1_000;
+    group.grant(Body::BeginCall(begin));
+    group.advance(7_000);
+    assert!(is_unknown(&group.ask(OTHER, call("p", "k"))));
+}
+
+#[test]
+fn call_in_doubt_is_settled_by_a_late_answer() {
+    // The paused VM wakes and its answer arrives after the call was taken for lost. The answer is
+    // true, so it is recorded, and later resends get it.
+    let mut group = Group::new(1);
+    let grant = group.grant(call("p", "k"));
+    group.step(0, Input::Gone { vm: ENTRY });
+    group.ask(ENTRY, done("p", &grant.dispatch, "booked"));
+    assert_eq!(recorded(group.ask(OTHER, call("p", "k"))), "booked");
+}
+
+#[test]
+fn call_proved_not_run_gets_a_new_attempt() {
+    // The endpoint refused before starting, and the holder of the grant says so. Its proof is
+    // committed first; then the same key may be tried again under the next attempt number.
+    let mut group = Group::new(1);
+    let first = group.grant(call("p", "k"));
+    group.ask(ENTRY, not_run("p", &first.dispatch));
+    let second = group.grant(call("p", "k"));
+    assert_eq!((second.attempt, second.dispatch == first.dispatch), (2, false));
+}
+
+#[test]
+fn settle_by_another_vm_is_refused() {
+    // A VM that does not hold the grant cannot know what became of it. Its `not-run` would allow
+    // a second run beside the holder's.
+    let mut group = Group::new(1);
+    let grant = group.grant(call("p", "k"));
+    assert_eq!(refusal(group.ask(OTHER, not_run("p", &grant.dispatch))), Refusal::NotHolder);
+}
+
+#[test]
+fn settle_of_an_unknown_dispatch_is_refused() {
+    let mut group = Group::new(1);
+    group.grant(call("p", "k"));
+    let reply = group.ask(ENTRY, done("p", "g1.t9.9", "booked"));
+    assert_eq!(refusal(reply), Refusal::DispatchUnknown);
+}
+
+#[test]
+fn settle_resent_is_confirmed_and_changes_nothing() {
+    // The confirmation of a settle is lost and the holder sends it again, with another outcome
+    // even. The first record stands.
+    let mut group = Group::new(1);
+    let grant = group.grant(call("p", "k"));
+    group.ask(ENTRY, done("p", &grant.dispatch, "booked"));
+    group.ask(ENTRY, not_run("p", &grant.dispatch));
+    assert_eq!(recorded(group.ask(ENTRY, call("p", "k"))), "booked");
+}
+
+#[test]
+fn settle_after_leader_change_is_recorded() {
+    // The leader dies between the grant and the outcome. The intent is in the log, so the next
+    // leader knows the dispatch and takes the outcome from its holder.
+    let mut group = Group::new(3);
+    let grant = group.grant(call("p", "k"));
+    group.change_leader(1, Fate::Lost);
+    group.ask(ENTRY, done("p", &grant.dispatch, "booked"));
+    assert_eq!(recorded(group.ask(OTHER, call("p", "k"))), "booked");
+}
+
+#[test]
+fn settle_after_store_restart_is_recorded() {
+    let mut group = Group::new(1);
+    let grant = group.grant(call("p", "k"));
+    group.restart(0);
+    group.lead(0);
+    group.ask(ENTRY, done("p", &grant.dispatch, "booked"));
+    assert_eq!(recorded(group.ask(OTHER, call("p", "k"))), "booked");
+}
+
+#[test]
+fn call_committed_by_the_next_leader_is_granted_to_its_asker_only() {
+    // The leader falls after its proposal reached a quorum and before it gave the grant. The asker
+    // asks again under the same nonce and gets it; anybody else waits, for the asker may run it.
+    let mut group = Group::new(3);
+    group.held = true;
+    let lost = group.send(ENTRY, named("k", "n1"));
+    group.change_leader(1, Fate::Kept);
+    group.held = false;
+    group.commit();
+    assert_eq!(refusal(group.reply(lost).unwrap()), Refusal::NotLeader);
+    let joined = group.send(OTHER, named("k", "n2"));
+    assert_eq!(group.reply(joined), None);
+    assert_eq!(granted(group.ask(ENTRY, named("k", "n1"))).attempt, 1);
+}
+
+#[test]
+fn call_lost_with_its_leader_was_not_run_and_may_be_granted() {
+    let mut group = Group::new(3);
+    group.held = true;
+    group.send(ENTRY, call("p", "k"));
+    group.change_leader(1, Fate::Lost);
+    group.held = false;
+    group.commit();
+    assert_eq!(group.grant(call("p", "k")).attempt, 1);
+}
+
+#[test]
+fn call_at_a_deposed_leader_is_not_granted() {
+    // Two replicas believe to lead. The old one can propose but not commit, and without a commit
+    // there is no grant: the new leader alone gives one.
+    let mut group = Group::new(3);
+    group.held = true;
+    let stale = group.send_to(0, ENTRY, call("p", "k"));
+    group.flight.clear();
+    group.lead(1);
+    group.commit();
+    let fresh = group.send_to(1, OTHER, call("p", "k"));
+    group.commit();
+    assert!(matches!(group.reply(fresh), Some(ReplyBody::Grant(_))));
+    assert_eq!(group.reply(stale), None);
+}
+
+#[test]
+fn call_waits_for_the_new_leader_to_know_all_commits() {
+    // A new leader has not applied its predecessor's last entries when the resend arrives. Judged
+    // on what it knows, the key would be free; so requests wait for the leader's first commit.
+    let mut group = Group::new(3);
+    group.grant(call("p", "k"));
+    group.held = true;
+    group.change_leader(1, Fate::Lost);
+    let token = group.send(OTHER, call("q", "k"));
+    assert_eq!(group.reply(token), None);
+    group.commit();
+    assert!(matches!(group.reply(token), Some(ReplyBody::Grant(_))));
+}
+
+#[test]
+fn call_under_an_old_revision_is_refused() {
+    let mut group = Group::new(1);
+    group.step(0, Input::Config { revision: RevisionNumber(7), lifted: vec![] });
+    let mut begin = begin_call("p", "k");
+    begin.revision = 6;
+    let reply = group.ask(ENTRY, Body::BeginCall(begin.clone()));
+    assert_eq!(refusal(reply), Refusal::StaleRevision);
+    begin.revision = 7;
+    group.grant(Body::BeginCall(begin));
+}
+
+#[test]
+fn call_recorded_under_an_old_revision_keeps_its_answer() {
+    // A refusal says that the call was not run. A resend from a VM with an old bundle, of a call
+    // that was run, must therefore get its answer before its revision is looked at.
+    let mut group = Group::new(1);
+    let grant = group.grant(call("p", "k"));
+    group.ask(ENTRY, done("p", &grant.dispatch, "booked"));
+    group.step(0, Input::Config { revision: RevisionNumber(7), lifted: vec![] });
+    assert_eq!(recorded(group.ask(ENTRY, call("p", "k"))), "booked");
+}
+
+#[test]
+fn call_waits_while_another_of_its_program_runs() {
+    let mut group = Group::new(1);
+    let first = group.grant(call("p", "k1"));
+    let second = group.send(ENTRY, call("p", "k2"));
+    assert_eq!(group.reply(second), None);
+    group.ask(ENTRY, done("p", &first.dispatch, "booked"));
+    assert!(matches!(group.reply(second), Some(ReplyBody::Grant(_))));
+}
+
+#[test]
+fn call_with_a_used_key_and_another_body_is_refused() {
+    let mut group = Group::new(1);
+    let grant = group.grant(call("p", "k"));
+    group.ask(ENTRY, done("p", &grant.dispatch, "booked"));
+    let mut begin = begin_call("p", "k");
+    begin.digest = "other body".into();
+    assert_eq!(refusal(group.ask(ENTRY, Body::BeginCall(begin))), Refusal::KeyReused);
+}
+
+#[test]
+fn turn_lost_is_granted_again_and_its_late_answer_dropped() {
+    // A model call may be repeated, so a lost one is granted again. When the first attempt's
+    // answer arrives after that, it must not enter the history beside the second's.
+    let mut group = Group::new(1);
+    let first = group.grant(turn("p", "k", &[user("a")]));
+    group.step(0, Input::Gone { vm: ENTRY });
+    let second = granted(group.ask(OTHER, turn("p", "k", &[user("a")])));
+    let late = group.ask(ENTRY, done("p", &first.dispatch, &assistant("first")));
+    assert_eq!(refusal(late), Refusal::DispatchUnknown);
+    group.ask(OTHER, done("p", &second.dispatch, &assistant("second")));
+    assert!(group.history("p").contains("second") && !group.history("p").contains("first"));
+}
+
+#[test]
+fn turn_lost_is_taken_from_its_late_answer_if_nothing_replaced_it() {
+    let mut group = Group::new(1);
+    let grant = group.grant(turn("p", "k", &[user("a")]));
+    group.step(0, Input::Gone { vm: ENTRY });
+    group.ask(ENTRY, done("p", &grant.dispatch, &assistant("b")));
+    assert_eq!(recorded(group.ask(OTHER, turn("p", "k", &[user("a")]))), assistant("b"));
+}
+
+#[test]
+fn turn_with_an_error_answer_stays_out_of_the_history() {
+    let mut group = Group::new(1);
+    let grant = group.grant(turn("p", "k", &[user("a")]));
+    let mut settled = settle("p", &grant.dispatch, Outcome::Done);
+    settled.status = 400;
+    settled.answer = assistant("bad request").into();
+    group.ask(ENTRY, Body::Settle(settled));
+    assert_eq!(group.history("p"), "[]");
+}
+
+#[test]
+fn end_cancels_the_call_under_way() {
+    let mut group = Group::new(1);
+    let grant = group.grant(call("p", "k"));
+    group.ask(ENTRY, end("p"));
+    let cancel = Effect::Cancel { dispatch: grant.dispatch.into(), vm: ENTRY };
+    assert!(group.effects.contains(&cancel));
+}
+
+fn named(key: &str, nonce: &str) -> Body {
+    let mut begin = begin_call("p", key);
+    begin.nonce = nonce.into();
+    Body::BeginCall(begin)
+}
--- /dev/null
+++ b/crates/core/tests/program_ends.rs
@@ -0,0 +1,179 @@
+//! Ends of programs, the releases that follow, and what retention forgets.
+
+mod support;
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::program::{Input, find_leaks};
+use gypsumglade_core::wire::program as wire;
+use gypsumglade_core::wire::program::Refusal;
+use gypsumglade_core::wire::program::request::Body;
+use support::*;
+
+#[test]
+fn end_releases_until_confirmed() {
+    // The first release is lost on the way. Sent once only, the engine would hold the program's
+    // memory for good; so it is sent again until the confirmation is committed.
+    let mut group = Group::new(1);
+    group.run_turn("p", "k", "a", "b");
+    group.ask(ENTRY, end("p"));
+    group.advance(5_000);
+    assert_eq!(group.releases(), ["e1", "e1", "e1"]);
+    group.ask(ENTRY, released("p", "e1"));
+    group.advance(10_000);
+    assert_eq!(group.releases().len(), 3);
+}
+
+#[test]
+fn end_releases_after_leader_change() {
+    let mut group = Group::new(3);
+    group.run_turn("p", "k", "a", "b");
+    group.ask(ENTRY, end("p"));
+    group.effects.clear();
+    group.change_leader(2, Fate::Lost);
+    assert_eq!(group.releases(), ["e1"]);
+}
+
+#[test]
+fn end_stops_releases_to_an_endpoint_that_is_gone() {
+    let mut group = Group::new(1);
+    group.run_turn("p", "k", "a", "b");
+    group.ask(ENTRY, end("p"));
+    group.step(0, Input::EndpointGone { endpoint: "e1".into() });
+    group.effects.clear();
+    group.advance(10_000);
+    assert!(group.releases().is_empty());
+}
+
+#[test]
+fn end_is_released_where_the_turn_was_only_started() {
+    // The entry VM dies in the middle of the turn, and the caller's program is idle until it
+    // ends. Only the group knows which engine holds its memory: it was told before the first byte.
+    let mut group = Group::new(1);
+    let grant = group.grant(turn("p", "k", &[user("a")]));
+    group.ask(ENTRY, started("p", &grant.dispatch, "e7"));
+    group.step(0, Input::Gone { vm: ENTRY });
+    group.ask(OTHER, end("p"));
+    assert_eq!(group.releases(), ["e7"]);
+}
+
+#[test]
+fn end_releases_only_when_nothing_runs_any_more() {
+    // The turn goes on at the engine after the program's end. Released at once, the engine would
+    // confirm, fill memory again for the rest of the turn, and keep it. So the release waits for
+    // the settle.
+    let mut group = Group::new(1);
+    let grant = group.grant(turn("p", "k", &[user("a")]));
+    group.ask(ENTRY, started("p", &grant.dispatch, "e1"));
+    group.ask(ENTRY, end("p"));
+    group.advance(5_000);
+    assert!(group.releases().is_empty());
+    group.ask(ENTRY, done("p", &grant.dispatch, &assistant("b")));
+    assert_eq!(group.releases(), ["e1"]);
+}
+
+#[test]
+fn end_by_deadline_after_its_milliseconds() {
+    let mut group = Group::new(1);
+    group.grant(limited("p", wire::Budget { millis: 2_000, ..wire::Budget::default() }));
+    group.advance(3_000);
+    assert!(!group.leader().state().is_alive(&name("p")));
+}
+
+#[test]
+fn end_by_deadline_counts_on_over_leader_changes() {
+    // Each leader has its own clock, with a start of its own. The group's time goes on where the
+    // last entry left it, so leader changes neither end a program early nor let it live for good.
+    let mut group = Group::new(3);
+    let limits = wire::Budget { millis: 60_000, ..wire::Budget::default() };
+    group.grant(limited("p", limits));
+    for leader in [1, 2, 0] {
+        group.advance(19_000);
+        assert!(group.leader().state().is_alive(&name("p")));
+        group.change_leader(leader, Fate::Lost);
+    }
+    group.advance(31_000);
+    assert!(!group.leader().state().is_alive(&name("p")));
+}
+
+#[test]
+fn end_by_idle_time_after_its_process_died() {
+    let mut group = Group::new(1);
+    let mut begin = begin_turn("p", "k", &[user("a")]);
+    begin.idle_ms = 1_000;
+    let grant = group.grant(Body::BeginTurn(begin));
+    group.advance(3_000);
+    assert!(group.leader().state().is_alive(&name("p")), "a running turn is not idle");
+    group.ask(ENTRY, done("p", &grant.dispatch, &assistant("b")));
+    group.advance(2_000);
+    assert!(!group.leader().state().is_alive(&name("p")));
+}
+
+#[test]
+fn end_by_budget_frees_a_loop_without_end() {
+    // A looping program spends its last call. It can never be granted another, so it ends at once
+    // and its engine memory is released, while the last answer stays on record.
+    let mut group = Group::new(1);
+    let limits = wire::Budget { calls: 1, ..wire::Budget::default() };
+    let grant = group.grant(limited("p", limits));
+    group.ask(ENTRY, done("p", &grant.dispatch, &assistant("b")));
+    assert_eq!(group.releases(), ["e1"]);
+    assert_eq!(recorded(group.ask(ENTRY, limited("p", limits))), assistant("b"));
+    let next = group.ask(ENTRY, turn("p", "k2", &[user("c")]));
+    assert_eq!(refusal(next), Refusal::ProgramEnded);
+}
+
+#[test]
+fn end_of_a_parent_ends_its_children() {
+    let mut group = Group::new(1);
+    group.run_turn("p", "k", "a", "b");
+    let mut child = begin_turn("p/c", "k", &[user("a")]);
+    child.parent = "p".into();
+    let grant = group.grant(Body::BeginTurn(child));
+    group.ask(ENTRY, done("p/c", &grant.dispatch, &assistant("b")));
+    group.ask(ENTRY, end("p"));
+    assert!(!group.leader().state().is_alive(&name("p/c")));
+    assert_eq!(group.releases().len(), 2);
+}
+
+#[test]
+fn end_of_an_unknown_program_is_not_found() {
+    let mut group = Group::new(1);
+    assert_eq!(refusal(group.ask(ENTRY, end("p"))), Refusal::ProgramNotFound);
+}
+
+#[test]
+fn find_leaks_lists_programs_that_are_not_alive() {
+    let mut group = Group::new(1);
+    group.run_turn("alive", "k", "a", "b");
+    group.run_turn("ended", "k", "a", "b");
+    group.ask(ENTRY, end("ended"));
+    let reported = [name("alive"), name("ended"), name("never-seen")];
+    let leaks = find_leaks(group.leader().state(), &"e1".into(), &reported);
+    let programs: Vec<&str> = leaks.iter().map(|leak| leak.program.program.as_str()).collect();
+    assert_eq!(programs, ["ended", "never-seen"]);
+}
+
+#[test]
+fn retention_keeps_then_forgets_ended_programs() {
+    let mut group = Group::new(1);
+    group.run_turn("p", "k", "a", "b");
+    group.ask(ENTRY, end("p"));
+    group.ask(ENTRY, released("p", "e1"));
+    let day = group.settings.retain_ms;
+    group.advance(1_000);
+    assert_eq!(recorded(group.ask(ENTRY, turn("p", "k", &[user("a")]))), assistant("b"));
+    group.now = group.now + Duration::from_millis(day);
+    group.advance(1_000);
+    let state = group.leader().state();
+    assert_eq!((state.program_count(), state.call_count()), (0, 0));
+}
+
+fn limited(program: &str, limits: wire::Budget) -> Body {
+    let mut begin = begin_turn(program, "k", &[user("a")]);
+    begin.budget = Some(limits);
+    Body::BeginTurn(begin)
+}
+
+fn released(program: &str, endpoint: &str) -> Body {
+    Body::Released(wire::Released { program: program_ref(program), endpoint: endpoint.into() })
+}
--- /dev/null
+++ b/crates/core/tests/quarantine_scores.rs
@@ -0,0 +1,158 @@
+//! Requests that crash the endpoints that run them, and bystanders that must not suffer for it.
+
+mod support;
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::program::{Effect, Input};
+use gypsumglade_core::wire::program as wire;
+use gypsumglade_core::wire::program::Refusal;
+use gypsumglade_core::wire::program::request::Body;
+use support::*;
+
+#[test]
+fn crash_twice_quarantines_the_request_for_every_program() {
+    // A request kills its engine, and its caller sends it again, under new keys and from new
+    // programs. The second run is alone on its engine, so the second death proves the request
+    // guilty: two engines are lost, however often it comes.
+    let mut group = Group::new(1);
+    let mut deaths = 0;
+    for program in 0..20 {
+        let program = format!("p{program}");
+        let reply = group.ask(ENTRY, turn(&program, "k", &[user("poison")]));
+        let ReplyBody::Grant(grant) = reply else {
+            assert_eq!(refusal(reply), Refusal::Quarantined);
+            continue;
+        };
+        group.ask(ENTRY, crashed(&program, &grant.dispatch, "e1"));
+        deaths += 1;
+    }
+    assert_eq!(deaths, 2);
+}
+
+#[test]
+fn crash_resent_under_the_same_key_is_quarantined() {
+    let mut group = Group::new(1);
+    for alone in [false, true] {
+        let grant = group.grant(turn("p", "k", &[user("poison")]));
+        assert_eq!(grant.isolate, alone);
+        group.ask(ENTRY, crashed("p", &grant.dispatch, "e1"));
+    }
+    assert_eq!(refusal(group.ask(OTHER, turn("p", "k", &[user("poison")]))), Refusal::Quarantined);
+}
+
+#[test]
+fn crash_of_an_engine_makes_all_its_requests_suspect_and_clears_the_innocent() {
+    // Three requests share an engine when it dies. Each is suspect and runs alone next time; the
+    // two innocent complete and are cleared, the guilty one kills again and is quarantined.
+    let mut group = Group::new(1);
+    let programs = ["good", "bad", "fine"];
+    let mut grants = vec![];
+    for program in programs {
+        let grant = group.grant(turn(program, "k", &[user(program)]));
+        group.ask(ENTRY, started(program, &grant.dispatch, "e1"));
+        grants.push(grant);
+    }
+    for (program, grant) in programs.iter().zip(&grants) {
+        group.ask(ENTRY, crashed(program, &grant.dispatch, "e1"));
+    }
+    for program in ["good", "fine"] {
+        let grant = group.grant(turn(program, "k", &[user(program)]));
+        assert!(grant.isolate, "{program} runs alone");
+        group.ask(ENTRY, done(program, &grant.dispatch, &assistant("b")));
+        let fresh = format!("{program}2");
+        assert!(!group.grant(turn(&fresh, "k", &[user(program)])).isolate, "{program} is cleared");
+    }
+    let grant = group.grant(turn("bad", "k", &[user("bad")]));
+    group.ask(ENTRY, crashed("bad", &grant.dispatch, "e2"));
+    assert_eq!(refusal(group.ask(ENTRY, turn("bad", "k", &[user("bad")]))), Refusal::Quarantined);
+}
+
+#[test]
+fn crash_reported_by_each_holder_is_scored_once() {
+    // Both holders report the same death, one after the other. Were the second report scored by
+    // what is left on the engine, its request would seem to have been alone there.
+    let mut group = Group::new(1);
+    let mut grants = vec![];
+    for program in ["p", "q"] {
+        let grant = group.grant(turn(program, "k", &[user(program)]));
+        group.ask(ENTRY, started(program, &grant.dispatch, "e1"));
+        grants.push(grant);
+    }
+    group.ask(ENTRY, crashed("p", &grants[0].dispatch, "e1"));
+    group.ask(ENTRY, crashed("q", &grants[1].dispatch, "e1"));
+    let blame: Vec<u32> = scores(&group).iter().map(|score| score.blame).collect();
+    assert_eq!(blame, [500, 500]);
+}
+
+#[test]
+fn suspect_runs_one_at_a_time() {
+    // The same suspect request arrives in two programs at once. Run side by side it could kill
+    // two more engines before either death is known, so the second waits for the first.
+    let mut group = Group::new(1);
+    let grant = group.grant(turn("p", "k", &[user("poison")]));
+    group.ask(ENTRY, crashed("p", &grant.dispatch, "e1"));
+    let alone = group.grant(turn("p", "k", &[user("poison")]));
+    let waiting = group.send(OTHER, turn("q", "k", &[user("poison")]));
+    assert_eq!(group.reply(waiting), None);
+    group.ask(ENTRY, crashed("p", &alone.dispatch, "e2"));
+    assert_eq!(refusal(group.reply(waiting).unwrap()), Refusal::Quarantined);
+}
+
+#[test]
+fn quarantine_survives_leader_change_and_restart() {
+    let mut group = Group::new(3);
+    quarantine(&mut group);
+    group.restart(1);
+    group.change_leader(1, Fate::Lost);
+    assert_eq!(refusal(group.ask(OTHER, turn("q", "k", &[user("poison")]))), Refusal::Quarantined);
+}
+
+#[test]
+fn quarantine_is_told_to_other_groups() {
+    // Another group has never seen the request. It learns the score by way of the control group
+    // and refuses the request before it costs a third engine.
+    let mut first = Group::new(1);
+    quarantine(&mut first);
+    let mut second = Group::new(1);
+    second.step(0, Input::Scores { scores: scores(&first) });
+    assert_eq!(refusal(second.ask(ENTRY, turn("q", "k", &[user("poison")]))), Refusal::Quarantined);
+}
+
+#[test]
+fn quarantine_is_lifted_by_a_bundle_and_not_taken_over_again() {
+    // The operators lift the digest with a bundle. Gossip of the old score that is still under way
+    // must not bring the quarantine back.
+    let mut group = Group::new(1);
+    quarantine(&mut group);
+    let old = scores(&group);
+    let lifted: Vec<Bytes> = old.iter().map(|score| score.digest.clone()).collect();
+    group.step(0, Input::Config { revision: RevisionNumber(2), lifted });
+    group.step(0, Input::Scores { scores: old });
+    let mut begin = begin_turn("q", "k", &[user("poison")]);
+    begin.revision = 2;
+    group.grant(Body::BeginTurn(begin));
+}
+
+#[test]
+fn quarantine_spares_other_requests() {
+    let mut group = Group::new(1);
+    quarantine(&mut group);
+    group.grant(turn("q", "k", &[user("harmless")]));
+}
+
+fn quarantine(group: &mut Group) {
+    for engine in ["e1", "e2"] {
+        let grant = group.grant(turn("p", "k", &[user("poison")]));
+        group.ask(ENTRY, crashed("p", &grant.dispatch, engine));
+    }
+}
+
+/// Returns the scores told to other groups, in the order of their telling.
+fn scores(group: &Group) -> Vec<wire::Score> {
+    let told = group.effects.iter().filter_map(|effect| match effect {
+        Effect::Scored { score } => Some(score.clone()),
+        _ => None,
+    });
+    told.collect()
+}
