--- a/crates/core/src/policy/admission/limit.rs
+++ b/crates/core/src/policy/admission/limit.rs
@@ -11,7 +11,7 @@
     pub least: f64,
     /// Never above this.
     pub most: f64,
-    /// Wait for an engine's slot above which the limit falls, in seconds.
+    /// Mean wait for an engine's slot above which the limit falls, in seconds.
     pub target: f64,
     /// Factor of a step down.
     pub backoff: f64,
@@ -25,13 +25,19 @@
             start: 64.0,
             least: 4.0,
             most: 100_000.0,
-            target: 1.0,
-            backoff: 0.9,
-            pause: Duration::from_secs(1),
+            target: 2.0,
+            backoff: 0.95,
+            pause: Duration::from_secs(5),
         }
     }
 }
 
+/// Weight of the newest wait in the mean.
+const GAIN: f64 = 0.02;
+
+/// Wait that a refusal counts as, in targets.
+const REFUSED: f64 = 5.0;
+
 /// What one finished call says about the endpoints behind the limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Signal {
@@ -46,13 +52,14 @@
 pub struct Limit {
     settings: LimitSettings,
     value: f64,
+    mean: f64,
     stepped: Time,
 }
 
 impl Limit {
     /// Starts at the configured value.
     pub fn new(settings: LimitSettings) -> Limit {
-        Limit { value: settings.start, settings, stepped: Time::ZERO }
+        Limit { value: settings.start, mean: 0.0, settings, stepped: Time::ZERO }
     }
 
     /// Returns how many calls may be in flight.
@@ -61,12 +68,16 @@
     }
 
     /// Steps on a signal; `busy` tells that the limit is in use, or growing it would mean nothing.
+    ///
+    /// The mean decides and not the single call: with affinity one engine may have a queue while
+    /// the pool has room, and a limit that falls on each such call empties the pool.
     pub fn observe(&mut self, now: Time, signal: Signal, busy: bool) {
-        let over = match signal {
-            Signal::Waited(wait) => wait.as_secs_f64() > self.settings.target,
-            Signal::Overloaded => true,
+        let sample = match signal {
+            Signal::Waited(wait) => wait.as_secs_f64(),
+            Signal::Overloaded => self.settings.target * REFUSED,
         };
-        if !over {
+        self.mean += GAIN * (sample - self.mean);
+        if self.mean <= self.settings.target {
             if busy {
                 self.value = (self.value + 1.0 / self.value).min(self.settings.most);
             }
--- a/crates/gypsumglade/src/bench/mod.rs
+++ b/crates/gypsumglade/src/bench/mod.rs
@@ -1,1 +1,3 @@
 //! Measurements that a person runs; none of them is a test.
+
+pub mod policy;
