--- /dev/null
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -0,0 +1,282 @@
+//! What all tasks of an entry VM share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use bytes::Bytes;
+use gypsumglade_core::policy::registry::{
+    DispatchKey, DispatchLoad, Endpoint, EndpointKind, Registry,
+};
+use gypsumglade_core::policy::route::{Choice, Place, RouteAsk, RouteError, Router};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::program::Release;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::admit::Gate;
+use super::config::ConfigView;
+use super::endpoint_client::EndpointClient;
+use super::groups::GroupClient;
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::metrics::Metrics;
+use crate::rpc::PeerClients;
+use crate::settings::Settings;
+use crate::store::ReleaseAnswer;
+
+/// One entry VM.
+pub struct EntryState {
+    /// Its number.
+    pub vm: VmId,
+    /// Its settings.
+    pub settings: Settings,
+    /// Its failure domain and region.
+    pub place: Place,
+    /// Its clock.
+    pub clock: Clock,
+    /// Where the other VMs are.
+    pub directory: Arc<Directory>,
+    /// Calls to the other VMs.
+    pub peers: PeerClients,
+    /// The program groups.
+    pub groups: GroupClient,
+    /// HTTP towards endpoints.
+    pub endpoints: EndpointClient,
+    /// The bundle in force and the lease on it.
+    pub config: ConfigView,
+    /// Who is let in, and when.
+    pub gate: Gate,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    /// Log of the process.
+    pub log: slog::Logger,
+    /// Cancelled when a planned stop begins.
+    pub stop: CancellationToken,
+    /// Calls under way, which a planned stop waits for.
+    pub tasks: TaskTracker,
+    /// Dispatches under way from here, which a store may cancel.
+    pub running: RunningCalls,
+    pub(super) desk: Mutex<Desk>,
+}
+
+/// Dispatches under way, by id.
+#[derive(Debug, Default)]
+pub struct RunningCalls {
+    tokens: Mutex<HashMap<CompactString, CancellationToken>>,
+}
+
+impl RunningCalls {
+    /// Adds a dispatch; the token is cancelled when its program ends.
+    pub fn add(&self, dispatch: &str) -> CancellationToken {
+        let token = CancellationToken::new();
+        self.lock().insert(dispatch.into(), token.clone());
+        token
+    }
+
+    /// Removes a dispatch that is settled.
+    pub fn remove(&self, dispatch: &str) {
+        self.lock().remove(dispatch);
+    }
+
+    /// Cancels a dispatch, if it is under way here.
+    pub fn cancel(&self, dispatch: &str) {
+        if let Some(token) = self.lock().get(dispatch) {
+            token.cancel();
+        }
+    }
+
+    /// Returns how many are under way.
+    pub fn count(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<CompactString, CancellationToken>> {
+        self.tokens.lock().expect("no panic while held")
+    }
+}
+
+/// The routing decisions' state, behind one lock that is never held across a wait.
+pub(super) struct Desk {
+    pub(super) registry: Registry,
+    pub(super) router: Router,
+}
+
+/// An endpoint chosen for a dispatch, counted as in flight there until it is settled.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// Instance name.
+    pub name: EndpointName,
+    /// `ip:port`.
+    pub address: CompactString,
+    /// Region, for the paid link's count.
+    pub region: RegionId,
+    /// Prompt tokens that the engine has to compute.
+    pub fill: u64,
+    key: DispatchKey,
+}
+
+/// How a dispatch on an endpoint ended, for the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DispatchEnd {
+    /// The endpoint answered.
+    Finished,
+    /// The endpoint failed.
+    Failed,
+    /// The caller went away, or the call was never sent.
+    Cancelled,
+}
+
+impl EntryState {
+    pub(super) fn desk(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().expect("no panic while held")
+    }
+
+    /// Chooses an endpoint and counts the dispatch there.
+    ///
+    /// # Errors
+    /// Says why no endpoint can take the call, and when to come back.
+    pub fn place_call(&self, ask: &RouteAsk) -> Result<Placed, RouteError> {
+        let now = self.clock.now();
+        let mut desk = self.desk();
+        let desk = &mut *desk;
+        let choice = desk.router.choose(now, &desk.registry, ask)?;
+        Ok(desk.count(now, &choice, ask.isolate))
+    }
+
+    /// Counts a dispatch out of flight.
+    pub fn release_call(&self, placed: &Placed, end: DispatchEnd) {
+        let now = self.clock.now();
+        let mut desk = self.desk();
+        match end {
+            DispatchEnd::Finished => desk.registry.finished(now, placed.key),
+            DispatchEnd::Failed => desk.registry.failed(now, placed.key),
+            DispatchEnd::Cancelled => desk.registry.cancelled(now, placed.key),
+        }
+    }
+
+    /// Notes that an engine has computed a dispatch's prompt.
+    pub fn prompt_filled(&self, placed: &Placed) {
+        self.desk().registry.filled(placed.key);
+    }
+
+    /// Bounds each model's calls by this VM's share of the slots that engines announce.
+    ///
+    /// The balancer spreads callers evenly, so an equal share for each entry VM is fair; twice of
+    /// it is allowed, so that an uneven minute leaves no engine idle while calls wait.
+    pub fn resize_pools(&self) {
+        let entries = self.directory.entries().len().max(1) as f64;
+        for (model, slots) in self.desk().slots() {
+            self.gate.resize(&model, (f64::from(slots) / entries * POOL_SLACK).ceil());
+        }
+    }
+
+    /// Drops endpoints whose lease is over.
+    pub fn expire_endpoints(&self) {
+        let now = self.clock.now();
+        let gone = self.desk().registry.expire(now);
+        if !gone.is_empty() {
+            slog::info!(self.log, "endpoints expired"; "count" => gone.len());
+            self.resize_pools();
+        }
+    }
+
+    /// Frees an engine's memory of an ended program.
+    ///
+    /// An engine counts as gone for good only once this VM has been up for longer than any lease:
+    /// a VM that has just started does not know yet who is there, and would leave memory held.
+    pub async fn release_memory(&self, release: &Release) -> ReleaseAnswer {
+        let Some(address) = self.endpoint_address(&release.endpoint) else {
+            let settled = self.clock.now() > Time::ZERO + LONGEST_LEASE * 2;
+            return if settled { ReleaseAnswer::Gone } else { ReleaseAnswer::Failed };
+        };
+        let Some(program) = &release.program else { return ReleaseAnswer::Freed };
+        let body = serde_json::json!({"program": format!("{}/{}", program.org, program.program)});
+        let released = self.endpoints.control(
+            http::Method::POST,
+            &address,
+            "/v1/programs/release",
+            Bytes::from(body.to_string()),
+            self.settings.timeouts.peer(),
+        );
+        match released.await {
+            Ok((status, _)) if status.is_success() => ReleaseAnswer::Freed,
+            Ok(_) | Err(_) => ReleaseAnswer::Failed,
+        }
+    }
+
+    /// Returns the address of an endpoint with a live lease.
+    pub fn endpoint_address(&self, name: &str) -> Option<CompactString> {
+        let desk = self.desk();
+        let key = desk.registry.key(name)?;
+        desk.registry.get(key).map(|endpoint| endpoint.address.clone())
+    }
+}
+
+/// Longest lease that an endpoint can have.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
+/// How far a VM may go beyond its even share of a model's slots.
+const POOL_SLACK: f64 = 2.0;
+
+impl Desk {
+    /// Returns the slots of each model's engines that take new work.
+    fn slots(&self) -> HashMap<CompactString, u32> {
+        let mut slots = HashMap::new();
+        for (_, endpoint) in self.registry.iter().filter(|(_, endpoint)| !endpoint.leaving) {
+            let EndpointKind::Engine { models, slots: own, .. } = &endpoint.kind else { continue };
+            for model in models {
+                *slots.entry(model.model.clone()).or_default() += *own;
+            }
+        }
+        slots
+    }
+
+    fn count(&mut self, now: Time, choice: &Choice, alone: bool) -> Placed {
+        let load = DispatchLoad { fill_tokens: choice.fill_tokens, alone };
+        let key = self.registry.dispatched(now, choice.endpoint, load);
+        let endpoint = self.registry.get(choice.endpoint);
+        let (name, address, region) = endpoint
+            .map(|found| (found.name.clone(), found.address.clone(), found.region))
+            .unwrap_or_default();
+        Placed { name, address, region, fill: choice.fill_tokens, key }
+    }
+}
+
+impl EntryState {
+    /// Returns the process's state, for an operator's dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.clock.now();
+        let desk = self.desk();
+        let endpoints: Vec<serde_json::Value> =
+            desk.registry.iter().map(|(_, endpoint)| endpoint_dump(endpoint, now)).collect();
+        drop(desk);
+        serde_json::json!({
+            "role": "entry",
+            "vm": self.vm,
+            "place": self.place,
+            "revision": self.config.applied(),
+            "lease_ms": self.config.remaining(now).as_millis() as u64,
+            "stopping": self.stop.is_cancelled(),
+            "running": self.running.count(),
+            "pools": self.gate.loads(),
+            "endpoints": endpoints,
+            "entries": self.directory.entries(),
+            "stores": self.directory.stores(),
+        })
+    }
+}
+
+fn endpoint_dump(endpoint: &Endpoint, now: Time) -> serde_json::Value {
+    let load = endpoint.load(now);
+    serde_json::json!({
+        "name": endpoint.name,
+        "incarnation": endpoint.incarnation,
+        "kind": endpoint.kind,
+        "address": endpoint.address,
+        "leaving": endpoint.leaving,
+        "lease_ms": endpoint.until.since(now).as_millis() as u64,
+        "in_flight": load.total,
+        "own": load.own,
+        "stale": load.stale,
+        "cached_tokens": load.cached_tokens,
+    })
+}
--- a/crates/gypsumglade/src/rpc/method.rs
+++ b/crates/gypsumglade/src/rpc/method.rs
@@ -11,6 +11,12 @@
     Control,
     /// Entry to store or entry: renews the configuration lease.
     Lease,
+    /// Store to entry: frees an engine's memory of an ended program.
+    Release,
+    /// Store to entry: cancels a dispatch of a program that ended.
+    Cancel,
+    /// Store to store: what is known of a request that crashes endpoints.
+    Score,
     /// Entry to entry: an endpoint's announcement.
     Announce,
 }
@@ -23,6 +29,9 @@
             Method::Replication => "replication",
             Method::Control => "control",
             Method::Lease => "lease",
+            Method::Release => "release",
+            Method::Cancel => "cancel",
+            Method::Score => "score",
             Method::Announce => "announce",
         }
     }
--- a/crates/gypsumglade/src/settings/tokens.rs
+++ b/crates/gypsumglade/src/settings/tokens.rs
@@ -13,17 +13,30 @@
 const SECRET_BYTES: usize = 16;
 
 /// One secret for each listener that is not the callers', whose keys are in the bundle.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
 pub struct TokenSettings {
     /// Shared by the VMs of the deployment.
+    #[serde(deserialize_with = "secret")]
     pub peers: Secret,
     /// Asked of operators by the admin listener.
+    #[serde(deserialize_with = "secret")]
     pub admin: Secret,
     /// Asked of endpoints that announce themselves.
+    #[serde(deserialize_with = "secret")]
     pub endpoints: Secret,
 }
 
+impl Default for TokenSettings {
+    fn default() -> TokenSettings {
+        TokenSettings { peers: Secret::new(""), admin: Secret::new(""), endpoints: Secret::new("") }
+    }
+}
+
+fn secret<'de, D: serde::Deserializer<'de>>(decoder: D) -> Result<Secret, D::Error> {
+    CompactString::deserialize(decoder).map(Secret::new)
+}
+
 impl TokenSettings {
     /// Returns random tokens for a process that is the whole deployment.
     pub fn fresh() -> TokenSettings {
