--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -20,6 +20,7 @@
 const INPUT_BUFFER: usize = 4_096;
 
 /// What reaches a group's task.
+#[expect(clippy::large_enum_variant, reason = "requests are the bulk of all inputs")]
 pub enum GroupInput {
     /// An entry VM asks.
     Request {
