Add TLS for every listener, a bound on calls held, and start beside the send

Change: rustls server and peer client configurations from the settings, a semaphore that refuses at once, and the note of where a call starts sent beside the call.

--- a/crates/gypsumglade/src/entry/callers.rs
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -5,7 +5,8 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::rejection::BytesRejection;
-use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::extract::{DefaultBodyLimit, Path, Request, State};
+use axum::middleware::{Next, from_fn_with_state};
 use axum::response::sse::{KeepAlive, Sse};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{delete, get, post};
@@ -13,7 +14,7 @@
 use gypsumglade_core::prelude::*;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use serde_json::Value;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio_stream::wrappers::ReceiverStream;
 use tokio_util::sync::CancellationToken;
 
@@ -33,12 +34,17 @@
 const OUTCOMES: [&str; 3] = ["done", "not-run", "unknown"];
 /// Time a call is expected to take, for the decision whether its deadline can be met.
 const SERVICE_GUESS: Duration = Duration::from_secs(2);
+/// When to come back to a VM that holds as many calls as it may.
+const FULL_RETRY_MS: u64 = 1_000;
 /// Events that may wait for a slow caller before the engine's stream is read more slowly.
 const STREAM_BUFFER: usize = 64;
 
 /// Returns the routes that callers may use.
 pub fn routes(state: Arc<EntryState>) -> Router {
-    let limit = usize::try_from(state.settings.limits.body_bytes).unwrap_or(usize::MAX);
+    let limits = &state.settings.limits;
+    let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
+    let most_calls =
+        usize::try_from(limits.concurrent + limits.queue).unwrap_or(Semaphore::MAX_PERMITS);
     Router::new()
         .route("/v1/chat/completions", post(chat))
         .route("/v1/tools/{service}/{operation}", post(tools))
@@ -47,9 +53,25 @@
         .route("/readyz", get(ready))
         .fallback(no_route)
         .layer(DefaultBodyLimit::max(limit))
+        .layer(from_fn_with_state(Arc::new(Semaphore::new(most_calls)), bound_calls))
         .with_state(state)
 }
 
+/// Refuses calls beyond the bound at once: each holds memory for its body while it waits.
+async fn bound_calls(
+    State(bound): State<Arc<Semaphore>>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let Ok(_held) = bound.try_acquire() else {
+        let message = "this VM has as many calls as it may hold";
+        return Problem::not_run(ProblemKind::Overloaded, message)
+            .retry_after(FULL_RETRY_MS)
+            .into_response();
+    };
+    next.run(request).await
+}
+
 /// A body, or why it could not be read.
 type ReadBody = Result<Bytes, BytesRejection>;
 
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -25,7 +25,8 @@
 use crate::listener::{Listener, ListenerOptions};
 use crate::metrics::Metrics;
 use crate::rpc::{PeerClients, RpcServer};
-use crate::settings::Settings;
+use crate::settings::{CertificateSettings, Settings};
+use crate::tls;
 
 /// A running entry VM.
 pub struct Entry {
@@ -62,19 +63,22 @@
     ) -> anyhow::Result<Entry> {
         let state = Arc::new(entry_state(settings, directory, log)?);
         let halt = CancellationToken::new();
-        let options = listener_options(&state.settings);
+        let with_tls = |pair: Option<&CertificateSettings>| listener_options(&state.settings, pair);
+        let pairs = state.settings.tls.clone();
         let listen = state.settings.listen.clone();
         let stop = state.stop.clone();
         let callers = callers::routes(Arc::clone(&state));
-        let callers =
-            Listener::bind(listen.callers, callers, options.clone(), stop.clone()).await?;
+        let options = with_tls(pairs.callers.as_ref())?;
+        let callers = Listener::bind(listen.callers, callers, options, stop.clone()).await?;
         let endpoints = announce::routes(Arc::clone(&state));
-        let endpoints =
-            Listener::bind(listen.endpoints, endpoints, options.clone(), halt.clone()).await?;
+        let options = with_tls(pairs.endpoints.as_ref())?;
+        let endpoints = Listener::bind(listen.endpoints, endpoints, options, halt.clone()).await?;
         let admin = admin::entry_routes(Arc::clone(&state));
-        let admin = Listener::bind(listen.admin, admin, options.clone(), halt.clone()).await?;
+        let options = with_tls(pairs.admin.as_ref())?;
+        let admin = Listener::bind(listen.admin, admin, options, halt.clone()).await?;
         let methods = peer_calls::methods(Arc::clone(&state))?;
         let token = state.settings.tokens.peers.clone();
+        let options = with_tls(pairs.peers.as_ref())?;
         let rpc =
             RpcServer::bind(listen.peers, token, methods.into(), options, halt.clone()).await?;
         let addresses = EntryAddresses {
@@ -136,7 +140,7 @@
     let clock = Clock::start();
     let vm = settings.vm.vm();
     let place = place(&settings).context("vm.domain or vm.region is not among the peers'")?;
-    let peers = PeerClients::new(settings.tokens.peers.clone());
+    let peers = PeerClients::new(settings.tokens.peers.clone(), tls::peers(&settings.tls)?);
     let keys = config::operator_keys(&settings.operators);
     let lease = LeaseSettings { length_ms: settings.timeouts.lease_ms, ..LeaseSettings::default() };
     let registry = Registry::new(RegistrySettings::default());
@@ -169,13 +173,19 @@
     })
 }
 
-/// Returns how the process's listeners accept connections.
-pub fn listener_options(settings: &Settings) -> ListenerOptions {
-    ListenerOptions {
-        tls: None,
+/// Returns how a listener of the process accepts connections.
+///
+/// # Errors
+/// Fails when the certificate or key cannot be read.
+pub fn listener_options(
+    settings: &Settings,
+    pair: Option<&CertificateSettings>,
+) -> anyhow::Result<ListenerOptions> {
+    Ok(ListenerOptions {
+        tls: tls::server(pair)?,
         header_bytes: usize::try_from(settings.limits.header_bytes).unwrap_or(usize::MAX),
         drain: settings.timeouts.drain(),
-    }
+    })
 }
 
 fn spawn_loops(state: &Arc<EntryState>, halt: &CancellationToken) {
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -232,9 +232,13 @@
                 return settle_not_run(state, call, grant, problem).await;
             }
         };
-        tell_started(state, call, grant, &placed).await;
         let dispatch = dispatch(call, grant, &placed, body.clone());
-        let sent = within(state, call, state.endpoints.send(&dispatch)).await;
+        // Told beside the sending and not before it: if this VM dies in between, the leak audit
+        // finds what the engine holds, and the caller does not wait for another round trip.
+        let (_, sent) = tokio::join!(
+            tell_started(state, call, grant, &placed),
+            within(state, call, state.endpoints.send(&dispatch)),
+        );
         match sent {
             Err(SendError::NotSent) => {
                 state.release_call(&placed, DispatchEnd::Failed);
--- a/crates/gypsumglade/src/lib.rs
+++ b/crates/gypsumglade/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod secret;
 pub mod settings;
 pub mod store;
+pub mod tls;
--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -11,6 +11,10 @@
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_rustls::TlsConnector;
+use tokio_rustls::rustls::ClientConfig;
+use tokio_rustls::rustls::pki_types::ServerName;
 
 use super::method::Method;
 use super::server::MAX_MESSAGE_BYTES;
@@ -39,15 +43,16 @@
 #[derive(Clone)]
 pub struct PeerClients {
     token: Secret,
+    tls: Option<Arc<ClientConfig>>,
     connections: Arc<Mutex<HashMap<SocketAddr, Arc<Connection>>>>,
 }
 
 type Connection = tokio::sync::Mutex<Option<Arc<WsClient>>>;
 
 impl PeerClients {
-    /// Creates an empty set that presents `token` on each connection.
-    pub fn new(token: Secret) -> PeerClients {
-        PeerClients { token, connections: Arc::default() }
+    /// Creates an empty set that presents `token` on each connection, over TLS if given.
+    pub fn new(token: Secret, tls: Option<Arc<ClientConfig>>) -> PeerClients {
+        PeerClients { token, tls, connections: Arc::default() }
     }
 
     /// Calls `method` with `parameters` and returns the answer's text.
@@ -103,8 +108,18 @@
             .max_concurrent_requests(MAX_CALLS)
             .max_request_size(MAX_MESSAGE_BYTES)
             .max_response_size(MAX_MESSAGE_BYTES);
-        let opening = builder.build(format!("ws://{address}"));
-        tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()?.ok()
+        let opening = async {
+            let stream = TcpStream::connect(address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            let url = format!("ws://{address}");
+            let Some(tls) = &self.tls else {
+                return builder.build_with_stream(url, stream).await.ok();
+            };
+            let name = ServerName::IpAddress(address.ip().into());
+            let stream = TlsConnector::from(Arc::clone(tls)).connect(name, stream).await.ok()?;
+            builder.build_with_stream(url, stream).await.ok()
+        };
+        tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()?
     }
 
     /// Drops a connection that lost an answer, unless another task has replaced it already.
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -22,11 +22,13 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::entry::config::operator_keys;
+use crate::entry::listener_options;
 use crate::listener::Listener;
 use crate::metrics::Metrics;
 use crate::replica::{Event, Host, HostSettings, Outbound};
 use crate::rpc::{Method, PeerClients, RpcServer};
 use crate::settings::{Settings, StoreSettings};
+use crate::tls;
 
 /// Events that may wait for the control group.
 const EVENT_BUFFER: usize = 1_024;
@@ -77,7 +79,7 @@
     ) -> anyhow::Result<Store> {
         let own = settings.store.clone().context("the settings have no `store` section")?;
         let halt = CancellationToken::new();
-        let peers = PeerClients::new(settings.tokens.peers.clone());
+        let peers = PeerClients::new(settings.tokens.peers.clone(), tls::peers(&settings.tls)?);
         let (outbound, batches) = mpsc::channel(BATCH_BUFFER);
         let (host, events) = Host::start(host_settings(&settings, &own), outbound).await?;
         let context = Arc::new(StoreContext {
@@ -137,11 +139,12 @@
     own: &StoreSettings,
     halt: &CancellationToken,
 ) -> anyhow::Result<(RpcServer, Listener)> {
-    let options = crate::entry::listener_options(&state.settings);
+    let pairs = &state.settings.tls;
+    let options = listener_options(&state.settings, pairs.peers.as_ref())?;
     let methods = peer_calls::methods(Arc::clone(state))?;
     let token = state.settings.tokens.peers.clone();
-    let rpc =
-        RpcServer::bind(own.peers, token, methods.into(), options.clone(), halt.clone()).await?;
+    let rpc = RpcServer::bind(own.peers, token, methods.into(), options, halt.clone()).await?;
+    let options = listener_options(&state.settings, pairs.admin.as_ref())?;
     let routes = admin::store_routes(Arc::clone(state));
     let admin = Listener::bind(own.admin, routes, options, halt.clone()).await?;
     Ok((rpc, admin))
--- /dev/null
+++ b/crates/gypsumglade/src/tls.rs
@@ -0,0 +1,65 @@
+//! TLS by rustls, for each listener whose settings name a certificate.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use anyhow::{Context as _, bail};
+use rustls_pemfile::{certs, private_key};
+use tokio_rustls::rustls::crypto::ring;
+use tokio_rustls::rustls::pki_types::CertificateDer;
+use tokio_rustls::rustls::{ClientConfig, RootCertStore, ServerConfig};
+
+use crate::settings::{CertificateSettings, TlsSettings};
+
+/// Returns the server side of a listener; plain TCP if no certificate is named.
+///
+/// # Errors
+/// Fails when a file cannot be read or the key does not fit the certificate; names the file.
+pub fn server(settings: Option<&CertificateSettings>) -> anyhow::Result<Option<Arc<ServerConfig>>> {
+    let Some(settings) = settings else { return Ok(None) };
+    let chain = read_certificates(&settings.certificate)?;
+    let text = read(&settings.key)?;
+    let key = private_key(&mut text.as_slice())?
+        .with_context(|| format!("{}: no private key in PEM form", settings.key.display()))?;
+    let config = ServerConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_safe_default_protocol_versions()?
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .with_context(|| format!("{}: the key does not fit", settings.certificate.display()))?;
+    Ok(Some(Arc::new(config)))
+}
+
+/// Returns the client side towards other VMs; plain TCP if their listeners name no certificate.
+///
+/// # Errors
+/// Fails when peers speak TLS but no authority is named, or its file cannot be read.
+pub fn peers(settings: &TlsSettings) -> anyhow::Result<Option<Arc<ClientConfig>>> {
+    if settings.peers.is_none() {
+        return Ok(None);
+    }
+    let Some(authority) = &settings.authority else {
+        bail!("tls.peers is set: name the file of its authority in tls.authority");
+    };
+    let mut roots = RootCertStore::empty();
+    for certificate in read_certificates(authority)? {
+        roots.add(certificate)?;
+    }
+    let config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_safe_default_protocol_versions()?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    Ok(Some(Arc::new(config)))
+}
+
+fn read_certificates(path: &Path) -> anyhow::Result<Vec<CertificateDer<'static>>> {
+    let text = read(path)?;
+    let found: Vec<_> = certs(&mut text.as_slice()).collect::<Result<_, _>>()?;
+    if found.is_empty() {
+        bail!("{}: no certificate in PEM form", path.display());
+    }
+    Ok(found)
+}
+
+fn read(path: &Path) -> anyhow::Result<Vec<u8>> {
+    std::fs::read(path).with_context(|| format!("cannot read {}", path.display()))
+}
