Test the replicated log's rules under any failures

Cause: agreement is worth only what its failure tests show. Found: a follower that lost a full window whose entries were compacted meanwhile never got another entry; heartbeats now start it over.

--- a/crates/core/src/replication/leader.rs
+++ b/crates/core/src/replication/leader.rs
@@ -127,6 +127,7 @@
             return;
         };
         for (&to, progress) in &mut lead.progress {
+            self.restart_compacted(progress);
             let prev = self.heartbeat_position(progress);
             let append = self.append_message(now, prev, lead.round);
             self.send(to, Body::Append(append), out);
@@ -346,6 +347,17 @@
         out.push(Effect::SendChunk { to, message: self.envelope(Body::Chunk(chunk)) });
     }
 
+    /// Starts over with a follower when what it was sent last is compacted.
+    ///
+    /// Its messages may all have been lost, and no heartbeat can ask about a compacted entry: a
+    /// full window would never empty and the follower never get another entry.
+    fn restart_compacted(&self, progress: &mut Progress) {
+        let asks = matches!(progress.flow, Flow::Probe { .. } | Flow::Stream);
+        if asks && self.log.term(LogIndex(progress.next.0 - 1)).is_none() {
+            progress.probe(progress.matched.next());
+        }
+    }
+
     /// Returns where a heartbeat claims that the logs agree. A follower that disagrees says so,
     /// which is how the loss of the last message in flight is noticed.
     fn heartbeat_position(&self, progress: &Progress) -> Position {
--- /dev/null
+++ b/crates/core/tests/replication/net.rs
@@ -0,0 +1,468 @@
+//! A few replicas on clocks, disks and links that a test controls.
+//!
+//! Every rule that must hold is checked after each step; what breaks one is kept in `broken`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{
+    Effect, EntryMeta, Input, LogIndex, MemberChange, Members, Position, Replica, Restored, Role,
+    Sequence, Settings, Term, Write,
+};
+use gypsumglade_core::wire::replication as wire;
+use gypsumglade_core::wire::replication::message::Body;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const GROUP: GroupId = GroupId(7);
+/// Bytes of a snapshot: several chunks, so that installs can be cut short.
+const SNAPSHOT_BYTES: usize = 50;
+
+/// What a VM's disk holds: `Restored` with the entries' data.
+#[derive(Clone, Default)]
+struct Disk {
+    restored: Restored,
+    entries: Vec<wire::Entry>,
+    state: Vec<u8>,
+}
+
+pub struct Node {
+    pub id: VmId,
+    pub replica: Option<Replica>,
+    /// Share by which this clock runs fast.
+    pub rate: f64,
+    /// What a crash keeps.
+    durable: Disk,
+    /// What the process sees.
+    seen: Disk,
+    unsynced: Vec<(Sequence, Write, Vec<u8>)>,
+    incoming: Vec<u8>,
+    applied: LogIndex,
+    sync_due: Option<u64>,
+}
+
+/// How messages travel.
+#[derive(Clone, Copy, Default)]
+pub struct Weather {
+    /// Share of messages lost, and delivered twice.
+    pub loss: f64,
+    pub doubled: f64,
+    /// Longest delay in milliseconds.
+    pub delay: u64,
+}
+
+pub struct Net {
+    pub nodes: Vec<Node>,
+    pub weather: Weather,
+    pub cuts: BTreeSet<(VmId, VmId)>,
+    pub broken: Option<String>,
+    pub settings: Settings,
+    /// Longest time of a sync in milliseconds.
+    pub sync_millis: u64,
+    /// True time in microseconds.
+    pub now: u64,
+    flying: BTreeMap<(u64, u64), (VmId, VmId, wire::Message)>,
+    sent: u64,
+    rng: ChaCha8Rng,
+    leaders: BTreeMap<Term, VmId>,
+    /// What was committed anywhere, from index two on.
+    pub committed: Vec<(Term, Bytes)>,
+    reads: BTreeMap<u64, u64>,
+    pub reads_answered: usize,
+}
+
+impl Net {
+    pub fn new(seed: u64, settings: Settings, voters: u32, spares: u32) -> Net {
+        let members = Members::of((1..=voters).map(VmId).collect());
+        let mut net = Net {
+            nodes: Vec::new(),
+            weather: Weather { loss: 0.0, doubled: 0.0, delay: 5 },
+            cuts: BTreeSet::new(),
+            broken: None,
+            settings,
+            sync_millis: 2,
+            now: 0,
+            flying: BTreeMap::new(),
+            sent: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            leaders: BTreeMap::new(),
+            committed: Vec::new(),
+            reads: BTreeMap::new(),
+            reads_answered: 0,
+        };
+        for id in 1..=voters + spares {
+            let mut disk = Disk::default();
+            if id <= voters {
+                disk.restored = Restored::created(members.clone());
+            }
+            let drift = net.settings.drift;
+            let rate = net.rng.random_range(-drift..=drift);
+            net.nodes.push(Node::new(VmId(id), rate, disk));
+            net.restart(VmId(id));
+        }
+        net
+    }
+
+    pub fn node(&mut self, id: VmId) -> &mut Node {
+        &mut self.nodes[id.0 as usize - 1]
+    }
+
+    /// Returns the leader of the latest term.
+    pub fn leader(&self) -> Option<VmId> {
+        let leads = self.nodes.iter().filter(|node| node.role() == Some(Role::Leader));
+        leads.max_by_key(|node| node.replica.as_ref().map(|r| r.last().term)).map(|node| node.id)
+    }
+
+    pub fn restart(&mut self, id: VmId) {
+        let (settings, now, seed) = (self.settings.clone(), self.now, self.rng.random());
+        let node = self.node(id);
+        if node.replica.is_some() {
+            return;
+        }
+        node.seen = node.durable.clone();
+        let mut restored = node.seen.restored.clone();
+        restored.entries = node.seen.entries.iter().map(EntryMeta::of).collect();
+        node.applied = restored.snapshot.index;
+        let now = node.time(now);
+        node.replica = Some(Replica::new(settings, id, GROUP, seed, restored, now));
+        let _ = self.check_snapshot(id);
+    }
+
+    /// Ends a process. Its disk keeps what was synced, and any part of what was being written.
+    pub fn crash(&mut self, id: VmId) {
+        let kept = self.rng.random::<f64>();
+        let node = self.node(id);
+        let writes = std::mem::take(&mut node.unsynced);
+        let count = (writes.len() as f64 * kept) as usize;
+        for (_, write, state) in writes.into_iter().take(count) {
+            node.durable.apply(&write, &state);
+        }
+        node.replica = None;
+        node.sync_due = None;
+    }
+
+    pub fn cut(&mut self, from: VmId, to: VmId) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn cut_off(&mut self, id: VmId) {
+        for other in 1..=self.nodes.len() as u32 {
+            self.cut(id, VmId(other));
+            self.cut(VmId(other), id);
+        }
+    }
+
+    pub fn propose(&mut self, id: VmId) {
+        let data = Bytes::from(self.rng.random::<[u8; 8]>().to_vec());
+        self.step(id, Input::Propose { commands: vec![data] });
+    }
+
+    pub fn read(&mut self, id: VmId) {
+        let token = self.reads.len() as u64;
+        self.reads.insert(token, self.committed.len() as u64);
+        self.step(id, Input::Read { token });
+    }
+
+    pub fn change(&mut self, change: MemberChange) {
+        if let Some(leader) = self.leader() {
+            self.step(leader, Input::ChangeMembers(change));
+        }
+    }
+
+    /// Takes a snapshot of what the node has applied.
+    pub fn snapshot(&mut self, id: VmId) {
+        let node = self.node(id);
+        let index = node.applied;
+        let Some(replica) = &node.replica else { return };
+        let Some((position, members)) = replica.snapshot_mark(index) else { return };
+        let state = self.state_at(index);
+        let node = self.node(id);
+        for disk in [&mut node.seen, &mut node.durable] {
+            disk.compact(position, members.clone(), &state);
+        }
+        self.step(id, Input::Snapshotted(index));
+    }
+
+    /// Runs for some milliseconds of true time, or until a rule is broken.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis * 1_000;
+        while self.broken.is_none() && self.advance(end) {}
+        self.now = self.now.max(end);
+    }
+
+    /// Mends everything and runs until all live replicas agree, or for a long while.
+    pub fn settle(&mut self) {
+        self.weather = Weather { loss: 0.0, doubled: 0.0, delay: 5 };
+        self.cuts.clear();
+        (1..=self.nodes.len() as u32).for_each(|id| self.restart(VmId(id)));
+        for _ in 0..40 {
+            self.run(500);
+            if let Some(leader) = self.leader() {
+                self.propose(leader);
+            }
+            self.run(300);
+            if self.agree() {
+                return;
+            }
+        }
+        let states = self.nodes.iter().filter_map(|node| node.replica.as_ref());
+        let states: Vec<_> = states.map(|replica| replica.status(Time::ZERO)).collect();
+        self.broken.get_or_insert(format!("no agreement after the repair: {states:?}"));
+    }
+
+    fn agree(&self) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        let leader = self.nodes[leader.0 as usize - 1].replica.as_ref();
+        let Some(status) = leader.map(|replica| replica.status(Time::ZERO)) else { return false };
+        let all = status.commit.0 == self.committed.len() as u64 + 1;
+        let agrees = |vm: VmId| {
+            let replica = self.nodes[vm.0 as usize - 1].replica.as_ref();
+            replica.is_some_and(|replica| replica.last() == status.last)
+        };
+        all && status.members.all().all(agrees)
+    }
+
+    /// Does what is due next, at most at `end`.
+    fn advance(&mut self, end: u64) -> bool {
+        let message = self.flying.first_key_value().map(|(&(at, _), _)| at);
+        let sync = self.nodes.iter().filter_map(|n| Some((n.sync_due?, n.id))).min();
+        let tick = self.nodes.iter().filter_map(|n| Some((n.deadline()?, n.id))).min();
+        let next = [message, sync.map(|s| s.0), tick.map(|t| t.0)].into_iter().flatten().min();
+        let Some(next) = next.filter(|&at| at <= end) else { return false };
+        self.now = self.now.max(next);
+        if message == Some(next) {
+            self.deliver();
+        } else if let Some((_, id)) = sync.filter(|s| s.0 == next) {
+            self.sync(id);
+        } else if let Some((_, id)) = tick {
+            self.step(id, Input::Tick);
+        }
+        true
+    }
+
+    fn deliver(&mut self) {
+        let Some((_, (from, to, message))) = self.flying.pop_first() else { return };
+        if !self.cuts.contains(&(from, to)) {
+            self.step(to, Input::Message { from, message });
+        }
+    }
+
+    fn sync(&mut self, id: VmId) {
+        let node = self.node(id);
+        node.sync_due = None;
+        let writes = std::mem::take(&mut node.unsynced);
+        let Some(last) = writes.last().map(|(sequence, ..)| *sequence) else { return };
+        for (_, write, state) in writes {
+            node.durable.apply(&write, &state);
+        }
+        self.step(id, Input::Synced(last));
+    }
+
+    pub fn step(&mut self, id: VmId, input: Input) {
+        let now = self.now;
+        let node = self.node(id);
+        let time = node.time(now);
+        let Some(replica) = &mut node.replica else { return };
+        let mut effects = Vec::new();
+        replica.step(time, input, &mut effects);
+        for effect in effects {
+            if let Err(rule) = self.carry_out(id, effect) {
+                self.broken.get_or_insert(rule);
+            }
+        }
+        if let Err(rule) = self.check(id) {
+            self.broken.get_or_insert(rule);
+        }
+    }
+
+    fn carry_out(&mut self, id: VmId, effect: Effect) -> Result<(), String> {
+        match effect {
+            Effect::Persist { sequence, write } => self.write(id, sequence, write),
+            Effect::Send { to, message } => self.send(id, to, message),
+            Effect::SendEntries { to, mut message, first, last } => {
+                let entries = self.node(id).seen.range(first, last);
+                if let Some(Body::Append(append)) = &mut message.body {
+                    append.entries = entries;
+                }
+                self.send(id, to, message);
+            }
+            Effect::SendChunk { to, mut message } => {
+                if let Some(Body::Chunk(chunk)) = &mut message.body {
+                    let limit = self.settings.chunk_bytes;
+                    let state = &self.node(id).seen.state;
+                    let start = (chunk.offset as usize).min(state.len());
+                    let end = (start + limit).min(state.len());
+                    chunk.data = Bytes::copy_from_slice(&state[start..end]);
+                    chunk.last = end == state.len();
+                }
+                self.send(id, to, message);
+            }
+            Effect::StoreChunk { offset, data, .. } => {
+                let node = self.node(id);
+                node.incoming.truncate(offset as usize);
+                node.incoming.extend_from_slice(&data);
+            }
+            Effect::Commit { index } => return self.commit(id, index),
+            Effect::Restore { .. } => return self.check_snapshot(id),
+            Effect::Readable { token, index } => {
+                self.reads_answered += 1;
+                if index.0 < self.reads[&token] + 1 {
+                    return Err(format!("{id} answered a read at {index}, which was stale"));
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn write(&mut self, id: VmId, sequence: Sequence, write: Write) {
+        let delay = self.rng.random_range(0..=self.sync_millis * 1_000);
+        let due = self.now + delay;
+        let node = self.node(id);
+        let state = match &write {
+            Write::Snapshot { .. } => std::mem::take(&mut node.incoming),
+            _ => Vec::new(),
+        };
+        node.seen.apply(&write, &state);
+        node.unsynced.push((sequence, write, state));
+        node.sync_due.get_or_insert(due);
+    }
+
+    fn send(&mut self, from: VmId, to: VmId, message: wire::Message) {
+        let copies = 1 + usize::from(self.rng.random_bool(self.weather.doubled));
+        for _ in 0..copies {
+            let lost = self.rng.random_bool(self.weather.loss);
+            let delay = self.rng.random_range(500..=500 + self.weather.delay * 1_000);
+            if lost || self.cuts.contains(&(from, to)) {
+                continue;
+            }
+            self.sent += 1;
+            self.flying.insert((self.now + delay, self.sent), (from, to, message.clone()));
+        }
+    }
+
+    /// Committed entries are the same everywhere and for ever.
+    fn commit(&mut self, id: VmId, index: LogIndex) -> Result<(), String> {
+        let applied = self.node(id).applied;
+        for entry in self.node(id).seen.range(applied.next(), index) {
+            let place = entry.index as usize - 2;
+            let found = (Term(entry.term), entry.data);
+            match self.committed.get(place) {
+                Some(known) if *known != found => {
+                    return Err(format!("{id} committed another entry at {}", entry.index));
+                }
+                Some(_) => {}
+                None if place == self.committed.len() => self.committed.push(found),
+                None => return Err(format!("{id} skipped to {}", entry.index)),
+            }
+        }
+        self.node(id).applied = index;
+        Ok(())
+    }
+
+    /// A snapshot holds exactly what was committed up to its index.
+    fn check_snapshot(&mut self, id: VmId) -> Result<(), String> {
+        let node = self.node(id);
+        let (index, state) = (node.seen.restored.snapshot.index, node.seen.state.clone());
+        node.applied = index;
+        match state.is_empty() || state == self.state_at(index) {
+            true => Ok(()),
+            false => Err(format!("{id} restored another state at {index}")),
+        }
+    }
+
+    fn check(&mut self, id: VmId) -> Result<(), String> {
+        let (now, end) = (self.now, self.committed.len() as u64 + 1);
+        let node = self.node(id);
+        let Some(replica) = &node.replica else { return Ok(()) };
+        if replica.role() == Role::Leader {
+            let term = replica.status(Time::ZERO).term;
+            let leader = *self.leaders.entry(term).or_insert(id);
+            if leader != id {
+                return Err(format!("{leader} and {id} both led term {}", term.0));
+            }
+        }
+        for node in &self.nodes {
+            let Some(replica) = &node.replica else { continue };
+            if replica.holds_lease(node.time(now)) && replica.commit().0 < end {
+                let known = replica.commit();
+                return Err(format!("{} held a lease at {known}, others at {end}", node.id));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the state machine's state: a digest of all commands, repeated to some length.
+    fn state_at(&self, index: LogIndex) -> Vec<u8> {
+        let mut digest = 0u64;
+        for (term, data) in self.committed.iter().take(index.0.saturating_sub(1) as usize) {
+            for byte in data.iter().chain(&term.0.to_le_bytes()) {
+                digest = digest.wrapping_mul(31).wrapping_add(u64::from(*byte) + 1);
+            }
+        }
+        digest.to_le_bytes().into_iter().cycle().take(SNAPSHOT_BYTES).collect()
+    }
+}
+
+impl Node {
+    fn new(id: VmId, rate: f64, disk: Disk) -> Node {
+        Node {
+            id,
+            replica: None,
+            rate,
+            seen: disk.clone(),
+            durable: disk,
+            unsynced: Vec::new(),
+            incoming: Vec::new(),
+            applied: LogIndex(0),
+            sync_due: None,
+        }
+    }
+
+    pub fn role(&self) -> Option<Role> {
+        self.replica.as_ref().map(Replica::role)
+    }
+
+    pub fn time(&self, now: u64) -> Time {
+        Time((now as f64 * (1.0 + self.rate)) as u64)
+    }
+
+    /// Returns when the replica wants a tick, in true time.
+    fn deadline(&self) -> Option<u64> {
+        let deadline = self.replica.as_ref()?.deadline();
+        Some((deadline.0 as f64 / (1.0 + self.rate)) as u64 + 1)
+    }
+}
+
+impl Disk {
+    fn apply(&mut self, write: &Write, state: &[u8]) {
+        match write {
+            Write::Ballot(ballot) => self.restored.ballot = *ballot,
+            Write::Entries(entries) => {
+                let first = entries.first().map_or(u64::MAX, |entry| entry.index);
+                self.entries.retain(|entry| entry.index < first);
+                let after = self.restored.snapshot.index.0;
+                self.entries.extend(entries.iter().filter(|e| e.index > after).cloned());
+            }
+            Write::Snapshot { position, members } => {
+                self.entries.clear();
+                self.restored.snapshot = *position;
+                self.restored.members = members.clone();
+                self.state = state.to_vec();
+            }
+        }
+    }
+
+    fn compact(&mut self, position: Position, members: Members, state: &[u8]) {
+        self.entries.retain(|entry| entry.index > position.index.0);
+        self.restored.snapshot = position;
+        self.restored.members = members;
+        self.state = state.to_vec();
+    }
+
+    fn range(&self, first: LogIndex, last: LogIndex) -> Vec<wire::Entry> {
+        let inside = |e: &&wire::Entry| (first.0..=last.0).contains(&e.index);
+        self.entries.iter().filter(inside).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/replication_safety.rs
@@ -0,0 +1,138 @@
+//! Rules of the replicated log under lost, doubled, late and reordered messages, crashes,
+//! partitions and clocks that drift.
+
+#[path = "replication/net.rs"]
+mod net;
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{Input, MemberChange, Settings};
+use net::{Net, Weather};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestCaseError, TestRunner};
+
+/// Cases without the variable below.
+const CASES: u32 = 1_000;
+/// Environment variable with the number of cases of a long run.
+const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
+const VOTERS: u32 = 3;
+const SPARES: u32 = 2;
+const NODES: u32 = VOTERS + SPARES;
+
+/// Something that happens to the replicas.
+#[derive(Clone, Debug)]
+enum Op {
+    Run(u64),
+    Propose(VmId),
+    ProposeAtLeader,
+    Read(VmId),
+    ReadAtLeader,
+    Crash(VmId),
+    Restart(VmId),
+    Cut(VmId, VmId),
+    CutOff(VmId),
+    Heal,
+    Storm(f64, f64, u64),
+    SlowSync(u64),
+    Snapshot(VmId),
+    Transfer,
+    AddLearner(VmId),
+    Promote(VmId),
+    Remove(VmId),
+}
+
+fn vm() -> impl Strategy<Value = VmId> {
+    (1..=NODES).prop_map(VmId)
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        8 => (1u64..3_000).prop_map(Op::Run),
+        6 => Just(Op::ProposeAtLeader),
+        2 => vm().prop_map(Op::Propose),
+        3 => Just(Op::ReadAtLeader),
+        2 => vm().prop_map(Op::Read),
+        2 => vm().prop_map(Op::Crash),
+        3 => vm().prop_map(Op::Restart),
+        2 => (vm(), vm()).prop_map(|(from, to)| Op::Cut(from, to)),
+        1 => vm().prop_map(Op::CutOff),
+        2 => Just(Op::Heal),
+        1 => (0.0..0.4f64, 0.0..0.3f64, 1u64..400).prop_map(|(l, d, t)| Op::Storm(l, d, t)),
+        1 => (0u64..500).prop_map(Op::SlowSync),
+        2 => vm().prop_map(Op::Snapshot),
+        1 => Just(Op::Transfer),
+        1 => vm().prop_map(Op::AddLearner),
+        1 => vm().prop_map(Op::Promote),
+        1 => vm().prop_map(Op::Remove),
+    ]
+}
+
+fn apply(net: &mut Net, op: &Op) {
+    let leader = net.leader();
+    match *op {
+        Op::Run(millis) => net.run(millis),
+        Op::Propose(vm) => net.propose(vm),
+        Op::ProposeAtLeader => drop(leader.map(|vm| net.propose(vm))),
+        Op::Read(vm) => net.read(vm),
+        Op::ReadAtLeader => drop(leader.map(|vm| net.read(vm))),
+        Op::Crash(vm) => net.crash(vm),
+        Op::Restart(vm) => net.restart(vm),
+        Op::Cut(from, to) => net.cut(from, to),
+        Op::CutOff(vm) => net.cut_off(vm),
+        Op::Heal => net.cuts.clear(),
+        Op::Storm(loss, doubled, delay) => net.weather = Weather { loss, doubled, delay },
+        Op::SlowSync(millis) => net.sync_millis = millis,
+        Op::Snapshot(vm) => net.snapshot(vm),
+        Op::Transfer => drop(leader.map(|vm| net.step(vm, Input::Transfer))),
+        Op::AddLearner(vm) => net.change(MemberChange::AddLearner(vm)),
+        Op::Promote(vm) => net.change(MemberChange::Promote(vm)),
+        Op::Remove(vm) => net.change(MemberChange::Remove(vm)),
+    }
+}
+
+/// Small limits, so that batches, windows and chunks fill up.
+fn settings() -> Settings {
+    Settings {
+        drift: 0.05,
+        batch_bytes: 24,
+        in_flight: 3,
+        chunk_bytes: 20,
+        backlog_bytes: 400,
+        ..Settings::default()
+    }
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let cases = std::env::var(CASES_VARIABLE).ok().and_then(|n| n.parse().ok()).unwrap_or(cases);
+    TestRunner::new(ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..ProptestConfig::default()
+    })
+}
+
+fn check(settings: &Settings, seed: u64, ops: &[Op]) -> Result<(), TestCaseError> {
+    let mut net = Net::new(seed, settings.clone(), VOTERS, SPARES);
+    net.run(3_000);
+    for op in ops {
+        apply(&mut net, op);
+    }
+    net.settle();
+    match net.broken {
+        Some(rule) => Err(TestCaseError::fail(rule)),
+        None => Ok(()),
+    }
+}
+
+#[test]
+fn step_any_failures() {
+    // Callers see one history: nothing acknowledged is lost or changed, and no read is stale.
+    // Anything may fail in any order; once all is mended, the replicas agree again.
+    let strategy = (any::<u64>(), prop::collection::vec(op(), 1..60));
+    let settings = settings();
+    let result = runner(CASES).run(&strategy, |(seed, ops)| check(&settings, seed, &ops));
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
