Prove that each safeguard of the replicated log is needed

Cause: a test that can't fail shows nothing. Change: six safeguards can be switched off in test settings; each has a failure that is harmless with it and noticed without it. Also scripted: a second VM lost right after a repair, a restart after hundreds of entries, a planned hand-over. Conclusion: quorum, sync, pre-vote, lease wait, catch-up and own-term rules are each caught by a named test.

--- /dev/null
+++ b/crates/core/tests/replication_safeguards.rs
@@ -0,0 +1,250 @@
+//! One failure for each safeguard: harmless with it, and noticed without it.
+
+#[path = "replication/net.rs"]
+#[allow(dead_code)]
+mod net;
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{Input, LogIndex, MemberChange, Role, Settings};
+use net::Net;
+
+/// Small batches, so that entries arrive in several.
+fn settings() -> Settings {
+    Settings { batch_bytes: 24, chunk_bytes: 20, ..Settings::default() }
+}
+
+fn started(settings: Settings, voters: u32, spares: u32) -> (Net, VmId) {
+    let mut net = Net::new(1, settings, voters, spares);
+    net.run(4_000);
+    let leader = net.leader().expect("a leader");
+    (net, leader)
+}
+
+/// Returns the nodes but for `known`.
+fn others(net: &Net, known: &[VmId]) -> Vec<VmId> {
+    net.nodes.iter().map(|node| node.id).filter(|id| !known.contains(id)).collect()
+}
+
+fn cut_between(net: &mut Net, one: &[VmId], other: &[VmId]) {
+    for &a in one {
+        for &b in other {
+            net.cut(a, b);
+            net.cut(b, a);
+        }
+    }
+}
+
+/// Runs until the condition holds, a millisecond at a time.
+fn run_until(net: &mut Net, condition: impl Fn(&Net) -> bool) {
+    for _ in 0..30_000 {
+        if condition(net) {
+            return;
+        }
+        net.run(1);
+    }
+    panic!("the condition never held");
+}
+
+fn last(net: &Net, id: VmId) -> LogIndex {
+    let replica = net.nodes[id.0 as usize - 1].replica.as_ref();
+    replica.map_or(LogIndex(0), |replica| replica.last().index)
+}
+
+fn leader_of(net: &Net, among: &[VmId]) -> Option<VmId> {
+    among.iter().copied().find(|id| net.nodes[id.0 as usize - 1].role() == Some(Role::Leader))
+}
+
+/// A follower that the leader can't reach campaigns, and the third replica, which heard the
+/// leader just now, is asked for its vote. Then the leader is cut off. With the vote given at
+/// once, the new leader commits while the old one still answers reads under its lease.
+fn vote_under_lease(settings: Settings) -> Option<String> {
+    let (mut net, leader) = started(settings, 3, 0);
+    let rest = others(&net, &[leader]);
+    cut_between(&mut net, &[leader], &rest[..1]);
+    run_until(&mut net, |net| net.nodes[rest[0].0 as usize - 1].role() != Some(Role::Follower));
+    net.cut(rest[1], leader);
+    net.run(700);
+    net.broken
+}
+
+#[test]
+fn safeguard_lease_wait_on() {
+    assert_eq!(vote_under_lease(settings()), None);
+}
+
+#[test]
+fn safeguard_lease_wait_off() {
+    let mut settings = settings();
+    settings.safeguards.lease_wait = false;
+    let broken = vote_under_lease(settings).expect("no rule was broken");
+    assert!(broken.contains("held a lease"), "{broken}");
+}
+
+/// Entries of term 2 reach one follower, and their leader dies. Another replica leads term 3,
+/// appends, and dies with its entry on its own disk only. The first comes back, leads term 4 and
+/// copies its old entries to a quorum, but none of its own term. It dies; the leader of term 3
+/// comes back, is elected by its higher last term, and overwrites what a quorum held.
+fn overwrite_older_term(settings: Settings) -> Option<String> {
+    let (mut net, first) = started(settings, 5, 0);
+    let rest = others(&net, &[first]);
+    let (second, third, fourth, fifth) = (rest[0], rest[1], rest[2], rest[3]);
+    cut_between(&mut net, &[first, second], &[third, fourth, fifth]);
+    (0..6).for_each(|_| net.propose(first));
+    net.run(50);
+    net.crash(first);
+    net.crash(second);
+    run_until(&mut net, |net| leader_of(net, &[third, fourth, fifth]).is_some());
+    let rival = leader_of(&net, &[third, fourth, fifth]).expect("just found");
+    net.cut_off(rival);
+    net.run(20);
+    net.crash(rival);
+    net.cuts.clear();
+    let base = last(&net, others(&net, &[first, second, rival])[0]);
+    net.restart(first);
+    net.restart(second);
+    run_until(&mut net, |net| leader_of(net, &[first, second]).is_some());
+    let [helper, idle] = others(&net, &[first, second, rival])[..] else { unreachable!() };
+    net.cut_off(idle);
+    run_until(&mut net, |net| last(net, helper) > base);
+    let before = net.committed.len();
+    // The first batch is being answered; the second one would bring an entry of term 4.
+    run_until(&mut net, |net| net.committed.len() > before || last(net, helper).0 > base.0 + 3);
+    for lost in [first, second] {
+        net.crash(lost);
+        net.cut_off(lost);
+    }
+    net.run(20);
+    net.cuts.clear();
+    net.restart(rival);
+    net.run(10_000);
+    net.settle();
+    net.broken
+}
+
+#[test]
+fn safeguard_own_term_on() {
+    assert_eq!(overwrite_older_term(settings()), None);
+}
+
+#[test]
+fn safeguard_own_term_off() {
+    let mut settings = settings();
+    settings.safeguards.own_term = false;
+    let broken = overwrite_older_term(settings).expect("no rule was broken");
+    assert!(broken.contains("committed another entry"), "{broken}");
+}
+
+/// A follower is cut off for ten seconds and comes back. Callers see a leader deposed for
+/// nothing if it raised its term meanwhile. Returns whether the leader was kept.
+fn rejoin(settings: Settings) -> bool {
+    let (mut net, leader) = started(settings, 3, 0);
+    let rest = others(&net, &[leader]);
+    net.cut_off(rest[0]);
+    net.run(10_000);
+    let term = |net: &mut Net| net.node(leader).replica.as_ref().map(|r| r.status(Time::ZERO).term);
+    let before = term(&mut net);
+    net.cuts.clear();
+    net.run(3_000);
+    net.broken.is_none() && net.leader() == Some(leader) && term(&mut net) == before
+}
+
+#[test]
+fn safeguard_pre_vote_on() {
+    assert!(rejoin(settings()));
+}
+
+#[test]
+fn safeguard_pre_vote_off() {
+    let mut settings = settings();
+    settings.safeguards.pre_vote = false;
+    assert!(!rejoin(settings));
+}
+
+/// One of three VMs is lost, and its replacement is promoted before it has the log: it can't be
+/// reached yet. The quorum is now three of four, and only two can answer: the group stops.
+/// Returns whether it goes on.
+fn promote_empty(settings: Settings) -> bool {
+    let (mut net, leader) = started(settings, 3, 1);
+    let rest = others(&net, &[leader]);
+    let (lost, spare) = (rest[0], VmId(4));
+    net.crash(lost);
+    net.cut_off(spare);
+    net.change(MemberChange::AddLearner(spare));
+    net.run(500);
+    net.change(MemberChange::Promote(spare));
+    net.run(500);
+    let before = net.committed.len();
+    net.propose(leader);
+    net.run(3_000);
+    net.broken.is_none() && net.committed.len() > before
+}
+
+#[test]
+fn safeguard_catch_up_on() {
+    assert!(promote_empty(settings()));
+}
+
+#[test]
+fn safeguard_catch_up_off() {
+    let mut settings = settings();
+    settings.safeguards.catch_up = false;
+    assert!(!promote_empty(settings));
+}
+
+#[test]
+fn change_second_loss_after_repair() {
+    // A VM is lost for good and replaced. Right after the repair a second one is lost. Callers
+    // keep what was acknowledged, and the group goes on with the replacement's vote.
+    let (mut net, leader) = started(settings(), 3, 1);
+    let rest = others(&net, &[leader]);
+    let (first_lost, second_lost, spare) = (rest[0], rest[1], VmId(4));
+    (0..20).for_each(|_| net.propose(leader));
+    net.run(300);
+    net.snapshot(leader);
+    net.crash(first_lost);
+    net.change(MemberChange::AddLearner(spare));
+    net.run(1_000);
+    net.change(MemberChange::Promote(spare));
+    net.run(200);
+    net.change(MemberChange::Remove(first_lost));
+    net.run(200);
+    net.crash(second_lost);
+    let before = net.committed.len();
+    net.propose(leader);
+    net.run(1_000);
+    assert_eq!(net.broken, None);
+    assert!(net.committed.len() > before);
+}
+
+#[test]
+fn restart_after_hundreds_of_changes() {
+    // A process is down while hundreds of entries pass and the log is compacted twice. It comes
+    // back, installs a snapshot piece by piece over a link that loses a third, and catches up.
+    let (mut net, leader) = started(settings(), 3, 0);
+    let late = others(&net, &[leader])[0];
+    net.crash(late);
+    for _ in 0..2 {
+        for _ in 0..300 {
+            net.propose(leader);
+            net.run(5);
+        }
+        net.snapshot(leader);
+    }
+    net.weather.loss = 0.3;
+    net.restart(late);
+    net.run(20_000);
+    assert_eq!(net.broken, None);
+    assert!(last(&net, late).0 > 600);
+}
+
+#[test]
+fn transfer_planned_stop() {
+    // A planned stop hands over before the process ends: another replica leads within a few
+    // messages, not after an election timeout.
+    let (mut net, leader) = started(settings(), 3, 0);
+    net.propose(leader);
+    net.step(leader, Input::Transfer);
+    net.run(100);
+    assert_eq!(net.broken, None);
+    assert!(net.leader().is_some_and(|next| next != leader));
+}
--- a/crates/core/tests/replication_safety.rs
+++ b/crates/core/tests/replication_safety.rs
@@ -136,3 +136,35 @@
         panic!("{error}");
     }
 }
+
+/// Cases in which a missing safeguard must show itself.
+const MUTATION_CASES: u32 = 5_000;
+
+/// Switches one safeguard off and expects the rules above to be broken.
+fn expect_broken(change: impl Fn(&mut Settings)) {
+    let mut settings = settings();
+    change(&mut settings);
+    let strategy = (any::<u64>(), prop::collection::vec(op(), 1..60));
+    let config = ProptestConfig {
+        cases: MUTATION_CASES,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    };
+    let result = TestRunner::new(config).run(&strategy, |(seed, ops)| check(&settings, seed, &ops));
+    assert!(result.is_err(), "no rule was broken");
+}
+
+#[test]
+fn safeguard_quorum_off() {
+    // With a quorum of one, both sides of a partition commit, and one side's entries are lost.
+    expect_broken(|settings| settings.safeguards.quorum = false);
+}
+
+#[test]
+fn safeguard_sync_off() {
+    // A replica answers and crashes before its disk has the entry: the leader counted it, a later
+    // leader is elected without it, and an acknowledged entry is replaced.
+    expect_broken(|settings| settings.safeguards.sync = false);
+}
