--- a/crates/core/src/program/journal.rs
+++ b/crates/core/src/program/journal.rs
@@ -175,18 +175,12 @@
     }
 
     /// Tells whether the call behind a known key may be granted again.
-    fn check_key(&mut self, call: CallKey, begin: &wire::Begin) -> Result<(), Applied> {
+    fn check_key(&self, call: CallKey, begin: &wire::Begin) -> Result<(), Applied> {
         let found = &self.calls[call];
         if self.safeguards.bind_content && found.content[..] != begin.content[..] {
             return Err(Applied::Retry);
         }
         match &found.phase {
-            // The holder retries the very ask that this attempt was for, so the grant never
-            // arrived and never will be acted on: the holder's word that nothing was sent.
-            Phase::Running(attempt) if attempt.is_retried(begin) => {
-                self.close_unrun(call);
-                Ok(())
-            }
             Phase::InDoubt(_) if found.repeatable || !self.safeguards.doubt_final => Ok(()),
             Phase::NotRun => Ok(()),
             _ => Err(Applied::Retry),
@@ -256,7 +250,7 @@
             && digest.is_some_and(|digest| self.scores.is_suspect(&digest));
         let attempt = Box::new(Attempt {
             holder: VmId(begin.holder),
-            ask: (&begin.ask).into(),
+            nonce: (&begin.nonce).into(),
             messages: begin.messages.clone(),
             hashes: begin.hashes.clone(),
             reserved,
@@ -417,12 +411,6 @@
     }
 }
 
-impl Attempt {
-    fn is_retried(&self, begin: &wire::Begin) -> bool {
-        !self.ask.is_empty() && self.ask == begin.ask && self.holder == VmId(begin.holder)
-    }
-}
-
 fn unknown_dispatch() -> Applied {
     let detail = "the dispatch was never granted here, or a newer attempt replaced it";
     Applied::Refused(refused(Refusal::DispatchUnknown, detail))
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -158,7 +158,7 @@
 
 async fn ask_grant(state: &EntryState, call: &ToolCall) -> Result<Granted, Problem> {
     let mut begin = call.begin.clone();
-    begin.ask = super::fresh_id(state);
+    begin.nonce = super::fresh_id(state);
     let request = Request { body: Some(RequestBody::BeginCall(begin)) };
     let patience = call.deadline.map_or(GROUP_PATIENCE, |at| at.since(state.clock.now()));
     match state.groups.ask(&call.org, &call.program, &request, patience).await {
--- a/crates/gypsumglade/src/lib.rs
+++ b/crates/gypsumglade/src/lib.rs
@@ -6,13 +6,17 @@
 pub mod admin;
 pub mod bench;
 pub mod cli;
+pub mod clock;
 pub mod demo;
+pub mod directory;
 pub mod disk;
+pub mod embedded;
 pub mod entry;
 pub mod listener;
 pub mod logs;
 pub mod membership;
 pub mod metrics;
+pub mod operator;
 pub mod replica;
 pub mod rpc;
 pub mod secret;
