Check every promise of a call under faults at every step

Cause: single tests don't show what two faults do together. Change: a reference model of entry VMs and fake endpoints (what ran, what was used and held, what each caller was told) beside the group; all single faults and all pairs of faults at every step of a call, random histories of a family of programs by proptest (fixed seed 5, GYPSUMGLADE_CASES sets the count), and nine safeguards that can be switched off, each caught by a named test. A Started for an endpoint new to the program is confirmed once committed: the model found memory that nobody knew of when the leader fell in between.

--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -364,6 +364,8 @@
         self.propose(now, EntryBody::Settled(settled), Pending::Reply(token), out);
     }
 
+    /// Notes where a dispatch runs. An endpoint that the program never ran on is committed before
+    /// the reply: after the first byte, only the group can know whose memory it holds.
     fn start(
         &mut self,
         now: Time,
@@ -374,13 +376,14 @@
         let endpoint = EndpointName::from(&started.endpoint);
         self.started.insert((&started.dispatch).into(), endpoint.clone());
         let program = self.state.find(&Name::of(started.program.as_ref()));
-        let is_new = program.is_some_and(|program| !program.endpoints.contains(&endpoint));
-        if is_new {
-            let wire::Started { program, endpoint, .. } = started;
-            let touched = wire::Touched { program, endpoint };
-            self.propose_chore(now, EntryBody::Touched(touched), out);
+        let known = program.is_none_or(|program| program.endpoints.contains(&endpoint));
+        if known {
+            let reply = reply(ReplyBody::Done(wire::Done {}));
+            return out.push(Effect::Reply { token, reply });
         }
-        out.push(Effect::Reply { token, reply: reply(ReplyBody::Done(wire::Done {})) });
+        let wire::Started { program, endpoint, .. } = started;
+        let touched = wire::Touched { program, endpoint };
+        self.propose(now, EntryBody::Touched(touched), Pending::Reply(token), out);
     }
 
     fn committed(&mut self, now: Time, index: u64, data: Bytes, out: &mut Vec<Effect>) {
--- /dev/null
+++ b/crates/core/tests/journal_faults.rs
@@ -0,0 +1,294 @@
+//! Faults at every step of a call, once, twice and together, against a reference model.
+//!
+//! The model is what fake endpoints really ran, used and held, and what every caller was told.
+//! It knows nothing of the journal. See docs/design/journal.md for the promises it checks.
+
+mod support;
+
+use gypsumglade_core::program::{Safeguards, Settings};
+use gypsumglade_core::wire::program::request::Body;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use support::world::{CallId, Op, World};
+use support::*;
+
+/// Cases of the property when the environment names no other count.
+const CASES: u32 = 256;
+/// Environment variable with the count of cases, for long runs.
+const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
+/// Seed of the property's random choices.
+const SEED: u64 = 5;
+
+const MODEL: CallId = CallId { program: 0, key: 0 };
+const SERVICE: CallId = CallId { program: 0, key: 1 };
+
+/// The steps of one call, from the asking to the confirmed outcome. A fault goes before any.
+const STEPS: [Op; 5] = [
+    Op::Ask { vm: 1, call: SERVICE, lose: false },
+    Op::Commit,
+    Op::Send { vm: 1, pick: 0 },
+    Op::Settle { vm: 1, pick: 0 },
+    Op::Commit,
+];
+
+/// Every fault of one process, and the resend that often goes with them.
+const FAULTS: [Op; 9] = [
+    Op::Lead { to: 1, kept: true },
+    Op::Lead { to: 2, kept: false },
+    Op::Kill { vm: 1 },
+    Op::Pause { vm: 1 },
+    Op::Restart { replica: 0 },
+    Op::Restart { replica: 1 },
+    Op::Wait { millis: 650_000 },
+    Op::End { program: 0 },
+    Op::Ask { vm: 2, call: SERVICE, lose: false },
+];
+
+#[test]
+fn call_with_one_fault_keeps_every_promise() {
+    // One process fails before one step of a call, and the caller sends the call again elsewhere.
+    for call in [MODEL, SERVICE] {
+        for place in 0..=STEPS.len() {
+            for fault in FAULTS {
+                let violations = run_call(Settings::default(), call, &[(place, fault)]);
+                assert!(violations.is_empty(), "{call:?} {place} {fault:?}: {violations:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn call_with_two_faults_keeps_every_promise() {
+    // Two processes fail, before any two steps, the same or different ones, in either order.
+    for call in [MODEL, SERVICE] {
+        for faults in fault_pairs() {
+            let violations = run_call(Settings::default(), call, &faults);
+            assert!(violations.is_empty(), "{call:?} {faults:?}: {violations:?}");
+        }
+    }
+}
+
+#[test]
+fn programs_under_random_faults_keep_every_promise() {
+    // Callers of four programs, one family and a stranger, ask through three VMs while leaders,
+    // VMs and replicas come and go, grants are lost, and paused VMs act late.
+    let config = Config {
+        cases: std::env::var(CASES_VARIABLE).ok().and_then(|n| n.parse().ok()).unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new(config);
+    let ops = prop::collection::vec(any_op(), 1..80);
+    let result = runner.run(&ops, |ops| {
+        let violations = run(Settings::default(), &ops);
+        prop_assert!(violations.is_empty(), "{violations:?}");
+        Ok(())
+    });
+    result.unwrap_or_else(|failure| panic!("{failure}"));
+}
+
+#[test]
+fn mutation_intent_first_is_caught() {
+    // Without a committed intent, the leader that fell leaves a running call that nobody knows.
+    assert_caught(|s| s.intent_first = false);
+}
+
+#[test]
+fn mutation_doubt_final_is_caught() {
+    // A call in doubt that is granted again runs twice when its paused holder wakes.
+    assert_caught(|s| s.doubt_final = false);
+}
+
+#[test]
+fn mutation_serial_calls_is_caught() {
+    let other = CallId { program: 0, key: 3 };
+    let ops = [
+        Op::Ask { vm: 1, call: SERVICE, lose: false },
+        Op::Commit,
+        Op::Ask { vm: 1, call: other, lose: false },
+        Op::Commit,
+    ];
+    assert!(run(Settings::default(), &ops).is_empty());
+    assert!(!run(without(|s| s.serial_calls = false), &ops).is_empty());
+}
+
+#[test]
+fn mutation_charge_ancestors_is_caught() {
+    // Each program of the family draws from its own account alone, so that together they pass
+    // what their root was given.
+    assert_budget_caught(|s| s.charge_ancestors = false);
+}
+
+#[test]
+fn mutation_keep_doubtful_is_caught() {
+    // Reservations of lost calls are given back although the calls ran.
+    assert_budget_caught(|s| s.keep_doubtful = false);
+}
+
+#[test]
+fn mutation_repeat_release_is_caught() {
+    assert!(lost_releases(&Settings::default()) > 1);
+    assert_eq!(lost_releases(&without(|s| s.repeat_release = false)), 1);
+}
+
+#[test]
+fn mutation_holder_only_is_caught() {
+    // A VM that never held the grant calls it not run, and the call is granted beside the holder.
+    assert!(!granted_after_foreign_settle(Settings::default()));
+    assert!(granted_after_foreign_settle(without(|s| s.holder_only = false)));
+}
+
+#[test]
+fn mutation_bind_content_is_caught() {
+    // The caller of another booking is handed the answer to the first.
+    assert!(!answered_with_foreign_content(Settings::default()));
+    assert!(answered_with_foreign_content(without(|s| s.bind_content = false)));
+}
+
+#[test]
+fn mutation_isolate_suspects_is_caught() {
+    // Five programs send the same bad request at once, again and again.
+    assert_eq!(deaths_of_bad_request(Settings::default()), 2);
+    assert!(deaths_of_bad_request(without(|s| s.isolate_suspects = false)) > 2);
+}
+
+fn without(change: fn(&mut Safeguards)) -> Settings {
+    let mut safeguards = Safeguards::default();
+    change(&mut safeguards);
+    Settings { safeguards, ..Settings::default() }
+}
+
+/// Ends a program whose releases are all lost, and returns how many are sent in ten seconds.
+fn lost_releases(settings: &Settings) -> usize {
+    let mut group = Group::with_settings(1, settings.clone());
+    group.run_turn("p", "k", "a", "b");
+    group.ask(ENTRY, end("p"));
+    group.advance(10_000);
+    group.releases().len()
+}
+
+fn granted_after_foreign_settle(settings: Settings) -> bool {
+    let mut group = Group::with_settings(1, settings);
+    let grant = group.grant(call("p", "k"));
+    group.ask(OTHER, not_run("p", &grant.dispatch));
+    let again = group.send(OTHER, call("p", "k"));
+    matches!(group.reply(again), Some(ReplyBody::Grant(_)))
+}
+
+fn answered_with_foreign_content(settings: Settings) -> bool {
+    let mut group = Group::with_settings(1, settings);
+    let grant = group.grant(call("p", "k"));
+    group.ask(ENTRY, done("p", &grant.dispatch, "booked"));
+    let mut other = begin_call("p", "k");
+    other.digest = "other body".into();
+    matches!(group.ask(ENTRY, Body::BeginCall(other)), ReplyBody::Recorded(_))
+}
+
+/// Sends one bad request from five programs after its first crash; each run kills an endpoint.
+fn deaths_of_bad_request(settings: Settings) -> usize {
+    let mut group = Group::with_settings(1, settings);
+    let first = group.grant(turn("first", "k", &[user("poison")]));
+    group.ask(ENTRY, crashed("first", &first.dispatch, "e0"));
+    let programs: Vec<String> = (0..5).map(|i| format!("p{i}")).collect();
+    let asked = programs.iter().map(|p| group.send(ENTRY, turn(p, "k", &[user("poison")])));
+    let tokens: Vec<_> = asked.collect();
+    let mut deaths = 1;
+    for (i, (program, token)) in programs.iter().zip(tokens).enumerate() {
+        let Some(ReplyBody::Grant(grant)) = group.reply(token) else { continue };
+        group.ask(ENTRY, crashed(program, &grant.dispatch, &format!("e{}", i + 1)));
+        deaths += 1;
+    }
+    deaths
+}
+
+/// Runs all single and double faults until one breaks a promise.
+fn assert_caught(change: fn(&mut Safeguards)) {
+    let settings = without(change);
+    let pairs = fault_pairs();
+    let caught = pairs.iter().any(|f| !run_call(settings.clone(), SERVICE, f).is_empty());
+    assert!(caught, "no pair of faults shows the missing safeguard");
+}
+
+/// Spends the family's budget through lost and finished calls of all its programs.
+fn assert_budget_caught(change: fn(&mut Safeguards)) {
+    let mut ops = vec![];
+    for key in 0..8 {
+        for program in 0..3 {
+            let call = CallId { program, key };
+            ops.push(Op::Ask { vm: 1, call, lose: false });
+            ops.push(Op::Commit);
+            ops.push(Op::Send { vm: 1, pick: 0 });
+            ops.push(if key < 6 { Op::Kill { vm: 1 } } else { Op::Settle { vm: 1, pick: 0 } });
+            ops.push(Op::Commit);
+        }
+    }
+    assert!(run(Settings::default(), &ops).is_empty());
+    assert!(!run(without(change), &ops).is_empty());
+}
+
+fn fault_pairs() -> Vec<[(usize, Op); 2]> {
+    let places = 0..=STEPS.len();
+    let mut pairs = vec![];
+    for first in places.clone() {
+        for second in first..=STEPS.len() {
+            for a in FAULTS {
+                pairs.extend(FAULTS.map(|b| [(first, a), (second, b)]));
+            }
+        }
+    }
+    pairs
+}
+
+/// Runs the steps of a call with faults before some of them, then what a caller and late VMs do.
+fn run_call(settings: Settings, call: CallId, faults: &[(usize, Op)]) -> Vec<String> {
+    let aimed = |op: Op| match op {
+        Op::Ask { vm, lose, .. } => Op::Ask { vm, call, lose },
+        op => op,
+    };
+    let mut ops = vec![];
+    for place in 0..=STEPS.len() {
+        let here = faults.iter().filter(|(at, _)| *at == place);
+        ops.extend(here.map(|(_, fault)| aimed(*fault)));
+        ops.extend(STEPS.get(place).copied().map(aimed));
+    }
+    let resend = [
+        Op::Ask { vm: 2, call, lose: false },
+        Op::Commit,
+        Op::Send { vm: 2, pick: 0 },
+        Op::Send { vm: 1, pick: 0 },
+        Op::Settle { vm: 2, pick: 0 },
+        Op::Commit,
+        Op::Settle { vm: 1, pick: 0 },
+        Op::Commit,
+        Op::Ask { vm: 3, call, lose: false },
+    ];
+    ops.extend(resend);
+    run(settings, &ops)
+}
+
+fn run(settings: Settings, ops: &[Op]) -> Vec<String> {
+    let mut world = World::new(settings);
+    ops.iter().for_each(|op| world.perform(*op));
+    world.finish();
+    world.violations
+}
+
+fn any_op() -> impl Strategy<Value = Op> {
+    let vm = 1..4_u32;
+    let call = (0..4_usize, 0..6_u8).prop_map(|(program, key)| CallId { program, key });
+    prop_oneof![
+        8 => (vm.clone(), call, prop::bool::weighted(0.1))
+            .prop_map(|(vm, call, lose)| Op::Ask { vm, call, lose }),
+        8 => Just(Op::Commit),
+        6 => (vm.clone(), 0..4_usize).prop_map(|(vm, pick)| Op::Send { vm, pick }),
+        5 => (vm.clone(), 0..4_usize).prop_map(|(vm, pick)| Op::Settle { vm, pick }),
+        1 => vm.clone().prop_map(|vm| Op::Kill { vm }),
+        1 => vm.prop_map(|vm| Op::Pause { vm }),
+        1 => (0..3_usize, any::<bool>()).prop_map(|(to, kept)| Op::Lead { to, kept }),
+        1 => (0..3_usize).prop_map(|replica| Op::Restart { replica }),
+        1 => prop_oneof![3 => 1..5_000_u64, 1 => Just(650_000)]
+            .prop_map(|millis| Op::Wait { millis }),
+        1 => (0..40_usize).prop_map(|program| Op::End { program: program.max(3) }),
+    ]
+}
