Add the command line and JSON logs

Operators need to check settings, make keys, sign bundles, roll them out and back, and dump a process. Each verb is a file; failures carry an exit code and advice, and a lost answer has a code of its own, since the order may have been accepted. Logs are JSON lines written off the call path.

--- /dev/null
+++ b/crates/gypsumglade/src/cli/bundle.rs
@@ -0,0 +1,226 @@
+//! `gypsumglade bundle`: sign, roll out, roll back, see what is in force.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::time::Instant;
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use gypsumglade_core::bundle::{Bundle, Digest, Findings, RollBackOrder, SignedBundle};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::{Accepted, Command};
+use gypsumglade_core::wire::operator::Status;
+
+use super::admin_client::{AdminArgs, AdminClient};
+use super::failure::FailureKind;
+use super::orders::{self, OrderHead, RollReport, StatusReport};
+use super::{Failure, Output, key};
+
+/// Pause between two looks whether a revision is in force.
+const STATUS_PAUSE: Duration = Duration::from_millis(200);
+
+#[derive(Debug, clap::Subcommand)]
+pub(super) enum BundleVerb {
+    /// Check a bundle and add an operator's signature.
+    Sign {
+        /// The bundle's YAML file, or a signed file that needs another signature.
+        file: PathBuf,
+        /// The operator's private key, from `gypsumglade key new`.
+        #[arg(long, value_name = "FILE")]
+        key: PathBuf,
+        /// Where the signed bundle goes.
+        #[arg(long, value_name = "FILE")]
+        out: PathBuf,
+    },
+    /// Roll a signed bundle out and wait until it is in force everywhere.
+    Roll {
+        /// The signed bundle, from `gypsumglade bundle sign`.
+        file: PathBuf,
+        #[command(flatten)]
+        order: OrderArgs,
+    },
+    /// Roll back to the content of an earlier revision, as a new revision.
+    Back {
+        /// The earlier revision.
+        #[arg(long, value_name = "REVISION")]
+        to: u64,
+        /// The bundle that was rolled out as that revision, signed or not.
+        #[arg(long, value_name = "FILE")]
+        bundle: PathBuf,
+        /// An operator's private key; give it again until there are as many as the threshold.
+        #[arg(long = "key", value_name = "FILE", required = true)]
+        keys: Vec<PathBuf>,
+        #[command(flatten)]
+        order: OrderArgs,
+    },
+    /// Show the current revision, and which VMs act on it.
+    Status {
+        #[command(flatten)]
+        admin: AdminArgs,
+    },
+}
+
+/// What both kinds of order share.
+#[derive(Debug, clap::Args)]
+pub(super) struct OrderArgs {
+    /// Revision that the order replaces; without it, the current one.
+    #[arg(long, value_name = "REVISION")]
+    base: Option<u64>,
+    /// Name of the order; to repeat an order, give its name and base again.
+    #[arg(long, value_name = "NAME")]
+    order: Option<CompactString>,
+    /// Seconds to wait until the revision is in force everywhere.
+    #[arg(long, value_name = "SECONDS", default_value_t = 30)]
+    wait: u64,
+    #[command(flatten)]
+    admin: AdminArgs,
+}
+
+pub(super) fn run(verb: BundleVerb, output: Output) -> Result<(), Failure> {
+    match verb {
+        BundleVerb::Sign { file, key, out } => sign(&file, &key, out, output),
+        BundleVerb::Roll { file, order } => roll(&file, &order, output),
+        BundleVerb::Back { to, bundle, keys, order } => back(to, &bundle, &keys, &order, output),
+        BundleVerb::Status { admin } => {
+            let status = status(&AdminClient::new(&admin)?, 0)?;
+            output.print(&StatusReport::new(&status))
+        }
+    }
+}
+
+/// What `bundle sign` tells.
+#[derive(Serialize)]
+struct Signed {
+    file: PathBuf,
+    version: CompactString,
+    digest: CompactString,
+    signatures: usize,
+}
+
+impl fmt::Display for Signed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Signed { file, version, digest, signatures } = self;
+        let file = file.display();
+        write!(f, "{file}: version {version}, digest {digest}, {signatures} signature(s)")
+    }
+}
+
+fn sign(file: &Path, key: &Path, out: PathBuf, output: Output) -> Result<(), Failure> {
+    let pair = key::read(key)?;
+    let mut signed = read(file)?;
+    signed.sign(&pair).map_err(|f| findings(file, &f))?;
+    let bundle = parse(file, &signed)?;
+    let text = serde_json::to_vec(&signed).map_err(anyhow::Error::from)?;
+    std::fs::write(&out, text).with_context(|| format!("can't write {}", out.display()))?;
+    output.print(&Signed {
+        file: out,
+        version: bundle.version,
+        digest: hex::encode(signed.digest().0).into(),
+        signatures: signed.signatures.len(),
+    })
+}
+
+fn roll(file: &Path, args: &OrderArgs, output: Output) -> Result<(), Failure> {
+    let client = AdminClient::new(&args.admin)?;
+    let signed = read(file)?;
+    if signed.signatures.is_empty() {
+        let message = format!("{} is not signed", file.display());
+        let advice = "sign it first: `gypsumglade bundle sign`";
+        return Err(Failure::new(FailureKind::Findings, message, advice));
+    }
+    let bundle = parse(file, &signed)?;
+    let head = head(&client, args)?;
+    give(&client, &orders::accept(&head, &signed, &bundle), args.wait, output)
+}
+
+fn back(
+    to: u64,
+    file: &Path,
+    keys: &[PathBuf],
+    args: &OrderArgs,
+    output: Output,
+) -> Result<(), Failure> {
+    let client = AdminClient::new(&args.admin)?;
+    let digest = read(file)?.digest();
+    let head = head(&client, args)?;
+    let signatures = sign_back(&head, to, digest, keys)?;
+    give(&client, &orders::roll_back(&head, to, &signatures), args.wait, output)
+}
+
+fn sign_back(
+    head: &OrderHead,
+    to: u64,
+    digest: Digest,
+    keys: &[PathBuf],
+) -> anyhow::Result<Vec<gypsumglade_core::bundle::Signature>> {
+    let order =
+        RollBackOrder { base: RevisionNumber(head.base), target: RevisionNumber(to), digest };
+    keys.iter().map(|file| Ok(key::read(file)?.sign_roll_back(&order))).collect()
+}
+
+/// Names the order and its base, and tells both, so that a resend can repeat them.
+fn head(client: &AdminClient, args: &OrderArgs) -> Result<OrderHead, Failure> {
+    let base = match args.base {
+        Some(base) => base,
+        None => status(client, 0)?.current,
+    };
+    let fresh = || hex::encode(rand::random::<[u8; 8]>()).into();
+    let id = args.order.clone().unwrap_or_else(fresh);
+    eprintln!("order {id} on revision {base}");
+    Ok(OrderHead { id, base })
+}
+
+/// Gives an order and waits until its revision is in force.
+fn give(
+    client: &AdminClient,
+    command: &Command,
+    seconds: u64,
+    output: Output,
+) -> Result<(), Failure> {
+    let accepted = orders::outcome(client.command(command)?)?;
+    let report = wait_in_force(client, &accepted, Duration::from_secs(seconds))?;
+    output.print(&report)?;
+    if report.in_force {
+        return Ok(());
+    }
+    let message = "accepted, but not yet in force everywhere";
+    let advice = "it comes into force by itself: follow it by `gypsumglade bundle status`";
+    Err(Failure::new(FailureKind::Pending, message, advice))
+}
+
+fn wait_in_force(
+    client: &AdminClient,
+    accepted: &Accepted,
+    patience: Duration,
+) -> Result<RollReport, Failure> {
+    let start = Instant::now();
+    loop {
+        let report = RollReport::new(accepted, &status(client, accepted.revision)?);
+        if report.in_force || start.elapsed() >= patience {
+            return Ok(report);
+        }
+        std::thread::sleep(STATUS_PAUSE);
+    }
+}
+
+fn status(client: &AdminClient, revision: u64) -> Result<Status, Failure> {
+    client.get(&format!("/v1/status?revision={revision}"))
+}
+
+/// Reads a signed bundle, or a plain one as a bundle without signatures.
+fn read(file: &Path) -> Result<SignedBundle, Failure> {
+    let content = std::fs::read(file).with_context(|| format!("can't read {}", file.display()))?;
+    match serde_json::from_slice::<SignedBundle>(&content) {
+        Ok(signed) => Ok(signed),
+        Err(_) => SignedBundle::new(Bytes::from(content)).map_err(|f| findings(file, &f)),
+    }
+}
+
+fn parse(file: &Path, signed: &SignedBundle) -> Result<Bundle, Failure> {
+    Bundle::parse(&signed.content).map_err(|f| findings(file, &f))
+}
+
+fn findings(file: &Path, findings: &Findings) -> Failure {
+    let message = format!("{}:\n{findings}", file.display());
+    Failure::new(FailureKind::Findings, message, "mend each place and sign again")
+}
--- /dev/null
+++ b/crates/gypsumglade/src/cli/completions.rs
@@ -0,0 +1,18 @@
+//! `gypsumglade completions`: scripts for shells.
+
+use clap::CommandFactory as _;
+
+use super::{Cli, Failure};
+
+#[derive(Debug, clap::Args)]
+pub(super) struct CompletionArgs {
+    /// The shell.
+    #[arg(value_enum)]
+    shell: clap_complete::Shell,
+}
+
+pub(super) fn run(args: CompletionArgs) -> Result<(), Failure> {
+    let mut command = Cli::command();
+    clap_complete::generate(args.shell, &mut command, "gypsumglade", &mut std::io::stdout());
+    Ok(())
+}
--- /dev/null
+++ b/crates/gypsumglade/src/cli/dump.rs
@@ -0,0 +1,18 @@
+//! `gypsumglade dump`: the whole state of a running process.
+
+use super::Failure;
+use super::admin_client::{AdminArgs, AdminClient};
+use super::output::json;
+
+#[derive(Debug, clap::Args)]
+pub(super) struct DumpArgs {
+    #[command(flatten)]
+    admin: AdminArgs,
+}
+
+pub(super) fn run(args: DumpArgs) -> Result<(), Failure> {
+    let client = AdminClient::new(&args.admin)?;
+    let state: serde_json::Value = client.get("/v1/dump")?;
+    println!("{}", json(&state)?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/gypsumglade/src/cli/key.rs
@@ -0,0 +1,69 @@
+//! `gypsumglade key`: operators' signing keys.
+
+use std::fmt;
+use std::fs::OpenOptions;
+use std::io::Write as _;
+use std::os::unix::fs::OpenOptionsExt as _;
+use std::path::{Path, PathBuf};
+
+use anyhow::Context as _;
+use gypsumglade_core::bundle::KeyPair;
+use gypsumglade_core::prelude::*;
+
+use super::{Failure, Output};
+
+/// Only the operator may read a private key.
+const PRIVATE_MODE: u32 = 0o600;
+
+#[derive(Debug, clap::Subcommand)]
+pub(super) enum KeyVerb {
+    /// Make a private key, and print the public key for `operators.keys` of the settings.
+    New {
+        /// File for the private key, which must not exist yet.
+        file: PathBuf,
+    },
+}
+
+#[derive(Serialize)]
+struct NewKey {
+    file: PathBuf,
+    public: CompactString,
+}
+
+impl fmt::Display for NewKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "private key in {}; keep it secret", self.file.display())?;
+        write!(f, "public key for `operators.keys`: {}", self.public)
+    }
+}
+
+pub(super) fn run(verb: KeyVerb, output: Output) -> Result<(), Failure> {
+    let KeyVerb::New { file } = verb;
+    let seed: [u8; 32] = rand::random();
+    write_private(&file, &seed)?;
+    let public = hex::encode(KeyPair::from_seed(seed).public().to_bytes()).into();
+    output.print(&NewKey { file, public })
+}
+
+fn write_private(path: &Path, seed: &[u8; 32]) -> anyhow::Result<()> {
+    let mut file = OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(PRIVATE_MODE)
+        .open(path)
+        .with_context(|| format!("can't create {}; name a new file", path.display()))?;
+    writeln!(file, "{}", hex::encode(seed))?;
+    file.sync_all()?;
+    Ok(())
+}
+
+/// Reads a private key that `key new` wrote.
+pub(super) fn read(path: &Path) -> anyhow::Result<KeyPair> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("can't read the key {}", path.display()))?;
+    let seed = hex::decode(text.trim()).ok().and_then(|bytes| bytes.try_into().ok());
+    let advice = "a private key is 64 hexadecimal digits, as `gypsumglade key new` writes it";
+    let seed =
+        seed.with_context(|| format!("{} holds no private key; {advice}", path.display()))?;
+    Ok(KeyPair::from_seed(seed))
+}
--- /dev/null
+++ b/crates/gypsumglade/src/cli/orders.rs
@@ -0,0 +1,201 @@
+//! Orders to the control group, and what came of them.
+
+use std::fmt;
+
+use bytes::Bytes;
+use gypsumglade_core::bundle::{Bundle, Digest, Signature, SignedBundle};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::answer::Body as AnswerBody;
+use gypsumglade_core::wire::control::command::Body as CommandBody;
+use gypsumglade_core::wire::control::content::Body as ContentBody;
+use gypsumglade_core::wire::control::{
+    Accept, Accepted, Answer, Command, Content, Fault, RollBack, VersionConflict,
+};
+use gypsumglade_core::wire::operator::Status;
+
+use super::Failure;
+use super::failure::FailureKind;
+
+/// Who gives an order, and on what.
+#[derive(Clone, Debug)]
+pub(super) struct OrderHead {
+    /// Names the order; a resend repeats it.
+    pub(super) id: CompactString,
+    /// Revision that it replaces; refused if another one is the current one.
+    pub(super) base: u64,
+}
+
+/// Builds the command that makes a signed bundle the next revision.
+pub(super) fn accept(head: &OrderHead, signed: &SignedBundle, bundle: &Bundle) -> Command {
+    let content = Content { body: Some(ContentBody::Whole(signed.content.clone())) };
+    let accept = Accept {
+        order_id: head.id.to_string(),
+        base_revision: head.base,
+        version: bundle.version.to_string(),
+        digest: signed.digest().to_wire(),
+        content: Some(content),
+        signatures: signed.signatures.iter().map(Signature::to_wire).collect(),
+    };
+    Command { body: Some(CommandBody::Accept(accept)) }
+}
+
+/// Builds the command that makes an earlier revision's content the next revision.
+pub(super) fn roll_back(head: &OrderHead, to: u64, signatures: &[Signature]) -> Command {
+    let back = RollBack {
+        order_id: head.id.to_string(),
+        base_revision: head.base,
+        to_revision: to,
+        signatures: signatures.iter().map(Signature::to_wire).collect(),
+    };
+    Command { body: Some(CommandBody::RollBack(back)) }
+}
+
+/// Returns the accepted revision, or why nothing changed.
+pub(super) fn outcome(answer: Answer) -> Result<Accepted, Failure> {
+    match answer.body {
+        Some(AnswerBody::Accepted(accepted)) => Ok(accepted),
+        Some(AnswerBody::Conflict(conflict)) => Err(conflicting(&conflict)),
+        Some(AnswerBody::Stale(stale)) => {
+            let message = format!(
+                "the order replaces revision {}, but {} is the current one (digest {})",
+                stale.base,
+                stale.current,
+                digest(&stale.digest)
+            );
+            let advice = "another operator was faster: see `gypsumglade bundle status`, agree, \
+                          and order again";
+            Err(Failure::new(FailureKind::Refused, message, advice))
+        }
+        Some(AnswerBody::Rejected(rejected)) => {
+            let fault = rejected.fault();
+            let message = format!("{}: {}", fault.as_str_name(), rejected.detail);
+            Err(Failure::new(FailureKind::Refused, message, advice(fault)))
+        }
+        Some(AnswerBody::Orders(_) | AnswerBody::Placed(_)) | None => {
+            let message = "the answer is to another kind of order";
+            let advice = "use a tool of the process's version";
+            Err(Failure::new(FailureKind::Unknown, message, advice))
+        }
+    }
+}
+
+fn conflicting(conflict: &VersionConflict) -> Failure {
+    let message = format!(
+        "version {} is taken: revision {} has digest {}, the offered bundle {}",
+        conflict.version,
+        conflict.revision,
+        digest(&conflict.accepted),
+        digest(&conflict.offered)
+    );
+    let advice = "give the bundle a version of its own, sign it and order again";
+    Failure::new(FailureKind::Refused, message, advice)
+}
+
+fn advice(fault: Fault) -> &'static str {
+    match fault {
+        Fault::NotSigned => "collect more signatures: `gypsumglade bundle sign`",
+        Fault::OrderIdReused => "leave --order out, or repeat the first order unchanged",
+        Fault::RevisionNotKept => "sign the earlier bundle under a new version and roll it out",
+        Fault::VersionTooOld => "give the bundle a higher version",
+        Fault::InvalidContent => "mend each finding and sign again",
+        Fault::Unspecified
+        | Fault::DigestMismatch
+        | Fault::Malformed
+        | Fault::PlacementChanged
+        | Fault::PlacementRefused => "sign the bundle again with this version of the tool",
+    }
+}
+
+/// What came of an accepted order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct RollReport {
+    pub(super) revision: u64,
+    pub(super) version: CompactString,
+    pub(super) digest: CompactString,
+    /// Whether no VM acts on an earlier revision any more, nor ever will.
+    pub(super) in_force: bool,
+    /// VMs that may still act on an earlier one.
+    pub(super) waiting: Vec<u32>,
+}
+
+impl RollReport {
+    pub(super) fn new(accepted: &Accepted, status: &Status) -> RollReport {
+        RollReport {
+            revision: accepted.revision,
+            version: accepted.version.as_str().into(),
+            digest: digest(&accepted.digest),
+            in_force: status.in_force,
+            waiting: status.waiting.clone(),
+        }
+    }
+}
+
+impl fmt::Display for RollReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let RollReport { revision, version, digest, .. } = self;
+        write!(f, "revision {revision}: version {version}, digest {digest}, ")?;
+        if self.in_force {
+            return write!(f, "in force everywhere");
+        }
+        write!(f, "accepted, but VMs {:?} may still act on an earlier one", self.waiting)
+    }
+}
+
+/// What `bundle status` tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct StatusReport {
+    pub(super) revision: u64,
+    pub(super) version: CompactString,
+    pub(super) digest: CompactString,
+    pub(super) in_force: bool,
+    pub(super) waiting: Vec<u32>,
+    pub(super) vms: Vec<VmReport>,
+}
+
+/// One entry VM, as the control group's leader sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct VmReport {
+    pub(super) vm: u32,
+    pub(super) confirmed: u64,
+    pub(super) lease_ms: u64,
+}
+
+impl StatusReport {
+    pub(super) fn new(status: &Status) -> StatusReport {
+        let vms = status.vms.iter();
+        StatusReport {
+            revision: status.current,
+            version: status.version.as_str().into(),
+            digest: digest(&status.digest),
+            in_force: status.in_force,
+            waiting: status.waiting.clone(),
+            vms: vms
+                .map(|v| VmReport { vm: v.vm, confirmed: v.confirmed, lease_ms: v.lease_ms })
+                .collect(),
+        }
+    }
+}
+
+impl fmt::Display for StatusReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let StatusReport { revision, version, digest, .. } = self;
+        if *revision == 0 {
+            return write!(f, "no bundle was rolled out yet");
+        }
+        let force = if self.in_force { "in force everywhere" } else { "not yet in force" };
+        writeln!(f, "revision {revision}: version {version}, digest {digest}, {force}")?;
+        if !self.waiting.is_empty() {
+            writeln!(f, "VMs that may still act on an earlier one: {:?}", self.waiting)?;
+        }
+        let mut table = tabled::builder::Builder::default();
+        table.push_record(["VM", "confirmed", "lease ends in"]);
+        for VmReport { vm, confirmed, lease_ms } in &self.vms {
+            table.push_record([vm.to_string(), confirmed.to_string(), format!("{lease_ms} ms")]);
+        }
+        write!(f, "{}", table.build().with(tabled::settings::Style::blank()))
+    }
+}
+
+fn digest(bytes: &Bytes) -> CompactString {
+    Digest::from_wire(bytes).map(|d| hex::encode(d.0).into()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/gypsumglade/src/cli/settings.rs
@@ -0,0 +1,62 @@
+//! `gypsumglade settings`: check a file, print an example.
+
+use std::fmt;
+use std::path::PathBuf;
+
+use gypsumglade_core::prelude::*;
+
+use super::{Failure, Output};
+use crate::settings::{Role, Settings};
+
+#[derive(Debug, clap::Subcommand)]
+pub(super) enum SettingsVerb {
+    /// Check a settings file and report every finding at once.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Print an annotated settings file.
+    Example {
+        /// What the VM does.
+        #[arg(value_enum, default_value_t = Role::Store)]
+        role: Role,
+    },
+}
+
+/// What a check without findings tells.
+#[derive(Serialize)]
+struct Checked {
+    file: PathBuf,
+    vm: u32,
+    domain: CompactString,
+    region: CompactString,
+    role: Role,
+}
+
+impl fmt::Display for Checked {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let role = match self.role {
+            Role::Entry => "entry",
+            Role::Store => "entry and store",
+        };
+        let Checked { file, vm, domain, region, .. } = self;
+        write!(f, "{}: no findings; VM {vm} in {domain} ({region}), {role}", file.display())
+    }
+}
+
+pub(super) fn run(verb: SettingsVerb, output: Output) -> Result<(), Failure> {
+    match verb {
+        SettingsVerb::Check { file } => check(file, output),
+        SettingsVerb::Example { role } => {
+            print!("{}", Settings::example(role));
+            Ok(())
+        }
+    }
+}
+
+fn check(file: PathBuf, output: Output) -> Result<(), Failure> {
+    let settings = Settings::load(&file).map_err(Failure::of_settings)?;
+    let role = if settings.store.is_some() { Role::Store } else { Role::Entry };
+    let vm = settings.vm;
+    output.print(&Checked { file, vm: vm.id, domain: vm.domain, region: vm.region, role })
+}
--- a/crates/gypsumglade/src/logs.rs
+++ b/crates/gypsumglade/src/logs.rs
@@ -1,1 +1,72 @@
 //! Structured logs as JSON lines.
+//!
+//! Lines are written by a thread of their own, so that a slow disk delays no call; when its buffer
+//! is full, lines are dropped and their count is logged. docs/OPERATING.md lists the fields.
+
+use std::fs::OpenOptions;
+use std::io::{self, Write};
+
+use anyhow::Context as _;
+use slog::{Drain as _, Logger, o};
+
+use crate::settings::{Level, LogSettings};
+
+/// Program within its organisation.
+pub const PROGRAM: &str = "program";
+/// Turn of the program.
+pub const TURN: &str = "turn";
+/// Dispatch of a call to an endpoint.
+pub const DISPATCH: &str = "dispatch";
+/// Endpoint's instance name.
+pub const ENDPOINT: &str = "endpoint";
+/// VM that wrote the line.
+pub const VM: &str = "vm";
+/// Bundle revision that the process acted under.
+pub const REVISION: &str = "revision";
+/// Daemon that wrote the line.
+pub const ROLE: &str = "role";
+
+/// Lines that may wait for the writing thread.
+const BUFFERED_LINES: usize = 4_096;
+
+/// Keeps the writing thread; its drop writes what still waits.
+pub struct LogGuard {
+    _guard: slog_async::AsyncGuard,
+}
+
+/// Creates the logger of a process; `vm` and `role` stand in each line.
+///
+/// # Errors
+///
+/// Fails when the log file can't be opened for appending.
+pub fn start(
+    settings: &LogSettings,
+    vm: u32,
+    role: &'static str,
+) -> anyhow::Result<(Logger, LogGuard)> {
+    let target: Box<dyn Write + Send> = match &settings.file {
+        None => Box::new(io::stderr()),
+        Some(path) => {
+            let file = OpenOptions::new().create(true).append(true).open(path);
+            let advice = "check `log.file` and the folder's permissions";
+            Box::new(file.with_context(|| format!("can't append to {}; {advice}", path.display()))?)
+        }
+    };
+    let json = slog_json::Json::default(target);
+    let lossy = std::sync::Mutex::new(json).ignore_res();
+    let (writer, guard) =
+        slog_async::Async::new(lossy).chan_size(BUFFERED_LINES).build_with_guard();
+    let filtered = slog::LevelFilter::new(writer, level(settings.level)).ignore_res();
+    let logger = Logger::root(filtered, o!(VM => vm, ROLE => role));
+    Ok((logger, LogGuard { _guard: guard }))
+}
+
+fn level(level: Level) -> slog::Level {
+    match level {
+        Level::Error => slog::Level::Error,
+        Level::Warning => slog::Level::Warning,
+        Level::Info => slog::Level::Info,
+        Level::Debug => slog::Level::Debug,
+        Level::Trace => slog::Level::Trace,
+    }
+}
--- a/crates/gypsumglade/src/main.rs
+++ b/crates/gypsumglade/src/main.rs
@@ -1,3 +1,7 @@
 //! The `gypsumglade` command.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    gypsumglade::cli::main()
+}
