--- a/crates/gypsumglade/src/demo/caller.rs
+++ b/crates/gypsumglade/src/demo/caller.rs
@@ -17,6 +17,8 @@
     client: Client<HttpConnector, Full<Bytes>>,
     entry: SocketAddr,
     api_key: String,
+    /// True towards an engine itself, as a baseline.
+    direct: bool,
 }
 
 /// An answer as it came over HTTP.
@@ -73,13 +75,23 @@
     pub stream: bool,
     /// Idempotency key.
     pub key: Option<&'a str>,
+    /// Most tokens of the answer; zero for a short one.
+    pub output: u64,
 }
 
+/// Tokens of a short answer.
+const DEFAULT_OUTPUT: u64 = 24;
+
 impl Caller {
     /// Creates a caller of the entry at `entry` with an organisation's API key.
     pub fn new(entry: SocketAddr, api_key: &str) -> Caller {
         let client = Client::builder(TokioExecutor::new()).build_http();
-        Caller { client, entry, api_key: api_key.to_owned() }
+        Caller { client, entry, api_key: api_key.to_owned(), direct: false }
+    }
+
+    /// Creates a caller that bypasses the system and calls the engine at `engine`.
+    pub fn direct(engine: SocketAddr) -> Caller {
+        Caller { direct: true, ..Caller::new(engine, "") }
     }
 
     /// Makes a chat call.
@@ -90,13 +102,16 @@
         let body = json!({
             "model": call.model,
             "messages": [{"role": "user", "content": call.says}],
-            "max_tokens": 24,
+            "max_tokens": if call.output == 0 { DEFAULT_OUTPUT } else { call.output },
             "stream": call.stream,
         });
         let mut headers = vec![
             ("x-program-id", call.program.to_owned()),
             ("x-program-agent", call.agent.to_owned()),
         ];
+        if self.direct {
+            headers.push(("x-dispatch-id", call.program.to_owned()));
+        }
         if call.turn > 0 {
             headers.push(("x-program-turn", call.turn.to_string()));
         }
--- a/crates/gypsumglade/src/demo/mod.rs
+++ b/crates/gypsumglade/src/demo/mod.rs
@@ -11,6 +11,7 @@
 use std::path::Path;
 
 pub use report::{DemoReport, Promise};
+pub use stage::Stage;
 
 /// Runs the demo with its data in `folder`, telling each step to `progress`.
 ///
--- a/crates/gypsumglade/src/demo/stage.rs
+++ b/crates/gypsumglade/src/demo/stage.rs
@@ -24,7 +24,7 @@
 const START_PATIENCE: Duration = Duration::from_secs(20);
 
 /// The demo's processes, all in this one.
-pub(super) struct Stage {
+pub struct Stage {
     pub(super) system: Embedded,
     pub(super) engines: Vec<Engine>,
     pub(super) service: Service,
@@ -32,7 +32,35 @@
 
 impl Stage {
     /// Starts everything and rolls the demo's bundle out.
-    pub(super) async fn start(folder: &Path, log: slog::Logger) -> anyhow::Result<Stage> {
+    ///
+    /// # Errors
+    /// Fails when a process of the system does not come up.
+    pub async fn start(folder: &Path, log: slog::Logger) -> anyhow::Result<Stage> {
+        Stage::start_with(folder, log, EngineSettings::default()).await
+    }
+
+    /// Starts everything with engines that cost next to nothing, to see what the system costs.
+    ///
+    /// # Errors
+    /// Fails when a process of the system does not come up.
+    pub async fn fast(folder: &Path, log: slog::Logger) -> anyhow::Result<Stage> {
+        let engine = EngineSettings {
+            slots: 1_024,
+            queue: 4_096,
+            prefill_rate: 100_000_000,
+            decode_rate: 400,
+            answer_tokens: 4_096,
+            cache_tokens: 10_000_000,
+            ..EngineSettings::default()
+        };
+        Stage::start_with(folder, log, engine).await
+    }
+
+    async fn start_with(
+        folder: &Path,
+        log: slog::Logger,
+        template: EngineSettings,
+    ) -> anyhow::Result<Stage> {
         let operator = KeyPair::from_seed(rand::random());
         let mut settings = Settings::embedded(folder);
         settings.operators =
@@ -52,7 +80,7 @@
         for (name, model) in
             [("advisor-1", "advisor"), ("advisor-2", "advisor"), ("desk-1", "desk")]
         {
-            engines.push(engine(name, model, &announce).await?);
+            engines.push(engine(name, model, &announce, &template).await?);
         }
         let service =
             ServiceSettings { name: "booking-1".into(), announce, ..ServiceSettings::default() };
@@ -63,11 +91,17 @@
     }
 
     /// Returns a caller of the system.
-    pub(super) fn caller(&self) -> Caller {
+    pub fn caller(&self) -> Caller {
         Caller::new(self.system.entry.addresses().callers, API_KEY)
     }
 
-    pub(super) async fn stop(self) {
+    /// Returns a caller of an engine, past the system.
+    pub fn direct_caller(&self) -> Caller {
+        Caller::direct(self.engines[0].address())
+    }
+
+    /// Stops everything as planned.
+    pub async fn stop(self) {
         self.system.stop().await;
         for engine in self.engines {
             engine.stop();
@@ -90,12 +124,17 @@
     }
 }
 
-async fn engine(name: &str, model: &str, announce: &AnnounceSettings) -> anyhow::Result<Engine> {
+async fn engine(
+    name: &str,
+    model: &str,
+    announce: &AnnounceSettings,
+    template: &EngineSettings,
+) -> anyhow::Result<Engine> {
     let settings = EngineSettings {
         name: name.into(),
         models: vec![ModelVersion::new(model, "1")],
         announce: announce.clone(),
-        ..EngineSettings::default()
+        ..template.clone()
     };
     Engine::start(settings).await
 }
