Test the data folder and three hosts under failures

Cause: the disk and the driver must keep what the core promises. An idle log is sealed with an empty frame, so that a bit that flips at rest in the last write is refused and not cut off.

--- a/crates/gypsumglade/src/disk/writer.rs
+++ b/crates/gypsumglade/src/disk/writer.rs
@@ -32,6 +32,8 @@
     offset: u64,
     /// Sequence of the last frame.
     sequence: u64,
+    /// Whether the last frame is empty.
+    sealed: bool,
     groups: BTreeMap<GroupId, Live>,
 }
 
@@ -82,6 +84,20 @@
         })
     }
 
+    /// Ends a busy time with an empty frame.
+    ///
+    /// Damage to the last frame can't be told from a write that was cut short, and is cut off.
+    /// After a seal the last frame holds nothing, so what was acknowledged is never cut off
+    /// because a bit flipped at rest.
+    pub fn seal(&mut self) -> anyhow::Result<()> {
+        if self.sealed {
+            return Ok(());
+        }
+        self.append_frame(FrameWriter::new()).context("the log can't be sealed")?;
+        self.sealed = true;
+        Ok(())
+    }
+
     fn write_frame(&mut self, jobs: &mut Vec<Job>) -> anyhow::Result<Vec<Done>> {
         if self.offset >= self.options.segment_bytes {
             self.begin_segment()?;
@@ -92,7 +108,9 @@
         for job in jobs.drain(..) {
             done.push(self.push_job(&mut frame, job, &mut stale)?);
         }
-        self.append_frame(frame)?;
+        if !frame.is_empty() {
+            self.append_frame(frame)?;
+        }
         for name in stale {
             fs::remove_file(self.folder.join(name))?;
         }
@@ -174,9 +192,7 @@
     }
 
     fn append_frame(&mut self, frame: FrameWriter) -> anyhow::Result<()> {
-        if frame.is_empty() {
-            return Ok(());
-        }
+        self.sealed = frame.is_empty();
         let bytes = frame.finish(self.sequence + 1);
         let room = self.options.faults.room(bytes.len());
         self.file.write_all(&bytes[..room])?;
@@ -252,6 +268,7 @@
             segments,
             offset: whole,
             sequence: replay.sequence,
+            sealed: fresh,
             groups: groups.collect(),
         })
     }
--- a/crates/gypsumglade/src/replica/storage.rs
+++ b/crates/gypsumglade/src/replica/storage.rs
@@ -1,10 +1,12 @@
 //! Where a host's replicas write: a thread with the data folder, or nowhere.
 
-use std::sync::mpsc;
+use std::sync::mpsc::{self, RecvTimeoutError};
 
 use anyhow::Context;
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::LogIndex;
+use gypsumglade_core::wire::replication::Entry;
 use tokio::sync::mpsc::WeakUnboundedSender;
 
 use super::engine::Command;
@@ -14,6 +16,9 @@
 /// Jobs that one sync covers at most; a bound on how long the first of them waits.
 const JOBS_PER_SYNC: usize = 4096;
 
+/// How long the log is idle before it is sealed.
+const SEAL_DELAY: Duration = Duration::from_secs(1);
+
 /// Where replicas write.
 #[derive(Debug)]
 pub(super) enum Storage {
@@ -65,10 +70,7 @@
         }
     }
 
-    pub(super) fn read_entry(
-        &mut self,
-        place: Place,
-    ) -> anyhow::Result<gypsumglade_core::wire::replication::Entry> {
+    pub(super) fn read_entry(&mut self, place: Place) -> anyhow::Result<Entry> {
         match self {
             Storage::Memory => anyhow::bail!("an entry is gone from memory"),
             Storage::Folder { reader, .. } => reader.entry(place),
@@ -78,7 +80,7 @@
     pub(super) fn read_snapshot(
         &self,
         group: GroupId,
-        index: gypsumglade_core::replication::LogIndex,
+        index: LogIndex,
         offset: u64,
         length: usize,
     ) -> anyhow::Result<Bytes> {
@@ -101,19 +103,31 @@
 /// sync covers more groups the slower the disk is.
 fn write_all(mut disk: Disk, queue: &mpsc::Receiver<Job>, back: &WeakUnboundedSender<Command>) {
     let mut batch = Vec::new();
-    while let Ok(job) = queue.recv() {
-        batch.push(job);
-        batch.extend(queue.try_iter().take(JOBS_PER_SYNC));
-        let command = match disk.write(&mut batch) {
-            Ok(done) => Command::Written(done),
-            Err(error) => Command::DiskFailed(format!("{error:#}").into()),
+    let report = |command| {
+        // Without a loop nobody waits for the answer.
+        back.upgrade().is_some_and(|back| back.send(command).is_ok())
+    };
+    loop {
+        let result = match queue.recv_timeout(SEAL_DELAY) {
+            Ok(job) => {
+                batch.push(job);
+                batch.extend(queue.try_iter().take(JOBS_PER_SYNC));
+                disk.write(&mut batch)
+            }
+            Err(RecvTimeoutError::Timeout) => disk.seal().map(|()| Vec::new()),
+            Err(RecvTimeoutError::Disconnected) => break,
         };
-        let failed = matches!(command, Command::DiskFailed(_));
-        if let Some(back) = back.upgrade() {
-            let _ = back.send(command);
-        }
-        if failed {
-            return;
+        match result {
+            Ok(done) if done.is_empty() => {}
+            Ok(done) => {
+                report(Command::Written(done));
+            }
+            Err(error) => {
+                report(Command::DiskFailed(format!("{error:#}").into()));
+                return;
+            }
         }
     }
+    // What was acknowledged is stable already; a seal only guards it at rest.
+    let _ = disk.seal();
 }
--- /dev/null
+++ b/crates/gypsumglade/tests/disk_failures.rs
@@ -0,0 +1,289 @@
+//! Failures of the data folder: torn writes, flipped bits, a full disk, a failing sync.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use bytes::Bytes;
+use gypsumglade::disk::{Disk, Faults, Job, JobWrite, Options, RestoredGroup, Snapshot, inspect};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{Ballot, LogIndex, Members, Position, Term};
+use gypsumglade_core::wire::replication::{Entry, EntryKind};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+
+const VM: VmId = VmId(3);
+const GROUP: GroupId = GroupId(1);
+const OTHER: GroupId = GroupId(2);
+
+struct Folder {
+    _root: tempfile::TempDir,
+    path: PathBuf,
+    faults: Faults,
+}
+
+impl Folder {
+    fn new() -> Folder {
+        let root = tempfile::tempdir().expect("a folder");
+        let path = root.path().join("data");
+        Folder { _root: root, path, faults: Faults::default() }
+    }
+
+    fn options(&self, segment_bytes: u64) -> Options {
+        Options { vm: VM, segment_bytes, faults: self.faults.clone() }
+    }
+
+    fn open(&self) -> anyhow::Result<(Disk, Vec<RestoredGroup>)> {
+        Disk::open(&self.path, self.options(1 << 20))
+    }
+
+    fn refusal(&self) -> String {
+        format!("{:#}", self.open().expect_err("the folder is refused"))
+    }
+
+    fn log(&self) -> PathBuf {
+        self.path.join("log-0000000001")
+    }
+}
+
+fn entry(index: u64) -> Entry {
+    let data = Bytes::from(format!("command {index}"));
+    Entry { term: 2, index, kind: EntryKind::Command.into(), data }
+}
+
+fn job(group: GroupId, write: JobWrite) -> Job {
+    Job { group, sequence: None, write }
+}
+
+fn entries(group: GroupId, indexes: std::ops::RangeInclusive<u64>) -> Job {
+    job(group, JobWrite::Entries(indexes.map(entry).collect()))
+}
+
+fn snapshot(group: GroupId, index: u64, data: &'static [u8], reset: bool) -> Job {
+    let position = Position { index: LogIndex(index), term: Term(if index > 1 { 2 } else { 1 }) };
+    let members = Members::of(vec![VM, VmId(4)]);
+    let data = Bytes::from_static(data);
+    job(group, JobWrite::Snapshot(Snapshot { position, members, data, reset }))
+}
+
+/// Writes a group's start, a ballot and `count` frames of one entry each. Returns the length of
+/// the log after each frame.
+fn filled(folder: &Folder, count: u64) -> Vec<u64> {
+    let (mut disk, _) = folder.open().expect("opened");
+    let length = || fs::metadata(folder.log()).expect("a log").len();
+    let ballot = Ballot { term: Term(2), vote: Some(VmId(4)) };
+    let start = vec![snapshot(GROUP, 1, b"", true), job(GROUP, JobWrite::Ballot(ballot))];
+    disk.write(&mut start.clone()).expect("written");
+    let mut ends = vec![length()];
+    for index in 2..2 + count {
+        disk.write(&mut vec![entries(GROUP, index..=index)]).expect("written");
+        ends.push(length());
+    }
+    ends
+}
+
+fn copy(from: &Path, to: &Path) {
+    fs::create_dir_all(to).expect("a folder");
+    for file in fs::read_dir(from).expect("files") {
+        let file = file.expect("a file");
+        fs::copy(file.path(), to.join(file.file_name())).expect("copied");
+    }
+}
+
+#[test]
+fn open_torn_at_every_byte() {
+    // The process dies while it writes. Whatever part of the last write reached the disk, the
+    // next start keeps all that was synced before, drops the rest, and can write on.
+    let whole = Folder::new();
+    let ends = filled(&whole, 3);
+    let (last, end) = (ends[2], ends[3]);
+    for length in last..=end {
+        let torn = Folder::new();
+        copy(&whole.path, &torn.path);
+        let log = fs::File::options().write(true).open(torn.log()).expect("a log");
+        log.set_len(length).expect("cut");
+        let (mut disk, groups) = torn.open().expect("a torn tail is no damage");
+        let expected = if length == end { 3 } else { 2 };
+        assert_eq!(groups[0].state.entries.len(), expected, "at {length}");
+        assert_eq!(groups[0].state.ballot.vote, Some(VmId(4)));
+        let next = 2 + expected as u64;
+        disk.write(&mut vec![entries(GROUP, next..=next)]).expect("written");
+        drop(disk);
+        let (_, groups) = torn.open().expect("opened again");
+        assert_eq!(groups[0].state.entries.len(), expected + 1);
+    }
+}
+
+#[test]
+fn open_flipped_bits() {
+    // A bit flips in what was synced. The start is refused, with the file and the place of the
+    // damage, and leaves the folder as it is: cutting there would drop acknowledged entries.
+    let whole = Folder::new();
+    let ends = filled(&whole, 4);
+    let synced = ends[3];
+    let bytes = fs::read(whole.log()).expect("a log");
+    let strategy = (0..synced as usize, 0..8u8);
+    let config = ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let result = TestRunner::new(config).run(&strategy, |(at, bit)| {
+        let damaged = Folder::new();
+        copy(&whole.path, &damaged.path);
+        let mut bytes = bytes.clone();
+        bytes[at] ^= 1 << bit;
+        fs::write(damaged.log(), &bytes).expect("written");
+        let refusal = damaged.refusal();
+        let start = ends.iter().rev().find(|&&end| end <= at as u64).copied().unwrap_or(0);
+        let place = format!("log-0000000001 at {start}:");
+        prop_assert!(refusal.contains(&place), "{refusal} names no {place}");
+        prop_assert!(refusal.contains("replace this VM's replica"));
+        prop_assert_eq!(&fs::read(damaged.log()).expect("a log"), &bytes);
+        prop_assert!(!inspect(&damaged.path).expect("a report").is_sound());
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn open_flipped_bit_after_seal() {
+    // The last write of a busy time has nothing after it, so damage to it looks like a write cut
+    // short. Once the log is idle it is sealed, and then that damage is refused too.
+    let folder = Folder::new();
+    let ends = filled(&folder, 2);
+    let (mut disk, _) = folder.open().expect("opened");
+    disk.seal().expect("sealed");
+    drop(disk);
+    let mut bytes = fs::read(folder.log()).expect("a log");
+    bytes[ends[1] as usize + 30] ^= 1;
+    fs::write(folder.log(), &bytes).expect("written");
+    assert!(folder.refusal().contains(&format!("at {}:", ends[1])));
+}
+
+#[test]
+fn write_full_disk() {
+    // The disk fills in the middle of a write. That write fails and says what to do; all that
+    // was written before is there at the next start.
+    for room in [0, 1, 19, 40] {
+        let folder = Folder::new();
+        filled(&folder, 2);
+        let (mut disk, _) = folder.open().expect("opened");
+        folder.faults.fill_after(room);
+        let error = disk.write(&mut vec![entries(GROUP, 4..=4)]).expect_err("no room");
+        assert!(format!("{error:#}").contains("make room"), "{error:#}");
+        drop(disk);
+        let (_, groups) = folder.open().expect("opened");
+        assert_eq!(groups[0].state.entries.len(), 2, "room for {room}");
+    }
+}
+
+#[test]
+fn write_failing_sync() {
+    // A sync fails: the write is not reported as done.
+    let folder = Folder::new();
+    filled(&folder, 2);
+    let (mut disk, _) = folder.open().expect("opened");
+    folder.faults.fail_syncs();
+    assert!(disk.write(&mut vec![entries(GROUP, 4..=4)]).is_err());
+}
+
+#[test]
+fn open_locked() {
+    let folder = Folder::new();
+    let (_disk, _) = folder.open().expect("opened");
+    assert!(folder.refusal().contains("another process uses it"));
+    assert!(inspect(&folder.path).expect("a report").locked);
+}
+
+#[test]
+fn open_other_vm() {
+    let folder = Folder::new();
+    filled(&folder, 1);
+    let options = Options { vm: VmId(9), ..folder.options(1 << 20) };
+    let error = Disk::open(&folder.path, options).expect_err("refused");
+    assert!(format!("{error:#}").contains("belongs to vm3 and this is vm9"), "{error:#}");
+}
+
+#[test]
+fn open_other_format() {
+    let folder = Folder::new();
+    filled(&folder, 1);
+    fs::write(folder.path.join("FORMAT"), "format: 2\nvm: 3\n").expect("written");
+    assert!(folder.refusal().contains("its format is 2"));
+}
+
+#[test]
+fn open_missing_segment() {
+    let folder = Folder::new();
+    let (mut disk, _) = Disk::open(&folder.path, folder.options(64)).expect("opened");
+    disk.write(&mut vec![snapshot(GROUP, 1, b"", true)]).expect("written");
+    for index in 2..6 {
+        disk.write(&mut vec![entries(GROUP, index..=index)]).expect("written");
+    }
+    drop(disk);
+    fs::remove_file(folder.path.join("log-0000000002")).expect("removed");
+    assert!(folder.refusal().contains("a segment before it is missing"));
+}
+
+#[test]
+fn open_damaged_snapshot() {
+    let folder = Folder::new();
+    filled(&folder, 2);
+    let (mut disk, _) = folder.open().expect("opened");
+    disk.write(&mut vec![snapshot(GROUP, 3, b"the state", false)]).expect("written");
+    drop(disk);
+    let file = folder.path.join(format!("snapshot-1-{:020}", 3));
+    let mut bytes = fs::read(&file).expect("a snapshot");
+    bytes[15] ^= 1;
+    fs::write(&file, bytes).expect("written");
+    assert!(folder.refusal().contains("the snapshot is damaged"));
+}
+
+#[test]
+fn write_snapshot_drops_segments() {
+    // The log would fill the disk without this: once every group's snapshot covers the oldest
+    // files they go, and a later start finds all that is still needed.
+    let folder = Folder::new();
+    let (mut disk, _) = Disk::open(&folder.path, folder.options(200)).expect("opened");
+    for group in [GROUP, OTHER] {
+        disk.write(&mut vec![snapshot(group, 1, b"", true)]).expect("written");
+    }
+    for index in 2..40 {
+        disk.write(&mut vec![entries(GROUP, index..=index)]).expect("written");
+        if index == 5 {
+            disk.write(&mut vec![entries(OTHER, 2..=2)]).expect("written");
+        }
+    }
+    let before = inspect(&folder.path).expect("a report").segments.len();
+    disk.write(&mut vec![snapshot(GROUP, 35, b"one", false)]).expect("written");
+    let pinned = inspect(&folder.path).expect("a report").segments.len();
+    disk.write(&mut vec![snapshot(OTHER, 2, b"two", false)]).expect("written");
+    drop(disk);
+    let report = inspect(&folder.path).expect("a report");
+    assert!(report.segments.len() < pinned && pinned < before + 2, "{report:?}");
+    assert!(report.is_sound(), "{report:?}");
+
+    let (_, groups) = Disk::open(&folder.path, folder.options(200)).expect("opened");
+    let kept: Vec<_> = groups.iter().map(|g| (g.group, g.state.entries.len(), g.length)).collect();
+    assert_eq!(kept, [(GROUP, 4, 3), (OTHER, 0, 3)]);
+}
+
+#[test]
+fn write_replaced_entries() {
+    // A new leader replaces entries that were never committed; a restart must not find them.
+    let folder = Folder::new();
+    filled(&folder, 4);
+    let (mut disk, groups) = folder.open().expect("opened");
+    assert_eq!(groups[0].state.entries.len(), 4);
+    let newer = Entry { term: 3, ..entry(3) };
+    disk.write(&mut vec![job(GROUP, JobWrite::Entries(vec![newer]))]).expect("written");
+    drop(disk);
+    let (disk, groups) = folder.open().expect("opened");
+    let terms: Vec<_> = groups[0].state.entries.iter().map(|meta| meta.term.0).collect();
+    assert_eq!(terms, [2, 3]);
+    let read = disk.reader().entry(groups[0].places[1]).expect("readable");
+    assert_eq!((read.term, read.index), (3, 3));
+}
--- /dev/null
+++ b/crates/gypsumglade/tests/replica_cluster.rs
@@ -0,0 +1,389 @@
+//! Three hosts in one process, joined by channels that a test can cut.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use gypsumglade::disk::Faults;
+use gypsumglade::replica::{Event, Host, HostSettings, Outbound, ProposeError};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{LogIndex, MemberChange, Role, Settings, Term};
+use tokio::sync::mpsc;
+
+const GROUP: GroupId = GroupId(1);
+
+/// What one VM's state machine was told, by group.
+type Told = Arc<Mutex<BTreeMap<GroupId, Vec<Event>>>>;
+
+struct Vm {
+    host: Host,
+    told: Told,
+}
+
+#[derive(Clone, Default)]
+struct Links {
+    hosts: Arc<Mutex<BTreeMap<VmId, Host>>>,
+    cuts: Arc<Mutex<BTreeSet<VmId>>>,
+}
+
+struct Cluster {
+    root: tempfile::TempDir,
+    links: Links,
+    vms: BTreeMap<VmId, Vm>,
+}
+
+/// Half of the default timeouts, so that elections take less of the test's time.
+fn fast() -> Settings {
+    Settings {
+        heartbeat: Duration::from_millis(50),
+        lease: Duration::from_millis(500),
+        chunk_bytes: 1_000,
+        ..Settings::default()
+    }
+}
+
+impl Cluster {
+    fn new() -> Cluster {
+        let root = tempfile::tempdir().expect("a folder");
+        Cluster { root, links: Links::default(), vms: BTreeMap::new() }
+    }
+
+    async fn of(vms: u32) -> Cluster {
+        let mut cluster = Cluster::new();
+        for vm in 1..=vms {
+            cluster.start(VmId(vm), Faults::default()).await;
+        }
+        cluster.create(GROUP, vms).await;
+        cluster
+    }
+
+    async fn create(&self, group: GroupId, vms: u32) {
+        for vm in self.vms.values() {
+            vm.host.create(group, (1..=vms).map(VmId).collect()).await.expect("created");
+        }
+    }
+
+    async fn start(&mut self, vm: VmId, faults: Faults) {
+        let settings = HostSettings {
+            vm,
+            folder: Some(self.root.path().join(vm.to_string())),
+            replication: fast(),
+            cache_bytes: 2_000,
+            faults,
+            ..HostSettings::default()
+        };
+        let (outbound, batches) = mpsc::channel(1_000);
+        let (host, events) = Host::start(settings, outbound).await.expect("the host starts");
+        self.links.hosts.lock().expect("hosts").insert(vm, host.clone());
+        tokio::spawn(carry(vm, batches, self.links.clone()));
+        let told = Told::default();
+        tokio::spawn(listen(events, Arc::clone(&told)));
+        self.vms.insert(vm, Vm { host, told });
+    }
+
+    async fn stop(&mut self, vm: VmId) {
+        let stopped = self.vms.remove(&vm).expect("a VM");
+        self.links.hosts.lock().expect("hosts").remove(&vm);
+        stopped.host.stop().await;
+    }
+
+    fn cut(&self, vm: VmId) {
+        self.links.cuts.lock().expect("cuts").insert(vm);
+    }
+
+    fn heal(&self) {
+        self.links.cuts.lock().expect("cuts").clear();
+    }
+
+    fn host(&self, vm: VmId) -> &Host {
+        &self.vms[&vm].host
+    }
+
+    /// Waits for a leader that isn't `but`.
+    async fn leader(&self, group: GroupId, but: Option<VmId>) -> VmId {
+        loop {
+            for (&vm, node) in &self.vms {
+                let status = node.host.status().await;
+                let leads = |g: &&gypsumglade_core::replication::Status| {
+                    g.group == group && g.role == Role::Leader && g.lease
+                };
+                if Some(vm) != but && status.groups.iter().any(|g| leads(&g)) {
+                    return vm;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn propose(&self, group: GroupId, commands: &[Bytes]) {
+        for command in commands {
+            loop {
+                let leader = self.leader(group, None).await;
+                match self.host(leader).propose(group, command.clone()).await {
+                    Ok(_) => break,
+                    Err(ProposeError::Uncertain) => panic!("no certain outcome"),
+                    Err(ProposeError::NotLeader { .. } | ProposeError::Dropped) => {}
+                }
+            }
+        }
+    }
+
+    /// Waits until a VM was told all these commands, by entries or by the last snapshot.
+    async fn told(&self, vm: VmId, group: GroupId, expected: &[Bytes]) {
+        loop {
+            if self.vms[&vm].state(group) == expected {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Vm {
+    /// Plays the state machine: a list of all commands.
+    fn state(&self, group: GroupId) -> Vec<Bytes> {
+        let mut state = Vec::new();
+        for event in self.told.lock().expect("events").get(&group).into_iter().flatten() {
+            match event {
+                Event::Committed { data, .. } => state.push(data.clone()),
+                Event::Restore { data, .. } => state = unpack(data),
+                _ => {}
+            }
+        }
+        state
+    }
+}
+
+async fn carry(from: VmId, mut batches: mpsc::Receiver<Outbound>, links: Links) {
+    while let Some(Outbound { to, batch }) = batches.recv().await {
+        let cut = |vm| links.cuts.lock().expect("cuts").contains(vm);
+        if cut(&from) || cut(&to) {
+            continue;
+        }
+        if let Some(host) = links.hosts.lock().expect("hosts").get(&to) {
+            host.receive(from, batch);
+        }
+    }
+}
+
+async fn listen(mut events: mpsc::Receiver<Event>, told: Told) {
+    while let Some(event) = events.recv().await {
+        let group = match &event {
+            Event::Leader { group, .. }
+            | Event::Follower { group, .. }
+            | Event::Committed { group, .. }
+            | Event::Restore { group, .. }
+            | Event::NeedSnapshot { group } => *group,
+            Event::Failed { .. } => GROUP,
+        };
+        told.lock().expect("events").entry(group).or_default().push(event);
+    }
+}
+
+/// Commands of one length, so that a snapshot is just all of them.
+const COMMAND_BYTES: usize = 100;
+
+fn commands(numbers: std::ops::Range<u8>) -> Vec<Bytes> {
+    numbers.map(|n| Bytes::from(vec![n; COMMAND_BYTES])).collect()
+}
+
+fn unpack(data: &Bytes) -> Vec<Bytes> {
+    (0..data.len()).step_by(COMMAND_BYTES).map(|at| data.slice(at..at + COMMAND_BYTES)).collect()
+}
+
+#[tokio::test]
+async fn propose_three_vms() {
+    let cluster = Cluster::of(3).await;
+    let commands = commands(0..20);
+    cluster.propose(GROUP, &commands).await;
+    for vm in [VmId(1), VmId(2), VmId(3)] {
+        cluster.told(vm, GROUP, &commands).await;
+    }
+}
+
+#[tokio::test]
+async fn propose_to_follower() {
+    // A caller asks the wrong VM. It is told the leader, and nothing was appended.
+    let cluster = Cluster::of(3).await;
+    let leader = cluster.leader(GROUP, None).await;
+    cluster.propose(GROUP, &commands(0..1)).await;
+    let follower = cluster.vms.keys().copied().find(|&vm| vm != leader).expect("a follower");
+    cluster.told(follower, GROUP, &commands(0..1)).await;
+    let refused = cluster.host(follower).propose(GROUP, Bytes::new()).await;
+    assert_eq!(refused, Err(ProposeError::NotLeader { hint: Some(leader) }));
+}
+
+#[tokio::test]
+async fn propose_cut_off_leader() {
+    // The leader is cut off with a proposal in hand. Its caller hears that the outcome is
+    // uncertain or that it was dropped, never that it was committed; the rest goes on, and what
+    // was acknowledged is there.
+    let cluster = Cluster::of(3).await;
+    let first = commands(0..3);
+    cluster.propose(GROUP, &first).await;
+    let old = cluster.leader(GROUP, None).await;
+    cluster.cut(old);
+    let host = cluster.host(old).clone();
+    let lost = tokio::spawn(async move { host.propose(GROUP, Bytes::from_static(b"lost")).await });
+    let new = cluster.leader(GROUP, Some(old)).await;
+    let second = commands(3..6);
+    for command in &second {
+        cluster.host(new).propose(GROUP, command.clone()).await.expect("committed");
+    }
+    cluster.heal();
+    assert_eq!(lost.await.expect("an answer"), Err(ProposeError::Dropped));
+    cluster.told(old, GROUP, &commands(0..6)).await;
+}
+
+#[tokio::test]
+async fn read_barrier_cut_off_leader() {
+    // A leader that was cut off answers no read once its lease is out, for another may lead.
+    let cluster = Cluster::of(3).await;
+    let old = cluster.leader(GROUP, None).await;
+    cluster.cut(old);
+    cluster.leader(GROUP, Some(old)).await;
+    assert!(cluster.host(old).read_barrier(GROUP).await.is_err());
+}
+
+#[tokio::test]
+async fn restart_all_vms() {
+    // All VMs die and come back; every command is told again, in order.
+    let mut cluster = Cluster::of(3).await;
+    cluster.propose(GROUP, &commands(0..30)).await;
+    for vm in [VmId(1), VmId(2), VmId(3)] {
+        cluster.stop(vm).await;
+    }
+    for vm in [VmId(1), VmId(2), VmId(3)] {
+        cluster.start(vm, Faults::default()).await;
+    }
+    cluster.propose(GROUP, &commands(30..31)).await;
+    for vm in [VmId(1), VmId(2), VmId(3)] {
+        cluster.told(vm, GROUP, &commands(0..31)).await;
+    }
+}
+
+#[tokio::test]
+async fn restart_behind_snapshot() {
+    // A VM is down while the others go on and drop the log that it lacks. It comes back and
+    // restores their snapshot, which arrives in several pieces.
+    let mut cluster = Cluster::of(3).await;
+    cluster.propose(GROUP, &commands(0..5)).await;
+    let leader = cluster.leader(GROUP, None).await;
+    let late = cluster.vms.keys().copied().find(|&vm| vm != leader).expect("a follower");
+    cluster.stop(late).await;
+    cluster.propose(GROUP, &commands(5..60)).await;
+    for vm in cluster.vms.keys().copied().collect::<Vec<_>>() {
+        cluster.told(vm, GROUP, &commands(0..60)).await;
+        let host = cluster.host(vm);
+        let commit = host.status().await.groups[0].commit;
+        host.snapshot(GROUP, commit, Bytes::from(commands(0..60).concat())).await;
+    }
+    cluster.propose(GROUP, &commands(60..62)).await;
+    cluster.start(late, Faults::default()).await;
+    cluster.told(late, GROUP, &commands(0..62)).await;
+    let told = cluster.vms[&late].told.lock().expect("events")[&GROUP].clone();
+    assert!(told.iter().any(|event| matches!(event, Event::Restore { .. })));
+}
+
+#[tokio::test]
+async fn change_members_replace_vm() {
+    // A VM is lost for good. A new one with an empty folder takes its place, and counts only
+    // once it has the log.
+    let mut cluster = Cluster::of(3).await;
+    cluster.propose(GROUP, &commands(0..10)).await;
+    let leader = cluster.leader(GROUP, None).await;
+    let lost = cluster.vms.keys().copied().find(|&vm| vm != leader).expect("a follower");
+    cluster.stop(lost).await;
+    cluster.start(VmId(4), Faults::default()).await;
+    let host = cluster.host(leader);
+    for change in [
+        MemberChange::AddLearner(VmId(4)),
+        MemberChange::Promote(VmId(4)),
+        MemberChange::Remove(lost),
+    ] {
+        while host.change_members(GROUP, change).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    cluster.propose(GROUP, &commands(10..12)).await;
+    cluster.told(VmId(4), GROUP, &commands(0..12)).await;
+    let members = host.status().await.groups[0].members.clone();
+    assert!(members.is_voter(VmId(4)) && !members.is_voter(lost), "{members:?}");
+}
+
+#[tokio::test]
+async fn transfer_all_planned_stop() {
+    // A planned stop hands over first: when it returns, another VM leads every group, and what
+    // was proposed just before is committed.
+    let cluster = Cluster::of(3).await;
+    cluster.create(GroupId(2), 3).await;
+    cluster.propose(GROUP, &commands(0..3)).await;
+    cluster.propose(GroupId(2), &commands(0..3)).await;
+    let leader = cluster.leader(GROUP, None).await;
+    cluster.host(leader).transfer_all().await;
+    let status = cluster.host(leader).status().await;
+    assert!(status.groups.iter().all(|group| group.role != Role::Leader), "{status:?}");
+    cluster.propose(GROUP, &commands(3..4)).await;
+    cluster.told(leader, GROUP, &commands(0..4)).await;
+}
+
+#[tokio::test]
+async fn propose_failed_disk() {
+    // The leader's disk fills up. Its callers hear that the outcome is uncertain, its owner that
+    // the disk failed, and another VM leads on with all that was acknowledged.
+    let mut cluster = Cluster::new();
+    let faults: Vec<_> = (0..3).map(|_| Faults::default()).collect();
+    for (vm, faults) in (1..=3).zip(&faults) {
+        cluster.start(VmId(vm), faults.clone()).await;
+    }
+    cluster.create(GROUP, 3).await;
+    cluster.propose(GROUP, &commands(0..5)).await;
+    let old = cluster.leader(GROUP, None).await;
+    faults[old.0 as usize - 1].fill_after(10);
+    let lost = cluster.host(old).propose(GROUP, commands(5..6)[0].clone()).await;
+    let new = cluster.leader(GROUP, Some(old)).await;
+    cluster.host(new).propose(GROUP, commands(6..7)[0].clone()).await.expect("committed");
+
+    let told = cluster.vms[&old].told.lock().expect("events")[&GROUP].clone();
+    assert!(matches!(told.last(), Some(Event::Failed { .. })), "{told:?}");
+    assert!(cluster.host(old).status().await.failed.is_some());
+    assert!(cluster.host(old).read_barrier(GROUP).await.is_err());
+    let acknowledged = lost.is_ok();
+    let state = cluster.vms[&new].state(GROUP);
+    assert!(!acknowledged || state.contains(&commands(5..6)[0]));
+    assert_eq!(state[..5], commands(0..5));
+}
+
+#[tokio::test]
+async fn leader_event_after_earlier_terms() {
+    // The owner of a state machine is up to date when it hears that it leads.
+    let cluster = Cluster::of(3).await;
+    cluster.propose(GROUP, &commands(0..10)).await;
+    let old = cluster.leader(GROUP, None).await;
+    cluster.cut(old);
+    let new = cluster.leader(GROUP, Some(old)).await;
+    cluster.told(new, GROUP, &commands(0..10)).await;
+    loop {
+        let told = cluster.vms[&new].told.lock().expect("events")[&GROUP].clone();
+        let leads = told.iter().position(|event| matches!(event, Event::Leader { .. }));
+        let Some(leads) = leads else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let before = told[..leads].iter();
+        let before = before.filter(|event| matches!(event, Event::Committed { .. })).count();
+        assert_eq!(before, 10);
+        return;
+    }
+}
+
+#[tokio::test]
+async fn status_names_leader() {
+    let cluster = Cluster::of(3).await;
+    let leader = cluster.leader(GROUP, None).await;
+    let status = cluster.host(leader).status().await;
+    let group = &status.groups[0];
+    assert!(group.term > Term(1) && group.commit > LogIndex(1));
+    assert_eq!(group.leader, Some(leader));
+    assert_eq!(group.members.voters, [VmId(1), VmId(2), VmId(3)]);
+}
