Let idle groups rest on one pulse for each pair of VMs

Cause: heartbeats of every group cost more than the control limits allow once a VM holds a hundred groups. Change: Links, a pure value for each VM: one pulse per peer vouches for all groups under an epoch that ends whenever any replica changes its term or leader. A caught-up group sends nothing; its lease, check-quorum and followers' patience rest on pulses.

--- a/crates/core/src/replication/change.rs
+++ b/crates/core/src/replication/change.rs
@@ -43,7 +43,7 @@
     }
 
     /// Hands the leadership to the voter that has most of the log and answers.
-    pub(super) fn transfer(&mut self, now: Time, _out: &mut Vec<Effect>) {
+    pub(super) fn transfer(&mut self, now: Time) {
         let patience = self.settings.patience();
         let members = self.log.members().clone();
         let Some(lead) = &mut self.lead else {
--- a/crates/core/src/replication/effect.rs
+++ b/crates/core/src/replication/effect.rs
@@ -102,6 +102,9 @@
         /// The leader, if known.
         leader: Option<VmId>,
     },
+    /// Whom this replica follows, or its term, has changed: end the epoch of the VM's
+    /// [`crate::replication::Links`] before its next pulse.
+    NewEpoch,
     /// The proposals got the indexes from `first` on.
     Accepted {
         /// Index of the first.
--- a/crates/core/src/replication/follower.rs
+++ b/crates/core/src/replication/follower.rs
@@ -1,6 +1,7 @@
 //! Entries and snapshots as they arrive from a leader.
 
 use super::effect::{Effect, Write};
+use super::links::Links;
 use super::replica::{Replica, Role};
 use super::types::{EntryMeta, LogIndex, Members, Position, Term};
 use crate::prelude::*;
@@ -19,6 +20,7 @@
     pub(super) fn append(
         &mut self,
         now: Time,
+        links: &Links,
         from: VmId,
         mut append: wire::Append,
         out: &mut Vec<Effect>,
@@ -26,9 +28,11 @@
         if !self.note_leader(now, from, out) {
             return;
         }
+        // A late message of an earlier epoch must not undo what a newer one was answered.
+        self.leader_epoch = self.leader_epoch.max(append.epoch);
         let prev = self.skip_committed(&mut append);
         if self.log.term(prev.index) != Some(prev.term) {
-            return self.refuse(from, &append, prev, out);
+            return self.refuse(from, links, &append, prev, out);
         }
         let matched = LogIndex(prev.index.0 + append.entries.len() as u64);
         let commit = LogIndex(append.commit).min(matched);
@@ -38,7 +42,10 @@
             self.commit = commit;
             out.push(Effect::Commit { index: commit });
         }
-        self.acknowledge(from, &append, matched, wrote, out);
+        let mut reply = self.append_answer(links, &append);
+        reply.ok = true;
+        reply.index = matched.0;
+        self.acknowledge(from, reply, wrote, out);
     }
 
     /// Takes one piece of a snapshot.
@@ -131,44 +138,48 @@
         true
     }
 
+    /// Returns an answer with all that doesn't depend on the entries.
+    fn append_answer(&self, links: &Links, append: &wire::Append) -> wire::AppendReply {
+        wire::AppendReply {
+            sent: append.sent,
+            round: append.round,
+            commit: self.commit.0,
+            epoch: links.epoch(),
+            leader_epoch: append.epoch,
+            ..wire::AppendReply::default()
+        }
+    }
+
     fn acknowledge(
         &mut self,
         to: VmId,
-        append: &wire::Append,
-        matched: LogIndex,
+        mut reply: wire::AppendReply,
         wrote: bool,
         out: &mut Vec<Effect>,
     ) {
-        let mut reply = wire::AppendReply {
-            ok: true,
-            index: matched.0,
-            sent: append.sent,
-            round: append.round,
-            commit: self.commit.0,
-            ..wire::AppendReply::default()
-        };
         if wrote {
             return self.send_stable(to, Body::AppendReply(reply), out);
         }
         // A heartbeat's answer claims only what is synced, so it need not wait for the disk: a
         // slow sync would otherwise cost the leader its lease.
-        reply.index = matched.min(self.synced).0;
+        reply.index = reply.index.min(self.synced.0);
         self.answer_ballot(to, reply, out);
     }
 
-    fn refuse(&mut self, to: VmId, append: &wire::Append, prev: Position, out: &mut Vec<Effect>) {
+    fn refuse(
+        &mut self,
+        to: VmId,
+        links: &Links,
+        append: &wire::Append,
+        prev: Position,
+        out: &mut Vec<Effect>,
+    ) {
         let before = LogIndex(prev.index.0.saturating_sub(1));
         let hint = self.log.agreement(before, prev.term);
-        let reply = wire::AppendReply {
-            ok: false,
-            index: prev.index.0,
-            hint_index: hint.index.0,
-            hint_term: hint.term.0,
-            sent: append.sent,
-            round: append.round,
-            commit: self.commit.0,
-            ..wire::AppendReply::default()
-        };
+        let mut reply = self.append_answer(links, append);
+        reply.index = prev.index.0;
+        reply.hint_index = hint.index.0;
+        reply.hint_term = hint.term.0;
         self.answer_ballot(to, reply, out);
     }
 
--- a/crates/core/src/replication/leader.rs
+++ b/crates/core/src/replication/leader.rs
@@ -7,6 +7,7 @@
 use super::change::Transfer;
 use super::effect::{Effect, Refusal};
 use super::lease::PendingRead;
+use super::links::Links;
 use super::progress::{Flow, Progress};
 use super::replica::{Replica, Role};
 use super::types::{EntryMeta, LogIndex, Position, Term};
@@ -95,18 +96,18 @@
     }
 
     /// Does what the last input made possible: commits, sends, answers reads, hands over.
-    pub(super) fn advance(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub(super) fn advance(&mut self, now: Time, links: &Links, out: &mut Vec<Effect>) {
         if self.lead.is_none() {
             return;
         }
         self.advance_commit(out);
-        self.replicate(now, out);
-        self.answer_reads(now, out);
+        self.replicate(now, links, out);
+        self.answer_reads(now, links, out);
         self.advance_transfer(out);
     }
 
     /// Steps down without a quorum's answers, else sends heartbeats.
-    pub(super) fn lead_tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub(super) fn lead_tick(&mut self, now: Time, links: &Links, out: &mut Vec<Effect>) {
         if now >= self.quorum_contact(now) + self.settings.patience() {
             let term = self.ballot.term;
             return self.follow(now, term, None, out);
@@ -119,37 +120,68 @@
         }
         lead.heartbeat = now + self.settings.heartbeat;
         self.expire_transfer(now);
-        self.send_heartbeats(now, out);
+        self.send_heartbeats(now, links, false, out);
     }
 
-    pub(super) fn send_heartbeats(&mut self, now: Time, out: &mut Vec<Effect>) {
+    /// Sends a heartbeat to every follower that needs one, or to `all`.
+    pub(super) fn send_heartbeats(
+        &mut self,
+        now: Time,
+        links: &Links,
+        all: bool,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(mut lead) = self.lead.take() else {
             return;
         };
         for (&to, progress) in &mut lead.progress {
+            if !all && self.rests(now, links, to, progress) {
+                continue;
+            }
+            progress.beat = now;
             self.restart_compacted(progress);
             let prev = self.heartbeat_position(progress);
-            let append = self.append_message(now, prev, lead.round);
+            let append = self.append_message(now, links, prev, lead.round);
             self.send(to, Body::Append(append), out);
             self.resend_chunk(now, to, lead.round, progress, out);
         }
         self.lead = Some(lead);
     }
 
+    /// Takes over the answers to pulses that count for this group.
+    ///
+    /// When an epoch ends they stop counting until the next heartbeat was answered. What they
+    /// proved by then must be kept, or the lease would be lost at every election of any group.
+    pub(super) fn note_answers(&mut self, links: &Links) {
+        let Some(mut lead) = self.lead.take() else {
+            return;
+        };
+        for (&vm, progress) in &mut lead.progress {
+            progress.acked = progress.acked.max(self.pulse_answer(links, vm, progress));
+        }
+        self.lead = Some(lead);
+    }
+
+    /// Tells whether a follower needs no heartbeat now: its VM's pulses stand in for it, or it is
+    /// silent and was sent one not long ago.
+    fn rests(&self, now: Time, links: &Links, vm: VmId, progress: &Progress) -> bool {
+        let half = self.settings.lease / 2;
+        if links.is_silent(now, vm, self.settings.patience()) {
+            return now < progress.beat + half;
+        }
+        self.pulse_answer(links, vm, progress).is_some_and(|sent| now < sent + half)
+            && progress.is_idle(self.log.last().index, self.commit)
+    }
+
     /// Takes a follower's answer to entries or a heartbeat.
-    pub(super) fn append_reply(
-        &mut self,
-        _now: Time,
-        from: VmId,
-        reply: &wire::AppendReply,
-        _out: &mut Vec<Effect>,
-    ) {
+    pub(super) fn append_reply(&mut self, from: VmId, reply: &wire::AppendReply) {
         let Some(progress) = self.lead.as_mut().and_then(|lead| lead.progress.get_mut(&from))
         else {
             return;
         };
         progress.note_answer(Time(reply.sent), reply.round);
         progress.commit = progress.commit.max(LogIndex(reply.commit));
+        progress.epochs = Some((reply.epoch, reply.leader_epoch));
         let index = LogIndex(reply.index);
         if !reply.ok {
             let stale = match progress.flow {
@@ -254,14 +286,14 @@
     }
 
     /// Sends every follower what it lacks, as far as the limits let it.
-    fn replicate(&mut self, now: Time, out: &mut Vec<Effect>) {
+    fn replicate(&mut self, now: Time, links: &Links, out: &mut Vec<Effect>) {
         let Some(mut lead) = self.lead.take() else {
             return;
         };
         let last = self.log.last().index;
         for (&to, progress) in &mut lead.progress {
             while progress.next <= last && self.may_send(progress) {
-                self.send_entries(now, to, lead.round, progress, out);
+                self.send_entries(now, links, to, lead.round, progress, out);
             }
         }
         self.lead = Some(lead);
@@ -278,6 +310,7 @@
     fn send_entries(
         &self,
         now: Time,
+        links: &Links,
         to: VmId,
         round: u64,
         progress: &mut Progress,
@@ -290,7 +323,7 @@
             return self.send_chunk(now, to, round, progress, out);
         };
         let (last, _) = self.log.batch(progress.next, self.settings.batch_bytes);
-        let append = self.append_message(now, Position { index, term }, round);
+        let append = self.append_message(now, links, Position { index, term }, round);
         let message = self.envelope(Body::Append(append));
         out.push(Effect::SendEntries { to, message, first: progress.next, last });
         match &mut progress.flow {
@@ -368,13 +401,14 @@
         }
     }
 
-    fn append_message(&self, now: Time, prev: Position, round: u64) -> wire::Append {
+    fn append_message(&self, now: Time, links: &Links, prev: Position, round: u64) -> wire::Append {
         wire::Append {
             prev_index: prev.index.0,
             prev_term: prev.term.0,
             commit: self.commit.0,
             sent: now.0,
             round,
+            epoch: links.epoch(),
             ..wire::Append::default()
         }
     }
--- a/crates/core/src/replication/lease.rs
+++ b/crates/core/src/replication/lease.rs
@@ -2,6 +2,8 @@
 
 use super::effect::Effect;
 use super::leader::Lead;
+use super::links::Links;
+use super::progress::Progress;
 use super::replica::Replica;
 use super::types::LogIndex;
 use crate::prelude::*;
@@ -27,17 +29,18 @@
     ///
     /// Check it after the work and before the answer: a process that was paused in between finds
     /// out only then that its lease has passed.
-    pub fn holds_lease(&self, now: Time) -> bool {
+    pub fn holds_lease(&self, now: Time, links: &Links) -> bool {
         let Some(lead) = &self.lead else {
             return false;
         };
-        let fresh = self.quorum_answer(now).is_some_and(|sent| now < sent + self.settings.lease);
+        let fresh =
+            self.quorum_answer(now, links).is_some_and(|sent| now < sent + self.settings.lease);
         lead.announced && !lead.unleased && fresh
     }
 
     /// Takes a read: answered at once under the lease, else after a round of heartbeats.
-    pub(super) fn read(&mut self, now: Time, token: u64, out: &mut Vec<Effect>) {
-        let leased = self.holds_lease(now);
+    pub(super) fn read(&mut self, now: Time, links: &Links, token: u64, out: &mut Vec<Effect>) {
+        let leased = self.holds_lease(now, links);
         let Some(lead) = &mut self.lead else {
             return out.push(Effect::Unreadable { token, leader: self.leader });
         };
@@ -47,15 +50,15 @@
         let index = self.commit.max(lead.first);
         lead.round += 1;
         lead.reads.push_back(PendingRead { token, index, round: lead.round });
-        self.send_heartbeats(now, out);
+        self.send_heartbeats(now, links, true, out);
     }
 
     /// Answers the reads that a quorum has confirmed by now.
-    pub(super) fn answer_reads(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub(super) fn answer_reads(&mut self, now: Time, links: &Links, out: &mut Vec<Effect>) {
         if self.lead.as_ref().is_none_or(|lead| lead.reads.is_empty() || !lead.announced) {
             return;
         }
-        let confirmed = match self.holds_lease(now) {
+        let confirmed = match self.holds_lease(now, links) {
             true => u64::MAX,
             false => self.quorum_round(),
         };
@@ -72,22 +75,40 @@
     /// Returns when a quorum was last in contact, counted from the election at least.
     pub(super) fn quorum_contact(&self, now: Time) -> Time {
         let since = self.lead.as_ref().map_or(Time::ZERO, |lead| lead.since);
-        self.quorum_answer(now).unwrap_or(since).max(since)
+        // Every step takes over what pulses vouch for, so the links themselves aren't needed.
+        self.quorum_answer(now, &Links::default()).unwrap_or(since).max(since)
     }
 
     /// Returns the latest point that a quorum's answers vouch for: what they answered was sent
     /// then or later. The replica itself answers at any time.
-    fn quorum_answer(&self, now: Time) -> Option<Time> {
+    fn quorum_answer(&self, now: Time, links: &Links) -> Option<Time> {
         let lead = self.lead.as_ref()?;
         let answered = |vm: &VmId| match *vm == self.id {
             true => Some(now),
-            false => lead.progress.get(vm).and_then(|progress| progress.acked),
+            false => lead
+                .progress
+                .get(vm)
+                .and_then(|progress| progress.acked.max(self.pulse_answer(links, *vm, progress))),
         };
         let mut all: Vec<_> = self.log.members().voters.iter().map(answered).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
         all.get(self.quorum() - 1).copied().flatten()
     }
 
+    /// Returns the latest pulse whose answer counts for this group.
+    pub(super) fn pulse_answer(
+        &self,
+        links: &Links,
+        vm: VmId,
+        progress: &Progress,
+    ) -> Option<Time> {
+        if !self.settings.safeguards.epochs {
+            return links.acked_ever(vm);
+        }
+        let (theirs, own) = progress.epochs?;
+        links.acked(vm, theirs, own)
+    }
+
     fn quorum_round(&self) -> u64 {
         let Some(lead) = &self.lead else {
             return 0;
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -11,6 +11,7 @@
 mod follower;
 mod leader;
 mod lease;
+mod links;
 mod log;
 mod progress;
 mod replica;
@@ -18,6 +19,7 @@
 mod types;
 
 pub use effect::{Effect, Input, Refusal, Write};
+pub use links::Links;
 pub use replica::{Replica, Role, Status};
 pub use settings::{Safeguards, Settings};
 pub use types::{
--- a/crates/core/src/replication/progress.rs
+++ b/crates/core/src/replication/progress.rs
@@ -42,6 +42,10 @@
     pub(super) round: u64,
     /// Commit index that it has confirmed to know.
     pub(super) commit: LogIndex,
+    /// The follower's epoch and the own one that it knew, in its latest answer.
+    pub(super) epochs: Option<(u64, u64)>,
+    /// When it was last sent a heartbeat.
+    pub(super) beat: Time,
 }
 
 impl Progress {
@@ -54,6 +58,8 @@
             acked: None,
             round: 0,
             commit: LogIndex(0),
+            epochs: None,
+            beat: Time::ZERO,
         }
     }
 
@@ -63,6 +69,11 @@
         self.round = self.round.max(round);
     }
 
+    /// Tells whether the follower knows all that this leader could tell it.
+    pub(super) fn is_idle(&self, last: LogIndex, commit: LogIndex) -> bool {
+        self.flow == Flow::Stream && self.matched == last && self.commit == commit
+    }
+
     /// Notes that the logs agree up to `index`. Returns whether that is news.
     pub(super) fn note_match(&mut self, index: LogIndex) -> bool {
         while self.in_flight.front().is_some_and(|&last| last <= index) {
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -8,6 +8,7 @@
 use super::effect::{Effect, Input, Write};
 use super::follower::Incoming;
 use super::leader::Lead;
+use super::links::{Allegiance, Links};
 use super::log::Log;
 use super::settings::Settings;
 use super::types::{Ballot, LogIndex, Members, Position, Restored, Sequence, Term, quorum};
@@ -74,6 +75,8 @@
     pub(super) leader: Option<VmId>,
     /// When a leader's last word arrived, of whichever term.
     pub(super) heard: Option<Time>,
+    /// The leader's epoch in its last word to this group.
+    pub(super) leader_epoch: u64,
     /// When to campaign without a leader's word.
     pub(super) timeout: Time,
     pub(super) votes: Vec<VmId>,
@@ -113,6 +116,7 @@
             // still holds up a lease. Not knowing, it waits as if it had: otherwise it could
             // elect a second leader while the first still answers reads.
             heard: (ballot.term > Position::START.term).then_some(now),
+            leader_epoch: 0,
             ballot,
             commit: log.snapshot().index,
             role: Role::Follower,
@@ -134,18 +138,26 @@
     }
 
     /// Takes one input and appends what is to be done to `out`, in order.
-    pub fn step(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
+    ///
+    /// `links` is what the VM knows of its links to others. Without any pulses (the default
+    /// value) the group sends heartbeats of its own.
+    pub fn step(&mut self, now: Time, links: &Links, input: Input, out: &mut Vec<Effect>) {
+        let before = self.allegiance();
+        self.note_pulses(links);
         match input {
-            Input::Tick => self.tick(now, out),
-            Input::Message { from, message } => self.message(now, from, message, out),
+            Input::Tick => self.tick(now, links, out),
+            Input::Message { from, message } => self.message(now, links, from, message, out),
             Input::Propose { commands } => self.propose(commands, out),
-            Input::Read { token } => self.read(now, token, out),
+            Input::Read { token } => self.read(now, links, token, out),
             Input::ChangeMembers(change) => self.change(now, change, out),
-            Input::Transfer => self.transfer(now, out),
+            Input::Transfer => self.transfer(now),
             Input::Synced(sequence) => self.note_synced(now, sequence, out),
             Input::Snapshotted(index) => self.note_snapshot(index),
         }
-        self.advance(now, out);
+        self.advance(now, links, out);
+        if self.allegiance() != before {
+            out.push(Effect::NewEpoch);
+        }
     }
 
     /// Returns when the next [`Input::Tick`] is due.
@@ -158,7 +170,7 @@
     }
 
     /// Returns the replica's state.
-    pub fn status(&self, now: Time) -> Status {
+    pub fn status(&self, now: Time, links: &Links) -> Status {
         Status {
             group: self.group,
             role: self.role,
@@ -168,7 +180,7 @@
             last: self.log.last(),
             snapshot: self.log.snapshot(),
             members: self.log.members().clone(),
-            lease: self.holds_lease(now),
+            lease: self.holds_lease(now, links),
         }
     }
 
@@ -177,6 +189,11 @@
         self.commit
     }
 
+    /// Returns the members in force, committed or not.
+    pub fn members(&self) -> &Members {
+        self.log.members()
+    }
+
     /// Returns where this replica's snapshot stands.
     pub fn snapshot(&self) -> Position {
         self.log.snapshot()
@@ -213,9 +230,13 @@
         Some((Position { index, term }, self.log.members_at(index).clone()))
     }
 
-    fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+    fn allegiance(&self) -> Allegiance {
+        (self.ballot.term, self.leader)
+    }
+
+    fn tick(&mut self, now: Time, links: &Links, out: &mut Vec<Effect>) {
         if self.lead.is_some() {
-            return self.lead_tick(now, out);
+            return self.lead_tick(now, links, out);
         }
         if now < self.deadline() || !self.log.members().is_voter(self.id) {
             return self.reset_timeout_if_due(now);
@@ -223,7 +244,29 @@
         self.begin_election(now, out);
     }
 
-    fn message(&mut self, now: Time, from: VmId, message: wire::Message, out: &mut Vec<Effect>) {
+    /// Takes over what pulses have vouched for since the last step.
+    fn note_pulses(&mut self, links: &Links) {
+        if self.lead.is_some() {
+            return self.note_answers(links);
+        }
+        let Some(leader) = self.leader else {
+            return;
+        };
+        let heard = links.heard(leader, self.leader_epoch);
+        if let Some(heard) = heard.filter(|&heard| self.heard.is_none_or(|known| known < heard)) {
+            self.heard = Some(heard);
+            self.reset_timeout(heard);
+        }
+    }
+
+    fn message(
+        &mut self,
+        now: Time,
+        links: &Links,
+        from: VmId,
+        message: wire::Message,
+        out: &mut Vec<Effect>,
+    ) {
         let term = Term(message.term);
         let Some(body) = message.body else {
             return;
@@ -244,8 +287,8 @@
         }
         match body {
             Body::VoteReply(reply) => self.vote_reply(now, from, term, &reply, out),
-            Body::Append(append) => self.append(now, from, append, out),
-            Body::AppendReply(reply) => self.append_reply(now, from, &reply, out),
+            Body::Append(append) => self.append(now, links, from, append, out),
+            Body::AppendReply(reply) => self.append_reply(from, &reply),
             Body::Chunk(chunk) => self.chunk(now, from, chunk, out),
             Body::ChunkReply(reply) => self.chunk_reply(now, from, &reply, out),
             Body::TimeoutNow(_) => self.take_over(now, from, out),
@@ -276,6 +319,7 @@
         }
         self.role = Role::Follower;
         self.leader = leader;
+        self.leader_epoch = 0;
         self.votes.clear();
         self.incoming = None;
         if let Some(lead) = self.lead.take() {
--- a/crates/core/src/replication/settings.rs
+++ b/crates/core/src/replication/settings.rs
@@ -68,6 +68,8 @@
     pub catch_up: bool,
     /// Only an entry of the leader's own term is committed by counting.
     pub own_term: bool,
+    /// A pulse vouches only for what was said in its epoch.
+    pub epochs: bool,
 }
 
 impl Default for Safeguards {
@@ -79,6 +81,7 @@
             lease_wait: true,
             catch_up: true,
             own_term: true,
+            epochs: true,
         }
     }
 }
--- a/crates/core/tests/replication/net.rs
+++ b/crates/core/tests/replication/net.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{
-    Effect, EntryMeta, Input, LogIndex, MemberChange, Members, Position, Replica, Restored, Role,
-    Sequence, Settings, Term, Write,
+    Effect, EntryMeta, Input, Links, LogIndex, MemberChange, Members, Position, Replica, Restored,
+    Role, Sequence, Settings, Status, Term, Write,
 };
 use gypsumglade_core::wire::replication as wire;
 use gypsumglade_core::wire::replication::message::Body;
@@ -30,6 +30,9 @@
 pub struct Node {
     pub id: VmId,
     pub replica: Option<Replica>,
+    pub links: Links,
+    /// When the next pulses go out, on this clock.
+    pulse: Time,
     /// Share by which this clock runs fast.
     pub rate: f64,
     /// What a crash keeps.
@@ -62,7 +65,10 @@
     pub sync_millis: u64,
     /// True time in microseconds.
     pub now: u64,
-    flying: BTreeMap<(u64, u64), (VmId, VmId, wire::Message)>,
+    flying: BTreeMap<(u64, u64), (VmId, VmId, wire::Batch)>,
+    /// Messages and pulses that were sent.
+    pub sent_messages: usize,
+    pub pulses: bool,
     sent: u64,
     rng: ChaCha8Rng,
     leaders: BTreeMap<Term, VmId>,
@@ -84,6 +90,8 @@
             sync_millis: 2,
             now: 0,
             flying: BTreeMap::new(),
+            sent_messages: 0,
+            pulses: true,
             sent: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             leaders: BTreeMap::new(),
@@ -125,6 +133,8 @@
         restored.entries = node.seen.entries.iter().map(EntryMeta::of).collect();
         node.applied = restored.snapshot.index;
         let now = node.time(now);
+        node.links = Links::new(seed >> 16);
+        node.pulse = now;
         node.replica = Some(Replica::new(settings, id, GROUP, seed, restored, now));
         let _ = self.check_snapshot(id);
     }
@@ -147,9 +157,9 @@
     }
 
     pub fn cut_off(&mut self, id: VmId) {
-        for other in 1..=self.nodes.len() as u32 {
-            self.cut(id, VmId(other));
-            self.cut(VmId(other), id);
+        for other in others(id, self.nodes.len()) {
+            self.cut(id, other);
+            self.cut(other, id);
         }
     }
 
@@ -206,15 +216,13 @@
                 return;
             }
         }
-        let states = self.nodes.iter().filter_map(|node| node.replica.as_ref());
-        let states: Vec<_> = states.map(|replica| replica.status(Time::ZERO)).collect();
+        let states: Vec<_> = self.nodes.iter().filter_map(Node::status).collect();
         self.broken.get_or_insert(format!("no agreement after the repair: {states:?}"));
     }
 
     fn agree(&self) -> bool {
         let Some(leader) = self.leader() else { return false };
-        let leader = self.nodes[leader.0 as usize - 1].replica.as_ref();
-        let Some(status) = leader.map(|replica| replica.status(Time::ZERO)) else { return false };
+        let Some(status) = self.nodes[leader.0 as usize - 1].status() else { return false };
         let all = status.commit.0 == self.committed.len() as u64 + 1;
         let agrees = |vm: VmId| {
             let replica = self.nodes[vm.0 as usize - 1].replica.as_ref();
@@ -228,24 +236,50 @@
         let message = self.flying.first_key_value().map(|(&(at, _), _)| at);
         let sync = self.nodes.iter().filter_map(|n| Some((n.sync_due?, n.id))).min();
         let tick = self.nodes.iter().filter_map(|n| Some((n.deadline()?, n.id))).min();
-        let next = [message, sync.map(|s| s.0), tick.map(|t| t.0)].into_iter().flatten().min();
+        let pulse = self.nodes.iter().filter_map(|n| Some((n.pulse_due()?, n.id))).min();
+        let pulse = pulse.filter(|_| self.pulses);
+        let due = [message, sync.map(|s| s.0), tick.map(|t| t.0), pulse.map(|p| p.0)];
+        let next = due.into_iter().flatten().min();
         let Some(next) = next.filter(|&at| at <= end) else { return false };
         self.now = self.now.max(next);
         if message == Some(next) {
             self.deliver();
         } else if let Some((_, id)) = sync.filter(|s| s.0 == next) {
             self.sync(id);
-        } else if let Some((_, id)) = tick {
+        } else if let Some((_, id)) = tick.filter(|t| t.0 == next) {
             self.step(id, Input::Tick);
+        } else if let Some((_, id)) = pulse {
+            self.send_pulses(id);
         }
         true
     }
 
     fn deliver(&mut self) {
-        let Some((_, (from, to, message))) = self.flying.pop_first() else { return };
-        if !self.cuts.contains(&(from, to)) {
+        let Some((_, (from, to, batch))) = self.flying.pop_first() else { return };
+        let now = self.now;
+        let node = self.node(to);
+        if node.replica.is_none() || self.cuts.contains(&(from, to)) {
+            return;
+        }
+        for message in batch.messages {
             self.step(to, Input::Message { from, message });
         }
+        if let Some(pulse) = batch.pulse {
+            let node = self.node(to);
+            let now = node.time(now);
+            node.links.receive(now, from, &pulse);
+        }
+    }
+
+    fn send_pulses(&mut self, id: VmId) {
+        let (now, heartbeat) = (self.now, self.settings.heartbeat);
+        let node = self.node(id);
+        let time = node.time(now);
+        node.pulse = time + heartbeat;
+        for to in others(id, self.nodes.len()) {
+            let pulse = Some(self.node(id).links.pulse(time, to));
+            self.send_batch(id, to, &wire::Batch { messages: Vec::new(), pulse });
+        }
     }
 
     fn sync(&mut self, id: VmId) {
@@ -265,7 +299,7 @@
         let time = node.time(now);
         let Some(replica) = &mut node.replica else { return };
         let mut effects = Vec::new();
-        replica.step(time, input, &mut effects);
+        replica.step(time, &node.links, input, &mut effects);
         for effect in effects {
             if let Err(rule) = self.carry_out(id, effect) {
                 self.broken.get_or_insert(rule);
@@ -303,6 +337,7 @@
                 node.incoming.truncate(offset as usize);
                 node.incoming.extend_from_slice(&data);
             }
+            Effect::NewEpoch => self.node(id).links.next_epoch(),
             Effect::Commit { index } => return self.commit(id, index),
             Effect::Restore { .. } => return self.check_snapshot(id),
             Effect::Readable { token, index } => {
@@ -330,6 +365,11 @@
     }
 
     fn send(&mut self, from: VmId, to: VmId, message: wire::Message) {
+        self.sent_messages += 1;
+        self.send_batch(from, to, &wire::Batch { messages: vec![message], pulse: None });
+    }
+
+    fn send_batch(&mut self, from: VmId, to: VmId, batch: &wire::Batch) {
         let copies = 1 + usize::from(self.rng.random_bool(self.weather.doubled));
         for _ in 0..copies {
             let lost = self.rng.random_bool(self.weather.loss);
@@ -338,7 +378,7 @@
                 continue;
             }
             self.sent += 1;
-            self.flying.insert((self.now + delay, self.sent), (from, to, message.clone()));
+            self.flying.insert((self.now + delay, self.sent), (from, to, batch.clone()));
         }
     }
 
@@ -377,7 +417,7 @@
         let node = self.node(id);
         let Some(replica) = &node.replica else { return Ok(()) };
         if replica.role() == Role::Leader {
-            let term = replica.status(Time::ZERO).term;
+            let term = node.status().expect("alive").term;
             let leader = *self.leaders.entry(term).or_insert(id);
             if leader != id {
                 return Err(format!("{leader} and {id} both led term {}", term.0));
@@ -385,7 +425,7 @@
         }
         for node in &self.nodes {
             let Some(replica) = &node.replica else { continue };
-            if replica.holds_lease(node.time(now)) && replica.commit().0 < end {
+            if replica.holds_lease(node.time(now), &node.links) && replica.commit().0 < end {
                 let known = replica.commit();
                 return Err(format!("{} held a lease at {known}, others at {end}", node.id));
             }
@@ -405,11 +445,18 @@
     }
 }
 
+/// Returns all VMs of `count` but this one.
+fn others(id: VmId, count: usize) -> impl Iterator<Item = VmId> {
+    (1..=count as u32).map(VmId).filter(move |&other| other != id)
+}
+
 impl Node {
     fn new(id: VmId, rate: f64, disk: Disk) -> Node {
         Node {
             id,
             replica: None,
+            links: Links::default(),
+            pulse: Time::MAX,
             rate,
             seen: disk.clone(),
             durable: disk,
@@ -420,6 +467,15 @@
         }
     }
 
+    pub fn status(&self) -> Option<Status> {
+        self.replica.as_ref().map(|replica| replica.status(Time::ZERO, &self.links))
+    }
+
+    fn pulse_due(&self) -> Option<u64> {
+        self.replica.as_ref()?;
+        Some((self.pulse.0 as f64 / (1.0 + self.rate)) as u64 + 1)
+    }
+
     pub fn role(&self) -> Option<Role> {
         self.replica.as_ref().map(Replica::role)
     }
--- a/crates/core/tests/replication_safeguards.rs
+++ b/crates/core/tests/replication_safeguards.rs
@@ -141,7 +141,7 @@
     let rest = others(&net, &[leader]);
     net.cut_off(rest[0]);
     net.run(10_000);
-    let term = |net: &mut Net| net.node(leader).replica.as_ref().map(|r| r.status(Time::ZERO).term);
+    let term = |net: &mut Net| net.node(leader).status().map(|status| status.term);
     let before = term(&mut net);
     net.cuts.clear();
     net.run(3_000);
@@ -191,6 +191,41 @@
     assert!(!promote_empty(settings));
 }
 
+#[test]
+fn tick_idle_group() {
+    // An idle group costs nothing: VM pulses keep up its lease, and it sends no message at all.
+    let (mut net, leader) = started(settings(), 3, 0);
+    let before = net.sent_messages;
+    net.run(60_000);
+    assert_eq!(net.broken, None);
+    assert_eq!(net.sent_messages, before);
+    let status = net.node(leader).status().expect("alive");
+    assert!(status.lease && status.role == Role::Leader, "{status:?}");
+}
+
+#[test]
+fn tick_without_pulses() {
+    // An embedder that sends no pulses has heartbeats of the group itself.
+    let mut net = Net::new(1, settings(), 3, 0);
+    net.pulses = false;
+    net.run(4_000);
+    let leader = net.leader().expect("a leader");
+    net.run(10_000);
+    let status = net.node(leader).status().expect("alive");
+    assert!(status.lease && status.role == Role::Leader, "{status:?}");
+}
+
+#[test]
+fn tick_idle_leader_lost() {
+    // The leader of an idle group dies. Its pulses stop, and another replica leads.
+    let (mut net, leader) = started(settings(), 3, 0);
+    net.run(10_000);
+    net.crash(leader);
+    net.run(5_000);
+    assert_eq!(net.broken, None);
+    assert!(net.leader().is_some_and(|next| next != leader));
+}
+
 #[test]
 fn change_second_loss_after_repair() {
     // A VM is lost for good and replaced. Right after the repair a second one is lost. Callers
--- a/crates/core/tests/replication_safety.rs
+++ b/crates/core/tests/replication_safety.rs
@@ -35,6 +35,8 @@
     SlowSync(u64),
     Snapshot(VmId),
     Transfer,
+    /// Another group on this VM had an election.
+    NewEpoch(VmId),
     AddLearner(VmId),
     Promote(VmId),
     Remove(VmId),
@@ -60,6 +62,7 @@
         1 => (0u64..500).prop_map(Op::SlowSync),
         2 => vm().prop_map(Op::Snapshot),
         1 => Just(Op::Transfer),
+        2 => vm().prop_map(Op::NewEpoch),
         1 => vm().prop_map(Op::AddLearner),
         1 => vm().prop_map(Op::Promote),
         1 => vm().prop_map(Op::Remove),
@@ -83,6 +86,7 @@
         Op::SlowSync(millis) => net.sync_millis = millis,
         Op::Snapshot(vm) => net.snapshot(vm),
         Op::Transfer => drop(leader.map(|vm| net.step(vm, Input::Transfer))),
+        Op::NewEpoch(vm) => net.node(vm).links.next_epoch(),
         Op::AddLearner(vm) => net.change(MemberChange::AddLearner(vm)),
         Op::Promote(vm) => net.change(MemberChange::Promote(vm)),
         Op::Remove(vm) => net.change(MemberChange::Remove(vm)),
@@ -168,3 +172,10 @@
     // leader is elected without it, and an acknowledged entry is replaced.
     expect_broken(|settings| settings.safeguards.sync = false);
 }
+
+#[test]
+fn safeguard_epochs_off() {
+    // A follower follows a newer leader, and its VM's pulses still reach the old one. Counted for
+    // this group, they keep up a lease that the follower no longer grants.
+    expect_broken(|settings| settings.safeguards.epochs = false);
+}
--- a/crates/gypsumglade/src/replica/calls.rs
+++ b/crates/gypsumglade/src/replica/calls.rs
@@ -78,7 +78,7 @@
             return;
         };
         let mut effects = std::mem::take(&mut self.effects);
-        group.replica.step(now, input, &mut effects);
+        group.replica.step(now, &self.links, input, &mut effects);
         let answer = effects
             .iter()
             .position(|effect| matches!(effect, Effect::Accepted { .. } | Effect::Refused(_)));
@@ -141,6 +141,10 @@
             }
             self.step(id, Input::Message { from, message });
         }
+        if let Some(pulse) = batch.pulse {
+            let now = self.now();
+            self.links.receive(now, from, &pulse);
+        }
     }
 
     pub(super) fn snapshot(
@@ -195,7 +199,11 @@
         HostStatus {
             vm: self.settings.vm,
             failed: self.failed.clone(),
-            groups: self.groups.values().map(|group| group.replica.status(now)).collect(),
+            groups: self
+                .groups
+                .values()
+                .map(|group| group.replica.status(now, &self.links))
+                .collect(),
         }
     }
 }
--- a/crates/gypsumglade/src/replica/effects.rs
+++ b/crates/gypsumglade/src/replica/effects.rs
@@ -39,6 +39,7 @@
             Effect::Unreadable { token, leader } => {
                 self.answer_read(id, token, Err(ReadError::NotLeader { hint: leader }));
             }
+            Effect::NewEpoch => self.links.next_epoch(),
             // Taken by whoever stepped the proposal.
             Effect::Accepted { .. } | Effect::Refused(_) => {}
         }
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -1,11 +1,11 @@
 //! The loop that steps every replica of a VM and carries out what they decide.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Instant;
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::{Effect, Input, LogIndex, MemberChange};
+use gypsumglade_core::replication::{Effect, Input, Links, LogIndex, MemberChange};
 use tokio::sync::{mpsc, oneshot};
 
 use super::event::{ChangeError, Event, HostStatus, Outbound, ProposeError, ReadError};
@@ -100,6 +100,10 @@
     pub(super) started: Instant,
     pub(super) groups: BTreeMap<GroupId, Group>,
     pub(super) storage: Storage,
+    /// Pulses that stand in for idle groups' heartbeats.
+    pub(super) links: Links,
+    /// When the next pulses go out.
+    pub(super) pulse: Time,
     pub(super) outbox: Outbox,
     pub(super) events: EventQueue,
     pub(super) failed: Option<CompactString>,
@@ -127,6 +131,9 @@
             started: Instant::now(),
             groups: BTreeMap::new(),
             storage,
+            // Far from the end of the range, for it is counted up.
+            links: Links::new(rand::random::<u64>() >> 1),
+            pulse: Time::ZERO,
             outbox: Outbox::new(outbound),
             events: EventQueue::new(events),
             failed: None,
@@ -150,6 +157,7 @@
         loop {
             self.tick();
             self.propose_gathered();
+            self.send_pulses();
             self.outbox.flush();
             if let Err(error) = self.events.deliver(&self.groups, &mut self.storage) {
                 self.fail(format!("{error:#}").into());
@@ -189,7 +197,8 @@
         let groups = self.groups.values().map(Group::deadline).min().unwrap_or(Time::MAX);
         let transfers = self.transfers.iter().map(|(until, _)| *until).min().unwrap_or(Time::MAX);
         let longest = self.now() + Duration::from_secs(60);
-        let wait = groups.min(transfers).min(longest).since(self.now());
+        let next = groups.min(transfers).min(self.pulse).min(longest);
+        let wait = next.since(self.now());
         tokio::time::Instant::now() + wait
     }
 
@@ -200,7 +209,10 @@
             Command::Read { group, reply } => self.read(group, reply),
             Command::Lease { group, reply } => {
                 let now = self.now();
-                let held = self.groups.get(&group).is_some_and(|g| g.replica.holds_lease(now));
+                let held = self
+                    .groups
+                    .get(&group)
+                    .is_some_and(|g| g.replica.holds_lease(now, &self.links));
                 let _ = reply.send(held && self.failed.is_none());
             }
             Command::Receive { from, batch } => self.receive(from, batch),
@@ -250,6 +262,23 @@
         }
     }
 
+    /// Sends one pulse to each VM that shares a group with this one.
+    fn send_pulses(&mut self) {
+        let now = self.now();
+        if now < self.pulse {
+            return;
+        }
+        self.pulse = now + self.settings.replication.heartbeat;
+        if self.failed.is_some() {
+            return;
+        }
+        let members = self.groups.values().flat_map(|group| group.replica.members().all());
+        let peers: BTreeSet<_> = members.filter(|&vm| vm != self.settings.vm).collect();
+        for vm in peers {
+            self.outbox.pulse(vm, self.links.pulse(now, vm));
+        }
+    }
+
     pub(super) fn submit(&mut self, job: Job) {
         self.done.extend(self.storage.submit(job));
     }
@@ -329,7 +358,7 @@
             return;
         }
         let mut effects = std::mem::take(&mut self.effects);
-        group.replica.step(now, input, &mut effects);
+        group.replica.step(now, &self.links, input, &mut effects);
         self.carry_out(id, effects);
         self.take_done();
     }
--- a/crates/gypsumglade/src/replica/outbox.rs
+++ b/crates/gypsumglade/src/replica/outbox.rs
@@ -40,6 +40,10 @@
         }
     }
 
+    pub(super) fn pulse(&mut self, to: VmId, pulse: wire::Pulse) {
+        self.batches.entry(to).or_default().batch.pulse = Some(pulse);
+    }
+
     pub(super) fn flush(&mut self) {
         for (&to, pending) in &mut self.batches {
             if !pending.batch.messages.is_empty() || pending.batch.pulse.is_some() {
