Add VM membership after SWIM with Lifeguard's suspicions

Cause: VMs must know each other without any of them in the middle, at a cost that doesn't grow with their number.

--- /dev/null
+++ b/crates/core/src/membership/gossip.rs
@@ -0,0 +1,87 @@
+//! News waiting to be passed on, a bounded number of times each.
+
+use std::collections::BTreeMap;
+
+use prost::Message;
+
+use super::MAX_DATAGRAM;
+use super::member::{Merged, Record};
+use crate::prelude::*;
+use crate::wire::membership as wire;
+
+/// How often a piece of news is passed on, for each power of ten of the members.
+const REPEATS: f64 = 4.0;
+/// Bytes of a datagram that changed profiles may fill; news of liveness goes before them.
+///
+/// Profiles carry load and change all the time, so they get a bounded share: without one, a
+/// fleet whose load moves would fill each datagram to its limit.
+const PROFILE_BYTES: usize = 400;
+
+/// News about VMs, one piece for each; the newest state is read when it is sent.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Gossip {
+    queue: BTreeMap<VmId, News>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct News {
+    sent: u32,
+    liveness: bool,
+}
+
+impl Gossip {
+    /// Passes this on from now.
+    pub fn add(&mut self, vm: VmId, merged: Merged) {
+        let waiting = self.queue.get(&vm).is_some_and(|news| news.liveness);
+        let liveness = merged == Merged::Liveness;
+        if merged == Merged::Old || (waiting && !liveness) {
+            return;
+        }
+        self.queue.insert(vm, News { sent: 0, liveness });
+    }
+
+    /// Returns true when there is news of liveness to spread.
+    pub fn is_urgent(&self) -> bool {
+        self.queue.values().any(|news| news.liveness)
+    }
+
+    /// Fills a datagram with the news passed on least often so far.
+    pub fn fill(&mut self, datagram: &mut wire::Datagram, records: &BTreeMap<VmId, Record>) {
+        let limit = (REPEATS * ((records.len() + 1).max(10) as f64).log10()).ceil() as u32;
+        let mut order: Vec<(bool, u32, VmId)> =
+            self.queue.iter().map(|(vm, news)| (!news.liveness, news.sent, *vm)).collect();
+        order.sort_unstable();
+        let mut size = datagram.encoded_len();
+        let mut profiles = 0;
+        for (profile_only, _, vm) in order {
+            let Some(record) = records.get(&vm) else {
+                self.queue.remove(&vm);
+                continue;
+            };
+            let rumour = record.rumour(record.member.is_up());
+            let bytes = rumour_bytes(&rumour);
+            let full = profile_only && profiles + bytes > PROFILE_BYTES;
+            if size + bytes > MAX_DATAGRAM || full {
+                break;
+            }
+            size += bytes;
+            profiles += if profile_only { bytes } else { 0 };
+            datagram.rumours.push(rumour);
+            self.count(vm, limit);
+        }
+    }
+
+    fn count(&mut self, vm: VmId, limit: u32) {
+        let Some(news) = self.queue.get_mut(&vm) else { return };
+        news.sent += 1;
+        if news.sent >= limit {
+            self.queue.remove(&vm);
+        }
+    }
+}
+
+/// Returns the bytes that one rumour adds to a datagram: itself, its tag and its length.
+pub(super) fn rumour_bytes(rumour: &wire::Rumour) -> usize {
+    let length = rumour.encoded_len();
+    length + prost::length_delimiter_len(length) + 1
+}
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -1,1 +1,537 @@
-//! VM membership after the published SWIM, without input or output.
+//! VM membership after the published SWIM: who is up, without any VM in the middle.
+//!
+//! Each VM probes one other in each period, through VMs of other failure domains if the direct
+//! way fails, and passes news on with its datagrams. A suspected VM can object by a higher
+//! incarnation before it counts as dead. From Lifeguard come suspicions that shorten with each
+//! accuser, and a VM that distrusts itself when its own probes fail. The cost of a VM doesn't
+//! grow with their number. See docs/design/membership.md.
+
+mod gossip;
+mod member;
+mod probe;
+mod settings;
+mod suspicion;
+
+pub use crate::wire::membership::Liveness;
+pub use member::Member;
+pub use settings::{MAX_DATAGRAM, MAX_DIGEST, Mutation, Settings, Times};
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use prost::Message;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::prelude::*;
+use crate::wire::membership as wire;
+use crate::wire::membership::datagram::Body;
+use gossip::Gossip;
+use member::{Merged, Record};
+use probe::{Probe, Relayed};
+use suspicion::Suspicion;
+
+/// Worst health of this VM's own view; each point stretches its probes by a period.
+const MAX_DISTRUST: u64 = 4;
+/// Rounds in which a leaving VM tells others.
+const LEAVE_ROUNDS: u32 = 3;
+/// VMs told in each of them.
+const LEAVE_FAN_OUT: usize = 8;
+/// Rounds of gossip in which a VM objects to being called suspect or dead.
+const OBJECTION_ROUNDS: u32 = 4;
+/// Milliseconds between a new VM's pulls, until it has seen every page.
+const JOIN_PULL_MS: u64 = 200;
+
+/// What happened to this VM.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time passed; [`Membership::wake`] tells when the next one is due.
+    Tick,
+    /// A datagram came, already checked to be from within the deployment.
+    Datagram {
+        /// Where it came from.
+        from: SocketAddr,
+        /// Its bytes.
+        bytes: Bytes,
+    },
+    /// The digest that this VM spreads about itself changed.
+    SetDigest(Bytes),
+    /// This VM stops as planned.
+    Leave,
+}
+
+/// What the caller must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a datagram.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// Its bytes, at most [`MAX_DATAGRAM`].
+        bytes: Bytes,
+    },
+    /// What is known of this VM changed.
+    Changed(VmId),
+    /// The others were told that this VM leaves; the process may end.
+    Departed,
+}
+
+/// Counts of what this VM did, for metrics and measurements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Probes begun.
+    pub probes: u64,
+    /// Suspicions raised by this VM itself.
+    pub suspicions: u64,
+    /// Suspicions of this VM that it objected to.
+    pub refutations: u64,
+    /// Datagrams that couldn't be read.
+    pub malformed: u64,
+}
+
+/// One VM's view of all of them.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    settings: Settings,
+    random: ChaCha8Rng,
+    me: Record,
+    records: BTreeMap<VmId, Record>,
+    gossip: Gossip,
+    order: Vec<VmId>,
+    probe: Option<Probe>,
+    relayed: Vec<Relayed>,
+    sequence: u32,
+    /// How far this VM distrusts its own probes.
+    distrust: u64,
+    due: Due,
+    pull_start: u32,
+    joined: bool,
+    leaving: Option<u32>,
+    /// Rounds of gossip in which this VM still objects to news of itself.
+    objections: u32,
+    counts: Counts,
+}
+
+/// When each regular task is next done.
+#[derive(Clone, Copy, Debug)]
+struct Due {
+    probe: Time,
+    gossip: Time,
+    pull: Time,
+    contact: Time,
+}
+
+impl Membership {
+    /// Starts knowing only itself and its seeds.
+    pub fn new(settings: Settings, now: Time) -> Membership {
+        let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
+        let member = Member {
+            vm: settings.vm,
+            address: settings.address,
+            domain: settings.domain,
+            region: settings.region,
+            liveness: Liveness::Alive,
+            incarnation: settings.incarnation,
+            digest: Bytes::new(),
+        };
+        let profile = (settings.incarnation, 0);
+        let me = Record { member, profile, suspicion: None, changed: now };
+        // VMs that start together must not probe in step.
+        let jitter = Duration::from_millis(random.random_range(0..settings.times.period_ms.max(1)));
+        let later = now + jitter;
+        Membership {
+            settings,
+            random,
+            me,
+            records: BTreeMap::new(),
+            gossip: Gossip::default(),
+            order: Vec::new(),
+            probe: None,
+            relayed: Vec::new(),
+            sequence: 0,
+            distrust: 0,
+            due: Due { probe: later, gossip: later, pull: later, contact: now },
+            pull_start: 0,
+            joined: false,
+            leaving: None,
+            objections: 0,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Returns this VM as it tells others of itself.
+    pub fn me(&self) -> &Member {
+        &self.me.member
+    }
+
+    /// Returns every other VM known, dead and departed ones too, by number.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.records.values().map(|record| &record.member)
+    }
+
+    /// Returns another VM, if it is known.
+    pub fn member(&self, vm: VmId) -> Option<&Member> {
+        self.records.get(&vm).map(|record| &record.member)
+    }
+
+    /// Returns what this VM did so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Returns when the next [`Input::Tick`] is due.
+    pub fn wake(&self) -> Time {
+        let due = self.due;
+        if self.leaving.is_some() {
+            return due.gossip;
+        }
+        let probe = self.probe.as_ref().map_or(Time::MAX, Probe::wake);
+        let relayed = self.relayed.iter().map(|relayed| relayed.nack).min().unwrap_or(Time::MAX);
+        let suspicions = self.records.values().filter_map(|record| record.suspicion.as_ref());
+        let suspicion = suspicions.map(Suspicion::deadline).min().unwrap_or(Time::MAX);
+        let regular = due.probe.min(due.gossip).min(due.pull).min(due.contact);
+        regular.min(probe).min(relayed).min(suspicion)
+    }
+
+    /// Takes one input and returns what is to be done.
+    pub fn step(&mut self, now: Time, input: Input) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match input {
+            Input::Tick => self.tick(now, &mut effects),
+            Input::Datagram { from, bytes } => self.receive(now, from, &bytes, &mut effects),
+            Input::SetDigest(digest) => self.set_digest(digest),
+            Input::Leave => {
+                self.me.member.liveness = Liveness::Left;
+                self.leaving = Some(0);
+                self.due.gossip = now;
+            }
+        }
+        effects
+    }
+
+    fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.expire_suspicions(now, effects);
+        self.expire_relayed(now, effects);
+        if now >= self.due.gossip {
+            self.due.gossip = now + self.millis(self.settings.times.gossip_ms);
+            self.spread(effects);
+        }
+        if self.leaving.is_some() {
+            return;
+        }
+        self.drive_probe(now, effects);
+        if now >= self.due.pull {
+            let pull_ms = if self.joined { self.settings.times.pull_ms } else { JOIN_PULL_MS };
+            self.due.pull = now + self.millis(pull_ms);
+            self.pull(effects);
+        }
+        if now >= self.due.contact {
+            self.contact(now, effects);
+        }
+    }
+
+    fn millis(&self, millis: u64) -> Duration {
+        Duration::from_millis(millis)
+    }
+
+    /// Counts VMs that are up, this one included.
+    fn size(&self) -> usize {
+        1 + self.records.values().filter(|record| record.member.is_up()).count()
+    }
+
+    fn set_digest(&mut self, digest: Bytes) {
+        if digest == self.me.member.digest {
+            return;
+        }
+        self.me.member.digest = digest.slice(..digest.len().min(MAX_DIGEST));
+        self.me.profile.1 += 1;
+    }
+
+    fn receive(&mut self, now: Time, from: SocketAddr, bytes: &[u8], effects: &mut Vec<Effect>) {
+        let Ok(datagram) = wire::Datagram::decode(bytes) else {
+            self.counts.malformed += 1;
+            return;
+        };
+        let sender = VmId(datagram.from);
+        if sender == self.settings.vm {
+            return;
+        }
+        let pulled = matches!(datagram.body, Some(Body::PullReply(_)));
+        for rumour in &datagram.rumours {
+            match pulled && rumour.liveness() == Liveness::Dead {
+                true => self.learn(&doubted(rumour, sender), sender, now, effects),
+                false => self.learn(rumour, sender, now, effects),
+            }
+        }
+        if self.leaving.is_some() {
+            return;
+        }
+        match datagram.body {
+            Some(Body::Ping(ping)) => self.answer_ping(sender, from, ping, effects),
+            Some(Body::Ack(ack)) => self.take_ack(ack, effects),
+            Some(Body::PingRequest(request)) => self.relay(now, from, request, effects),
+            Some(Body::Nack(nack)) => self.take_nack(nack),
+            Some(Body::PullRequest(pull)) => self.serve_pull(sender, from, pull, effects),
+            Some(Body::PullReply(reply)) => self.take_page(reply),
+            None => {}
+        }
+    }
+
+    /// Takes one piece of news.
+    fn learn(&mut self, rumour: &wire::Rumour, sender: VmId, now: Time, effects: &mut Vec<Effect>) {
+        let vm = VmId(rumour.vm);
+        if vm == self.settings.vm {
+            self.refute(rumour);
+            return;
+        }
+        let ignore_order = self.settings.mutation == Mutation::IgnoreIncarnation;
+        let merged = match self.records.get_mut(&vm) {
+            Some(record) => record.merge(rumour, now, ignore_order),
+            None => {
+                let Some(record) = Record::first(rumour, now) else { return };
+                self.records.insert(vm, record);
+                Merged::Liveness
+            }
+        };
+        // A VM's word on its own profile reaches all by pulls; passing it on is for news of
+        // liveness and for what came first hand.
+        if merged == Merged::Liveness || sender == vm {
+            self.gossip.add(vm, merged);
+        }
+        if merged != Merged::Old {
+            effects.push(Effect::Changed(vm));
+        }
+        if rumour.liveness() == Liveness::Suspect {
+            self.count_accuser(vm, rumour, now);
+        }
+    }
+
+    /// Starts or confirms the suspicion that a rumour tells of.
+    fn count_accuser(&mut self, vm: VmId, rumour: &wire::Rumour, now: Time) {
+        let size = self.size();
+        let Some(record) = self.records.get_mut(&vm) else { return };
+        let current = record.member.liveness == Liveness::Suspect
+            && record.member.incarnation == rumour.incarnation;
+        if !current {
+            return;
+        }
+        let accuser = VmId(rumour.accuser);
+        match &mut record.suspicion {
+            Some(suspicion) => {
+                if suspicion.confirm(accuser) {
+                    self.gossip.add(vm, Merged::Liveness);
+                }
+            }
+            None => {
+                let suspicion = Suspicion::new(&self.settings.times, size, accuser, now);
+                record.suspicion = Some(suspicion);
+            }
+        }
+    }
+
+    /// Objects to news that this VM is anything but alive, or that it lives on in an earlier
+    /// incarnation of a higher number.
+    fn refute(&mut self, rumour: &wire::Rumour) {
+        let me = &mut self.me;
+        let older = rumour.incarnation < me.member.incarnation;
+        let same = rumour.incarnation == me.member.incarnation;
+        let agreed = same && rumour.liveness() == me.member.liveness;
+        let off = self.settings.mutation == Mutation::NoRefute;
+        if older || agreed || off || self.leaving.is_some() {
+            return;
+        }
+        me.member.incarnation = rumour.incarnation + 1;
+        me.profile.0 = me.member.incarnation;
+        self.counts.refutations += 1;
+        if rumour.liveness() == Liveness::Suspect {
+            self.distrust = (self.distrust + 1).min(MAX_DISTRUST);
+        }
+        self.objections = OBJECTION_ROUNDS;
+    }
+
+    fn suspect(&mut self, vm: VmId, now: Time, effects: &mut Vec<Effect>) {
+        let Some(record) = self.records.get(&vm) else { return };
+        if !record.member.is_up() {
+            return;
+        }
+        self.counts.suspicions += u64::from(record.member.liveness == Liveness::Alive);
+        let rumour = wire::Rumour {
+            vm: vm.0,
+            incarnation: record.member.incarnation,
+            liveness: Liveness::Suspect.into(),
+            accuser: self.settings.vm.0,
+            profile: None,
+        };
+        self.learn(&rumour, self.settings.vm, now, effects);
+    }
+
+    fn expire_suspicions(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let forget = self.millis(self.settings.times.forget_ms);
+        self.records
+            .retain(|_, record| record.member.is_up() || now.since(record.changed) < forget);
+        for (vm, record) in &mut self.records {
+            let over = record.suspicion.as_ref().is_some_and(|held| now >= held.deadline());
+            if !over {
+                continue;
+            }
+            record.suspicion = None;
+            record.member.liveness = Liveness::Dead;
+            record.changed = now;
+            self.gossip.add(*vm, Merged::Liveness);
+            effects.push(Effect::Changed(*vm));
+        }
+    }
+
+    /// Passes news on beyond the probes while there is any, and tells others when leaving.
+    fn spread(&mut self, effects: &mut Vec<Effect>) {
+        let fan_out = match &mut self.leaving {
+            Some(LEAVE_ROUNDS) => return,
+            Some(round) => {
+                *round += 1;
+                if *round == LEAVE_ROUNDS {
+                    effects.push(Effect::Departed);
+                }
+                LEAVE_FAN_OUT
+            }
+            None if self.objections > 0 || self.gossip.is_urgent() => {
+                self.settings.times.gossip_fan_out
+            }
+            None => return,
+        };
+        self.objections = self.objections.saturating_sub(1);
+        for vm in self.sample(fan_out, |member| member.is_up()) {
+            self.send_to(vm, None, effects);
+        }
+    }
+
+    /// Draws distinct VMs among those that `wanted` picks.
+    fn sample(&mut self, count: usize, wanted: impl Fn(&Member) -> bool) -> Vec<VmId> {
+        let members = self.records.values().map(|record| &record.member);
+        let picked: Vec<VmId> =
+            members.filter(|member| wanted(member)).map(|member| member.vm).collect();
+        picked.sample(&mut self.random, count).copied().collect()
+    }
+
+    /// Contacts a VM that counts as dead, or a seed where nobody is known to be up.
+    ///
+    /// The failure: a partition lasts until each side holds the other for dead, and heals. With
+    /// nobody probing the dead, two halves would run on side by side for good. One contact by
+    /// any VM is enough, since the news it brings spreads.
+    fn contact(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let alone = self.records.values().all(|record| !record.member.is_up());
+        let times = self.settings.times;
+        let pause = if alone { times.period_ms } else { times.contact_dead_ms };
+        let jitter = self.random.random_range(0..=pause / 4);
+        self.due.contact = now + Duration::from_millis(pause + jitter);
+        if self.settings.mutation == Mutation::NoContactDead && self.joined {
+            return;
+        }
+        for vm in self.sample(1, |member| member.liveness == Liveness::Dead) {
+            let sequence = self.next_sequence();
+            let ping = wire::Ping { sequence, target: Some(vm.0) };
+            self.send_to(vm, Some(Body::Ping(ping)), effects);
+        }
+        let silent = self.silent_seeds();
+        let count = if alone { silent.len() } else { 1 };
+        let chosen: Vec<SocketAddr> = silent.sample(&mut self.random, count).copied().collect();
+        for seed in chosen {
+            let ping = wire::Ping { sequence: self.next_sequence(), target: None };
+            let datagram = self.datagram(None, Some(Body::Ping(ping)));
+            effects.push(Effect::Send { to: seed, bytes: datagram });
+        }
+    }
+
+    fn silent_seeds(&self) -> Vec<SocketAddr> {
+        let up = |seed: &SocketAddr| {
+            let mut members = self.records.values().map(|record| &record.member);
+            members.any(|member| member.is_up() && member.address == *seed)
+        };
+        let seeds = self.settings.seeds.iter();
+        seeds.filter(|seed| **seed != self.settings.address && !up(seed)).copied().collect()
+    }
+
+    /// Asks a random VM for the next page of members, so that news that gossip lost arrives.
+    fn pull(&mut self, effects: &mut Vec<Effect>) {
+        if self.settings.mutation == Mutation::NoPull {
+            return;
+        }
+        for vm in self.sample(1, |member| member.liveness == Liveness::Alive) {
+            let pull = wire::PullRequest { start: self.pull_start };
+            self.send_to(vm, Some(Body::PullRequest(pull)), effects);
+        }
+    }
+
+    fn serve_pull(
+        &mut self,
+        sender: VmId,
+        from: SocketAddr,
+        pull: wire::PullRequest,
+        effects: &mut Vec<Effect>,
+    ) {
+        let reply = Body::PullReply(wire::PullReply { next: u32::MAX });
+        let mut page = self.header(Some(sender), Some(reply));
+        let mut size = page.encoded_len();
+        let mut next = 0;
+        for (vm, record) in self.records.range(VmId(pull.start)..) {
+            let rumour = record.rumour(true);
+            size += gossip::rumour_bytes(&rumour);
+            if size > MAX_DATAGRAM {
+                next = vm.0;
+                break;
+            }
+            page.rumours.push(rumour);
+        }
+        page.body = Some(Body::PullReply(wire::PullReply { next }));
+        effects.push(Effect::Send { to: from, bytes: page.encode_to_vec().into() });
+    }
+
+    fn take_page(&mut self, reply: wire::PullReply) {
+        self.pull_start = reply.next;
+        self.joined |= reply.next == 0;
+    }
+
+    fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    fn send_to(&mut self, vm: VmId, body: Option<Body>, effects: &mut Vec<Effect>) {
+        let Some(to) = self.member(vm).map(|member| member.address) else { return };
+        let bytes = self.datagram(Some(vm), body);
+        effects.push(Effect::Send { to, bytes });
+    }
+
+    /// Makes a datagram with as much news as fits.
+    fn datagram(&mut self, to: Option<VmId>, body: Option<Body>) -> Bytes {
+        let mut datagram = self.header(to, body);
+        self.gossip.fill(&mut datagram, &self.records);
+        datagram.encode_to_vec().into()
+    }
+
+    /// Starts a datagram with this VM's own state and with what it believes of the receiver, so
+    /// that a suspected or restarted VM can object at once.
+    fn header(&self, to: Option<VmId>, body: Option<Body>) -> wire::Datagram {
+        let mut rumours = vec![self.me.rumour(true)];
+        let receiver = to.and_then(|vm| self.records.get(&vm));
+        rumours.extend(receiver.map(|receiver| receiver.rumour(false)));
+        wire::Datagram { from: self.settings.vm.0, body, rumours }
+    }
+
+    /// Returns a fresh random order of the VMs that are up.
+    fn shuffled(&mut self) -> Vec<VmId> {
+        let up = self.records.values().filter(|record| record.member.is_up());
+        let mut order: Vec<VmId> = up.map(|record| record.member.vm).collect();
+        order.shuffle(&mut self.random);
+        order
+    }
+}
+
+/// Turns a pulled death into a suspicion. After a partition each side holds the other for dead;
+/// taking that over page by page would make VMs that are up count as dead on their own side
+/// until they object, while a suspicion gives them the time to.
+fn doubted(rumour: &wire::Rumour, sender: VmId) -> wire::Rumour {
+    let liveness = Liveness::Suspect.into();
+    wire::Rumour { liveness, accuser: sender.0, ..rumour.clone() }
+}
--- /dev/null
+++ b/crates/core/src/membership/probe.rs
@@ -0,0 +1,214 @@
+//! Probing one VM in each period, directly and then through others.
+
+use std::net::SocketAddr;
+
+use rand::seq::SliceRandom;
+
+use super::{Effect, MAX_DISTRUST, Membership, Mutation};
+use crate::prelude::*;
+use crate::wire::membership as wire;
+use crate::wire::membership::datagram::Body;
+
+/// The probe under way.
+#[derive(Clone, Debug)]
+pub(super) struct Probe {
+    target: VmId,
+    sequence: u32,
+    /// When other VMs are asked; `None` once they were.
+    indirect: Option<Time>,
+    deadline: Time,
+    /// A VM that was asked answered that it couldn't reach the target either.
+    nacked: bool,
+}
+
+impl Probe {
+    /// Returns when the probe next needs a tick.
+    pub fn wake(&self) -> Time {
+        self.indirect.unwrap_or(self.deadline)
+    }
+}
+
+/// A ping sent in another VM's name.
+#[derive(Clone, Debug)]
+pub(super) struct Relayed {
+    sequence: u32,
+    asker: SocketAddr,
+    asked: u32,
+    /// When the asker is told that there was no answer.
+    pub nack: Time,
+}
+
+impl Membership {
+    /// Goes on with the probe under way, or begins the next one when its period starts.
+    pub(super) fn drive_probe(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if let Some(probe) = &mut self.probe
+            && probe.indirect.is_some_and(|indirect| now >= indirect)
+        {
+            probe.indirect = None;
+            let (target, sequence) = (probe.target, probe.sequence);
+            self.probe_indirectly(target, sequence, effects);
+        }
+        if self.probe.as_ref().is_some_and(|probe| now >= probe.deadline) {
+            self.fail_probe(now, effects);
+        }
+        if now >= self.due.probe && self.probe.is_none() {
+            self.begin_probe(now, effects);
+        }
+    }
+
+    /// A VM whose own view is in doubt probes more slowly, as Lifeguard does: one that is
+    /// starved or half cut off would otherwise suspect everyone else.
+    fn begin_probe(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let times = self.settings.times;
+        let stretch = 1 + self.distrust;
+        let period = self.millis(times.period_ms * stretch);
+        self.due.probe = now + period;
+        let Some(target) = self.next_target() else { return };
+        let sequence = self.next_sequence();
+        self.counts.probes += 1;
+        self.probe = Some(Probe {
+            target,
+            sequence,
+            indirect: Some(now + self.millis(times.direct_ms * stretch)),
+            deadline: now + period,
+            nacked: false,
+        });
+        let ping = wire::Ping { sequence, target: Some(target.0) };
+        self.send_to(target, Some(Body::Ping(ping)), effects);
+    }
+
+    /// Takes VMs in a random order that is drawn anew after each round, so that each VM is
+    /// probed by every other within a bounded time.
+    fn next_target(&mut self) -> Option<VmId> {
+        loop {
+            if self.order.is_empty() {
+                self.order = self.shuffled();
+            }
+            let vm = self.order.pop()?;
+            if self.member(vm).is_some_and(|member| member.is_up()) {
+                return Some(vm);
+            }
+        }
+    }
+
+    fn probe_indirectly(&mut self, target: VmId, sequence: u32, effects: &mut Vec<Effect>) {
+        if self.settings.mutation == Mutation::NoIndirect {
+            return;
+        }
+        for relay in self.relays(target) {
+            let request = wire::PingRequest { sequence, target: target.0 };
+            self.send_to(relay, Some(Body::PingRequest(request)), effects);
+        }
+    }
+
+    /// Picks the VMs that probe in this one's name: from other failure domains, each from
+    /// another one as far as there are, since VMs behind the same failing switch as this one
+    /// would only repeat its mistake.
+    fn relays(&mut self, target: VmId) -> Vec<VmId> {
+        let own = self.settings.domain;
+        let up = self.records.values().map(|record| &record.member);
+        let up = up.filter(|member| member.is_up() && member.vm != target);
+        let mut candidates: Vec<(VmId, DomainId)> =
+            up.map(|member| (member.vm, member.domain)).collect();
+        candidates.shuffle(&mut self.random);
+        if self.settings.mutation != Mutation::AnyDomain {
+            rank_by_domain(&mut candidates, own);
+        }
+        candidates.truncate(self.settings.times.indirect);
+        candidates.into_iter().map(|(vm, _)| vm).collect()
+    }
+
+    fn fail_probe(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let Some(probe) = self.probe.take() else { return };
+        if !probe.nacked && self.settings.times.indirect > 0 {
+            // Nobody answered at all: the fault may be this VM's own.
+            self.distrust = (self.distrust + 1).min(MAX_DISTRUST);
+        }
+        self.suspect(probe.target, now, effects);
+    }
+
+    pub(super) fn answer_ping(
+        &mut self,
+        sender: VmId,
+        from: SocketAddr,
+        ping: wire::Ping,
+        effects: &mut Vec<Effect>,
+    ) {
+        if ping.target.is_some_and(|target| target != self.settings.vm.0) {
+            return;
+        }
+        let ack = Body::Ack(wire::Ack { sequence: ping.sequence });
+        let bytes = self.datagram(Some(sender), Some(ack));
+        effects.push(Effect::Send { to: from, bytes });
+    }
+
+    /// An ack settles this VM's own probe, or is passed to the VM in whose name it was asked.
+    pub(super) fn take_ack(&mut self, ack: wire::Ack, effects: &mut Vec<Effect>) {
+        if self.probe.as_ref().is_some_and(|probe| probe.sequence == ack.sequence) {
+            self.probe = None;
+            self.distrust = self.distrust.saturating_sub(1);
+            return;
+        }
+        let place = self.relayed.iter().position(|relayed| relayed.sequence == ack.sequence);
+        let Some(place) = place else { return };
+        let relayed = self.relayed.swap_remove(place);
+        let body = Body::Ack(wire::Ack { sequence: relayed.asked });
+        let bytes = self.datagram(None, Some(body));
+        effects.push(Effect::Send { to: relayed.asker, bytes });
+    }
+
+    pub(super) fn take_nack(&mut self, nack: wire::Nack) {
+        if let Some(probe) = &mut self.probe
+            && probe.sequence == nack.sequence
+        {
+            probe.nacked = true;
+        }
+    }
+
+    pub(super) fn relay(
+        &mut self,
+        now: Time,
+        asker: SocketAddr,
+        request: wire::PingRequest,
+        effects: &mut Vec<Effect>,
+    ) {
+        let sequence = self.next_sequence();
+        let nack = now + self.millis(self.settings.times.direct_ms);
+        self.relayed.push(Relayed { sequence, asker, asked: request.sequence, nack });
+        let ping = wire::Ping { sequence, target: Some(request.target) };
+        self.send_to(VmId(request.target), Some(Body::Ping(ping)), effects);
+    }
+
+    pub(super) fn expire_relayed(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let (over, running): (Vec<Relayed>, Vec<Relayed>) =
+            self.relayed.drain(..).partition(|relayed| now >= relayed.nack);
+        self.relayed = running;
+        for relayed in over {
+            let nack = Body::Nack(wire::Nack { sequence: relayed.asked });
+            let bytes = self.datagram(None, Some(nack));
+            effects.push(Effect::Send { to: relayed.asker, bytes });
+        }
+    }
+}
+
+/// Puts one VM of each other domain first, then the rest, those of `own` last.
+fn rank_by_domain(candidates: &mut [(VmId, DomainId)], own: DomainId) {
+    let mut seen = Vec::new();
+    let mut rank = |domain: DomainId| {
+        if domain == own {
+            return 2;
+        }
+        if seen.contains(&domain) {
+            return 1;
+        }
+        seen.push(domain);
+        0
+    };
+    let ranks: Vec<u8> = candidates.iter().map(|(_, domain)| rank(*domain)).collect();
+    let mut ranked: Vec<(u8, (VmId, DomainId))> =
+        ranks.into_iter().zip(candidates.iter().copied()).collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    for (place, (_, candidate)) in candidates.iter_mut().zip(ranked) {
+        *place = candidate;
+    }
+}
--- /dev/null
+++ b/crates/core/tests/membership_harness/mod.rs
@@ -0,0 +1,209 @@
+//! Many membership cores in one process: a queue of datagrams on a virtual clock.
+
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use gypsumglade_core::membership::{
+    Effect, Input, Liveness, Membership, Mutation, Settings, Times,
+};
+use gypsumglade_core::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Bytes of the IP and UDP headers and of the tag that the driver adds to a datagram.
+pub const OVERHEAD: u64 = 28 + 32;
+/// Spreads VMs over the domains of the letter's target; the region is the domain modulo four.
+pub fn eleven_domains(vm: VmId) -> u16 {
+    (vm.0 % 11) as u16
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Event {
+    at: Time,
+    number: u64,
+    to: VmId,
+    /// A datagram with its sender, or nothing for a tick.
+    datagram: Option<(VmId, Bytes)>,
+}
+
+/// Whether a datagram from one VM to another is dropped.
+pub type Cut = fn(VmId, VmId) -> bool;
+
+/// Cores, the datagrams between them, and what was observed.
+pub struct Net {
+    pub now: Time,
+    pub nodes: BTreeMap<VmId, Membership>,
+    pub loss: f64,
+    pub cut: Option<Cut>,
+    pub bytes: u64,
+    pub largest: usize,
+    /// Deaths of VMs that are up, as declared or heard of by any VM.
+    pub false_deaths: u64,
+    queue: BinaryHeap<Reverse<Event>>,
+    events: u64,
+    random: ChaCha8Rng,
+    mutation: Mutation,
+    domain: fn(VmId) -> u16,
+}
+
+pub fn address(vm: VmId) -> SocketAddr {
+    SocketAddr::from(([10, 0, (vm.0 >> 8) as u8, vm.0 as u8], 7_000))
+}
+
+impl Net {
+    pub fn new(size: u32, loss: f64, seed: u64, mutation: Mutation) -> Net {
+        Net::with_domains(size, loss, seed, mutation, eleven_domains)
+    }
+
+    pub fn with_domains(
+        size: u32,
+        loss: f64,
+        seed: u64,
+        mutation: Mutation,
+        domain: fn(VmId) -> u16,
+    ) -> Net {
+        let mut net = Net {
+            now: Time::from_millis(1_000),
+            nodes: BTreeMap::new(),
+            loss,
+            cut: None,
+            bytes: 0,
+            largest: 0,
+            false_deaths: 0,
+            queue: BinaryHeap::new(),
+            events: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            mutation,
+            domain,
+        };
+        for vm in 1..=size {
+            net.start(VmId(vm), 1);
+        }
+        net
+    }
+
+    /// Starts a VM, or restarts it without memory.
+    pub fn start(&mut self, vm: VmId, incarnation: u32) {
+        let domain = (self.domain)(vm);
+        let settings = Settings {
+            vm,
+            address: address(vm),
+            domain: DomainId(domain),
+            region: RegionId(domain % 4),
+            seeds: (1..=3).map(|seed| address(VmId(seed))).collect(),
+            incarnation,
+            seed: self.random.random(),
+            times: Times::default(),
+            mutation: self.mutation,
+        };
+        let node = Membership::new(settings, self.now);
+        self.push(node.wake(), vm, None);
+        self.nodes.insert(vm, node);
+    }
+
+    pub fn kill(&mut self, vm: VmId) {
+        self.nodes.remove(&vm);
+    }
+
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        self.run_until(end, |_| false);
+    }
+
+    /// Runs until `done` holds or the time is over; returns whether it held.
+    pub fn run_until(&mut self, end: Time, done: impl Fn(&Net) -> bool) -> bool {
+        while !done(self) {
+            match self.queue.peek() {
+                Some(Reverse(event)) if event.at <= end => self.next_event(),
+                _ => {
+                    self.now = end;
+                    return done(self);
+                }
+            }
+        }
+        true
+    }
+
+    /// Gives one VM an input outside the queue.
+    pub fn input(&mut self, vm: VmId, input: Input) {
+        let Some(node) = self.nodes.get_mut(&vm) else { return };
+        let effects = node.step(self.now, input);
+        let wake = node.wake();
+        self.push(wake, vm, None);
+        for effect in effects {
+            self.take(vm, effect);
+        }
+    }
+
+    fn next_event(&mut self) {
+        let Some(Reverse(event)) = self.queue.pop() else { return };
+        self.now = self.now.max(event.at);
+        match event.datagram {
+            Some((from, bytes)) => {
+                let from = address(from);
+                self.input(event.to, Input::Datagram { from, bytes });
+            }
+            // A tick that another input made needless is passed over.
+            None if self.nodes.get(&event.to).is_some_and(|node| node.wake() <= self.now) => {
+                self.input(event.to, Input::Tick);
+            }
+            None => {}
+        }
+    }
+
+    fn take(&mut self, vm: VmId, effect: Effect) {
+        match effect {
+            Effect::Send { to, bytes } => self.send(vm, to, bytes),
+            Effect::Changed(other) => {
+                let dead = self.nodes[&vm].member(other).map(|member| member.liveness);
+                let up = self.nodes.contains_key(&other) && self.cut.is_none();
+                self.false_deaths += u64::from(up && dead == Some(Liveness::Dead));
+            }
+            Effect::Departed => self.kill(vm),
+        }
+    }
+
+    fn send(&mut self, from: VmId, to: SocketAddr, bytes: Bytes) {
+        self.bytes += bytes.len() as u64 + OVERHEAD;
+        self.largest = self.largest.max(bytes.len());
+        let SocketAddr::V4(v4) = to else { return };
+        let [_, _, high, low] = v4.ip().octets();
+        let to = VmId(u32::from(high) << 8 | u32::from(low));
+        let cut = self.cut.is_some_and(|cut| cut(from, to));
+        if cut || self.random.random_bool(self.loss) {
+            return;
+        }
+        let delay = Duration::from_micros(self.random.random_range(300..9_000));
+        self.push(self.now + delay, to, Some((from, bytes)));
+    }
+
+    fn push(&mut self, at: Time, to: VmId, datagram: Option<(VmId, Bytes)>) {
+        self.events += 1;
+        self.queue.push(Reverse(Event { at, number: self.events, to, datagram }));
+    }
+
+    /// Returns true when every VM that runs holds exactly those that run for up.
+    pub fn agreed(&self) -> bool {
+        let all = self.nodes.len() - 1;
+        self.nodes.iter().all(|(vm, node)| {
+            let up = node.members().filter(|member| member.is_up());
+            let right = up.filter(|member| member.vm != *vm && self.nodes.contains_key(&member.vm));
+            right.count() == all
+                && node.members().all(|other| other.is_up() == self.nodes.contains_key(&other.vm))
+        })
+    }
+
+    /// Returns how many VMs hold `vm` for this liveness.
+    pub fn holding(&self, vm: VmId, liveness: Liveness) -> usize {
+        let nodes = self.nodes.values();
+        nodes.filter(|node| node.member(vm).is_some_and(|known| known.liveness == liveness)).count()
+    }
+
+    pub fn suspicions(&self) -> u64 {
+        self.nodes.values().map(|node| node.counts().suspicions).sum()
+    }
+}
