--- /dev/null
+++ b/crates/core/src/program/deadlines.rs
@@ -0,0 +1,253 @@
+//! What time and departures bring about: deadlines, idle ends, lost grants, releases, retention.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+
+use super::sequencer::{Effect, Sequencer};
+use super::settings::Settings;
+use super::state::{Attempt, Call, Phase, Program, ProgramKey, State};
+use crate::prelude::*;
+use crate::wire::program as wire;
+use crate::wire::program::entry::Body;
+use crate::wire::program::{EndReason, Refusal};
+
+impl Sequencer {
+    /// Does what is due by now.
+    pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let Some(lead) = self.lead else { return };
+        let now_ms = self.now_ms(now);
+        for ticket in self.parking.take_due(now_ms) {
+            let detail = "the caller's deadline passed while the request waited for its turn";
+            let reply = self.give_up(&ticket, Refusal::DeadlinePassed, detail);
+            out.push(Effect::Reply { token: ticket.token, reply });
+        }
+        if now_ms < self.scanned_ms.saturating_add(self.settings.scan_ms) {
+            return;
+        }
+        self.scanned_ms = now_ms;
+        if !lead.ready {
+            return self.renew_barrier(now, out);
+        }
+        if self.chores.is_empty() {
+            self.propose_due(now, out);
+        }
+        self.release_ended(now, out);
+    }
+
+    /// Takes every dispatch of a dead entry VM for lost.
+    pub(super) fn vm_gone(&mut self, now: Time, vm: VmId, out: &mut Vec<Effect>) {
+        match self.lead {
+            Some(lead) if lead.ready => self.lose_held(now, vm, out),
+            Some(_) => self.gone.push(vm),
+            None => {}
+        }
+    }
+
+    pub(super) fn lose_held(&mut self, now: Time, vm: VmId, out: &mut Vec<Effect>) {
+        self.propose_lost(now, |attempt| attempt.holder == vm, out);
+    }
+
+    /// Forgets an endpoint that holds nothing any more.
+    pub(super) fn endpoint_gone(
+        &mut self,
+        now: Time,
+        endpoint: EndpointName,
+        out: &mut Vec<Effect>,
+    ) {
+        let held = self.state.programs.values().any(|p| p.endpoints.contains(&endpoint));
+        if self.lead.is_some() && held {
+            let freed = wire::Freed { program: None, endpoint: endpoint.to_string() };
+            self.propose_chore(now, Body::Freed(freed), out);
+        }
+    }
+
+    /// Takes a bundle revision into force and lifts what it lifts.
+    pub(super) fn configure(
+        &mut self,
+        now: Time,
+        revision: RevisionNumber,
+        lifted: Vec<Bytes>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.revision = self.revision.max(revision);
+        self.lifted = lifted;
+        if self.lead.is_some_and(|lead| lead.ready) {
+            self.propose_lift(now, out);
+        }
+    }
+
+    /// Lifts what the revision in force lifts, once for each revision.
+    pub(super) fn propose_lift(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let revision = self.revision.0;
+        if revision > self.state.lifted && !self.lifted.is_empty() {
+            let entry = wire::Lifted { revision, digests: self.lifted.clone() };
+            self.propose_chore(now, Body::Lifted(entry), out);
+        }
+    }
+
+    /// Takes over what other groups found, but for digests that the bundle in force lifts.
+    pub(super) fn import_scores(
+        &mut self,
+        now: Time,
+        mut scores: Vec<wire::Score>,
+        out: &mut Vec<Effect>,
+    ) {
+        scores.retain(|score| !self.lifted.contains(&score.digest) && self.state.is_news(score));
+        if self.lead.is_some() && !scores.is_empty() {
+            self.propose_chore(now, Body::Scores(wire::Scores { scores }), out);
+        }
+    }
+
+    fn propose_due(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let now_ms = self.now_ms(now);
+        self.propose_lost(now, |attempt| attempt.expires_ms <= now_ms, out);
+        for (key, reason) in self.state.due_programs(now_ms, self.settings.idle_ms) {
+            let program = Some(self.state.programs[key].name.to_ref());
+            let end = wire::End { program, reason: reason.into() };
+            self.propose_chore(now, Body::End(end), out);
+        }
+        let ended_ms = now_ms.saturating_sub(self.settings.retain_ms);
+        let forgettable = self.state.programs.values().any(|p| p.is_forgettable(ended_ms));
+        let stale = now_ms >= self.state.clock_ms().saturating_add(self.settings.clock_ms);
+        let alive = self.state.programs.values().any(|p| p.ended.is_none());
+        if forgettable || (stale && alive) {
+            let scored_ms = now_ms.saturating_sub(self.settings.suspect_ms);
+            self.propose_chore(now, Body::Sweep(wire::Sweep { ended_ms, scored_ms }), out);
+        }
+    }
+
+    fn propose_lost(
+        &mut self,
+        now: Time,
+        is_lost: impl Fn(&Attempt) -> bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let lost = self.state.running_attempts().filter(|(_, attempt)| is_lost(attempt));
+        let mut dispatches: Vec<wire::DispatchRef> = lost
+            .map(|(call, _)| wire::DispatchRef {
+                program: Some(self.state.programs[call.program].name.to_ref()),
+                dispatch: call.dispatch.to_string(),
+            })
+            .collect();
+        if dispatches.is_empty() {
+            return;
+        }
+        dispatches.sort_by(|a, b| a.dispatch.cmp(&b.dispatch));
+        self.propose_chore(now, Body::Lost(wire::Lost { dispatches }), out);
+    }
+
+    /// Sends the releases and cancels of ended programs that are due.
+    ///
+    /// A release is fire and forget on a link that loses messages: one that is sent once and lost
+    /// leaves an engine holding memory for good. So each is repeated until its confirmation is
+    /// committed or the endpoint is gone. None is sent while a dispatch still runs: the engine
+    /// could fill memory again after it freed it, and the confirmation would hide that.
+    pub(super) fn release_ended(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let now_ms = self.now_ms(now);
+        let mut running: Vec<ProgramKey> = self.state.ended_running().collect();
+        running.sort();
+        let mut idle: Vec<ProgramKey> = self.state.releasing.iter().copied().collect();
+        idle.retain(|key| self.state.programs[*key].running.is_empty());
+        idle.sort();
+        for key in self.cancelled.due(&running, now_ms, &self.settings) {
+            self.emit_cancels(key, out);
+        }
+        for key in self.released.due(&idle, now_ms, &self.settings) {
+            self.state.programs[key].emit_releases(out);
+        }
+    }
+
+    fn emit_cancels(&self, key: ProgramKey, out: &mut Vec<Effect>) {
+        for call in &self.state.programs[key].running {
+            let call = &self.state.calls[*call];
+            if let Phase::Running(attempt) = &call.phase {
+                let dispatch = call.dispatch.clone();
+                out.push(Effect::Cancel { dispatch, vm: attempt.holder });
+            }
+        }
+    }
+}
+
+/// When something was last sent for each program that still needs it.
+#[derive(Debug, Default)]
+pub(super) struct Repeats {
+    sent: HashMap<ProgramKey, u64>,
+}
+
+impl Repeats {
+    /// Returns the programs among `wanted`, which is sorted, for which it is time to send again.
+    fn due(&mut self, wanted: &[ProgramKey], now_ms: u64, settings: &Settings) -> Vec<ProgramKey> {
+        self.sent.retain(|key, _| wanted.binary_search(key).is_ok());
+        let is_due = |sent: Option<&u64>| match sent {
+            Some(sent) if settings.safeguards.repeat_release => {
+                now_ms >= sent.saturating_add(settings.release_ms)
+            }
+            Some(_) => false,
+            None => true,
+        };
+        let due = wanted.iter().copied().filter(|key| is_due(self.sent.get(key)));
+        let due: Vec<ProgramKey> = due.collect();
+        self.sent.extend(due.iter().map(|key| (*key, now_ms)));
+        due
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.sent.clear();
+    }
+}
+
+impl Program {
+    fn emit_releases(&self, out: &mut Vec<Effect>) {
+        for endpoint in &self.endpoints {
+            let program = Some(self.name.to_ref());
+            let release = wire::Release { program, endpoint: endpoint.to_string() };
+            out.push(Effect::Release { release });
+        }
+    }
+}
+
+impl State {
+    /// Returns the open attempts that may be running.
+    pub(super) fn running_attempts(&self) -> impl Iterator<Item = (&Call, &Attempt)> {
+        let running = self.programs.values().flat_map(|program| program.running.iter());
+        running.filter_map(|key| match &self.calls[*key] {
+            call @ Call { phase: Phase::Running(attempt), .. } => Some((call, &**attempt)),
+            _ => None,
+        })
+    }
+
+    /// Returns ended programs that still have a dispatch under way.
+    fn ended_running(&self) -> impl Iterator<Item = ProgramKey> {
+        let ended = self.programs.iter().filter(|(_, program)| program.ended.is_some());
+        ended.filter(|(_, program)| !program.running.is_empty()).map(|(key, _)| key)
+    }
+
+    /// Returns live programs that ran into their time limit or have been idle for too long.
+    fn due_programs(&self, now_ms: u64, idle_ms: u64) -> Vec<(ProgramKey, EndReason)> {
+        let live = self.programs.iter().filter(|(_, program)| program.ended.is_none());
+        let due = live.filter_map(|(key, program)| {
+            if self.deadline_ms(key).is_some_and(|due| due <= now_ms) {
+                return Some((key, EndReason::Deadline));
+            }
+            let limit = match program.idle_ms {
+                0 => idle_ms,
+                limit => limit,
+            };
+            let idle = program.running.is_empty()
+                && program.children.iter().all(|child| self.programs[*child].ended.is_some())
+                && now_ms >= program.active_ms.saturating_add(limit);
+            idle.then_some((key, EndReason::Idle))
+        });
+        due.collect()
+    }
+
+    /// Tells whether another group's score adds to what is known here.
+    fn is_news(&self, score: &wire::Score) -> bool {
+        let Some(digest) = super::quarantine::read_digest(&score.digest) else { return false };
+        let known = self.scores.get(&digest);
+        score.blame > known.blame
+            || score.deaths > known.deaths
+            || (score.quarantined && !known.quarantined)
+    }
+}
--- a/crates/gypsumglade/src/entry/problem.rs
+++ b/crates/gypsumglade/src/entry/problem.rs
@@ -204,9 +204,12 @@
             }
             Refusal::ProgramEnded => ProblemKind::Ended,
             Refusal::ProgramNotFound => ProblemKind::NotFound,
-            Refusal::TurnOutOfOrder | Refusal::HistoryConflict | Refusal::KeyReused => {
-                ProblemKind::Conflict
-            }
+            Refusal::TurnOutOfOrder
+            | Refusal::HistoryConflict
+            | Refusal::KeyReused
+            | Refusal::DispatchUnknown
+            | Refusal::NotHolder => ProblemKind::Conflict,
+            Refusal::Invalid => ProblemKind::BadRequest,
             Refusal::BudgetExceeded => ProblemKind::Budget,
             Refusal::DeadlinePassed => ProblemKind::Deadline,
             Refusal::Quarantined => ProblemKind::Quarantined,
