Answer a request at its deadline when the log stands still

A leader cut off from its quorum also kept its callers waiting without end. Change: a begin that waits beyond its caller's deadline is answered not-run at once and taken back if it is committed after all; no repeat of the ask is granted in between. The test group commits in log order on every replica. Conclusion: a parted leader answers, and what it says stays true.

--- a/crates/core/src/program/admission.rs
+++ b/crates/core/src/program/admission.rs
@@ -103,7 +103,9 @@
             Phase::Ran { answer, status } => Known::Answer(recorded(answer, *status, call.turn)),
             // The very ask that was granted comes again from its holder: the grant was lost on
             // the way, and waiting for it would make the holder wait for itself.
-            Phase::Running(attempt) if attempt.is_for(ticket) => {
+            Phase::Running(attempt)
+                if attempt.is_for(ticket) && !self.withdrawn.contains(&call.dispatch) =>
+            {
                 grant(&self.state, key).map_or(Known::Running, Known::Answer)
             }
             Phase::Running(_) => Known::Running,
--- a/crates/core/src/program/deadlines.rs
+++ b/crates/core/src/program/deadlines.rs
@@ -22,6 +22,7 @@
             let reply = self.give_up(&ticket, Refusal::DeadlinePassed, detail);
             out.push(Effect::Reply { token: ticket.token, reply });
         }
+        self.withdraw_late(now, out);
         if now_ms < self.scanned_ms.saturating_add(self.settings.scan_ms) {
             return;
         }
--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -15,8 +15,9 @@
 use super::quarantine::Digest;
 use super::replies::{refusal, refused, reply};
 use super::settings::Settings;
-use super::state::{Applied, Name};
+use super::state::{Applied, CallKey, Name, Phase};
 use crate::prelude::*;
+use crate::wire::common::Outcome;
 use crate::wire::program as wire;
 use crate::wire::program::entry::Body as EntryBody;
 use crate::wire::program::reply::Body as ReplyBody;
@@ -150,6 +151,8 @@
 #[derive(Debug)]
 enum Pending {
     Begin(Box<Ticket>),
+    /// A begin whose caller was told that it is not run, before it was committed.
+    Withdrawn(Name),
     Reply(RequestToken),
     /// The first entry of a leader: once it is committed, so is all that came before.
     Barrier,
@@ -187,6 +190,8 @@
     pub(super) started: HashMap<CompactString, EndpointName>,
     /// Dispatches that a crash report of their endpoint already blamed.
     pub(super) blamed: HashSet<CompactString>,
+    /// Dispatches that this leader takes back; none of them may be granted.
+    pub(super) withdrawn: HashSet<CompactString>,
     pub(super) gone: Vec<VmId>,
     pub(super) released: Repeats,
     pub(super) cancelled: Repeats,
@@ -214,6 +219,7 @@
             busy: HashSet::new(),
             started: HashMap::new(),
             blamed: HashSet::new(),
+            withdrawn: HashSet::new(),
             gone: vec![],
             released: Repeats::default(),
             cancelled: Repeats::default(),
@@ -415,6 +421,12 @@
                 self.busy.remove(&ticket.asked.name);
                 self.complete_begin(now, *ticket, applied, out);
             }
+            Some(Pending::Withdrawn(name)) => {
+                self.busy.remove(&name);
+                if let Applied::Granted(call) = applied {
+                    self.withdraw(now, call, out);
+                }
+            }
             Some(Pending::Reply(token)) => {
                 let body = match applied {
                     Applied::Refused(refused) => ReplyBody::Refused(refused),
@@ -439,6 +451,10 @@
     ) {
         let token = ticket.token;
         match applied {
+            Applied::Granted(call) if ticket.until_ms <= self.now_ms(now) => {
+                out.push(Effect::Reply { token, reply: late_begin() });
+                self.withdraw(now, call, out);
+            }
             Applied::Granted(call) => {
                 if let Some(reply) = super::replies::grant(&self.state, call) {
                     out.push(Effect::Reply { token, reply });
@@ -451,6 +467,44 @@
         }
     }
 
+    /// Answers the begins that wait for the log beyond their callers' deadlines.
+    ///
+    /// A leader that lost its quorum without noticing would else keep its callers waiting for as
+    /// long as the network is parted. That they are not run is true: the grant is this leader's
+    /// to give, and it gives none to a caller that was answered.
+    pub(super) fn withdraw_late(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let now_ms = self.now_ms(now);
+        let mut tokens = vec![];
+        for pending in self.pending.values_mut() {
+            if let Pending::Begin(ticket) = pending
+                && ticket.until_ms <= now_ms
+            {
+                tokens.push(ticket.token);
+                *pending = Pending::Withdrawn(ticket.asked.name.clone());
+            }
+        }
+        tokens.sort();
+        out.extend(tokens.into_iter().map(|token| Effect::Reply { token, reply: late_begin() }));
+    }
+
+    /// Takes back an intent for which this leader never gave a grant.
+    ///
+    /// Without this the key would stay in doubt for good though nothing was sent. A repeat of the
+    /// ask must not be granted before that is committed: it would run what the entry calls unrun.
+    fn withdraw(&mut self, now: Time, call: CallKey, out: &mut Vec<Effect>) {
+        let call = &self.state.calls[call];
+        let Phase::Running(attempt) = &call.phase else { return };
+        let settled = wire::Settled {
+            program: Some(self.state.programs[call.program].name.to_ref()),
+            dispatch: call.dispatch.to_string(),
+            holder: attempt.holder.0,
+            outcome: Outcome::NotRun.into(),
+            ..wire::Settled::default()
+        };
+        self.withdrawn.insert(call.dispatch.clone());
+        self.propose_chore(now, EntryBody::Settled(settled), out);
+    }
+
     fn restored(&mut self, index: u64, data: &Bytes, out: &mut Vec<Effect>) {
         self.follow(self.leader, out);
         if self.state.restore(data).is_ok() {
@@ -493,6 +547,7 @@
         self.busy.clear();
         self.started.clear();
         self.blamed.clear();
+        self.withdrawn.clear();
         self.released.clear();
         self.cancelled.clear();
         self.gone.clear();
@@ -501,9 +556,11 @@
     fn proposal_failed(&mut self, proposal: ProposalId, out: &mut Vec<Effect>) {
         self.chores.remove(&proposal);
         let Some(pending) = self.pending.remove(&proposal) else { return };
-        if let Pending::Begin(ticket) = &pending {
-            self.busy.remove(&ticket.asked.name);
-        }
+        match &pending {
+            Pending::Begin(ticket) => self.busy.remove(&ticket.asked.name),
+            Pending::Withdrawn(name) => self.busy.remove(name),
+            Pending::Reply(_) | Pending::Barrier | Pending::Chore => false,
+        };
         if let Some(token) = pending.token() {
             out.push(Effect::Reply { token, reply: self.not_leader() });
         }
@@ -554,11 +611,16 @@
         match self {
             Pending::Begin(ticket) => Some(ticket.token),
             Pending::Reply(token) => Some(*token),
-            Pending::Barrier | Pending::Chore => None,
+            Pending::Withdrawn(_) | Pending::Barrier | Pending::Chore => None,
         }
     }
 }
 
+fn late_begin() -> Reply {
+    let detail = "the caller's deadline passed before the group could commit its request";
+    refusal(Refusal::DeadlinePassed, detail)
+}
+
 /// Tells whether an entry may change what a request of the program waits for.
 fn is_about(body: &EntryBody, name: &Name) -> bool {
     let program = match body {
--- a/crates/core/tests/journal_calls.rs
+++ b/crates/core/tests/journal_calls.rs
@@ -181,6 +181,25 @@
     assert!(matches!(group.reply(token), Some(ReplyBody::Grant(_))));
 }
 
+#[test]
+fn call_without_a_quorum_is_answered_at_its_deadline() {
+    // The leader is cut off from its followers and does not notice. Its caller's deadline passes;
+    // the caller is told at once that the call is not run, and it is not: when the intent is
+    // committed after all, it is taken back, and a repeat of the ask is granted afresh.
+    let mut group = Group::new(3);
+    group.held = true;
+    let mut begin = begin_call("p", "k");
+    begin.deadline_ms = 1_000;
+    begin.nonce = "n".into();
+    let token = group.send(ENTRY, Body::BeginCall(begin.clone()));
+    group.advance(1_000);
+    assert_eq!(refusal(group.reply(token).unwrap()), Refusal::DeadlinePassed);
+    group.held = false;
+    group.commit();
+    let again = group.ask(ENTRY, Body::BeginCall(begin));
+    assert_eq!(granted(again).attempt, 2);
+}
+
 #[test]
 fn call_under_an_old_revision_is_refused() {
     let mut group = Group::new(1);
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -54,6 +54,7 @@
     /// Releases, cancels and scores, in their order.
     pub effects: Vec<Effect>,
     next: u64,
+    committing: bool,
 }
 
 impl Group {
@@ -75,6 +76,7 @@
             replies: BTreeMap::new(),
             effects: vec![],
             next: 0,
+            committing: false,
         };
         group.lead(0);
         group
@@ -143,13 +145,17 @@
         }
     }
 
-    /// Commits all proposals under way.
+    /// Commits all proposals under way, and those that follow from them, one after the other.
     pub fn commit(&mut self) {
+        if std::mem::replace(&mut self.committing, true) {
+            return;
+        }
         while let Some(proposal) = self.flight.pop_front() {
             if self.leader == Some(proposal.replica) {
                 self.append(proposal.data);
             }
         }
+        self.committing = false;
     }
 
     fn append(&mut self, data: Bytes) {
