--- a/crates/core/src/program/deadlines.rs
+++ b/crates/core/src/program/deadlines.rs
@@ -146,7 +146,7 @@
     /// could fill memory again after it freed it, and the confirmation would hide that.
     pub(super) fn release_ended(&mut self, now: Time, out: &mut Vec<Effect>) {
         let now_ms = self.now_ms(now);
-        let mut running: Vec<ProgramKey> = self.state.ended_running().collect();
+        let mut running: Vec<ProgramKey> = self.state.cancelling.iter().copied().collect();
         running.sort();
         let mut idle: Vec<ProgramKey> = self.state.releasing.iter().copied().collect();
         idle.retain(|key| self.state.programs[*key].running.is_empty());
@@ -218,12 +218,6 @@
         })
     }
 
-    /// Returns ended programs that still have a dispatch under way.
-    fn ended_running(&self) -> impl Iterator<Item = ProgramKey> {
-        let ended = self.programs.iter().filter(|(_, program)| program.ended.is_some());
-        ended.filter(|(_, program)| !program.running.is_empty()).map(|(key, _)| key)
-    }
-
     /// Returns live programs that ran into their time limit or have been idle for too long.
     fn due_programs(&self, now_ms: u64, idle_ms: u64) -> Vec<(ProgramKey, EndReason)> {
         let live = self.programs.iter().filter(|(_, program)| program.ended.is_none());
--- a/crates/core/src/program/journal.rs
+++ b/crates/core/src/program/journal.rs
@@ -4,6 +4,8 @@
 //! other than its proposer saw it changes nothing and is looked at again. See
 //! docs/design/journal.md.
 
+use bytes::Bytes;
+
 use super::budget::{Account, Amounts, Shortage};
 use super::history::History;
 use super::messages::HASH_LEN;
@@ -88,6 +90,9 @@
         let program = &mut self.programs[key];
         if program.ended.is_none() {
             program.ended = Some(Ended { reason, at_ms });
+            if !program.running.is_empty() {
+                self.cancelling.insert(key);
+            }
             if !program.endpoints.is_empty() {
                 self.releasing.insert(key);
             }
@@ -251,8 +256,8 @@
         let attempt = Box::new(Attempt {
             holder: VmId(begin.holder),
             nonce: (&begin.nonce).into(),
-            messages: begin.messages.clone(),
-            hashes: begin.hashes.clone(),
+            messages: Bytes::copy_from_slice(&begin.messages),
+            hashes: Bytes::copy_from_slice(&begin.hashes),
             reserved,
             max_output: reserved.tokens.saturating_sub(begin.prompt_tokens),
             expires_ms: begin.expires_ms,
@@ -319,7 +324,9 @@
         self.release(call, &attempt);
         self.charge(call, Amounts::of_usage(&usage));
         let found = &mut self.calls[call];
-        found.phase = Phase::Ran { answer: settled.answer.clone(), status: settled.status };
+        // A slice would keep the whole log entry in memory for as long as the key lives.
+        let answer = Bytes::copy_from_slice(&settled.answer);
+        found.phase = Phase::Ran { answer, status: settled.status };
         let turn = found.turn;
         let program = found.program;
         if turn == 0 || settled.message.is_empty() {
@@ -347,7 +354,7 @@
         self.release(call, &attempt);
         let mut kept = *attempt;
         if self.safeguards.keep_doubtful {
-            let told = usage.filter(|usage| **usage != wire::Usage::default());
+            let told = usage.filter(|usage| usage.prompt_tokens > 0);
             kept.reserved = told.map_or(kept.reserved, Amounts::of_usage);
             self.charge(call, kept.reserved);
         }
@@ -367,7 +374,11 @@
         if in_doubt {
             return;
         }
-        self.programs[program].running.retain(|running| *running != call);
+        let running = &mut self.programs[program].running;
+        running.retain(|key| *key != call);
+        if running.is_empty() {
+            self.cancelling.remove(&program);
+        }
         if let Some(digest) = attempt.digest
             && let Some(flights) = self.flights.get_mut(&digest)
         {
--- a/crates/core/src/program/messages.rs
+++ b/crates/core/src/program/messages.rs
@@ -140,7 +140,8 @@
 
 /// Joins canonical messages by commas, the form in which the history keeps them.
 pub(super) fn join(texts: &[Bytes]) -> Bytes {
-    let mut out = BytesMut::new();
+    let len = texts.iter().map(|text| text.len() + 1).sum();
+    let mut out = BytesMut::with_capacity(len);
     for text in texts {
         if !out.is_empty() {
             out.put_u8(b',');
--- a/crates/core/src/program/snapshot.rs
+++ b/crates/core/src/program/snapshot.rs
@@ -146,6 +146,9 @@
     /// Takes up a running attempt again: its reservation and its flight are derived state.
     fn hold(&mut self, program: ProgramKey, call: CallKey, attempt: &Attempt) {
         self.programs[program].running.push(call);
+        if self.programs[program].ended.is_some() {
+            self.cancelling.insert(program);
+        }
         for key in self.charged(program) {
             self.programs[key].account.held.add(attempt.reserved);
         }
--- a/crates/core/src/program/state.rs
+++ b/crates/core/src/program/state.rs
@@ -141,6 +141,8 @@
     pub(super) scores: Scores,
     /// Programs that ended and whose memory some endpoint may still hold.
     pub(super) releasing: HashSet<ProgramKey>,
+    /// Programs that ended with a dispatch still under way.
+    pub(super) cancelling: HashSet<ProgramKey>,
     pub(super) lifted: u64,
     pub(super) safeguards: Safeguards,
 }
