Give no grant to a dead VM, and halt on what cannot be read

Change: waiting requests of a dead VM are answered and their intents taken back; Effect::Halt says what could not be read, and the replica answers nothing more.

--- a/crates/core/src/program/admission.rs
+++ b/crates/core/src/program/admission.rs
@@ -7,11 +7,12 @@
 use bytes::Bytes;
 
 use super::asked::Asked;
+use super::interface::Effect;
 use super::messages::{answer_message, canonical, compare_history, message_hash};
 use super::parking::Queue;
 use super::quarantine::WHOLE_DEATH;
 use super::replies::{grant, recorded, refusal, unknown};
-use super::sequencer::{Effect, Sequencer, Ticket};
+use super::sequencer::{Sequencer, Ticket};
 use super::state::{Attempt, CallKey, Name, Phase, Program};
 use crate::prelude::*;
 use crate::wire::common::Outcome;
--- a/crates/core/src/program/deadlines.rs
+++ b/crates/core/src/program/deadlines.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 
-use super::sequencer::{Effect, Sequencer};
+use super::interface::Effect;
+use super::sequencer::Sequencer;
 use super::settings::Settings;
 use super::state::{Attempt, Call, Phase, Program, ProgramKey, State};
 use crate::prelude::*;
@@ -37,7 +38,16 @@
     }
 
     /// Takes every dispatch of a dead entry VM for lost.
+    ///
+    /// Its requests that still wait get no grant: nobody would be there to use it, and the program
+    /// would stand still until it expires.
     pub(super) fn vm_gone(&mut self, now: Time, vm: VmId, out: &mut Vec<Effect>) {
+        for ticket in self.parking.take_from(vm) {
+            let detail = "the VM that asked was declared dead";
+            let reply = self.give_up(&ticket, Refusal::DeadlinePassed, detail);
+            out.push(Effect::Reply { token: ticket.token, reply });
+        }
+        self.withdraw_from(vm, out);
         match self.lead {
             Some(lead) if lead.ready => self.lose_held(now, vm, out),
             Some(_) => self.gone.push(vm),
--- /dev/null
+++ b/crates/core/src/program/leading.rs
@@ -0,0 +1,89 @@
+//! What changes when a replica begins or ceases to lead, and the group's time.
+
+use super::interface::{Effect, RequestToken};
+use super::parking::Queue;
+use super::proposals::Pending;
+use super::replies::{refused, reply};
+use super::sequencer::Sequencer;
+use crate::prelude::*;
+use crate::wire::program as wire;
+use crate::wire::program::entry::Body as EntryBody;
+use crate::wire::program::reply::Body as ReplyBody;
+use crate::wire::program::{Refusal, Reply};
+
+/// The leader's clock and term.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lead {
+    pub(super) term: u64,
+    base_ms: u64,
+    since: Time,
+    pub(super) ready: bool,
+}
+
+impl Sequencer {
+    pub(super) fn start_leading(&mut self, now: Time, term: u64, out: &mut Vec<Effect>) {
+        self.follow(None, out);
+        let base_ms = self.state.clock_ms();
+        self.lead = Some(Lead { term, base_ms, since: now, ready: false });
+        self.scanned_ms = 0;
+        let barrier = EntryBody::Sweep(wire::Sweep::default());
+        self.propose(now, barrier, Pending::Barrier, out);
+    }
+
+    pub(super) fn become_ready(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if let Some(lead) = &mut self.lead {
+            lead.ready = true;
+        }
+        for vm in std::mem::take(&mut self.gone) {
+            self.lose_held(now, vm, out);
+        }
+        self.propose_lift(now, out);
+        self.wake(now, &Queue::Ready, out);
+    }
+
+    /// Drops all that a leader alone knows and sends its waiters to the next leader.
+    pub(super) fn follow(&mut self, leader: Option<VmId>, out: &mut Vec<Effect>) {
+        self.leader = leader;
+        self.lead = None;
+        let mut tokens: Vec<RequestToken> =
+            self.parking.take_all().into_iter().map(|ticket| ticket.token).collect();
+        tokens.extend(self.pending.drain().filter_map(|(_, pending)| pending.token()));
+        tokens.sort();
+        let reply = self.not_leader();
+        let replies = tokens.into_iter().map(|token| Effect::Reply { token, reply: reply.clone() });
+        out.extend(replies);
+        self.chores.clear();
+        self.busy.clear();
+        self.started.clear();
+        self.blamed.clear();
+        self.withdrawn.clear();
+        self.released.clear();
+        self.cancelled.clear();
+        self.gone.clear();
+    }
+
+    /// Proposes the barrier again if it failed while this replica went on leading.
+    pub(super) fn renew_barrier(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let waits = self.pending.values().any(|pending| matches!(pending, Pending::Barrier));
+        if !waits {
+            let barrier = EntryBody::Sweep(wire::Sweep::default());
+            self.propose(now, barrier, Pending::Barrier, out);
+        }
+    }
+
+    pub(super) fn not_leader(&self) -> Reply {
+        let mut refused = refused(Refusal::NotLeader, "ask the leader under the same key");
+        refused.leader = self.leader.map_or(0, |vm| vm.0);
+        reply(ReplyBody::Refused(refused))
+    }
+
+    /// Returns the group's time: it goes on where the last entry left it, and never backwards.
+    ///
+    /// Monotonic clocks of two VMs share no start, so a new leader counts on from the state's
+    /// clock. The time for which a group had no leader is not counted against its programs.
+    pub(super) fn now_ms(&self, now: Time) -> u64 {
+        let Some(lead) = self.lead else { return self.state.clock_ms() };
+        let gone_by = now.since(lead.since).as_millis() as u64;
+        self.state.clock_ms().max(lead.base_ms.saturating_add(gone_by))
+    }
+}
--- a/crates/core/src/program/parking.rs
+++ b/crates/core/src/program/parking.rs
@@ -6,6 +6,7 @@
 use super::sequencer::Ticket;
 use super::settings::Settings;
 use super::state::Name;
+use crate::prelude::*;
 
 /// What a parked request waits for.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -78,6 +79,21 @@
         due
     }
 
+    /// Takes the requests of one VM, in the order of arrival.
+    pub(super) fn take_from(&mut self, vm: VmId) -> Vec<Ticket> {
+        let mut taken = vec![];
+        for queue in self.queues.values_mut() {
+            let (theirs, rest) = queue.drain(..).partition(|ticket| ticket.from == vm);
+            let theirs: VecDeque<Ticket> = theirs;
+            *queue = rest;
+            taken.extend(theirs);
+        }
+        self.queues.retain(|_, queue| !queue.is_empty());
+        self.len -= taken.len();
+        taken.sort_by_key(|ticket| ticket.token);
+        taken
+    }
+
     /// Takes everything, in the order of arrival.
     pub(super) fn take_all(&mut self) -> Vec<Ticket> {
         self.len = 0;
--- /dev/null
+++ b/crates/core/src/program/settlement.rs
@@ -0,0 +1,217 @@
+//! Settle, lose and end: the entries that close what a begin opened.
+//!
+//! See docs/design/journal.md for who may say what, and docs/design/budget.md for what becomes of
+//! a reservation.
+
+use bytes::Bytes;
+
+use super::budget::Amounts;
+use super::messages::HASH_LEN;
+use super::replies::refused;
+use super::state::{Applied, Attempt, CallKey, Ended, Name, Phase, ProgramKey, State};
+use crate::prelude::*;
+use crate::wire::common::Outcome;
+use crate::wire::program as wire;
+use crate::wire::program::{EndReason, Refusal};
+
+impl State {
+    /// Records the outcome of a dispatch. A settle that was applied before is confirmed again.
+    pub(super) fn settle(&mut self, settled: &wire::Settled) -> Applied {
+        let name = Name::of(settled.program.as_ref());
+        let Some(call) = self.find_dispatch(&name, &settled.dispatch) else {
+            return unknown_dispatch();
+        };
+        let program = self.calls[call].program;
+        self.add_endpoint(program, &settled.endpoint);
+        let attempt = match &self.calls[call].phase {
+            Phase::Running(attempt) | Phase::InDoubt(attempt) => attempt.clone(),
+            Phase::Ran { .. } | Phase::NotRun => return Applied::Settled(vec![]),
+        };
+        if self.safeguards.holder_only && attempt.holder != VmId(settled.holder) {
+            let detail = format!("the dispatch was granted to {}", attempt.holder);
+            return Applied::Refused(refused(Refusal::NotHolder, detail));
+        }
+        if self.is_overtaken(call) {
+            return unknown_dispatch();
+        }
+        let scores = self.score(settled, &attempt);
+        self.close(call, settled, *attempt);
+        self.mark_active(program);
+        self.end_if_spent(program);
+        Applied::Settled(scores)
+    }
+
+    /// Takes dispatches for lost: their outcome is in doubt from now on.
+    pub(super) fn lose(&mut self, lost: &wire::Lost) -> Applied {
+        for lost in &lost.dispatches {
+            let name = Name::of(lost.program.as_ref());
+            if let Some(call) = self.find_dispatch(&name, &lost.dispatch) {
+                self.doubt(call, None);
+            }
+        }
+        Applied::Done
+    }
+
+    /// Ends a program by its name.
+    pub(super) fn end_named(&mut self, end: &wire::End) -> Applied {
+        let name = Name::of(end.program.as_ref());
+        let Some(key) = self.names.get(&name).copied() else {
+            return Applied::Refused(refused(Refusal::ProgramNotFound, "no such program"));
+        };
+        self.end(key, end.reason());
+        Applied::Done
+    }
+
+    /// Ends a program and its descendants; the first reason stays.
+    pub(super) fn end(&mut self, key: ProgramKey, reason: EndReason) {
+        let at_ms = self.clock_ms;
+        let program = &mut self.programs[key];
+        if program.ended.is_none() {
+            program.ended = Some(Ended { reason, at_ms });
+            if !program.running.is_empty() {
+                self.cancelling.insert(key);
+            }
+            if !program.endpoints.is_empty() {
+                self.releasing.insert(key);
+            }
+        }
+        for child in self.programs[key].children.clone() {
+            self.end(child, EndReason::Parent);
+        }
+    }
+
+    /// Tells whether a lost turn can no longer be taken over: its place is taken or being filled.
+    fn is_overtaken(&self, call: CallKey) -> bool {
+        let found = &self.calls[call];
+        let program = &self.programs[found.program];
+        let in_doubt = matches!(found.phase, Phase::InDoubt(_));
+        let next = program.history.turns() + 1;
+        in_doubt && found.turn > 0 && (found.turn != next || !program.running.is_empty())
+    }
+
+    /// Moves a call out of its open phase, as its holder says.
+    fn close(&mut self, call: CallKey, settled: &wire::Settled, attempt: Attempt) {
+        match settled.outcome() {
+            Outcome::Done => self.close_ran(call, settled, attempt),
+            Outcome::NotRun => self.close_unrun(call),
+            Outcome::Unknown => self.doubt(call, settled.usage.as_ref()),
+        }
+    }
+
+    fn close_ran(&mut self, call: CallKey, settled: &wire::Settled, attempt: Attempt) {
+        let usage = settled.usage.unwrap_or_default();
+        self.release(call, &attempt);
+        self.charge(call, Amounts::of_usage(&usage));
+        let found = &mut self.calls[call];
+        // A slice would keep the whole log entry in memory for as long as the key lives.
+        let answer = Bytes::copy_from_slice(&settled.answer);
+        found.phase = Phase::Ran { answer, status: settled.status };
+        let turn = found.turn;
+        let program = found.program;
+        if turn == 0 || settled.message.is_empty() {
+            return;
+        }
+        let messages = super::messages::join(&[attempt.messages, settled.message.clone()]);
+        let mut hashes = attempt.hashes.to_vec();
+        hashes.extend_from_slice(&settled.hash[..settled.hash.len().min(HASH_LEN)]);
+        self.programs[program].history.append(messages, &hashes);
+    }
+
+    fn close_unrun(&mut self, call: CallKey) {
+        let attempt = match &self.calls[call].phase {
+            Phase::Running(attempt) | Phase::InDoubt(attempt) => attempt.clone(),
+            _ => return,
+        };
+        self.release(call, &attempt);
+        self.calls[call].phase = Phase::NotRun;
+    }
+
+    /// Puts a running call in doubt. Its reservation stays spent, for it may have run, unless the
+    /// holder itself tells what was consumed.
+    fn doubt(&mut self, call: CallKey, usage: Option<&wire::Usage>) {
+        let Phase::Running(attempt) = self.calls[call].phase.clone() else { return };
+        self.release(call, &attempt);
+        let mut kept = *attempt;
+        if self.safeguards.keep_doubtful {
+            let told = usage.filter(|usage| usage.prompt_tokens > 0);
+            kept.reserved = told.map_or(kept.reserved, Amounts::of_usage);
+            self.charge(call, kept.reserved);
+        }
+        self.calls[call].phase = Phase::InDoubt(Box::new(kept));
+    }
+
+    /// Gives back a reservation: out of what is held while the call runs, and out of what is
+    /// spent once it was in doubt.
+    fn release(&mut self, call: CallKey, attempt: &Attempt) {
+        let in_doubt = matches!(self.calls[call].phase, Phase::InDoubt(_));
+        let program = self.calls[call].program;
+        for key in self.charged(program) {
+            let account = &mut self.programs[key].account;
+            let side = if in_doubt { &mut account.spent } else { &mut account.held };
+            side.sub(attempt.reserved);
+        }
+        if in_doubt {
+            return;
+        }
+        let running = &mut self.programs[program].running;
+        running.retain(|key| *key != call);
+        if running.is_empty() {
+            self.cancelling.remove(&program);
+        }
+        if let Some(digest) = attempt.digest
+            && let Some(flights) = self.flights.get_mut(&digest)
+        {
+            *flights -= 1;
+            if *flights == 0 {
+                self.flights.remove(&digest);
+            }
+        }
+    }
+
+    fn charge(&mut self, call: CallKey, amounts: Amounts) {
+        for key in self.charged(self.calls[call].program) {
+            self.programs[key].account.spent.add(amounts);
+        }
+    }
+
+    pub(super) fn charged(&self, program: ProgramKey) -> Vec<ProgramKey> {
+        let mut line = self.lineage(program);
+        if !self.safeguards.charge_ancestors {
+            line.truncate(1);
+        }
+        line
+    }
+
+    /// Ends every program of the lineage that can never be granted another call.
+    pub(super) fn end_if_spent(&mut self, program: ProgramKey) {
+        for key in self.lineage(program) {
+            let found = &self.programs[key];
+            if found.account.is_spent() && found.account.held == Amounts::default() {
+                self.end(key, EndReason::Budget);
+            }
+        }
+    }
+
+    /// Keeps a program and its ancestors from counting as idle.
+    pub(super) fn mark_active(&mut self, program: ProgramKey) {
+        for key in self.lineage(program) {
+            self.programs[key].active_ms = self.clock_ms;
+        }
+    }
+
+    /// Clears or blames requests for what the settle says of its endpoint.
+    fn score(&mut self, settled: &wire::Settled, attempt: &Attempt) -> Vec<wire::Score> {
+        if settled.outcome() == Outcome::Done
+            && let Some(digest) = attempt.digest
+        {
+            self.scores.clear(&digest);
+        }
+        let now_ms = self.clock_ms;
+        settled.crashed.iter().filter_map(|share| self.scores.blame(share, now_ms)).collect()
+    }
+}
+
+fn unknown_dispatch() -> Applied {
+    let detail = "the dispatch was never granted here, or a newer attempt replaced it";
+    Applied::Refused(refused(Refusal::DispatchUnknown, detail))
+}
--- a/crates/core/tests/journal_calls.rs
+++ b/crates/core/tests/journal_calls.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program::{Effect, Input};
 use gypsumglade_core::wire::common::Outcome;
@@ -200,6 +201,31 @@
     assert_eq!(granted(again).attempt, 2);
 }
 
+#[test]
+fn call_of_a_vm_that_died_while_waiting_is_not_granted() {
+    // The VM dies while its request waits for the log, and another while its request waits for its
+    // turn. Granted all the same, each call would keep its program standing until it expires.
+    let mut group = Group::new(3);
+    group.held = true;
+    group.send(ENTRY, call("p", "k1"));
+    group.send(ENTRY, call("p", "k2"));
+    group.step(0, Input::Gone { vm: ENTRY });
+    group.held = false;
+    group.commit();
+    assert_eq!(group.grant_to(OTHER, call("p", "k1")).attempt, 2);
+}
+
+#[test]
+fn entry_that_cannot_be_read_halts_the_replica() {
+    // A damaged entry reaches a replica. Skipping it would part this replica from the others
+    // unseen; it stops, says so, and sends callers elsewhere.
+    let mut group = Group::new(1);
+    group.step(0, Input::Committed { index: 9, data: Bytes::from_static(b"\xff\xff") });
+    assert!(matches!(group.effects.last(), Some(Effect::Halt { .. })));
+    let token = group.send_to(0, ENTRY, call("p", "k"));
+    assert_eq!(refusal(group.reply(token).unwrap()), Refusal::NotLeader);
+}
+
 #[test]
 fn call_under_an_old_revision_is_refused() {
     let mut group = Group::new(1);
--- a/crates/core/tests/scenario_program.rs
+++ b/crates/core/tests/scenario_program.rs
@@ -337,6 +337,7 @@
                     let state = if score.quarantined { "quarantined" } else { "suspect" };
                     writeln!(out, "score {} after {} deaths: {state}", score.blame, score.deaths)?;
                 }
+                Effect::Halt { reason } => writeln!(out, "halt: {reason}")?,
                 Effect::Propose { .. } | Effect::Reply { .. } => {}
             }
         }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -201,7 +201,11 @@
 
     /// Begins a turn that must be granted.
     pub fn grant(&mut self, body: RequestBody) -> wire::Grant {
-        granted(self.ask(ENTRY, body))
+        self.grant_to(ENTRY, body)
+    }
+
+    pub fn grant_to(&mut self, vm: VmId, body: RequestBody) -> wire::Grant {
+        granted(self.ask(vm, body))
     }
 
     /// Runs one whole turn and returns its grant.
--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -181,6 +181,9 @@
             Effect::Release { release } => self.release(release),
             Effect::Cancel { dispatch, vm } => self.context.cancel(dispatch, vm),
             Effect::Scored { score } => self.context.spread_score(score),
+            Effect::Halt { reason } => slog::crit!(self.context.log,
+                "a program group stopped: replace this replica's data folder";
+                "group" => self.group.0, "reason" => reason),
         }
     }
 
