--- a/crates/core/src/program/admission.rs
+++ b/crates/core/src/program/admission.rs
@@ -7,11 +7,12 @@
 use bytes::Bytes;
 
 use super::asked::Asked;
+use super::interface::Effect;
 use super::messages::{answer_message, canonical, compare_history, message_hash};
 use super::parking::Queue;
 use super::quarantine::WHOLE_DEATH;
 use super::replies::{grant, recorded, refusal, unknown};
-use super::sequencer::{Effect, Sequencer, Ticket};
+use super::sequencer::{Sequencer, Ticket};
 use super::state::{Attempt, CallKey, Name, Phase, Program};
 use crate::prelude::*;
 use crate::wire::common::Outcome;
@@ -103,7 +104,9 @@
             Phase::Ran { answer, status } => Known::Answer(recorded(answer, *status, call.turn)),
             // The very ask that was granted comes again from its holder: the grant was lost on
             // the way, and waiting for it would make the holder wait for itself.
-            Phase::Running(attempt) if attempt.is_for(ticket) => {
+            Phase::Running(attempt)
+                if attempt.is_for(ticket) && !self.withdrawn.contains(&call.dispatch) =>
+            {
                 grant(&self.state, key).map_or(Known::Running, Known::Answer)
             }
             Phase::Running(_) => Known::Running,
