Test the registry, routing, admission and retry decisions

Cause: each safeguard needs a test that fails without it. Change: property tests and mutations. They found a fault: admission's wait was short by the release that the call's own start takes, so a call that could not make its deadline was queued.

--- a/crates/core/src/policy/admission/mod.rs
+++ b/crates/core/src/policy/admission/mod.rs
@@ -388,7 +388,8 @@
     fn wait(&self, now: Time, org: OrgKey, band: Band, service: Duration) -> Duration {
         let guess = f64::from(self.limit.get()) / service.as_secs_f64().max(0.01);
         let rate = self.rate.get(now, guess).max(1e-3);
-        Duration::from_secs_f64(f64::from(self.queues.ahead(org, band)) / rate)
+        // Its own start takes a release too.
+        Duration::from_secs_f64((f64::from(self.queues.ahead(org, band)) + 1.0) / rate)
     }
 
     /// Returns when the calls that now lie before this one will have started.
--- a/crates/core/src/policy/route/cost.rs
+++ b/crates/core/src/policy/route/cost.rs
@@ -69,7 +69,7 @@
     };
     let load = endpoint.load(now);
     let resident = if settings.parts.prefix { held(settings, now, endpoint, ask) } else { 0 };
-    let missing = ask.prompt_tokens.saturating_sub(resident);
+    let missing = ask.prompt_tokens - resident;
     let source = import(settings, now, registry, ask, endpoint, resident);
     let fill_tokens = source.as_ref().map_or(missing, |import| missing - import.tokens);
     let mut cost = Cost {
@@ -77,7 +77,7 @@
         prefill: prefill_time(endpoint, fill_tokens) + source.as_ref().map_or(0.0, |i| i.cost),
         network: network(settings, ask, endpoint),
         decode: decode_time(endpoint, ask.output_guess),
-        waste: waste(settings, ask, endpoint, &load, resident),
+        waste: waste(settings, ask, endpoint, &load, ask.prompt_tokens - fill_tokens),
         total: 0.0,
     };
     let latency = cost.wait + cost.prefill + cost.network + cost.decode;
@@ -104,7 +104,7 @@
         (None, Some(hint)) => hint.tokens,
         (None, None) => 0,
     };
-    tokens.min(ask.prior_tokens)
+    tokens.min(ask.prior_tokens).min(ask.prompt_tokens)
 }
 
 fn wait(settings: &RouteSettings, endpoint: &Endpoint, load: &LoadView, floor: f64) -> f64 {
@@ -137,16 +137,15 @@
     ask: &RouteAsk,
     endpoint: &Endpoint,
     load: &LoadView,
-    resident: u64,
+    present: u64,
 ) -> f64 {
     let EndpointKind::Engine { cache_tokens, .. } = endpoint.kind else { return 0.0 };
-    let twice = ask.prior_tokens.saturating_sub(resident);
-    let pushed = if settings.parts.pressure {
-        let grown = load.cached_tokens + ask.prompt_tokens + ask.output_guess - resident;
-        grown.saturating_sub(cache_tokens).min(ask.prompt_tokens + ask.output_guess - resident)
-    } else {
-        0
-    };
+    let twice = ask.prior_tokens.saturating_sub(present);
+    if !settings.parts.pressure {
+        return prefill_time(endpoint, twice);
+    }
+    let grows = ask.prompt_tokens + ask.output_guess - present;
+    let pushed = (load.cached_tokens + grows).saturating_sub(cache_tokens).min(grows);
     prefill_time(endpoint, twice + pushed)
 }
 
--- /dev/null
+++ b/crates/core/tests/policy_admission.rs
@@ -0,0 +1,227 @@
+//! Admission: fairness, starvation bounds, early shedding and the limit.
+
+use gypsumglade_core::policy::Class;
+use gypsumglade_core::policy::admission::{
+    Admission, AdmissionSettings, Admit, LimitSettings, Offer, ShedReason, Signal, Ticket,
+};
+use gypsumglade_core::policy::priority::Priority;
+use gypsumglade_core::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn config() -> Config {
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|count| count.parse().ok());
+    Config {
+        cases: cases.unwrap_or(128),
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+/// One place, no reserve, so that the order of starts is the order of decisions.
+fn settings() -> AdmissionSettings {
+    let limit = LimitSettings { start: 1.0, least: 1.0, most: 1.0, ..LimitSettings::default() };
+    let patience = Duration::from_secs(3_600);
+    AdmissionSettings { limit, reserve: 0.0, patience, ..AdmissionSettings::default() }
+}
+
+fn offer(org: &str) -> Offer {
+    Offer {
+        org: org.into(),
+        class: Class::Normal,
+        under_way: true,
+        priority: Priority(1),
+        deadline: None,
+        service: Duration::from_secs(1),
+    }
+}
+
+fn queued(admission: &mut Admission, now: Time, offer: Offer) -> Ticket {
+    match admission.offer(now, offer) {
+        Admit::Now(ticket) | Admit::Queued(ticket) => ticket,
+        Admit::Shed { reason, .. } => panic!("shed: {reason}"),
+    }
+}
+
+/// Ends running calls one at a time and returns the order in which the waiting ones started.
+fn starts(admission: &mut Admission, first: Ticket) -> Vec<Ticket> {
+    let mut order = Vec::new();
+    let mut running = first;
+    let mut now = at(0);
+    loop {
+        now = now + Duration::from_secs(1);
+        let started = admission.release(now, running);
+        let Some(next) = started.first() else { return order };
+        order.push(*next);
+        running = *next;
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // One organisation floods. Without turns, a caller of another waits behind the whole flood.
+    // With them, it waits for its own calls and for as many seconds of each other organisation.
+    #[test]
+    fn offer_flood_is_fair(flood in 1..200_u32, others in 1..8_u32, each in 1..6_u32) {
+        let mut admission = Admission::new(settings());
+        let first = queued(&mut admission, at(0), offer("flood"));
+        for _ in 0..flood {
+            queued(&mut admission, at(0), offer("flood"));
+        }
+        let mut mine = Vec::new();
+        for org in 0..others {
+            for _ in 0..each {
+                let offer = offer(&format!("org{org}"));
+                mine.push(queued(&mut admission, at(0), offer));
+            }
+        }
+        let order = starts(&mut admission, first);
+        let last = order.iter().rposition(|ticket| mine.contains(ticket)).expect("all start");
+        let quantum = settings().quantum as usize;
+        prop_assert!(last < (others * each) as usize + quantum);
+        prop_assert_eq!(order.len(), (flood + others * each) as usize);
+    }
+
+    // Urgent calls, or programs under way, arrive without end. The first caller of the last band
+    // must still start, after a number of starts that is known beforehand.
+    #[test]
+    fn release_starvation_bound(seed in proptest::collection::vec(proptest::bool::ANY, 700)) {
+        let mut admission = Admission::new(settings());
+        let mut running = queued(&mut admission, at(0), offer("a"));
+        let new = queued(&mut admission, at(0), Offer { under_way: false, ..offer("b") });
+        let mut count = 0;
+        for urgent in seed {
+            let class = if urgent { Class::Urgent } else { Class::Normal };
+            queued(&mut admission, at(1), Offer { class, ..offer("a") });
+            queued(&mut admission, at(1), offer("a"));
+            let started = admission.release(at(2), running);
+            running = started[0];
+            count += 1;
+            if running == new {
+                break;
+            }
+            if admission.waiting() > 200 {
+                // Keep the flood within the organisation's queue.
+                let more = admission.release(at(2), running);
+                running = more[0];
+                count += 1;
+                if running == new {
+                    break;
+                }
+            }
+        }
+        let bounds = settings();
+        prop_assert_eq!(running, new);
+        prop_assert!(count <= (bounds.urgent_run + 1) * (bounds.under_way_run + 1));
+    }
+
+    // Every offer is answered once: started, shed or given up, whatever the order of events.
+    #[test]
+    fn offer_every_ticket_settles(steps in proptest::collection::vec(0..6_u8, 1..200)) {
+        let mut admission = Admission::new(AdmissionSettings { org_queue: 8, ..settings() });
+        let mut now = at(0);
+        let (mut running, mut waiting) = (Vec::new(), Vec::new());
+        for (index, step) in steps.iter().enumerate() {
+            now = now + Duration::from_millis(700);
+            let mut started = Vec::new();
+            match step {
+                0..=2 => {
+                    let deadline = Some(now + Duration::from_secs(u64::from(*step) * 5 + 2));
+                    match admission.offer(now, Offer { deadline, ..offer(["a", "b"][index % 2]) }) {
+                        Admit::Now(ticket) => running.push(ticket),
+                        Admit::Queued(ticket) => waiting.push(ticket),
+                        Admit::Shed { retry_after, .. } => prop_assert!(retry_after >= Duration::from_secs(1)),
+                    }
+                }
+                3 => if let Some(ticket) = running.pop() { started = admission.release(now, ticket) },
+                4 => if let Some(ticket) = waiting.pop() { started = admission.cancel(now, ticket) },
+                _ => for given in admission.expire(now) {
+                    prop_assert!(waiting.contains(&given.ticket));
+                    waiting.retain(|ticket| *ticket != given.ticket);
+                },
+            }
+            for ticket in started {
+                prop_assert!(waiting.contains(&ticket));
+                waiting.retain(|other| *other != ticket);
+                running.push(ticket);
+            }
+            prop_assert_eq!(admission.waiting() as usize, waiting.len());
+            prop_assert_eq!(admission.running() as usize, running.len());
+        }
+    }
+}
+
+#[test]
+fn offer_flood_unfair_mutation() {
+    let mut unfair = settings();
+    unfair.parts.fair = false;
+    let mut admission = Admission::new(unfair);
+    let first = queued(&mut admission, at(0), offer("flood"));
+    for _ in 0..100 {
+        queued(&mut admission, at(0), offer("flood"));
+    }
+    let mine = queued(&mut admission, at(0), offer("other"));
+    let order = starts(&mut admission, first);
+    assert_eq!(order.iter().position(|ticket| *ticket == mine), Some(100));
+}
+
+#[test]
+fn offer_urgent_first() {
+    let mut admission = Admission::new(settings());
+    let first = queued(&mut admission, at(0), offer("a"));
+    let new = queued(&mut admission, at(0), Offer { under_way: false, ..offer("a") });
+    let under_way = queued(&mut admission, at(0), offer("a"));
+    let urgent = queued(&mut admission, at(0), Offer { class: Class::Urgent, ..offer("a") });
+    assert_eq!(starts(&mut admission, first), vec![urgent, under_way, new]);
+}
+
+// A caller waits for a call that cannot make its deadline, and hears so only at the deadline, when
+// it is too late to go elsewhere. It must hear at once, with a time to come back.
+#[test]
+fn offer_deadline_shed_at_once() {
+    let mut admission = Admission::new(settings());
+    queued(&mut admission, at(0), offer("a"));
+    queued(&mut admission, at(0), offer("a"));
+    let deadline = Some(at(2_500));
+    let answer = admission.offer(at(0), Offer { deadline, ..offer("a") });
+    let retry_after = Duration::from_secs(2);
+    assert_eq!(answer, Admit::Shed { retry_after, reason: ShedReason::Deadline });
+}
+
+#[test]
+fn expire_gives_up_before_deadline() {
+    let mut admission = Admission::new(settings());
+    queued(&mut admission, at(0), offer("a"));
+    let deadline = Some(at(5_000));
+    let ticket = queued(&mut admission, at(0), Offer { deadline, ..offer("a") });
+    assert_eq!(admission.next_expiry(), Some(at(4_000)));
+    assert!(admission.expire(at(3_999)).is_empty());
+    let given: Vec<Ticket> = admission.expire(at(4_000)).iter().map(|given| given.ticket).collect();
+    assert_eq!(given, vec![ticket]);
+}
+
+#[test]
+fn observe_limit_falls_and_recovers() {
+    let limit = LimitSettings { start: 100.0, most: 200.0, ..LimitSettings::default() };
+    let mut admission = Admission::new(AdmissionSettings { limit, ..settings() });
+    for second in 0..30 {
+        for _ in 0..20 {
+            admission.observe(at(second * 1_000), Signal::Overloaded);
+        }
+    }
+    let low = admission.limit();
+    assert!(low < 90);
+    for index in 0..400 {
+        queued(&mut admission, at(40_000), offer(&format!("org{index}")));
+    }
+    for _ in 0..2_000 {
+        admission.observe(at(41_000), Signal::Waited(Duration::ZERO));
+    }
+    assert!(admission.limit() > low);
+}
--- /dev/null
+++ b/crates/core/tests/policy_registry.rs
@@ -0,0 +1,256 @@
+//! Properties and mutations of the endpoint registry.
+
+use gypsumglade_core::policy::registry::{
+    Announced, Announcement, CacheEvent, CacheEvents, DispatchLoad, EndpointKind, Ignored,
+    LoadReport, ModelId, Registry, RegistrySettings, home,
+};
+use gypsumglade_core::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn config() -> Config {
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|count| count.parse().ok());
+    Config {
+        cases: cases.unwrap_or(256),
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn engine(incarnation: u64, sequence: u64) -> Announcement {
+    Announcement {
+        name: "engine-a".into(),
+        incarnation,
+        sequence,
+        kind: EndpointKind::Engine {
+            models: vec![ModelId::new("advice", "1")],
+            slots: 4,
+            prefill_rate: 8_000.0,
+            decode_rate: 32.0,
+            cache_tokens: 100_000,
+        },
+        address: "10.0.0.1:80".into(),
+        domain: DomainId(0),
+        region: RegionId(0),
+        fencing: true,
+        lease: Duration::from_secs(3),
+        leaving: false,
+        load: None,
+        cache_events: CacheEvents::default(),
+    }
+}
+
+fn report(running: u32, age: u64) -> Option<LoadReport> {
+    let age = Duration::from_millis(age);
+    Some(LoadReport { running, waiting: 0, cached_tokens: 0, age })
+}
+
+fn new_key(result: Announced) -> gypsumglade_core::policy::registry::EndpointKey {
+    match result {
+        Announced::New(key) | Announced::Renewed(key) | Announced::Leaving(key) => key,
+        Announced::Replaced { new, .. } => new,
+        Announced::Ignored(reason) => panic!("ignored: {reason:?}"),
+    }
+}
+
+fn without(switch: impl Fn(&mut RegistrySettings)) -> Registry {
+    let mut settings = RegistrySettings::default();
+    switch(&mut settings);
+    Registry::new(settings)
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Announce { incarnation: u64, sequence: u64, leaving: bool },
+    Leave { incarnation: u64 },
+    Wait(u64),
+    Expire,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1..4_u64, 1..8_u64, proptest::bool::weighted(0.2)).prop_map(
+            |(incarnation, sequence, leaving)| Step::Announce { incarnation, sequence, leaving }
+        ),
+        1 => (1..4_u64).prop_map(|incarnation| Step::Leave { incarnation }),
+        3 => (0..2_500_u64).prop_map(Step::Wait),
+        1 => Just(Step::Expire),
+    ]
+}
+
+/// Plays steps and returns the first moment at which work would go where it must not.
+///
+/// The model is the rule itself: the newest incarnation heard, whether it ever said that it
+/// leaves, and when it last spoke with a new sequence.
+fn play(mut registry: Registry, steps: &[Step]) -> Result<(), String> {
+    let model_id = ModelId::new("advice", "1");
+    let mut now = at(1_000);
+    let (mut newest, mut heard, mut left, mut until) = (0, 0, false, Time::ZERO);
+    for step in steps {
+        match step {
+            Step::Wait(millis) => now = now + Duration::from_millis(*millis),
+            Step::Expire => drop(registry.expire(now)),
+            Step::Leave { incarnation } => {
+                registry.leave(now, "engine-a", *incarnation);
+                if *incarnation > newest {
+                    (newest, heard, until) = (*incarnation, 0, Time::ZERO);
+                }
+                left = left && newest != *incarnation || newest == *incarnation;
+            }
+            Step::Announce { incarnation, sequence, leaving } => {
+                let news = Announcement { leaving: *leaving, ..engine(*incarnation, *sequence) };
+                registry.announce(now, news);
+                if *incarnation > newest {
+                    (newest, heard, left, until) = (*incarnation, 0, false, Time::ZERO);
+                }
+                if *incarnation == newest && *sequence > heard && !(left && until <= now) {
+                    heard = *sequence;
+                    left |= *leaving;
+                    until = now + Duration::from_secs(3);
+                }
+            }
+        }
+        let open = registry.candidates(&model_id).iter().any(|key| registry.open(now, *key));
+        if open && (left || until <= now) {
+            return Err(format!("work at {now} after {step:?}"));
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // A caller's turn hangs when it is sent to an endpoint that said it leaves, or whose lease ran
+    // out because the news of leaving was lost. Announcements, replays and old incarnations arrive
+    // in any order; no order may open a closed endpoint.
+    #[test]
+    fn announce_any_order(steps in proptest::collection::vec(step(), 1..40)) {
+        prop_assert_eq!(play(Registry::default(), &steps), Ok(()));
+    }
+
+    #[test]
+    fn home_moves_only_from_lost(names in 1..60_u32, vms in 2..20_u32, lost in 0..20_u32) {
+        let all: Vec<VmId> = (0..vms).map(VmId).collect();
+        let lost = VmId(lost % vms);
+        let rest: Vec<VmId> = all.iter().copied().filter(|vm| *vm != lost).collect();
+        for name in (0..names).map(|name| format!("engine-{name}")) {
+            let before = home(&name, &all);
+            if before != Some(lost) {
+                prop_assert_eq!(before, home(&name, &rest));
+            }
+        }
+    }
+}
+
+#[test]
+fn announce_lease_mutation() {
+    let steps = [Step::Announce { incarnation: 1, sequence: 1, leaving: false }, Step::Wait(3_000)];
+    assert_eq!(play(Registry::default(), &steps), Ok(()));
+    assert!(play(without(|settings| settings.safeguards.lease = false), &steps).is_err());
+}
+
+#[test]
+fn announce_sticky_mutation() {
+    let steps = [
+        Step::Announce { incarnation: 1, sequence: 1, leaving: true },
+        Step::Announce { incarnation: 1, sequence: 2, leaving: false },
+    ];
+    assert_eq!(play(Registry::default(), &steps), Ok(()));
+    assert!(play(without(|settings| settings.safeguards.sticky = false), &steps).is_err());
+}
+
+#[test]
+fn announce_replay_mutation() {
+    let steps = [
+        Step::Announce { incarnation: 2, sequence: 1, leaving: false },
+        Step::Wait(2_900),
+        Step::Announce { incarnation: 1, sequence: 9, leaving: false },
+        Step::Wait(200),
+    ];
+    assert_eq!(play(Registry::default(), &steps), Ok(()));
+    assert!(play(without(|settings| settings.safeguards.replay = false), &steps).is_err());
+}
+
+#[test]
+fn leave_before_announcement() {
+    let mut registry = Registry::default();
+    registry.leave(at(0), "engine-a", 4);
+    let result = registry.announce(at(10), engine(4, 1));
+    assert_eq!(result, Announced::Ignored(Ignored::Left));
+}
+
+#[test]
+fn announce_restart_replaces() {
+    let mut registry = Registry::default();
+    let old = new_key(registry.announce(at(0), engine(1, 7)));
+    let call = registry.dispatched(at(1), old, DispatchLoad::default());
+    let new = new_key(registry.announce(at(2), engine(2, 1)));
+    registry.finished(at(3), call);
+    assert!(!registry.open(at(3), old));
+    assert_eq!(registry.get(new).map(|endpoint| endpoint.load(at(3)).own), Some(0));
+}
+
+// A burst arrives between two load reports. Each call sees the same old report of an idle engine
+// and goes there, and the last one waits for all the others. Own calls sent since the report was
+// written must count on top of it, and those sent before must not count twice.
+#[test]
+fn load_report_corrected() {
+    let mut registry = Registry::default();
+    let key = new_key(registry.announce(at(0), engine(1, 1)));
+    registry.dispatched(at(100), key, DispatchLoad::default());
+    registry.dispatched(at(600), key, DispatchLoad::default());
+    registry.announce(at(1_000), Announcement { load: report(3, 500), ..engine(1, 2) });
+    let load = registry.get(key).map(|endpoint| endpoint.load(at(1_000)));
+    assert_eq!(load.map(|load| (load.total, load.own)), Some((4, 2)));
+}
+
+#[test]
+fn finished_twice_counts_once() {
+    let mut registry = Registry::default();
+    let key = new_key(registry.announce(at(0), engine(1, 1)));
+    let call = registry.dispatched(at(1), key, DispatchLoad::default());
+    registry.dispatched(at(1), key, DispatchLoad::default());
+    registry.finished(at(2), call);
+    registry.finished(at(3), call);
+    assert_eq!(registry.get(key).map(|endpoint| endpoint.load(at(3)).own), Some(1));
+}
+
+#[test]
+fn cache_events_gap_drops_hints() {
+    let mut registry = Registry::default();
+    let filled = |program, first| CacheEvents {
+        first,
+        events: vec![CacheEvent::Filled { program, tokens: 50 }],
+        age: Duration::from_secs(1),
+    };
+    let news = Announcement { cache_events: filled(7, 0), ..engine(1, 1) };
+    let key = new_key(registry.announce(at(2_000), news));
+    let hint = registry.get(key).and_then(|endpoint| endpoint.hint(7));
+    assert_eq!(hint.map(|hint| (hint.tokens, hint.at)), Some((50, at(1_000))));
+    let after_gap = Announcement { cache_events: filled(8, 5), ..engine(1, 2) };
+    registry.announce(at(2_500), after_gap);
+    assert_eq!(registry.get(key).and_then(|endpoint| endpoint.hint(7)), None);
+}
+
+#[test]
+fn failed_ejects_then_returns_slowly() {
+    let mut registry = Registry::default();
+    let settings = registry.settings().health.clone();
+    let key = new_key(registry.announce(at(0), engine(1, 1)));
+    for _ in 0..settings.failures {
+        let call = registry.dispatched(at(1), key, DispatchLoad::default());
+        registry.failed(at(2), call);
+    }
+    let health = registry.get(key).map(|endpoint| endpoint.health.clone()).expect("known");
+    let back = at(2) + settings.ejection;
+    assert!(health.ejected(at(3)));
+    assert!(!health.ejected(back));
+    assert_eq!(health.share(back, &settings), settings.floor);
+    assert_eq!(health.share(back + settings.ramp, &settings), 1.0);
+}
--- /dev/null
+++ b/crates/core/tests/policy_retry.rs
@@ -0,0 +1,153 @@
+//! Retries and retention: budgets, jitter, hedges, and prefix memory in pauses.
+
+use gypsumglade_core::policy::retain::{CacheUse, Retain, RetainAsk, Retention};
+use gypsumglade_core::policy::retry::{
+    Failure, Retries, RetryAsk, RetryDecision, RetrySettings, StopReason,
+};
+use gypsumglade_core::prelude::*;
+
+fn ask(org: &str) -> RetryAsk {
+    RetryAsk {
+        org: org.into(),
+        attempts: 1,
+        repeatable: true,
+        failure: Failure::NotRun,
+        deadline: None,
+        advice: None,
+    }
+}
+
+fn without(switch: impl Fn(&mut RetrySettings)) -> Retries {
+    let mut settings = RetrySettings::default();
+    switch(&mut settings);
+    Retries::new(settings, 3)
+}
+
+/// Sends calls that all fail, and returns how many retries they cause.
+fn storm(retries: &mut Retries, calls: u32) -> u32 {
+    let org = OrgName::const_new("a");
+    let mut sent = 0;
+    for _ in 0..calls {
+        retries.sent(&org);
+        if matches!(retries.decide(Time::ZERO, &ask("a")), RetryDecision::At(_)) {
+            sent += 1;
+        }
+    }
+    sent
+}
+
+// A domain is gone and every call fails. Each retry is a call more for the domains that are left,
+// which then fail too. The budget holds retries to a tenth of the calls plus one burst.
+#[test]
+fn decide_storm_stays_in_budget() {
+    let sent = storm(&mut Retries::new(RetrySettings::default(), 3), 1_000);
+    assert!((100..=112).contains(&sent), "{sent} retries");
+}
+
+#[test]
+fn decide_storm_mutation() {
+    let sent = storm(&mut without(|settings| settings.safeguards.budget = false), 1_000);
+    assert_eq!(sent, 1_000);
+}
+
+/// Returns the most calls that come back within one of a hundred equal parts of ten seconds.
+fn peak(retries: &mut Retries) -> usize {
+    let mut counts = [0; 200];
+    for index in 0..1_000 {
+        let advice = Some(Duration::from_secs(10));
+        let ask = RetryAsk { advice, ..ask(&format!("org{index}")) };
+        if let RetryDecision::At(at) = retries.decide(Time::ZERO, &ask) {
+            counts[(at.as_millis() / 100) as usize] += 1;
+        }
+    }
+    counts.into_iter().max().unwrap_or(0)
+}
+
+// A store comes back and told a thousand callers "in 10 s". Without jitter all of them return in
+// one instant and it goes down again.
+#[test]
+fn decide_return_is_spread() {
+    assert!(peak(&mut Retries::new(RetrySettings::default(), 3)) < 50);
+}
+
+#[test]
+fn decide_return_mutation() {
+    assert_eq!(peak(&mut without(|settings| settings.safeguards.jitter = false)), 1_000);
+}
+
+// A deposit was sent and its answer lost. Run again, the customer pays twice.
+#[test]
+fn decide_unknown_not_repeatable() {
+    let ask = RetryAsk { repeatable: false, failure: Failure::Unknown, ..ask("a") };
+    let decision = Retries::new(RetrySettings::default(), 3).decide(Time::ZERO, &ask);
+    assert_eq!(decision, RetryDecision::Stop(StopReason::NotRepeatable));
+}
+
+#[test]
+fn decide_deadline_stops() {
+    let ask = RetryAsk { deadline: Some(Time::ZERO), ..ask("a") };
+    let decision = Retries::new(RetrySettings::default(), 3).decide(Time::ZERO, &ask);
+    assert_eq!(decision, RetryDecision::Stop(StopReason::Deadline));
+}
+
+#[test]
+fn hedge_only_repeatable() {
+    let org = OrgName::const_new("a");
+    let usual = Duration::from_millis(300);
+    let mut retries = Retries::new(RetrySettings::default(), 3);
+    assert_eq!(retries.hedge(Time::ZERO, &org, false, usual), None);
+    assert_eq!(retries.hedge(Time::ZERO, &org, true, usual), Some(Time::from_millis(300)));
+    let mut unsafe_copy = without(|settings| settings.safeguards.repeatable = false);
+    assert!(unsafe_copy.hedge(Time::ZERO, &org, false, usual).is_some());
+}
+
+fn pause(tool: &str, pressure: f64) -> RetainAsk {
+    RetainAsk {
+        tool: tool.into(),
+        paused: Duration::ZERO,
+        tokens: 20_000,
+        prefill_rate: 8_000.0,
+        pressure,
+        moving: None,
+    }
+}
+
+fn learnt() -> Retain {
+    let mut retain = Retain::default();
+    for _ in 0..50 {
+        retain.learn("search", Duration::from_millis(400));
+        retain.learn("export", Duration::from_secs(400));
+    }
+    retain
+}
+
+#[test]
+fn decide_keeps_through_short_pause() {
+    let kept = learnt().decide(Time::ZERO, &pause("search", 1.0));
+    assert!(matches!(kept, Retention::Keep { .. }));
+}
+
+#[test]
+fn decide_drops_in_long_pause() {
+    assert_eq!(learnt().decide(Time::ZERO, &pause("export", 1.0)), Retention::Drop);
+}
+
+#[test]
+fn decide_keeps_where_room_is_free() {
+    let kept = learnt().decide(Time::ZERO, &pause("export", 0.5));
+    assert!(matches!(kept, Retention::Keep { .. }));
+}
+
+#[test]
+fn decide_moves_when_cheaper_than_refill() {
+    let ask = RetainAsk { moving: Some(0.5), ..pause("export", 1.0) };
+    assert_eq!(learnt().decide(Time::ZERO, &ask), Retention::Move);
+}
+
+#[test]
+fn call_counts_refill_as_waste() {
+    let mut cache = CacheUse::default();
+    cache.call(1_200, 1_000, 400);
+    let expected = CacheUse { filled: 800, reused: 400, refilled: 600, dropped: 0 };
+    assert_eq!(cache, expected);
+}
--- /dev/null
+++ b/crates/core/tests/policy_route.rs
@@ -0,0 +1,233 @@
+//! Endpoint choice: what each term of the cost decides, and what may never be chosen.
+
+use gypsumglade_core::policy::Class;
+use gypsumglade_core::policy::registry::{
+    Announced, Announcement, CacheEvents, DispatchLoad, EndpointKey, EndpointKind, LoadReport,
+    ModelId, Registry,
+};
+use gypsumglade_core::policy::route::{
+    Choice, LastRun, Place, Prefix, RouteAsk, RouteError, RouteSettings, Router, Target,
+};
+use gypsumglade_core::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+/// Late enough that endpoints announced at zero are past their slow start.
+const NOW: Time = Time::from_millis(11_000);
+
+fn config() -> Config {
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|count| count.parse().ok());
+    Config {
+        cases: cases.unwrap_or(256),
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn engine(index: u32, domain: u16, sequence: u64) -> Announcement {
+    Announcement {
+        name: compact_str::format_compact!("engine-{index}"),
+        incarnation: 1,
+        sequence,
+        kind: EndpointKind::Engine {
+            models: vec![ModelId::new("advice", "1")],
+            slots: 4,
+            prefill_rate: 8_000.0,
+            decode_rate: 32.0,
+            cache_tokens: 200_000,
+        },
+        address: "10.0.0.1:80".into(),
+        domain: DomainId(domain),
+        region: RegionId(domain / 2),
+        fencing: true,
+        lease: Duration::from_secs(10),
+        leaving: false,
+        load: Some(LoadReport::default()),
+        cache_events: CacheEvents::default(),
+    }
+}
+
+fn key(result: Announced) -> EndpointKey {
+    match result {
+        Announced::New(key) | Announced::Renewed(key) => key,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Registers engines, the first two in one region and the third in the other.
+fn fleet(count: u32) -> (Registry, Vec<EndpointKey>) {
+    let mut registry = Registry::default();
+    for index in 0..count {
+        registry.announce(Time::ZERO, engine(index, index as u16 % 3, 1));
+    }
+    let renew = |index| {
+        key(registry.announce(Time::from_millis(10_900), engine(index, index as u16 % 3, 2)))
+    };
+    let keys = (0..count).map(renew).collect();
+    (registry, keys)
+}
+
+fn ask() -> RouteAsk {
+    RouteAsk {
+        target: Target::Model(ModelId::new("advice", "1")),
+        program: 9,
+        prompt_tokens: 20_500,
+        prior_tokens: 20_000,
+        output_guess: 100,
+        last: Vec::new(),
+        class: Class::Normal,
+        place: Place::default(),
+        excluded: Vec::new(),
+        isolate: false,
+    }
+}
+
+fn ran_on(index: u32) -> Vec<LastRun> {
+    let endpoint = compact_str::format_compact!("engine-{index}");
+    vec![LastRun { endpoint, tokens: 20_000, at: Time::from_millis(10_000) }]
+}
+
+fn router() -> Router {
+    Router::new(RouteSettings::default(), 1)
+}
+
+fn fill(registry: &mut Registry, key: EndpointKey, calls: u32) {
+    for _ in 0..calls {
+        registry.dispatched(NOW, key, DispatchLoad::default());
+    }
+}
+
+#[test]
+fn choose_own_engine_while_cheaper() {
+    let (mut registry, keys) = fleet(2);
+    let ask = RouteAsk { last: ran_on(1), ..ask() };
+    fill(&mut registry, keys[1], 4);
+    let choice = router().choose(NOW, &registry, &ask).expect("open engines");
+    assert_eq!((choice.endpoint, choice.prefix), (keys[1], Prefix::Resident(20_000)));
+}
+
+#[test]
+fn choose_gives_way_under_load() {
+    let (mut registry, keys) = fleet(2);
+    let ask = RouteAsk { last: ran_on(1), ..ask() };
+    fill(&mut registry, keys[1], 60);
+    let choice = router().choose(NOW, &registry, &ask).expect("open engines");
+    assert_eq!((choice.endpoint, choice.prefix), (keys[0], Prefix::Absent));
+}
+
+#[test]
+fn choose_avoids_paid_link() {
+    let (mut registry, keys) = fleet(3);
+    fill(&mut registry, keys[0], 4);
+    fill(&mut registry, keys[1], 4);
+    let choice = router().choose(NOW, &registry, &ask()).expect("open engines");
+    assert_ne!(choice.endpoint, keys[2]);
+}
+
+/// Routes a call away from a full engine over links of `rate` bytes a second within the region.
+fn leave_full_engine(rate: f64) -> Choice {
+    let (mut registry, keys) = fleet(3);
+    fill(&mut registry, keys[0], 100);
+    let mut settings = RouteSettings { import: true, ..RouteSettings::default() };
+    settings.links.region.rate = rate;
+    let ask = RouteAsk { last: ran_on(0), ..ask() };
+    Router::new(settings, 1).choose(NOW, &registry, &ask).expect("open engines")
+}
+
+#[test]
+fn choose_imports_over_fast_link() {
+    let choice = leave_full_engine(12.5e9);
+    assert!(matches!(choice.prefix, Prefix::Import { tokens: 20_000, .. }));
+    assert_eq!(choice.fill_tokens, 500);
+}
+
+#[test]
+fn choose_refills_where_import_is_slower() {
+    let choice = leave_full_engine(1.25e9);
+    assert_eq!((choice.prefix, choice.fill_tokens), (Prefix::Absent, 20_500));
+}
+
+// One engine's reports freeze while it looks idle. Every VM that trusts them sends it the next
+// call, until it falls over. An old report must not make it look better than its fresh peers.
+#[test]
+fn choose_frozen_report_is_no_advantage() {
+    let (mut registry, keys) = fleet(2);
+    for sequence in 3..20 {
+        let now = Time::from_millis(11_000 + sequence * 500);
+        let age = Duration::from_millis(sequence * 500 + 100);
+        let frozen = LoadReport { age, ..LoadReport::default() };
+        let fresh = LoadReport { running: 4, waiting: 2, ..LoadReport::default() };
+        registry.announce(now, Announcement { load: Some(frozen), ..engine(0, 0, sequence) });
+        registry.announce(now, Announcement { load: Some(fresh), ..engine(1, 1, sequence) });
+    }
+    let now = Time::from_millis(20_600);
+    registry.dispatched(now, keys[0], DispatchLoad::default());
+    let choice = router().choose(now, &registry, &ask()).expect("open engines");
+    assert_eq!(choice.endpoint, keys[1]);
+}
+
+#[test]
+fn choose_isolated_call_runs_alone() {
+    let (mut registry, keys) = fleet(2);
+    fill(&mut registry, keys[0], 1);
+    let ask = RouteAsk { isolate: true, ..ask() };
+    let choice = router().choose(NOW, &registry, &ask).expect("an idle engine");
+    assert_eq!(choice.endpoint, keys[1]);
+    registry.dispatched(NOW, keys[1], DispatchLoad { fill_tokens: 0, alone: true });
+    let normal = RouteAsk { isolate: false, last: ran_on(1), ..ask.clone() };
+    let beside = router().choose(NOW, &registry, &normal).expect("the other engine");
+    assert_eq!(beside.endpoint, keys[0]);
+    let none = router().choose(NOW, &registry, &ask);
+    assert!(matches!(none, Err(RouteError::NoneFree { .. })));
+}
+
+#[test]
+fn choose_without_engines() {
+    let refused = router().choose(NOW, &Registry::default(), &ask());
+    assert!(matches!(refused, Err(RouteError::NoEndpoint { .. })));
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // Whatever is leaving, expired, excluded or ejected, a call never goes there; and while one
+    // usable engine is left, it is found, also when the sample misses it.
+    #[test]
+    fn choose_only_usable(
+        states in proptest::collection::vec(0..4_u8, 1..60),
+        sample in 1..8_usize,
+        seed in 0..1_000_u64,
+    ) {
+        let (mut registry, keys) = fleet(states.len() as u32);
+        let mut ask = ask();
+        for (index, state) in states.iter().enumerate() {
+            let name = compact_str::format_compact!("engine-{index}");
+            match state {
+                0 => {}
+                1 => drop(registry.leave(NOW, &name, 1)),
+                2 => ask.excluded.push(name),
+                _ => for _ in 0..3 {
+                    let call = registry.dispatched(NOW, keys[index], DispatchLoad::default());
+                    registry.failed(NOW, call);
+                },
+            }
+        }
+        let mut router = Router::new(RouteSettings { sample, ..RouteSettings::default() }, seed);
+        let chosen = router.choose(NOW, &registry, &ask).ok().map(|choice| choice.endpoint);
+        let usable = |key: &EndpointKey| states[keys.iter().position(|k| k == key).unwrap()] == 0;
+        prop_assert_eq!(chosen.is_some(), states.contains(&0));
+        prop_assert!(chosen.iter().all(usable));
+    }
+
+    #[test]
+    fn choose_same_seed_same_choice(seed in 0..1_000_u64) {
+        let (registry, _) = fleet(40);
+        let settings = RouteSettings { sample: 4, ..RouteSettings::default() };
+        let mut a = Router::new(settings.clone(), seed);
+        let mut b = Router::new(settings, seed);
+        for _ in 0..5 {
+            prop_assert_eq!(a.choose(NOW, &registry, &ask()), b.choose(NOW, &registry, &ask()));
+        }
+    }
+}
