--- a/crates/core/tests/policy_registry.rs
+++ b/crates/core/tests/policy_registry.rs
@@ -100,7 +100,7 @@
                 if *incarnation > newest {
                     (newest, heard, until) = (*incarnation, 0, Time::ZERO);
                 }
-                left = left && newest != *incarnation || newest == *incarnation;
+                left |= newest == *incarnation;
             }
             Step::Announce { incarnation, sequence, leaving } => {
                 let news = Announcement { leaving: *leaving, ..engine(*incarnation, *sequence) };
