Add demo, serve, inspect, bench and the daemons

The verbs bind the parts that have landed. The daemons read settings, print their addresses, stop as planned at the first signal and at once at the second. Serve without settings keeps its tokens and an operator's key in its folder, so that a restart finds them.

--- a/crates/gypsumglade/src/bin/gypsumglade-entry.rs
+++ b/crates/gypsumglade/src/bin/gypsumglade-entry.rs
@@ -1,3 +1,9 @@
 //! The `gypsumglade-entry` daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+use gypsumglade::cli::daemon::{self, Roles};
+
+fn main() -> ExitCode {
+    daemon::main(Roles::Entry)
+}
--- /dev/null
+++ b/crates/gypsumglade/src/cli/bench.rs
@@ -0,0 +1,51 @@
+//! `gypsumglade bench`: measurements that a person runs.
+
+use std::path::PathBuf;
+
+use anyhow::Context as _;
+
+use super::Failure;
+use crate::bench::policy::{self, Fleet, PolicyBench};
+
+#[derive(Debug, clap::Subcommand)]
+pub(super) enum BenchVerb {
+    /// Compare the scheduling policy with the usual ones on a virtual clock, as a Markdown table.
+    Policy(PolicyArgs),
+}
+
+#[derive(Debug, clap::Args)]
+pub(super) struct PolicyArgs {
+    /// Seeds of the runs; the standard ones if absent.
+    #[arg(long, value_delimiter = ',')]
+    seeds: Vec<u64>,
+    /// Loads as shares of capacity; the standard ones if absent.
+    #[arg(long, value_delimiter = ',')]
+    loads: Vec<f64>,
+    /// Leave out the runs with a part of the policy switched off, and those with faults.
+    #[arg(long)]
+    brief: bool,
+    /// Folder for one plot of each user as SVG.
+    #[arg(long, value_name = "FOLDER")]
+    plots: Option<PathBuf>,
+}
+
+pub(super) fn run(verb: BenchVerb) -> Result<(), Failure> {
+    let BenchVerb::Policy(args) = verb;
+    let standard = PolicyBench::default();
+    let report = policy::run(PolicyBench {
+        seeds: if args.seeds.is_empty() { standard.seeds } else { args.seeds },
+        loads: if args.loads.is_empty() { standard.loads } else { args.loads },
+        ablations: !args.brief,
+        faults: !args.brief,
+    });
+    println!("{}", report.table());
+    let Some(folder) = args.plots else {
+        return Ok(());
+    };
+    for fleet in [Fleet::fenyrekesz(), Fleet::velkaneuvo()] {
+        let file = folder.join(format!("policy-{}.svg", fleet.name));
+        let plot = policy::plot(&report, fleet.name)?;
+        std::fs::write(&file, plot).with_context(|| format!("can't write {}", file.display()))?;
+    }
+    Ok(())
+}
--- a/crates/gypsumglade/src/cli/bundle.rs
+++ b/crates/gypsumglade/src/cli/bundle.rs
@@ -15,6 +15,7 @@
 use super::failure::FailureKind;
 use super::orders::{self, OrderHead, RollReport, StatusReport};
 use super::{Failure, Output, key};
+use crate::operator;
 
 /// Pause between two looks whether a revision is in force.
 const STATUS_PAUSE: Duration = Duration::from_millis(200);
@@ -128,9 +129,10 @@
         let advice = "sign it first: `gypsumglade bundle sign`";
         return Err(Failure::new(FailureKind::Findings, message, advice));
     }
-    let bundle = parse(file, &signed)?;
     let head = head(&client, args)?;
-    give(&client, &orders::accept(&head, &signed, &bundle), args.wait, output)
+    let base = RevisionNumber(head.base);
+    let command = operator::accept_command(&signed, base, &head.id);
+    give(&client, &command.map_err(|f| findings(file, &f))?, args.wait, output)
 }
 
 fn back(
--- /dev/null
+++ b/crates/gypsumglade/src/cli/demo.rs
@@ -0,0 +1,51 @@
+//! `gypsumglade demo`: one real program through the whole system, with its promises checked.
+
+use std::path::PathBuf;
+
+use anyhow::Context as _;
+use indicatif::ProgressBar;
+
+use super::failure::FailureKind;
+use super::{Failure, Output};
+use crate::demo;
+use crate::logs;
+use crate::settings::LogSettings;
+
+/// Pause between two steps of the spinner.
+const SPIN: std::time::Duration = std::time::Duration::from_millis(100);
+
+#[derive(Debug, clap::Args)]
+pub(super) struct DemoArgs {
+    /// Folder for state and log; a fresh one under the system's folder for such if absent.
+    #[arg(long, value_name = "FOLDER")]
+    folder: Option<PathBuf>,
+}
+
+pub(super) fn run(args: DemoArgs, output: Output) -> Result<(), Failure> {
+    let given = args.folder.is_some();
+    let fresh = || std::env::temp_dir().join(format!("gypsumglade-demo-{}", std::process::id()));
+    let folder = args.folder.unwrap_or_else(fresh);
+    std::fs::create_dir_all(&folder)
+        .with_context(|| format!("can't create {}; choose one by --folder", folder.display()))?;
+    let settings = LogSettings { file: Some(folder.join("demo.jsonl")), ..LogSettings::default() };
+    let (log, guard) = logs::start(&settings, 1, "demo")?;
+    let spinner = ProgressBar::new_spinner();
+    spinner.enable_steady_tick(SPIN);
+    let progress = |step: &str| spinner.set_message(step.to_owned());
+    let runtime = tokio::runtime::Runtime::new().context("can't start the runtime")?;
+    let outcome = runtime.block_on(demo::run(&folder.join("state"), log, &progress));
+    spinner.finish_and_clear();
+    drop(guard);
+    let kept = format!("state and log are in {}", folder.display());
+    let report = outcome.with_context(|| kept.clone())?;
+    output.print(&report)?;
+    if !report.passed() {
+        let advice = "report it with the log and the folder";
+        return Err(Failure::new(FailureKind::Failed, format!("a promise broke; {kept}"), advice));
+    }
+    if !given {
+        // What is left behind in a folder for such does no harm.
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    Ok(())
+}
--- a/crates/gypsumglade/src/cli/key.rs
+++ b/crates/gypsumglade/src/cli/key.rs
@@ -12,7 +12,7 @@
 
 use super::{Failure, Output};
 
-/// Only the operator may read a private key.
+/// Only the owner may read a secret.
 const PRIVATE_MODE: u32 = 0o600;
 
 #[derive(Debug, clap::Subcommand)]
@@ -39,20 +39,25 @@
 
 pub(super) fn run(verb: KeyVerb, output: Output) -> Result<(), Failure> {
     let KeyVerb::New { file } = verb;
-    let seed: [u8; 32] = rand::random();
-    write_private(&file, &seed)?;
-    let public = hex::encode(KeyPair::from_seed(seed).public().to_bytes()).into();
+    create(&file)?;
+    let public = read(&file)?.public().to_compact_string();
     output.print(&NewKey { file, public })
 }
 
-fn write_private(path: &Path, seed: &[u8; 32]) -> anyhow::Result<()> {
+/// Writes a fresh private key to a new file.
+pub(super) fn create(file: &Path) -> anyhow::Result<()> {
+    write_private(file, &hex::encode(rand::random::<[u8; 32]>()))
+}
+
+/// Writes a secret line to a new file that only its owner may read.
+pub(super) fn write_private(path: &Path, line: &str) -> anyhow::Result<()> {
     let mut file = OpenOptions::new()
         .write(true)
         .create_new(true)
         .mode(PRIVATE_MODE)
         .open(path)
         .with_context(|| format!("can't create {}; name a new file", path.display()))?;
-    writeln!(file, "{}", hex::encode(seed))?;
+    writeln!(file, "{line}")?;
     file.sync_all()?;
     Ok(())
 }
--- a/crates/gypsumglade/src/cli/mod.rs
+++ b/crates/gypsumglade/src/cli/mod.rs
@@ -4,13 +4,18 @@
 //! or JSON; what went wrong comes back as a [`Failure`] with an exit code and advice.
 
 mod admin_client;
+mod bench;
 mod bundle;
 mod completions;
+pub mod daemon;
+mod demo;
 mod dump;
 mod failure;
+mod inspect;
 mod key;
 mod orders;
 mod output;
+mod serve;
 mod settings;
 
 use std::ffi::OsString;
@@ -37,6 +42,10 @@
 
 #[derive(Debug, Subcommand)]
 enum Verb {
+    /// Run a real program through the whole system in this process, with stand-ins outside it.
+    Demo(demo::DemoArgs),
+    /// Run entry and store in one process.
+    Serve(serve::ServeArgs),
     /// Check a settings file, or print an example of one.
     #[command(subcommand)]
     Settings(settings::SettingsVerb),
@@ -48,6 +57,11 @@
     Bundle(bundle::BundleVerb),
     /// Print the whole state of a running process as JSON.
     Dump(dump::DumpArgs),
+    /// Show what a store's data folder holds and whether it is sound.
+    Inspect(inspect::InspectArgs),
+    /// Measure.
+    #[command(subcommand)]
+    Bench(bench::BenchVerb),
     /// Print a completion script for a shell.
     Completions(completions::CompletionArgs),
 }
@@ -78,10 +92,14 @@
 
 fn dispatch(verb: Verb, output: Output) -> Result<(), Failure> {
     match verb {
+        Verb::Demo(args) => demo::run(args, output),
+        Verb::Serve(args) => serve::run(args),
         Verb::Settings(verb) => settings::run(verb, output),
         Verb::Key(verb) => key::run(verb, output),
         Verb::Bundle(verb) => bundle::run(verb, output),
         Verb::Dump(args) => dump::run(args),
+        Verb::Inspect(args) => inspect::run(args, output),
+        Verb::Bench(verb) => bench::run(verb),
         Verb::Completions(args) => completions::run(args),
     }
 }
--- a/crates/gypsumglade/src/cli/orders.rs
+++ b/crates/gypsumglade/src/cli/orders.rs
@@ -3,13 +3,12 @@
 use std::fmt;
 
 use bytes::Bytes;
-use gypsumglade_core::bundle::{Bundle, Digest, Signature, SignedBundle};
+use gypsumglade_core::bundle::{Digest, Signature};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
-use gypsumglade_core::wire::control::content::Body as ContentBody;
 use gypsumglade_core::wire::control::{
-    Accept, Accepted, Answer, Command, Content, Fault, RollBack, VersionConflict,
+    Accepted, Answer, Command, Fault, RollBack, VersionConflict,
 };
 use gypsumglade_core::wire::operator::Status;
 
@@ -25,20 +24,6 @@
     pub(super) base: u64,
 }
 
-/// Builds the command that makes a signed bundle the next revision.
-pub(super) fn accept(head: &OrderHead, signed: &SignedBundle, bundle: &Bundle) -> Command {
-    let content = Content { body: Some(ContentBody::Whole(signed.content.clone())) };
-    let accept = Accept {
-        order_id: head.id.to_string(),
-        base_revision: head.base,
-        version: bundle.version.to_string(),
-        digest: signed.digest().to_wire(),
-        content: Some(content),
-        signatures: signed.signatures.iter().map(Signature::to_wire).collect(),
-    };
-    Command { body: Some(CommandBody::Accept(accept)) }
-}
-
 /// Builds the command that makes an earlier revision's content the next revision.
 pub(super) fn roll_back(head: &OrderHead, to: u64, signatures: &[Signature]) -> Command {
     let back = RollBack {
--- /dev/null
+++ b/crates/gypsumglade/src/cli/serve.rs
@@ -0,0 +1,61 @@
+//! `gypsumglade serve`: the whole system in one process.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::Context as _;
+use gypsumglade_core::prelude::*;
+
+use super::daemon::{self, Roles};
+use super::{Failure, key};
+use crate::settings::{OperatorSettings, Secret, Settings};
+
+/// Folder of the embedded default, under the current one.
+const FOLDER: &str = "data";
+
+#[derive(Debug, clap::Args)]
+pub(super) struct ServeArgs {
+    /// Settings file; without it the process is the whole deployment, on free loopback ports.
+    #[arg(long, value_name = "FILE", env = "GYPSUMGLADE_SETTINGS")]
+    settings: Option<PathBuf>,
+    /// Folder for state, tokens and an operator's key when there is no settings file.
+    #[arg(long, value_name = "FOLDER", default_value = FOLDER, conflicts_with = "settings")]
+    folder: PathBuf,
+}
+
+pub(super) fn run(args: ServeArgs) -> Result<(), Failure> {
+    let settings = match &args.settings {
+        Some(file) => daemon::load(file)?,
+        None => embedded(&args.folder)?,
+    };
+    let roles = if settings.store.is_some() { Roles::Both } else { Roles::Entry };
+    daemon::run(roles, settings)
+}
+
+/// Returns the embedded settings, with tokens and a key that a restart finds again.
+fn embedded(folder: &Path) -> anyhow::Result<Settings> {
+    let advice = "name a folder that this user may write to by --folder";
+    std::fs::create_dir_all(folder)
+        .with_context(|| format!("can't create {}; {advice}", folder.display()))?;
+    let mut settings = Settings::embedded(&folder.join("state"));
+    settings.tokens.admin = kept_token(&folder.join("admin.token"), &settings.tokens.admin)?;
+    settings.tokens.endpoints =
+        kept_token(&folder.join("endpoints.token"), &settings.tokens.endpoints)?;
+    let file = folder.join("operator.key");
+    if !file.exists() {
+        key::create(&file)?;
+    }
+    let public = key::read(&file)?.public();
+    let keys = vec![public.to_compact_string()];
+    settings.operators = OperatorSettings { keys, threshold: 1 };
+    Ok(settings)
+}
+
+/// Reads a token that an earlier start wrote, or writes this one.
+fn kept_token(file: &Path, fresh: &Secret) -> anyhow::Result<Secret> {
+    if !file.exists() {
+        key::write_private(file, fresh.reveal())?;
+    }
+    let text = std::fs::read_to_string(file)
+        .with_context(|| format!("can't read the token file {}", file.display()))?;
+    Ok(Secret::new(text.trim()))
+}
