--- a/crates/gypsumglade/src/cli/key.rs
+++ b/crates/gypsumglade/src/cli/key.rs
@@ -22,15 +22,20 @@
         /// File for the private key, which must not exist yet.
         file: PathBuf,
     },
+    /// Print the public key of a private key.
+    Show {
+        /// File with the private key.
+        file: PathBuf,
+    },
 }
 
 #[derive(Serialize)]
-struct NewKey {
+struct KeyReport {
     file: PathBuf,
     public: CompactString,
 }
 
-impl fmt::Display for NewKey {
+impl fmt::Display for KeyReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "private key in {}; keep it secret", self.file.display())?;
         write!(f, "public key for `operators.keys`: {}", self.public)
@@ -38,10 +43,15 @@
 }
 
 pub(super) fn run(verb: KeyVerb, output: Output) -> Result<(), Failure> {
-    let KeyVerb::New { file } = verb;
-    create(&file)?;
+    let file = match verb {
+        KeyVerb::New { file } => {
+            create(&file)?;
+            file
+        }
+        KeyVerb::Show { file } => file,
+    };
     let public = read(&file)?.public().to_compact_string();
-    output.print(&NewKey { file, public })
+    output.print(&KeyReport { file, public })
 }
 
 /// Writes a fresh private key to a new file.
--- a/crates/gypsumglade/tests/settings_load.rs
+++ b/crates/gypsumglade/tests/settings_load.rs
@@ -107,3 +107,17 @@
     let findings = Settings::load(Path::new("no-such-file.yaml")).expect_err("no file");
     assert_eq!(places(&findings), ["file"]);
 }
+
+#[test]
+fn load_nine_vms_of_each_user() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for user in ["fenyrekesz", "velkaneuvo"] {
+        let load = |vm: u32| Settings::load(&examples.join(user).join(format!("vm{vm}.yaml")));
+        let vms: Vec<Settings> = (1..=9).map(|vm| load(vm).expect("no findings")).collect();
+        let disks: Vec<_> = vms.iter().filter(|s| s.store.is_some()).collect();
+        let mut domains: Vec<_> = disks.iter().map(|s| s.vm.domain.clone()).collect();
+        domains.sort();
+        assert_eq!(domains, vms[0].domains(), "{user}: one disk in each failure domain");
+        assert!(vms.iter().all(|s| s.peers == vms[0].peers), "{user}: one list for all");
+    }
+}
