Number the stand-in's cache events and date its load

The entry reads a number of each cache event, so that gaps show, and an age of the reported load; the stand-in sent neither.

Tests: standin engine 9, load 3 and service 5 passed.

--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -49,6 +49,8 @@
     pub waiting: u32,
     /// Tokens in the prefix cache.
     pub cached_tokens: u64,
+    /// Age of these figures in milliseconds.
+    pub age_ms: u64,
 }
 
 /// A change of the prefix cache, told late and with gaps.
@@ -60,6 +62,8 @@
     pub tokens: u64,
     /// Whether the program's memory was given up.
     pub evicted: bool,
+    /// Number of the event within the incarnation, from one, so that gaps show.
+    pub sequence: u64,
 }
 
 /// One announcement. Each is a lease: without a next one the endpoint counts as gone.
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::announce::{CacheEvent, ModelVersion};
+use crate::announce::ModelVersion;
 
 /// One message of a prompt, as far as the cache tells messages apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +27,14 @@
     }
 }
 
+/// A change of the cache, numbered only once it is reported.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Change {
+    pub(super) program: CompactString,
+    pub(super) tokens: u64,
+    pub(super) evicted: bool,
+}
+
 /// Prefixes of programs within a limit of tokens.
 pub(super) struct PrefixCache {
     limit: u64,
@@ -60,26 +68,26 @@
         program: &str,
         model: ModelVersion,
         parts: Vec<Part>,
-    ) -> Vec<CacheEvent> {
+    ) -> Vec<Change> {
         self.clock += 1;
         self.remove(program);
         let entry = Entry { model, parts, used: self.clock };
         let tokens = entry.tokens();
         if tokens > self.limit {
-            return vec![event(program, tokens, true)];
+            return vec![change(program, tokens, true)];
         }
-        let mut events = Vec::new();
+        let mut changes = Vec::new();
         while self.held + tokens > self.limit {
             let Some(oldest) = self.oldest() else {
                 break;
             };
             let given_up = self.remove(&oldest);
-            events.push(event(&oldest, given_up, true));
+            changes.push(change(&oldest, given_up, true));
         }
         self.held += tokens;
         self.entries.insert(program.into(), entry);
-        events.push(event(program, tokens, false));
-        events
+        changes.push(change(program, tokens, false));
+        changes
     }
 
     /// Frees a program's memory and returns how many tokens it held.
@@ -92,11 +100,11 @@
         tokens
     }
 
-    /// Frees the memory of every program on a model, and returns the events.
-    pub(super) fn remove_model(&mut self, model: &ModelVersion) -> Vec<CacheEvent> {
+    /// Frees the memory of every program on a model, and returns the changes.
+    pub(super) fn remove_model(&mut self, model: &ModelVersion) -> Vec<Change> {
         let on_model = self.entries.iter().filter(|(_, e)| e.model == *model);
         let programs: Vec<CompactString> = on_model.map(|(p, _)| p.clone()).collect();
-        programs.iter().map(|p| event(p, self.remove(p), true)).collect()
+        programs.iter().map(|p| change(p, self.remove(p), true)).collect()
     }
 
     pub(super) fn get(&self, program: &str) -> Option<&Entry> {
@@ -117,6 +125,6 @@
     }
 }
 
-fn event(program: &str, tokens: u64, evicted: bool) -> CacheEvent {
-    CacheEvent { program: program.into(), tokens, evicted }
+fn change(program: &str, tokens: u64, evicted: bool) -> Change {
+    Change { program: program.into(), tokens, evicted }
 }
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -105,9 +105,9 @@
     {
         let mut state = shared.lock();
         state.models.retain(|m| m != model);
-        let events = state.cache.remove_model(model);
-        state.counts.evicted_tokens += events.iter().map(|e| e.tokens).sum::<u64>();
-        state.reports.add(Instant::now(), events);
+        let changes = state.cache.remove_model(model);
+        state.counts.evicted_tokens += changes.iter().map(|e| e.tokens).sum::<u64>();
+        state.reports.add(Instant::now(), changes);
     }
     shared.announce.notify_one();
     StatusCode::NO_CONTENT.into_response()
--- a/crates/standin/src/engine/reports.rs
+++ b/crates/standin/src/engine/reports.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use super::cache::Change;
 use super::settings::ReportSettings;
 use crate::announce::{CacheEvent, Load};
 
@@ -13,7 +14,7 @@
 pub(super) struct Reports {
     settings: ReportSettings,
     loads: VecDeque<(Instant, Load)>,
-    reported: Load,
+    reported: (Option<Instant>, Load),
     events: VecDeque<(Instant, CacheEvent)>,
     count: u64,
 }
@@ -23,7 +24,7 @@
         Reports {
             settings,
             loads: VecDeque::new(),
-            reported: Load::default(),
+            reported: (None, Load::default()),
             events: VecDeque::new(),
             count: 0,
         }
@@ -39,15 +40,17 @@
         while let Some((at, old)) = self.loads.front()
             && now.duration_since(*at) >= lag
         {
-            self.reported = *old;
+            self.reported = (Some(*at), *old);
             self.loads.pop_front();
         }
-        self.reported
+        let (at, load) = self.reported;
+        let age = at.map_or(lag, |at| now.duration_since(at));
+        Load { age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX), ..load }
     }
 
-    /// Holds events back, but for those that fall into a gap.
-    pub(super) fn add(&mut self, now: Instant, events: Vec<CacheEvent>) {
-        for event in events {
+    /// Numbers changes and holds them back, but for those that fall into a gap.
+    pub(super) fn add(&mut self, now: Instant, changes: Vec<Change>) {
+        for Change { program, tokens, evicted } in changes {
             self.count += 1;
             let gap = self.settings.event_gap;
             if gap != 0 && self.count.is_multiple_of(gap) {
@@ -56,6 +59,7 @@
             if self.events.len() >= HELD_EVENTS {
                 self.events.pop_front();
             }
+            let event = CacheEvent { program, tokens, evicted, sequence: self.count };
             self.events.push_back((now, event));
         }
     }
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -8,14 +8,14 @@
 use compact_str::{CompactString, ToCompactString};
 use tokio::sync::Notify;
 
-use super::cache::{Part, PrefixCache};
+use super::cache::{Change, Part, PrefixCache};
 use super::chat::ChatRequest;
 use super::reports::Reports;
 use super::run::Run;
 use super::settings::EngineSettings;
 use super::slots::Slots;
 use super::stats::{EngineCounts, EngineStats, ProgramMemory, Remembered};
-use crate::announce::{CacheEvent, Load, ModelVersion};
+use crate::announce::{Load, ModelVersion};
 use crate::process::Process;
 
 /// The engine behind its handlers.
@@ -83,7 +83,7 @@
         let (running, waiting) = self.slots.counts();
         let mut state = self.lock();
         let cached_tokens = state.cache.held();
-        state.reports.load(Instant::now(), Load { running, waiting, cached_tokens })
+        state.reports.load(Instant::now(), Load { running, waiting, cached_tokens, age_ms: 0 })
     }
 
     pub(super) fn stats(&self) -> EngineStats {
@@ -126,10 +126,10 @@
 
     /// Files a program's prefix and counts what it pushed out.
     pub(super) fn store(&mut self, program: &str, model: ModelVersion, parts: Vec<Part>) {
-        let events = self.cache.store(program, model, parts);
-        let evicted = events.iter().filter(|e| e.evicted);
+        let changes = self.cache.store(program, model, parts);
+        let evicted = changes.iter().filter(|e| e.evicted);
         self.counts.evicted_tokens += evicted.map(|e| e.tokens).sum::<u64>();
-        self.reports.add(Instant::now(), events);
+        self.reports.add(Instant::now(), changes);
     }
 
     /// Frees a program's memory by order of the system.
@@ -139,8 +139,8 @@
             return 0;
         }
         self.counts.released_tokens += tokens;
-        let event = CacheEvent { program: program.into(), tokens, evicted: true };
-        self.reports.add(Instant::now(), vec![event]);
+        let change = Change { program: program.into(), tokens, evicted: true };
+        self.reports.add(Instant::now(), vec![change]);
         tokens
     }
 }
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -118,7 +118,7 @@
         lease_ms: settings.announce.lease_ms,
         leaving: state.leaving,
         sequence,
-        load: Load { running: state.running - waiting, waiting, cached_tokens: 0 },
+        load: Load { running: state.running - waiting, waiting, ..Load::default() },
         cache_events: Vec::new(),
     }
 }
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -6,7 +6,7 @@
 use axum::routing::post;
 use axum::{Json, Router};
 use gypsumglade_standin::announce::{ANNOUNCE_PATH, AnnounceSettings, Announcement};
-use gypsumglade_standin::engine::{Engine, EngineSettings};
+use gypsumglade_standin::engine::{Engine, EngineSettings, ReportSettings};
 use gypsumglade_standin::load::{self, Arrivals, LoadSettings};
 use http::HeaderMap;
 
@@ -66,3 +66,37 @@
     );
     assert!(heard.windows(2).all(|w| w[0].1.sequence < w[1].1.sequence));
 }
+
+#[tokio::test]
+async fn announce_cache_events_with_gaps() {
+    // Every second cache event is never told. The system may only notice that by the numbers of
+    // those that are, so these must count the lost ones too.
+    let heard = Heard::default();
+    let router = Router::new().route(ANNOUNCE_PATH, post(hear)).with_state(Arc::clone(&heard));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let entry = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    let announce =
+        AnnounceSettings { entries: vec![entry.into()], lease_ms: 30, ..Default::default() };
+    let reports = ReportSettings { event_gap: 2, ..ReportSettings::default() };
+    let settings =
+        EngineSettings { announce, reports, decode_rate: 100_000, ..EngineSettings::default() };
+    let engine = Engine::start(settings).await.unwrap();
+    let load = LoadSettings {
+        bases: vec![format!("http://{}", engine.address()).into()],
+        programs: 5,
+        arrivals: Arrivals::Closed(1),
+        turns: 1,
+        ..LoadSettings::default()
+    };
+    load::run(load).await.unwrap();
+
+    let told = || -> Vec<u64> {
+        let heard = heard.lock().unwrap();
+        heard.iter().flat_map(|(_, said)| &said.cache_events).map(|e| e.sequence).collect()
+    };
+    while told().len() < 3 {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    assert_eq!(told(), [1, 3, 5]);
+}
