Tell how to repeat an order, and when its revision was replaced

Run by hand on nine VMs, a rerun of bundle back after a lost answer took the current revision as its base, so it could undo what a colleague had rolled out meanwhile; and a bundle rolled out a second time was reported as in force although a later revision had replaced it.

--- a/crates/gypsumglade/src/cli/admin_client.rs
+++ b/crates/gypsumglade/src/cli/admin_client.rs
@@ -21,9 +21,7 @@
 
 /// Longest wait for an answer; the asked VM looks for a leader meanwhile.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
-/// A lost answer changes nothing: the same content on a resend gets the first answer again.
-const RESEND_ADVICE: &str = "run the same command again, or ask another VM; an order is not \
-                             carried out twice";
+const AGAIN_ADVICE: &str = "run the same command again, or ask another VM";
 /// Largest answer, in bytes; a dump is the largest.
 const ANSWER_BYTES: usize = 256 << 20;
 
@@ -124,11 +122,10 @@
         Failure::new(FailureKind::Unreachable, message, advice)
     }
 
-    /// The order may have been carried out. A resend is harmless: the same order, or another with
-    /// the same content, gets the first answer again.
+    /// An order may have been carried out; its caller says how to repeat it.
     fn lost(&self, error: &dyn std::fmt::Display) -> Failure {
         let message = format!("the answer of {} was lost: {error}", self.address);
-        Failure::new(FailureKind::Unknown, message, RESEND_ADVICE)
+        Failure::new(FailureKind::Unknown, message, AGAIN_ADVICE)
     }
 
     fn unreadable(&self, error: &dyn std::fmt::Display) -> Failure {
@@ -148,7 +145,7 @@
         status if status.is_client_error() => {
             Failure::new(FailureKind::Refused, message, "use a tool of the process's version")
         }
-        _ => Failure::new(FailureKind::Unknown, message, RESEND_ADVICE),
+        _ => Failure::new(FailureKind::Unknown, message, AGAIN_ADVICE),
     }
 }
 
--- a/crates/gypsumglade/src/cli/bundle.rs
+++ b/crates/gypsumglade/src/cli/bundle.rs
@@ -20,6 +20,11 @@
 /// Pause between two looks whether a revision is in force.
 const STATUS_PAUSE: Duration = Duration::from_millis(200);
 
+/// A new order on another base could undo what a colleague rolled out meanwhile; the same order
+/// can't, since its base is checked.
+const SAME_ORDER_ADVICE: &str = "repeat the command with --order and --base as printed above: \
+                                 the same order is not carried out twice";
+
 #[derive(Debug, clap::Subcommand)]
 pub(super) enum BundleVerb {
     /// Check a bundle and add an operator's signature.
@@ -179,9 +184,15 @@
     seconds: u64,
     output: Output,
 ) -> Result<(), Failure> {
-    let accepted = orders::outcome(client.command(command)?)?;
+    let answer = client.command(command).map_err(|f| f.or_advice(SAME_ORDER_ADVICE))?;
+    let accepted = orders::outcome(answer)?;
     let report = wait_in_force(client, &accepted, Duration::from_secs(seconds))?;
     output.print(&report)?;
+    if report.is_replaced() {
+        let message = "this bundle was rolled out before and replaced since";
+        let advice = "bring it back by `gypsumglade bundle back`, or give it a new version";
+        return Err(Failure::new(FailureKind::Refused, message, advice));
+    }
     if report.in_force {
         return Ok(());
     }
--- a/crates/gypsumglade/src/cli/failure.rs
+++ b/crates/gypsumglade/src/cli/failure.rs
@@ -74,6 +74,14 @@
         Failure { findings: Some(findings), ..failure }
     }
 
+    /// Replaces the advice if the outcome is unknown.
+    pub(super) fn or_advice(self, advice: &'static str) -> Failure {
+        match self.kind {
+            FailureKind::Unknown => Failure { advice, ..self },
+            _ => self,
+        }
+    }
+
     /// Returns the exit code.
     pub fn code(&self) -> u8 {
         match self.kind {
--- a/crates/gypsumglade/src/cli/orders.rs
+++ b/crates/gypsumglade/src/cli/orders.rs
@@ -101,6 +101,8 @@
     pub(super) in_force: bool,
     /// VMs that may still act on an earlier one.
     pub(super) waiting: Vec<u32>,
+    /// The current revision; a later one than `revision` when a resent order was answered again.
+    pub(super) current: u64,
 }
 
 impl RollReport {
@@ -111,14 +113,26 @@
             digest: digest(&accepted.digest),
             in_force: status.in_force,
             waiting: status.waiting.clone(),
+            current: status.current,
         }
     }
+
+    /// Tells whether another revision has replaced this one.
+    ///
+    /// A bundle that was rolled out once is not rolled out again: the resent order gets its first
+    /// answer, however long ago that was.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.current > self.revision
+    }
 }
 
 impl fmt::Display for RollReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let RollReport { revision, version, digest, .. } = self;
+        let RollReport { revision, version, digest, current, .. } = self;
         write!(f, "revision {revision}: version {version}, digest {digest}, ")?;
+        if self.is_replaced() {
+            return write!(f, "replaced by revision {current}");
+        }
         if self.in_force {
             return write!(f, "in force everywhere");
         }
--- a/crates/gypsumglade/tests/cli_verbs.rs
+++ b/crates/gypsumglade/tests/cli_verbs.rs
@@ -107,6 +107,11 @@
     assert_eq!(code(&failed), exit::UNREACHABLE);
 }
 
+/// Name of the order that is answered as an earlier one was, whose revision was replaced since.
+const REPLACED: &str = "replaced";
+/// Name of the order whose answer is garbled on its way.
+const LOST: &str = "lost";
+
 type Told = Arc<Mutex<Vec<wire::Command>>>;
 
 async fn status(head: HeaderMap) -> Response {
@@ -121,10 +126,11 @@
     let command = wire::Command::decode(body).unwrap();
     let answer = match &command.body {
         Some(CommandBody::Accept(accept)) => AnswerBody::Accepted(wire::Accepted {
-            revision: 5,
+            revision: if accept.order_id == REPLACED { 2 } else { 5 },
             digest: accept.digest.clone(),
             version: accept.version.clone(),
         }),
+        Some(CommandBody::RollBack(back)) if back.order_id == LOST => return Vec::from(*b"\xff"),
         _ => AnswerBody::Stale(wire::StaleBase { base: 4, current: 6, ..Default::default() }),
     };
     told.lock().unwrap().push(command);
@@ -157,14 +163,22 @@
 
     let rolled = run(&[&["bundle", "roll", &signed, "--order", "o1"], &ask[..]].concat());
     assert!(stdout(&rolled).contains("revision 5"));
+    let again = run(&[&["bundle", "roll", &signed, "--order", REPLACED], &ask[..]].concat());
+    assert_eq!(code(&again), exit::REFUSED, "its revision 2 was replaced since");
     let backed =
         run(&[&["bundle", "back", "--to", "3", "--bundle", &plain, "--key", &key], &ask[..]]
             .concat());
     assert_eq!(code(&backed), exit::REFUSED, "a conflict changes nothing");
 
+    let lost = ["bundle", "back", "--to", "3", "--bundle", &plain, "--key", &key, "--order", LOST];
+    let lost = run(&[&lost[..], &ask[..]].concat());
+    assert_eq!(code(&lost), exit::UNKNOWN);
+    let advice = String::from_utf8_lossy(&lost.stderr).into_owned();
+    assert!(advice.contains("order lost on revision 4") && advice.contains("--base"), "{advice}");
+
     let told = told.lock().unwrap();
     let [Some(CommandBody::Accept(accept)), Some(CommandBody::RollBack(back))] =
-        [&told[0].body, &told[1].body]
+        [&told[0].body, &told[2].body]
     else {
         panic!("a roll and a roll back, got {told:?}");
     };
