Speak TLS to the admin listener and stop quietly at a closed pipe

The admin listener speaks TLS when settings name a certificate, and the command line spoke plain HTTP only. Output piped into head ended in a panic; a closed pipe is now no failure.

--- a/crates/gypsumglade/src/cli/admin_client.rs
+++ b/crates/gypsumglade/src/cli/admin_client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context as _;
@@ -10,15 +11,23 @@
 use gypsumglade_core::wire::control::{Answer, Command};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
 use prost::Message as _;
 use serde::de::DeserializeOwned;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio_rustls::TlsConnector;
+use tokio_rustls::rustls::ClientConfig;
+use tokio_rustls::rustls::pki_types::ServerName;
 
 use super::Failure;
 use super::failure::FailureKind;
 use crate::settings::Settings;
+use crate::tls;
 
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest wait for an answer; the asked VM looks for a leader meanwhile.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
 const AGAIN_ADVICE: &str = "run the same command again, or ask another VM";
@@ -34,6 +43,10 @@
     /// Settings file to take the admin address and token from.
     #[arg(long, value_name = "FILE", env = "GYPSUMGLADE_SETTINGS")]
     settings: Option<PathBuf>,
+    /// PEM file of the authority that signed the admin listener's certificate, to speak TLS; the
+    /// settings' `tls.authority` if they name a certificate for the admin listener.
+    #[arg(long, value_name = "FILE")]
+    authority: Option<PathBuf>,
     /// File with the admin token, in place of the settings' one.
     #[arg(long, value_name = "FILE", env = "GYPSUMGLADE_TOKEN_FILE")]
     token_file: Option<PathBuf>,
@@ -43,6 +56,7 @@
 pub(super) struct AdminClient {
     address: SocketAddr,
     token: CompactString,
+    tls: Option<Arc<ClientConfig>>,
     runtime: tokio::runtime::Runtime,
 }
 
@@ -64,11 +78,15 @@
                 return Err(unaddressed("no admin token", "give --token-file or --settings FILE"));
             }
         };
+        let tls = match authority(args, settings.as_ref()) {
+            Some(file) => Some(tls::client(&file)?),
+            None => None,
+        };
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
             .context("can't start the runtime")?;
-        Ok(AdminClient { address, token, runtime })
+        Ok(AdminClient { address, token, tls, runtime })
     }
 
     /// Asks a question.
@@ -97,25 +115,39 @@
     ) -> Result<(StatusCode, Bytes), Failure> {
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.address))
+            .uri(path)
+            .header(header::HOST, self.address.to_string())
             .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
             .body(Full::new(body))
             .context("the admin token can't stand in a header")?;
-        let client = Client::builder(TokioExecutor::new()).build_http();
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await;
+        let mut sender = match connecting {
+            Ok(connected) => connected.map_err(|error| self.unreachable(&error))?,
+            Err(elapsed) => return Err(self.unreachable(&elapsed)),
+        };
         let sending = async {
-            let response = client.request(request).await.map_err(|error| {
-                if error.is_connect() { self.unreachable(&error) } else { self.lost(&error) }
-            })?;
+            let response = sender.send_request(request).await?;
             let status = response.status();
             let body = Limited::new(response.into_body(), ANSWER_BYTES).collect().await;
-            Ok((status, body.map_err(|error| self.lost(&error))?.to_bytes()))
+            let body = body.map_err(|error| anyhow::anyhow!(error))?;
+            anyhow::Ok((status, body.to_bytes()))
         };
         match tokio::time::timeout(ANSWER_TIMEOUT, sending).await {
-            Ok(result) => result,
+            Ok(result) => result.map_err(|error| self.lost(&error)),
             Err(elapsed) => Err(self.lost(&elapsed)),
         }
     }
 
+    async fn connect(&self) -> anyhow::Result<SendRequest<Full<Bytes>>> {
+        let stream = TcpStream::connect(self.address).await?;
+        let Some(tls) = &self.tls else {
+            return handshake(stream).await;
+        };
+        let name = ServerName::from(self.address.ip());
+        let stream = TlsConnector::from(Arc::clone(tls)).connect(name, stream).await?;
+        handshake(stream).await
+    }
+
     fn unreachable(&self, error: &dyn std::fmt::Display) -> Failure {
         let message = format!("can't connect to {}: {error}", self.address);
         let advice = "check the address and that the process runs, or ask another VM";
@@ -149,6 +181,22 @@
     }
 }
 
+async fn handshake<S>(stream: S) -> anyhow::Result<SendRequest<Full<Bytes>>>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    // The connection's errors reach the caller through the sender.
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+/// Returns the authority's file if the admin listener speaks TLS.
+fn authority(args: &AdminArgs, settings: Option<&Settings>) -> Option<PathBuf> {
+    let named = settings.filter(|s| s.tls.admin.is_some()).and_then(|s| s.tls.authority.clone());
+    args.authority.clone().or(named)
+}
+
 fn unaddressed(message: &str, advice: &'static str) -> Failure {
     Failure::new(FailureKind::Unreachable, message, advice)
 }
--- a/crates/gypsumglade/src/cli/bench.rs
+++ b/crates/gypsumglade/src/cli/bench.rs
@@ -5,6 +5,7 @@
 use anyhow::Context as _;
 
 use super::Failure;
+use super::output::line;
 use crate::bench::policy::{self, Fleet, PolicyBench};
 
 #[derive(Debug, clap::Subcommand)]
@@ -38,7 +39,7 @@
         ablations: !args.brief,
         faults: !args.brief,
     });
-    println!("{}", report.table());
+    line(&report.table())?;
     let Some(folder) = args.plots else {
         return Ok(());
     };
--- a/crates/gypsumglade/src/cli/dump.rs
+++ b/crates/gypsumglade/src/cli/dump.rs
@@ -2,7 +2,7 @@
 
 use super::Failure;
 use super::admin_client::{AdminArgs, AdminClient};
-use super::output::json;
+use super::output::{json, line};
 
 #[derive(Debug, clap::Args)]
 pub(super) struct DumpArgs {
@@ -13,6 +13,5 @@
 pub(super) fn run(args: DumpArgs) -> Result<(), Failure> {
     let client = AdminClient::new(&args.admin)?;
     let state: serde_json::Value = client.get("/v1/dump")?;
-    println!("{}", json(&state)?);
-    Ok(())
+    line(&json(&state)?)
 }
--- a/crates/gypsumglade/src/cli/output.rs
+++ b/crates/gypsumglade/src/cli/output.rs
@@ -1,6 +1,7 @@
 //! How results are printed.
 
 use std::fmt::Display;
+use std::io::{ErrorKind, Write as _};
 
 use gypsumglade_core::prelude::*;
 
@@ -20,10 +21,21 @@
     /// Prints a report: its `Display` for a person, its fields as JSON for a script.
     pub(super) fn print<T: Serialize + Display>(self, report: &T) -> Result<(), Failure> {
         match self {
-            Output::Text => println!("{report}"),
-            Output::Json => println!("{}", json(report)?),
+            Output::Text => line(report),
+            Output::Json => line(&json(report)?),
         }
-        Ok(())
+    }
+}
+
+/// Prints a line to standard output.
+///
+/// A reader that has seen enough, such as `head`, closes the pipe; that is no failure.
+pub(super) fn line(text: &impl Display) -> Result<(), Failure> {
+    match writeln!(std::io::stdout(), "{text}") {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => {
+            Err(Failure::from(anyhow::Error::from(error)))
+        }
+        _ => Ok(()),
     }
 }
 
--- a/crates/gypsumglade/src/cli/settings.rs
+++ b/crates/gypsumglade/src/cli/settings.rs
@@ -5,6 +5,7 @@
 
 use gypsumglade_core::prelude::*;
 
+use super::output::line;
 use super::{Failure, Output};
 use crate::settings::{Role, Settings};
 
@@ -47,10 +48,7 @@
 pub(super) fn run(verb: SettingsVerb, output: Output) -> Result<(), Failure> {
     match verb {
         SettingsVerb::Check { file } => check(file, output),
-        SettingsVerb::Example { role } => {
-            print!("{}", Settings::example(role));
-            Ok(())
-        }
+        SettingsVerb::Example { role } => line(&Settings::example(role).trim_end()),
     }
 }
 
--- a/crates/gypsumglade/src/settings/tls.rs
+++ b/crates/gypsumglade/src/settings/tls.rs
@@ -46,8 +46,13 @@
             check_file(&format!("{place}.certificate"), &pair.certificate, findings);
             check_file(&format!("{place}.key"), &pair.key, findings);
         }
-        if let Some(authority) = &self.authority {
-            check_file("tls.authority", authority, findings);
+        match &self.authority {
+            Some(authority) => check_file("tls.authority", authority, findings),
+            None if self.peers.is_some() => {
+                let allowed = "the authority of the peers' certificates, if tls.peers is set";
+                findings.add("tls.authority", "nothing", allowed);
+            }
+            None => {}
         }
     }
 }
--- a/crates/gypsumglade/src/tls.rs
+++ b/crates/gypsumglade/src/tls.rs
@@ -40,6 +40,14 @@
     let Some(authority) = &settings.authority else {
         bail!("tls.peers is set: name the file of its authority in tls.authority");
     };
+    client(authority).map(Some)
+}
+
+/// Returns the client side towards listeners whose certificates `authority` signed.
+///
+/// # Errors
+/// Fails when the file cannot be read or holds no certificate.
+pub fn client(authority: &Path) -> anyhow::Result<Arc<ClientConfig>> {
     let mut roots = RootCertStore::empty();
     for certificate in read_certificates(authority)? {
         roots.add(certificate)?;
@@ -48,7 +56,7 @@
         .with_safe_default_protocol_versions()?
         .with_root_certificates(roots)
         .with_no_client_auth();
-    Ok(Some(Arc::new(config)))
+    Ok(Arc::new(config))
 }
 
 fn read_certificates(path: &Path) -> anyhow::Result<Vec<CertificateDer<'static>>> {
--- a/crates/gypsumglade/tests/cli_verbs.rs
+++ b/crates/gypsumglade/tests/cli_verbs.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::process::{Command, Output};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use axum::extract::State;
 use axum::response::{IntoResponse as _, Response};
@@ -10,6 +11,9 @@
 use axum::{Json, Router};
 use bytes::Bytes;
 use gypsumglade::cli::exit;
+use gypsumglade::listener::{Listener, ListenerOptions};
+use gypsumglade::settings::CertificateSettings;
+use gypsumglade::tls;
 use gypsumglade_core::wire::control as wire;
 use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
@@ -17,6 +21,7 @@
 use http::{HeaderMap, StatusCode};
 use prost::Message as _;
 use serde_json::Value;
+use tokio_util::sync::CancellationToken;
 
 const TOKEN: &str = "0123456789abcdef";
 const BUNDLE: &str = r#"
@@ -196,3 +201,30 @@
     let failed = run(&["bundle", "status", "--vm", &vm, "--token-file", &token]);
     assert_eq!(code(&failed), exit::REFUSED);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_over_tls() {
+    let folder = tempfile::tempdir().unwrap();
+    let [certificate, key, token] =
+        ["admin.pem", "admin.key", "token"].map(|n| path(folder.path(), n));
+    let pair = rcgen::generate_simple_self_signed(["127.0.0.1".to_owned()]).unwrap();
+    std::fs::write(&certificate, pair.cert.pem()).unwrap();
+    std::fs::write(&key, pair.signing_key.serialize_pem()).unwrap();
+    std::fs::write(&token, TOKEN).unwrap();
+    let settings = CertificateSettings { certificate: certificate.clone().into(), key: key.into() };
+    let options = ListenerOptions {
+        tls: tls::server(Some(&settings)).unwrap(),
+        header_bytes: 16 << 10,
+        drain: Duration::from_secs(1),
+    };
+    let router = Router::new().route("/v1/status", get(status));
+    let any = "127.0.0.1:0".parse().unwrap();
+    let stop = CancellationToken::new();
+    let listener = Listener::bind(any, router, options, stop).await.unwrap();
+    let vm = listener.address().to_string();
+
+    let ask = ["bundle", "status", "--vm", &vm, "--token-file", &token];
+    let trusted = run(&[&ask[..], &["--authority", &certificate]].concat());
+    assert!(stdout(&trusted).starts_with("revision 4"));
+    assert_ne!(code(&run(&ask)), exit::DONE, "plain HTTP is not served");
+}
