--- a/crates/gypsumglade/src/cli/inspect.rs
+++ b/crates/gypsumglade/src/cli/inspect.rs
@@ -55,6 +55,7 @@
         return Ok(());
     }
     let message = format!("{} has {} finding(s)", args.folder.display(), report.0.findings.len());
-    let advice = "keep the folder, and bring the VM back with an empty one; see docs/OPERATING.md";
+    let advice = "keep the folder, and start no store on an empty one under the same number; see \
+                  docs/OPERATING.md, \"Lost disk\"";
     Err(Failure::new(FailureKind::Findings, message, advice))
 }
