--- a/crates/standin/src/load/call.rs
+++ b/crates/standin/src/load/call.rs
@@ -44,7 +44,10 @@
 /// What one attempt came to.
 enum Attempt {
     Answered(String, Vec<Duration>),
+    /// Not run; the same call may be sent again after a pause.
     Refused(Duration),
+    /// Not run, and a resend would fare no better.
+    Wrong,
     Unknown,
 }
 
@@ -73,6 +76,7 @@
                 tokio::time::sleep(pause).await;
             }
             Attempt::Refused(_) => {}
+            Attempt::Wrong => break,
         }
     }
     outcome.elapsed = start.elapsed();
@@ -102,7 +106,10 @@
 async fn refused(status: StatusCode, head: HeaderMap, body: Incoming) -> Attempt {
     let body = body.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
     let problem: Value = serde_json::from_slice(&body).unwrap_or_default();
-    if problem["error"]["outcome"] != "not-run" && !status.is_client_error() {
+    if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
+        return Attempt::Wrong;
+    }
+    if problem["error"]["outcome"] != "not-run" && !head.contains_key(headers::NOT_STARTED) {
         return Attempt::Unknown;
     }
     let seconds: u64 = headers::number(&head, header::RETRY_AFTER.as_str());
