--- a/crates/gypsumglade/src/cli/bundle.rs
+++ b/crates/gypsumglade/src/cli/bundle.rs
@@ -15,10 +15,16 @@
 use super::failure::FailureKind;
 use super::orders::{self, OrderHead, RollReport, StatusReport};
 use super::{Failure, Output, key};
+use crate::operator;
 
 /// Pause between two looks whether a revision is in force.
 const STATUS_PAUSE: Duration = Duration::from_millis(200);
 
+/// A new order on another base could undo what a colleague rolled out meanwhile; the same order
+/// can't, since its base is checked.
+const SAME_ORDER_ADVICE: &str = "repeat the command with --order and --base as printed above: \
+                                 the same order is not carried out twice";
+
 #[derive(Debug, clap::Subcommand)]
 pub(super) enum BundleVerb {
     /// Check a bundle and add an operator's signature.
@@ -128,9 +134,10 @@
         let advice = "sign it first: `gypsumglade bundle sign`";
         return Err(Failure::new(FailureKind::Findings, message, advice));
     }
-    let bundle = parse(file, &signed)?;
     let head = head(&client, args)?;
-    give(&client, &orders::accept(&head, &signed, &bundle), args.wait, output)
+    let base = RevisionNumber(head.base);
+    let command = operator::accept_command(&signed, base, &head.id);
+    give(&client, &command.map_err(|f| findings(file, &f))?, args.wait, output)
 }
 
 fn back(
@@ -177,9 +184,15 @@
     seconds: u64,
     output: Output,
 ) -> Result<(), Failure> {
-    let accepted = orders::outcome(client.command(command)?)?;
+    let answer = client.command(command).map_err(|f| f.or_advice(SAME_ORDER_ADVICE))?;
+    let accepted = orders::outcome(answer)?;
     let report = wait_in_force(client, &accepted, Duration::from_secs(seconds))?;
     output.print(&report)?;
+    if report.is_replaced() {
+        let message = "this bundle was rolled out before and replaced since";
+        let advice = "bring it back by `gypsumglade bundle back`, or give it a new version";
+        return Err(Failure::new(FailureKind::Refused, message, advice));
+    }
     if report.in_force {
         return Ok(());
     }
