Take part in VM membership and tell stores who is gone

Cause: entries were known from the settings alone, and a dead entry's calls stayed open. Change: entries join by UDP and spread their listener and life; stores ask an entry and feed restarts and deaths to the groups.

--- /dev/null
+++ b/crates/gypsumglade/src/entry/membership_loop.rs
@@ -0,0 +1,69 @@
+//! Takes part in VM membership and keeps the directory true to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use tokio_util::sync::CancellationToken;
+
+use super::state::EntryState;
+use crate::members::{EntryDigest, EntryMember, seeds};
+use crate::membership::{self, ClusterKey, Handle, MembershipSettings};
+
+/// Joins membership, and spreads where this VM takes calls from others.
+///
+/// # Errors
+/// Fails when the datagram address cannot be used.
+pub(super) async fn join(state: &EntryState, peers: SocketAddr) -> anyhow::Result<Handle> {
+    let settings = &state.settings;
+    let secret = Bytes::copy_from_slice(settings.tokens.peers.reveal().as_bytes());
+    let key = ClusterKey::new(secret).context("tokens.peers is too short to be a key")?;
+    let handle = membership::start(MembershipSettings {
+        vm: state.vm,
+        domain: state.place.domain,
+        region: state.place.region,
+        bind: settings.listen.gossip,
+        seeds: seeds(settings),
+        key: Some(key),
+        ..MembershipSettings::default()
+    })?;
+    let digest = EntryDigest { life: rand::random(), peers };
+    handle.set_digest(digest.to_bytes()).await;
+    Ok(handle)
+}
+
+/// Follows the view until the process ends.
+pub(super) fn follow(state: &Arc<EntryState>, handle: &Handle, halt: &CancellationToken) {
+    let (state, halt) = (Arc::clone(state), halt.clone());
+    let mut view = handle.watch();
+    let alone = seeds(&state.settings).is_empty();
+    tokio::spawn(async move {
+        loop {
+            let members: Vec<EntryMember> =
+                view.borrow_and_update().members.iter().filter_map(EntryMember::of).collect();
+            state.take_members(members, alone);
+            tokio::select! {
+                () = halt.cancelled() => return,
+                changed = view.changed() => if changed.is_err() { return },
+            }
+        }
+    });
+}
+
+impl EntryState {
+    /// Takes the view in. A VM without seeds knows only itself, and keeps the settings' list.
+    fn take_members(&self, members: Vec<EntryMember>, alone: bool) {
+        if !alone {
+            let up = members.iter().filter(|member| member.up);
+            self.directory.set_entries(up.map(EntryMember::address).collect());
+            self.resize_pools();
+        }
+        *self.members.lock().expect("no panic while held") = members;
+    }
+
+    /// Returns the entry VMs as membership sees them, for stores.
+    pub fn members(&self) -> Vec<EntryMember> {
+        self.members.lock().expect("no panic while held").clone()
+    }
+}
--- a/crates/gypsumglade/src/entry/peer_calls.rs
+++ b/crates/gypsumglade/src/entry/peer_calls.rs
@@ -40,6 +40,10 @@
         let answer = state.release_memory(&release).await;
         Ok::<_, ErrorObjectOwned>(answer.name().to_owned())
     })?;
+    module.register_method(Method::Members.name(), |_, state, _| {
+        let members = serde_json::to_string(&state.members());
+        members.map_err(|error| invalid_payload(&error.into()))
+    })?;
     module.register_method(Method::Cancel.name(), |parameters, state, _| {
         let dispatch: CompactString = parameters.one()?;
         state.running.cancel(&dispatch);
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -18,11 +18,12 @@
 use super::groups::{GroupClient, GroupMap};
 use super::peer_calls;
 use super::state::{Desk, EntryState, RunningCalls};
-use super::{announce, callers};
+use super::{announce, callers, membership_loop};
 use crate::admin;
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::listener::{Listener, ListenerOptions};
+use crate::membership::Handle;
 use crate::metrics::Metrics;
 use crate::rpc::{PeerClients, RpcServer};
 use crate::settings::{CertificateSettings, Settings};
@@ -34,6 +35,7 @@
     addresses: EntryAddresses,
     listeners: Vec<Listener>,
     _rpc: RpcServer,
+    membership: Handle,
     /// Ends the background loops and the peers' listener; cancelled last.
     halt: CancellationToken,
 }
@@ -49,6 +51,8 @@
     pub peers: SocketAddr,
     /// Operators' interface.
     pub admin: SocketAddr,
+    /// Membership datagrams.
+    pub gossip: SocketAddr,
 }
 
 impl Entry {
@@ -81,17 +85,20 @@
         let options = with_tls(pairs.peers.as_ref())?;
         let rpc =
             RpcServer::bind(listen.peers, token, methods.into(), options, halt.clone()).await?;
+        let membership = membership_loop::join(&state, rpc.address()).await?;
         let addresses = EntryAddresses {
             callers: callers.address(),
             endpoints: endpoints.address(),
             peers: rpc.address(),
             admin: admin.address(),
+            gossip: membership.address(),
         };
+        membership_loop::follow(&state, &membership, &halt);
         spawn_loops(&state, &halt);
         slog::info!(state.log, "entry started"; "callers" => %addresses.callers,
             "endpoints" => %addresses.endpoints, "admin" => %addresses.admin);
         let listeners = vec![callers, endpoints, admin];
-        Ok(Entry { state, addresses, listeners, _rpc: rpc, halt })
+        Ok(Entry { state, addresses, listeners, _rpc: rpc, membership, halt })
     }
 
     /// Returns the addresses in use.
@@ -125,6 +132,7 @@
             slog::error!(self.state.log, "calls outlived the drain time; raise timeouts.drain_ms";
                 "in_flight" => self.state.tasks.len());
         }
+        self.membership.leave().await;
         self.halt.cancel();
         for listener in listeners {
             listener.drained().await;
@@ -158,6 +166,7 @@
         stop: CancellationToken::new(),
         tasks: TaskTracker::new(),
         running: RunningCalls::default(),
+        members: Mutex::default(),
         desk: Mutex::new(Desk { registry, router }),
         log,
         peers,
--- a/crates/gypsumglade/src/entry/state.rs
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -19,6 +19,7 @@
 use super::groups::GroupClient;
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::members::EntryMember;
 use crate::metrics::Metrics;
 use crate::rpc::PeerClients;
 use crate::settings::Settings;
@@ -56,6 +57,7 @@
     pub tasks: TaskTracker,
     /// Dispatches under way from here, which a store may cancel.
     pub running: RunningCalls,
+    pub(super) members: Mutex<Vec<EntryMember>>,
     pub(super) desk: Mutex<Desk>,
 }
 
@@ -259,6 +261,7 @@
             "running": self.running.count(),
             "pools": self.gate.loads(),
             "endpoints": endpoints,
+            "members": self.members(),
             "entries": self.directory.entries(),
             "stores": self.directory.stores(),
         })
--- a/crates/gypsumglade/src/lib.rs
+++ b/crates/gypsumglade/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod listener;
 pub mod logs;
+pub mod members;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
--- a/crates/gypsumglade/src/rpc/method.rs
+++ b/crates/gypsumglade/src/rpc/method.rs
@@ -17,6 +17,8 @@
     Cancel,
     /// Store to store: what is known of a request that crashes endpoints.
     Score,
+    /// Store to entry: the entry VMs as membership sees them.
+    Members,
     /// Entry to entry: an endpoint's announcement.
     Announce,
 }
@@ -32,6 +34,7 @@
             Method::Release => "release",
             Method::Cancel => "cancel",
             Method::Score => "score",
+            Method::Members => "members",
             Method::Announce => "announce",
         }
     }
--- /dev/null
+++ b/crates/gypsumglade/src/store/member_watch.rs
@@ -0,0 +1,94 @@
+//! Learns from an entry VM who takes part, and tells the groups of VMs that are gone.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use gypsumglade_core::prelude::*;
+use jsonrpsee::core::params::ArrayParams;
+use tokio_util::sync::CancellationToken;
+
+use super::context::StoreContext;
+use super::program_group::GroupInput;
+use crate::members::EntryMember;
+use crate::rpc::Method;
+
+/// Pause between two askings.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Longest wait for an entry's answer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which a VM must be seen down before its calls count as lost.
+///
+/// A suspicion that is refuted in between costs nothing then; a call declared lost stays in doubt.
+const GRACE: Duration = Duration::from_secs(2);
+
+/// Lives of the entry VMs as last told.
+#[derive(Default)]
+struct Watch {
+    lives: HashMap<VmId, u32>,
+    down: HashMap<VmId, Time>,
+}
+
+/// Asks until the process ends: the entry on the same VM first, then any other.
+pub async fn watch(context: Arc<StoreContext>, halt: CancellationToken) {
+    let mut watch = Watch::default();
+    let mut turn = 0;
+    while !halt.is_cancelled() {
+        match ask(&context, turn).await {
+            Some(members) => {
+                for vm in watch.gone(&members, context.clock.now()) {
+                    slog::warn!(context.log, "an entry VM is gone"; "gone" => vm.0);
+                    context.feed_all(|| GroupInput::Gone(vm)).await;
+                }
+                let up = members.iter().filter(|member| member.up);
+                context.directory.set_entries(up.map(EntryMember::address).collect());
+            }
+            None => turn += 1,
+        }
+        tokio::select! {
+            () = halt.cancelled() => {}
+            () = tokio::time::sleep(PAUSE) => {}
+        }
+    }
+}
+
+async fn ask(context: &StoreContext, turn: usize) -> Option<Vec<EntryMember>> {
+    let entries = context.directory.entries();
+    let own = entries.iter().find(|entry| entry.vm == context.vm && turn == 0);
+    let entry = own.or_else(|| entries.get(turn % entries.len().max(1)))?;
+    if entry.peers.port() == 0 {
+        return None;
+    }
+    let call = context.peers.call(entry.peers, Method::Members, ArrayParams::new(), TIMEOUT);
+    let members: Vec<EntryMember> = serde_json::from_str(&call.await.ok()?).ok()?;
+    (members.len() > 1).then_some(members)
+}
+
+impl Watch {
+    /// Returns the VMs whose calls nobody carries any more: down for a while, or restarted.
+    fn gone(&mut self, members: &[EntryMember], now: Time) -> Vec<VmId> {
+        let mut gone = Vec::new();
+        for member in members {
+            let life = self.lives.insert(member.vm, member.life);
+            let restarted = life.is_some_and(|life| life != member.life);
+            let dead = self.is_dead(member, now);
+            if restarted || dead {
+                gone.push(member.vm);
+            }
+        }
+        gone
+    }
+
+    /// Tells once that a VM has been down for the grace time.
+    fn is_dead(&mut self, member: &EntryMember, now: Time) -> bool {
+        if member.up {
+            self.down.remove(&member.vm);
+            return false;
+        }
+        let since = *self.down.entry(member.vm).or_insert(now);
+        if since == Time::MAX || now.since(since) < GRACE {
+            return false;
+        }
+        self.down.insert(member.vm, Time::MAX);
+        true
+    }
+}
--- a/crates/gypsumglade/src/store/mod.rs
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod context;
 pub mod control_group;
+mod member_watch;
 mod peer_calls;
 pub mod program_group;
 mod serve;
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -16,6 +16,7 @@
 
 use super::context::StoreContext;
 use super::control_group::ControlGroup;
+use super::member_watch;
 use super::peer_calls;
 use super::program_group::{GroupInput, ProgramGroup};
 use crate::admin;
@@ -96,6 +97,7 @@
             LeaseSettings { length_ms: settings.timeouts.lease_ms, ..LeaseSettings::default() };
         let keys = operator_keys(&settings.operators);
         let control = ControlGroup::new(Arc::clone(&context), keys, lease);
+        tokio::spawn(member_watch::watch(Arc::clone(&context), halt.clone()));
         tokio::spawn(send_batches(Arc::clone(&context), batches));
         start_groups(&context, &control, events, own.groups).await?;
         let metrics = Metrics::new()?;
