Place program groups and replace replicas one step at a time

Cause: a VM lost for good must be replaced, and a second loss right after the repair must leave the group able to commit. Change: placement steps in the control log, each naming the change it was planned on; a planner that waits for the group's own log and for a learner that caught up, and never puts two replicas into one domain of three. Conclusion: the group's leader must check the learner again when it makes the change, since a report may be old.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -10,11 +10,13 @@
 mod history;
 mod memory;
 mod placement;
+pub mod plan;
 mod revision;
 mod snapshot;
 
 pub use history::History;
 pub use memory::REMEMBERED;
+pub use placement::group_of;
 pub use revision::{Revision, RevisionError};
 pub use snapshot::RestoreError;
 
@@ -53,6 +55,8 @@
     RollBackFalls,
     /// Records of versions are dropped without raising the floor.
     NoVersionFloor,
+    /// A placement step is applied whatever change it was planned on.
+    IgnoreChange,
 }
 
 /// The replicated state of the control group.
@@ -115,7 +119,7 @@
             Some(CommandBody::Accept(accept)) => self.accept(accept),
             Some(CommandBody::RollBack(order)) => self.roll_back(order),
             Some(CommandBody::TakeOrders(take)) => self.take_orders(take),
-            Some(CommandBody::Place(_)) => rejected(Fault::Malformed, "not yet"),
+            Some(CommandBody::Place(place)) => self.place(place),
             None => rejected(Fault::Malformed, "the command is empty"),
         };
         wire::Answer { body: Some(body) }
--- /dev/null
+++ b/crates/core/tests/control_placement.rs
@@ -0,0 +1,274 @@
+//! Placement: VMs lost for good are replaced, one change of a group at a time.
+
+use gypsumglade_core::control::plan::{
+    GroupReport, PlanMutation, PlanSettings, Presence, StoreVm, create, plan,
+};
+use gypsumglade_core::control::{Control, Mutation, group_of};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::answer::Body as AnswerBody;
+use gypsumglade_core::wire::control::command::Body;
+use gypsumglade_core::wire::control::place::Step;
+use gypsumglade_core::wire::control::{Command, GroupPlacement, ReplicaRole};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
+
+const GROUPS: u32 = 4;
+const DOMAINS: u32 = 3;
+const STORES: u32 = 9;
+
+#[derive(Clone, Debug)]
+enum Action {
+    /// The VM goes away, is given up, or comes back.
+    Presence { vm: usize, presence: Presence },
+    /// The planner looks at the world; its steps may be applied later.
+    Plan,
+    /// One of the steps planned so far reaches the log.
+    Apply { step: usize },
+    /// The group's log makes the last change of placement and reports it.
+    Report { group: usize },
+    /// The learner catches up. That it has not fallen behind again is checked by the group's
+    /// own leader when it makes the change.
+    CatchUp { group: usize },
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    let presence = prop::sample::select(vec![Presence::Up, Presence::Away, Presence::Lost]);
+    let group = 0..GROUPS as usize;
+    prop_oneof![
+        1 => (0..STORES as usize, presence)
+            .prop_map(|(vm, presence)| Action::Presence { vm, presence }),
+        4 => Just(Action::Plan),
+        6 => (0..12_usize).prop_map(|step| Action::Apply { step }),
+        4 => group.clone().prop_map(|group| Action::Report { group }),
+        2 => group.prop_map(|group| Action::CatchUp { group }),
+    ]
+}
+
+/// One group's own replicated log, as far as placement sees it.
+#[derive(Clone, Copy, Default)]
+struct Log {
+    change: u64,
+    caught_up: bool,
+}
+
+struct World {
+    control: Control,
+    settings: PlanSettings,
+    stores: Vec<StoreVm>,
+    logs: Vec<Log>,
+    planned: Vec<Command>,
+}
+
+impl World {
+    fn new(mutation: Mutation, settings: PlanSettings) -> World {
+        let store = |vm: u32| StoreVm {
+            vm: VmId(vm),
+            domain: DomainId((vm % DOMAINS) as u16),
+            region: RegionId(u16::from(vm % DOMAINS == 2)),
+            presence: Presence::Up,
+        };
+        let stores: Vec<StoreVm> = (1..=STORES).map(store).collect();
+        let mut control = Control::with_mutation(mutation);
+        control.apply(&create(GROUPS, &stores, &settings).expect("stores are up"));
+        let logs = vec![Log::default(); GROUPS as usize];
+        World { control, settings, stores, logs, planned: Vec::new() }
+    }
+
+    fn run(&mut self, action: &Action) -> Result<(), TestCaseError> {
+        match *action {
+            Action::Presence { vm, presence } => {
+                // A VM given up for lost is replaced and never comes back under its number.
+                if self.stores[vm].presence != Presence::Lost {
+                    self.stores[vm].presence = presence;
+                }
+            }
+            Action::Plan => self.plan(),
+            Action::Apply { step } if !self.planned.is_empty() => {
+                let step = self.planned[step % self.planned.len()].clone();
+                return self.apply(&step);
+            }
+            Action::Apply { .. } => {}
+            Action::Report { group } => {
+                self.logs[group].change = self.control.groups()[group].change;
+            }
+            Action::CatchUp { group } => self.logs[group].caught_up = true,
+        }
+        Ok(())
+    }
+
+    fn plan(&mut self) {
+        let reports: Vec<GroupReport> = self.logs.iter().zip(1..).map(report).collect();
+        let steps = plan(self.control.groups(), &self.stores, &reports, &self.settings);
+        self.planned.extend(steps);
+        let old = self.planned.len().saturating_sub(12);
+        self.planned.drain(..old);
+    }
+
+    fn apply(&mut self, command: &Command) -> Result<(), TestCaseError> {
+        let before = self.control.groups().to_vec();
+        let answer = self.control.apply(command).body;
+        let Some(AnswerBody::Placed(_)) = answer else {
+            prop_assert_eq!(self.control.groups(), before.as_slice());
+            return Ok(());
+        };
+        let changed =
+            (0..before.len()).find(|group| before[*group] != self.control.groups()[*group]);
+        let group = changed.expect("a placed step changes a group");
+        prop_assert_eq!(self.logs[group].change, before[group].change, "two changes overlap");
+        self.check_step(command, &before[group], group)?;
+        check_group(&self.control.groups()[group])
+    }
+
+    fn check_step(
+        &mut self,
+        command: &Command,
+        before: &GroupPlacement,
+        group: usize,
+    ) -> Result<(), TestCaseError> {
+        let Some(Body::Place(place)) = &command.body else { return Ok(()) };
+        match &place.step {
+            Some(Step::Add(add)) => {
+                let lost = self.stores[add.retiring as usize - 1].presence;
+                prop_assert_ne!(lost, Presence::Away, "a VM that may come back was replaced");
+                prop_assert!(before.retiring.is_none());
+                self.logs[group].caught_up = false;
+            }
+            Some(Step::Promote(_)) => {
+                prop_assert!(self.logs[group].caught_up, "a learner votes before it caught up");
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+fn report((log, group): (&Log, u32)) -> GroupReport {
+    GroupReport { group: GroupId(group), change: log.change, caught_up: log.caught_up }
+}
+
+fn check_group(group: &GroupPlacement) -> Result<(), TestCaseError> {
+    let voters = group.replicas.iter().filter(|replica| replica.role() == ReplicaRole::Voter);
+    prop_assert!(voters.count() >= 3, "fewer than three voters: {group:?}");
+    let staying = group.replicas.iter().filter(|replica| Some(replica.vm) != group.retiring);
+    let mut domains: Vec<u32> = staying.map(|replica| replica.domain).collect();
+    domains.sort_unstable();
+    prop_assert_eq!(domains, vec![0, 1, 2], "replicas share a domain");
+    Ok(())
+}
+
+fn run(mutation: Mutation, plan: PlanMutation, cases: u32) -> Result<(), String> {
+    let config = Config {
+        cases,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    };
+    let settings = PlanSettings { mutation: plan, ..PlanSettings::default() };
+    let actions = prop::collection::vec(action(), 1..200);
+    let result = TestRunner::new(config).run(&actions, |actions| {
+        let mut world = World::new(mutation, settings);
+        actions.iter().try_for_each(|action| world.run(action))
+    });
+    result.map_err(|error| error.to_string())
+}
+
+fn cases() -> u32 {
+    let cases = std::env::var("GYPSUMGLADE_CASES").ok();
+    cases.and_then(|cases| cases.parse().ok()).unwrap_or(1_000)
+}
+
+#[test]
+fn plan_replaces_one_replica_at_a_time() {
+    // VMs go, come back or are given up at any moment, a second one right after a repair. Steps
+    // reach the log late, twice or not at all, and planned on old news.
+    assert_eq!(run(Mutation::None, PlanMutation::None, cases()), Ok(()));
+}
+
+#[test]
+fn plan_promoting_early_is_caught() {
+    assert!(run(Mutation::None, PlanMutation::PromoteEarly, 5_000).is_err());
+}
+
+#[test]
+fn plan_ahead_of_the_log_is_caught() {
+    assert!(run(Mutation::None, PlanMutation::IgnoreReport, 5_000).is_err());
+}
+
+#[test]
+fn plan_ignoring_domains_is_caught() {
+    assert!(run(Mutation::None, PlanMutation::IgnoreDomains, 5_000).is_err());
+}
+
+#[test]
+fn plan_replacing_an_absent_vm_is_caught() {
+    assert!(run(Mutation::None, PlanMutation::ReplaceAway, 5_000).is_err());
+}
+
+#[test]
+fn apply_of_a_late_step_is_caught() {
+    assert!(run(Mutation::IgnoreChange, PlanMutation::None, 5_000).is_err());
+}
+
+/// Runs planner and logs until nothing is left to do.
+fn settle(world: &mut World) {
+    for _ in 0..100 {
+        world.planned.clear();
+        world.plan();
+        for step in std::mem::take(&mut world.planned) {
+            world.apply(&step).expect("the step keeps the rules");
+        }
+        for group in 0..GROUPS as usize {
+            world.run(&Action::Report { group }).expect("a report");
+            world.run(&Action::CatchUp { group }).expect("a learner catches up");
+        }
+    }
+}
+
+#[test]
+fn plan_second_loss_right_after_repair() {
+    // A VM is lost for good and replaced. Right after the repair a second VM of the same groups
+    // goes. Every group must end with three voters that are up, in three domains.
+    let mut world = World::new(Mutation::None, PlanSettings::default());
+    for _ in 0..2 {
+        let vm = world.control.groups()[0].replicas[0].vm as usize;
+        world.stores[vm - 1].presence = Presence::Lost;
+        settle(&mut world);
+    }
+    for group in world.control.groups() {
+        assert!(check_group(group).is_ok(), "{group:?}");
+        assert_eq!((group.replicas.len(), group.retiring), (3, None));
+        let up = |vm: u32| world.stores[vm as usize - 1].presence == Presence::Up;
+        assert!(group.replicas.iter().all(|replica| up(replica.vm)), "{group:?}");
+    }
+}
+
+#[test]
+fn plan_waits_when_no_domain_is_free() {
+    // A whole domain is lost. Its replicas are not moved into the two that remain, where one
+    // more loss would take a majority.
+    let mut world = World::new(Mutation::None, PlanSettings::default());
+    let before = world.control.groups().to_vec();
+    for store in world.stores.iter_mut().filter(|store| store.domain == DomainId(2)) {
+        store.presence = Presence::Lost;
+    }
+    settle(&mut world);
+    assert_eq!(world.control.groups(), before.as_slice());
+}
+
+#[test]
+fn create_balances_replicas() {
+    let world = World::new(Mutation::None, PlanSettings::default());
+    let held = |vm: u32| {
+        let replicas = world.control.groups().iter().flat_map(|group| &group.replicas);
+        replicas.filter(|replica| replica.vm == vm).count()
+    };
+    let counts: Vec<usize> = (1..=STORES).map(held).collect();
+    assert!(counts.iter().all(|count| (1..=2).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn group_of_covers_every_group_evenly() {
+    let in_first = (0..SLOTS).filter(|slot| group_of(Slot(*slot), 64) == GroupId(1)).count();
+    assert_eq!(in_first, 16);
+}
