Let no early grant fill a turn that a late answer has taken

Cause: a property run of 20,000 cases with escrow found two answers to one turn in a history: a lost attempt's late answer was in the log between the loss that woke the resend and the begin of the resend's early grant. Change: such a begin only counts as spent and its settle is refused. Conclusion: an early begin is checked against the history like any other.

--- a/crates/core/src/program/escrow.rs
+++ b/crates/core/src/program/escrow.rs
@@ -23,7 +23,9 @@
     /// Records a turn that its leader granted out of the escrow before this entry was committed.
     ///
     /// It is running whatever happened meanwhile, also if the program ended, so it is recorded
-    /// whatever the state says: only then can it be settled, cancelled and counted.
+    /// all the same: only then can it be settled, cancelled and counted. But if the late answer of
+    /// a lost attempt was committed just before it, its turn is taken: recorded, it would put a
+    /// second answer into the history. Then it only counts as spent, and its settle is refused.
     pub(super) fn begin_escrowed(&mut self, begin: &wire::Begin) -> Applied {
         let name = Name::of(begin.program.as_ref());
         let Some(program) = self.names.get(&name).copied() else { return Applied::Done };
@@ -35,6 +37,10 @@
             }
             _ => self.hold(program, reserved),
         }
+        if self.is_turn_taken(program, begin) {
+            self.spend_held(program, reserved);
+            return Applied::Done;
+        }
         let call = self.insert_attempt(program, begin, reserved);
         if self.programs[program].ended.is_some() {
             self.cancelling.insert(program);
@@ -42,6 +48,13 @@
         Applied::Granted(call)
     }
 
+    fn is_turn_taken(&self, program: ProgramKey, begin: &wire::Begin) -> bool {
+        let found = &self.programs[program];
+        let call = found.calls.get(begin.key.as_str()).map(|call| &self.calls[*call].phase);
+        let answered = matches!(call, Some(Phase::Ran { .. } | Phase::Running(_)));
+        answered || begin.turn != found.history.turns() + 1
+    }
+
     /// Reserves ahead for later turns, as far as every ancestor can spare it.
     pub(super) fn fill_escrow(&mut self, program: ProgramKey, begin: &wire::Begin) {
         let Some(ahead) = begin.ahead else { return };
@@ -116,12 +129,19 @@
 
     fn end_escrow(&mut self, program: ProgramKey, spent: bool) {
         let Some(escrow) = self.programs[program].escrow.take() else { return };
+        if spent {
+            return self.spend_held(program, escrow.amounts);
+        }
+        for key in self.charged(program) {
+            self.programs[key].account.held.sub(escrow.amounts);
+        }
+    }
+
+    fn spend_held(&mut self, program: ProgramKey, amounts: Amounts) {
         for key in self.charged(program) {
             let account = &mut self.programs[key].account;
-            account.held.sub(escrow.amounts);
-            if spent {
-                account.spent.add(escrow.amounts);
-            }
+            account.held.sub(amounts);
+            account.spent.add(amounts);
         }
     }
 }
--- a/crates/core/src/program/interface.rs
+++ b/crates/core/src/program/interface.rs
@@ -38,7 +38,7 @@
     Restored {
         /// Last place in the log that the snapshot covers.
         index: u64,
-        /// What [`State::snapshot`] gave.
+        /// What [`State::snapshot`](super::State::snapshot) gave.
         data: Bytes,
     },
     /// This replica leads. Repeat [`Input::Gone`] for every VM that is dead by now.
--- a/crates/core/tests/budget_escrow.rs
+++ b/crates/core/tests/budget_escrow.rs
@@ -94,6 +94,26 @@
     assert_eq!(group.grant_to(OTHER, turn("p", "k2", &[user("c")])).attempt, 2);
 }
 
+#[test]
+fn escrow_grant_overtaken_by_a_late_answer_adds_no_second_turn() {
+    // A turn is taken for lost, and its late answer is in the log behind that entry. When the
+    // entry is applied, the waiting resend is granted out of the escrow at once; its begin comes
+    // after the late answer, which has taken the turn by then.
+    let mut group = after_first_turn(Settings::default(), 100);
+    let first = group.send(ENTRY, turn("p", "k2", &[user("c")]));
+    let grant = granted(group.reply(first).unwrap());
+    group.commit();
+    let resent = group.send(OTHER, turn("p", "k2", &[user("c")]));
+    group.step(0, Input::Gone { vm: ENTRY });
+    group.send(ENTRY, done("p", &grant.dispatch, &assistant("late")));
+    group.commit();
+    let second = granted(group.reply(resent).unwrap());
+    let settled = group.send(OTHER, done("p", &second.dispatch, &assistant("second")));
+    group.commit();
+    assert_eq!(refusal(group.reply(settled).unwrap()), Refusal::DispatchUnknown);
+    assert!(group.history("p").contains("late") && !group.history("p").contains("second"));
+}
+
 #[test]
 fn escrow_of_an_idle_child_returns_to_its_family() {
     // A sub-agent that has stopped for now holds budget ahead. Its siblings need that budget, so
