Bound how many crash suspects run alone at once

Cause: an engine that dies with fifty requests would have taken fifty engines, one for each suspect; and the leader's notes of dispatches that were lost were kept for good. Change: two suspects run alone at a time in a group, the others wait; notes go when their dispatch is closed. Conclusion: suspicion cannot take the fleet's capacity.

--- a/crates/core/src/program/admission.rs
+++ b/crates/core/src/program/admission.rs
@@ -37,7 +37,7 @@
 
 impl Sequencer {
     /// Answers, proposes or parks a request.
-    pub(super) fn admit(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Effect>) {
+    pub(super) fn admit(&mut self, now: Time, mut ticket: Ticket, out: &mut Vec<Effect>) {
         let token = ticket.token;
         match self.consider(now, &ticket) {
             Verdict::Answer(reply) => out.push(Effect::Reply { token, reply }),
@@ -50,6 +50,7 @@
                     out.push(Effect::Reply { token, reply: early_grant(&self.state, &begin) });
                 }
                 self.set_ahead(&mut begin);
+                ticket.isolate = self.is_suspect(&begin);
                 self.propose_begin(now, Box::new(ticket), *begin, out);
             }
             Verdict::Park(queue) => {
@@ -225,11 +226,32 @@
         if isolate && beside && self.state.scores.is_suspect(&digest) {
             return Verdict::Park(Queue::Suspect(digest));
         }
+        if isolate && self.state.scores.is_suspect(&digest) {
+            // Many requests share an engine when it dies. Run alone all at once, they would take
+            // as many engines, and the fleet would stand still for its suspects.
+            if self.isolated() >= self.settings.isolated {
+                return Verdict::Park(Queue::Isolation);
+            }
+        }
         begin.digest = Bytes::copy_from_slice(&digest);
         begin.expires_ms = self.expiry_ms(now, &ticket.asked);
         Verdict::Propose(Box::new(begin))
     }
 
+    /// Returns how many suspects run alone, or are about to.
+    pub(super) fn isolated(&self) -> usize {
+        let proposed = self.pending.values().filter(|pending| match pending {
+            Pending::Begin(ticket) => ticket.isolate,
+            _ => false,
+        });
+        self.state.isolated + proposed.count()
+    }
+
+    pub(super) fn is_suspect(&self, begin: &wire::Begin) -> bool {
+        let digest = super::quarantine::read_digest(&begin.digest);
+        digest.is_some_and(|digest| self.state.scores.is_suspect(&digest))
+    }
+
     /// Returns the group time from which a grant without outcome counts as lost.
     fn expiry_ms(&self, now: Time, asked: &Asked) -> u64 {
         let run_ms = match asked.deadline_ms {
@@ -249,7 +271,6 @@
             .is_some_and(|call| self.state.calls[call].turn > 0);
         let answered = turn && settle.outcome() == Outcome::Done && settle.status < 400;
         let message = answered.then(|| answer_message(&settle.answer)).flatten();
-        self.started.remove(settle.dispatch.as_str());
         wire::Settled {
             program: settle.program,
             dispatch: settle.dispatch,
--- a/crates/core/src/program/early.rs
+++ b/crates/core/src/program/early.rs
@@ -49,8 +49,7 @@
         if self.settings.escrow_turns == 0 || begin.turn == 0 {
             return false;
         }
-        let suspect = super::quarantine::read_digest(&begin.digest)
-            .is_some_and(|digest| self.state.scores.is_suspect(&digest));
+        let suspect = self.is_suspect(begin);
         let due = self.state.deadline_ms(*key).is_some_and(|due| due <= self.now_ms(now));
         let sound = !self.tainted.contains(&ticket.asked.name);
         sound && !suspect && !due && self.state.programs[*key].escrow_covers(lead.term, begin)
--- a/crates/core/src/program/journal.rs
+++ b/crates/core/src/program/journal.rs
@@ -188,6 +188,7 @@
             term: self.term,
             escrowed: begin.escrowed,
         });
+        self.isolated += usize::from(isolate);
         if let Some(digest) = digest {
             *self.flights.entry(digest).or_default() += 1;
         }
--- a/crates/core/src/program/parking.rs
+++ b/crates/core/src/program/parking.rs
@@ -15,6 +15,8 @@
     Program(Name),
     /// The other run of a crash suspect.
     Suspect(Digest),
+    /// An engine to itself, since others have theirs.
+    Isolation,
     /// A new leader that has yet to see all that its predecessors committed.
     Ready,
 }
@@ -39,7 +41,7 @@
         let full = self.len >= settings.park_total;
         let waiting = self.queues.get(&queue).map_or(0, VecDeque::len);
         let limit = match queue {
-            Queue::Ready => settings.park_total,
+            Queue::Ready | Queue::Isolation => settings.park_total,
             Queue::Program(_) | Queue::Suspect(_) => settings.park_program,
         };
         if full || waiting >= limit {
--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -35,6 +35,8 @@
     /// Group time at which the caller gives up.
     pub(super) until_ms: u64,
     pub(super) asked: Asked,
+    /// The request is a crash suspect and takes an engine to itself.
+    pub(super) isolate: bool,
 }
 
 /// Front of one replica of a program group.
@@ -184,7 +186,8 @@
                     millis => millis,
                 };
                 let until_ms = self.now_ms(now).saturating_add(wait);
-                self.admit(now, Ticket { token, from, until_ms, asked }, out);
+                let ticket = Ticket { token, from, until_ms, asked, isolate: false };
+                self.admit(now, ticket, out);
             }
             Err(detail) => {
                 out.push(Effect::Reply { token, reply: refusal(Refusal::Invalid, detail) });
@@ -242,6 +245,7 @@
         if entry.term == lead.term {
             self.complete(now, ProposalId(entry.proposal), applied, out);
         }
+        self.forget_closed(&entry);
         self.wake_for(now, &entry, out);
         self.release_ended(now, out);
     }
@@ -273,6 +277,7 @@
             let affected = match (&queue, &entry.body) {
                 (Queue::Ready, _) | (_, None) => false,
                 (Queue::Suspect(digest), _) => !self.flies(digest),
+                (Queue::Isolation, _) => self.isolated() < self.settings.isolated,
                 (Queue::Program(name), Some(body)) => is_about(body, name),
             };
             if affected {
@@ -281,6 +286,22 @@
         }
     }
 
+    /// Forgets what only concerns dispatches that are closed now.
+    fn forget_closed(&mut self, entry: &wire::Entry) {
+        let closed: Vec<&str> = match &entry.body {
+            Some(EntryBody::Settled(settled)) => vec![&settled.dispatch],
+            Some(EntryBody::Lost(lost)) => {
+                lost.dispatches.iter().map(|lost| lost.dispatch.as_str()).collect()
+            }
+            _ => return,
+        };
+        for dispatch in closed {
+            self.started.remove(dispatch);
+            self.blamed.remove(dispatch);
+            self.withdrawn.remove(dispatch);
+        }
+    }
+
     fn flies(&self, digest: &Digest) -> bool {
         self.state.flights.contains_key(digest)
     }
--- a/crates/core/src/program/settings.rs
+++ b/crates/core/src/program/settings.rs
@@ -23,6 +23,8 @@
     pub idle_ms: u64,
     /// Milliseconds between two sends of an unconfirmed release.
     pub release_ms: u64,
+    /// Most crash suspects that run alone at once in this group; each takes an engine to itself.
+    pub isolated: usize,
     /// Milliseconds that an ended program and its keys are kept.
     pub retain_ms: u64,
     /// Milliseconds that a crash suspect's score is kept.
@@ -58,6 +60,7 @@
             dispatch_ms: 600_000,
             idle_ms: 3_600_000,
             release_ms: 2_000,
+            isolated: 2,
             retain_ms: 86_400_000,
             suspect_ms: 86_400_000,
             scan_ms: 500,
--- a/crates/core/src/program/settlement.rs
+++ b/crates/core/src/program/settlement.rs
@@ -167,6 +167,7 @@
         if in_doubt {
             return;
         }
+        self.isolated -= usize::from(attempt.isolate);
         let running = &mut self.programs[program].running;
         running.retain(|key| *key != call);
         if running.is_empty() {
--- a/crates/core/src/program/snapshot.rs
+++ b/crates/core/src/program/snapshot.rs
@@ -162,6 +162,7 @@
             self.cancelling.insert(program);
         }
         self.hold(program, attempt.reserved);
+        self.isolated += usize::from(attempt.isolate);
         if let Some(digest) = attempt.digest {
             *self.flights.entry(digest).or_default() += 1;
         }
--- a/crates/core/src/program/state.rs
+++ b/crates/core/src/program/state.rs
@@ -144,6 +144,8 @@
     pub(super) calls: SlotMap<CallKey, Call>,
     /// How many running calls carry a crash digest.
     pub(super) flights: HashMap<Digest, u32>,
+    /// How many running calls have an engine to themselves.
+    pub(super) isolated: usize,
     pub(super) scores: Scores,
     /// Programs that ended and whose memory some endpoint may still hold.
     pub(super) releasing: HashSet<ProgramKey>,
--- a/crates/core/tests/quarantine_scores.rs
+++ b/crates/core/tests/quarantine_scores.rs
@@ -99,6 +99,31 @@
     assert_eq!(refusal(group.reply(waiting).unwrap()), Refusal::Quarantined);
 }
 
+#[test]
+fn suspects_take_few_engines_at_once() {
+    // An engine dies with ten requests. Were all ten run alone at once, they would take ten
+    // engines; two do at a time, and the others follow as these complete.
+    let mut group = Group::new(1);
+    let programs: Vec<String> = (0..10).map(|i| format!("p{i}")).collect();
+    let mut grants = vec![];
+    for program in &programs {
+        let grant = group.grant(turn(program, "k", &[user(program)]));
+        group.ask(ENTRY, started(program, &grant.dispatch, "e1"));
+        grants.push(grant);
+    }
+    for (program, grant) in programs.iter().zip(&grants) {
+        group.ask(ENTRY, crashed(program, &grant.dispatch, "e1"));
+    }
+    let asked = programs.iter().map(|p| group.send(ENTRY, turn(p, "k", &[user(p)])));
+    let tokens: Vec<_> = asked.collect();
+    for (i, (program, token)) in programs.iter().zip(&tokens).enumerate() {
+        let waiting = tokens.iter().filter(|token| group.reply(**token).is_none()).count();
+        assert_eq!(waiting, 10_usize.saturating_sub(i + 2));
+        let grant = granted(group.reply(*token).unwrap());
+        group.ask(ENTRY, done(program, &grant.dispatch, &assistant("fine")));
+    }
+}
+
 #[test]
 fn quarantine_survives_leader_change_and_restart() {
     let mut group = Group::new(3);
