--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -11,6 +11,7 @@
 use super::State;
 use super::asked::Asked;
 use super::deadlines::Repeats;
+use super::early::Early;
 use super::interface::{Effect, Input, ProposalId, RequestToken};
 use super::leading::Lead;
 use super::parking::{Parking, Queue};
@@ -34,6 +35,8 @@
     /// Group time at which the caller gives up.
     pub(super) until_ms: u64,
     pub(super) asked: Asked,
+    /// The request is a crash suspect and takes an engine to itself.
+    pub(super) isolate: bool,
 }
 
 /// Front of one replica of a program group.
@@ -60,6 +63,10 @@
     pub(super) blamed: HashSet<CompactString>,
     /// Dispatches that this leader takes back; none of them may be granted.
     pub(super) withdrawn: HashSet<CompactString>,
+    /// Dispatches granted out of an escrow whose begin is not applied yet.
+    pub(super) early: HashMap<CompactString, Early>,
+    /// Programs whose escrow says more than is left, since an early begin failed.
+    pub(super) tainted: HashSet<Name>,
     pub(super) gone: Vec<VmId>,
     pub(super) released: Repeats,
     pub(super) cancelled: Repeats,
@@ -89,6 +96,8 @@
             started: HashMap::new(),
             blamed: HashSet::new(),
             withdrawn: HashSet::new(),
+            early: HashMap::new(),
+            tainted: HashSet::new(),
             gone: vec![],
             released: Repeats::default(),
             cancelled: Repeats::default(),
@@ -177,7 +186,8 @@
                     millis => millis,
                 };
                 let until_ms = self.now_ms(now).saturating_add(wait);
-                self.admit(now, Ticket { token, from, until_ms, asked }, out);
+                let ticket = Ticket { token, from, until_ms, asked, isolate: false };
+                self.admit(now, ticket, out);
             }
             Err(detail) => {
                 out.push(Effect::Reply { token, reply: refusal(Refusal::Invalid, detail) });
@@ -185,7 +195,7 @@
         }
     }
 
-    fn settle(
+    pub(super) fn settle(
         &mut self,
         now: Time,
         token: RequestToken,
@@ -193,6 +203,7 @@
         settle: wire::Settle,
         out: &mut Vec<Effect>,
     ) {
+        let Some(settle) = self.hold_settle(token, from, settle) else { return };
         let settled = self.settled_entry(from, settle);
         self.propose(now, EntryBody::Settled(settled), Pending::Reply(token), out);
     }
@@ -234,6 +245,7 @@
         if entry.term == lead.term {
             self.complete(now, ProposalId(entry.proposal), applied, out);
         }
+        self.forget_closed(&entry);
         self.wake_for(now, &entry, out);
         self.release_ended(now, out);
     }
@@ -265,6 +277,7 @@
             let affected = match (&queue, &entry.body) {
                 (Queue::Ready, _) | (_, None) => false,
                 (Queue::Suspect(digest), _) => !self.flies(digest),
+                (Queue::Isolation, _) => self.isolated() < self.settings.isolated,
                 (Queue::Program(name), Some(body)) => is_about(body, name),
             };
             if affected {
@@ -273,6 +286,22 @@
         }
     }
 
+    /// Forgets what only concerns dispatches that are closed now.
+    fn forget_closed(&mut self, entry: &wire::Entry) {
+        let closed: Vec<&str> = match &entry.body {
+            Some(EntryBody::Settled(settled)) => vec![&settled.dispatch],
+            Some(EntryBody::Lost(lost)) => {
+                lost.dispatches.iter().map(|lost| lost.dispatch.as_str()).collect()
+            }
+            _ => return,
+        };
+        for dispatch in closed {
+            self.started.remove(dispatch);
+            self.blamed.remove(dispatch);
+            self.withdrawn.remove(dispatch);
+        }
+    }
+
     fn flies(&self, digest: &Digest) -> bool {
         self.state.flights.contains_key(digest)
     }
@@ -289,6 +318,7 @@
     let program = match body {
         EntryBody::Begin(begin) => begin.program.as_ref(),
         EntryBody::Settled(settled) => settled.program.as_ref(),
+        EntryBody::CloseEscrow(close) => close.program.as_ref(),
         // These may concern whole families.
         EntryBody::End(_) | EntryBody::Lost(_) | EntryBody::Lifted(_) => return true,
         _ => return false,
