--- a/crates/core/src/program/deadlines.rs
+++ b/crates/core/src/program/deadlines.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 
-use super::sequencer::{Effect, Sequencer};
+use super::interface::Effect;
+use super::sequencer::Sequencer;
 use super::settings::Settings;
 use super::state::{Attempt, Call, Phase, Program, ProgramKey, State};
 use crate::prelude::*;
@@ -22,6 +23,7 @@
             let reply = self.give_up(&ticket, Refusal::DeadlinePassed, detail);
             out.push(Effect::Reply { token: ticket.token, reply });
         }
+        self.withdraw_late(now, out);
         if now_ms < self.scanned_ms.saturating_add(self.settings.scan_ms) {
             return;
         }
@@ -36,7 +38,16 @@
     }
 
     /// Takes every dispatch of a dead entry VM for lost.
+    ///
+    /// Its requests that still wait get no grant: nobody would be there to use it, and the program
+    /// would stand still until it expires.
     pub(super) fn vm_gone(&mut self, now: Time, vm: VmId, out: &mut Vec<Effect>) {
+        for ticket in self.parking.take_from(vm) {
+            let detail = "the VM that asked was declared dead";
+            let reply = self.give_up(&ticket, Refusal::DeadlinePassed, detail);
+            out.push(Effect::Reply { token: ticket.token, reply });
+        }
+        self.withdraw_from(vm, out);
         match self.lead {
             Some(lead) if lead.ready => self.lose_held(now, vm, out),
             Some(_) => self.gone.push(vm),
@@ -145,7 +156,7 @@
     /// could fill memory again after it freed it, and the confirmation would hide that.
     pub(super) fn release_ended(&mut self, now: Time, out: &mut Vec<Effect>) {
         let now_ms = self.now_ms(now);
-        let mut running: Vec<ProgramKey> = self.state.ended_running().collect();
+        let mut running: Vec<ProgramKey> = self.state.cancelling.iter().copied().collect();
         running.sort();
         let mut idle: Vec<ProgramKey> = self.state.releasing.iter().copied().collect();
         idle.retain(|key| self.state.programs[*key].running.is_empty());
@@ -217,12 +228,6 @@
         })
     }
 
-    /// Returns ended programs that still have a dispatch under way.
-    fn ended_running(&self) -> impl Iterator<Item = ProgramKey> {
-        let ended = self.programs.iter().filter(|(_, program)| program.ended.is_some());
-        ended.filter(|(_, program)| !program.running.is_empty()).map(|(key, _)| key)
-    }
-
     /// Returns live programs that ran into their time limit or have been idle for too long.
     fn due_programs(&self, now_ms: u64, idle_ms: u64) -> Vec<(ProgramKey, EndReason)> {
         let live = self.programs.iter().filter(|(_, program)| program.ended.is_none());
