--- a/crates/gypsumglade/src/store/context.rs
+++ b/crates/gypsumglade/src/store/context.rs
@@ -1,6 +1,7 @@
 //! What all groups of a store process share.
 
-use std::sync::{Arc, RwLock};
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, RwLock};
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program;
@@ -34,6 +35,8 @@
     /// Log of the process.
     pub log: slog::Logger,
     pub(super) groups: RwLock<Vec<ProgramGroup>>,
+    /// Entry VMs that are down by now, for a replica that begins to lead.
+    pub(super) dead: Mutex<BTreeSet<VmId>>,
 }
 
 /// What became of an order to free an engine's memory.
@@ -126,6 +129,15 @@
         }
     }
 
+    /// Returns the entry VMs that are down by now.
+    pub fn dead(&self) -> Vec<VmId> {
+        self.dead.lock().expect("no panic while held").iter().copied().collect()
+    }
+
+    pub(super) fn set_dead(&self, dead: BTreeSet<VmId>) {
+        *self.dead.lock().expect("no panic while held") = dead;
+    }
+
     /// Returns a program group by its number.
     pub fn group(&self, group: GroupId) -> Option<ProgramGroup> {
         let index = group.0.checked_sub(1)? as usize;
--- a/crates/gypsumglade/src/store/member_watch.rs
+++ b/crates/gypsumglade/src/store/member_watch.rs
@@ -1,6 +1,6 @@
 //! Learns from an entry VM who takes part, and tells the groups of VMs that are gone.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use gypsumglade_core::prelude::*;
@@ -39,6 +39,7 @@
                     slog::warn!(context.log, "an entry VM is gone"; "gone" => vm.0);
                     context.feed_all(|| GroupInput::Gone(vm)).await;
                 }
+                context.set_dead(watch.dead());
                 let up = members.iter().filter(|member| member.up);
                 context.directory.set_entries(up.map(EntryMember::address).collect());
             }
@@ -78,6 +79,12 @@
         gone
     }
 
+    /// Returns the VMs that have been down for the grace time.
+    fn dead(&self) -> BTreeSet<VmId> {
+        let dead = self.down.iter().filter(|(_, since)| **since == Time::MAX);
+        dead.map(|(vm, _)| *vm).collect()
+    }
+
     /// Tells once that a VM has been down for the grace time.
     fn is_dead(&mut self, member: &EntryMember, now: Time) -> bool {
         if member.up {
--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -154,6 +154,11 @@
             Event::Leader { term, .. } => {
                 slog::info!(self.context.log, "leads a program group";
                     "group" => self.group.0, "term" => term.0);
+                // The last leader may not have heard who is dead; their calls must not wait.
+                for vm in self.context.dead() {
+                    let (inputs, gone) = (self.inputs.clone(), GroupInput::Gone(vm));
+                    tokio::spawn(async move { inputs.send(gone).await });
+                }
                 Some(Input::Leading { term: term.0 })
             }
             Event::Follower { leader, .. } => Some(Input::Following { leader }),
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 
 use anyhow::Context as _;
 use base64::Engine as _;
@@ -92,6 +92,7 @@
             program_settings: program::Settings::default(),
             log,
             groups: RwLock::default(),
+            dead: Mutex::default(),
         });
         let lease =
             LeaseSettings { length_ms: settings.timeouts.lease_ms, ..LeaseSettings::default() };
