--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -10,6 +10,7 @@
 use gypsumglade_core::lease::LeaseSettings;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program;
+use gypsumglade_core::replication;
 use jsonrpsee::core::params::ArrayParams;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -133,6 +134,11 @@
     HostSettings {
         vm: settings.vm.vm(),
         folder: Some(own.folder.clone()),
+        replication: replication::Settings {
+            heartbeat: Duration::from_millis(own.heartbeat_ms),
+            lease: Duration::from_millis(own.election_ms),
+            ..replication::Settings::default()
+        },
         ..HostSettings::default()
     }
 }
--- /dev/null
+++ b/crates/gypsumglade/tests/fault_run/main.rs
@@ -0,0 +1,70 @@
+//! Faults on real processes: nine entries and three stores, killed and frozen under load.
+//!
+//! The stand-ins run in this process, so that the check can compare what callers saw with what
+//! really ran. It judges safety only, never timing. `FAULT_RUN_SEED` and `FAULT_RUN_ROUNDS` make a
+//! longer run of it; docs/OPERATING.md tells how to read its report.
+
+mod callers;
+mod check;
+mod faults;
+mod fleet;
+mod outside;
+
+use std::sync::Arc;
+
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use callers::Load;
+use check::Report;
+use faults::{Fault, Schedule};
+use fleet::Fleet;
+use outside::Outside;
+
+/// Seed of the run in CI.
+const SEED: u64 = 20_261_203;
+/// Rounds over all faults of the run in CI.
+const ROUNDS: u64 = 1;
+
+fn variable(name: &str, usual: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
+#[test]
+fn fault_run_keeps_promises() {
+    // Callers run programs and take deposits, and send again whatever failed. Meanwhile entries,
+    // stores and engines are killed, frozen and stopped, singly, twice and together, and two
+    // operators race. Whatever the callers saw must agree with what the stand-ins ran.
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    let report = runtime.block_on(run(variable("FAULT_RUN_SEED", SEED)));
+    println!("{report}");
+    assert!(report.broken().is_empty(), "broken: {:#?}", report.broken());
+}
+
+async fn run(seed: u64) -> Report {
+    let rounds = variable("FAULT_RUN_ROUNDS", ROUNDS);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let fleet = Arc::new(Fleet::start(seed));
+    let outside = Arc::new(Outside::start(&fleet).await);
+    outside.roll(&fleet, "1.0.0", "first").await;
+    fleet.wait_ready().await;
+    let load = Load::start(&fleet, seed);
+    let monitor = check::Monitor::start(&fleet);
+    for _ in 0..rounds {
+        for fault in Schedule::shuffled(&mut rng) {
+            load.wait_calls(callers::CALLS_BETWEEN_FAULTS).await;
+            println!("fault: {fault:?}");
+            fault.inflict(&fleet, &outside, &monitor, &mut rng).await;
+        }
+    }
+    fleet.wait_ready().await;
+    let seen = load.finish().await;
+    check::judge(&fleet, &outside, seen, monitor).await
+}
+
+/// A fault is only worth its name if every one is reached.
+#[test]
+fn schedule_holds_every_fault() {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    assert_eq!(Schedule::shuffled(&mut rng).len(), Fault::ALL.len());
+}
