Give endpoints fenced orders and swap model versions without a gap

Cause: a VM that lost the order lease may still send, and some endpoints obey whatever fencing number an order carries. Change: order lease on both sides, fencing numbers that grow over all holders, a wait of the longest flight for endpoints that ignore them, a planner that loads the new version before the old goes, and a pace for the weight store. Conclusion: a lone engine with room for one version keeps the old one, since no order of steps there is without a gap.

--- a/crates/core/src/orders.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Fenced orders to endpoints: loading and dropping model versions.
--- /dev/null
+++ b/crates/core/src/orders/plan.rs
@@ -0,0 +1,220 @@
+//! Which engine should load or drop which model version next.
+//!
+//! The plan is worked out anew from what the engines announce, so it needs no memory: an order
+//! that was lost is planned again, and one that was carried out is no longer needed.
+
+use super::{Mutation, Pace};
+use crate::bundle::{Bundle, Model};
+use crate::prelude::*;
+
+/// A model at one version.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ModelVersion {
+    /// The model's name.
+    pub model: CompactString,
+    /// Its version.
+    pub version: CompactString,
+}
+
+/// A model engine as it announces itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Engine {
+    /// Instance name.
+    pub name: EndpointName,
+    /// Model versions it serves.
+    pub loaded: Vec<ModelVersion>,
+    /// Most versions it can hold at once.
+    pub slots: usize,
+    /// The order given to it and not yet seen carried out or failed.
+    pub pending: Option<Order>,
+    /// It is leaving, so it gets no orders and doesn't count.
+    pub leaving: bool,
+}
+
+/// One thing for an engine to do.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Order {
+    /// Fetch and serve a version.
+    Load {
+        /// The engine.
+        endpoint: EndpointName,
+        /// What it loads.
+        version: ModelVersion,
+    },
+    /// Stop serving a version and free its memory.
+    Drop {
+        /// The engine.
+        endpoint: EndpointName,
+        /// What it drops.
+        version: ModelVersion,
+    },
+}
+
+/// Plans orders, at the pace that the weight store allows.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    pace: Pace,
+    mutation: Mutation,
+}
+
+impl Planner {
+    /// Starts with the weight store's pace.
+    pub fn new(pace: Pace) -> Planner {
+        Planner::with_mutation(pace, Mutation::None)
+    }
+
+    /// Starts with one safeguard off.
+    #[doc(hidden)]
+    pub fn with_mutation(pace: Pace, mutation: Mutation) -> Planner {
+        Planner { pace, mutation }
+    }
+
+    /// Returns the orders to give now, at most one for each engine that has none pending. The
+    /// caller gives them all, or shows them as pending until they failed.
+    pub fn plan(&mut self, bundle: &Bundle, engines: &[Engine], now: Time) -> Vec<Order> {
+        let mutation = self.mutation;
+        let mut fleet = Fleet { bundle, engines, orders: Vec::new(), mutation };
+        let mut open: Vec<&Engine> =
+            engines.iter().filter(|engine| engine.pending.is_none() && !engine.leaving).collect();
+        open.sort_by(|a, b| a.name.cmp(&b.name));
+        for engine in open {
+            let order = fleet.next_order(engine, &mut self.pace, now);
+            fleet.orders.extend(order);
+        }
+        fleet.orders
+    }
+}
+
+/// Of the engines of a model, one in this many may be without it while versions change.
+const SWAP_SHARE: usize = 4;
+
+/// All engines, with the orders planned so far as good as given.
+struct Fleet<'a> {
+    bundle: &'a Bundle,
+    engines: &'a [Engine],
+    orders: Vec<Order>,
+    mutation: Mutation,
+}
+
+impl Fleet<'_> {
+    fn next_order(&self, engine: &Engine, pace: &mut Pace, now: Time) -> Option<Order> {
+        let endpoint = engine.name.clone();
+        let missing = self.most_needed(engine);
+        let free = engine.loaded.len() < engine.slots;
+        let drop_first = self.mutation == Mutation::DropFirst && self.droppable(engine).is_some();
+        match missing {
+            Some(version) if free && !drop_first => {
+                pace.start(self.loads(), now).then_some(Order::Load { endpoint, version })
+            }
+            _ => self.droppable(engine).map(|version| Order::Drop { endpoint, version }),
+        }
+    }
+
+    /// Returns the version that this engine lacks and the fewest engines serve. An engine with
+    /// fewer slots than models keeps the ones it has as long as they are wanted.
+    fn most_needed(&self, engine: &Engine) -> Option<ModelVersion> {
+        let wanted = self.bundle.models.iter().filter(|model| covers(model, engine));
+        let held = engine.loaded.iter().filter(|version| self.is_wanted(engine, version)).count();
+        if held >= engine.slots {
+            return None;
+        }
+        let missing = wanted.map(version_of).filter(|version| !engine.loaded.contains(version));
+        missing.min_by_key(|version| self.serving(version) + self.loading(version))
+    }
+
+    /// Returns a version that the bundle no longer wants here and whose end nobody notices.
+    fn droppable(&self, engine: &Engine) -> Option<ModelVersion> {
+        let mut unwanted = engine.loaded.iter().filter(|held| !self.is_wanted(engine, held));
+        let early = self.mutation == Mutation::DropFirst;
+        unwanted.find(|held| early || self.is_replaced(engine, held)).cloned()
+    }
+
+    /// A version may go when the bundle no longer has its model, when this engine serves the
+    /// newer one, or when the model has moved to engines that serve it.
+    ///
+    /// An engine without room for both must drop the old one first. It does so while others
+    /// serve the model, and only a share of them at a time; otherwise one change of bundle would
+    /// empty all engines at once. A lone engine without room keeps the old version.
+    fn is_replaced(&self, engine: &Engine, held: &ModelVersion) -> bool {
+        let Some(model) = self.bundle.model(&held.model) else { return true };
+        let current = version_of(model);
+        if engine.loaded.contains(&current) {
+            return true;
+        }
+        if !covers(model, engine) {
+            return self.serving(&current) > 0;
+        }
+        let cramped = engine.loaded.len() >= engine.slots;
+        cramped && self.others_serve(engine, &held.model) && self.may_swap(model)
+    }
+
+    fn is_wanted(&self, engine: &Engine, version: &ModelVersion) -> bool {
+        let model = self.bundle.model(&version.model);
+        model.is_some_and(|model| model.version == version.version && covers(model, engine))
+    }
+
+    fn up(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.iter().filter(|engine| !engine.leaving)
+    }
+
+    fn given(&self) -> impl Iterator<Item = &Order> {
+        let pending = self.engines.iter().filter_map(|engine| engine.pending.as_ref());
+        pending.chain(&self.orders)
+    }
+
+    fn loads(&self) -> usize {
+        self.given().filter(|order| matches!(order, Order::Load { .. })).count()
+    }
+
+    fn loading(&self, version: &ModelVersion) -> usize {
+        let loads =
+            |order: &&Order| matches!(order, Order::Load { version: v, .. } if v == version);
+        self.given().filter(loads).count()
+    }
+
+    /// Counts the engines that serve this version and aren't told to drop it.
+    fn serving(&self, version: &ModelVersion) -> usize {
+        let serves = |engine: &&Engine| {
+            engine.loaded.contains(version) && !self.drops(&engine.name, version)
+        };
+        self.up().filter(serves).count()
+    }
+
+    fn others_serve(&self, engine: &Engine, model: &str) -> bool {
+        let serves = |other: &Engine| {
+            let mut held = other.loaded.iter().filter(|version| version.model == model);
+            held.any(|version| !self.drops(&other.name, version))
+        };
+        self.up().any(|other| other.name != engine.name && serves(other))
+    }
+
+    fn drops(&self, name: &str, dropped: &ModelVersion) -> bool {
+        self.given().any(|order| match order {
+            Order::Drop { endpoint, version } => endpoint == name && version == dropped,
+            Order::Load { .. } => false,
+        })
+    }
+
+    /// Returns true while few enough engines of this model are empty or changing.
+    fn may_swap(&self, model: &Model) -> bool {
+        let covering: Vec<&Engine> = self.up().filter(|engine| covers(model, engine)).collect();
+        let changing = covering.iter().filter(|engine| self.is_changing(engine, model)).count();
+        changing < (covering.len() / SWAP_SHARE).max(1)
+    }
+
+    fn is_changing(&self, engine: &Engine, model: &Model) -> bool {
+        engine.loaded.is_empty()
+            || self.given().any(|order| {
+                let (Order::Load { endpoint, version } | Order::Drop { endpoint, version }) = order;
+                *endpoint == engine.name && version.model == model.name
+            })
+    }
+}
+
+fn covers(model: &Model, engine: &Engine) -> bool {
+    model.endpoints.iter().any(|pattern| pattern.matches(&engine.name))
+}
+
+fn version_of(model: &Model) -> ModelVersion {
+    ModelVersion { model: model.name.clone(), version: model.version.clone() }
+}
--- /dev/null
+++ b/crates/core/tests/orders_fencing.rs
@@ -0,0 +1,206 @@
+//! The order lease: no two holders act at once, and late orders of an old one change nothing.
+
+use gypsumglade_core::orders::{Fence, Mutation, OrderGrants, OrderHolder, OrderSettings};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::{OrderLease, TakeOrderLease};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
+
+const DRIFT_PPM: i64 = 100_000;
+const HOLDERS: usize = 2;
+
+#[derive(Clone, Debug)]
+enum Action {
+    Advance {
+        millis: u64,
+    },
+    /// A VM asks for the lease; the request may be answered later.
+    Ask {
+        holder: usize,
+    },
+    /// The leader answers one of the requests still open, and the reply arrives.
+    Answer {
+        index: usize,
+    },
+    /// The holder gives an order to the endpoint.
+    Order {
+        holder: usize,
+    },
+    /// An order in flight arrives, or, later than its flight, is given up.
+    Arrive {
+        index: usize,
+    },
+    ChangeLeader,
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        5 => (100..6_000_u64).prop_map(|millis| Action::Advance { millis }),
+        5 => (0..HOLDERS).prop_map(|holder| Action::Ask { holder }),
+        6 => (0..3_usize).prop_map(|index| Action::Answer { index }),
+        5 => (0..HOLDERS).prop_map(|holder| Action::Order { holder }),
+        5 => (0..3_usize).prop_map(|index| Action::Arrive { index }),
+        1 => Just(Action::ChangeLeader),
+    ]
+}
+
+/// An order under way to the endpoint.
+struct Flight {
+    fence: Fence,
+    sent: u64,
+}
+
+struct World {
+    settings: OrderSettings,
+    checks_fencing: bool,
+    rates: Vec<i64>,
+    micros: u64,
+    held: Option<OrderLease>,
+    grants: OrderGrants,
+    holders: Vec<Option<OrderHolder>>,
+    asked: Vec<(usize, Time)>,
+    flights: Vec<Flight>,
+    obeyed: Fence,
+    given: Fence,
+}
+
+impl World {
+    fn new(mutation: Mutation, checks_fencing: bool, rates: Vec<i64>) -> World {
+        let mut settings = OrderSettings { mutation, ..OrderSettings::default() };
+        settings.lease.drift_ppm = DRIFT_PPM as u32;
+        World {
+            settings,
+            checks_fencing,
+            rates,
+            micros: 100_000_000,
+            held: None,
+            grants: OrderGrants::lead(settings, Time(100_000_000)),
+            holders: vec![None; HOLDERS],
+            asked: Vec::new(),
+            flights: Vec::new(),
+            obeyed: Fence(0),
+            given: Fence(0),
+        }
+    }
+
+    /// The leader has clock 0, holder `n` has clock `n + 1`.
+    fn clock(&self, clock: usize) -> Time {
+        let drift = self.micros as i64 * self.rates[clock] / 1_000_000;
+        Time(self.micros.saturating_add_signed(drift))
+    }
+
+    fn run(&mut self, action: &Action) -> Result<(), TestCaseError> {
+        match *action {
+            Action::Advance { millis } => self.micros += millis * 1_000,
+            Action::Ask { holder } => self.asked.push((holder, self.clock(holder + 1))),
+            Action::Answer { index } if !self.asked.is_empty() => self.answer(index),
+            Action::Order { holder } => return self.order(holder),
+            Action::Arrive { index } if !self.flights.is_empty() => return self.arrive(index),
+            Action::ChangeLeader => {
+                self.grants = OrderGrants::lead(self.settings, self.clock(0));
+            }
+            Action::Answer { .. } | Action::Arrive { .. } => {}
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, index: usize) {
+        let (holder, asked) = self.asked.remove(index % self.asked.len());
+        let now = self.clock(0);
+        let taker = TakeOrderLease { vm: holder as u32, incarnation: 1 };
+        if !self.grants.may_take(self.held.as_ref(), &taker, now) {
+            return;
+        }
+        let own = self.held.is_some_and(|held| held.vm == taker.vm);
+        let before = self.held.map_or(0, |held| held.number);
+        let number = before + u32::from(!own);
+        let lease = OrderLease { vm: taker.vm, incarnation: 1, number };
+        self.held = Some(lease);
+        if !own {
+            let learnt = self.clock(holder + 1);
+            self.holders[holder] = Some(OrderHolder::new(self.settings, number, learnt));
+        }
+        let length = self.grants.renew(&lease, &taker, now).expect("it holds the lease");
+        if let Some(holder) = &mut self.holders[holder] {
+            holder.renewed(asked, length);
+        }
+    }
+
+    fn order(&mut self, index: usize) -> Result<(), TestCaseError> {
+        let now = self.clock(index + 1);
+        let Some(holder) = &mut self.holders[index] else { return Ok(()) };
+        let Some(fence) = holder.number(self.checks_fencing, now) else { return Ok(()) };
+        prop_assert!(fence > self.given, "two holders give orders at once");
+        self.given = fence;
+        self.flights.push(Flight { fence, sent: self.micros });
+        Ok(())
+    }
+
+    fn arrive(&mut self, index: usize) -> Result<(), TestCaseError> {
+        let flight = self.flights.remove(index % self.flights.len());
+        let over = self.micros - flight.sent > self.settings.flight.as_micros() as u64;
+        if over || (self.checks_fencing && flight.fence < self.obeyed) {
+            return Ok(());
+        }
+        // Within one lease the sender gives an engine one order at a time, so only orders of
+        // different leases can cross.
+        let (lease, before) = (flight.fence.0 >> 32, self.obeyed.0 >> 32);
+        prop_assert!(lease >= before, "an order of an earlier holder was obeyed late");
+        self.obeyed = self.obeyed.max(flight.fence);
+        Ok(())
+    }
+}
+
+fn run(mutation: Mutation, checks_fencing: bool, cases: u32) -> Result<(), String> {
+    let config = Config {
+        cases,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    };
+    let rates = prop::collection::vec(prop::sample::select(vec![-DRIFT_PPM, DRIFT_PPM]), 3);
+    let actions = prop::collection::vec(action(), 1..120);
+    let result = TestRunner::new(config).run(&(rates, actions), |(rates, actions)| {
+        let mut world = World::new(mutation, checks_fencing, rates);
+        actions.iter().try_for_each(|action| world.run(action))
+    });
+    result.map_err(|error| error.to_string())
+}
+
+fn cases() -> u32 {
+    let cases = std::env::var("GYPSUMGLADE_CASES").ok();
+    cases.and_then(|cases| cases.parse().ok()).unwrap_or(4_000)
+}
+
+#[test]
+fn number_with_endpoints_that_check() {
+    // The holder is cut off and paused while another VM takes over; then its orders arrive.
+    assert_eq!(run(Mutation::None, true, cases()), Ok(()));
+}
+
+#[test]
+fn number_with_endpoints_that_ignore_fencing() {
+    // As above, but the endpoint obeys any order: only the wait keeps an old one away.
+    assert_eq!(run(Mutation::None, false, cases()), Ok(()));
+}
+
+#[test]
+fn number_without_wait_out_is_caught() {
+    assert!(run(Mutation::NoWaitOut, false, 40_000).is_err());
+}
+
+#[test]
+fn number_without_lease_check_is_caught() {
+    assert!(run(Mutation::IgnoreLease, true, 40_000).is_err());
+}
+
+#[test]
+fn may_take_while_held_is_caught() {
+    assert!(run(Mutation::LeaseNotOver, true, 40_000).is_err());
+}
+
+#[test]
+fn may_take_without_blind_wait_is_caught() {
+    assert!(run(Mutation::NoBlindWait, true, 40_000).is_err());
+}
--- /dev/null
+++ b/crates/core/tests/orders_plan.rs
@@ -0,0 +1,143 @@
+//! Planned orders: a change of version or model without a gap in service.
+
+use gypsumglade_core::bundle::Bundle;
+use gypsumglade_core::orders::{Engine, ModelVersion, Mutation, Order, Pace, Planner};
+use gypsumglade_core::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+fn bundle(version: u32) -> Bundle {
+    let yaml = format!(
+        "version: \"{version}\"\nmodels:\n  - {{name: advisor, version: \"{version}\", \
+         input_micros: 1, output_micros: 1, context_tokens: 1000, endpoints: [\"adv-*\"]}}\n"
+    );
+    Bundle::parse(yaml.as_bytes()).expect("a sound bundle")
+}
+
+fn advisor(version: u32) -> ModelVersion {
+    ModelVersion { model: "advisor".into(), version: version.to_compact_string() }
+}
+
+fn engines(count: usize, slots: usize) -> Vec<Engine> {
+    let engine = |index: usize| Engine {
+        name: format!("adv-{index}").into(),
+        loaded: vec![advisor(1)],
+        slots,
+        pending: None,
+        leaving: false,
+    };
+    (0..count).map(engine).collect()
+}
+
+/// The engine carries its order out, or loses it.
+fn finish(engine: &mut Engine, lost: bool) {
+    match engine.pending.take() {
+        Some(Order::Load { version, .. }) if !lost => engine.loaded.push(version),
+        Some(Order::Drop { version, .. }) if !lost => {
+            engine.loaded.retain(|held| *held != version);
+        }
+        _ => {}
+    }
+}
+
+fn give(engines: &mut [Engine], orders: Vec<Order>) {
+    for order in orders {
+        let (Order::Load { endpoint, .. } | Order::Drop { endpoint, .. }) = &order;
+        let engine = engines.iter_mut().find(|engine| engine.name == *endpoint);
+        engine.expect("an order for a known engine").pending = Some(order);
+    }
+}
+
+/// Changes version 1 to 2 while engines finish or lose their orders in this order; returns the
+/// fewest engines that served the model at any time, and the engines at the end.
+fn swap(
+    mutation: Mutation,
+    mut fleet: Vec<Engine>,
+    events: &[(usize, bool)],
+) -> (usize, Vec<Engine>) {
+    let pace = Pace::new(2, Duration::from_secs(1));
+    let mut planner = Planner::with_mutation(pace, mutation);
+    let mut fewest = fleet.len();
+    for (second, (index, lost)) in events.iter().enumerate() {
+        let now = Time::from_millis(1_000 * second as u64);
+        let orders = planner.plan(&bundle(2), &fleet, now);
+        give(&mut fleet, orders);
+        let loads = fleet.iter().filter(|e| matches!(e.pending, Some(Order::Load { .. })));
+        assert!(loads.count() <= 2, "the weight store serves two loads at once");
+        let index = index % fleet.len();
+        finish(&mut fleet[index], *lost);
+        // An engine told to drop a version may do so at any moment.
+        let surely = |engine: &&Engine| {
+            let dropped = match &engine.pending {
+                Some(Order::Drop { version, .. }) => Some(version),
+                _ => None,
+            };
+            engine.loaded.iter().any(|held| Some(held) != dropped)
+        };
+        fewest = fewest.min(fleet.iter().filter(surely).count());
+    }
+    (fewest, fleet)
+}
+
+fn run(mutation: Mutation, slots: usize) -> Result<(), String> {
+    let config = Config {
+        cases: 150,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    };
+    let events = prop::collection::vec((0..10_usize, prop::bool::weighted(0.2)), 300);
+    let result = TestRunner::new(config).run(&(2..10_usize, events), |(count, events)| {
+        let (fewest, fleet) = swap(mutation, engines(count, slots), &events);
+        let changing = if slots == 1 { (count / 4).max(1) } else { 0 };
+        prop_assert!(fewest >= count - changing, "{fewest} of {count} engines served");
+        let done = fleet.iter().all(|engine| engine.loaded == [advisor(2)]);
+        prop_assert!(done, "the change never ended: {fleet:?}");
+        Ok(())
+    });
+    result.map_err(|error| error.to_string())
+}
+
+#[test]
+fn plan_swaps_version_with_room_for_both() {
+    // A new bundle replaces a version while callers use it. Orders get lost and engines are
+    // slow; with room for both versions no engine may be without one at any time.
+    assert_eq!(run(Mutation::None, 2), Ok(()));
+}
+
+#[test]
+fn plan_swaps_version_without_room_for_both() {
+    // Engines hold one version only. At most a quarter of them, or one, may be changing.
+    assert_eq!(run(Mutation::None, 1), Ok(()));
+}
+
+#[test]
+fn plan_dropping_first_is_caught() {
+    assert!(run(Mutation::DropFirst, 2).is_err());
+    assert!(run(Mutation::DropFirst, 1).is_err());
+}
+
+#[test]
+fn plan_keeps_a_lone_engine_serving() {
+    let mut planner = Planner::new(Pace::new(1, Duration::ZERO));
+    assert_eq!(planner.plan(&bundle(2), &engines(1, 1), Time::ZERO), []);
+}
+
+#[test]
+fn plan_drops_a_retired_model() {
+    let mut planner = Planner::new(Pace::new(1, Duration::ZERO));
+    let retired = Bundle::parse(b"version: \"2\"\n").expect("a sound bundle");
+    let drop = Order::Drop { endpoint: "adv-0".into(), version: advisor(1) };
+    assert_eq!(planner.plan(&retired, &engines(1, 1), Time::ZERO), [drop]);
+}
+
+#[test]
+fn plan_staggers_loads() {
+    let mut planner = Planner::new(Pace::new(9, Duration::from_secs(10)));
+    let fleet = engines(9, 2);
+    let first = planner.plan(&bundle(2), &fleet, Time::ZERO).len();
+    let soon = planner.plan(&bundle(2), &fleet, Time::from_millis(9_999)).len();
+    let later = planner.plan(&bundle(2), &fleet, Time::from_millis(10_000)).len();
+    assert_eq!((first, soon, later), (1, 0, 1));
+}
