--- a/crates/core/src/policy/admission/mod.rs
+++ b/crates/core/src/policy/admission/mod.rs
@@ -45,7 +45,7 @@
     pub queue: u32,
     /// Longest that the first call of a program waits.
     pub patience: Duration,
-    /// Most seconds that one call counts for among organisations.
+    /// Seconds of service that an organisation's turn pays for; longer calls skip turns.
     pub quantum: f64,
     /// Urgent starts in a row while others wait.
     pub urgent_run: u32,
@@ -66,7 +66,7 @@
             org_queue: 256,
             queue: 4096,
             patience: Duration::from_secs(20),
-            quantum: 15.0,
+            quantum: 4.0,
             urgent_run: 16,
             under_way_run: 32,
             retry: [Duration::from_secs(1), Duration::from_secs(60)],
@@ -388,7 +388,8 @@
     fn wait(&self, now: Time, org: OrgKey, band: Band, service: Duration) -> Duration {
         let guess = f64::from(self.limit.get()) / service.as_secs_f64().max(0.01);
         let rate = self.rate.get(now, guess).max(1e-3);
-        Duration::from_secs_f64(f64::from(self.queues.ahead(org, band)) / rate)
+        // Its own start takes a release too.
+        Duration::from_secs_f64((f64::from(self.queues.ahead(org, band)) + 1.0) / rate)
     }
 
     /// Returns when the calls that now lie before this one will have started.
--- a/crates/gypsumglade/src/cli/orders.rs
+++ b/crates/gypsumglade/src/cli/orders.rs
@@ -3,13 +3,12 @@
 use std::fmt;
 
 use bytes::Bytes;
-use gypsumglade_core::bundle::{Bundle, Digest, Signature, SignedBundle};
+use gypsumglade_core::bundle::{Digest, Signature};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
-use gypsumglade_core::wire::control::content::Body as ContentBody;
 use gypsumglade_core::wire::control::{
-    Accept, Accepted, Answer, Command, Content, Fault, RollBack, VersionConflict,
+    Accepted, Answer, Command, Fault, RollBack, VersionConflict,
 };
 use gypsumglade_core::wire::operator::Status;
 
@@ -25,20 +24,6 @@
     pub(super) base: u64,
 }
 
-/// Builds the command that makes a signed bundle the next revision.
-pub(super) fn accept(head: &OrderHead, signed: &SignedBundle, bundle: &Bundle) -> Command {
-    let content = Content { body: Some(ContentBody::Whole(signed.content.clone())) };
-    let accept = Accept {
-        order_id: head.id.to_string(),
-        base_revision: head.base,
-        version: bundle.version.to_string(),
-        digest: signed.digest().to_wire(),
-        content: Some(content),
-        signatures: signed.signatures.iter().map(Signature::to_wire).collect(),
-    };
-    Command { body: Some(CommandBody::Accept(accept)) }
-}
-
 /// Builds the command that makes an earlier revision's content the next revision.
 pub(super) fn roll_back(head: &OrderHead, to: u64, signatures: &[Signature]) -> Command {
     let back = RollBack {
@@ -116,6 +101,8 @@
     pub(super) in_force: bool,
     /// VMs that may still act on an earlier one.
     pub(super) waiting: Vec<u32>,
+    /// The current revision; a later one than `revision` when a resent order was answered again.
+    pub(super) current: u64,
 }
 
 impl RollReport {
@@ -126,14 +113,26 @@
             digest: digest(&accepted.digest),
             in_force: status.in_force,
             waiting: status.waiting.clone(),
+            current: status.current,
         }
     }
+
+    /// Tells whether another revision has replaced this one.
+    ///
+    /// A bundle that was rolled out once is not rolled out again: the resent order gets its first
+    /// answer, however long ago that was.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.current > self.revision
+    }
 }
 
 impl fmt::Display for RollReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let RollReport { revision, version, digest, .. } = self;
+        let RollReport { revision, version, digest, current, .. } = self;
         write!(f, "revision {revision}: version {version}, digest {digest}, ")?;
+        if self.is_replaced() {
+            return write!(f, "replaced by revision {current}");
+        }
         if self.in_force {
             return write!(f, "in force everywhere");
         }
