--- a/crates/core/tests/control_delta.rs
+++ b/crates/core/tests/control_delta.rs
@@ -34,8 +34,8 @@
 }
 
 /// A bundle of the letter's target: 4,500 organisations and 7 models.
-fn large(changed: usize) -> String {
-    let mut text = String::from("version: \"1\"\nmodels:\n");
+fn large(version: &str, changed: usize) -> String {
+    let mut text = format!("version: \"{version}\"\nmodels:\n");
     for model in 0..7 {
         let _ = writeln!(
             text,
@@ -60,7 +60,7 @@
 
 #[test]
 fn diff_of_one_organisation_is_small() {
-    let (base, target) = (large(usize::MAX), large(3_000));
+    let (base, target) = (large("2026.12.1", usize::MAX), large("2026.12.2", 3_000));
     Bundle::parse(target.as_bytes()).expect("the large bundle is sound");
     let bytes = diff(base.as_bytes(), target.as_bytes()).encoded_len();
     println!("content {} bytes, delta {bytes} bytes", target.len());
