Go on pulling pages until one round brought nothing new

Cause: when 390 VMs start at once, the first pages come from VMs that know little; a VM then slowed its pulls down too early, and VMs known from pages were gossiped on by everyone. Change: a VM has joined once a whole round of pages told it of no new VM; what a page tells of a new VM isn't passed on.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -111,6 +111,8 @@
     due: Due,
     pull_start: u32,
     joined: bool,
+    /// A VM was heard of for the first time in this round of pages.
+    found: bool,
     leaving: Option<u32>,
     /// Rounds of gossip in which this VM still objects to news of itself.
     objections: u32,
@@ -158,6 +160,7 @@
             due: Due { probe: later, gossip: later, pull: later, contact: now },
             pull_start: 0,
             joined: false,
+            found: false,
             leaving: None,
             objections: 0,
             counts: Counts::default(),
@@ -262,10 +265,11 @@
             return;
         }
         let pulled = matches!(datagram.body, Some(Body::PullReply(_)));
+        let origin = Origin { sender, pulled };
         for rumour in &datagram.rumours {
             match pulled && rumour.liveness() == Liveness::Dead {
-                true => self.learn(&doubted(rumour, sender), sender, now, effects),
-                false => self.learn(rumour, sender, now, effects),
+                true => self.learn(&doubted(rumour, sender), origin, now, effects),
+                false => self.learn(rumour, origin, now, effects),
             }
         }
         if self.leaving.is_some() {
@@ -283,7 +287,13 @@
     }
 
     /// Takes one piece of news.
-    fn learn(&mut self, rumour: &wire::Rumour, sender: VmId, now: Time, effects: &mut Vec<Effect>) {
+    fn learn(
+        &mut self,
+        rumour: &wire::Rumour,
+        origin: Origin,
+        now: Time,
+        effects: &mut Vec<Effect>,
+    ) {
         let vm = VmId(rumour.vm);
         if vm == self.settings.vm {
             self.refute(rumour);
@@ -295,12 +305,11 @@
             None => {
                 let Some(record) = Record::first(rumour, now) else { return };
                 self.records.insert(vm, record);
+                self.found = true;
                 Merged::New
             }
         };
-        // A VM's word on its own profile reaches all by pulls; passing it on is for news of
-        // liveness and for what came first hand.
-        if merged != Merged::Profile || sender == vm {
+        if origin.is_news(vm, merged) {
             self.gossip.add(vm, merged);
         }
         if merged != Merged::Old {
@@ -368,7 +377,8 @@
             accuser: self.settings.vm.0,
             profile: None,
         };
-        self.learn(&rumour, self.settings.vm, now, effects);
+        let origin = Origin { sender: self.settings.vm, pulled: false };
+        self.learn(&rumour, origin, now, effects);
     }
 
     fn expire_suspicions(&mut self, now: Time, effects: &mut Vec<Effect>) {
@@ -503,9 +513,14 @@
         effects.push(Effect::Send { to: from, bytes: page.encode_to_vec().into() });
     }
 
+    /// Goes on to the next page. A VM has joined once a round of all pages told it of no new
+    /// VM: when many start at once, the first rounds come from VMs that know little themselves.
     fn take_page(&mut self, reply: wire::PullReply) {
         self.pull_start = reply.next;
-        self.joined |= reply.next == 0;
+        if reply.next == 0 {
+            self.joined |= !self.found;
+            self.found = false;
+        }
     }
 
     fn next_sequence(&mut self) -> u32 {
@@ -545,6 +560,28 @@
     }
 }
 
+/// How a piece of news came here.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
+    sender: VmId,
+    /// It stood on a page of members, and so isn't news to others.
+    pulled: bool,
+}
+
+impl Origin {
+    /// Returns true for what must be passed on: news of liveness, a VM that joins, and the
+    /// profile that a VM tells of itself. Other profiles, and VMs that a page told of, reach all
+    /// by pages; passing them on would fill the datagrams of a cold start with what is known.
+    fn is_news(self, vm: VmId, merged: Merged) -> bool {
+        match merged {
+            Merged::Old => false,
+            Merged::Liveness => true,
+            Merged::New => !self.pulled,
+            Merged::Profile => self.sender == vm,
+        }
+    }
+}
+
 /// Turns a pulled death into a suspicion. After a partition each side holds the other for dead;
 /// taking that over page by page would make VMs that are up count as dead on their own side
 /// until they object, while a suspicion gives them the time to.
