--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -7,10 +7,12 @@
 //! grow with their number. See docs/design/membership.md.
 
 mod gossip;
+mod learn;
 mod member;
 mod probe;
 mod settings;
 mod suspicion;
+mod sync;
 
 pub use crate::wire::membership::Liveness;
 pub use member::Member;
@@ -29,7 +31,8 @@
 use crate::wire::membership as wire;
 use crate::wire::membership::datagram::Body;
 use gossip::Gossip;
-use member::{Merged, Record};
+use learn::{Origin, doubted};
+use member::Record;
 use probe::{Probe, Relayed};
 use suspicion::Suspicion;
 
@@ -286,118 +289,6 @@
         }
     }
 
-    /// Takes one piece of news.
-    fn learn(
-        &mut self,
-        rumour: &wire::Rumour,
-        origin: Origin,
-        now: Time,
-        effects: &mut Vec<Effect>,
-    ) {
-        let vm = VmId(rumour.vm);
-        if vm == self.settings.vm {
-            self.refute(rumour);
-            return;
-        }
-        let ignore_order = self.settings.mutation == Mutation::IgnoreIncarnation;
-        let merged = match self.records.get_mut(&vm) {
-            Some(record) => record.merge(rumour, now, ignore_order),
-            None => {
-                let Some(record) = Record::first(rumour, now) else { return };
-                self.records.insert(vm, record);
-                self.found = true;
-                Merged::New
-            }
-        };
-        if origin.is_news(vm, merged) {
-            self.gossip.add(vm, merged);
-        }
-        if merged != Merged::Old {
-            effects.push(Effect::Changed(vm));
-        }
-        if rumour.liveness() == Liveness::Suspect {
-            self.count_accuser(vm, rumour, now);
-        }
-    }
-
-    /// Starts or confirms the suspicion that a rumour tells of.
-    fn count_accuser(&mut self, vm: VmId, rumour: &wire::Rumour, now: Time) {
-        let size = self.size();
-        let Some(record) = self.records.get_mut(&vm) else { return };
-        let current = record.member.liveness == Liveness::Suspect
-            && record.member.incarnation == rumour.incarnation;
-        if !current {
-            return;
-        }
-        let accuser = VmId(rumour.accuser);
-        match &mut record.suspicion {
-            Some(suspicion) => {
-                if suspicion.confirm(accuser) {
-                    self.gossip.add(vm, Merged::Liveness);
-                }
-            }
-            None => {
-                let suspicion = Suspicion::new(&self.settings.times, size, accuser, now);
-                record.suspicion = Some(suspicion);
-            }
-        }
-    }
-
-    /// Objects to news that this VM is anything but alive, or that it lives on in an earlier
-    /// incarnation of a higher number.
-    fn refute(&mut self, rumour: &wire::Rumour) {
-        let me = &mut self.me;
-        let older = rumour.incarnation < me.member.incarnation;
-        let same = rumour.incarnation == me.member.incarnation;
-        let agreed = same && rumour.liveness() == me.member.liveness;
-        let off = self.settings.mutation == Mutation::NoRefute;
-        if older || agreed || off || self.leaving.is_some() {
-            return;
-        }
-        me.member.incarnation = rumour.incarnation.saturating_add(1);
-        // A restarted VM's profile must pass the one of its earlier life.
-        me.profile.0 = me.member.incarnation;
-        self.counts.refutations += 1;
-        if rumour.liveness() == Liveness::Suspect {
-            self.distrust = (self.distrust + 1).min(MAX_DISTRUST);
-        }
-        self.objections = OBJECTION_ROUNDS;
-    }
-
-    fn suspect(&mut self, vm: VmId, now: Time, effects: &mut Vec<Effect>) {
-        let Some(record) = self.records.get(&vm) else { return };
-        if !record.member.is_up() {
-            return;
-        }
-        self.counts.suspicions += u64::from(record.member.liveness == Liveness::Alive);
-        let rumour = wire::Rumour {
-            vm: vm.0,
-            incarnation: record.member.incarnation,
-            liveness: Liveness::Suspect.into(),
-            accuser: self.settings.vm.0,
-            profile: None,
-        };
-        let origin = Origin { sender: self.settings.vm, pulled: false };
-        self.learn(&rumour, origin, now, effects);
-    }
-
-    fn expire_suspicions(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let forget = self.millis(self.settings.times.forget_ms);
-        self.records
-            .retain(|_, record| record.member.is_up() || now.since(record.changed) < forget);
-        for (vm, record) in &mut self.records {
-            let over = record.suspicion.as_ref().is_some_and(|held| now >= held.deadline());
-            if !over {
-                continue;
-            }
-            record.suspicion = None;
-            record.member.liveness = Liveness::Dead;
-            record.changed = now;
-            self.gossip.add(*vm, Merged::Liveness);
-            effects.push(Effect::Changed(*vm));
-        }
-    }
-
     /// Passes news on beyond the probes while there is any, and tells others when leaving.
     fn spread(&mut self, effects: &mut Vec<Effect>) {
         let fan_out = match &mut self.leaving {
@@ -440,89 +331,6 @@
         picked.sample(&mut self.random, count).copied().collect()
     }
 
-    /// Contacts a VM that counts as dead, or a seed where nobody is known to be up.
-    ///
-    /// The failure: a partition lasts until each side holds the other for dead, and heals. With
-    /// nobody probing the dead, two halves would run on side by side for good. One contact by
-    /// any VM is enough, since the news it brings spreads.
-    fn contact(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let alone = self.records.values().all(|record| !record.member.is_up());
-        let times = self.settings.times;
-        let pause = if alone { times.period_ms } else { times.contact_dead_ms };
-        let jitter = self.random.random_range(0..=pause / 4);
-        self.due.contact = now + Duration::from_millis(pause + jitter);
-        if self.settings.mutation == Mutation::NoContactDead && self.joined {
-            return;
-        }
-        for vm in self.sample(1, |member| member.liveness == Liveness::Dead) {
-            let sequence = self.next_sequence();
-            let ping = wire::Ping { sequence, target: Some(vm.0) };
-            self.send_to(vm, Some(Body::Ping(ping)), effects);
-        }
-        let silent = self.silent_seeds();
-        let count = if alone { silent.len() } else { 1 };
-        let chosen: Vec<SocketAddr> = silent.sample(&mut self.random, count).copied().collect();
-        for seed in chosen {
-            let ping = wire::Ping { sequence: self.next_sequence(), target: None };
-            let datagram = self.datagram(None, Some(Body::Ping(ping)));
-            effects.push(Effect::Send { to: seed, bytes: datagram });
-        }
-    }
-
-    fn silent_seeds(&self) -> Vec<SocketAddr> {
-        let up = |seed: &SocketAddr| {
-            let mut members = self.records.values().map(|record| &record.member);
-            members.any(|member| member.is_up() && member.address == *seed)
-        };
-        let seeds = self.settings.seeds.iter();
-        seeds.filter(|seed| **seed != self.settings.address && !up(seed)).copied().collect()
-    }
-
-    /// Asks a random VM for the next page of members, so that news that gossip lost arrives.
-    fn pull(&mut self, effects: &mut Vec<Effect>) {
-        if self.settings.mutation == Mutation::NoPull {
-            return;
-        }
-        for vm in self.sample(1, |member| member.liveness == Liveness::Alive) {
-            let pull = wire::PullRequest { start: self.pull_start };
-            self.send_to(vm, Some(Body::PullRequest(pull)), effects);
-        }
-    }
-
-    fn serve_pull(
-        &mut self,
-        sender: VmId,
-        from: SocketAddr,
-        pull: wire::PullRequest,
-        effects: &mut Vec<Effect>,
-    ) {
-        let reply = Body::PullReply(wire::PullReply { next: u32::MAX });
-        let mut page = self.header(Some(sender), Some(reply));
-        let mut size = page.encoded_len();
-        let mut next = 0;
-        for (vm, record) in self.records.range(VmId(pull.start)..) {
-            let rumour = record.rumour(true);
-            size += gossip::rumour_bytes(&rumour);
-            if size > MAX_DATAGRAM {
-                next = vm.0;
-                break;
-            }
-            page.rumours.push(rumour);
-        }
-        page.body = Some(Body::PullReply(wire::PullReply { next }));
-        effects.push(Effect::Send { to: from, bytes: page.encode_to_vec().into() });
-    }
-
-    /// Goes on to the next page. A VM has joined once a round of all pages told it of no new
-    /// VM: when many start at once, the first rounds come from VMs that know little themselves.
-    fn take_page(&mut self, reply: wire::PullReply) {
-        self.pull_start = reply.next;
-        if reply.next == 0 {
-            self.joined |= !self.found;
-            self.found = false;
-        }
-    }
-
     fn next_sequence(&mut self) -> u32 {
         self.sequence = self.sequence.wrapping_add(1);
         self.sequence
@@ -559,33 +367,3 @@
         order
     }
 }
-
-/// How a piece of news came here.
-#[derive(Clone, Copy, Debug)]
-struct Origin {
-    sender: VmId,
-    /// It stood on a page of members, and so isn't news to others.
-    pulled: bool,
-}
-
-impl Origin {
-    /// Returns true for what must be passed on: news of liveness, a VM that joins, and the
-    /// profile that a VM tells of itself. Other profiles, and VMs that a page told of, reach all
-    /// by pages; passing them on would fill the datagrams of a cold start with what is known.
-    fn is_news(self, vm: VmId, merged: Merged) -> bool {
-        match merged {
-            Merged::Old => false,
-            Merged::Liveness => true,
-            Merged::New => !self.pulled,
-            Merged::Profile => self.sender == vm,
-        }
-    }
-}
-
-/// Turns a pulled death into a suspicion. After a partition each side holds the other for dead;
-/// taking that over page by page would make VMs that are up count as dead on their own side
-/// until they object, while a suspicion gives them the time to.
-fn doubted(rumour: &wire::Rumour, sender: VmId) -> wire::Rumour {
-    let liveness = Liveness::Suspect.into();
-    wire::Rumour { liveness, accuser: sender.0, ..rumour.clone() }
-}
