Score one death once, over leader changes too

Change: the leader keeps which endpoints died and what each took along (crashes.rs); nothing is granted early while a turn of the program is in doubt. Conclusion: harmless requests are not quarantined for a death they shared.

--- a/crates/core/src/program/admission.rs
+++ b/crates/core/src/program/admission.rs
@@ -11,7 +11,6 @@
 use super::messages::{answer_message, canonical, compare_history, message_hash};
 use super::parking::Queue;
 use super::proposals::Pending;
-use super::quarantine::WHOLE_DEATH;
 use super::replies::{early_grant, grant, recorded, refusal, unknown};
 use super::sequencer::{Sequencer, Ticket};
 use super::state::{Attempt, CallKey, Name, Phase, Program};
@@ -288,41 +287,6 @@
             inquired: settle.inquired,
         }
     }
-
-    /// Shares the blame for an endpoint's death among the requests it was running.
-    ///
-    /// Each of them will be reported as crashed by its own holder; only the first report counts,
-    /// else the last reporter would seem to have been alone.
-    fn crash_shares(&mut self, settle: &wire::Settle) -> Vec<wire::Share> {
-        if !settle.crashed || self.blamed.contains(settle.dispatch.as_str()) {
-            return vec![];
-        }
-        let on_it = |endpoint: &EndpointName| *endpoint == settle.endpoint;
-        let mut beside: Vec<CompactString> = self
-            .started
-            .iter()
-            .filter(|(dispatch, endpoint)| **dispatch != settle.dispatch && on_it(endpoint))
-            .map(|(dispatch, _)| dispatch.clone())
-            .collect();
-        beside.sort();
-        beside.insert(0, (&settle.dispatch).into());
-        let running: Vec<_> = self.state.running_attempts().collect();
-        let hit: Vec<_> = beside
-            .iter()
-            .filter_map(|dispatch| running.iter().find(|(call, _)| call.dispatch == *dispatch))
-            .filter_map(|(_, attempt)| Some((attempt.digest?, attempt.isolate)))
-            .collect();
-        let share = WHOLE_DEATH / hit.len().max(1) as u32;
-        let alone = hit.len() == 1;
-        let shares = hit.into_iter().map(|(digest, isolate)| wire::Share {
-            digest: Bytes::copy_from_slice(&digest),
-            share,
-            alone: alone && isolate,
-        });
-        let shares = shares.collect();
-        self.blamed.extend(beside);
-        shares
-    }
 }
 
 impl Attempt {
--- /dev/null
+++ b/crates/core/src/program/crashes.rs
@@ -0,0 +1,105 @@
+//! Who was in flight on an endpoint when it died, as far as this leader knows.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+
+use super::quarantine::{Digest, WHOLE_DEATH};
+use super::sequencer::Sequencer;
+use crate::prelude::*;
+use crate::wire::program as wire;
+
+/// Where dispatches run and which deaths were scored; a new leader starts with none.
+#[derive(Debug, Default)]
+pub(super) struct Flights {
+    /// Where dispatches run, as their holders told this leader.
+    started: HashMap<CompactString, EndpointName>,
+    /// Dispatches that an earlier report of the same death has blamed.
+    blamed: HashMap<CompactString, EndpointName>,
+    /// How many requests each dead endpoint took with it.
+    deaths: HashMap<EndpointName, u32>,
+}
+
+/// One request that an endpoint took with it.
+#[derive(Clone, Copy, Debug)]
+struct Victim {
+    digest: Digest,
+    isolate: bool,
+    /// An earlier leader granted it, and was told where it runs.
+    inherited: bool,
+}
+
+impl Flights {
+    /// Notes where a dispatch runs; an endpoint that takes work again lives again.
+    pub(super) fn start(&mut self, dispatch: &str, endpoint: EndpointName) {
+        self.deaths.remove(&endpoint);
+        self.started.insert(dispatch.into(), endpoint);
+    }
+
+    /// Forgets a dispatch that is closed.
+    pub(super) fn close(&mut self, dispatch: &str) {
+        self.started.remove(dispatch);
+        self.blamed.remove(dispatch);
+    }
+
+    /// Forgets all, as a leader that ceases to lead does.
+    pub(super) fn clear(&mut self) {
+        *self = Flights::default();
+    }
+
+    /// Takes the dispatches that ran on an endpoint, in a fixed order.
+    fn take_from(&mut self, endpoint: &EndpointName) -> Vec<CompactString> {
+        let on_it = self.started.iter().filter(|(_, at)| *at == endpoint);
+        let mut taken: Vec<CompactString> = on_it.map(|(dispatch, _)| dispatch.clone()).collect();
+        taken.sort();
+        for dispatch in &taken {
+            self.started.remove(dispatch);
+            self.blamed.insert(dispatch.clone(), endpoint.clone());
+        }
+        taken
+    }
+}
+
+impl Sequencer {
+    /// Shares the blame for an endpoint's death among the requests it was running.
+    ///
+    /// Each of them will be reported as crashed by its own holder. Only the first report counts
+    /// for those this leader knew to be there, else the last reporter would seem to have been
+    /// alone. A dispatch that an earlier leader was told of takes a share of the same death.
+    pub(super) fn crash_shares(&mut self, settle: &wire::Settle) -> Vec<wire::Share> {
+        let dispatch = settle.dispatch.as_str();
+        if !settle.crashed || self.flights.blamed.contains_key(dispatch) {
+            return vec![];
+        }
+        let endpoint = EndpointName::from(&settle.endpoint);
+        let inherited = self.victim(dispatch).is_some_and(|victim| victim.inherited);
+        if let Some(others) = self.flights.deaths.get(&endpoint).copied().filter(|_| inherited) {
+            let share = WHOLE_DEATH / (others + 1);
+            return self.victim(dispatch).map(|v| v.share(share, false)).into_iter().collect();
+        }
+        let mut hit = self.flights.take_from(&endpoint);
+        if !hit.iter().any(|other| other == dispatch) {
+            hit.insert(0, dispatch.into());
+            self.flights.blamed.insert(dispatch.into(), endpoint.clone());
+        }
+        let victims: Vec<Victim> = hit.iter().filter_map(|d| self.victim(d)).collect();
+        let count = victims.len().max(1) as u32;
+        self.flights.deaths.insert(endpoint, count);
+        let alone = victims.len() == 1;
+        victims.iter().map(|victim| victim.share(WHOLE_DEATH / count, alone)).collect()
+    }
+
+    fn victim(&self, dispatch: &str) -> Option<Victim> {
+        let (_, attempt) =
+            self.state.running_attempts().find(|(call, _)| call.dispatch == dispatch)?;
+        let inherited = self.lead.is_some_and(|lead| lead.term != attempt.term);
+        Some(Victim { digest: attempt.digest?, isolate: attempt.isolate, inherited })
+    }
+}
+
+impl Victim {
+    fn share(&self, share: u32, alone: bool) -> wire::Share {
+        let digest = Bytes::copy_from_slice(&self.digest);
+        wire::Share { digest, share, alone: alone && self.isolate }
+    }
+}
--- a/crates/core/src/program/early.rs
+++ b/crates/core/src/program/early.rs
@@ -51,7 +51,9 @@
         }
         let suspect = self.is_suspect(begin);
         let due = self.state.deadline_ms(*key).is_some_and(|due| due <= self.now_ms(now));
-        let sound = !self.tainted.contains(&ticket.asked.name);
+        // The late answer of a lost attempt may be in the log already, and would take the turn.
+        let sound = !self.tainted.contains(&ticket.asked.name)
+            && !self.state.has_doubtful_turn(*key, begin.turn);
         sound && !suspect && !due && self.state.programs[*key].escrow_covers(lead.term, begin)
     }
 
--- a/crates/core/src/program/escrow.rs
+++ b/crates/core/src/program/escrow.rs
@@ -23,9 +23,9 @@
     /// Records a turn that its leader granted out of the escrow before this entry was committed.
     ///
     /// It is running whatever happened meanwhile, also if the program ended, so it is recorded
-    /// all the same: only then can it be settled, cancelled and counted. But if the late answer of
-    /// a lost attempt was committed just before it, its turn is taken: recorded, it would put a
-    /// second answer into the history. Then it only counts as spent, and its settle is refused.
+    /// all the same: only then can it be settled, cancelled and counted. But if its turn is taken,
+    /// it would put a second answer into the history. Then it only counts as spent, and its settle
+    /// is refused. The leader grants nothing early while that can happen; this makes sure of it.
     pub(super) fn begin_escrowed(&mut self, begin: &wire::Begin) -> Applied {
         let name = Name::of(begin.program.as_ref());
         let Some(program) = self.names.get(&name).copied() else { return Applied::Done };
@@ -48,6 +48,12 @@
         Applied::Granted(call)
     }
 
+    /// Tells whether a lost attempt may yet be settled as the given turn.
+    pub(super) fn has_doubtful_turn(&self, program: ProgramKey, turn: u64) -> bool {
+        let mut calls = self.programs[program].calls.values().map(|call| &self.calls[*call]);
+        calls.any(|call| call.turn == turn && matches!(call.phase, Phase::InDoubt(_)))
+    }
+
     fn is_turn_taken(&self, program: ProgramKey, begin: &wire::Begin) -> bool {
         let found = &self.programs[program];
         let call = found.calls.get(begin.key.as_str()).map(|call| &self.calls[*call].phase);
--- a/crates/core/src/program/leading.rs
+++ b/crates/core/src/program/leading.rs
@@ -55,8 +55,7 @@
         out.extend(replies);
         self.chores.clear();
         self.busy.clear();
-        self.started.clear();
-        self.blamed.clear();
+        self.flights.clear();
         self.withdrawn.clear();
         self.released.clear();
         self.cancelled.clear();
--- a/crates/core/src/program/mod.rs
+++ b/crates/core/src/program/mod.rs
@@ -10,6 +10,7 @@
 mod asked;
 mod audit;
 mod budget;
+mod crashes;
 mod deadlines;
 mod early;
 mod escrow;
--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -10,6 +10,7 @@
 
 use super::State;
 use super::asked::Asked;
+use super::crashes::Flights;
 use super::deadlines::Repeats;
 use super::early::Early;
 use super::interface::{Effect, Input, ProposalId, RequestToken};
@@ -57,10 +58,7 @@
     pub(super) parking: Parking,
     /// Programs with a begin on its way through the log.
     pub(super) busy: HashSet<Name>,
-    /// Where dispatches run, as their holders told.
-    pub(super) started: HashMap<CompactString, EndpointName>,
-    /// Dispatches that a crash report of their endpoint already blamed.
-    pub(super) blamed: HashSet<CompactString>,
+    pub(super) flights: Flights,
     /// Dispatches that this leader takes back; none of them may be granted.
     pub(super) withdrawn: HashSet<CompactString>,
     /// Dispatches granted out of an escrow whose begin is not applied yet.
@@ -93,8 +91,7 @@
             chores: HashSet::new(),
             parking: Parking::default(),
             busy: HashSet::new(),
-            started: HashMap::new(),
-            blamed: HashSet::new(),
+            flights: Flights::default(),
             withdrawn: HashSet::new(),
             early: HashMap::new(),
             tainted: HashSet::new(),
@@ -218,7 +215,7 @@
         out: &mut Vec<Effect>,
     ) {
         let endpoint = EndpointName::from(&started.endpoint);
-        self.started.insert((&started.dispatch).into(), endpoint.clone());
+        self.flights.start(&started.dispatch, endpoint.clone());
         let program = self.state.find(&Name::of(started.program.as_ref()));
         let known = program.is_none_or(|program| program.endpoints.contains(&endpoint));
         if known {
@@ -296,8 +293,7 @@
             _ => return,
         };
         for dispatch in closed {
-            self.started.remove(dispatch);
-            self.blamed.remove(dispatch);
+            self.flights.close(dispatch);
             self.withdrawn.remove(dispatch);
         }
     }
--- /dev/null
+++ b/crates/core/tests/quarantine_property.rs
@@ -0,0 +1,206 @@
+//! Random loads with a request that kills engines: how many it costs, and whom else it hurts.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use gypsumglade_core::program::{Input, RequestToken};
+use gypsumglade_core::wire::program as wire;
+use gypsumglade_core::wire::program::Refusal;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use support::*;
+
+/// Cases of the property when the environment names no other count.
+const CASES: u32 = 256;
+/// Environment variable with the count of cases, for long runs.
+const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
+/// Seed of the property's random choices.
+const SEED: u64 = 11;
+/// Engines that requests are spread over.
+const ENGINES: usize = 3;
+/// Programs; every third sends the bad request, the others send harmless ones of their own.
+const PROGRAMS: usize = 9;
+
+/// One thing that happens.
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    /// A program's caller sends its request, again if need be.
+    Ask { program: usize },
+    /// A granted request is sent to an engine, or to one of its own when it must run alone.
+    Send { program: usize, engine: usize },
+    /// A harmless request completes.
+    Finish { program: usize },
+    /// A bad request kills its engine, and every request there is reported as crashed.
+    Kill { program: usize },
+    /// Another replica leads; what the last leader was told of engines is gone.
+    Lead { to: usize },
+}
+
+/// A granted request, and the engine it runs on once it is sent.
+struct Flight {
+    grant: wire::Grant,
+    engine: Option<String>,
+}
+
+/// Engines, callers and the group between them.
+struct Fleet {
+    group: Group,
+    waiting: BTreeMap<RequestToken, usize>,
+    flights: BTreeMap<usize, Flight>,
+    attempts: u32,
+    deaths: usize,
+    /// Bad requests in flight when the first engine died, and leader changes since.
+    beside: usize,
+    violations: Vec<String>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        Fleet {
+            group: Group::new(3),
+            waiting: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            attempts: 0,
+            deaths: 0,
+            beside: 0,
+            violations: vec![],
+        }
+    }
+
+    fn perform(&mut self, op: Op) {
+        match op {
+            Op::Ask { program } => self.ask(program),
+            Op::Send { program, engine } => self.send(program, engine),
+            Op::Finish { program } if !is_bad(program) => self.finish(program),
+            Op::Kill { program } if is_bad(program) => self.kill(program),
+            Op::Finish { .. } | Op::Kill { .. } => {}
+            Op::Lead { to } => {
+                self.waiting.clear();
+                self.group.change_leader(to, Fate::Kept);
+            }
+        }
+        self.deliver();
+    }
+
+    fn ask(&mut self, program: usize) {
+        let asked = self.waiting.values().any(|waiting| *waiting == program);
+        if asked || self.flights.contains_key(&program) {
+            return;
+        }
+        let text =
+            if is_bad(program) { "poison".to_owned() } else { format!("harmless {program}") };
+        let body = turn(&name_of(program), "k", &[user(&text)]);
+        let token = self.group.send(ENTRY, body);
+        self.waiting.insert(token, program);
+    }
+
+    fn send(&mut self, program: usize, engine: usize) {
+        self.attempts += 1;
+        let alone = format!("own{}", self.attempts);
+        let Some(flight) = self.flights.get_mut(&program) else { return };
+        if flight.engine.is_some() {
+            return;
+        }
+        let engine = if flight.grant.isolate { alone } else { format!("e{engine}") };
+        flight.engine = Some(engine.clone());
+        let dispatch = flight.grant.dispatch.clone();
+        self.group.send(ENTRY, started(&name_of(program), &dispatch, &engine));
+    }
+
+    fn finish(&mut self, program: usize) {
+        if self.flights.get(&program).is_none_or(|flight| flight.engine.is_none()) {
+            return;
+        }
+        let Some(flight) = self.flights.remove(&program) else { return };
+        let settle = done(&name_of(program), &flight.grant.dispatch, &assistant("fine"));
+        self.group.send(ENTRY, settle);
+    }
+
+    fn kill(&mut self, program: usize) {
+        let Some(engine) = self.flights.get(&program).and_then(|f| f.engine.clone()) else {
+            return;
+        };
+        self.deaths += 1;
+        let hit: BTreeSet<usize> = self
+            .flights
+            .iter()
+            .filter(|(_, flight)| flight.engine.as_ref() == Some(&engine))
+            .map(|(program, _)| *program)
+            .collect();
+        if self.deaths == 1 {
+            let bad = self.flights.keys().filter(|p| is_bad(**p) && !hit.contains(*p));
+            self.beside = bad.count();
+        }
+        for program in hit {
+            let Some(flight) = self.flights.remove(&program) else { continue };
+            let report = crashed(&name_of(program), &flight.grant.dispatch, &engine);
+            self.group.send(ENTRY, report);
+        }
+        self.group
+            .step(self.group.leader.unwrap_or(0), Input::EndpointGone { endpoint: engine.into() });
+    }
+
+    fn deliver(&mut self) {
+        for (token, reply) in std::mem::take(&mut self.group.replies) {
+            let Some(program) = self.waiting.remove(&token) else { continue };
+            match reply.body {
+                Some(ReplyBody::Grant(grant)) => {
+                    self.flights.insert(program, Flight { grant, engine: None });
+                }
+                Some(ReplyBody::Refused(refused))
+                    if refused.code() == Refusal::Quarantined && !is_bad(program) =>
+                {
+                    self.violations.push(format!("harmless {program} is quarantined"));
+                }
+                _ => {}
+            }
+        }
+        let bound = 2 + self.beside;
+        if self.deaths > bound {
+            self.violations.push(format!("{} engines died, bound {bound}", self.deaths));
+        }
+    }
+}
+
+#[test]
+fn bad_request_costs_two_engines_and_hurts_nobody_else() {
+    // Three programs send the same bad request again and again, six send harmless ones; they
+    // share three engines, and leaders change. Two engines are lost, and one more for each copy
+    // that was in flight elsewhere when the first died. No harmless request is quarantined.
+    let config = Config {
+        cases: std::env::var(CASES_VARIABLE).ok().and_then(|n| n.parse().ok()).unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new(config);
+    let ops = prop::collection::vec(any_op(), 1..150);
+    let result = runner.run(&ops, |ops| {
+        let mut fleet = Fleet::new();
+        ops.into_iter().for_each(|op| fleet.perform(op));
+        prop_assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+        Ok(())
+    });
+    result.unwrap_or_else(|failure| panic!("{failure}"));
+}
+
+fn is_bad(program: usize) -> bool {
+    program.is_multiple_of(3)
+}
+
+fn name_of(program: usize) -> String {
+    format!("p{program}")
+}
+
+fn any_op() -> impl Strategy<Value = Op> {
+    let program = 0..PROGRAMS;
+    prop_oneof![
+        4 => program.clone().prop_map(|program| Op::Ask { program }),
+        4 => (program.clone(), 0..ENGINES)
+            .prop_map(|(program, engine)| Op::Send { program, engine }),
+        2 => program.clone().prop_map(|program| Op::Finish { program }),
+        2 => program.prop_map(|program| Op::Kill { program }),
+        1 => (0..3_usize).prop_map(|to| Op::Lead { to }),
+    ]
+}
--- a/crates/core/tests/quarantine_scores.rs
+++ b/crates/core/tests/quarantine_scores.rs
@@ -85,6 +85,27 @@
     assert_eq!(blame, [500, 500]);
 }
 
+#[test]
+fn crash_reported_after_a_leader_change_quarantines_nobody() {
+    // The leader that was told who ran on the engine is gone when the engine dies. Its successor
+    // knows of one request there, and blamed that one anew with every report of the same death.
+    let mut group = Group::new(3);
+    let mut grants = vec![];
+    for program in ["p", "q", "r", "s"] {
+        let grant = group.grant(turn(program, "k", &[user(program)]));
+        group.ask(ENTRY, started(program, &grant.dispatch, "e1"));
+        grants.push(grant);
+    }
+    group.change_leader(1, Fate::Kept);
+    let late = group.grant(turn("t", "k", &[user("t")]));
+    group.ask(ENTRY, started("t", &late.dispatch, "e1"));
+    for (program, grant) in ["p", "q", "r", "s"].iter().zip(&grants) {
+        group.ask(ENTRY, crashed(program, &grant.dispatch, "e1"));
+    }
+    group.ask(ENTRY, crashed("t", &late.dispatch, "e1"));
+    assert!(scores(&group).iter().all(|score| !score.quarantined && score.deaths == 1));
+}
+
 #[test]
 fn suspect_runs_one_at_a_time() {
     // The same suspect request arrives in two programs at once. Run side by side it could kill
