Wake only the requests that an entry concerns

Cause: each commit copied and sorted the names of all queues of waiting requests. Change: an entry names the queue it wakes; only ends, losses and scores look at all of them. Conclusion: a commit's work does not grow with the requests that wait, but for a look at the queues' kinds.

--- a/crates/core/src/program/parking.rs
+++ b/crates/core/src/program/parking.rs
@@ -104,11 +104,21 @@
         all
     }
 
-    /// Returns the queues that are not empty, in a fixed order.
-    pub(super) fn queues(&self) -> Vec<Queue> {
-        let mut queues: Vec<Queue> = self.queues.keys().cloned().collect();
-        queues.sort();
-        queues
+    /// Returns the programs that requests wait for, in a fixed order.
+    pub(super) fn program_queues(&self) -> Vec<Queue> {
+        self.queues_that(|queue| matches!(queue, Queue::Program(_)))
+    }
+
+    /// Returns what crash suspects wait for, in a fixed order.
+    pub(super) fn suspect_queues(&self) -> Vec<Queue> {
+        self.queues_that(|queue| matches!(queue, Queue::Suspect(_) | Queue::Isolation))
+    }
+
+    fn queues_that(&self, is_asked: impl Fn(&Queue) -> bool) -> Vec<Queue> {
+        let asked = self.queues.keys().filter(|queue| is_asked(queue));
+        let mut asked: Vec<Queue> = asked.cloned().collect();
+        asked.sort();
+        asked
     }
 
     /// Returns how many requests are parked.
--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -17,7 +17,6 @@
 use super::leading::Lead;
 use super::parking::{Parking, Queue};
 use super::proposals::Pending;
-use super::quarantine::Digest;
 use super::replies::{refusal, reply};
 use super::settings::Settings;
 use super::state::{Applied, Name};
@@ -270,14 +269,25 @@
 
     /// Wakes the requests that an entry may have made room for.
     fn wake_for(&mut self, now: Time, entry: &wire::Entry, out: &mut Vec<Effect>) {
-        for queue in self.parking.queues() {
-            let affected = match (&queue, &entry.body) {
-                (Queue::Ready, _) | (_, None) => false,
-                (Queue::Suspect(digest), _) => !self.flies(digest),
-                (Queue::Isolation, _) => self.isolated() < self.settings.isolated,
-                (Queue::Program(name), Some(body)) => is_about(body, name),
+        match woken_by(&entry.body) {
+            Woken::None => {}
+            Woken::Program(name) => self.wake(now, &Queue::Program(name), out),
+            Woken::All => {
+                for queue in self.parking.program_queues() {
+                    self.wake(now, &queue, out);
+                }
+            }
+        }
+        self.wake_suspects(now, out);
+    }
+
+    fn wake_suspects(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for queue in self.parking.suspect_queues() {
+            let room = match &queue {
+                Queue::Suspect(digest) => !self.state.flights.contains_key(digest),
+                _ => self.isolated() < self.settings.isolated,
             };
-            if affected {
+            if room {
                 self.wake(now, &queue, out);
             }
         }
@@ -298,10 +308,6 @@
         }
     }
 
-    fn flies(&self, digest: &Digest) -> bool {
-        self.state.flights.contains_key(digest)
-    }
-
     pub(super) fn wake(&mut self, now: Time, queue: &Queue, out: &mut Vec<Effect>) {
         for ticket in self.parking.take(queue) {
             self.admit(now, ticket, out);
@@ -309,15 +315,23 @@
     }
 }
 
-/// Tells whether an entry may change what a request of the program waits for.
-fn is_about(body: &EntryBody, name: &Name) -> bool {
+/// Whose requests an entry may have made room for.
+enum Woken {
+    None,
+    Program(Name),
+    All,
+}
+
+fn woken_by(body: &Option<EntryBody>) -> Woken {
     let program = match body {
-        EntryBody::Begin(begin) => begin.program.as_ref(),
-        EntryBody::Settled(settled) => settled.program.as_ref(),
-        EntryBody::CloseEscrow(close) => close.program.as_ref(),
+        Some(EntryBody::Begin(begin)) => begin.program.as_ref(),
+        Some(EntryBody::Settled(settled)) => settled.program.as_ref(),
+        Some(EntryBody::CloseEscrow(close)) => close.program.as_ref(),
         // These may concern whole families.
-        EntryBody::End(_) | EntryBody::Lost(_) | EntryBody::Lifted(_) => return true,
-        _ => return false,
+        Some(EntryBody::End(_) | EntryBody::Lost(_)) => return Woken::All,
+        // A lift or a new score changes what suspects wait for.
+        Some(EntryBody::Lifted(_) | EntryBody::Scores(_)) => return Woken::All,
+        _ => return Woken::None,
     };
-    Name::of(program) == *name
+    Woken::Program(Name::of(program))
 }
--- a/crates/core/tests/quarantine_scores.rs
+++ b/crates/core/tests/quarantine_scores.rs
@@ -120,6 +120,17 @@
     assert_eq!(refusal(group.reply(waiting).unwrap()), Refusal::Quarantined);
 }
 
+#[test]
+fn suspect_that_completes_lets_the_waiting_go() {
+    let mut group = Group::new(1);
+    let grant = group.grant(turn("p", "k", &[user("harmless")]));
+    group.ask(ENTRY, crashed("p", &grant.dispatch, "e1"));
+    let alone = group.grant(turn("p", "k", &[user("harmless")]));
+    let waiting = group.send(OTHER, turn("q", "k", &[user("harmless")]));
+    group.ask(ENTRY, done("p", &alone.dispatch, &assistant("fine")));
+    assert!(!granted(group.reply(waiting).unwrap()).isolate);
+}
+
 #[test]
 fn suspects_take_few_engines_at_once() {
     // An engine dies with ten requests. Were all ten run alone at once, they would take ten
