--- a/crates/core/examples/program_cost.rs
+++ b/crates/core/examples/program_cost.rs
@@ -170,14 +170,24 @@
     let many = measure("the same, escrow of 16 turns", 16, CALLS, eight_turns);
     let _call = measure("one service call a program", 0, 1, |b, p| b.call(p, 0));
     let _calls = measure("eight service calls a program", 0, CALLS, eight_calls);
-    for (escrow, bench) in [(4, &few), (16, &many)] {
-        let name = Name { org: "organisation".into(), program: "program-0".into() };
-        let held = bench.sequencer.state().consumed(&name).unwrap_or_default().1;
-        println!(
-            "left in an escrow of {escrow} turns after the eighth: {} of 1000000 tokens, {} of 200 calls",
-            held.tokens, held.calls
-        );
-    }
+    print_escrow(4, &few);
+    print_escrow(16, &many);
+    print_snapshot(&turns);
+    print_scan(turns);
+}
+
+/// Prints what an escrow holds that a leader change may cost.
+fn print_escrow(turns: u64, bench: &Bench) {
+    let name = Name { org: "organisation".into(), program: "program-0".into() };
+    let held = bench.sequencer.state().consumed(&name).unwrap_or_default().1;
+    println!(
+        "left in an escrow of {turns} turns after the eighth: {} of 1000000 tokens, {} of 200 calls",
+        held.tokens, held.calls
+    );
+}
+
+/// Prints what a snapshot costs, and one program's history.
+fn print_snapshot(turns: &Bench) {
     let start = Instant::now();
     let snapshot = turns.sequencer.state().snapshot();
     let taken = start.elapsed().as_secs_f64();
@@ -190,7 +200,13 @@
         snapshot.len() as f64 / PROGRAMS as f64,
         start.elapsed().as_secs_f64()
     );
-    let mut idle = turns;
+    let name = Name { org: "organisation".into(), program: "program-0".into() };
+    let memory = turns.sequencer.state().history_memory(&name).unwrap_or(0);
+    println!("history of eight turns of {TEXT} + {TEXT} bytes of text: {memory} bytes");
+}
+
+/// Prints what a look for deadlines, idle programs and lost grants costs.
+fn print_scan(mut idle: Bench) {
     let start = Instant::now();
     for _ in 0..SCANS {
         idle.now = idle.now + Duration::from_millis(500);
@@ -199,8 +215,4 @@
     }
     let scan = start.elapsed().as_secs_f64() / f64::from(SCANS);
     println!("scan of {PROGRAMS} live programs, twice a second: {:.2} ms", scan * 1_000.0);
-    let turns = idle;
-    let name = Name { org: "organisation".into(), program: "program-0".into() };
-    let memory = turns.sequencer.state().history_memory(&name).unwrap_or(0);
-    println!("history of eight turns of {TEXT} + {TEXT} bytes of text: {memory} bytes");
 }
--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -155,40 +155,52 @@
         if self.lead.is_none() {
             return out.push(Effect::Reply { token, reply: self.not_leader() });
         }
-        let asked = match request.body {
-            Some(RequestBody::BeginTurn(turn)) => Asked::of_turn(&turn, &self.settings),
-            Some(RequestBody::BeginCall(call)) => Asked::of_call(&call),
-            Some(RequestBody::Settle(settle)) => return self.settle(now, token, from, settle, out),
-            Some(RequestBody::Started(started)) => return self.start(now, token, started, out),
+        match request.body {
+            Some(RequestBody::BeginTurn(turn)) => {
+                let asked = Asked::of_turn(&turn, &self.settings);
+                self.begin(now, token, from, asked, out);
+            }
+            Some(RequestBody::BeginCall(call)) => {
+                self.begin(now, token, from, Asked::of_call(&call), out);
+            }
+            Some(RequestBody::Settle(settle)) => self.settle(now, token, from, settle, out),
+            Some(RequestBody::Started(started)) => self.start(now, token, started, out),
             Some(RequestBody::EndProgram(end)) => {
                 let reason = wire::EndReason::Word.into();
                 let end = wire::End { program: end.program, reason };
                 self.propose(now, EntryBody::End(end), Pending::Reply(token), out);
-                return;
             }
             Some(RequestBody::Released(released)) => {
                 let wire::Released { program, endpoint } = released;
                 let program = Some(program.unwrap_or_default());
                 let freed = wire::Freed { program, endpoint };
                 self.propose(now, EntryBody::Freed(freed), Pending::Reply(token), out);
-                return;
-            }
-            None => Err("the request is empty".to_owned()),
-        };
-        match asked {
-            Ok(asked) => {
-                let wait = match asked.deadline_ms {
-                    0 => self.settings.park_ms,
-                    millis => millis,
-                };
-                let until_ms = self.now_ms(now).saturating_add(wait);
-                let ticket = Ticket { token, from, until_ms, asked, isolate: false };
-                self.admit(now, ticket, out);
             }
+            None => self.begin(now, token, from, Err("the request is empty".to_owned()), out),
+        }
+    }
+
+    fn begin(
+        &mut self,
+        now: Time,
+        token: RequestToken,
+        from: VmId,
+        asked: Result<Asked, String>,
+        out: &mut Vec<Effect>,
+    ) {
+        let asked = match asked {
+            Ok(asked) => asked,
             Err(detail) => {
-                out.push(Effect::Reply { token, reply: refusal(Refusal::Invalid, detail) });
+                let reply = refusal(Refusal::Invalid, detail);
+                return out.push(Effect::Reply { token, reply });
             }
-        }
+        };
+        let wait = match asked.deadline_ms {
+            0 => self.settings.park_ms,
+            millis => millis,
+        };
+        let until_ms = self.now_ms(now).saturating_add(wait);
+        self.admit(now, Ticket { token, from, until_ms, asked, isolate: false }, out);
     }
 
     pub(super) fn settle(
--- a/crates/core/tests/scenario_program.rs
+++ b/crates/core/tests/scenario_program.rs
@@ -243,24 +243,46 @@
 
     fn perform(&mut self, line: &Line) -> Result<String, Box<dyn Error>> {
         match line {
-            Line::Group { replicas } => self.group = Group::new(*replicas),
-            Line::Turn { .. } => self.turn(line),
+            Line::History { program } => Ok(self.group.history(program)),
+            Line::Consumed { program } => self.consumed(program),
+            Line::Audit { endpoint, programs } => Ok(self.audit(endpoint, programs)),
+            Line::Settle { .. } => self.settle(line).map(|()| String::new()),
             Line::Whole { program, key, messages } => {
                 let list: Result<Vec<String>, _> = messages.iter().map(|m| message(m)).collect();
                 self.ask("turn", program, key, ENTRY, turn(program, key, &list?));
+                Ok(String::new())
+            }
+            _ => {
+                self.request(line);
+                self.fault(line);
+                Ok(String::new())
             }
+        }
+    }
+
+    /// Sends what an entry VM asks.
+    fn request(&mut self, line: &Line) {
+        match line {
+            Line::Turn { .. } => self.turn(line),
             Line::Call { .. } => self.call(line),
             Line::Started { program, key, endpoint } => {
                 let body = started(program, &self.dispatch(program, key), endpoint);
                 self.ask("started", program, key, ENTRY, body);
             }
-            Line::Settle { .. } => self.settle(line)?,
             Line::End { program } => self.ask("end", program, "", ENTRY, end(program)),
             Line::Released { program, endpoint } => {
                 let endpoint = endpoint.clone();
                 let released = wire::Released { program: program_ref(program), endpoint };
                 self.ask("released", program, "", ENTRY, Body::Released(released));
             }
+            _ => {}
+        }
+    }
+
+    /// Brings about what happens to the group and round it.
+    fn fault(&mut self, line: &Line) {
+        match line {
+            Line::Group { replicas } => self.group = Group::new(*replicas),
             Line::Wait { millis } => self.group.advance(*millis),
             Line::Gone { vm } => self.input(Input::Gone { vm: VmId(*vm) }),
             Line::EndpointGone { endpoint } => {
@@ -281,28 +303,25 @@
                 let revision = RevisionNumber(*revision);
                 self.input(Input::Config { revision, lifted: vec![] });
             }
-            Line::History { program } => return Ok(self.group.history(program)),
-            Line::Consumed { program } => {
-                let Some((spent, held)) = self.group.leader().state().consumed(&name(program))
-                else {
-                    return Err("no such program".into());
-                };
-                let (tokens, calls) = (spent.tokens, spent.calls);
-                return Ok(format!(
-                    "spent {tokens} tokens, {calls} calls; held {} tokens, {} calls",
-                    held.tokens, held.calls
-                ));
-            }
-            Line::Audit { endpoint, programs } => {
-                let reported: Vec<_> = programs.iter().map(|program| name(program)).collect();
-                let state = self.group.leader().state();
-                let leaks = find_leaks(state, &endpoint.into(), &reported);
-                let lines =
-                    leaks.iter().map(|l| format!("free {} at {}", l.program.program, l.endpoint));
-                return Ok(lines.collect::<Vec<_>>().join("\n"));
-            }
+            _ => {}
         }
-        Ok(String::new())
+    }
+
+    fn consumed(&self, program: &str) -> Result<String, Box<dyn Error>> {
+        let state = self.group.leader().state();
+        let (spent, held) = state.consumed(&name(program)).ok_or("no such program")?;
+        Ok(format!(
+            "spent {} tokens, {} calls; held {} tokens, {} calls",
+            spent.tokens, spent.calls, held.tokens, held.calls
+        ))
+    }
+
+    fn audit(&self, endpoint: &str, programs: &[String]) -> String {
+        let reported: Vec<_> = programs.iter().map(|program| name(program)).collect();
+        let state = self.group.leader().state();
+        let leaks = find_leaks(state, &endpoint.into(), &reported);
+        let lines = leaks.iter().map(|l| format!("free {} at {}", l.program.program, l.endpoint));
+        lines.collect::<Vec<_>>().join("\n")
     }
 
     fn input(&mut self, input: Input) {
