--- a/crates/core/examples/program_cost.rs
+++ b/crates/core/examples/program_cost.rs
@@ -19,6 +19,10 @@
 const TEXT: usize = 400;
 /// Turns, or service calls, of each program in the larger runs.
 const CALLS: usize = 8;
+/// Turns of the long program, and bytes of each of their messages: 600 KB in all.
+const LONG_TURNS: usize = 76;
+/// Bytes of each message of the long program.
+const LONG_TEXT: usize = 3_950;
 /// Scans for what is due that are timed.
 const SCANS: u32 = 10;
 /// The VM that asks.
@@ -174,6 +178,7 @@
     print_escrow(16, &many);
     print_snapshot(&turns);
     print_scan(turns);
+    print_long();
 }
 
 /// Prints what an escrow holds that a leader change may cost.
@@ -216,3 +221,43 @@
     let scan = start.elapsed().as_secs_f64() / f64::from(SCANS);
     println!("scan of {PROGRAMS} live programs, twice a second: {:.2} ms", scan * 1_000.0);
 }
+
+/// Prints what one turn costs at the end of a long history, sent in part and in whole.
+fn print_long() {
+    let mut bench = Bench::new(0);
+    let user = |text: String| serde_json::json!({"role": "user", "content": text});
+    let answer = serde_json::json!({"role": "assistant", "content": "a".repeat(LONG_TEXT)});
+    let mut whole = vec![];
+    for turn in 0..LONG_TURNS {
+        let message = user(format!("{turn}{}", "u".repeat(LONG_TEXT)));
+        bench.long_turn(turn, std::slice::from_ref(&message), &answer);
+        whole.extend([message, answer.clone()]);
+    }
+    let start = Instant::now();
+    bench.long_turn(LONG_TURNS, &[user("part".into())], &answer);
+    let part = start.elapsed().as_secs_f64();
+    whole.extend([user("part".into()), answer.clone(), user("whole".into())]);
+    let start = Instant::now();
+    bench.long_turn(LONG_TURNS + 1, &whole, &answer);
+    let all = start.elapsed().as_secs_f64();
+    let bytes = serde_json::Value::from(whole).to_string().len();
+    println!(
+        "turn after {bytes} bytes of history: {:.2} ms sent in part, {:.2} ms in whole",
+        part * 1_000.0,
+        all * 1_000.0
+    );
+}
+
+impl Bench {
+    fn long_turn(&mut self, turn: usize, list: &[serde_json::Value], answer: &serde_json::Value) {
+        let begin = wire::BeginTurn {
+            program: program_ref(0),
+            key: format!("turn-{turn}"),
+            messages: Bytes::from(serde_json::Value::from(list.to_vec()).to_string()),
+            max_output: 100,
+            ..wire::BeginTurn::default()
+        };
+        let reply = self.ask(Body::BeginTurn(begin));
+        self.settle(0, reply, answer.to_string());
+    }
+}
