--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -10,13 +10,13 @@
 
 use super::State;
 use super::asked::Asked;
+use super::crashes::Flights;
 use super::deadlines::Repeats;
 use super::early::Early;
 use super::interface::{Effect, Input, ProposalId, RequestToken};
 use super::leading::Lead;
 use super::parking::{Parking, Queue};
 use super::proposals::Pending;
-use super::quarantine::Digest;
 use super::replies::{refusal, reply};
 use super::settings::Settings;
 use super::state::{Applied, Name};
@@ -57,10 +57,7 @@
     pub(super) parking: Parking,
     /// Programs with a begin on its way through the log.
     pub(super) busy: HashSet<Name>,
-    /// Where dispatches run, as their holders told.
-    pub(super) started: HashMap<CompactString, EndpointName>,
-    /// Dispatches that a crash report of their endpoint already blamed.
-    pub(super) blamed: HashSet<CompactString>,
+    pub(super) flights: Flights,
     /// Dispatches that this leader takes back; none of them may be granted.
     pub(super) withdrawn: HashSet<CompactString>,
     /// Dispatches granted out of an escrow whose begin is not applied yet.
@@ -93,8 +90,7 @@
             chores: HashSet::new(),
             parking: Parking::default(),
             busy: HashSet::new(),
-            started: HashMap::new(),
-            blamed: HashSet::new(),
+            flights: Flights::default(),
             withdrawn: HashSet::new(),
             early: HashMap::new(),
             tainted: HashSet::new(),
@@ -159,40 +155,52 @@
         if self.lead.is_none() {
             return out.push(Effect::Reply { token, reply: self.not_leader() });
         }
-        let asked = match request.body {
-            Some(RequestBody::BeginTurn(turn)) => Asked::of_turn(&turn, &self.settings),
-            Some(RequestBody::BeginCall(call)) => Asked::of_call(&call),
-            Some(RequestBody::Settle(settle)) => return self.settle(now, token, from, settle, out),
-            Some(RequestBody::Started(started)) => return self.start(now, token, started, out),
+        match request.body {
+            Some(RequestBody::BeginTurn(turn)) => {
+                let asked = Asked::of_turn(&turn, &self.settings);
+                self.begin(now, token, from, asked, out);
+            }
+            Some(RequestBody::BeginCall(call)) => {
+                self.begin(now, token, from, Asked::of_call(&call), out);
+            }
+            Some(RequestBody::Settle(settle)) => self.settle(now, token, from, settle, out),
+            Some(RequestBody::Started(started)) => self.start(now, token, started, out),
             Some(RequestBody::EndProgram(end)) => {
                 let reason = wire::EndReason::Word.into();
                 let end = wire::End { program: end.program, reason };
                 self.propose(now, EntryBody::End(end), Pending::Reply(token), out);
-                return;
             }
             Some(RequestBody::Released(released)) => {
                 let wire::Released { program, endpoint } = released;
                 let program = Some(program.unwrap_or_default());
                 let freed = wire::Freed { program, endpoint };
                 self.propose(now, EntryBody::Freed(freed), Pending::Reply(token), out);
-                return;
-            }
-            None => Err("the request is empty".to_owned()),
-        };
-        match asked {
-            Ok(asked) => {
-                let wait = match asked.deadline_ms {
-                    0 => self.settings.park_ms,
-                    millis => millis,
-                };
-                let until_ms = self.now_ms(now).saturating_add(wait);
-                let ticket = Ticket { token, from, until_ms, asked, isolate: false };
-                self.admit(now, ticket, out);
             }
+            None => self.begin(now, token, from, Err("the request is empty".to_owned()), out),
+        }
+    }
+
+    fn begin(
+        &mut self,
+        now: Time,
+        token: RequestToken,
+        from: VmId,
+        asked: Result<Asked, String>,
+        out: &mut Vec<Effect>,
+    ) {
+        let asked = match asked {
+            Ok(asked) => asked,
             Err(detail) => {
-                out.push(Effect::Reply { token, reply: refusal(Refusal::Invalid, detail) });
+                let reply = refusal(Refusal::Invalid, detail);
+                return out.push(Effect::Reply { token, reply });
             }
-        }
+        };
+        let wait = match asked.deadline_ms {
+            0 => self.settings.park_ms,
+            millis => millis,
+        };
+        let until_ms = self.now_ms(now).saturating_add(wait);
+        self.admit(now, Ticket { token, from, until_ms, asked, isolate: false }, out);
     }
 
     pub(super) fn settle(
@@ -218,7 +226,7 @@
         out: &mut Vec<Effect>,
     ) {
         let endpoint = EndpointName::from(&started.endpoint);
-        self.started.insert((&started.dispatch).into(), endpoint.clone());
+        self.flights.start(&started.dispatch, endpoint.clone());
         let program = self.state.find(&Name::of(started.program.as_ref()));
         let known = program.is_none_or(|program| program.endpoints.contains(&endpoint));
         if known {
@@ -273,14 +281,25 @@
 
     /// Wakes the requests that an entry may have made room for.
     fn wake_for(&mut self, now: Time, entry: &wire::Entry, out: &mut Vec<Effect>) {
-        for queue in self.parking.queues() {
-            let affected = match (&queue, &entry.body) {
-                (Queue::Ready, _) | (_, None) => false,
-                (Queue::Suspect(digest), _) => !self.flies(digest),
-                (Queue::Isolation, _) => self.isolated() < self.settings.isolated,
-                (Queue::Program(name), Some(body)) => is_about(body, name),
+        match woken_by(&entry.body) {
+            Woken::None => {}
+            Woken::Program(name) => self.wake(now, &Queue::Program(name), out),
+            Woken::All => {
+                for queue in self.parking.program_queues() {
+                    self.wake(now, &queue, out);
+                }
+            }
+        }
+        self.wake_suspects(now, out);
+    }
+
+    fn wake_suspects(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for queue in self.parking.suspect_queues() {
+            let room = match &queue {
+                Queue::Suspect(digest) => !self.state.flights.contains_key(digest),
+                _ => self.isolated() < self.settings.isolated,
             };
-            if affected {
+            if room {
                 self.wake(now, &queue, out);
             }
         }
@@ -296,16 +315,11 @@
             _ => return,
         };
         for dispatch in closed {
-            self.started.remove(dispatch);
-            self.blamed.remove(dispatch);
+            self.flights.close(dispatch);
             self.withdrawn.remove(dispatch);
         }
     }
 
-    fn flies(&self, digest: &Digest) -> bool {
-        self.state.flights.contains_key(digest)
-    }
-
     pub(super) fn wake(&mut self, now: Time, queue: &Queue, out: &mut Vec<Effect>) {
         for ticket in self.parking.take(queue) {
             self.admit(now, ticket, out);
@@ -313,15 +327,23 @@
     }
 }
 
-/// Tells whether an entry may change what a request of the program waits for.
-fn is_about(body: &EntryBody, name: &Name) -> bool {
+/// Whose requests an entry may have made room for.
+enum Woken {
+    None,
+    Program(Name),
+    All,
+}
+
+fn woken_by(body: &Option<EntryBody>) -> Woken {
     let program = match body {
-        EntryBody::Begin(begin) => begin.program.as_ref(),
-        EntryBody::Settled(settled) => settled.program.as_ref(),
-        EntryBody::CloseEscrow(close) => close.program.as_ref(),
+        Some(EntryBody::Begin(begin)) => begin.program.as_ref(),
+        Some(EntryBody::Settled(settled)) => settled.program.as_ref(),
+        Some(EntryBody::CloseEscrow(close)) => close.program.as_ref(),
         // These may concern whole families.
-        EntryBody::End(_) | EntryBody::Lost(_) | EntryBody::Lifted(_) => return true,
-        _ => return false,
+        Some(EntryBody::End(_) | EntryBody::Lost(_)) => return Woken::All,
+        // A lift or a new score changes what suspects wait for.
+        Some(EntryBody::Lifted(_) | EntryBody::Scores(_)) => return Woken::All,
+        _ => return Woken::None,
     };
-    Name::of(program) == *name
+    Woken::Program(Name::of(program))
 }
