--- a/crates/core/src/program/settings.rs
+++ b/crates/core/src/program/settings.rs
@@ -23,6 +23,8 @@
     pub idle_ms: u64,
     /// Milliseconds between two sends of an unconfirmed release.
     pub release_ms: u64,
+    /// Most crash suspects that run alone at once in this group; each takes an engine to itself.
+    pub isolated: usize,
     /// Milliseconds that an ended program and its keys are kept.
     pub retain_ms: u64,
     /// Milliseconds that a crash suspect's score is kept.
@@ -33,6 +35,11 @@
     pub clock_ms: u64,
     /// Tokens that a model call may generate when its caller set no bound.
     pub output_tokens: u64,
+    /// Turns for which budget is reserved ahead, so that they are granted without waiting for the
+    /// log; zero waits for every turn.
+    pub escrow_turns: u64,
+    /// Milliseconds after which an idle program of a family gives its escrow back.
+    pub escrow_ms: u64,
     /// Most bytes of one program's history.
     pub history_bytes: usize,
     /// Most idempotency keys of one program.
@@ -53,11 +60,14 @@
             dispatch_ms: 600_000,
             idle_ms: 3_600_000,
             release_ms: 2_000,
+            isolated: 2,
             retain_ms: 86_400_000,
             suspect_ms: 86_400_000,
             scan_ms: 500,
             clock_ms: 10_000,
             output_tokens: 4_096,
+            escrow_turns: 0,
+            escrow_ms: 2_000,
             history_bytes: 4 << 20,
             program_keys: 4_096,
             safeguards: Safeguards::default(),
@@ -85,6 +95,8 @@
     pub bind_content: bool,
     /// A dispatch that was lost keeps its reservation.
     pub keep_doubtful: bool,
+    /// An escrow of an earlier leader counts as spent.
+    pub spend_escrow: bool,
     /// A crash suspect runs alone, and one at a time.
     pub isolate_suspects: bool,
 }
@@ -100,6 +112,7 @@
             repeat_release: true,
             bind_content: true,
             keep_doubtful: true,
+            spend_escrow: true,
             isolate_suspects: true,
         }
     }
--- a/crates/core/tests/journal_calls.rs
+++ b/crates/core/tests/journal_calls.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program::{Effect, Input};
 use gypsumglade_core::wire::common::Outcome;
@@ -84,6 +85,24 @@
     assert_eq!(refusal(group.ask(OTHER, not_run("p", &grant.dispatch))), Refusal::NotHolder);
 }
 
+#[test]
+fn settle_by_inquiry_ends_the_doubt_and_only_with_done() {
+    // The holder is gone for good, and another VM asks the service what became of the call. That
+    // the service did it is final; that it knows nothing of it is not, for the holder may be
+    // paused with the request in its hands.
+    let mut group = Group::new(1);
+    let grant = group.grant(call("p", "k"));
+    group.step(0, Input::Gone { vm: ENTRY });
+    for (outcome, code) in [(Outcome::NotRun, Some(Refusal::NotHolder)), (Outcome::Done, None)] {
+        let mut told = settle("p", &grant.dispatch, outcome);
+        told.inquired = true;
+        told.answer = Bytes::from_static(b"booked");
+        let reply = group.ask(OTHER, Body::Settle(told));
+        assert_eq!(code, matches!(reply, ReplyBody::Refused(_)).then(|| refusal(reply)));
+    }
+    assert_eq!(recorded(group.ask(OTHER, call("p", "k"))), "booked");
+}
+
 #[test]
 fn settle_of_an_unknown_dispatch_is_refused() {
     let mut group = Group::new(1);
@@ -181,6 +200,66 @@
     assert!(matches!(group.reply(token), Some(ReplyBody::Grant(_))));
 }
 
+#[test]
+fn call_without_a_quorum_is_answered_at_its_deadline() {
+    // The leader is cut off from its followers and does not notice. Its caller's deadline passes;
+    // the caller is told at once that the call is not run, and it is not: when the intent is
+    // committed after all, it is taken back, and a repeat of the ask is granted afresh.
+    let mut group = Group::new(3);
+    group.held = true;
+    let mut begin = begin_call("p", "k");
+    begin.deadline_ms = 1_000;
+    begin.nonce = "n".into();
+    let token = group.send(ENTRY, Body::BeginCall(begin.clone()));
+    group.advance(1_000);
+    assert_eq!(refusal(group.reply(token).unwrap()), Refusal::DeadlinePassed);
+    group.held = false;
+    group.commit();
+    let again = group.ask(ENTRY, Body::BeginCall(begin));
+    assert_eq!(granted(again).attempt, 2);
+}
+
+#[test]
+fn call_joined_before_its_commit_is_not_called_unrun() {
+    // Two VMs ask under one key, and the first's begin is still on its way through the log when
+    // the second's patience ends. The call will run, so the second must not hear that it did not.
+    let mut group = Group::new(3);
+    group.held = true;
+    let first = group.send(ENTRY, call("p", "k"));
+    let mut hasty = begin_call("p", "k");
+    hasty.deadline_ms = 200;
+    let second = group.send(OTHER, Body::BeginCall(hasty));
+    group.advance(300);
+    assert!(is_unknown(&group.reply(second).unwrap()));
+    group.commit();
+    assert!(matches!(group.reply(first), Some(ReplyBody::Grant(_))));
+}
+
+#[test]
+fn call_of_a_vm_that_died_while_waiting_is_not_granted() {
+    // The VM dies while its request waits for the log, and another while its request waits for its
+    // turn. Granted all the same, each call would keep its program standing until it expires.
+    let mut group = Group::new(3);
+    group.held = true;
+    group.send(ENTRY, call("p", "k1"));
+    group.send(ENTRY, call("p", "k2"));
+    group.step(0, Input::Gone { vm: ENTRY });
+    group.held = false;
+    group.commit();
+    assert_eq!(group.grant_to(OTHER, call("p", "k1")).attempt, 2);
+}
+
+#[test]
+fn entry_that_cannot_be_read_halts_the_replica() {
+    // A damaged entry reaches a replica. Skipping it would part this replica from the others
+    // unseen; it stops, says so, and sends callers elsewhere.
+    let mut group = Group::new(1);
+    group.step(0, Input::Committed { index: 9, data: Bytes::from_static(b"\xff\xff") });
+    assert!(matches!(group.effects.last(), Some(Effect::Halt { .. })));
+    let token = group.send_to(0, ENTRY, call("p", "k"));
+    assert_eq!(refusal(group.reply(token).unwrap()), Refusal::NotLeader);
+}
+
 #[test]
 fn call_under_an_old_revision_is_refused() {
     let mut group = Group::new(1);
