Show that the drift allowance is needed; split large files

Change: a leader with a slow clock is cut off from two with fast ones, with the allowance and without; the mutation tests accept broken safety only, not a group that stands still; leader, replica and harness are split.

--- a/crates/core/src/replication/leader.rs
+++ b/crates/core/src/replication/leader.rs
@@ -10,10 +10,9 @@
 use super::links::Links;
 use super::progress::{Flow, Progress};
 use super::replica::{Replica, Role};
-use super::types::{EntryMeta, LogIndex, Position, Term};
+use super::types::{EntryMeta, LogIndex, Term};
 use crate::prelude::*;
 use crate::wire::replication as wire;
-use crate::wire::replication::message::Body;
 
 /// State that only a leader has.
 #[derive(Debug)]
@@ -129,56 +128,6 @@
         self.send_heartbeats(now, links, false, out);
     }
 
-    /// Sends a heartbeat to every follower that needs one, or to `all`.
-    pub(super) fn send_heartbeats(
-        &mut self,
-        now: Time,
-        links: &Links,
-        all: bool,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(mut lead) = self.lead.take() else {
-            return;
-        };
-        for (&to, progress) in &mut lead.progress {
-            if !all && self.rests(now, links, to, progress) {
-                continue;
-            }
-            progress.beat = now;
-            self.restart_compacted(progress);
-            let prev = self.heartbeat_position(progress);
-            let append = self.append_message(now, links, prev, lead.round);
-            self.send(to, Body::Append(append), out);
-            self.resend_chunk(now, to, lead.round, progress, out);
-        }
-        self.lead = Some(lead);
-    }
-
-    /// Takes over the answers to pulses that count for this group.
-    ///
-    /// When an epoch ends they stop counting until the next heartbeat was answered. What they
-    /// proved by then must be kept, or the lease would be lost at every election of any group.
-    pub(super) fn note_answers(&mut self, links: &Links) {
-        let Some(mut lead) = self.lead.take() else {
-            return;
-        };
-        for (&vm, progress) in &mut lead.progress {
-            progress.acked = progress.acked.max(self.pulse_answer(links, vm, progress));
-        }
-        self.lead = Some(lead);
-    }
-
-    /// Tells whether a follower needs no heartbeat now: its VM's pulses stand in for it, or it is
-    /// silent and was sent one not long ago.
-    fn rests(&self, now: Time, links: &Links, vm: VmId, progress: &Progress) -> bool {
-        let half = self.settings.lease / 2;
-        if links.is_silent(now, vm, self.settings.patience()) {
-            return now < progress.beat + half;
-        }
-        self.pulse_answer(links, vm, progress).is_some_and(|sent| now < sent + half)
-            && progress.is_idle(self.log.last().index, self.commit)
-    }
-
     /// Takes a follower's answer to entries or a heartbeat.
     pub(super) fn append_reply(&mut self, from: VmId, reply: &wire::AppendReply) {
         let Some(progress) = self.lead.as_mut().and_then(|lead| lead.progress.get_mut(&from))
@@ -228,31 +177,6 @@
         self.lead = Some(lead);
     }
 
-    fn advance_chunk(
-        &self,
-        now: Time,
-        to: VmId,
-        reply: &wire::ChunkReply,
-        round: u64,
-        progress: &mut Progress,
-        out: &mut Vec<Effect>,
-    ) {
-        if reply.installed {
-            progress.note_match(LogIndex(reply.index));
-        }
-        let Flow::Snapshot { index, offset, .. } = progress.flow else {
-            return;
-        };
-        if progress.matched >= index {
-            return progress.stream();
-        }
-        if reply.index != index.0 || reply.offset == offset {
-            return;
-        }
-        progress.flow = Flow::Snapshot { index, offset: reply.offset, sent: now };
-        self.send_chunk(now, to, round, progress, out);
-    }
-
     /// Commits what a quorum has synced.
     ///
     /// An entry of an earlier term that a quorum holds can still be overwritten by a leader that
@@ -290,132 +214,4 @@
         all.sort_unstable_by(|a, b| b.cmp(a));
         all.get(self.quorum() - 1).copied().unwrap_or_default()
     }
-
-    /// Sends every follower what it lacks, as far as the limits let it.
-    fn replicate(&mut self, now: Time, links: &Links, out: &mut Vec<Effect>) {
-        let Some(mut lead) = self.lead.take() else {
-            return;
-        };
-        let last = self.log.last().index;
-        for (&to, progress) in &mut lead.progress {
-            while progress.next <= last && self.may_send(progress) {
-                self.send_entries(now, links, to, lead.round, progress, out);
-            }
-        }
-        self.lead = Some(lead);
-    }
-
-    fn may_send(&self, progress: &Progress) -> bool {
-        match progress.flow {
-            Flow::Probe { waiting } => !waiting,
-            Flow::Stream => progress.in_flight.len() < self.settings.in_flight,
-            Flow::Snapshot { .. } => false,
-        }
-    }
-
-    fn send_entries(
-        &self,
-        now: Time,
-        links: &Links,
-        to: VmId,
-        round: u64,
-        progress: &mut Progress,
-        out: &mut Vec<Effect>,
-    ) {
-        let index = LogIndex(progress.next.0 - 1);
-        let Some(term) = self.log.term(index) else {
-            let index = self.log.snapshot().index;
-            progress.flow = Flow::Snapshot { index, offset: 0, sent: now };
-            return self.send_chunk(now, to, round, progress, out);
-        };
-        let (last, _) = self.log.batch(progress.next, self.settings.batch_bytes);
-        let append = self.append_message(now, links, Position { index, term }, round);
-        let message = self.envelope(Body::Append(append));
-        out.push(Effect::SendEntries { to, message, first: progress.next, last });
-        match &mut progress.flow {
-            Flow::Probe { waiting } => *waiting = true,
-            Flow::Stream => {
-                progress.in_flight.push_back(last);
-                progress.next = last.next();
-            }
-            Flow::Snapshot { .. } => {}
-        }
-    }
-
-    /// Sends a piece again that got no answer in time.
-    fn resend_chunk(
-        &self,
-        now: Time,
-        to: VmId,
-        round: u64,
-        progress: &mut Progress,
-        out: &mut Vec<Effect>,
-    ) {
-        if let Flow::Snapshot { sent, .. } = progress.flow
-            && now >= sent + self.settings.lease
-        {
-            self.send_chunk(now, to, round, progress, out);
-        }
-    }
-
-    fn send_chunk(
-        &self,
-        now: Time,
-        to: VmId,
-        round: u64,
-        progress: &mut Progress,
-        out: &mut Vec<Effect>,
-    ) {
-        let Flow::Snapshot { index, offset, .. } = progress.flow else {
-            return;
-        };
-        // A newer snapshot replaced the one that was on its way: its pieces start over.
-        let position = self.log.snapshot();
-        let offset = if position.index == index { offset } else { 0 };
-        progress.flow = Flow::Snapshot { index: position.index, offset, sent: now };
-        let members = self.log.members_at(position.index).to_wire();
-        let chunk = wire::Chunk {
-            index: position.index.0,
-            term: position.term.0,
-            members: Some(members),
-            offset,
-            sent: now.0,
-            round,
-            ..wire::Chunk::default()
-        };
-        out.push(Effect::SendChunk { to, message: self.envelope(Body::Chunk(chunk)) });
-    }
-
-    /// Starts over with a follower when what it was sent last is compacted.
-    ///
-    /// Its messages may all have been lost, and no heartbeat can ask about a compacted entry: a
-    /// full window would never empty and the follower never get another entry.
-    fn restart_compacted(&self, progress: &mut Progress) {
-        let asks = matches!(progress.flow, Flow::Probe { .. } | Flow::Stream);
-        if asks && self.log.term(LogIndex(progress.next.0 - 1)).is_none() {
-            progress.probe(progress.matched.next());
-        }
-    }
-
-    /// Returns where a heartbeat claims that the logs agree. A follower that disagrees says so,
-    /// which is how the loss of the last message in flight is noticed.
-    fn heartbeat_position(&self, progress: &Progress) -> Position {
-        let index = LogIndex(progress.next.0 - 1);
-        match (progress.flow, self.log.term(index)) {
-            (Flow::Snapshot { .. }, _) | (_, None) => Position::default(),
-            (_, Some(term)) => Position { index, term },
-        }
-    }
-
-    fn append_message(&self, now: Time, links: &Links, prev: Position, round: u64) -> wire::Append {
-        wire::Append {
-            prev_index: prev.index.0,
-            prev_term: prev.term.0,
-            commit: self.commit.0,
-            sent: now.0,
-            round,
-            epoch: links.epoch(),
-            ..wire::Append::default()
-        }
-    }
 }
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -15,13 +15,16 @@
 mod log;
 mod progress;
 mod replica;
+mod sender;
 mod settings;
+mod status;
 mod types;
 
 pub use effect::{Effect, Input, Refusal, Write};
 pub use links::Links;
-pub use replica::{Replica, Role, Status};
+pub use replica::{Replica, Role};
 pub use settings::{Safeguards, Settings};
+pub use status::Status;
 pub use types::{
     Ballot, EntryMeta, LogIndex, MemberChange, Members, Position, Restored, Sequence, Term, quorum,
 };
--- a/crates/core/tests/replication/net.rs
+++ b/crates/core/tests/replication/net.rs
@@ -2,16 +2,19 @@
 //!
 //! Every rule that must hold is checked after each step; what breaks one is kept in `broken`.
 
+mod node;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{
-    Effect, EntryMeta, Input, Links, LogIndex, MemberChange, Members, Position, Replica, Restored,
-    Role, Sequence, Settings, Status, Term, Write,
+    Effect, EntryMeta, Input, Links, LogIndex, MemberChange, Members, Replica, Restored, Role,
+    Sequence, Settings, Term, Write,
 };
 use gypsumglade_core::wire::replication as wire;
 use gypsumglade_core::wire::replication::message::Body;
+use node::{Disk, Node};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -19,32 +22,6 @@
 /// Bytes of a snapshot: several chunks, so that installs can be cut short.
 const SNAPSHOT_BYTES: usize = 50;
 
-/// What a VM's disk holds: `Restored` with the entries' data.
-#[derive(Clone, Default)]
-struct Disk {
-    restored: Restored,
-    entries: Vec<wire::Entry>,
-    state: Vec<u8>,
-}
-
-pub struct Node {
-    pub id: VmId,
-    pub replica: Option<Replica>,
-    pub links: Links,
-    /// When the next pulses go out, on this clock.
-    pulse: Time,
-    /// Share by which this clock runs fast.
-    pub rate: f64,
-    /// What a crash keeps.
-    durable: Disk,
-    /// What the process sees.
-    seen: Disk,
-    unsynced: Vec<(Sequence, Write, Vec<u8>)>,
-    incoming: Vec<u8>,
-    applied: LogIndex,
-    sync_due: Option<u64>,
-}
-
 /// How messages travel.
 #[derive(Clone, Copy, Default)]
 pub struct Weather {
@@ -449,76 +426,3 @@
 fn others(id: VmId, count: usize) -> impl Iterator<Item = VmId> {
     (1..=count as u32).map(VmId).filter(move |&other| other != id)
 }
-
-impl Node {
-    fn new(id: VmId, rate: f64, disk: Disk) -> Node {
-        Node {
-            id,
-            replica: None,
-            links: Links::default(),
-            pulse: Time::MAX,
-            rate,
-            seen: disk.clone(),
-            durable: disk,
-            unsynced: Vec::new(),
-            incoming: Vec::new(),
-            applied: LogIndex(0),
-            sync_due: None,
-        }
-    }
-
-    pub fn status(&self) -> Option<Status> {
-        self.replica.as_ref().map(|replica| replica.status(Time::ZERO, &self.links))
-    }
-
-    fn pulse_due(&self) -> Option<u64> {
-        self.replica.as_ref()?;
-        Some((self.pulse.0 as f64 / (1.0 + self.rate)) as u64 + 1)
-    }
-
-    pub fn role(&self) -> Option<Role> {
-        self.replica.as_ref().map(Replica::role)
-    }
-
-    pub fn time(&self, now: u64) -> Time {
-        Time((now as f64 * (1.0 + self.rate)) as u64)
-    }
-
-    /// Returns when the replica wants a tick, in true time.
-    fn deadline(&self) -> Option<u64> {
-        let deadline = self.replica.as_ref()?.deadline();
-        Some((deadline.0 as f64 / (1.0 + self.rate)) as u64 + 1)
-    }
-}
-
-impl Disk {
-    fn apply(&mut self, write: &Write, state: &[u8]) {
-        match write {
-            Write::Ballot(ballot) => self.restored.ballot = *ballot,
-            Write::Entries(entries) => {
-                let first = entries.first().map_or(u64::MAX, |entry| entry.index);
-                self.entries.retain(|entry| entry.index < first);
-                let after = self.restored.snapshot.index.0;
-                self.entries.extend(entries.iter().filter(|e| e.index > after).cloned());
-            }
-            Write::Snapshot { position, members } => {
-                self.entries.clear();
-                self.restored.snapshot = *position;
-                self.restored.members = members.clone();
-                self.state = state.to_vec();
-            }
-        }
-    }
-
-    fn compact(&mut self, position: Position, members: Members, state: &[u8]) {
-        self.entries.retain(|entry| entry.index > position.index.0);
-        self.restored.snapshot = position;
-        self.restored.members = members;
-        self.state = state.to_vec();
-    }
-
-    fn range(&self, first: LogIndex, last: LogIndex) -> Vec<wire::Entry> {
-        let inside = |e: &&wire::Entry| (first.0..=last.0).contains(&e.index);
-        self.entries.iter().filter(inside).cloned().collect()
-    }
-}
--- a/crates/core/tests/replication_safeguards.rs
+++ b/crates/core/tests/replication_safeguards.rs
@@ -80,6 +80,42 @@
     assert!(broken.contains("held a lease"), "{broken}");
 }
 
+/// The leader's clock runs slow by 5 % and the others' fast, and the leader is cut off. Without the
+/// longer wait the others elect a leader, which commits, before the old one's lease is out.
+fn cut_off_slow_leader(drift: f64) -> Option<String> {
+    for seed in 0..300 {
+        let settings = Settings { drift, ..settings() };
+        let mut net = Net::new(seed, settings, 3, 0);
+        net.nodes.iter_mut().for_each(|node| node.rate = 0.0);
+        net.run(4_000);
+        let leader = net.leader().expect("a leader");
+        for node in &mut net.nodes {
+            // Sets the rate without a jump of the clock.
+            let now = node.time(net.now);
+            node.rate = if node.id == leader { -0.05 } else { 0.05 };
+            node.offset = now.0 as f64 - node.time(net.now).0 as f64;
+        }
+        net.run(500);
+        net.cut_off(leader);
+        net.run(1_500);
+        if net.broken.is_some() {
+            return net.broken;
+        }
+    }
+    None
+}
+
+#[test]
+fn safeguard_drift_on() {
+    assert_eq!(cut_off_slow_leader(0.05), None);
+}
+
+#[test]
+fn safeguard_drift_off() {
+    let broken = cut_off_slow_leader(0.0).expect("no rule was broken");
+    assert!(broken.contains("held a lease"), "{broken}");
+}
+
 /// Entries of term 2 reach one follower, and their leader dies. Another replica leads term 3,
 /// appends, and dies with its entry on its own disk only. The first comes back, leads term 4 and
 /// copies its old entries to a quorum, but none of its own term. It dies; the leader of term 3
--- a/crates/core/tests/replication_safety.rs
+++ b/crates/core/tests/replication_safety.rs
@@ -144,6 +144,10 @@
 /// Cases in which a missing safeguard must show itself.
 const MUTATION_CASES: u32 = 5_000;
 
+/// Parts of the messages about broken safety, as against a group that only stands still.
+const SAFETY: [&str; 4] =
+    ["committed another entry", "both led term", "held a lease at", "which was stale"];
+
 /// Switches one safeguard off and expects the rules above to be broken.
 fn expect_broken(change: impl Fn(&mut Settings)) {
     let mut settings = settings();
@@ -157,7 +161,8 @@
         ..ProptestConfig::default()
     };
     let result = TestRunner::new(config).run(&strategy, |(seed, ops)| check(&settings, seed, &ops));
-    assert!(result.is_err(), "no rule was broken");
+    let error = result.expect_err("no rule was broken").to_string();
+    assert!(SAFETY.iter().any(|rule| error.contains(rule)), "another rule was broken: {error}");
 }
 
 #[test]
