--- a/crates/gypsumglade/src/disk/mod.rs
+++ b/crates/gypsumglade/src/disk/mod.rs
@@ -17,5 +17,6 @@
 pub use faults::Faults;
 pub use inspect::{Finding, GroupReport, Report, SegmentReport, inspect};
 pub use reader::Reader;
+pub use snapshot::Saver;
 pub use types::{Done, Job, JobWrite, Options, Place, RestoredGroup, Snapshot, Written};
 pub use writer::Disk;
--- a/crates/gypsumglade/src/disk/snapshot.rs
+++ b/crates/gypsumglade/src/disk/snapshot.rs
@@ -3,7 +3,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::os::unix::fs::FileExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use anyhow::{Context, bail};
 use bytes::Bytes;
@@ -12,10 +12,38 @@
 
 use super::faults::Faults;
 use super::folder::write_whole;
+use super::types::Snapshot;
 
 /// Bytes before the data: length and checksum.
 const HEADER_BYTES: u64 = 12;
 const PREFIX: &str = "snapshot-";
+/// What to do when a write fails.
+pub(super) const WRITE_ADVICE: &str = "make room or replace the disk, then restart the process \
+     (nothing that was acknowledged is lost)";
+
+/// Writes snapshot files while the log goes on. Their marks come after, through the log.
+#[derive(Clone, Debug)]
+pub struct Saver {
+    folder: PathBuf,
+    faults: Faults,
+}
+
+impl Saver {
+    pub(super) fn new(folder: PathBuf, faults: Faults) -> Saver {
+        Saver { folder, faults }
+    }
+
+    /// Writes the file of a snapshot and leaves only its mark to be written.
+    pub fn save(&self, group: GroupId, snapshot: &mut Snapshot) -> anyhow::Result<()> {
+        let index = snapshot.position.index;
+        write(&self.folder, group, index, &snapshot.data, &self.faults).with_context(|| {
+            format!("the snapshot of {group} at {index} can't be written; {WRITE_ADVICE}")
+        })?;
+        snapshot.saved = snapshot.length();
+        snapshot.data = Bytes::new();
+        Ok(())
+    }
+}
 
 pub(super) fn name(group: GroupId, index: LogIndex) -> String {
     format!("{PREFIX}{}-{:020}", group.0, index.0)
--- a/crates/gypsumglade/src/disk/types.rs
+++ b/crates/gypsumglade/src/disk/types.rs
@@ -41,12 +41,21 @@
     pub position: Position,
     /// The members as of it.
     pub members: Members,
-    /// What the owner of the state machine gave.
+    /// What the owner of the state machine gave; empty once [`super::Saver`] wrote its file.
     pub data: Bytes,
+    /// Bytes of the file that is written already.
+    pub saved: u64,
     /// True when it replaces the whole log.
     pub reset: bool,
 }
 
+impl Snapshot {
+    /// Returns the bytes of the snapshot.
+    pub fn length(&self) -> u64 {
+        self.saved.max(self.data.len() as u64)
+    }
+}
+
 /// What is to be written for one group.
 #[derive(Clone, Debug)]
 pub enum JobWrite {
@@ -99,9 +108,7 @@
     /// Returns what a disk would say once it has done `job`, but for the places.
     pub fn of_memory(job: &Job) -> Done {
         let (snapshot, length) = match &job.write {
-            JobWrite::Snapshot(snapshot) => {
-                (Some(snapshot.position.index), snapshot.data.len() as u64)
-            }
+            JobWrite::Snapshot(snapshot) => (Some(snapshot.position.index), snapshot.length()),
             JobWrite::Ballot(_) | JobWrite::Entries(_) => (None, 0),
         };
         let entries = Vec::new();
--- a/crates/gypsumglade/src/disk/writer.rs
+++ b/crates/gypsumglade/src/disk/writer.rs
@@ -15,7 +15,7 @@
 use super::frame::FrameWriter;
 use super::reader::Reader;
 use super::replay::{Replay, ReplayedGroup, replay};
-use super::snapshot;
+use super::snapshot::{self, Saver, WRITE_ADVICE};
 use super::types::{Done, Job, JobWrite, Options, Place, RestoredGroup, Snapshot, Written};
 
 /// Segment files above which the groups that hold up the oldest one are named.
@@ -77,15 +77,16 @@
         Reader::new(self.folder.clone())
     }
 
+    /// Returns a writer of snapshot files that works beside this one.
+    pub fn saver(&self) -> Saver {
+        Saver::new(self.folder.clone(), self.options.faults.clone())
+    }
+
     /// Writes all jobs and returns once they are stable. After an error nothing may be written
     /// any more: it isn't known what the disk holds.
     pub fn write(&mut self, jobs: &mut Vec<Job>) -> anyhow::Result<Vec<Done>> {
         self.write_frame(jobs).with_context(|| {
-            format!(
-                "the data folder {} can't be written; make room or replace the disk, then \
-                 restart the process (nothing that was acknowledged is lost)",
-                self.folder.display()
-            )
+            format!("the data folder {} can't be written; {WRITE_ADVICE}", self.folder.display())
         })
     }
 
@@ -187,8 +188,13 @@
         snapshot: &Snapshot,
     ) -> anyhow::Result<Option<String>> {
         let index = snapshot.position.index;
-        let length = snapshot.data.len() as u64;
-        if length > 0 {
+        let length = snapshot.length();
+        let known = self.groups.get(&group).map_or(0, |live| live.mark.index);
+        if !snapshot.reset && index.0 < known {
+            // A leader's snapshot overtook this one while its file was written.
+            return Ok((length > 0).then(|| snapshot::name(group, index)));
+        }
+        if !snapshot.data.is_empty() {
             let faults = &self.options.faults;
             snapshot::write(&self.folder, group, index, &snapshot.data, faults)?;
         }
--- a/crates/gypsumglade/src/replica/calls.rs
+++ b/crates/gypsumglade/src/replica/calls.rs
@@ -37,6 +37,7 @@
             position: state.snapshot,
             members: state.members.clone(),
             data: Bytes::new(),
+            saved: 0,
             reset: true,
         };
         self.restore(RestoredGroup::empty(group, state));
@@ -156,8 +157,9 @@
         data: Bytes,
         reply: oneshot::Sender<()>,
     ) {
-        let mark = self.groups.get(&id).and_then(|group| group.replica.snapshot_mark(index));
-        let Some((position, members)) = mark else {
+        // A dropped reply ends the caller's wait.
+        let mark = self.groups.get(&id).and_then(|group| group.new_mark(index));
+        let Some((position, members)) = mark.filter(|_| self.failed.is_none()) else {
             return;
         };
         if let Some(group) = self.groups.get_mut(&id)
@@ -166,8 +168,12 @@
             group.snapshot = data.clone();
             group.length = data.len() as u64;
         }
+        let again = self.snapshots.iter().any(|(group, at, _)| *group == id && *at == index);
         self.snapshots.push((id, index, reply));
-        let snapshot = Snapshot { position, members, data, reset: false };
+        if again {
+            return;
+        }
+        let snapshot = Snapshot { position, members, data, saved: 0, reset: false };
         self.submit(Job { group: id, sequence: None, write: JobWrite::Snapshot(snapshot) });
         self.take_done();
     }
--- a/crates/gypsumglade/src/replica/group.rs
+++ b/crates/gypsumglade/src/replica/group.rs
@@ -134,6 +134,13 @@
         due.then(|| self.waiters.pop_front()).flatten()
     }
 
+    /// Returns where a snapshot at `index` would stand, unless one does already. Writing its file
+    /// a second time could leave, after a crash, a file that its mark doesn't fit.
+    pub(super) fn new_mark(&self, index: LogIndex) -> Option<(Position, Members)> {
+        let there = self.length > 0 && self.replica.snapshot().index == index;
+        self.replica.snapshot_mark(index).filter(|_| !there)
+    }
+
     /// Keeps a piece of an arriving snapshot.
     pub(super) fn store_chunk(&mut self, offset: u64, data: &[u8]) {
         if offset == 0 {
@@ -149,7 +156,7 @@
         self.asked = position.index;
         self.snapshot = data.clone();
         self.length = data.len() as u64;
-        Snapshot { position, members: members.clone(), data, reset: true }
+        Snapshot { position, members: members.clone(), data, saved: 0, reset: true }
     }
 
     /// Drops the log that a synced snapshot of the state machine covers.
--- a/crates/gypsumglade/src/replica/storage.rs
+++ b/crates/gypsumglade/src/replica/storage.rs
@@ -11,7 +11,7 @@
 
 use super::engine::Command;
 use super::settings::HostSettings;
-use crate::disk::{self, Disk, Done, Job, Place, Reader, RestoredGroup};
+use crate::disk::{self, Disk, Done, Job, JobWrite, Place, Reader, RestoredGroup, Saver};
 
 /// Jobs that one sync covers at most; a bound on how long the first of them waits.
 const JOBS_PER_SYNC: usize = 4096;
@@ -26,12 +26,14 @@
     Memory,
     /// To the data folder, through its thread.
     Folder {
-        /// What the thread is to write.
+        /// What is to be written to the log.
         jobs: mpsc::Sender<Job>,
+        /// Snapshots whose files are to be written first.
+        snapshots: mpsc::Sender<Job>,
         /// Reads what it has written.
         reader: Reader,
-        /// The thread.
-        thread: Option<std::thread::JoinHandle<()>>,
+        /// The threads that write.
+        threads: Vec<std::thread::JoinHandle<()>>,
     },
 }
 
@@ -50,21 +52,27 @@
         };
         let (disk, groups) = Disk::open(folder, options)
             .with_context(|| format!("the data folder {} can't be used", folder.display()))?;
-        let reader = disk.reader();
+        let (reader, saver) = (disk.reader(), disk.saver());
         let (jobs, queue) = mpsc::channel();
-        let thread = std::thread::Builder::new()
-            .name("disk".to_owned())
-            .spawn(move || write_all(disk, &queue, &back))?;
-        Ok((Storage::Folder { jobs, reader, thread: Some(thread) }, groups))
+        let (snapshots, files) = mpsc::channel();
+        let (report, marks) = (back.clone(), jobs.clone());
+        let threads = vec![
+            spawn("disk", move || write_all(disk, &queue, &back))?,
+            spawn("snapshots", move || save_all(&saver, &files, &marks, &report))?,
+        ];
+        Ok((Storage::Folder { jobs, snapshots, reader, threads }, groups))
     }
 
     /// Hands a write to the disk. Returns what is done already.
     pub(super) fn submit(&self, job: Job) -> Option<Done> {
         match self {
             Storage::Memory => Some(Done::of_memory(&job)),
-            Storage::Folder { jobs, .. } => {
-                // The thread ends only after it has reported its failure.
-                let _ = jobs.send(job);
+            Storage::Folder { jobs, snapshots, .. } => {
+                let beside = matches!(&job.write, JobWrite::Snapshot(snapshot)
+                    if !snapshot.reset && !snapshot.data.is_empty());
+                let queue = if beside { snapshots } else { jobs };
+                // A thread ends only after it has reported its failure.
+                let _ = queue.send(job);
                 None
             }
         }
@@ -92,10 +100,44 @@
 
     /// Waits until all is written and the folder is closed.
     pub(super) fn close(self) {
-        if let Storage::Folder { jobs, thread: Some(thread), .. } = self {
-            drop(jobs);
-            let _ = thread.join();
+        if let Storage::Folder { jobs, snapshots, threads, .. } = self {
+            drop((jobs, snapshots));
+            for thread in threads {
+                // A thread that panicked has been seen on standard error.
+                let _ = thread.join();
+            }
+        }
+    }
+}
+
+fn spawn(
+    name: &str,
+    run: impl FnOnce() + Send + 'static,
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    std::thread::Builder::new().name(name.to_owned()).spawn(run)
+}
+
+/// Writes the files of snapshots, and hands on their marks. On the log's own thread a large file
+/// would hold up the commits of all groups.
+fn save_all(
+    saver: &Saver,
+    queue: &mpsc::Receiver<Job>,
+    marks: &mpsc::Sender<Job>,
+    back: &WeakUnboundedSender<Command>,
+) {
+    while let Ok(mut job) = queue.recv() {
+        let JobWrite::Snapshot(snapshot) = &mut job.write else {
+            continue;
+        };
+        let Err(error) = saver.save(job.group, snapshot) else {
+            // Without the log's thread the host has failed already.
+            let _ = marks.send(job);
+            continue;
+        };
+        if let Some(back) = back.upgrade() {
+            let _ = back.send(Command::DiskFailed(format!("{error:#}").into()));
         }
+        return;
     }
 }
 
--- a/crates/gypsumglade/tests/disk_failures.rs
+++ b/crates/gypsumglade/tests/disk_failures.rs
@@ -62,7 +62,7 @@
     let position = Position { index: LogIndex(index), term: Term(if index > 1 { 2 } else { 1 }) };
     let members = Members::of(vec![VM, VmId(4)]);
     let data = Bytes::from_static(data);
-    job(group, JobWrite::Snapshot(Snapshot { position, members, data, reset }))
+    job(group, JobWrite::Snapshot(Snapshot { position, members, data, saved: 0, reset }))
 }
 
 /// Writes a group's start, a ballot and `count` frames of one entry each. Returns the length of
@@ -274,6 +274,23 @@
     assert_eq!(kept, [(GROUP, 5, 3), (OTHER, 0, 3)]);
 }
 
+#[test]
+fn write_overtaken_snapshot() {
+    // While the file of an own snapshot is written, a leader's newer one is installed. The older
+    // mark must not follow it: the log between the two is gone.
+    let folder = Folder::new();
+    filled(&folder, 4);
+    let (mut disk, _) = folder.open().expect("opened");
+    let mut own = snapshot(GROUP, 3, b"the older", false);
+    let JobWrite::Snapshot(older) = &mut own.write else { unreachable!() };
+    disk.saver().save(GROUP, older).expect("saved");
+    disk.write(&mut vec![snapshot(GROUP, 9, b"newer", true), own]).expect("written");
+    drop(disk);
+    let (_, groups) = folder.open().expect("opened");
+    assert_eq!((groups[0].state.snapshot.index, groups[0].length), (LogIndex(9), 5));
+    assert!(!folder.path.join(format!("snapshot-1-{:020}", 3)).exists());
+}
+
 #[test]
 fn write_replaced_entries() {
     // A new leader replaces entries that were never committed; a restart must not find them.
