--- a/crates/core/src/replication/follower.rs
+++ b/crates/core/src/replication/follower.rs
@@ -86,7 +86,7 @@
     fn install(&mut self, position: Position, chunk: &wire::Chunk, out: &mut Vec<Effect>) {
         let members = chunk.members.as_ref().map(Members::from_wire).unwrap_or_default();
         self.incoming = None;
-        self.unsync(self.log.snapshot().index.next());
+        self.unsync(self.log.base().next());
         self.log.reset(position, members.clone());
         self.commit = position.index;
         self.save_snapshot(position, members, out);
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -304,7 +304,8 @@
 
     fn note_snapshot(&mut self, index: LogIndex) {
         if index > self.log.snapshot().index && index <= self.commit {
-            self.log.compact(index);
+            let settings = &self.settings;
+            self.log.compact(index, settings.keep_entries, settings.keep_bytes);
         }
     }
 
--- a/crates/core/src/replication/settings.rs
+++ b/crates/core/src/replication/settings.rs
@@ -17,6 +17,10 @@
     pub in_flight: usize,
     /// Most bytes of proposals that wait for a commit.
     pub backlog_bytes: usize,
+    /// Entries before a snapshot that are kept for followers a little behind.
+    pub keep_entries: u64,
+    /// Bytes of those entries at most.
+    pub keep_bytes: usize,
     /// Bytes of one piece of a snapshot.
     pub chunk_bytes: usize,
     /// How many entries a learner may lack and still be promoted.
@@ -35,6 +39,8 @@
             batch_bytes: 256 * 1024,
             in_flight: 16,
             backlog_bytes: 32 * 1024 * 1024,
+            keep_entries: 1_000,
+            keep_bytes: 1024 * 1024,
             chunk_bytes: 256 * 1024,
             promote_lag: 16,
             safeguards: Safeguards::default(),
--- a/crates/core/src/replication/status.rs
+++ b/crates/core/src/replication/status.rs
@@ -60,6 +60,16 @@
         self.log.snapshot()
     }
 
+    /// Returns the entry before the first one that is kept; the driver may drop those up to it.
+    pub fn base(&self) -> LogIndex {
+        self.log.base()
+    }
+
+    /// Drops the entries before the snapshot that were kept for followers a little behind.
+    pub fn drop_kept(&mut self) {
+        self.log.drop_kept();
+    }
+
     /// Returns the last entry's place, synced or not.
     pub fn last(&self) -> Position {
         self.log.last()
--- a/crates/core/tests/replication/net.rs
+++ b/crates/core/tests/replication/net.rs
@@ -107,6 +107,8 @@
         }
         node.seen = node.durable.clone();
         let mut restored = node.seen.restored.clone();
+        let after = restored.snapshot.index.0;
+        node.seen.entries.retain(|entry| entry.index > after);
         restored.entries = node.seen.entries.iter().map(EntryMeta::of).collect();
         node.applied = restored.snapshot.index;
         let now = node.time(now);
--- a/crates/core/tests/replication/node.rs
+++ b/crates/core/tests/replication/node.rs
@@ -99,8 +99,8 @@
         }
     }
 
+    /// Notes a snapshot. Entries before it stay, for the replica may keep some.
     pub fn compact(&mut self, position: Position, members: Members, state: &[u8]) {
-        self.entries.retain(|entry| entry.index > position.index.0);
         self.restored.snapshot = position;
         self.restored.members = members;
         self.state = state.to_vec();
--- a/crates/core/tests/replication_safeguards.rs
+++ b/crates/core/tests/replication_safeguards.rs
@@ -10,7 +10,7 @@
 
 /// Small batches, so that entries arrive in several.
 fn settings() -> Settings {
-    Settings { batch_bytes: 24, chunk_bytes: 20, ..Settings::default() }
+    Settings { batch_bytes: 24, chunk_bytes: 20, keep_entries: 3, ..Settings::default() }
 }
 
 fn started(settings: Settings, voters: u32, spares: u32) -> (Net, VmId) {
@@ -308,6 +308,26 @@
     assert!(last(&net, late).0 > 600);
 }
 
+#[test]
+fn snapshot_follower_little_behind() {
+    // A follower lacks the last entry when the leader drops its log. It is sent that entry, and
+    // no snapshot over what may be a slow link.
+    let (mut net, leader) = started(settings(), 3, 0);
+    let late = others(&net, &[leader])[0];
+    (0..10).for_each(|_| net.propose(leader));
+    net.run(200);
+    cut_between(&mut net, &[leader], &[late]);
+    net.propose(leader);
+    net.run(100);
+    net.snapshot(leader);
+    net.cuts.clear();
+    net.run(500);
+    assert_eq!(net.broken, None);
+    assert_eq!(last(&net, late), last(&net, leader));
+    let status = net.node(late).status().expect("alive");
+    assert_eq!(status.snapshot.index, LogIndex(1));
+}
+
 #[test]
 fn transfer_planned_stop() {
     // A planned stop hands over before the process ends: another replica leads within a few
--- a/crates/core/tests/replication_safety.rs
+++ b/crates/core/tests/replication_safety.rs
@@ -100,6 +100,7 @@
         batch_bytes: 24,
         in_flight: 3,
         chunk_bytes: 20,
+        keep_entries: 3,
         backlog_bytes: 400,
         ..Settings::default()
     }
--- a/crates/gypsumglade/examples/replication_bench.rs
+++ b/crates/gypsumglade/examples/replication_bench.rs
@@ -12,7 +12,7 @@
 use clap::{Parser, Subcommand};
 use gypsumglade::replica::{Event, Host, HostSettings, Outbound};
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::Role;
+use gypsumglade_core::replication::{Role, Settings};
 use hdrhistogram::Histogram;
 use tokio::sync::mpsc;
 
@@ -170,6 +170,8 @@
     HostSettings {
         vm,
         folder: Some(root.join(vm.to_string())),
+        // An install is wanted, not the entries that are kept for followers a little behind.
+        replication: Settings { keep_entries: 0, ..Settings::default() },
         snapshot_entries: u64::MAX,
         snapshot_bytes: u64::MAX,
         ..HostSettings::default()
--- a/crates/gypsumglade/src/disk/types.rs
+++ b/crates/gypsumglade/src/disk/types.rs
@@ -65,6 +65,8 @@
     Entries(Vec<wire::Entry>),
     /// A snapshot, and what it does to the log.
     Snapshot(Snapshot),
+    /// Nothing: entries up to here won't be read any more, and their files may go.
+    Forget(LogIndex),
 }
 
 /// A write of one group.
@@ -109,7 +111,7 @@
     pub fn of_memory(job: &Job) -> Done {
         let (snapshot, length) = match &job.write {
             JobWrite::Snapshot(snapshot) => (Some(snapshot.position.index), snapshot.length()),
-            JobWrite::Ballot(_) | JobWrite::Entries(_) => (None, 0),
+            JobWrite::Ballot(_) | JobWrite::Entries(_) | JobWrite::Forget(_) => (None, 0),
         };
         let entries = Vec::new();
         Done { group: job.group, sequence: job.sequence, entries, snapshot, length }
--- a/crates/gypsumglade/src/disk/writer.rs
+++ b/crates/gypsumglade/src/disk/writer.rs
@@ -47,6 +47,9 @@
 struct Live {
     ballot: Ballot,
     mark: wire::SnapshotMark,
+    /// Entries up to here are read no more. Follows the mark: a reader may still be at work on
+    /// an entry when the snapshot that covers it is stable.
+    forgotten: LogIndex,
     /// The highest index written in each segment.
     written: BTreeMap<u32, LogIndex>,
 }
@@ -154,6 +157,10 @@
                     done.entries.push(self.push_entry(frame, job.group, entry));
                 }
             }
+            JobWrite::Forget(index) => {
+                let live = self.groups.entry(job.group).or_default();
+                live.forgotten = live.forgotten.max(index);
+            }
             JobWrite::Snapshot(snapshot) => {
                 stale.extend(self.push_snapshot(frame, job.group, &snapshot)?);
             }
@@ -209,6 +216,7 @@
         let old = std::mem::replace(&mut live.mark, mark.clone());
         if snapshot.reset {
             live.written.clear();
+            live.forgotten = index;
         }
         frame.push(&mark_record(group, mark));
         let replaced = old.length > 0 && old.index != index.0;
@@ -309,11 +317,12 @@
             length: group.length,
             reset: false,
         };
-        Live { ballot: group.ballot, mark, written: group.written }
+        let forgotten = group.mark.index;
+        Live { ballot: group.ballot, mark, forgotten, written: group.written }
     }
 
     fn needs(&self, segment: u32) -> bool {
-        self.written.get(&segment).is_some_and(|last| last.0 > self.mark.index)
+        self.written.get(&segment).is_some_and(|last| *last > self.forgotten)
     }
 }
 
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -14,7 +14,7 @@
 use super::queue::EventQueue;
 use super::settings::HostSettings;
 use super::storage::Storage;
-use crate::disk::{Done, Job, RestoredGroup};
+use crate::disk::{Done, Job, JobWrite, RestoredGroup};
 
 /// Commands taken before effects that wait for a batch go out.
 const COMMANDS_PER_TURN: usize = 512;
@@ -225,9 +225,7 @@
             Command::Change { group, change, reply } => self.change(group, change, reply),
             Command::Status { reply } => drop(reply.send(self.status())),
             Command::Written(done) => done.into_iter().for_each(|done| self.written(done)),
-            Command::Compact(groups) => {
-                groups.into_iter().for_each(|group| self.events.need_snapshot(group));
-            }
+            Command::Compact(groups) => groups.into_iter().for_each(|group| self.release(group)),
             Command::DiskFailed(reason) => self.fail(reason),
             Command::Stop { .. } => {}
         }
@@ -334,7 +332,8 @@
                 group.snapshot = Bytes::new();
             }
             group.length = length;
-            group.compact(index);
+            let base = group.compact();
+            self.submit(Job { group: id, sequence: None, write: JobWrite::Forget(base) });
         }
         let taken = |(group, at, _): &mut (GroupId, LogIndex, _)| *group == id && *at <= index;
         for (_, _, reply) in self.snapshots.extract_if(.., taken) {
@@ -342,6 +341,19 @@
         }
     }
 
+    /// Lets go of a group's oldest entries: they hold up the files of all groups.
+    fn release(&mut self, id: GroupId) {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        group.replica.drop_kept();
+        let base = group.compact();
+        if group.replica.commit() > base {
+            self.events.need_snapshot(id);
+        }
+        self.submit(Job { group: id, sequence: None, write: JobWrite::Forget(base) });
+    }
+
     /// Stops answering. What was synced is kept; what wasn't was promised to nobody.
     ///
     /// After a failed sync the kernel may have dropped the pages and marked them clean, so a
--- a/crates/gypsumglade/src/replica/group.rs
+++ b/crates/gypsumglade/src/replica/group.rs
@@ -137,7 +137,8 @@
     /// Returns where a snapshot at `index` would stand, unless one does already. Writing its file
     /// a second time could leave, after a crash, a file that its mark doesn't fit.
     pub(super) fn new_mark(&self, index: LogIndex) -> Option<(Position, Members)> {
-        let there = self.length > 0 && self.replica.snapshot().index == index;
+        let known = self.replica.snapshot().index;
+        let there = index < known || (index == known && self.length > 0);
         self.replica.snapshot_mark(index).filter(|_| !there)
     }
 
@@ -159,12 +160,12 @@
         Snapshot { position, members: members.clone(), data, saved: 0, reset: true }
     }
 
-    /// Drops the log that a synced snapshot of the state machine covers.
-    pub(super) fn compact(&mut self, index: LogIndex) {
-        if self.replica.snapshot().index == index {
-            self.tail.compact(index);
-            self.asked = self.asked.max(index);
-        }
+    /// Drops the log that the replica keeps no more. Returns up to where.
+    pub(super) fn compact(&mut self) -> LogIndex {
+        let base = self.replica.base();
+        self.tail.compact(base);
+        self.asked = self.asked.max(self.replica.snapshot().index);
+        base
     }
 
     /// Reads a piece of the snapshot, and tells whether it is the last.
--- a/crates/gypsumglade/tests/disk_failures.rs
+++ b/crates/gypsumglade/tests/disk_failures.rs
@@ -260,10 +260,14 @@
     assert_eq!(disk.holders(), [GROUP], "the other group began in a later file");
     let before = inspect(&folder.path).expect("a report").segments.len();
     disk.write(&mut vec![snapshot(GROUP, 35, b"one", false)]).expect("written");
+    let first = inspect(&folder.path).expect("a report").segments[0].number;
+    assert_eq!(first, 1, "entries may still be read");
+    disk.write(&mut vec![job(GROUP, JobWrite::Forget(LogIndex(35)))]).expect("dropped");
     disk.write(&mut vec![entries(GROUP, 40..=40)]).expect("written");
     assert_eq!(disk.holders(), [OTHER], "only the seldom written group holds up the log");
     let pinned = inspect(&folder.path).expect("a report").segments.len();
     disk.write(&mut vec![snapshot(OTHER, 2, b"two", false)]).expect("written");
+    disk.write(&mut vec![job(OTHER, JobWrite::Forget(LogIndex(2)))]).expect("dropped");
     drop(disk);
     let report = inspect(&folder.path).expect("a report");
     assert!(report.segments.len() < pinned && pinned < before + 2, "{report:?}");
--- a/crates/gypsumglade/tests/replica_cluster.rs
+++ b/crates/gypsumglade/tests/replica_cluster.rs
@@ -38,6 +38,7 @@
         heartbeat: Duration::from_millis(50),
         lease: Duration::from_millis(500),
         chunk_bytes: 1_000,
+        keep_entries: 4,
         ..Settings::default()
     }
 }
