--- a/crates/gypsumglade/tests/replica_cluster.rs
+++ b/crates/gypsumglade/tests/replica_cluster.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use gypsumglade::disk::Faults;
+use gypsumglade::disk::{Faults, inspect};
 use gypsumglade::replica::{Event, Host, HostSettings, Outbound, ProposeError};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{LogIndex, MemberChange, Role, Settings, Term};
@@ -30,6 +30,8 @@
     root: tempfile::TempDir,
     links: Links,
     vms: BTreeMap<VmId, Vm>,
+    /// Whether the log is cut into small files and compacted often.
+    compacts: bool,
 }
 
 /// Half of the default timeouts, so that elections take less of the test's time.
@@ -46,7 +48,7 @@
 impl Cluster {
     fn new() -> Cluster {
         let root = tempfile::tempdir().expect("a folder");
-        Cluster { root, links: Links::default(), vms: BTreeMap::new() }
+        Cluster { root, links: Links::default(), vms: BTreeMap::new(), compacts: false }
     }
 
     async fn of(vms: u32) -> Cluster {
@@ -65,20 +67,23 @@
     }
 
     async fn start(&mut self, vm: VmId, faults: Faults) {
+        let defaults = HostSettings::default();
         let settings = HostSettings {
+            snapshot_entries: if self.compacts { 20 } else { defaults.snapshot_entries },
+            segment_bytes: if self.compacts { 4_000 } else { defaults.segment_bytes },
             vm,
             folder: Some(self.root.path().join(vm.to_string())),
             replication: fast(),
             cache_bytes: 2_000,
             faults,
-            ..HostSettings::default()
+            ..defaults
         };
         let (outbound, batches) = mpsc::channel(1_000);
         let (host, events) = Host::start(settings, outbound).await.expect("the host starts");
         self.links.hosts.lock().expect("hosts").insert(vm, host.clone());
         tokio::spawn(carry(vm, batches, self.links.clone()));
         let told = Told::default();
-        tokio::spawn(listen(events, Arc::clone(&told)));
+        tokio::spawn(listen(events, Arc::clone(&told), host.clone()));
         self.vms.insert(vm, Vm { host, told });
     }
 
@@ -141,18 +146,28 @@
 }
 
 impl Vm {
-    /// Plays the state machine: a list of all commands.
     fn state(&self, group: GroupId) -> Vec<Bytes> {
-        let mut state = Vec::new();
-        for event in self.told.lock().expect("events").get(&group).into_iter().flatten() {
-            match event {
-                Event::Committed { data, .. } => state.push(data.clone()),
-                Event::Restore { data, .. } => state = unpack(data),
-                _ => {}
+        state(&self.told, group).0
+    }
+}
+
+/// Plays the state machine: a list of all commands, and the index of the last one.
+fn state(told: &Told, group: GroupId) -> (Vec<Bytes>, LogIndex) {
+    let (mut state, mut last) = (Vec::new(), LogIndex(0));
+    for event in told.lock().expect("events").get(&group).into_iter().flatten() {
+        match event {
+            Event::Committed { data, index, .. } => {
+                state.push(data.clone());
+                last = *index;
             }
+            Event::Restore { data, index, .. } => {
+                state = unpack(data);
+                last = *index;
+            }
+            _ => {}
         }
-        state
     }
+    (state, last)
 }
 
 async fn carry(from: VmId, mut batches: mpsc::Receiver<Outbound>, links: Links) {
@@ -167,7 +182,7 @@
     }
 }
 
-async fn listen(mut events: mpsc::Receiver<Event>, told: Told) {
+async fn listen(mut events: mpsc::Receiver<Event>, told: Told, host: Host) {
     while let Some(event) = events.recv().await {
         let group = match &event {
             Event::Leader { group, .. }
@@ -177,6 +192,10 @@
             | Event::NeedSnapshot { group } => *group,
             Event::Failed { .. } => GROUP,
         };
+        if matches!(event, Event::NeedSnapshot { .. }) {
+            let (state, last) = state(&told, group);
+            host.snapshot(group, last, Bytes::from(state.concat())).await;
+        }
         told.lock().expect("events").entry(group).or_default().push(event);
     }
 }
@@ -286,6 +305,39 @@
     assert!(told.iter().any(|event| matches!(event, Event::Restore { .. })));
 }
 
+#[tokio::test]
+async fn propose_while_compacting() {
+    // The log is compacted all the time, a VM is down for part of it, and another group with a
+    // few old entries holds up the log until it is asked for a snapshot. Nothing is lost, and the
+    // folders stay small and sound.
+    let mut cluster = Cluster::new();
+    cluster.compacts = true;
+    for vm in 1..=3 {
+        cluster.start(VmId(vm), Faults::default()).await;
+    }
+    cluster.create(GROUP, 3).await;
+    cluster.create(GroupId(2), 3).await;
+    cluster.propose(GroupId(2), &commands(0..3)).await;
+    cluster.propose(GROUP, &commands(0..80)).await;
+    let leader = cluster.leader(GROUP, None).await;
+    let late = cluster.vms.keys().copied().find(|&vm| vm != leader).expect("a follower");
+    cluster.stop(late).await;
+    cluster.propose(GROUP, &commands(80..160)).await;
+    cluster.start(late, Faults::default()).await;
+    cluster.propose(GROUP, &commands(160..250)).await;
+    for vm in [VmId(1), VmId(2), VmId(3)] {
+        cluster.told(vm, GROUP, &commands(0..250)).await;
+        cluster.told(vm, GroupId(2), &commands(0..3)).await;
+    }
+    for vm in [VmId(1), VmId(2), VmId(3)] {
+        cluster.stop(vm).await;
+        let report = inspect(&cluster.root.path().join(vm.to_string())).expect("a report");
+        assert!(report.is_sound(), "{report:?}");
+        let kept: u64 = report.segments.iter().map(|segment| segment.bytes).sum();
+        assert!(kept < 250 * COMMAND_BYTES as u64 * 3 / 4, "{kept} bytes: {report:?}");
+    }
+}
+
 #[tokio::test]
 async fn change_members_replace_vm() {
     // A VM is lost for good. A new one with an empty folder takes its place, and counts only
