--- a/crates/gypsumglade/src/disk/writer.rs
+++ b/crates/gypsumglade/src/disk/writer.rs
@@ -15,9 +15,12 @@
 use super::frame::FrameWriter;
 use super::reader::Reader;
 use super::replay::{Replay, ReplayedGroup, replay};
-use super::snapshot;
+use super::snapshot::{self, Saver, WRITE_ADVICE};
 use super::types::{Done, Job, JobWrite, Options, Place, RestoredGroup, Snapshot, Written};
 
+/// Segment files above which the groups that hold up the oldest one are named.
+const KEPT_SEGMENTS: usize = 4;
+
 /// The open data folder of one VM.
 #[derive(Debug)]
 pub struct Disk {
@@ -32,6 +35,8 @@
     offset: u64,
     /// Sequence of the last frame.
     sequence: u64,
+    /// Whether a file was begun since the holders of the oldest were last named.
+    rotated: bool,
     /// Whether the last frame is empty.
     sealed: bool,
     groups: BTreeMap<GroupId, Live>,
@@ -42,6 +47,9 @@
 struct Live {
     ballot: Ballot,
     mark: wire::SnapshotMark,
+    /// Entries up to here are read no more. Follows the mark: a reader may still be at work on
+    /// an entry when the snapshot that covers it is stable.
+    forgotten: LogIndex,
     /// The highest index written in each segment.
     written: BTreeMap<u32, LogIndex>,
 }
@@ -72,18 +80,32 @@
         Reader::new(self.folder.clone())
     }
 
+    /// Returns a writer of snapshot files that works beside this one.
+    pub fn saver(&self) -> Saver {
+        Saver::new(self.folder.clone(), self.options.faults.clone())
+    }
+
     /// Writes all jobs and returns once they are stable. After an error nothing may be written
     /// any more: it isn't known what the disk holds.
     pub fn write(&mut self, jobs: &mut Vec<Job>) -> anyhow::Result<Vec<Done>> {
         self.write_frame(jobs).with_context(|| {
-            format!(
-                "the data folder {} can't be written; make room or replace the disk, then \
-                 restart the process (nothing that was acknowledged is lost)",
-                self.folder.display()
-            )
+            format!("the data folder {} can't be written; {WRITE_ADVICE}", self.folder.display())
         })
     }
 
+    /// Returns the groups whose entries hold up the oldest file, once for each new file.
+    ///
+    /// A group that is seldom written keeps its few entries for long. Without a snapshot of it
+    /// the files of all groups since would stay, and fill the disk.
+    pub fn holders(&mut self) -> Vec<GroupId> {
+        if !std::mem::take(&mut self.rotated) || self.segments.len() <= KEPT_SEGMENTS {
+            return Vec::new();
+        }
+        let oldest = self.segments[0];
+        let holds = |(&id, live): (&GroupId, &Live)| live.needs(oldest).then_some(id);
+        self.groups.iter().filter_map(holds).collect()
+    }
+
     /// Ends a busy time with an empty frame.
     ///
     /// Damage to the last frame can't be told from a write that was cut short, and is cut off.
@@ -135,6 +157,10 @@
                     done.entries.push(self.push_entry(frame, job.group, entry));
                 }
             }
+            JobWrite::Forget(index) => {
+                let live = self.groups.entry(job.group).or_default();
+                live.forgotten = live.forgotten.max(index);
+            }
             JobWrite::Snapshot(snapshot) => {
                 stale.extend(self.push_snapshot(frame, job.group, &snapshot)?);
             }
@@ -169,8 +195,13 @@
         snapshot: &Snapshot,
     ) -> anyhow::Result<Option<String>> {
         let index = snapshot.position.index;
-        let length = snapshot.data.len() as u64;
-        if length > 0 {
+        let length = snapshot.length();
+        let known = self.groups.get(&group).map_or(0, |live| live.mark.index);
+        if !snapshot.reset && index.0 < known {
+            // A leader's snapshot overtook this one while its file was written.
+            return Ok((length > 0).then(|| snapshot::name(group, index)));
+        }
+        if !snapshot.data.is_empty() {
             let faults = &self.options.faults;
             snapshot::write(&self.folder, group, index, &snapshot.data, faults)?;
         }
@@ -185,6 +216,7 @@
         let old = std::mem::replace(&mut live.mark, mark.clone());
         if snapshot.reset {
             live.written.clear();
+            live.forgotten = index;
         }
         frame.push(&mark_record(group, mark));
         let replaced = old.length > 0 && old.index != index.0;
@@ -212,6 +244,7 @@
         let path = segment_path(&self.folder, number);
         self.file = File::options().create_new(true).append(true).open(path)?;
         self.segments.push(number);
+        self.rotated = true;
         self.offset = 0;
         let mut frame = FrameWriter::new();
         for (&group, live) in &self.groups {
@@ -268,6 +301,7 @@
             segments,
             offset: whole,
             sequence: replay.sequence,
+            rotated: false,
             sealed: fresh,
             groups: groups.collect(),
         })
@@ -283,11 +317,12 @@
             length: group.length,
             reset: false,
         };
-        Live { ballot: group.ballot, mark, written: group.written }
+        let forgotten = group.mark.index;
+        Live { ballot: group.ballot, mark, forgotten, written: group.written }
     }
 
     fn needs(&self, segment: u32) -> bool {
-        self.written.get(&segment).is_some_and(|last| last.0 > self.mark.index)
+        self.written.get(&segment).is_some_and(|last| *last > self.forgotten)
     }
 }
 
--- a/crates/gypsumglade/src/replica/calls.rs
+++ b/crates/gypsumglade/src/replica/calls.rs
@@ -37,6 +37,7 @@
             position: state.snapshot,
             members: state.members.clone(),
             data: Bytes::new(),
+            saved: 0,
             reset: true,
         };
         self.restore(RestoredGroup::empty(group, state));
@@ -52,6 +53,9 @@
     ) {
         match self.groups.get_mut(&group) {
             Some(found) if self.failed.is_none() => {
+                if found.proposals.is_empty() {
+                    self.proposing.push(group);
+                }
                 found.proposals.push((data, Reply::Propose(reply)));
             }
             _ => drop(reply.send(Err(ProposeError::NotLeader { hint: None }))),
@@ -60,12 +64,11 @@
 
     /// Proposes what gathered since the last turn, in one write for each group.
     pub(super) fn propose_gathered(&mut self) {
-        let gathered = |(&id, group): (&GroupId, &mut Group)| {
+        for id in std::mem::take(&mut self.proposing) {
+            let Some(group) = self.groups.get_mut(&id) else {
+                continue;
+            };
             let proposals = std::mem::take(&mut group.proposals);
-            (!proposals.is_empty()).then_some((id, proposals))
-        };
-        let ready: Vec<_> = self.groups.iter_mut().filter_map(gathered).collect();
-        for (id, proposals) in ready {
             let (commands, replies): (Vec<_>, Vec<_>) = proposals.into_iter().unzip();
             self.append(id, Input::Propose { commands }, replies);
         }
@@ -154,8 +157,9 @@
         data: Bytes,
         reply: oneshot::Sender<()>,
     ) {
-        let mark = self.groups.get(&id).and_then(|group| group.replica.snapshot_mark(index));
-        let Some((position, members)) = mark else {
+        // A dropped reply ends the caller's wait.
+        let mark = self.groups.get(&id).and_then(|group| group.new_mark(index));
+        let Some((position, members)) = mark.filter(|_| self.failed.is_none()) else {
             return;
         };
         if let Some(group) = self.groups.get_mut(&id)
@@ -164,8 +168,12 @@
             group.snapshot = data.clone();
             group.length = data.len() as u64;
         }
+        let again = self.snapshots.iter().any(|(group, at, _)| *group == id && *at == index);
         self.snapshots.push((id, index, reply));
-        let snapshot = Snapshot { position, members, data, reset: false };
+        if again {
+            return;
+        }
+        let snapshot = Snapshot { position, members, data, saved: 0, reset: false };
         self.submit(Job { group: id, sequence: None, write: JobWrite::Snapshot(snapshot) });
         self.take_done();
     }
--- a/crates/gypsumglade/src/replica/group.rs
+++ b/crates/gypsumglade/src/replica/group.rs
@@ -13,6 +13,9 @@
 use super::tail::{Found, Tail};
 use crate::disk::{RestoredGroup, Snapshot};
 
+/// How many times longer the log may grow while a snapshot is on its way to another VM.
+const SENDING_FACTOR: u64 = 4;
+
 /// Whom to tell what became of an appended entry.
 #[derive(Debug)]
 pub(super) enum Reply {
@@ -131,6 +134,14 @@
         due.then(|| self.waiters.pop_front()).flatten()
     }
 
+    /// Returns where a snapshot at `index` would stand, unless one does already. Writing its file
+    /// a second time could leave, after a crash, a file that its mark doesn't fit.
+    pub(super) fn new_mark(&self, index: LogIndex) -> Option<(Position, Members)> {
+        let known = self.replica.snapshot().index;
+        let there = index < known || (index == known && self.length > 0);
+        self.replica.snapshot_mark(index).filter(|_| !there)
+    }
+
     /// Keeps a piece of an arriving snapshot.
     pub(super) fn store_chunk(&mut self, offset: u64, data: &[u8]) {
         if offset == 0 {
@@ -146,15 +157,15 @@
         self.asked = position.index;
         self.snapshot = data.clone();
         self.length = data.len() as u64;
-        Snapshot { position, members: members.clone(), data, reset: true }
+        Snapshot { position, members: members.clone(), data, saved: 0, reset: true }
     }
 
-    /// Drops the log that a synced snapshot of the state machine covers.
-    pub(super) fn compact(&mut self, index: LogIndex) {
-        if self.replica.snapshot().index == index {
-            self.tail.compact(index);
-            self.asked = self.asked.max(index);
-        }
+    /// Drops the log that the replica keeps no more. Returns up to where.
+    pub(super) fn compact(&mut self) -> LogIndex {
+        let base = self.replica.base();
+        self.tail.compact(base);
+        self.asked = self.asked.max(self.replica.snapshot().index);
+        base
     }
 
     /// Reads a piece of the snapshot, and tells whether it is the last.
@@ -183,6 +194,10 @@
     pub(super) fn wants_snapshot(&mut self, entries: u64, bytes: u64) -> bool {
         let commit = self.replica.commit();
         let length = commit.0.saturating_sub(self.replica.snapshot().index.0);
+        // A new snapshot makes one that is on its way to another VM start over. Under constant
+        // load that VM would never get a whole one.
+        let patience = if self.replica.is_sending_snapshot() { SENDING_FACTOR } else { 1 };
+        let (entries, bytes) = (entries.saturating_mul(patience), bytes.saturating_mul(patience));
         let long = length >= entries || (length > 0 && self.tail.bytes() >= bytes);
         // An owner that was asked is asked again only after a tenth of the limit, in case the
         // first request was lost to it.
--- a/crates/gypsumglade/tests/disk_failures.rs
+++ b/crates/gypsumglade/tests/disk_failures.rs
@@ -62,7 +62,7 @@
     let position = Position { index: LogIndex(index), term: Term(if index > 1 { 2 } else { 1 }) };
     let members = Members::of(vec![VM, VmId(4)]);
     let data = Bytes::from_static(data);
-    job(group, JobWrite::Snapshot(Snapshot { position, members, data, reset }))
+    job(group, JobWrite::Snapshot(Snapshot { position, members, data, saved: 0, reset }))
 }
 
 /// Writes a group's start, a ballot and `count` frames of one entry each. Returns the length of
@@ -257,10 +257,17 @@
             disk.write(&mut vec![entries(OTHER, 2..=2)]).expect("written");
         }
     }
+    assert_eq!(disk.holders(), [GROUP], "the other group began in a later file");
     let before = inspect(&folder.path).expect("a report").segments.len();
     disk.write(&mut vec![snapshot(GROUP, 35, b"one", false)]).expect("written");
+    let first = inspect(&folder.path).expect("a report").segments[0].number;
+    assert_eq!(first, 1, "entries may still be read");
+    disk.write(&mut vec![job(GROUP, JobWrite::Forget(LogIndex(35)))]).expect("dropped");
+    disk.write(&mut vec![entries(GROUP, 40..=40)]).expect("written");
+    assert_eq!(disk.holders(), [OTHER], "only the seldom written group holds up the log");
     let pinned = inspect(&folder.path).expect("a report").segments.len();
     disk.write(&mut vec![snapshot(OTHER, 2, b"two", false)]).expect("written");
+    disk.write(&mut vec![job(OTHER, JobWrite::Forget(LogIndex(2)))]).expect("dropped");
     drop(disk);
     let report = inspect(&folder.path).expect("a report");
     assert!(report.segments.len() < pinned && pinned < before + 2, "{report:?}");
@@ -268,7 +275,24 @@
 
     let (_, groups) = Disk::open(&folder.path, folder.options(200)).expect("opened");
     let kept: Vec<_> = groups.iter().map(|g| (g.group, g.state.entries.len(), g.length)).collect();
-    assert_eq!(kept, [(GROUP, 4, 3), (OTHER, 0, 3)]);
+    assert_eq!(kept, [(GROUP, 5, 3), (OTHER, 0, 3)]);
+}
+
+#[test]
+fn write_overtaken_snapshot() {
+    // While the file of an own snapshot is written, a leader's newer one is installed. The older
+    // mark must not follow it: the log between the two is gone.
+    let folder = Folder::new();
+    filled(&folder, 4);
+    let (mut disk, _) = folder.open().expect("opened");
+    let mut own = snapshot(GROUP, 3, b"the older", false);
+    let JobWrite::Snapshot(older) = &mut own.write else { unreachable!() };
+    disk.saver().save(GROUP, older).expect("saved");
+    disk.write(&mut vec![snapshot(GROUP, 9, b"newer", true), own]).expect("written");
+    drop(disk);
+    let (_, groups) = folder.open().expect("opened");
+    assert_eq!((groups[0].state.snapshot.index, groups[0].length), (LogIndex(9), 5));
+    assert!(!folder.path.join(format!("snapshot-1-{:020}", 3)).exists());
 }
 
 #[test]
