--- a/crates/gypsumglade/src/bench/policy/mod.rs
+++ b/crates/gypsumglade/src/bench/policy/mod.rs
@@ -97,6 +97,14 @@
         }
     }
 
+    /// Returns the name for files.
+    pub fn slug(&self) -> &'static str {
+        match self.name {
+            "Fényrekesz" => "fenyrekesz",
+            _ => "velkaneuvo",
+        }
+    }
+
     /// The same with twice the prefix memory, where it is no longer what is short.
     fn roomy(self, name: &'static str) -> Fleet {
         Fleet { name, cache_tokens: ROOMY, ..self }
--- a/crates/gypsumglade/src/cli/bench.rs
+++ b/crates/gypsumglade/src/cli/bench.rs
@@ -17,7 +17,7 @@
 #[derive(Debug, clap::Args)]
 pub(super) struct PolicyArgs {
     /// Seeds of the runs; the standard ones if absent.
-    #[arg(long, value_delimiter = ',')]
+    #[arg(long, alias = "seed", value_delimiter = ',')]
     seeds: Vec<u64>,
     /// Loads as shares of capacity; the standard ones if absent.
     #[arg(long, value_delimiter = ',')]
@@ -36,15 +36,17 @@
     let report = policy::run(PolicyBench {
         seeds: if args.seeds.is_empty() { standard.seeds } else { args.seeds },
         loads: if args.loads.is_empty() { standard.loads } else { args.loads },
+        baselines: true,
         ablations: !args.brief,
         faults: !args.brief,
+        roomy: !args.brief,
     });
     line(&report.table())?;
     let Some(folder) = args.plots else {
         return Ok(());
     };
     for fleet in [Fleet::fenyrekesz(), Fleet::velkaneuvo()] {
-        let file = folder.join(format!("policy-{}.svg", fleet.name));
+        let file = folder.join(format!("policy-{}.svg", fleet.slug()));
         let plot = policy::plot(&report, fleet.name)?;
         std::fs::write(&file, plot).with_context(|| format!("can't write {}", file.display()))?;
     }
