--- a/crates/core/src/program/admission.rs
+++ b/crates/core/src/program/admission.rs
@@ -10,8 +10,9 @@
 use super::interface::Effect;
 use super::messages::{answer_message, canonical, compare_history, message_hash};
 use super::parking::Queue;
+use super::proposals::Pending;
 use super::quarantine::WHOLE_DEATH;
-use super::replies::{grant, recorded, refusal, unknown};
+use super::replies::{early_grant, grant, recorded, refusal, unknown};
 use super::sequencer::{Sequencer, Ticket};
 use super::state::{Attempt, CallKey, Name, Phase, Program};
 use crate::prelude::*;
@@ -36,15 +37,20 @@
 
 impl Sequencer {
     /// Answers, proposes or parks a request.
-    pub(super) fn admit(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Effect>) {
+    pub(super) fn admit(&mut self, now: Time, mut ticket: Ticket, out: &mut Vec<Effect>) {
         let token = ticket.token;
         match self.consider(now, &ticket) {
             Verdict::Answer(reply) => out.push(Effect::Reply { token, reply }),
             Verdict::Propose(mut begin) => {
                 begin.dispatch = self.next_dispatch().to_string();
+                if self.may_grant_early(now, &ticket, &begin) {
+                    return self.grant_early(now, &ticket, *begin, out);
+                }
                 if !self.settings.safeguards.intent_first {
-                    out.push(Effect::Reply { token, reply: early_grant(&begin) });
+                    out.push(Effect::Reply { token, reply: early_grant(&self.state, &begin) });
                 }
+                self.set_ahead(&mut begin);
+                ticket.isolate = self.is_suspect(&begin);
                 self.propose_begin(now, Box::new(ticket), *begin, out);
             }
             Verdict::Park(queue) => {
@@ -66,10 +72,25 @@
             Some(call) if matches!(call.phase, Phase::Running(_)) => {
                 unknown(call, "the call is still under way: ask again under the same key")
             }
+            _ if self.is_proposed(&ticket.asked) => {
+                super::replies::unknown_proposed("the call is about to run: ask again")
+            }
             _ => refusal(code, detail),
         }
     }
 
+    /// Tells whether another request under the same key is on its way through the log.
+    fn is_proposed(&self, asked: &Asked) -> bool {
+        let same = |name: &Name, key: &CompactString| *name == asked.name && *key == asked.key;
+        let early = self.early.values().any(|early| same(&early.name, &early.key));
+        let mut pending = self.pending.values();
+        early
+            || pending.any(|pending| match pending {
+                Pending::Begin(ticket) => same(&ticket.asked.name, &ticket.asked.key),
+                _ => false,
+            })
+    }
+
     fn consider(&self, now: Time, ticket: &Ticket) -> Verdict {
         let asked = &ticket.asked;
         if !self.lead.is_some_and(|lead| lead.ready) {
@@ -205,11 +226,32 @@
         if isolate && beside && self.state.scores.is_suspect(&digest) {
             return Verdict::Park(Queue::Suspect(digest));
         }
+        if isolate && self.state.scores.is_suspect(&digest) {
+            // Many requests share an engine when it dies. Run alone all at once, they would take
+            // as many engines, and the fleet would stand still for its suspects.
+            if self.isolated() >= self.settings.isolated {
+                return Verdict::Park(Queue::Isolation);
+            }
+        }
         begin.digest = Bytes::copy_from_slice(&digest);
         begin.expires_ms = self.expiry_ms(now, &ticket.asked);
         Verdict::Propose(Box::new(begin))
     }
 
+    /// Returns how many suspects run alone, or are about to.
+    pub(super) fn isolated(&self) -> usize {
+        let proposed = self.pending.values().filter(|pending| match pending {
+            Pending::Begin(ticket) => ticket.isolate,
+            _ => false,
+        });
+        self.state.isolated + proposed.count()
+    }
+
+    pub(super) fn is_suspect(&self, begin: &wire::Begin) -> bool {
+        let digest = super::quarantine::read_digest(&begin.digest);
+        digest.is_some_and(|digest| self.state.scores.is_suspect(&digest))
+    }
+
     /// Returns the group time from which a grant without outcome counts as lost.
     fn expiry_ms(&self, now: Time, asked: &Asked) -> u64 {
         let run_ms = match asked.deadline_ms {
@@ -229,7 +271,6 @@
             .is_some_and(|call| self.state.calls[call].turn > 0);
         let answered = turn && settle.outcome() == Outcome::Done && settle.status < 400;
         let message = answered.then(|| answer_message(&settle.answer)).flatten();
-        self.started.remove(settle.dispatch.as_str());
         wire::Settled {
             program: settle.program,
             dispatch: settle.dispatch,
@@ -244,6 +285,7 @@
                 .as_ref()
                 .map_or(Bytes::new(), |m| Bytes::copy_from_slice(&message_hash(m))),
             crashed,
+            inquired: settle.inquired,
         }
     }
 
@@ -307,14 +349,3 @@
         ..wire::Begin::default()
     }
 }
-
-/// The grant that the safeguard `intent_first` holds back until the intent is committed.
-fn early_grant(begin: &wire::Begin) -> Reply {
-    let grant = wire::Grant {
-        dispatch: begin.dispatch.clone(),
-        turn: begin.turn,
-        attempt: 1,
-        ..wire::Grant::default()
-    };
-    super::replies::reply(wire::reply::Body::Grant(grant))
-}
