--- a/crates/gypsumglade/src/bench/policy/mod.rs
+++ b/crates/gypsumglade/src/bench/policy/mod.rs
@@ -5,7 +5,9 @@
 //! The same seeds give the same output, byte for byte. docs/measurements/policy.md explains it.
 
 mod engine;
+mod machine;
 mod plot;
+mod program;
 mod report;
 mod run;
 mod strategy;
--- a/crates/gypsumglade/src/bench/policy/run.rs
+++ b/crates/gypsumglade/src/bench/policy/run.rs
@@ -4,33 +4,32 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use gypsumglade_core::policy::Class;
-use gypsumglade_core::policy::admission::{
-    Admission, AdmissionSettings, Admit, Offer, Signal, Ticket,
-};
+use gypsumglade_core::policy::admission::{Admission, AdmissionSettings, Admit, Offer, Ticket};
 use gypsumglade_core::policy::priority::{Attained, Priority};
 use gypsumglade_core::policy::registry::{
-    Announcement, CacheEvents, DispatchKey, DispatchLoad, EndpointKind, LoadReport, ModelId,
-    Registry, RegistrySettings,
+    DispatchKey, DispatchLoad, ModelId, Registry, RegistrySettings,
 };
-use gypsumglade_core::policy::retain::{Retain, RetainAsk, Retention};
+use gypsumglade_core::policy::retain::Retain;
 use gypsumglade_core::policy::retry::{Failure, Retries, RetryAsk, RetryDecision, RetrySettings};
-use gypsumglade_core::policy::route::{LastRun, Place, RouteAsk, RouteSettings, Router, Target};
+use gypsumglade_core::policy::route::{RouteAsk, RouteSettings, Router, Target};
 use gypsumglade_core::prelude::*;
 
-use super::engine::{Engine, Hold, Job};
+use super::engine::Job;
+use super::machine::{Machine, machines};
+use super::program::Program;
 use super::strategy::{Strategy, choose};
 use super::tally::Tally;
-use super::workload::{Plan, tool_name};
+use super::workload::Plan;
 use super::{Case, END, Fault, Fleet, OUTPUT_GUESS, PREFILL_RATE, REPORT_EVERY, TEXT_BYTES};
 
 /// When a caller gives a turn up: normal and urgent.
-const PATIENCE: [Duration; 2] = [Duration::from_secs(120), Duration::from_secs(30)];
+pub(super) const PATIENCE: [Duration; 2] = [Duration::from_secs(120), Duration::from_secs(30)];
 
 /// Wait before a baseline tries a failed call again.
 const PLAIN_RETRY: Duration = Duration::from_millis(200);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(super) enum Event {
     Ready(usize),
     First(usize),
     Last(usize),
@@ -42,64 +41,37 @@
     Expire,
 }
 
-struct Program {
-    plan: Plan,
-    parent: Option<usize>,
-    children: usize,
-    paused: bool,
-    turn: usize,
-    history: u64,
-    last: Vec<LastRun>,
-    attained: Attained,
-    started: Time,
-    call: usize,
-    over: bool,
-}
-
-struct Call {
-    program: usize,
-    engine: Option<usize>,
-    dispatch: Option<DispatchKey>,
-    ticket: Option<Ticket>,
-    job: Job,
-    asked: Time,
-    sent: Time,
-    attempts: u32,
-    over: bool,
-    runs: bool,
-}
-
-struct Machine {
-    engine: Engine,
-    pool: usize,
-    name: EndpointName,
-    place: Place,
-    up: bool,
-    frozen: bool,
-    incarnation: u64,
-    sequence: u64,
-    report: LoadReport,
-    events: CacheEvents,
+pub(super) struct Call {
+    pub(super) program: usize,
+    pub(super) engine: Option<usize>,
+    pub(super) dispatch: Option<DispatchKey>,
+    pub(super) ticket: Option<Ticket>,
+    pub(super) job: Job,
+    pub(super) asked: Time,
+    pub(super) sent: Time,
+    pub(super) attempts: u32,
+    pub(super) over: bool,
+    pub(super) runs: bool,
 }
 
 /// The state of a run.
 pub struct Run<'a> {
-    fleet: &'a Fleet,
-    strategy: Strategy,
-    now: Time,
-    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
-    sequence: u64,
-    registry: Registry,
-    router: Router,
-    admissions: Vec<Admission>,
-    retain: Retain,
-    retries: Retries,
-    machines: Vec<Machine>,
-    programs: Vec<Program>,
-    calls: Vec<Call>,
-    tickets: BTreeMap<(usize, Ticket), usize>,
-    turn: usize,
-    tally: Tally,
+    pub(super) fleet: &'a Fleet,
+    pub(super) strategy: Strategy,
+    pub(super) now: Time,
+    pub(super) events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    pub(super) sequence: u64,
+    pub(super) registry: Registry,
+    pub(super) router: Router,
+    pub(super) admissions: Vec<Admission>,
+    pub(super) retain: Retain,
+    pub(super) retries: Retries,
+    pub(super) machines: Vec<Machine>,
+    pub(super) programs: Vec<Program>,
+    pub(super) calls: Vec<Call>,
+    pub(super) tickets: BTreeMap<(usize, Ticket), usize>,
+    pub(super) turn: usize,
+    pub(super) tally: Tally,
 }
 
 /// Runs one case to its end.
@@ -169,12 +141,12 @@
         }
     }
 
-    fn push(&mut self, at: Time, event: Event) {
+    pub(super) fn push(&mut self, at: Time, event: Event) {
         self.sequence += 1;
         self.events.push(Reverse((at, self.sequence, event)));
     }
 
-    fn add(&mut self, plan: Plan, parent: Option<usize>) -> usize {
+    pub(super) fn add(&mut self, plan: Plan, parent: Option<usize>) -> usize {
         self.programs.push(Program {
             plan,
             parent,
@@ -205,67 +177,14 @@
         }
     }
 
-    /// A program's pause is over, or its first call comes.
-    fn ready(&mut self, id: usize) {
-        let program = &mut self.programs[id];
-        if std::mem::replace(&mut program.paused, false) {
-            let turn = &program.plan.turns[program.turn - 1];
-            self.retain.learn(tool_name(turn.tool), turn.pause);
-        }
-        if program.over || program.children > 0 {
-            return;
-        }
-        if program.turn == 0 {
-            program.started = self.now;
-        }
-        let turn = &program.plan.turns[program.turn];
-        let job = Job {
-            call: self.calls.len(),
-            program: id as u64,
-            prompt: program.history + turn.input,
-            prior: program.history,
-            output: turn.output,
-        };
-        program.call = job.call;
-        let last = program.last.first().map(|run| run.endpoint.clone());
-        let urgent = program.plan.class == Class::Urgent;
-        self.calls.push(Call {
-            program: id,
-            engine: None,
-            dispatch: None,
-            ticket: None,
-            job,
-            asked: self.now,
-            sent: self.now,
-            attempts: 0,
-            over: false,
-            runs: false,
-        });
-        self.push(self.now + PATIENCE[usize::from(urgent)], Event::GiveUp(job.call));
-        self.need(id, last);
-        self.offer(job.call);
-    }
-
-    /// Tells the program's engine that the pause is over, so that it holds the prefix.
-    fn need(&mut self, id: usize, last: Option<EndpointName>) {
-        if !self.strategy.parts().is_some_and(|parts| parts.retain) {
-            return;
-        }
-        if let Some(machine) =
-            self.machines.iter_mut().find(|machine| Some(&machine.name) == last.as_ref())
-        {
-            machine.engine.mark(id as u64, Hold::Needed);
-        }
-    }
-
-    fn offer(&mut self, call: usize) {
+    pub(super) fn offer(&mut self, call: usize) {
         if !self.strategy.parts().is_some_and(|parts| parts.admission) {
             return self.send(call);
         }
         let program = &self.programs[self.calls[call].program];
         let pool = program.plan.pool;
         let offer = Offer {
-            org: compact_str::format_compact!("org{}", program.plan.org),
+            org: org(&program.plan),
             class: program.plan.class,
             under_way: program.turn > 0 || program.parent.is_some(),
             priority: self.priority(call),
@@ -363,28 +282,7 @@
         }
     }
 
-    fn start(&mut self, machine: usize) {
-        for started in self.machines[machine].engine.start(self.now) {
-            let call = &mut self.calls[started.call];
-            call.runs = true;
-            let wait = self.now.since(call.sent);
-            let (job, program) = (call.job, call.program);
-            let link = self
-                .fleet
-                .links
-                .between(self.programs[program].plan.place, self.machines[machine].place);
-            let travel =
-                link.latency + Duration::from_secs_f64(job.prompt as f64 * TEXT_BYTES / link.rate);
-            self.tally.cache.call(job.prompt, job.prior, started.resident);
-            self.push(started.first + travel, Event::First(started.call));
-            self.push(started.last + travel * 2, Event::Last(started.call));
-            let pool = self.machines[machine].pool;
-            let let_in = self.admissions[pool].observe(self.now, Signal::Waited(wait));
-            self.begin(pool, let_in);
-        }
-    }
-
-    fn begin(&mut self, pool: usize, tickets: Vec<Ticket>) {
+    pub(super) fn begin(&mut self, pool: usize, tickets: Vec<Ticket>) {
         for ticket in tickets {
             if let Some(call) = self.tickets.remove(&(pool, ticket)) {
                 self.send(call);
@@ -423,83 +321,6 @@
         self.begin(pool, next);
     }
 
-    fn end_turn(&mut self, call: usize, machine: usize) {
-        let (id, job, sent) =
-            (self.calls[call].program, self.calls[call].job, self.calls[call].sent);
-        let name = self.machines[machine].name.clone();
-        let program = &mut self.programs[id];
-        program.history = job.prompt + job.output;
-        program.attained.service += self.now.since(sent).as_secs_f64();
-        program.attained.turns += 1;
-        program.last.retain(|run| run.endpoint != name);
-        let run = LastRun { endpoint: name, tokens: program.history, at: self.now };
-        program.last.insert(0, run);
-        program.last.truncate(4);
-        program.turn += 1;
-        if program.turn == program.plan.turns.len() {
-            return self.end(id, true);
-        }
-        self.pause(id, machine);
-    }
-
-    fn pause(&mut self, id: usize, machine: usize) {
-        let program = &mut self.programs[id];
-        program.paused = true;
-        let turn = &program.plan.turns[program.turn - 1];
-        let (tool, pause) = (turn.tool, turn.pause);
-        let children: Vec<Plan> =
-            turn.children.iter().filter(|c| !c.turns.is_empty()).cloned().collect();
-        program.children = children.len();
-        let tokens = program.history;
-        for plan in children {
-            let child = self.add(plan, Some(id));
-            self.push(self.now, Event::Ready(child));
-        }
-        self.push(self.now + pause, Event::Ready(id));
-        if !self.strategy.parts().is_some_and(|parts| parts.retain) {
-            return;
-        }
-        let held = self.machines[machine].engine.load().2;
-        let ask = RetainAsk {
-            tool: tool_name(tool).into(),
-            paused: Duration::ZERO,
-            tokens,
-            prefill_rate: PREFILL_RATE,
-            pressure: held as f64 / self.fleet.cache_tokens as f64,
-            moving: None,
-        };
-        let hold = match self.retain.decide(self.now, &ask) {
-            Retention::Keep { until } => Hold::Until(Reverse(until)),
-            Retention::Drop | Retention::Move => Hold::Dropped,
-        };
-        self.machines[machine].engine.mark(id as u64, hold);
-    }
-
-    fn end(&mut self, id: usize, whole: bool) {
-        if std::mem::replace(&mut self.programs[id].over, true) {
-            return;
-        }
-        if self.strategy.parts().is_some_and(|parts| parts.free) {
-            for machine in &mut self.machines {
-                machine.engine.free(id as u64);
-            }
-        }
-        let program = &self.programs[id];
-        let Some(parent) = program.parent else {
-            let work = program.plan.work(self.fleet);
-            self.tally.ended(&program.plan, program.started, self.now, whole, work);
-            return;
-        };
-        if !whole {
-            return self.end(parent, false);
-        }
-        let parent_state = &mut self.programs[parent];
-        parent_state.children -= 1;
-        if parent_state.children == 0 && !parent_state.paused {
-            self.ready(parent);
-        }
-    }
-
     fn lose(&mut self, call: usize) {
         if std::mem::replace(&mut self.calls[call].over, true) {
             return;
@@ -535,7 +356,7 @@
         self.lose(call);
     }
 
-    fn failed(&mut self, call: usize) {
+    pub(super) fn failed(&mut self, call: usize) {
         let state = &mut self.calls[call];
         state.attempts += 1;
         state.runs = false;
@@ -548,7 +369,7 @@
         if self.strategy.parts().is_none() {
             return self.again(call, self.now + PLAIN_RETRY);
         }
-        let org = compact_str::format_compact!("org{}", self.programs[id].plan.org);
+        let org = org(&self.programs[id].plan);
         let advice = None;
         let failure = Failure::NotRun;
         let ask = RetryAsk { org, attempts, repeatable: true, failure, deadline: None, advice };
@@ -569,48 +390,6 @@
         self.push(at, Event::Ready(id));
     }
 
-    fn report(&mut self, id: usize) {
-        let machine = &mut self.machines[id];
-        if self.now < END {
-            let next = self.now + REPORT_EVERY;
-            self.sequence += 1;
-            self.events.push(Reverse((next, self.sequence, Event::Report(id))));
-        }
-        if !machine.up {
-            return;
-        }
-        machine.sequence += 1;
-        let news = announcement(self.fleet, machine);
-        self.registry.announce(self.now, news);
-        // What goes out next time is what is true now: reports lag by one interval.
-        if !machine.frozen {
-            let (running, waiting, cached_tokens) = machine.engine.load();
-            machine.report = LoadReport { running, waiting, cached_tokens, age: REPORT_EVERY };
-            let first = machine.events.first + machine.events.events.len() as u64;
-            let events = machine.engine.take_events();
-            machine.events = CacheEvents { first, events, age: REPORT_EVERY };
-        }
-    }
-
-    fn down(&mut self, id: usize) {
-        self.machines[id].up = false;
-        for call in self.machines[id].engine.crash(self.now) {
-            if !self.calls[call].over {
-                self.failed(call);
-            }
-        }
-    }
-
-    fn up(&mut self, id: usize) {
-        let machine = &mut self.machines[id];
-        machine.up = true;
-        machine.incarnation += 1;
-        machine.sequence = 0;
-        machine.report = LoadReport::default();
-        machine.events = CacheEvents::default();
-        machine.engine.take_events();
-    }
-
     fn expire(&mut self) {
         self.registry.expire(self.now);
         for pool in 0..self.admissions.len() {
@@ -636,51 +415,10 @@
     Admission::new(settings)
 }
 
-fn machines(fleet: &Fleet) -> Vec<Machine> {
-    let mut machines = Vec::new();
-    for (pool, count) in fleet.pools.iter().enumerate() {
-        for index in 0..*count {
-            let domain = (index % 3) as u16;
-            machines.push(Machine {
-                engine: Engine::new(fleet),
-                pool,
-                name: compact_str::format_compact!("engine-{pool}-{index}"),
-                place: Place { domain: DomainId(domain), region: RegionId(domain / 2) },
-                up: true,
-                frozen: false,
-                incarnation: 1,
-                sequence: 0,
-                report: LoadReport::default(),
-                events: CacheEvents::default(),
-            });
-        }
-    }
-    machines
+pub(super) fn org(plan: &Plan) -> OrgName {
+    compact_str::format_compact!("org{}", plan.org)
 }
 
-fn model(pool: usize) -> ModelId {
+pub(super) fn model(pool: usize) -> ModelId {
     ModelId::new(["advice", "booking"][pool], "1")
 }
-
-fn announcement(fleet: &Fleet, machine: &Machine) -> Announcement {
-    Announcement {
-        name: machine.name.clone(),
-        incarnation: machine.incarnation,
-        sequence: machine.sequence,
-        kind: EndpointKind::Engine {
-            models: vec![model(machine.pool)],
-            slots: fleet.slots,
-            prefill_rate: PREFILL_RATE,
-            decode_rate: fleet.decode_rate,
-            cache_tokens: fleet.cache_tokens,
-        },
-        address: machine.name.clone(),
-        domain: machine.place.domain,
-        region: machine.place.region,
-        fencing: true,
-        lease: REPORT_EVERY * 3,
-        leaving: false,
-        load: Some(machine.report),
-        cache_events: machine.events.clone(),
-    }
-}
