--- a/crates/core/tests/policy_admission.rs
+++ b/crates/core/tests/policy_admission.rs
@@ -250,3 +250,34 @@
     }
     assert!(admission.limit() > low);
 }
+
+#[test]
+fn release_starvation_mutation() {
+    let unbounded = AdmissionSettings {
+        urgent_run: u32::MAX,
+        under_way_run: u32::MAX,
+        org_queue: 2_000,
+        ..settings()
+    };
+    let mut admission = Admission::new(unbounded);
+    let mut running = queued(&mut admission, at(0), offer("a"));
+    let new = queued(&mut admission, at(0), Offer { under_way: false, ..offer("b") });
+    for _ in 0..1_000 {
+        queued(&mut admission, at(1), offer("a"));
+        running = admission.release(at(2), running)[0];
+        assert_ne!(running, new);
+    }
+}
+
+#[test]
+fn offer_deadline_late_mutation() {
+    let mut late = settings();
+    late.parts.early = false;
+    let mut admission = Admission::new(late);
+    queued(&mut admission, at(0), offer("a"));
+    queued(&mut admission, at(0), offer("a"));
+    let deadline = Some(at(2_500));
+    let ticket = queued(&mut admission, at(0), Offer { deadline, ..offer("a") });
+    assert!(admission.expire(at(2_400)).is_empty());
+    assert_eq!(admission.expire(at(2_500)).first().map(|given| given.ticket), Some(ticket));
+}
--- a/crates/core/tests/policy_registry.rs
+++ b/crates/core/tests/policy_registry.rs
@@ -210,6 +210,13 @@
     assert_eq!(load.map(|load| (load.total, load.own)), Some((4, 2)));
 }
 
+// The page on capacity counts on this figure: docs/design/registry.md.
+#[test]
+fn endpoint_state_size() {
+    let size = std::mem::size_of::<gypsumglade_core::policy::registry::Endpoint>();
+    assert!(size <= 320, "{size} bytes");
+}
+
 #[test]
 fn finished_twice_counts_once() {
     let mut registry = Registry::default();
--- a/crates/core/tests/policy_route.rs
+++ b/crates/core/tests/policy_route.rs
@@ -3,7 +3,7 @@
 use gypsumglade_core::policy::Class;
 use gypsumglade_core::policy::registry::{
     Announced, Announcement, CacheEvents, DispatchLoad, EndpointKey, EndpointKind, LoadReport,
-    ModelId, Registry,
+    ModelId, Registry, RegistrySettings,
 };
 use gypsumglade_core::policy::route::{
     Choice, LastRun, Place, Prefix, RouteAsk, RouteError, RouteSettings, Router, Target,
@@ -231,3 +231,32 @@
         }
     }
 }
+
+/// Sends 20 calls beside a busy engine, and returns how many the one that just came back got.
+fn sent_to_returned(settings: RegistrySettings) -> u32 {
+    let mut registry = Registry::new(settings);
+    registry.announce(Time::ZERO, engine(0, 0, 1));
+    let busy = LoadReport { running: 40, ..LoadReport::default() };
+    registry.announce(NOW, Announcement { load: Some(busy), ..engine(0, 0, 2) });
+    let back = key(registry.announce(NOW, engine(1, 1, 1)));
+    let mut router = router();
+    for _ in 0..20 {
+        let choice = router.choose(NOW, &registry, &ask()).expect("open engines");
+        registry.dispatched(NOW, choice.endpoint, DispatchLoad::default());
+    }
+    registry.get(back).map_or(0, |endpoint| endpoint.load(NOW).own)
+}
+
+// A domain comes back with empty queues and is the cheapest for every VM at once. All of them send
+// it their backlog in the same second, and it goes down again.
+#[test]
+fn choose_slow_start_holds_back() {
+    assert_eq!(sent_to_returned(RegistrySettings::default()), 1);
+}
+
+#[test]
+fn choose_slow_start_mutation() {
+    let mut settings = RegistrySettings::default();
+    settings.health.floor = 1.0;
+    assert_eq!(sent_to_returned(settings), 20);
+}
