Keep a nearly spent lease from reading as leaving in a summary

Cause: what was left of a lease was rounded down to tenths, and zero means leaving for good. Change: at least one tenth while the endpoint does not leave; the test summarise_short_lease_is_not_leaving fails without it. An unused setting of retries goes.

--- a/crates/core/src/policy/registry/summary.rs
+++ b/crates/core/src/policy/registry/summary.rs
@@ -63,7 +63,8 @@
         for endpoint in self.roster(vm).iter().filter_map(|key| self.endpoints.get(*key)) {
             let load = endpoint.load(now);
             let left = endpoint.until.since(now).as_millis() as u64 / TENTH;
-            summary.leases.push(if endpoint.leaving { 0 } else { left as u32 });
+            // Rounded to zero, a lease about to be renewed would read as leaving for good.
+            summary.leases.push(if endpoint.leaving { 0 } else { (left as u32).max(1) });
             summary.calls.push(load.total);
             summary
                 .cached
--- a/crates/core/src/policy/retry.rs
+++ b/crates/core/src/policy/retry.rs
@@ -24,8 +24,6 @@
     pub longest: Duration,
     /// Attempts for one call, the first one counted.
     pub attempts: u32,
-    /// Share of calls slower than which a hedge may start, such as 0.95.
-    pub hedge_quantile: f64,
     /// Least wait before a hedge.
     pub hedge_least: Duration,
     /// Safeguards that tests switch off.
@@ -41,7 +39,6 @@
             base: Duration::from_millis(100),
             longest: Duration::from_secs(10),
             attempts: 4,
-            hedge_quantile: 0.95,
             hedge_least: Duration::from_millis(50),
             safeguards: RetrySafeguards::default(),
         }
--- a/crates/core/tests/policy_registry.rs
+++ b/crates/core/tests/policy_registry.rs
@@ -311,6 +311,17 @@
     assert_eq!(far.get(a).map(|endpoint| endpoint.load(at(2_100)).total), Some(30));
 }
 
+// The home sends its summary a moment before the endpoint renews its lease. Rounded down, what is
+// left of the lease says "leaving", and the other VMs never use the endpoint again.
+#[test]
+fn summarise_short_lease_is_not_leaving() {
+    let (near, mut far) = home_and_other(&["engine-a"]);
+    let summary = near.summarise(at(2_990), VmId(1), number(1));
+    assert_eq!(far.take_summary(at(2_995), &summary), Ok(()));
+    let key = far.key("engine-a").expect("known");
+    assert!(far.open(at(2_999), key));
+}
+
 #[test]
 fn take_summary_other_roster_refused() {
     let (mut near, mut far) = home_and_other(&["engine-a", "engine-b"]);
