--- a/crates/gypsumglade/src/bench/policy/plot.rs
+++ b/crates/gypsumglade/src/bench/policy/plot.rs
@@ -6,6 +6,8 @@
 use super::report::{PolicyReport, Row};
 
 const SIZE: (u32, u32) = (1_100, 420);
+/// Loads drawn, with room for the legend on the right.
+const LOADS: std::ops::Range<f64> = 0.4..2.8;
 const POLICIES: [&str; 5] =
     ["round robin", "least loaded", "sticky session", "prefix affinity", "gypsumglade"];
 const COLOURS: [RGBColor; 5] = [
@@ -46,7 +48,7 @@
         .margin(12)
         .x_label_area_size(36)
         .y_label_area_size(56)
-        .build_cartesian_2d(0.4..2.1, range)
+        .build_cartesian_2d(LOADS, range)
         .map_err(failed)?;
     chart.configure_mesh().x_desc("load, share of capacity").draw().map_err(failed)?;
     for (policy, colour) in POLICIES.iter().zip(COLOURS) {
