--- a/crates/gypsumglade/src/cli/bench.rs
+++ b/crates/gypsumglade/src/cli/bench.rs
@@ -36,7 +36,7 @@
 #[derive(Debug, clap::Args)]
 pub(super) struct PolicyArgs {
     /// Seeds of the runs; the standard ones if absent.
-    #[arg(long, value_delimiter = ',')]
+    #[arg(long, alias = "seed", value_delimiter = ',')]
     seeds: Vec<u64>,
     /// Loads as shares of capacity; the standard ones if absent.
     #[arg(long, value_delimiter = ',')]
@@ -78,7 +78,7 @@
         return Ok(());
     };
     for fleet in [Fleet::fenyrekesz(), Fleet::velkaneuvo()] {
-        let file = folder.join(format!("policy-{}.svg", fleet.name));
+        let file = folder.join(format!("policy-{}.svg", fleet.slug()));
         let plot = policy::plot(&report, fleet.name)?;
         std::fs::write(&file, plot).with_context(|| format!("can't write {}", file.display()))?;
     }
