Let the concurrency limit follow announced capacity both ways

Cause: a limit cut down when engines left grew back by additive steps only, so that callers would be shed for minutes while the returned engines idle. Change: a resize keeps the limit's share of the capacity; the first one starts at the whole. Conclusion: resize_follows_capacity fails on the old code's behaviour by construction: the limit stayed at its least.

--- a/crates/core/src/policy/admission/limit.rs
+++ b/crates/core/src/policy/admission/limit.rs
@@ -53,13 +53,14 @@
     settings: LimitSettings,
     value: f64,
     mean: f64,
+    capped: bool,
     stepped: Time,
 }
 
 impl Limit {
     /// Starts at the configured value.
     pub fn new(settings: LimitSettings) -> Limit {
-        Limit { value: settings.start, mean: 0.0, settings, stepped: Time::ZERO }
+        Limit { value: settings.start, mean: 0.0, capped: false, settings, stepped: Time::ZERO }
     }
 
     /// Returns how many calls may be in flight.
@@ -90,9 +91,15 @@
         self.value = (self.value * self.settings.backoff).max(self.settings.least);
     }
 
-    /// Follows a known change of capacity, such as engines that left.
+    /// Follows a known change of capacity, such as engines that came or left.
+    ///
+    /// The limit keeps its share of the capacity. Grown only step by step, it would take minutes to
+    /// use engines that came back, and callers would be shed while engines are idle.
     pub fn cap(&mut self, most: f64) {
-        self.settings.most = most.max(self.settings.least);
-        self.value = self.value.min(self.settings.most);
+        let most = most.max(self.settings.least);
+        let share = if self.capped { self.value / self.settings.most } else { 1.0 };
+        self.capped = true;
+        self.settings.most = most;
+        self.value = (share * most).clamp(self.settings.least, most);
     }
 }
--- a/crates/core/tests/policy_admission.rs
+++ b/crates/core/tests/policy_admission.rs
@@ -281,3 +281,17 @@
     assert!(admission.expire(at(2_400)).is_empty());
     assert_eq!(admission.expire(at(2_500)).first().map(|given| given.ticket), Some(ticket));
 }
+
+// All engines of a model go and come back. A limit that has to grow step by step from its least
+// would shed callers for minutes while the engines are idle.
+#[test]
+fn resize_follows_capacity() {
+    let limit = LimitSettings { least: 2.0, ..LimitSettings::default() };
+    let mut admission = Admission::new(AdmissionSettings { limit, ..settings() });
+    admission.resize(40.0);
+    assert_eq!(admission.limit(), 40);
+    admission.resize(0.0);
+    assert_eq!(admission.limit(), 2);
+    admission.resize(40.0);
+    assert_eq!(admission.limit(), 40);
+}
