--- a/crates/core/src/policy/admission/offer.rs
+++ b/crates/core/src/policy/admission/offer.rs
@@ -55,7 +55,7 @@
 pub enum Admit {
     /// It runs now.
     Now(Ticket),
-    /// It waits; [`Admission::release`] or [`Admission::expire`] will name it.
+    /// It waits; [`release`](super::Admission::release) or [`expire`](super::Admission::expire) will name it.
     Queued(Ticket),
     /// It is not run.
     Shed {
--- a/crates/core/tests/policy_admission.rs
+++ b/crates/core/tests/policy_admission.rs
@@ -295,3 +295,31 @@
     admission.resize(40.0);
     assert_eq!(admission.limit(), 40);
 }
+
+// A caller is told when to come back, does so, and is refused again and again: the advice was a
+// guess. With calls ending at a steady rate, a caller that comes back when told is let in or queued.
+#[test]
+fn offer_retry_after_is_honest() {
+    for waiting in 1..30 {
+        let mut admission = Admission::new(settings());
+        let mut running = queued(&mut admission, at(0), offer("a"));
+        for _ in 0..waiting {
+            queued(&mut admission, at(0), offer("a"));
+        }
+        let in_time =
+            |now: Time| Offer { deadline: Some(now + Duration::from_millis(2_500)), ..offer("a") };
+        let Admit::Shed { retry_after, .. } = admission.offer(at(0), in_time(at(0))) else {
+            panic!("{waiting} calls fit before the deadline");
+        };
+        let mut now = at(0);
+        while now < at(0) + retry_after {
+            now = now + Duration::from_secs(1);
+            running = admission.release(now, running).first().copied().unwrap_or(running);
+        }
+        let answer = admission.offer(now, in_time(now));
+        assert!(
+            !matches!(answer, Admit::Shed { .. }),
+            "{waiting}: {answer:?} after {retry_after:?}"
+        );
+    }
+}
