--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -7,10 +7,12 @@
 //! grow with their number. See docs/design/membership.md.
 
 mod gossip;
+mod learn;
 mod member;
 mod probe;
 mod settings;
 mod suspicion;
+mod sync;
 
 pub use crate::wire::membership::Liveness;
 pub use member::Member;
@@ -29,7 +31,8 @@
 use crate::wire::membership as wire;
 use crate::wire::membership::datagram::Body;
 use gossip::Gossip;
-use member::{Merged, Record};
+use learn::{Origin, doubted};
+use member::Record;
 use probe::{Probe, Relayed};
 use suspicion::Suspicion;
 
@@ -111,6 +114,8 @@
     due: Due,
     pull_start: u32,
     joined: bool,
+    /// A VM was heard of for the first time in this round of pages.
+    found: bool,
     leaving: Option<u32>,
     /// Rounds of gossip in which this VM still objects to news of itself.
     objections: u32,
@@ -158,6 +163,7 @@
             due: Due { probe: later, gossip: later, pull: later, contact: now },
             pull_start: 0,
             joined: false,
+            found: false,
             leaving: None,
             objections: 0,
             counts: Counts::default(),
@@ -262,10 +268,11 @@
             return;
         }
         let pulled = matches!(datagram.body, Some(Body::PullReply(_)));
+        let origin = Origin { sender, pulled };
         for rumour in &datagram.rumours {
             match pulled && rumour.liveness() == Liveness::Dead {
-                true => self.learn(&doubted(rumour, sender), sender, now, effects),
-                false => self.learn(rumour, sender, now, effects),
+                true => self.learn(&doubted(rumour, sender), origin, now, effects),
+                false => self.learn(rumour, origin, now, effects),
             }
         }
         if self.leaving.is_some() {
@@ -282,111 +289,6 @@
         }
     }
 
-    /// Takes one piece of news.
-    fn learn(&mut self, rumour: &wire::Rumour, sender: VmId, now: Time, effects: &mut Vec<Effect>) {
-        let vm = VmId(rumour.vm);
-        if vm == self.settings.vm {
-            self.refute(rumour);
-            return;
-        }
-        let ignore_order = self.settings.mutation == Mutation::IgnoreIncarnation;
-        let merged = match self.records.get_mut(&vm) {
-            Some(record) => record.merge(rumour, now, ignore_order),
-            None => {
-                let Some(record) = Record::first(rumour, now) else { return };
-                self.records.insert(vm, record);
-                Merged::Liveness
-            }
-        };
-        // A VM's word on its own profile reaches all by pulls; passing it on is for news of
-        // liveness and for what came first hand.
-        if merged == Merged::Liveness || sender == vm {
-            self.gossip.add(vm, merged);
-        }
-        if merged != Merged::Old {
-            effects.push(Effect::Changed(vm));
-        }
-        if rumour.liveness() == Liveness::Suspect {
-            self.count_accuser(vm, rumour, now);
-        }
-    }
-
-    /// Starts or confirms the suspicion that a rumour tells of.
-    fn count_accuser(&mut self, vm: VmId, rumour: &wire::Rumour, now: Time) {
-        let size = self.size();
-        let Some(record) = self.records.get_mut(&vm) else { return };
-        let current = record.member.liveness == Liveness::Suspect
-            && record.member.incarnation == rumour.incarnation;
-        if !current {
-            return;
-        }
-        let accuser = VmId(rumour.accuser);
-        match &mut record.suspicion {
-            Some(suspicion) => {
-                if suspicion.confirm(accuser) {
-                    self.gossip.add(vm, Merged::Liveness);
-                }
-            }
-            None => {
-                let suspicion = Suspicion::new(&self.settings.times, size, accuser, now);
-                record.suspicion = Some(suspicion);
-            }
-        }
-    }
-
-    /// Objects to news that this VM is anything but alive, or that it lives on in an earlier
-    /// incarnation of a higher number.
-    fn refute(&mut self, rumour: &wire::Rumour) {
-        let me = &mut self.me;
-        let older = rumour.incarnation < me.member.incarnation;
-        let same = rumour.incarnation == me.member.incarnation;
-        let agreed = same && rumour.liveness() == me.member.liveness;
-        let off = self.settings.mutation == Mutation::NoRefute;
-        if older || agreed || off || self.leaving.is_some() {
-            return;
-        }
-        me.member.incarnation = rumour.incarnation + 1;
-        me.profile.0 = me.member.incarnation;
-        self.counts.refutations += 1;
-        if rumour.liveness() == Liveness::Suspect {
-            self.distrust = (self.distrust + 1).min(MAX_DISTRUST);
-        }
-        self.objections = OBJECTION_ROUNDS;
-    }
-
-    fn suspect(&mut self, vm: VmId, now: Time, effects: &mut Vec<Effect>) {
-        let Some(record) = self.records.get(&vm) else { return };
-        if !record.member.is_up() {
-            return;
-        }
-        self.counts.suspicions += u64::from(record.member.liveness == Liveness::Alive);
-        let rumour = wire::Rumour {
-            vm: vm.0,
-            incarnation: record.member.incarnation,
-            liveness: Liveness::Suspect.into(),
-            accuser: self.settings.vm.0,
-            profile: None,
-        };
-        self.learn(&rumour, self.settings.vm, now, effects);
-    }
-
-    fn expire_suspicions(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let forget = self.millis(self.settings.times.forget_ms);
-        self.records
-            .retain(|_, record| record.member.is_up() || now.since(record.changed) < forget);
-        for (vm, record) in &mut self.records {
-            let over = record.suspicion.as_ref().is_some_and(|held| now >= held.deadline());
-            if !over {
-                continue;
-            }
-            record.suspicion = None;
-            record.member.liveness = Liveness::Dead;
-            record.changed = now;
-            self.gossip.add(*vm, Merged::Liveness);
-            effects.push(Effect::Changed(*vm));
-        }
-    }
-
     /// Passes news on beyond the probes while there is any, and tells others when leaving.
     fn spread(&mut self, effects: &mut Vec<Effect>) {
         let fan_out = match &mut self.leaving {
@@ -429,84 +331,6 @@
         picked.sample(&mut self.random, count).copied().collect()
     }
 
-    /// Contacts a VM that counts as dead, or a seed where nobody is known to be up.
-    ///
-    /// The failure: a partition lasts until each side holds the other for dead, and heals. With
-    /// nobody probing the dead, two halves would run on side by side for good. One contact by
-    /// any VM is enough, since the news it brings spreads.
-    fn contact(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let alone = self.records.values().all(|record| !record.member.is_up());
-        let times = self.settings.times;
-        let pause = if alone { times.period_ms } else { times.contact_dead_ms };
-        let jitter = self.random.random_range(0..=pause / 4);
-        self.due.contact = now + Duration::from_millis(pause + jitter);
-        if self.settings.mutation == Mutation::NoContactDead && self.joined {
-            return;
-        }
-        for vm in self.sample(1, |member| member.liveness == Liveness::Dead) {
-            let sequence = self.next_sequence();
-            let ping = wire::Ping { sequence, target: Some(vm.0) };
-            self.send_to(vm, Some(Body::Ping(ping)), effects);
-        }
-        let silent = self.silent_seeds();
-        let count = if alone { silent.len() } else { 1 };
-        let chosen: Vec<SocketAddr> = silent.sample(&mut self.random, count).copied().collect();
-        for seed in chosen {
-            let ping = wire::Ping { sequence: self.next_sequence(), target: None };
-            let datagram = self.datagram(None, Some(Body::Ping(ping)));
-            effects.push(Effect::Send { to: seed, bytes: datagram });
-        }
-    }
-
-    fn silent_seeds(&self) -> Vec<SocketAddr> {
-        let up = |seed: &SocketAddr| {
-            let mut members = self.records.values().map(|record| &record.member);
-            members.any(|member| member.is_up() && member.address == *seed)
-        };
-        let seeds = self.settings.seeds.iter();
-        seeds.filter(|seed| **seed != self.settings.address && !up(seed)).copied().collect()
-    }
-
-    /// Asks a random VM for the next page of members, so that news that gossip lost arrives.
-    fn pull(&mut self, effects: &mut Vec<Effect>) {
-        if self.settings.mutation == Mutation::NoPull {
-            return;
-        }
-        for vm in self.sample(1, |member| member.liveness == Liveness::Alive) {
-            let pull = wire::PullRequest { start: self.pull_start };
-            self.send_to(vm, Some(Body::PullRequest(pull)), effects);
-        }
-    }
-
-    fn serve_pull(
-        &mut self,
-        sender: VmId,
-        from: SocketAddr,
-        pull: wire::PullRequest,
-        effects: &mut Vec<Effect>,
-    ) {
-        let reply = Body::PullReply(wire::PullReply { next: u32::MAX });
-        let mut page = self.header(Some(sender), Some(reply));
-        let mut size = page.encoded_len();
-        let mut next = 0;
-        for (vm, record) in self.records.range(VmId(pull.start)..) {
-            let rumour = record.rumour(true);
-            size += gossip::rumour_bytes(&rumour);
-            if size > MAX_DATAGRAM {
-                next = vm.0;
-                break;
-            }
-            page.rumours.push(rumour);
-        }
-        page.body = Some(Body::PullReply(wire::PullReply { next }));
-        effects.push(Effect::Send { to: from, bytes: page.encode_to_vec().into() });
-    }
-
-    fn take_page(&mut self, reply: wire::PullReply) {
-        self.pull_start = reply.next;
-        self.joined |= reply.next == 0;
-    }
-
     fn next_sequence(&mut self) -> u32 {
         self.sequence = self.sequence.wrapping_add(1);
         self.sequence
@@ -543,11 +367,3 @@
         order
     }
 }
-
-/// Turns a pulled death into a suspicion. After a partition each side holds the other for dead;
-/// taking that over page by page would make VMs that are up count as dead on their own side
-/// until they object, while a suspicion gives them the time to.
-fn doubted(rumour: &wire::Rumour, sender: VmId) -> wire::Rumour {
-    let liveness = Liveness::Suspect.into();
-    wire::Rumour { liveness, accuser: sender.0, ..rumour.clone() }
-}
--- a/crates/gypsumglade/src/bench/policy/mod.rs
+++ b/crates/gypsumglade/src/bench/policy/mod.rs
@@ -5,7 +5,9 @@
 //! The same seeds give the same output, byte for byte. docs/measurements/policy.md explains it.
 
 mod engine;
+mod machine;
 mod plot;
+mod program;
 mod report;
 mod run;
 mod strategy;
@@ -97,6 +99,14 @@
         }
     }
 
+    /// Returns the name for files.
+    pub fn slug(&self) -> &'static str {
+        match self.name {
+            "Fényrekesz" => "fenyrekesz",
+            _ => "velkaneuvo",
+        }
+    }
+
     /// The same with twice the prefix memory, where it is no longer what is short.
     fn roomy(self, name: &'static str) -> Fleet {
         Fleet { name, cache_tokens: ROOMY, ..self }
