--- a/crates/core/src/bundle/content.rs
+++ b/crates/core/src/bundle/content.rs
@@ -212,7 +212,7 @@
 
 impl Default for Policy {
     fn default() -> Policy {
-        Policy { latency_weight: 1.0, waste_weight: 0.3 }
+        Policy { latency_weight: 1.0, waste_weight: 6.0 }
     }
 }
 
--- a/crates/core/src/program/admission.rs
+++ b/crates/core/src/program/admission.rs
@@ -216,8 +216,11 @@
     ) -> Verdict {
         let digest = ticket.asked.crash_digest(stored, known);
         if self.state.scores.get(&digest).quarantined {
-            let detail = "this request crashed the endpoints that ran it: change it, or ask the \
-                          operators to lift its quarantine in the next bundle";
+            let detail = format!(
+                "this request crashed the endpoints that ran it: change it, or ask the operators \
+                 to lift quarantine {} in the next bundle",
+                hex::encode(digest)
+            );
             return Verdict::Answer(refusal(Refusal::Quarantined, detail));
         }
         let beside = self.state.flights.contains_key(&digest);
--- a/crates/core/src/program/state.rs
+++ b/crates/core/src/program/state.rs
@@ -208,6 +208,12 @@
         self.find(name).is_some_and(|p| p.ended.is_none())
     }
 
+    /// Returns the time from a live program's first call to its last answer.
+    pub fn latency(&self, name: &Name) -> Option<Duration> {
+        let program = self.find(name).filter(|_| self.is_alive(name))?;
+        Some(Duration::from_millis(program.active_ms.saturating_sub(program.started_ms)))
+    }
+
     /// Returns what the program and its descendants consumed for good, and what is reserved.
     pub fn consumed(&self, name: &Name) -> Option<(Amounts, Amounts)> {
         self.find(name).map(|p| (p.account.spent, p.account.held))
--- a/crates/gypsumglade/src/admin.rs
+++ b/crates/gypsumglade/src/admin.rs
@@ -167,7 +167,7 @@
 }
 
 async fn store_metrics(State(state): State<Arc<StoreState>>) -> Response {
-    page(state.metrics.page())
+    page(state.context.metrics.page())
 }
 
 fn page(page: anyhow::Result<String>) -> Response {
@@ -183,7 +183,7 @@
 
 async fn store_dump(State(state): State<Arc<StoreState>>) -> Json<Value> {
     let mut groups = Vec::new();
-    for number in 1..=state.settings.store.as_ref().map_or(0, |store| store.groups) {
+    for number in 1..=state.settings.groups {
         if let Some(group) = state.context.group(GroupId(number)) {
             groups.push(group.dump().await);
         }
--- a/crates/gypsumglade/src/entry/announce.rs
+++ b/crates/gypsumglade/src/entry/announce.rs
@@ -233,18 +233,23 @@
     }
 }
 
+/// Reads events from the last gap on: the registry then sees how many it missed.
 fn cache_events(bodies: &[CacheEventBody]) -> CacheEvents {
-    let events = bodies.iter().map(|body| {
-        let (org, program) = body.program.split_once('/').unwrap_or(("", &body.program));
-        let program = super::program_hash(org, program);
-        match body.evicted {
-            true => CacheEvent::Evicted { program },
-            false => CacheEvent::Filled { program, tokens: body.tokens },
-        }
-    });
+    let follows = |pair: &[CacheEventBody]| pair[1].sequence == pair[0].sequence + 1;
+    let start = bodies.windows(2).rposition(|pair| !follows(pair)).map_or(0, |gap| gap + 1);
+    let bodies = &bodies[start..];
     CacheEvents {
         first: bodies.first().map_or(0, |body| body.sequence),
-        events: events.collect(),
+        events: bodies.iter().map(cache_event).collect(),
         age: Duration::ZERO,
     }
 }
+
+fn cache_event(body: &CacheEventBody) -> CacheEvent {
+    let (org, program) = body.program.split_once('/').unwrap_or(("", &body.program));
+    let program = super::program_hash(org, program);
+    match body.evicted {
+        true => CacheEvent::Evicted { program },
+        false => CacheEvent::Filled { program, tokens: body.tokens },
+    }
+}
--- a/crates/gypsumglade/src/entry/callers.rs
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -12,6 +12,7 @@
 use axum::routing::{delete, get, post};
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::common::Outcome;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use serde_json::Value;
 use tokio::sync::{Semaphore, mpsc, oneshot};
@@ -23,7 +24,7 @@
 use super::answer::finish;
 use super::call::CallHeaders;
 use super::chat_request::ChatRequest;
-use super::problem::{OUTCOME_HEADER, Problem, ProblemKind};
+use super::problem::{OUTCOME_HEADER, Problem, ProblemKind, outcome_name};
 use super::state::EntryState;
 use super::turn::{Caller, TurnCall};
 use super::{sse, tool, turn};
@@ -82,8 +83,11 @@
 ) -> Response {
     let started = state.clock.now();
     let answered = chat_answer(&state, &headers, body).await;
+    let refused = answered.is_err();
     let response = answered.unwrap_or_else(IntoResponse::into_response);
-    count(&state, started, "model", &response);
+    if refused {
+        count(&state, started, "model", &response);
+    }
     response
 }
 
@@ -95,6 +99,7 @@
     let body = whole_body(body)?;
     let headers = CallHeaders::read(headers)?;
     let active = state.config.active(state.clock.now())?;
+    active.organisation(&headers.token)?;
     let request = ChatRequest::parse(&body)?;
     let call = turn_call(state, &active, &headers, request)?;
     let permit = state.gate.admit(&state.metrics, &call.model.name, offer(&call)).await?;
@@ -105,8 +110,14 @@
     let (caller, mut watch) = caller_of(&call);
     let task_state = Arc::clone(state);
     let running = state.tasks.spawn(async move {
+        let started = task_state.clock.now();
+        task_state.metrics.in_flight(1);
         let answer = turn::run(&task_state, &call, &caller).await;
+        task_state.metrics.in_flight(-1);
         drop(permit);
+        let outcome = answer.as_ref().map_or_else(|problem| problem.outcome, |_| Outcome::Done);
+        let seconds = task_state.clock.now().since(started).as_secs_f64();
+        task_state.metrics.call(seconds, "model", outcome_name(outcome));
         if made_up {
             tool::end_quietly(&task_state, &call.org, &call.program).await;
         }
--- a/crates/gypsumglade/src/entry/groups.rs
+++ b/crates/gypsumglade/src/entry/groups.rs
@@ -39,14 +39,12 @@
 impl GroupMap {
     /// Creates the map of a deployment whose settings name the count of groups and the stores.
     pub fn new(settings: &Settings, directory: &Arc<Directory>) -> GroupMap {
-        let groups = settings.store.as_ref().map_or(DEFAULT_GROUPS, |store| store.groups);
-        GroupMap { directory: Arc::clone(directory), groups: groups.max(1) }
+        GroupMap { directory: Arc::clone(directory), groups: settings.groups }
     }
 
     /// Returns the group of a program, by the slot of its root.
     pub fn group_of(&self, org: &str, program: &str) -> GroupId {
-        let slot = Slot::of(org, gypsumglade_core::program::root_of(program));
-        GroupId(1 + u32::from(slot.0) % self.groups)
+        group_of(org, program, self.groups)
     }
 
     fn target(&self, known: Option<VmId>, turn: usize) -> Option<(VmId, SocketAddr)> {
@@ -56,8 +54,11 @@
     }
 }
 
-/// Program groups of a deployment whose settings name no count.
-const DEFAULT_GROUPS: u32 = 8;
+/// Returns the group of a program among `groups` of them, by the slot of its root.
+pub fn group_of(org: &str, program: &str, groups: u32) -> GroupId {
+    let slot = Slot::of(org, gypsumglade_core::program::root_of(program));
+    GroupId(1 + u32::from(slot.0) % groups.max(1))
+}
 
 /// Asks program groups on behalf of one VM.
 #[derive(Clone)]
--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -77,6 +77,21 @@
     Err(Problem::not_run(ProblemKind::BadRequest, message))
 }
 
+/// Tells that no quorum answered. A call under a caller's own key may have been sent before, and
+/// then only the program's group knows what became of it; any other was not run, since a grant
+/// that this VM never learnt of is never used.
+fn no_quorum(resent: bool) -> Problem {
+    let message = "no quorum of the program's group answered";
+    let problem = match resent {
+        true => Problem::unknown(message),
+        false => Problem::not_run(ProblemKind::Unavailable, message),
+    };
+    problem.retry_after(GROUP_RETRY_MS)
+}
+
+/// When to come back after no replica of a group answered.
+const GROUP_RETRY_MS: u64 = 1_000;
+
 fn route_retry_ms(error: &RouteError) -> u64 {
     let (RouteError::NoEndpoint { retry_after, .. } | RouteError::NoneFree { retry_after, .. }) =
         error;
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -161,7 +161,7 @@
         groups: GroupClient::new(vm, peers.clone(), map, settings.timeouts.peer()),
         endpoints: EndpointClient::new(),
         config: ConfigView::new(lease, vm, keys, clock.now()),
-        gate: Gate::new(AdmissionSettings::default(), clock),
+        gate: Gate::new(admission_settings(), clock),
         metrics: Metrics::new()?,
         stop: CancellationToken::new(),
         tasks: TaskTracker::new(),
@@ -175,6 +175,13 @@
     })
 }
 
+/// Admission starts at what engines announce, and falls when they turn out to take less.
+fn admission_settings() -> AdmissionSettings {
+    let mut settings = AdmissionSettings::default();
+    settings.limit.start = settings.limit.most;
+    settings
+}
+
 fn place(settings: &Settings) -> Option<Place> {
     Some(Place {
         domain: settings.domain_id(&settings.vm.domain)?,
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -10,7 +10,7 @@
 use gypsumglade_core::wire::program::reply::Body as ReplyBody;
 use gypsumglade_core::wire::program::request::Body as RequestBody;
 use gypsumglade_core::wire::program::{
-    BeginCall, EndProgram, Grant, ProgramRef, Request, Settle, Usage,
+    BeginCall, EndProgram, Grant, ProgramRef, Request, Settle, Unknown, Usage,
 };
 use http::{HeaderValue, StatusCode};
 use sha2::{Digest as _, Sha256};
@@ -27,8 +27,6 @@
 const GROUP_PATIENCE: Duration = Duration::from_secs(15);
 /// Longest wait for a group to take an outcome, across a change of leader.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(30);
-/// When to come back after no replica of a group answered.
-const GROUP_RETRY_MS: u64 = 1_000;
 /// Askings after the status of a call in doubt, each after twice the pause before it.
 const INQUIRIES: u32 = 6;
 /// First pause before a service is asked what became of a call.
@@ -168,17 +166,34 @@
             body: recorded.answer,
         })),
         Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
-        Ok(ReplyBody::Unknown(unknown)) => Err(unknown.into()),
+        Ok(ReplyBody::Unknown(unknown)) => settled_late(state, call, unknown).await,
         Ok(ReplyBody::Done(_)) => Err(Problem::unknown("the program group gave no grant")),
-        // A grant may have been given, but this VM never learnt of it and will not use it.
-        Err(_) => Err(Problem::not_run(
-            ProblemKind::Unavailable,
-            "no quorum of the program's group answered",
-        )
-        .retry_after(GROUP_RETRY_MS)),
+        // A caller's own key may have been sent before, and its first call may have run.
+        Err(_) => Err(super::no_quorum(!call.repeatable())),
     }
 }
 
+/// Asks the service's instances what became of a call in doubt, before its caller is told so.
+async fn settled_late(
+    state: &EntryState,
+    call: &ToolCall,
+    unknown: Unknown,
+) -> Result<Granted, Problem> {
+    for address in instances(state, call) {
+        let Some(answer) = inquire(state, call, &address).await else { continue };
+        let grant = Grant { dispatch: unknown.dispatch.clone(), ..Grant::default() };
+        settle(state, call, inquired_settle(call, &grant, &answer)).await?;
+        return Ok(Granted::Answer(answer));
+    }
+    Err(unknown.into())
+}
+
+fn instances(state: &EntryState, call: &ToolCall) -> Vec<CompactString> {
+    let desk = state.desk();
+    let keys = desk.registry.services(&call.service).iter();
+    keys.filter_map(|key| Some(desk.registry.get(*key)?.address.clone())).collect()
+}
+
 fn status_of(status: u32) -> StatusCode {
     let code = u16::try_from(status).unwrap_or_default();
     StatusCode::from_u16(code).unwrap_or(StatusCode::OK)
@@ -228,6 +243,11 @@
     Ok(answer)
 }
 
+/// An outcome that the service told on inquiry; any VM may settle with it.
+fn inquired_settle(call: &ToolCall, grant: &Grant, answer: &ToolAnswer) -> Settle {
+    Settle { inquired: true, ..done_settle(call, grant, answer) }
+}
+
 fn done_settle(call: &ToolCall, grant: &Grant, answer: &ToolAnswer) -> Settle {
     Settle {
         answer: answer.body.clone(),
@@ -263,7 +283,7 @@
     slog::warn!(state.log, "a service call is in doubt";
         "program" => %call.program, "dispatch" => &grant.dispatch,
         "endpoint" => %placed.name, "error" => ?error);
-    if let Some(answer) = inquire(state, call, placed).await {
+    if let Some(answer) = inquire(state, call, &placed.address).await {
         return done(state, call, grant, answer).await;
     }
     let mut settled = outcome(call, grant, Outcome::Unknown, "no answer from the service");
@@ -283,8 +303,8 @@
         for _ in 0..INQUIRIES {
             tokio::time::sleep(pause).await;
             pause *= 2;
-            if let Some(answer) = inquire(&state, &call, &placed).await {
-                let _ = settle(&state, &call, done_settle(&call, &grant, &answer)).await;
+            if let Some(answer) = inquire(&state, &call, &placed.address).await {
+                let _ = settle(&state, &call, inquired_settle(&call, &grant, &answer)).await;
                 return;
             }
         }
@@ -304,11 +324,10 @@
 /// Asks the service what became of the key; only "it ran, with this answer" settles anything.
 ///
 /// "It did not run" does not: the request may still be on its way.
-async fn inquire(state: &EntryState, call: &ToolCall, placed: &Placed) -> Option<ToolAnswer> {
+async fn inquire(state: &EntryState, call: &ToolCall, address: &str) -> Option<ToolAnswer> {
     let path = format!("/v1/tools/status/{}", service_key(call));
     let timeout = state.settings.timeouts.peer();
-    let asked =
-        state.endpoints.control(http::Method::GET, &placed.address, &path, Bytes::new(), timeout);
+    let asked = state.endpoints.control(http::Method::GET, address, &path, Bytes::new(), timeout);
     let (status, body) = asked.await.ok()?;
     if !status.is_success() {
         return None;
@@ -392,10 +411,8 @@
     match state.groups.ask(org, program, &request, GROUP_PATIENCE).await {
         Ok(ReplyBody::Done(_)) => Ok(()),
         Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
-        _ => {
-            Err(Problem::unknown("the end of the program is not confirmed")
-                .retry_after(GROUP_RETRY_MS))
-        }
+        _ => Err(Problem::unknown("the end of the program is not confirmed")
+            .retry_after(super::GROUP_RETRY_MS)),
     }
 }
 
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -7,6 +7,7 @@
 use axum::response::sse::Event;
 use bytes::Bytes;
 use futures::StreamExt as _;
+use gypsumglade_core::policy::admission::Signal;
 use gypsumglade_core::policy::registry::ModelId;
 use gypsumglade_core::policy::route::{LastRun, RouteAsk, Target};
 use gypsumglade_core::prelude::*;
@@ -46,8 +47,6 @@
 const BYTES_PER_TOKEN: u64 = 4;
 /// Priority of urgent calls towards engines; normal ones go by turns attained.
 const URGENT_PRIORITY: u64 = 1_000;
-/// When to come back after no replica of a group answered.
-const GROUP_RETRY_MS: u64 = 1_000;
 
 /// Where a caller's stream is written to.
 pub type Sink = mpsc::Sender<Result<Event, Infallible>>;
@@ -175,12 +174,7 @@
         Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
         Ok(ReplyBody::Unknown(unknown)) => Err(unknown.into()),
         Ok(ReplyBody::Done(_)) => Err(Problem::unknown("the program group gave no grant")),
-        // A grant may have been given, but this VM never learnt of it and will not use it.
-        Err(GroupUnavailable { .. }) => Err(Problem::not_run(
-            ProblemKind::Unavailable,
-            "no quorum of the program's group answered",
-        )
-        .retry_after(GROUP_RETRY_MS)),
+        Err(GroupUnavailable { .. }) => Err(super::no_quorum(call.resends)),
     }
 }
 
@@ -243,6 +237,7 @@
             Err(SendError::NotSent) => {
                 state.release_call(&placed, DispatchEnd::Failed);
                 state.metrics.retry("refused");
+                state.gate.observe(&call.model.name, Signal::Overloaded);
                 excluded.push(placed.name.clone());
             }
             Err(error) => {
@@ -386,7 +381,7 @@
         let mut settle = outcome(call, grant, Outcome::Unknown, "the engine went away");
         settle.crashed = error == SendError::Broken;
         settle.endpoint = placed.name.to_string();
-        settle.usage = Some(partial_usage(call, builder));
+        settle.usage = Some(partial_usage(call, grant, builder));
         if let Err(problem) = settle_now(state, call, settle).await {
             return Attempt::Failed(problem);
         }
@@ -411,7 +406,7 @@
         self.cancel().await;
         self.state.release_call(self.placed, DispatchEnd::Cancelled);
         let mut settle = outcome(self.call, self.grant, Outcome::Unknown, "the caller went away");
-        settle.usage = Some(partial_usage(self.call, builder));
+        settle.usage = Some(partial_usage(self.call, self.grant, builder));
         settle.endpoint = self.placed.name.to_string();
         settle_quietly(self.state, self.call, settle).await;
         Attempt::Failed(Problem::unknown("the caller went away"))
@@ -442,6 +437,7 @@
         settle.endpoint = self.placed.name.to_string();
         match settle_now(self.state, self.call, settle).await {
             Ok(()) => {
+                self.state.gate.observe(&model.name, Signal::Waited(Duration::ZERO));
                 self.count(&usage);
                 Attempt::Whole(answer)
             }
@@ -484,10 +480,13 @@
 }
 
 /// What a dispatch without a whole answer has used, as far as its tokens arrived.
-fn partial_usage(call: &TurnCall, builder: &AnswerBuilder) -> Usage {
+///
+/// The prompt is estimated: an engine counts it only in a whole answer.
+fn partial_usage(call: &TurnCall, grant: &Grant, builder: &AnswerBuilder) -> Usage {
+    let prompt_tokens = grant.history.len() as u64 / BYTES_PER_TOKEN + 1;
     let output_tokens = builder.tokens();
-    let micros = output_tokens * call.model.output_micros;
-    Usage { output_tokens, micros, ..Usage::default() }
+    let micros = prompt_tokens * call.model.input_micros + output_tokens * call.model.output_micros;
+    Usage { prompt_tokens, output_tokens, micros, cached_tokens: 0 }
 }
 
 async fn settle_not_run(
@@ -500,7 +499,7 @@
     match settle_now(state, call, settle).await {
         Ok(()) => Attempt::Failed(problem),
         // Nothing was sent, whether or not the group has heard of it yet.
-        Err(_) => Attempt::Failed(problem.retry_after(GROUP_RETRY_MS)),
+        Err(_) => Attempt::Failed(problem.retry_after(super::GROUP_RETRY_MS)),
     }
 }
 
--- a/crates/gypsumglade/src/metrics.rs
+++ b/crates/gypsumglade/src/metrics.rs
@@ -91,8 +91,8 @@
     }
 
     /// Records a program's time from first call to last answer.
-    pub fn program(&self, seconds: f64, agent: &str) {
-        self.program_seconds.record(seconds, &[label("agent", agent)]);
+    pub fn program(&self, seconds: f64) {
+        self.program_seconds.record(seconds, &[]);
     }
 
     /// Records a call's time and outcome; `kind` is `model` or `tool`.
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::{Effect, Input, Links, LogIndex, MemberChange};
+use gypsumglade_core::replication::{Effect, Input, Links, LogIndex, MemberChange, Term};
 use tokio::sync::{mpsc, oneshot};
 
 use super::event::{ChangeError, Event, HostStatus, Outbound, ProposeError, ReadError};
@@ -42,7 +42,7 @@
     },
     Lease {
         group: GroupId,
-        reply: oneshot::Sender<bool>,
+        reply: oneshot::Sender<Option<Term>>,
     },
     Receive {
         from: VmId,
@@ -211,11 +211,10 @@
             Command::Read { group, reply } => self.read(group, reply),
             Command::Lease { group, reply } => {
                 let now = self.now();
-                let held = self
-                    .groups
-                    .get(&group)
-                    .is_some_and(|g| g.replica.holds_lease(now, &self.links));
-                let _ = reply.send(held && self.failed.is_none());
+                let replica = self.groups.get(&group).map(|group| &group.replica);
+                let held = replica.filter(|replica| replica.holds_lease(now, &self.links));
+                let term = held.map(|replica| replica.status(now, &self.links).term);
+                let _ = reply.send(term.filter(|_| self.failed.is_none()));
             }
             Command::Receive { from, batch } => self.receive(from, batch),
             Command::Snapshot { group, index, data, reply } => {
--- a/crates/gypsumglade/src/replica/host.rs
+++ b/crates/gypsumglade/src/replica/host.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context, bail};
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::{LogIndex, MemberChange};
+use gypsumglade_core::replication::{LogIndex, MemberChange, Term};
 use tokio::sync::{mpsc, oneshot};
 
 use super::engine::{self, Command};
@@ -59,10 +59,11 @@
         reply.unwrap_or(Err(ReadError::NotLeader { hint: None }))
     }
 
-    /// Tells whether this VM's replica holds its group's lease at this moment. Ask after the
-    /// work and before the answer.
-    pub async fn holds_lease(&self, group: GroupId) -> bool {
-        self.ask(|reply| Command::Lease { group, reply }).await.unwrap_or(false)
+    /// Returns the term in which this VM's replica holds its group's lease at this moment, `None`
+    /// if it holds none. Ask after the work and before the answer, and compare the term: between
+    /// two terms of one leader another may have led.
+    pub async fn lease_term(&self, group: GroupId) -> Option<Term> {
+        self.ask(|reply| Command::Lease { group, reply }).await.flatten()
     }
 
     /// Takes a batch that another VM's host gave out.
--- a/crates/gypsumglade/src/settings/mod.rs
+++ b/crates/gypsumglade/src/settings/mod.rs
@@ -37,7 +37,7 @@
 pub use crate::secret::Secret;
 
 /// Everything a process learns from outside before it starts.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
 pub struct Settings {
     /// Who this VM is and where it stands.
@@ -46,6 +46,8 @@
     pub listen: ListenSettings,
     /// The other VMs known from the start: every store, and enough seeds for membership.
     pub peers: Vec<PeerSettings>,
+    /// Number of program groups; the same on every VM, and fixed once programs exist.
+    pub groups: u32,
     /// The durable role; absent on a VM without a disk.
     pub store: Option<StoreSettings>,
     /// Shared secrets of the listeners.
@@ -62,6 +64,28 @@
     pub tls: TlsSettings,
 }
 
+/// Program groups of a deployment whose settings name no count: enough that a store's processors
+/// are used, few enough that nine VMs' heartbeats stay small.
+const GROUPS: u32 = 8;
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            vm: VmSettings::default(),
+            listen: ListenSettings::default(),
+            peers: Vec::new(),
+            groups: GROUPS,
+            store: None,
+            tokens: TokenSettings::default(),
+            operators: OperatorSettings::default(),
+            limits: LimitSettings::default(),
+            timeouts: TimeoutSettings::default(),
+            log: LogSettings::default(),
+            tls: TlsSettings::default(),
+        }
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     ///
@@ -127,6 +151,7 @@
     fn check(&self, findings: &mut Findings) {
         self.vm.check(findings);
         self.listen.check(findings);
+        findings.range("groups", u64::from(self.groups), 1..=u64::from(SLOTS), "groups");
         peers::check(&self.vm, &self.peers, self.store.is_some(), findings);
         if let Some(store) = &self.store {
             store.check(findings);
--- a/crates/gypsumglade/src/settings/store.rs
+++ b/crates/gypsumglade/src/settings/store.rs
@@ -18,8 +18,6 @@
     pub peers: SocketAddr,
     /// The operators' interface of the store daemon.
     pub admin: SocketAddr,
-    /// Number of program groups; the same on every store, and fixed once programs exist.
-    pub groups: u32,
     /// Milliseconds between a leader's heartbeats.
     pub heartbeat_ms: u64,
     /// Milliseconds without a heartbeat after which a follower stands for election.
@@ -32,7 +30,6 @@
             folder: PathBuf::from("data"),
             peers: LOOPBACK,
             admin: LOOPBACK,
-            groups: 8,
             heartbeat_ms: 100,
             election_ms: 1_000,
         }
@@ -44,7 +41,6 @@
         if self.folder.as_os_str().is_empty() {
             findings.add("store.folder", "an empty path", "a folder on a disk that syncs");
         }
-        findings.range("store.groups", u64::from(self.groups), 1..=u64::from(SLOTS), "groups");
         findings.range("store.heartbeat_ms", self.heartbeat_ms, 10..=10_000, "milliseconds");
         let least = self.heartbeat_ms.saturating_mul(3);
         findings.range("store.election_ms", self.election_ms, least..=60_000, "milliseconds");
--- a/crates/gypsumglade/src/store/context.rs
+++ b/crates/gypsumglade/src/store/context.rs
@@ -12,6 +12,7 @@
 use super::program_group::{GroupInput, ProgramGroup};
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::metrics::Metrics;
 use crate::replica::Host;
 use crate::rpc::{Method, PeerClients, encode};
 
@@ -32,6 +33,8 @@
     pub peers: PeerClients,
     /// Bounds of the program groups.
     pub program_settings: program::Settings,
+    /// Metrics of the process.
+    pub metrics: Metrics,
     /// Log of the process.
     pub log: slog::Logger,
     pub(super) groups: RwLock<Vec<ProgramGroup>>,
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -8,7 +8,7 @@
 use gypsumglade_core::control::Control;
 use gypsumglade_core::lease::{ConfigGrants, InForce, LeaseSettings, serve};
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::LogIndex;
+use gypsumglade_core::replication::{LogIndex, Term};
 use gypsumglade_core::wire::control::confirm_reply::Body as ConfirmBody;
 use gypsumglade_core::wire::control::{Answer, Command, ConfirmReply, ConfirmRequest, Unavailable};
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
@@ -44,7 +44,7 @@
 const RECENT_ANSWERS: usize = 256;
 
 enum Role {
-    Leader(Box<ConfigGrants>),
+    Leader { term: Term, grants: Box<ConfigGrants> },
     Follower(Option<VmId>),
 }
 
@@ -69,7 +69,7 @@
     pub async fn run(self: Arc<Self>, mut events: mpsc::Receiver<Event>) {
         while let Some(event) = events.recv().await {
             match event {
-                Event::Leader { term, .. } => self.lead(term.0),
+                Event::Leader { term, .. } => self.lead(term),
                 Event::Follower { leader, .. } => self.state().role = Role::Follower(leader),
                 Event::Committed { index, data, .. } => self.committed(index, &data).await,
                 Event::Restore { index, data, .. } => self.restore(index, &data).await,
@@ -91,13 +91,14 @@
 
     /// Serves an entry VM that renews its lease.
     ///
-    /// Leadership is confirmed after the answer was worked out and before it leaves: a store that
-    /// was paused beyond its own lease would otherwise grant next to its successor, and a bundle
-    /// could be called in force while a VM still acts on the one before.
+    /// Leadership is confirmed after the answer was worked out and before it leaves, and in the
+    /// term that the answer was worked out in: a store that was paused, or lost leadership and got
+    /// it back, would otherwise grant next to another leader, and a bundle could be called in
+    /// force while a VM still acts on the one before.
     pub async fn renew(&self, request: &ConfirmRequest) -> ConfirmReply {
-        let reply = self.renewal(request);
+        let (reply, term) = self.renewal(request);
         let grants = matches!(reply.body, Some(ConfirmBody::Grant(_)));
-        if grants && self.context.host.read_barrier(GroupId::CONTROL).await.is_err() {
+        if grants && self.context.host.lease_term(GroupId::CONTROL).await != term {
             return unavailable(request, None);
         }
         reply
@@ -109,7 +110,7 @@
         let current = state.control.current();
         serde_json::json!({
             "applied": state.applied,
-            "leads": matches!(state.role, Role::Leader(_)),
+            "leads": matches!(state.role, Role::Leader { .. }),
             "revision": current.map(|revision| revision.number),
             "version": current.map(|revision| revision.version.clone()),
             "digest": current.map(|revision| revision.digest.to_string()),
@@ -118,15 +119,17 @@
         })
     }
 
-    fn renewal(&self, request: &ConfirmRequest) -> ConfirmReply {
+    /// Works an answer out, with the term that it holds in.
+    fn renewal(&self, request: &ConfirmRequest) -> (ConfirmReply, Option<Term>) {
         let now = self.context.clock.now();
         let mut state = self.state();
         let ControlState { control, role, .. } = &mut *state;
         match role {
-            Role::Leader(grants) => {
-                serve(control.history(), grants, self.lease.length(), request, now)
+            Role::Leader { term, grants } => {
+                let length = self.lease.length();
+                (serve(control.history(), grants, length, request, now), Some(*term))
             }
-            Role::Follower(leader) => unavailable(request, *leader),
+            Role::Follower(leader) => (unavailable(request, *leader), None),
         }
     }
 
@@ -174,7 +177,7 @@
         }
         let now = self.context.clock.now();
         let state = self.state();
-        let Role::Leader(grants) = &state.role else { return not_leader(None) };
+        let Role::Leader { grants, .. } = &state.role else { return not_leader(None) };
         let current = state.control.history().number();
         let revision = if query.revision == 0 { current } else { RevisionNumber(query.revision) };
         let (in_force, waiting, until) = match grants.in_force(revision, now) {
@@ -194,11 +197,11 @@
         })
     }
 
-    fn lead(&self, term: u64) {
-        slog::info!(self.context.log, "leads the control group"; "term" => term);
+    fn lead(&self, term: Term) {
+        slog::info!(self.context.log, "leads the control group"; "term" => term.0);
         let now = self.context.clock.now();
         let grants = ConfigGrants::lead(self.lease, now);
-        self.state().role = Role::Leader(Box::new(grants));
+        self.state().role = Role::Leader { term, grants: Box::new(grants) };
     }
 
     async fn committed(&self, index: LogIndex, data: &Bytes) {
--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -8,11 +8,14 @@
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::ConfirmRequest;
 use gypsumglade_core::wire::operator::ControlRequest;
-use gypsumglade_core::wire::program::{Request, Score};
+use gypsumglade_core::wire::program::request::Body;
+use gypsumglade_core::wire::program::{ProgramRef, Request, Score};
 use jsonrpsee::RpcModule;
 use jsonrpsee::types::ErrorObjectOwned;
 
+use super::program_group::ProgramGroup;
 use super::serve::StoreState;
+use crate::entry::groups::group_of;
 use crate::rpc::{Method, decode, encode, invalid_payload};
 
 /// Answer to a call that has nothing to tell.
@@ -27,9 +30,7 @@
     module.register_async_method(Method::Program.name(), |parameters, state, _| async move {
         let (group, from, text): (GroupId, VmId, String) = parameters.parse()?;
         let request: Request = decode(&text).map_err(|error| invalid_payload(&error))?;
-        let group = state.context.group(group).ok_or_else(|| {
-            invalid_payload(&anyhow::anyhow!("no program group {group}; compare store.groups"))
-        })?;
+        let group = checked_group(&state, group, &request)?;
         let reply = group.ask(from, request).await;
         let reply = reply.ok_or_else(|| invalid_payload(&anyhow::anyhow!("the store stops")))?;
         Ok::<_, ErrorObjectOwned>(encode(&reply))
@@ -58,3 +59,33 @@
     })?;
     Ok(module)
 }
+
+/// Returns the group that a request was sent to, if its program lives there.
+///
+/// VMs whose settings name another count of groups send one program to two groups. Its caller
+/// would see turns forgotten, and a deposit could run in each. The store works the group out
+/// itself and refuses, so that nothing is granted in the wrong one.
+fn checked_group(
+    state: &StoreState,
+    group: GroupId,
+    request: &Request,
+) -> Result<ProgramGroup, ErrorObjectOwned> {
+    let name = program_of(request).cloned().unwrap_or_default();
+    let own = group_of(&name.org, &name.program, state.settings.groups);
+    let found = state.context.group(group).filter(|_| own == group);
+    found.ok_or_else(|| {
+        let wrong = "not the group of this program: set `groups` alike on every VM";
+        invalid_payload(&anyhow::anyhow!("{group}: {wrong}"))
+    })
+}
+
+fn program_of(request: &Request) -> Option<&ProgramRef> {
+    match request.body.as_ref()? {
+        Body::BeginTurn(turn) => turn.program.as_ref(),
+        Body::BeginCall(call) => call.program.as_ref(),
+        Body::Settle(settle) => settle.program.as_ref(),
+        Body::EndProgram(end) => end.program.as_ref(),
+        Body::Released(released) => released.program.as_ref(),
+        Body::Started(started) => started.program.as_ref(),
+    }
+}
--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::program::{Effect, Input, ProposalId, RequestToken, Sequencer};
+use gypsumglade_core::program::{Effect, Input, Name, ProposalId, RequestToken, Sequencer};
 use gypsumglade_core::replication::LogIndex;
 use gypsumglade_core::wire::program::request::Body as RequestBody;
 use gypsumglade_core::wire::program::{Release, Released, Reply, Request, Score};
@@ -71,6 +71,7 @@
             inputs: handle.inputs.clone(),
             replies: HashMap::new(),
             token: 0,
+            leads: false,
         };
         tokio::spawn(task.run(receiver));
         handle
@@ -104,6 +105,7 @@
     inputs: mpsc::Sender<GroupInput>,
     replies: HashMap<RequestToken, oneshot::Sender<Reply>>,
     token: u64,
+    leads: bool,
 }
 
 impl GroupTask {
@@ -130,6 +132,7 @@
     async fn translate(&mut self, input: GroupInput) -> Option<Input> {
         match input {
             GroupInput::Request { from, request, reply } => {
+                self.measure(&request);
                 self.token += 1;
                 let token = RequestToken(self.token);
                 self.replies.insert(token, reply);
@@ -149,6 +152,16 @@
         }
     }
 
+    /// Records a program's latency when its caller ends it, on the replica that leads.
+    fn measure(&self, request: &Request) {
+        let Some(RequestBody::EndProgram(end)) = &request.body else { return };
+        let name = Name::of(end.program.as_ref());
+        let latency = self.sequencer.state().latency(&name).filter(|_| self.leads);
+        if let Some(latency) = latency {
+            self.context.metrics.program(latency.as_secs_f64());
+        }
+    }
+
     async fn log_input(&mut self, event: Event) -> Option<Input> {
         match event {
             Event::Leader { term, .. } => {
@@ -159,9 +172,13 @@
                     let (inputs, gone) = (self.inputs.clone(), GroupInput::Gone(vm));
                     tokio::spawn(async move { inputs.send(gone).await });
                 }
+                self.leads = true;
                 Some(Input::Leading { term: term.0 })
             }
-            Event::Follower { leader, .. } => Some(Input::Following { leader }),
+            Event::Follower { leader, .. } => {
+                self.leads = false;
+                Some(Input::Following { leader })
+            }
             Event::Committed { index, data, .. } => Some(Input::Committed { index: index.0, data }),
             Event::Restore { index, data, .. } => Some(Input::Restored { index: index.0, data }),
             Event::NeedSnapshot { .. } => {
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -47,8 +47,6 @@
     pub control: Arc<ControlGroup>,
     /// Settings of the process.
     pub settings: Settings,
-    /// Metrics of the process.
-    pub metrics: Metrics,
 }
 
 /// A running store.
@@ -91,6 +89,7 @@
             directory,
             peers,
             program_settings: program::Settings::default(),
+            metrics: Metrics::new()?,
             log,
             groups: RwLock::default(),
             dead: Mutex::default(),
@@ -101,9 +100,8 @@
         let control = ControlGroup::new(Arc::clone(&context), keys, lease);
         tokio::spawn(member_watch::watch(Arc::clone(&context), halt.clone()));
         tokio::spawn(send_batches(Arc::clone(&context), batches));
-        start_groups(&context, &control, events, own.groups).await?;
-        let metrics = Metrics::new()?;
-        let state = Arc::new(StoreState { context, control, settings, metrics });
+        start_groups(&context, &control, events, settings.groups).await?;
+        let state = Arc::new(StoreState { context, control, settings });
         let (rpc, admin) = listeners(&state, &own, &halt).await?;
         let addresses = StoreAddresses { peers: rpc.address(), admin: admin.address() };
         slog::info!(state.context.log, "store started"; "peers" => %addresses.peers,
