Leak audit: engines free memory that no program under way needs

Cause: releases follow a program's recorded end, so memory of a program that no group knows was held for good; find_leaks existed, but no process asked it. Change: each engine's home VM reads GET /v1/programs every 5 s, asks the programs' groups (new Audit request and Leaks reply) and releases what two rounds in a row found in vain. find_leaks now spares an ended program whose dispatch still runs, since the engine would only file the prefix again; its test audit_spares_a_program_whose_dispatch_still_runs is new, the others are unchanged. scenario_program's description of replies has the new variant.

--- a/crates/core/src/program/audit.rs
+++ b/crates/core/src/program/audit.rs
@@ -1,9 +1,12 @@
 //! Leak audit: what endpoints still hold that no live program needs.
 
+use super::replies::reply;
 use super::state::{Name, State};
 use crate::prelude::*;
+use crate::wire::program as wire;
+use crate::wire::program::reply::Body;
 
-/// Memory that an endpoint holds for a program that is not under way.
+/// Memory that an endpoint holds for a program that is not under way and runs nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leak {
     /// The endpoint to be told.
@@ -19,6 +22,14 @@
 /// ever names again. Comparing with what the endpoint itself reports needs no such record. Pass
 /// only programs whose slot this group serves: another group's programs are unknown here.
 pub fn find_leaks(state: &State, endpoint: &EndpointName, reported: &[Name]) -> Vec<Leak> {
-    let idle = reported.iter().filter(|name| !state.is_alive(name));
+    let idle = reported.iter().filter(|name| !state.may_hold_memory(name));
     idle.map(|name| Leak { endpoint: endpoint.clone(), program: name.clone() }).collect()
 }
+
+/// Builds the reply to an audit.
+pub(super) fn leaks_reply(state: &State, audit: &wire::Audit) -> wire::Reply {
+    let reported: Vec<Name> = audit.programs.iter().map(|name| Name::of(Some(name))).collect();
+    let leaks = find_leaks(state, &audit.endpoint.as_str().into(), &reported);
+    let programs = leaks.iter().map(|leak| leak.program.to_ref()).collect();
+    reply(Body::Leaks(wire::Leaks { programs }))
+}
--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -10,6 +10,7 @@
 
 use super::State;
 use super::asked::Asked;
+use super::audit::leaks_reply;
 use super::crashes::Flights;
 use super::deadlines::Repeats;
 use super::early::Early;
@@ -176,6 +177,9 @@
                 let freed = wire::Freed { program, endpoint };
                 self.propose(now, EntryBody::Freed(freed), Pending::Reply(token), out);
             }
+            Some(RequestBody::Audit(audit)) => {
+                out.push(Effect::Reply { token, reply: leaks_reply(&self.state, &audit) });
+            }
             None => self.begin(now, token, from, Err("the request is empty".to_owned()), out),
         }
     }
--- a/crates/core/src/program/state.rs
+++ b/crates/core/src/program/state.rs
@@ -208,6 +208,12 @@
         self.find(name).is_some_and(|p| p.ended.is_none())
     }
 
+    /// Tells whether an endpoint may rightly hold memory of the program: it is under way, or it
+    /// ended and a dispatch still runs, whose prefix an engine would only file again.
+    pub fn may_hold_memory(&self, name: &Name) -> bool {
+        self.find(name).is_some_and(|p| p.ended.is_none() || !p.running.is_empty())
+    }
+
     /// Returns what the program and its descendants consumed for good, and what is reserved.
     pub fn consumed(&self, name: &Name) -> Option<(Amounts, Amounts)> {
         self.find(name).map(|p| (p.account.spent, p.account.held))
--- a/crates/core/tests/program_ends.rs
+++ b/crates/core/tests/program_ends.rs
@@ -6,6 +6,7 @@
 use gypsumglade_core::program::{Input, find_leaks};
 use gypsumglade_core::wire::program as wire;
 use gypsumglade_core::wire::program::Refusal;
+use gypsumglade_core::wire::program::reply::Body as ReplyBody;
 use gypsumglade_core::wire::program::request::Body;
 use support::*;
 
@@ -153,6 +154,18 @@
     assert_eq!(programs, ["ended", "never-seen"]);
 }
 
+#[test]
+fn audit_spares_a_program_whose_dispatch_still_runs() {
+    // A program ends while its turn runs. Freed now, the engine would file the prefix again at
+    // the turn's end; the audit names the memory only once the turn is settled.
+    let mut group = Group::new(1);
+    let grant = group.grant(turn("p", "k", &[user("a")]));
+    group.ask(ENTRY, end("p"));
+    assert_eq!(leaks(group.ask(ENTRY, audit("p"))), 0);
+    group.ask(ENTRY, done("p", &grant.dispatch, &assistant("b")));
+    assert_eq!(leaks(group.ask(ENTRY, audit("p"))), 1);
+}
+
 #[test]
 fn retention_keeps_then_forgets_ended_programs() {
     let mut group = Group::new(1);
@@ -168,6 +181,16 @@
     assert_eq!((state.program_count(), state.call_count()), (0, 0));
 }
 
+fn audit(program: &str) -> Body {
+    let programs = program_ref(program).into_iter().collect();
+    Body::Audit(wire::Audit { endpoint: "e1".into(), programs })
+}
+
+fn leaks(reply: ReplyBody) -> usize {
+    let ReplyBody::Leaks(leaks) = reply else { panic!("no audit: {reply:?}") };
+    leaks.programs.len()
+}
+
 fn limited(program: &str, limits: wire::Budget) -> Body {
     let mut begin = begin_turn(program, "k", &[user("a")]);
     begin.budget = Some(limits);
--- a/crates/core/tests/scenario_program.rs
+++ b/crates/core/tests/scenario_program.rs
@@ -401,6 +401,7 @@
         }
         Some(ReplyBody::Unknown(unknown)) => format!("unknown {}", unknown.dispatch),
         Some(ReplyBody::Done(_)) => "done".to_owned(),
+        Some(ReplyBody::Leaks(leaks)) => format!("leaks {}", leaks.programs.len()),
         None => "empty".to_owned(),
     }
 }
--- a/crates/gypsumglade/src/entry/groups.rs
+++ b/crates/gypsumglade/src/entry/groups.rs
@@ -75,6 +75,11 @@
         GroupClient { vm, peers, map, leaders: Arc::default(), timeout }
     }
 
+    /// Returns the group of a program.
+    pub fn group_of(&self, org: &str, program: &str) -> GroupId {
+        self.map.group_of(org, program)
+    }
+
     /// Asks the group of `org` and `program` until it answers or `patience` is over.
     ///
     /// Requests are idempotent by their key, nonce or dispatch id, so asking again is safe.
--- /dev/null
+++ b/crates/gypsumglade/src/entry/leak_audit.rs
@@ -0,0 +1,144 @@
+//! Leak audit: has engines free memory that no program under way needs.
+//!
+//! Releases follow each end of a program, yet a release can be lost for good: when its program's
+//! record never named the engine, or the engine took a call without the system. So the home VM
+//! of each engine compares what the engine reports with what the program groups know.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use gypsumglade_core::policy::registry::{EndpointKind, home};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::program::Name;
+use gypsumglade_core::wire::program::reply::Body as ReplyBody;
+use gypsumglade_core::wire::program::request::Body as RequestBody;
+use gypsumglade_core::wire::program::{Audit, Release, Request};
+use tokio_util::sync::CancellationToken;
+
+use super::state::EntryState;
+use crate::store::ReleaseAnswer;
+
+/// Pause between two rounds: memory that leaked is held for two to three of them.
+const ROUND_PAUSE: Duration = Duration::from_secs(5);
+/// Longest wait for a group's answer; a group without a leader is asked in the next round.
+const GROUP_PATIENCE: Duration = Duration::from_secs(2);
+/// Path under which an engine reports the programs that it holds memory of.
+const PROGRAMS_PATH: &str = "/v1/programs";
+
+/// Memory of one program, as an engine reports it.
+#[derive(Debug, Deserialize)]
+struct HeldMemory {
+    /// `organisation/program`, as calls named it.
+    program: CompactString,
+}
+
+/// An engine that this VM audits.
+struct Audited {
+    name: EndpointName,
+    address: CompactString,
+}
+
+/// Leaks of each engine in the round before.
+type Suspects = HashMap<EndpointName, HashSet<Name>>;
+
+/// Audits the engines that this VM is the home of, until the process ends.
+pub(super) async fn run(state: Arc<EntryState>, halt: CancellationToken) {
+    let mut suspects = Suspects::new();
+    loop {
+        tokio::select! {
+            () = halt.cancelled() => return,
+            () = tokio::time::sleep(ROUND_PAUSE) => {}
+        }
+        suspects = round(&state, &suspects).await;
+    }
+}
+
+/// Audits each engine once and returns what it found.
+///
+/// Memory is freed only when two rounds in a row found it without a program. One look is not
+/// enough: the engine's report is older than the groups' answer, so a program that begins in
+/// between looks unknown, and so it does to a group's earlier leader that doesn't know yet that it
+/// was replaced. The symptom would be a whole prefix filled again, never a wrong answer.
+async fn round(state: &EntryState, before: &Suspects) -> Suspects {
+    let audits = audited(state).into_iter().map(async |engine| {
+        let found = find_leaks(state, &engine).await?;
+        let again = before.get(&engine.name);
+        for name in found.iter().filter(|name| again.is_some_and(|again| again.contains(*name))) {
+            free(state, &engine, name).await;
+        }
+        Some((engine.name, found))
+    });
+    join_all(audits).await.into_iter().flatten().collect()
+}
+
+/// Returns the engines that this VM is the home of.
+fn audited(state: &EntryState) -> Vec<Audited> {
+    let mut live: Vec<VmId> = state.directory.entries().iter().map(|entry| entry.vm).collect();
+    if live.is_empty() {
+        live.push(state.vm);
+    }
+    let desk = state.desk();
+    let endpoints = desk.registry.iter().map(|(_, endpoint)| endpoint);
+    let engines = endpoints.filter(|endpoint| matches!(endpoint.kind, EndpointKind::Engine { .. }));
+    let own = engines.filter(|engine| home(&engine.name, &live) == Some(state.vm));
+    own.map(|engine| Audited { name: engine.name.clone(), address: engine.address.clone() })
+        .collect()
+}
+
+/// Returns the programs whose memory the engine holds in vain; `None` if it gave no report.
+async fn find_leaks(state: &EntryState, engine: &Audited) -> Option<HashSet<Name>> {
+    let mut groups: HashMap<GroupId, Vec<Name>> = HashMap::new();
+    for name in held(state, engine).await? {
+        let group = state.groups.group_of(&name.org, &name.program);
+        groups.entry(group).or_default().push(name);
+    }
+    let asked = groups.into_values().map(|names| ask(state, engine, names));
+    Some(join_all(asked).await.into_iter().flatten().collect())
+}
+
+/// Asks an engine for the programs that it holds memory of. A name without an organisation was
+/// not given by this system and is left alone.
+async fn held(state: &EntryState, engine: &Audited) -> Option<Vec<Name>> {
+    let patience = state.settings.timeouts.peer();
+    let asked = state.endpoints.control(
+        http::Method::GET,
+        &engine.address,
+        PROGRAMS_PATH,
+        Bytes::new(),
+        patience,
+    );
+    let (status, body) = asked.await.ok()?;
+    if !status.is_success() {
+        return None;
+    }
+    let reported: Vec<HeldMemory> = serde_json::from_slice(&body).ok()?;
+    let names = reported.iter().filter_map(|memory| memory.program.split_once('/'));
+    Some(names.map(|(org, program)| Name { org: org.into(), program: program.into() }).collect())
+}
+
+/// Asks the group of these programs which of them need no memory; none while it has no leader.
+async fn ask(state: &EntryState, engine: &Audited, names: Vec<Name>) -> Vec<Name> {
+    let Some(first) = names.first() else { return Vec::new() };
+    let audit = Audit {
+        endpoint: engine.name.to_string(),
+        programs: names.iter().map(Name::to_ref).collect(),
+    };
+    let request = Request { body: Some(RequestBody::Audit(audit)) };
+    match state.groups.ask(&first.org, &first.program, &request, GROUP_PATIENCE).await {
+        Ok(ReplyBody::Leaks(leaks)) => {
+            leaks.programs.iter().map(|program| Name::of(Some(program))).collect()
+        }
+        Ok(_) | Err(_) => Vec::new(),
+    }
+}
+
+/// Has an engine free a program's memory; what fails is found again in the next round.
+async fn free(state: &EntryState, engine: &Audited, name: &Name) {
+    let release = Release { program: Some(name.to_ref()), endpoint: engine.name.to_string() };
+    if state.release_memory(&release).await == ReleaseAnswer::Freed {
+        slog::warn!(state.log, "an engine held memory of no program under way; freed";
+            "engine" => %engine.name, "org" => %name.org, "program" => %name.program);
+    }
+}
--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod endpoint_client;
 pub mod groups;
+mod leak_audit;
 mod membership_loop;
 mod peer_calls;
 pub mod problem;
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -169,7 +169,9 @@
         })),
         Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
         Ok(ReplyBody::Unknown(unknown)) => Err(unknown.into()),
-        Ok(ReplyBody::Done(_)) => Err(Problem::unknown("the program group gave no grant")),
+        Ok(ReplyBody::Done(_) | ReplyBody::Leaks(_)) => {
+            Err(Problem::unknown("the program group gave no grant"))
+        }
         // A grant may have been given, but this VM never learnt of it and will not use it.
         Err(_) => Err(Problem::not_run(
             ProblemKind::Unavailable,
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -174,7 +174,9 @@
         Ok(ReplyBody::Recorded(recorded)) => Ok(Granted::Answer(recorded)),
         Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
         Ok(ReplyBody::Unknown(unknown)) => Err(unknown.into()),
-        Ok(ReplyBody::Done(_)) => Err(Problem::unknown("the program group gave no grant")),
+        Ok(ReplyBody::Done(_) | ReplyBody::Leaks(_)) => {
+            Err(Problem::unknown("the program group gave no grant"))
+        }
         // A grant may have been given, but this VM never learnt of it and will not use it.
         Err(GroupUnavailable { .. }) => Err(Problem::not_run(
             ProblemKind::Unavailable,
