Order holder: a bundle's change of version is carried out on the engines

Cause: the core planned and fenced orders, but no process held the order lease or sent any, and a bundle with another model version left every call without an engine. Change: the control leader grants and renews the order lease; the home VM of the lease plans each second from bundle and announcements and posts fenced orders. Calls go to the old version until an engine serves the new one, and name their version. A call whose group has a newer revision waits for it on its VM instead of being refused: the first run of order_swap failed on that refusal ("revision r2 is in force", not-run), which every roll of a bundle could give a caller.

--- a/crates/gypsumglade/src/entry/endpoint_client.rs
+++ b/crates/gypsumglade/src/entry/endpoint_client.rs
@@ -18,6 +18,8 @@
 pub const PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program-id");
 /// Priority for the engine's own queue.
 pub const PRIORITY_HEADER: HeaderName = HeaderName::from_static("x-priority");
+/// Version of the model that the engine should run, while it serves two.
+pub const VERSION_HEADER: HeaderName = HeaderName::from_static("x-model-version");
 /// Count of tokens the caller already has, when a stream is resumed.
 pub const RESUME_HEADER: HeaderName = HeaderName::from_static("x-resume-from");
 /// Set by an endpoint that refused before it started anything.
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -18,7 +18,7 @@
 use super::groups::{GroupClient, GroupMap};
 use super::peer_calls;
 use super::state::{Desk, EntryState, RunningCalls};
-use super::{announce, callers, leak_audit, membership_loop};
+use super::{announce, callers, leak_audit, membership_loop, order_holder};
 use crate::admin;
 use crate::clock::Clock;
 use crate::directory::Directory;
@@ -217,6 +217,7 @@
         .await;
     });
     tokio::spawn(leak_audit::run(Arc::clone(state), halt.clone()));
+    tokio::spawn(order_holder::run(Arc::clone(state), halt.clone()));
     let (expiring, halt) = (Arc::clone(state), halt.clone());
     tokio::spawn(async move {
         while !halt.is_cancelled() {
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -1,5 +1,6 @@
 //! Runs one model call of a program: grant, engine, record, and again elsewhere if need be.
 
+use std::borrow::Cow;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,14 +8,13 @@
 use axum::response::sse::Event;
 use bytes::Bytes;
 use futures::StreamExt as _;
-use gypsumglade_core::policy::registry::ModelId;
 use gypsumglade_core::policy::route::{LastRun, RouteAsk, Target};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::common::{Class, Outcome};
 use gypsumglade_core::wire::program::reply::Body as ReplyBody;
 use gypsumglade_core::wire::program::request::Body as RequestBody;
 use gypsumglade_core::wire::program::{
-    BeginTurn, Grant, ProgramRef, Recorded, Request, Settle, Started, Usage,
+    BeginTurn, Grant, ProgramRef, Recorded, Refusal, Request, Settle, Started, Usage,
 };
 use http::{HeaderValue, Response};
 use hyper::body::Incoming;
@@ -25,9 +25,11 @@
 use super::answer::{AnswerBuilder, Passed, text_chunk, usage_of};
 use super::chat_request::ChatRequest;
 use super::endpoint_client::{
-    Dispatch, PRIORITY_HEADER, PROGRAM_HEADER, RESUME_HEADER, SendError, read_whole,
+    Dispatch, PRIORITY_HEADER, PROGRAM_HEADER, RESUME_HEADER, SendError, VERSION_HEADER, read_whole,
 };
 use super::groups::GroupUnavailable;
+use super::model_version::serves;
+use super::newer_revision;
 use super::problem::{Problem, ProblemKind};
 use super::sse::{EngineEvent, EngineEvents, engine_events, event};
 use super::state::{DispatchEnd, EntryState, Placed};
@@ -138,18 +140,19 @@
     call: &TurnCall,
     caller: &Caller,
 ) -> Result<Value, Problem> {
+    let mut call = Cow::Borrowed(call);
     let mut builder = AnswerBuilder::default();
     let mut last = Problem::not_run(ProblemKind::Unavailable, "no attempt was possible");
     for attempt in 0..MAX_GRANTS {
         if attempt > 0 {
             state.metrics.retry("engine_lost");
         }
-        let grant = match ask_grant(state, call).await? {
+        let grant = match ask_current(state, &mut call).await? {
             Granted::Run(grant) => grant,
             Granted::Answer(recorded) => return replay(caller, &builder, &recorded).await,
         };
         let ended = state.running.add(&grant.dispatch);
-        let ran = run_granted(state, call, &grant, &caller.until(ended), &mut builder).await;
+        let ran = run_granted(state, &call, &grant, &caller.until(ended), &mut builder).await;
         state.running.remove(&grant.dispatch);
         match ran {
             Attempt::Whole(answer) => return Ok(answer),
@@ -166,12 +169,24 @@
     Answer(Recorded),
 }
 
-async fn ask_grant(state: &EntryState, call: &TurnCall) -> Result<Granted, Problem> {
+/// Asks for a grant, and asks again under the next revision if that is in force meanwhile.
+async fn ask_current(state: &EntryState, call: &mut Cow<'_, TurnCall>) -> Result<Granted, Problem> {
+    loop {
+        if let Some(granted) = ask_grant(state, call).await? {
+            return Ok(granted);
+        }
+        *call = Cow::Owned(newer_revision::renewed(state, call).await?);
+    }
+}
+
+/// Asks for a grant; `None` when the group acts under a newer revision than the call.
+async fn ask_grant(state: &EntryState, call: &TurnCall) -> Result<Option<Granted>, Problem> {
     let request = Request { body: Some(RequestBody::BeginTurn(begin_turn(state, call))) };
     let patience = time_left(state, call).unwrap_or(GRANT_PATIENCE);
     match state.groups.ask(&call.org, &call.program, &request, patience).await {
-        Ok(ReplyBody::Grant(grant)) => Ok(Granted::Run(grant)),
-        Ok(ReplyBody::Recorded(recorded)) => Ok(Granted::Answer(recorded)),
+        Ok(ReplyBody::Grant(grant)) => Ok(Some(Granted::Run(grant))),
+        Ok(ReplyBody::Recorded(recorded)) => Ok(Some(Granted::Answer(recorded))),
+        Ok(ReplyBody::Refused(refused)) if refused.code() == Refusal::StaleRevision => Ok(None),
         Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
         Ok(ReplyBody::Unknown(unknown)) => Err(unknown.into()),
         Ok(ReplyBody::Done(_) | ReplyBody::Leaks(_)) => {
@@ -234,7 +249,7 @@
                 return settle_not_run(state, call, grant, problem).await;
             }
         };
-        let dispatch = dispatch(call, grant, &placed, body.clone());
+        let dispatch = dispatch(state, call, grant, &placed, body.clone());
         // Told beside the sending and not before it: if this VM dies in between, the leak audit
         // finds what the engine holds, and the caller does not wait for another round trip.
         let (_, sent) = tokio::join!(
@@ -552,7 +567,7 @@
         at: state.clock.now(),
     });
     RouteAsk {
-        target: Target::Model(ModelId::new(&call.model.name, &call.model.version)),
+        target: Target::Model(state.served_version(&call.model)),
         program: super::program_hash(&call.org, &call.program),
         prompt_tokens: grant.history.len() as u64 / BYTES_PER_TOKEN,
         prior_tokens,
@@ -569,20 +584,28 @@
 const MAX_LAST_RUNS: usize = 2;
 
 fn not_allowed(state: &EntryState, call: &TurnCall) -> Vec<EndpointName> {
-    let model = ModelId::new(&call.model.name, &call.model.version);
     let desk = state.desk();
-    let candidates = desk.registry.candidates(&model).iter();
-    let names = candidates.filter_map(|key| desk.registry.get(*key)).map(|found| &found.name);
+    let engines = desk.registry.iter().filter(|(_, found)| serves(found, &call.model));
+    let names = engines.map(|(_, found)| &found.name);
     let allowed = |name: &str| call.model.endpoints.iter().any(|pattern| pattern.matches(name));
     names.filter(|name| !allowed(name)).cloned().collect()
 }
 
-fn dispatch(call: &TurnCall, grant: &Grant, placed: &Placed, body: Bytes) -> Dispatch {
+fn dispatch(
+    state: &EntryState,
+    call: &TurnCall,
+    grant: &Grant,
+    placed: &Placed,
+    body: Bytes,
+) -> Dispatch {
     let priority = match call.class {
         Class::Urgent => URGENT_PRIORITY,
         Class::Normal => grant.turn.min(URGENT_PRIORITY - 1),
     };
     let mut headers = vec![(PRIORITY_HEADER, HeaderValue::from(priority))];
+    if let Ok(value) = HeaderValue::from_str(&state.version_at(&placed.name, &call.model)) {
+        headers.push((VERSION_HEADER, value));
+    }
     let program = format!("{}/{}", call.org, call.program);
     if let Ok(value) = HeaderValue::from_str(&program) {
         headers.push((PROGRAM_HEADER, value));
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -1,5 +1,7 @@
 //! The control group on this store: bundles and configuration leases.
 
+mod order_lease;
+
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -7,8 +9,10 @@
 use gypsumglade_core::bundle::{Bundle, OperatorKeys};
 use gypsumglade_core::control::Control;
 use gypsumglade_core::lease::{ConfigGrants, InForce, LeaseSettings, serve};
+use gypsumglade_core::orders::OrderGrants;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::LogIndex;
+use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::control::confirm_reply::Body as ConfirmBody;
 use gypsumglade_core::wire::control::{Answer, Command, ConfirmReply, ConfirmRequest, Unavailable};
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
@@ -38,6 +42,8 @@
     waiting: Vec<(LogIndex, oneshot::Sender<Answer>)>,
     /// Latest answers, for an asker that learns its entry's place after it was applied.
     recent: VecDeque<(LogIndex, Answer)>,
+    /// Renewals of the order lease, from this leader's first asker on.
+    orders: Option<OrderGrants>,
 }
 
 /// Answers kept for askers that come late to them.
@@ -61,6 +67,7 @@
             role: Role::Follower(None),
             waiting: Vec::new(),
             recent: VecDeque::new(),
+            orders: None,
         };
         Arc::new(ControlGroup { context, keys, lease, state: Mutex::new(state) })
     }
@@ -82,7 +89,10 @@
     /// Serves an operator's command or question.
     pub async fn ask(&self, request: ControlRequest) -> ControlReply {
         let body = match request.body {
-            Some(RequestBody::Command(command)) => self.command(command).await,
+            Some(RequestBody::Command(command)) => match command.body {
+                Some(CommandBody::TakeOrders(take)) => self.take_orders(take).await,
+                _ => self.command(command).await,
+            },
             Some(RequestBody::Status(query)) => self.status(&query).await,
             None => not_leader(None),
         };
@@ -198,7 +208,9 @@
         slog::info!(self.context.log, "leads the control group"; "term" => term);
         let now = self.context.clock.now();
         let grants = ConfigGrants::lead(self.lease, now);
-        self.state().role = Role::Leader(Box::new(grants));
+        let mut state = self.state();
+        state.role = Role::Leader(Box::new(grants));
+        state.orders = None;
     }
 
     async fn committed(&self, index: LogIndex, data: &Bytes) {
--- /dev/null
+++ b/crates/gypsumglade/src/store/control_group/order_lease.rs
@@ -0,0 +1,106 @@
+//! The granting side of the order lease, on the store that leads the control group.
+
+use gypsumglade_core::orders::{OrderGrants, OrderSettings};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::answer::Body as AnswerBody;
+use gypsumglade_core::wire::control::command::Body as CommandBody;
+use gypsumglade_core::wire::control::{Answer, Command, OrderLease, TakeOrderLease};
+use gypsumglade_core::wire::operator::Uncertain;
+use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
+
+use super::{ControlGroup, Role, not_leader};
+
+/// What the leader may do about an asker.
+enum Asked {
+    /// Renewed, if leadership is confirmed afterwards.
+    Renewed,
+    /// The log may give it the lease.
+    Free,
+    /// Another VM holds it.
+    Held(OrderLease),
+    /// This store does not lead.
+    Follower(Option<VmId>),
+}
+
+impl ControlGroup {
+    /// Gives or renews the order lease; an asker that is answered another VM's lease waits.
+    ///
+    /// An answer that names the asker is a renewal from the moment it asked. It leaves only once
+    /// the leader was confirmed after the renewal, and has applied all that was committed until
+    /// then: a paused leader would otherwise renew a lease that its successor has given away.
+    pub(super) async fn take_orders(&self, take: TakeOrderLease) -> ReplyBody {
+        // A new leader that has not applied the log yet would take a held lease for a free one.
+        let first = self.state().control.order_lease().is_none();
+        if first && !self.caught_up().await {
+            return uncertain();
+        }
+        if let Some(reply) = self.give_orders(&take).await {
+            return reply;
+        }
+        match self.ask_orders(&take) {
+            Asked::Renewed => self.confirm_orders(&take).await,
+            Asked::Held(held) => answer(held),
+            Asked::Free => uncertain(),
+            Asked::Follower(leader) => not_leader(leader),
+        }
+    }
+
+    /// Has the log give a free lease to the asker; answers only if that came to nothing.
+    async fn give_orders(&self, take: &TakeOrderLease) -> Option<ReplyBody> {
+        let Asked::Free = self.ask_orders(take) else { return None };
+        let command = Command { body: Some(CommandBody::TakeOrders(*take)) };
+        match self.command(command).await {
+            ReplyBody::Answer(_) => None,
+            failed => Some(failed),
+        }
+    }
+
+    fn ask_orders(&self, take: &TakeOrderLease) -> Asked {
+        let now = self.context.clock.now();
+        let mut state = self.state();
+        if let Role::Follower(leader) = state.role {
+            return Asked::Follower(leader);
+        }
+        let held = state.control.order_lease().copied();
+        let settings = self.order_settings();
+        let grants = state.orders.get_or_insert_with(|| OrderGrants::lead(settings, now));
+        if held.is_some_and(|held| grants.renew(&held, take, now).is_some()) {
+            return Asked::Renewed;
+        }
+        if let Some(held) = held.filter(|held| !grants.may_take(Some(held), take, now)) {
+            return Asked::Held(held);
+        }
+        // Two askers could otherwise both be let into the log, and the first renewed before the
+        // second's entry is applied: two holders at once. Until this one's entry is surely
+        // applied, the leader waits as one that knows nothing of earlier grants.
+        *grants = OrderGrants::lead(settings, now);
+        Asked::Free
+    }
+
+    async fn caught_up(&self) -> bool {
+        let barrier = self.context.host.read_barrier(GroupId::CONTROL).await;
+        barrier.is_ok_and(|barrier| self.state().applied >= barrier)
+    }
+
+    async fn confirm_orders(&self, take: &TakeOrderLease) -> ReplyBody {
+        if !self.caught_up().await {
+            return uncertain();
+        }
+        let state = self.state();
+        let held = state.control.order_lease();
+        let held = held.filter(|held| held.vm == take.vm && held.incarnation == take.incarnation);
+        held.map_or_else(uncertain, |held| answer(*held))
+    }
+
+    fn order_settings(&self) -> OrderSettings {
+        OrderSettings { lease: self.lease, ..OrderSettings::default() }
+    }
+}
+
+fn answer(lease: OrderLease) -> ReplyBody {
+    ReplyBody::Answer(Answer { body: Some(AnswerBody::Orders(lease)) })
+}
+
+fn uncertain() -> ReplyBody {
+    ReplyBody::Uncertain(Uncertain {})
+}
--- a/crates/gypsumglade/tests/support/mod.rs
+++ b/crates/gypsumglade/tests/support/mod.rs
@@ -30,7 +30,7 @@
 /// Seed of the one operator's key.
 const OPERATOR: [u8; 32] = [7; 32];
 /// Bundle content; the digest of the API key is filled in.
-const BUNDLE: &str = include_str!("bundle.yaml");
+pub const BUNDLE: &str = include_str!("bundle.yaml");
 
 /// Nine VMs in three failure domains and two regions; the first of each domain has a disk.
 pub struct Cluster {
@@ -75,8 +75,18 @@
 
     /// Rolls the bundle out under version `1.0.<patch>` and waits until it is in force.
     pub async fn roll(&self, patch: u32, base: RevisionNumber) -> RevisionNumber {
+        self.roll_content(BUNDLE, patch, base).await
+    }
+
+    /// As [`Cluster::roll`], with other content than the test's bundle.
+    pub async fn roll_content(
+        &self,
+        content: &str,
+        patch: u32,
+        base: RevisionNumber,
+    ) -> RevisionNumber {
         let digest = hex::encode(Sha256::digest(API_KEY.as_bytes()));
-        let content = BUNDLE.replace("KEY_DIGEST", &digest).replace("PATCH", &patch.to_string());
+        let content = content.replace("KEY_DIGEST", &digest).replace("PATCH", &patch.to_string());
         let bundle = operator::sign(&content, &KeyPair::from_seed(OPERATOR)).expect("it signs");
         let order = format!("order-{patch}");
         let command = operator::accept_command(&bundle, base, &order).expect("it holds");
