--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -167,7 +167,9 @@
         })),
         Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
         Ok(ReplyBody::Unknown(unknown)) => settled_late(state, call, unknown).await,
-        Ok(ReplyBody::Done(_)) => Err(Problem::unknown("the program group gave no grant")),
+        Ok(ReplyBody::Done(_) | ReplyBody::Leaks(_)) => {
+            Err(Problem::unknown("the program group gave no grant"))
+        }
         // A caller's own key may have been sent before, and its first call may have run.
         Err(_) => Err(super::no_quorum(!call.repeatable())),
     }
@@ -311,17 +313,7 @@
     });
 }
 
-/// A service's word on a key.
-#[derive(Deserialize)]
-struct Status {
-    ran: bool,
-    #[serde(default)]
-    status: Option<u16>,
-    #[serde(default)]
-    answer: Option<serde_json::Value>,
-}
-
-/// Asks the service what became of the key; only "it ran, with this answer" settles anything.
+/// Asks the service what became of the key; only `200` with the answer settles anything.
 ///
 /// "It did not run" does not: the request may still be on its way.
 async fn inquire(state: &EntryState, call: &ToolCall, address: &str) -> Option<ToolAnswer> {
@@ -329,13 +321,7 @@
     let timeout = state.settings.timeouts.peer();
     let asked = state.endpoints.control(http::Method::GET, address, &path, Bytes::new(), timeout);
     let (status, body) = asked.await.ok()?;
-    if !status.is_success() {
-        return None;
-    }
-    let told: Status = serde_json::from_slice(&body).ok()?;
-    let answer = told.answer.filter(|_| told.ran)?;
-    let status = status_of(u32::from(told.status.unwrap_or(200)));
-    Some(ToolAnswer { status, body: Bytes::from(answer.to_string()) })
+    (status == StatusCode::OK).then_some(ToolAnswer { status, body })
 }
 
 /// Key under which the service knows the call: callers' own keys are unique only in a program.
--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -70,22 +70,27 @@
     group: GroupId,
     request: &Request,
 ) -> Result<ProgramGroup, ErrorObjectOwned> {
-    let name = program_of(request).cloned().unwrap_or_default();
-    let own = group_of(&name.org, &name.program, state.settings.groups);
-    let found = state.context.group(group).filter(|_| own == group);
+    let groups = state.settings.groups;
+    let own = programs_of(request)
+        .into_iter()
+        .all(|name| group_of(&name.org, &name.program, groups) == group);
+    let found = state.context.group(group).filter(|_| own);
     found.ok_or_else(|| {
         let wrong = "not the group of this program: set `groups` alike on every VM";
         invalid_payload(&anyhow::anyhow!("{group}: {wrong}"))
     })
 }
 
-fn program_of(request: &Request) -> Option<&ProgramRef> {
-    match request.body.as_ref()? {
-        Body::BeginTurn(turn) => turn.program.as_ref(),
-        Body::BeginCall(call) => call.program.as_ref(),
-        Body::Settle(settle) => settle.program.as_ref(),
-        Body::EndProgram(end) => end.program.as_ref(),
-        Body::Released(released) => released.program.as_ref(),
-        Body::Started(started) => started.program.as_ref(),
-    }
+fn programs_of(request: &Request) -> Vec<&ProgramRef> {
+    let one = match &request.body {
+        Some(Body::BeginTurn(turn)) => turn.program.as_ref(),
+        Some(Body::BeginCall(call)) => call.program.as_ref(),
+        Some(Body::Settle(settle)) => settle.program.as_ref(),
+        Some(Body::EndProgram(end)) => end.program.as_ref(),
+        Some(Body::Released(released)) => released.program.as_ref(),
+        Some(Body::Started(started)) => started.program.as_ref(),
+        Some(Body::Audit(audit)) => return audit.programs.iter().collect(),
+        None => None,
+    };
+    one.into_iter().collect()
 }
