Check bad input at the callers' and bundles' borders

Cause: no test sent bad input over HTTP or into a bundle. The new ones found: max_tokens near 2^64 made the price overflow, a panic in debug builds and a reservation of next to nothing in release builds; an engine's usage could overflow the same way; a header sent twice was taken once, silently; a wrong method and a path that is not UTF-8 were answered without the error shape; 100,000 open brackets in a bundle took 28.6 s to refuse (debug build), growing with the square.

Change: prices saturate; a repeated header is bad_request; wrong methods and paths get the error shape (new code bad_method, 405); a bundle with more than 64 open brackets is refused before the YAML reader sees it.

Not changed: a request head above the limit is answered 431 by the HTTP library, without a body.

--- a/crates/core/src/bundle/content.rs
+++ b/crates/core/src/bundle/content.rs
@@ -48,6 +48,11 @@
             findings.push(".", yaml.len(), "at most 16 MiB of text");
             return Err(findings);
         }
+        let depth = nesting(yaml);
+        if depth > MAX_NESTING {
+            findings.push(".", depth, "at most 64 brackets open at one place");
+            return Err(findings);
+        }
         let bundle = read(yaml, &mut findings)?;
         check::check(&bundle, &mut findings);
         if findings.is_empty() { Ok(bundle) } else { Err(findings) }
@@ -74,6 +79,27 @@
     }
 }
 
+/// Most brackets open at one place, those within text counted too.
+const MAX_NESTING: usize = 64;
+
+/// Returns how many brackets are open at the deepest place.
+///
+/// The YAML reader looks at every open bracket again at each token. A bundle of brackets alone
+/// would keep a store's control group busy for days; counting them first costs one pass.
+fn nesting(yaml: &[u8]) -> usize {
+    let mut depth = 0_usize;
+    let mut deepest = 0;
+    for byte in yaml {
+        match byte {
+            b'[' | b'{' => depth += 1,
+            b']' | b'}' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        deepest = deepest.max(depth);
+    }
+    deepest
+}
+
 fn read(yaml: &[u8], findings: &mut Findings) -> Result<Bundle, Findings> {
     let document = serde_yaml_ng::Deserializer::from_slice(yaml);
     let mut track = serde_path_to_error::Track::new();
--- /dev/null
+++ b/crates/core/tests/border_bundle.rs
@@ -0,0 +1,216 @@
+//! Bad input at the border of bundles: any text, forged signatures, replayed orders.
+
+use bytes::Bytes;
+use gypsumglade_core::bundle::{Bundle, KeyPair, OperatorKeys, Signature, SignedBundle};
+use gypsumglade_core::control::Control;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control as wire;
+use gypsumglade_core::wire::control::answer::Body as AnswerBody;
+use gypsumglade_core::wire::control::command::Body as CommandBody;
+use gypsumglade_core::wire::control::content::Body as ContentBody;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use prost::Message as _;
+
+const EXAMPLE: &str = include_str!("../../../examples/bundle.yaml");
+/// Environment variable with the count of cases, for long runs.
+const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
+/// Cases of a property when the environment names no other count.
+const CASES: u32 = 128;
+
+fn config(seed: u64) -> Config {
+    let asked = std::env::var(CASES_VARIABLE).ok().and_then(|text| text.parse().ok());
+    Config {
+        cases: asked.unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn key(seed: u8) -> KeyPair {
+    KeyPair::from_seed([seed; 32])
+}
+
+/// Two of the operators 1, 2 and 3 must sign.
+fn keys() -> OperatorKeys {
+    OperatorKeys { keys: (1..=3).map(|seed| key(seed).public()).collect(), threshold: 2 }
+}
+
+fn signed(content: &str, signers: &[u8]) -> SignedBundle {
+    let mut bundle = SignedBundle::new(Bytes::from(content.to_owned())).expect("sound");
+    signers.iter().for_each(|signer| bundle.sign(&key(*signer)).expect("sound"));
+    bundle
+}
+
+fn example(version: &str) -> String {
+    EXAMPLE.replace("2026.12.1", version)
+}
+
+fn accept(bundle: &SignedBundle, base: u64, order: &str) -> wire::Command {
+    let version = Bundle::parse(&bundle.content).expect("sound").version.to_string();
+    let accept = wire::Accept {
+        order_id: order.to_owned(),
+        base_revision: base,
+        version,
+        digest: bundle.digest().to_wire(),
+        content: Some(wire::Content { body: Some(ContentBody::Whole(bundle.content.clone())) }),
+        signatures: bundle.signatures.iter().map(Signature::to_wire).collect(),
+    };
+    wire::Command { body: Some(CommandBody::Accept(accept)) }
+}
+
+/// Gives an order as a leader does: checked first, then applied.
+fn give(control: &mut Control, command: &wire::Command) -> wire::Answer {
+    match control.check(command, &keys()) {
+        Ok(()) => control.apply(command),
+        Err(answer) => answer,
+    }
+}
+
+fn revision(answer: &wire::Answer) -> Option<u64> {
+    match &answer.body {
+        Some(AnswerBody::Accepted(accepted)) => Some(accepted.revision),
+        _ => None,
+    }
+}
+
+/// The example with a stretch of it replaced by other text.
+fn bent_example() -> impl Strategy<Value = Vec<u8>> {
+    (0..EXAMPLE.len(), 0..40_usize, "[ -~\n]{0,20}").prop_map(|(at, length, text)| {
+        let end = (at + length).min(EXAMPLE.len());
+        let mut yaml = EXAMPLE.as_bytes().to_vec();
+        yaml.splice(at..end, text.into_bytes());
+        yaml
+    })
+}
+
+proptest! {
+    #![proptest_config(config(72))]
+
+    #[test]
+    fn parse_survives_any_bytes(yaml in vec(any::<u8>(), 0..300)) {
+        let _ = Bundle::parse(&yaml);
+    }
+
+    #[test]
+    fn parse_survives_a_bent_bundle(yaml in bent_example()) {
+        if let Err(findings) = Bundle::parse(&yaml) {
+            prop_assert!(!findings.is_empty());
+        }
+    }
+
+    #[test]
+    fn check_refuses_bent_signatures(at in 0..64_usize, flip in 1..=255_u8, cut in 0..64_usize) {
+        let sound = signed(EXAMPLE, &[1, 2]);
+        let mut bent = sound.clone();
+        let mut bytes = bent.signatures[1].bytes.to_vec();
+        bytes[at] ^= flip;
+        bent.signatures[1].bytes = bytes.into();
+        prop_assert_eq!(revision(&give(&mut Control::new(), &accept(&bent, 0, "a"))), None);
+        let mut short = sound;
+        short.signatures[1].bytes.truncate(cut);
+        prop_assert_eq!(revision(&give(&mut Control::new(), &accept(&short, 0, "a"))), None);
+    }
+
+    #[test]
+    fn restore_survives_any_bytes(bytes in vec(any::<u8>(), 0..300)) {
+        let _ = Control::restore(&bytes);
+    }
+
+    #[test]
+    fn restore_survives_a_bent_snapshot(at in any::<prop::sample::Index>(), flip in 1..=255_u8) {
+        let mut control = Control::new();
+        give(&mut control, &accept(&signed(EXAMPLE, &[1, 2]), 0, "a"));
+        let mut bytes = control.snapshot().to_vec();
+        let at = at.index(bytes.len());
+        bytes[at] ^= flip;
+        if let Ok(restored) = Control::restore(&bytes) {
+            prop_assert_eq!(Control::restore(&restored.snapshot()).is_ok(), true);
+        }
+    }
+
+    #[test]
+    fn apply_survives_any_command(bytes in vec(any::<u8>(), 0..200)) {
+        let Ok(command) = wire::Command::decode(bytes.as_slice()) else { return Ok(()) };
+        let mut control = Control::new();
+        let _ = control.check(&command, &keys());
+        control.apply(&command);
+        prop_assert!(Control::restore(&control.snapshot()).is_ok());
+    }
+}
+
+#[test]
+fn parse_refuses_an_alias_bomb() {
+    // Nine levels of ten aliases each name a thousand million values in 300 bytes: a reader that
+    // spells them out never comes back.
+    let mut yaml = String::from("a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n");
+    for level in 1..9 {
+        let aliases = vec![format!("*a{}", level - 1); 10].join(", ");
+        yaml.push_str(&format!("a{level}: &a{level} [{aliases}]\n"));
+    }
+    yaml.push_str("models: *a8\n");
+    assert!(Bundle::parse(yaml.as_bytes()).is_err());
+}
+
+#[test]
+fn parse_refuses_deep_nesting() {
+    // A bundle of open brackets stops the store that checks it: the YAML reader looks at every
+    // open bracket again at each one, so that 100 KB took half a minute, and 16 MB take days.
+    let yaml = format!("models: {}", "[".repeat(1 << 20));
+    let findings = Bundle::parse(yaml.as_bytes()).expect_err("too deep");
+    assert!(findings.to_string().contains("brackets"), "{findings}");
+}
+
+#[test]
+fn check_refuses_too_few_operators() {
+    let forged = [
+        signed(EXAMPLE, &[]),
+        signed(EXAMPLE, &[1]),
+        signed(EXAMPLE, &[1, 1]),
+        signed(EXAMPLE, &[1, 9]),
+        signed(EXAMPLE, &[8, 9]),
+    ];
+    for bundle in forged {
+        let answer = give(&mut Control::new(), &accept(&bundle, 0, "a"));
+        assert_eq!(revision(&answer), None, "{:?}", bundle.signatures);
+    }
+}
+
+#[test]
+fn check_refuses_a_signature_of_another_bundle() {
+    let mut bundle = signed(EXAMPLE, &[1, 2]);
+    bundle.signatures = signed(&example("2026.12.2"), &[1, 2]).signatures;
+    assert_eq!(revision(&give(&mut Control::new(), &accept(&bundle, 0, "a"))), None);
+}
+
+#[test]
+fn accept_replayed_gives_the_first_answer() {
+    // A stranger that overheard an order sends it again, later: it gets the answer of then, and
+    // the newer bundle stays in force.
+    let mut control = Control::new();
+    let old = accept(&signed(EXAMPLE, &[1, 2]), 0, "a");
+    let first = give(&mut control, &old);
+    let new = accept(&signed(&example("2026.12.2"), &[1, 2]), 1, "b");
+    assert_eq!(revision(&give(&mut control, &new)), Some(2));
+    assert_eq!(give(&mut control, &old), first);
+    let current = control.current().expect("a revision is in force");
+    assert_eq!(current.version, "2026.12.2");
+}
+
+#[test]
+fn accept_of_an_old_bundle_as_a_new_order_changes_nothing() {
+    // Someone who kept an old signed bundle gives it under a new order id and the current base,
+    // to bring back a budget or an API key that was taken away. Its version was used, so the
+    // answer names the revision that it had, and the newer one stays in force.
+    let mut control = Control::new();
+    give(&mut control, &accept(&signed(EXAMPLE, &[1, 2]), 0, "a"));
+    give(&mut control, &accept(&signed(&example("2026.12.2"), &[1, 2]), 1, "b"));
+    let replayed = accept(&signed(EXAMPLE, &[1, 2]), 2, "c");
+    assert_eq!(revision(&give(&mut control, &replayed)), Some(1));
+    let other = accept(&signed(EXAMPLE, &[2, 3]), 2, "b");
+    assert_eq!(revision(&give(&mut control, &other)), None, "an order id was used twice");
+    let current = control.current().expect("a revision is in force");
+    assert_eq!((current.number, current.version.as_str()), (RevisionNumber(2), "2026.12.2"));
+}
--- a/crates/gypsumglade/src/entry/answer.rs
+++ b/crates/gypsumglade/src/entry/answer.rs
@@ -160,7 +160,9 @@
     Usage {
         prompt_tokens,
         output_tokens,
-        micros: prompt_tokens * input_micros + output_tokens * output_micros,
+        micros: prompt_tokens
+            .saturating_mul(input_micros)
+            .saturating_add(output_tokens.saturating_mul(output_micros)),
         cached_tokens: count("/usage/prompt_tokens_details/cached_tokens"),
     }
 }
--- a/crates/gypsumglade/src/entry/call.rs
+++ b/crates/gypsumglade/src/entry/call.rs
@@ -100,8 +100,16 @@
     }
 }
 
+/// Returns a header's text, and refuses one that is there twice.
+///
+/// A proxy in front may act on the last of two where this VM acts on the first: a call would run
+/// for another program or organisation than the proxy checked. Neither is taken, so none can.
 fn text<'a>(headers: &'a HeaderMap, header: &str) -> Result<Option<&'a str>, Problem> {
-    let Some(value) = headers.get(header) else { return Ok(None) };
+    let mut values = headers.get_all(header).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(bad(header, "several values", "the header once"));
+    }
     value.to_str().map(Some).map_err(|_| bad(header, "bytes that are not text", "ASCII text"))
 }
 
--- a/crates/gypsumglade/src/entry/callers.rs
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -4,7 +4,7 @@
 
 use axum::Router;
 use axum::body::Body;
-use axum::extract::rejection::BytesRejection;
+use axum::extract::rejection::{BytesRejection, PathRejection};
 use axum::extract::{DefaultBodyLimit, Path, Request, State};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::sse::{KeepAlive, Sse};
@@ -52,6 +52,7 @@
         .route("/healthz", get(health))
         .route("/readyz", get(ready))
         .fallback(no_route)
+        .method_not_allowed_fallback(no_method)
         .layer(DefaultBodyLimit::max(limit))
         .layer(from_fn_with_state(Arc::new(Semaphore::new(most_calls)), bound_calls))
         .with_state(state)
@@ -231,12 +232,17 @@
 
 async fn tools(
     State(state): State<Arc<EntryState>>,
-    Path((service, operation)): Path<(String, String)>,
+    path: Result<Path<(String, String)>, PathRejection>,
     headers: HeaderMap,
     body: ReadBody,
 ) -> Response {
     let started = state.clock.now();
-    let answered = tool_answer(&state, &service, &operation, &headers, body).await;
+    let answered = match path {
+        Ok(Path((service, operation))) => {
+            tool_answer(&state, &service, &operation, &headers, body).await
+        }
+        Err(rejection) => Err(bad_path(rejection)),
+    };
     let response = answered.unwrap_or_else(IntoResponse::into_response);
     count(&state, started, "tool", &response);
     response
@@ -271,10 +277,14 @@
 
 async fn end_program(
     State(state): State<Arc<EntryState>>,
-    Path(program): Path<String>,
+    path: Result<Path<String>, PathRejection>,
     headers: HeaderMap,
 ) -> Response {
-    match end_answer(&state, &program, &headers).await {
+    let ended = match path {
+        Ok(Path(program)) => end_answer(&state, &program, &headers).await,
+        Err(rejection) => Err(bad_path(rejection)),
+    };
+    match ended {
         Ok(()) => StatusCode::NO_CONTENT.into_response(),
         Err(problem) => problem.into_response(),
     }
@@ -308,6 +318,14 @@
     Problem::not_run(ProblemKind::NotFound, "no such path; see docs/API.md")
 }
 
+async fn no_method() -> Problem {
+    Problem::not_run(ProblemKind::BadMethod, "no such method on this path; see docs/API.md")
+}
+
+fn bad_path(rejection: PathRejection) -> Problem {
+    Problem::not_run(ProblemKind::BadRequest, rejection)
+}
+
 fn whole_body(body: ReadBody) -> Result<Bytes, Problem> {
     body.map_err(|rejection| {
         let kind = match rejection.status() {
--- a/crates/gypsumglade/src/entry/problem.rs
+++ b/crates/gypsumglade/src/entry/problem.rs
@@ -22,6 +22,8 @@
     NotFound,
     /// The request contradicts what the program already holds.
     Conflict,
+    /// The path takes other methods only.
+    BadMethod,
     /// The program has ended.
     Ended,
     /// The program's budget does not cover the call.
@@ -49,6 +51,7 @@
             ProblemKind::Unauthorized => StatusCode::UNAUTHORIZED,
             ProblemKind::NotFound => StatusCode::NOT_FOUND,
             ProblemKind::Conflict => StatusCode::CONFLICT,
+            ProblemKind::BadMethod => StatusCode::METHOD_NOT_ALLOWED,
             ProblemKind::Ended => StatusCode::GONE,
             ProblemKind::Budget => StatusCode::PAYMENT_REQUIRED,
             ProblemKind::Deadline => StatusCode::GATEWAY_TIMEOUT,
@@ -66,6 +69,7 @@
             ProblemKind::Unauthorized => "unauthorized",
             ProblemKind::NotFound => "not_found",
             ProblemKind::Conflict => "conflict",
+            ProblemKind::BadMethod => "bad_method",
             ProblemKind::Ended => "program_ended",
             ProblemKind::Budget => "budget_exceeded",
             ProblemKind::Deadline => "deadline_passed",
@@ -86,6 +90,7 @@
             }
             ProblemKind::NotFound => "check the name; the bundle in force does not offer it to you",
             ProblemKind::Conflict => "send only the new turn, or a new Idempotency-Key",
+            ProblemKind::BadMethod => "use the method in the `Allow` header",
             ProblemKind::Ended => "begin a new program",
             ProblemKind::Budget => "end the program, or ask the operators for a larger budget",
             ProblemKind::Deadline => "send it again with a later deadline",
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -187,7 +187,9 @@
 fn begin_turn(state: &EntryState, call: &TurnCall) -> BeginTurn {
     let budget = call.agent.budget;
     let prompt = call.request.messages.len() as u64 / BYTES_PER_TOKEN + 1;
-    let price = prompt * call.model.input_micros + call.request.output * call.model.output_micros;
+    // A price that wrapped round would reserve next to nothing for the largest call of all.
+    let output_price = call.request.output.saturating_mul(call.model.output_micros);
+    let price = prompt.saturating_mul(call.model.input_micros).saturating_add(output_price);
     BeginTurn {
         program: Some(program_ref(call)),
         key: call.key.to_string(),
@@ -486,7 +488,7 @@
 /// What a dispatch without a whole answer has used, as far as its tokens arrived.
 fn partial_usage(call: &TurnCall, builder: &AnswerBuilder) -> Usage {
     let output_tokens = builder.tokens();
-    let micros = output_tokens * call.model.output_micros;
+    let micros = output_tokens.saturating_mul(call.model.output_micros);
     Usage { output_tokens, micros, ..Usage::default() }
 }
 
