--- a/crates/core/tests/policy_admission.rs
+++ b/crates/core/tests/policy_admission.rs
@@ -281,3 +281,45 @@
     assert!(admission.expire(at(2_400)).is_empty());
     assert_eq!(admission.expire(at(2_500)).first().map(|given| given.ticket), Some(ticket));
 }
+
+// All engines of a model go and come back. A limit that has to grow step by step from its least
+// would shed callers for minutes while the engines are idle.
+#[test]
+fn resize_follows_capacity() {
+    let limit = LimitSettings { least: 2.0, ..LimitSettings::default() };
+    let mut admission = Admission::new(AdmissionSettings { limit, ..settings() });
+    admission.resize(40.0);
+    assert_eq!(admission.limit(), 40);
+    admission.resize(0.0);
+    assert_eq!(admission.limit(), 2);
+    admission.resize(40.0);
+    assert_eq!(admission.limit(), 40);
+}
+
+// A caller is told when to come back, does so, and is refused again and again: the advice was a
+// guess. With calls ending at a steady rate, a caller that comes back when told is let in or queued.
+#[test]
+fn offer_retry_after_is_honest() {
+    for waiting in 1..30 {
+        let mut admission = Admission::new(settings());
+        let mut running = queued(&mut admission, at(0), offer("a"));
+        for _ in 0..waiting {
+            queued(&mut admission, at(0), offer("a"));
+        }
+        let in_time =
+            |now: Time| Offer { deadline: Some(now + Duration::from_millis(2_500)), ..offer("a") };
+        let Admit::Shed { retry_after, .. } = admission.offer(at(0), in_time(at(0))) else {
+            panic!("{waiting} calls fit before the deadline");
+        };
+        let mut now = at(0);
+        while now < at(0) + retry_after {
+            now = now + Duration::from_secs(1);
+            running = admission.release(now, running).first().copied().unwrap_or(running);
+        }
+        let answer = admission.offer(now, in_time(now));
+        assert!(
+            !matches!(answer, Admit::Shed { .. }),
+            "{waiting}: {answer:?} after {retry_after:?}"
+        );
+    }
+}
