Check bad input from other processes and endpoints

Cause: no test sent strangers' calls, garbage or huge numbers to the peers' port, or false announcements. The new ones found: an announcement with 2^32-1 slots, and one with a cache event numbered 2^64-1, overflowed (a panic in debug builds that poisons the routing lock, so that the VM routes no more); an endpoint that claims another's name from another address was taken, with the same or a higher incarnation.

Change: both sums saturate. While a lease runs and the endpoint does not leave, its name stays at its address (docs/design/registry.md says what that costs a restart elsewhere).

Not changed: endpoints share one token, so a holder of it can still take the name of an endpoint that is down.

--- a/crates/core/src/policy/registry/hints.rs
+++ b/crates/core/src/policy/registry/hints.rs
@@ -33,7 +33,7 @@
         if run.events.is_empty() {
             return;
         }
-        let end = run.first + run.events.len() as u64;
+        let end = run.first.saturating_add(run.events.len() as u64);
         if end <= self.next {
             return;
         }
--- a/crates/core/src/policy/registry/mod.rs
+++ b/crates/core/src/policy/registry/mod.rs
@@ -43,6 +43,8 @@
     Replay,
     /// The incarnation said that it leaves.
     Left,
+    /// The name is held by an endpoint at another address, whose lease runs.
+    Taken,
 }
 
 /// What an announcement did.
@@ -113,7 +115,7 @@
 
     /// Takes an announcement in, from the endpoint itself or from its home VM.
     pub fn announce(&mut self, now: Time, news: Announcement) -> Announced {
-        if let Some(reason) = self.refuses(&news) {
+        if let Some(reason) = self.refuses(now, &news) {
             return Announced::Ignored(reason);
         }
         let seen = self.seen.get(&news.name);
@@ -255,9 +257,12 @@
     ///
     /// Datagrams and relays repeat and reorder. Without this an old announcement that arrives late
     /// revives an endpoint that left or restarted, and calls go to a process that is gone.
-    fn refuses(&self, news: &Announcement) -> Option<Ignored> {
+    fn refuses(&self, now: Time, news: &Announcement) -> Option<Ignored> {
         let seen = self.seen.get(&news.name)?;
         let guards = self.settings.safeguards;
+        if guards.address && self.is_held_elsewhere(now, seen, news) {
+            return Some(Ignored::Taken);
+        }
         if guards.replay && news.incarnation < seen.incarnation {
             return Some(Ignored::OldIncarnation);
         }
@@ -270,6 +275,17 @@
         (guards.replay && news.sequence <= seen.sequence).then_some(Ignored::Replay)
     }
 
+    /// Tells whether an endpoint that is up elsewhere has the name.
+    ///
+    /// All endpoints share a token, so any of them could claim another's name with a higher
+    /// incarnation, and get that one's calls with their histories. While the other's lease runs
+    /// its address stays. An endpoint that restarts at another address waits out its own last
+    /// lease, or says that it leaves before it stops.
+    fn is_held_elsewhere(&self, now: Time, seen: &Seen, news: &Announcement) -> bool {
+        let held = seen.key.and_then(|key| self.endpoints.get(key));
+        held.is_some_and(|held| held.until > now && !held.leaving && held.address != news.address)
+    }
+
     fn renew(&mut self, now: Time, key: EndpointKey, news: &Announcement) -> Announced {
         let until = now + news.lease.min(self.settings.max_lease);
         let sticky = self.settings.safeguards.sticky;
--- a/crates/core/src/policy/registry/settings.rs
+++ b/crates/core/src/policy/registry/settings.rs
@@ -38,10 +38,12 @@
     pub sticky: bool,
     /// Announcements of an older incarnation or sequence are ignored.
     pub replay: bool,
+    /// A name stays at its address while the lease runs.
+    pub address: bool,
 }
 
 impl Default for RegistrySafeguards {
     fn default() -> Self {
-        RegistrySafeguards { lease: true, sticky: true, replay: true }
+        RegistrySafeguards { lease: true, sticky: true, replay: true, address: true }
     }
 }
--- a/crates/gypsumglade/src/entry/state.rs
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -222,11 +222,12 @@
 impl Desk {
     /// Returns the slots of each model's engines that take new work.
     fn slots(&self) -> HashMap<CompactString, u32> {
-        let mut slots = HashMap::new();
+        let mut slots: HashMap<CompactString, u32> = HashMap::new();
         for (_, endpoint) in self.registry.iter().filter(|(_, endpoint)| !endpoint.leaving) {
             let EndpointKind::Engine { models, slots: own, .. } = &endpoint.kind else { continue };
             for model in models {
-                *slots.entry(model.model.clone()).or_default() += *own;
+                let sum = slots.entry(model.model.clone()).or_default();
+                *sum = sum.saturating_add(*own);
             }
         }
         slots
