--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -198,7 +198,9 @@
 fn begin_turn(state: &EntryState, call: &TurnCall) -> BeginTurn {
     let budget = call.agent.budget;
     let prompt = call.request.messages.len() as u64 / BYTES_PER_TOKEN + 1;
-    let price = prompt * call.model.input_micros + call.request.output * call.model.output_micros;
+    // A price that wrapped round would reserve next to nothing for the largest call of all.
+    let output_price = call.request.output.saturating_mul(call.model.output_micros);
+    let price = prompt.saturating_mul(call.model.input_micros).saturating_add(output_price);
     BeginTurn {
         program: Some(program_ref(call)),
         key: call.key.to_string(),
@@ -502,7 +504,9 @@
 fn partial_usage(call: &TurnCall, grant: &Grant, builder: &AnswerBuilder) -> Usage {
     let prompt_tokens = grant.history.len() as u64 / BYTES_PER_TOKEN + 1;
     let output_tokens = builder.tokens();
-    let micros = prompt_tokens * call.model.input_micros + output_tokens * call.model.output_micros;
+    let prompt = prompt_tokens.saturating_mul(call.model.input_micros);
+    let output = output_tokens.saturating_mul(call.model.output_micros);
+    let micros = prompt.saturating_add(output);
     Usage { prompt_tokens, output_tokens, micros, cached_tokens: 0 }
 }
 
