--- a/scripts/idle.sh
+++ b/scripts/idle.sh
@@ -2,7 +2,7 @@
 # Measures what entry and store processes cost without calls: processor time, resident memory and
 # bytes of TCP connections, after a bundle was rolled. Three VMs are stores, in three domains.
 #
-#     scripts/idle.sh VMS ENDPOINTS [SECONDS]
+#     scripts/idle.sh VMS ENDPOINTS [SECONDS] [BUNDLE]
 #
 # VMS is 4 to 60; ENDPOINTS stand-ins announce themselves once a second. Prints one JSON line with
 # means for each process, and the time of one more roll. Bytes are read by `ss` and leave out TCP, IP and UDP headers and the
@@ -12,6 +12,7 @@
 vms=${1:?name the count of VMs}
 endpoints=${2:?name the count of endpoints}
 seconds=${3:-30}
+bundle=$(realpath "${4:-$(dirname "$0")/../examples/bundle.yaml}")
 net=127.0.9
 root=$(cd "$(dirname "$0")/.." && pwd)
 bin=${CARGO_TARGET_DIR:-$root/target}/release
@@ -79,7 +80,7 @@
 for vm in "${stores[@]}"; do start "store$vm" "$bin/gypsumglade-store" --settings "vm$vm.yaml"; done
 for vm in $(seq "$vms"); do start "entry$vm" "$bin/gypsumglade-entry" --settings "vm$vm.yaml"; done
 eventually "$bin/gypsumglade" bundle status --settings vm1.yaml
-"$bin/gypsumglade" bundle sign "$root/examples/bundle.yaml" --key operator.key \
+"$bin/gypsumglade" bundle sign "$bundle" --key operator.key \
   --out bundle.signed >/dev/null
 "$bin/gypsumglade" bundle roll bundle.signed --settings vm1.yaml &>roll.log
 for vm in $(seq "$vms"); do eventually curl -fsS "http://$net.$vm:8080/readyz"; done
@@ -117,7 +118,7 @@
 look_all after
 
 # A second version, from the operator's order until it is reported in force on every VM.
-sed -E 's/^version: .*/version: "9999.1"/' "$root/examples/bundle.yaml" >second.yaml
+sed -E 's/^version: .*/version: "9999.1"/' "$bundle" >second.yaml
 "$bin/gypsumglade" bundle sign second.yaml --key operator.key --out second.signed >/dev/null
 ordered=$(date +%s%N)
 "$bin/gypsumglade" bundle roll second.signed --settings vm1.yaml &>roll2.log
