--- a/crates/gypsumglade/tests/capacity_page.rs
+++ b/crates/gypsumglade/tests/capacity_page.rs
@@ -89,7 +89,7 @@
 fn call_figures(r: &Recorded) -> Vec<Figure> {
     let requests = r.get("requests") / r.get("nodes");
     let tokens = r.get("tokens") / r.get("nodes");
-    let streams = r.get("tokens") * r.get("token_gap") / r.get("nodes");
+    let streams = r.get("tokens") * r.get("token_gap") / 1e3 / r.get("nodes");
     let prompt = r.get("program_tokens") / 2.0 * r.get("bytes_per_token");
     vec![
         ("entry_requests", requests, "calls/s"),
