--- a/crates/gypsumglade/tests/border_rpc.rs
+++ b/crates/gypsumglade/tests/border_rpc.rs
@@ -7,8 +7,10 @@
 
 use border_support::{Answer, Raw, System, bearer, config};
 use bytes::Bytes;
+use gypsumglade::entry::groups::group_of;
 use gypsumglade::rpc::{Method, PeerClients, RpcError, decode, encode};
 use gypsumglade::secret::Secret;
+use gypsumglade::settings::Settings;
 use gypsumglade_core::wire::control as control_wire;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::operator as operator_wire;
@@ -86,7 +88,8 @@
         turn.budget = None;
         turn.deadline_ms = 0;
     }
-    let values = [json!(1), json!(1), json!(encode(&request))];
+    let group = group_of("org", program, Settings::default().groups);
+    let values = [json!(group), json!(1), json!(encode(&request))];
     let mut answer = None;
     for _ in 0..20 {
         let text = peers.call(store(system), Method::Program, parameters(&values), PATIENCE).await;
@@ -242,6 +245,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn call_with_huge_numbers_is_survived() {
+    let odd_group = group_of("org", "odd", Settings::default().groups);
     // A peer with a fault sends numbers at the ends of their types: sums of them must not wrap,
     // and nothing of their size may be reserved.
     let system = System::bare().await;
@@ -249,7 +253,7 @@
     let peers = friend(&system);
     for number in [0, 1, u64::from(u32::MAX), u64::MAX / 1_000, u64::MAX - 1, u64::MAX] {
         for request in program_requests(number) {
-            for group in [json!(1), json!(0), json!(u32::MAX)] {
+            for group in [json!(odd_group), json!(1), json!(0), json!(u32::MAX)] {
                 let values = [group, json!(u32::MAX), json!(encode(&request))];
                 let _ =
                     peers.call(store(&system), Method::Program, parameters(&values), SHORT).await;
