Split the turn module and make idle stores cheaper

Ruled out: membership and leases, which are on the entries. Change: caller, call, dispatch and settlement are files of their own; group ticks every 100 ms for 50, heartbeats every 200 ms for 100, the member list once a change and not twice a second.

--- a/crates/gypsumglade/src/entry/callers.rs
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -26,7 +26,8 @@
 use super::chat_request::ChatRequest;
 use super::problem::{OUTCOME_HEADER, Problem, ProblemKind, outcome_name};
 use super::state::EntryState;
-use super::turn::{Caller, TurnCall};
+use super::turn_call::TurnCall;
+use super::waiting_caller::Caller;
 use super::{sse, tool, turn};
 
 /// Program that a call belonged to, told to callers that named none.
--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -24,6 +24,10 @@
 pub mod state;
 pub mod tool;
 pub mod turn;
+pub mod turn_call;
+mod turn_dispatch;
+mod turn_settlement;
+pub mod waiting_caller;
 
 use gypsumglade_core::bundle::{Agent, AgentBudget, Class as BundleClass, EndpointPattern};
 use gypsumglade_core::policy::route::RouteError;
--- a/crates/gypsumglade/src/entry/newer_revision.rs
+++ b/crates/gypsumglade/src/entry/newer_revision.rs
@@ -5,7 +5,7 @@
 use super::active_bundle::ActiveBundle;
 use super::problem::{Problem, ProblemKind};
 use super::state::EntryState;
-use super::turn::TurnCall;
+use super::turn_call::TurnCall;
 
 /// Longest wait for the revision that a group acts under; a roll is in force everywhere by then.
 const REVISION_PATIENCE: Duration = Duration::from_secs(12);
--- /dev/null
+++ b/crates/gypsumglade/src/entry/turn_dispatch.rs
@@ -0,0 +1,254 @@
+//! One dispatch that an engine has accepted, up to its recorded answer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::StreamExt as _;
+use gypsumglade_core::policy::admission::Signal;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::common::Outcome;
+use gypsumglade_core::wire::program::{Grant, Usage};
+use http::{HeaderValue, Response};
+use hyper::body::Incoming;
+use serde_json::Value;
+
+use super::answer::{AnswerBuilder, Passed, usage_of};
+use super::endpoint_client::{Dispatch, RESUME_HEADER, SendError, read_whole};
+use super::problem::{Problem, ProblemKind};
+use super::sse::{EngineEvent, EngineEvents, engine_events};
+use super::state::{DispatchEnd, EntryState, Placed};
+use super::turn_call::{BYTES_PER_TOKEN, TurnCall, time_left};
+use super::turn_settlement::{outcome, partial_usage, settle_not_run, settle_now, settle_quietly};
+use super::waiting_caller::Caller;
+use crate::clock::Clock;
+use crate::metrics::CacheUse;
+
+/// How a granted attempt ended.
+pub(super) enum Attempt {
+    /// The engine finished; the answer is recorded.
+    Whole(Value),
+    /// Another grant is worth asking for; the last one was settled.
+    Again(Problem),
+    /// Final.
+    Failed(Problem),
+}
+
+/// One dispatch that an engine has accepted.
+pub(super) struct Running<'a> {
+    pub(super) state: &'a Arc<EntryState>,
+    pub(super) call: &'a TurnCall,
+    pub(super) grant: &'a Grant,
+    pub(super) placed: &'a Placed,
+    pub(super) dispatch: &'a Dispatch,
+}
+
+impl Running<'_> {
+    pub(super) async fn whole(&self, response: Response<Incoming>, caller: &Caller) -> Attempt {
+        let status = response.status();
+        let nothing = AnswerBuilder::default();
+        let read = tokio::select! {
+            () = caller.left() => return self.caller_gone(&nothing).await,
+            read = within(self.state, self.call, read_whole(response)) => read,
+        };
+        let body = match read {
+            Ok(body) => body,
+            Err(error) => return self.lost(error, &nothing).await,
+        };
+        self.state.release_call(self.placed, DispatchEnd::Finished);
+        let answer: Value = match serde_json::from_slice(&body) {
+            Ok(answer) if status.is_success() => answer,
+            _ => return self.refused(status.as_u16(), &body).await,
+        };
+        self.record(answer).await
+    }
+
+    /// Passes on an engine's own refusal of the request, such as a context that is too long.
+    async fn refused(&self, status: u16, body: &[u8]) -> Attempt {
+        let shown: String = String::from_utf8_lossy(body).chars().take(300).collect();
+        let problem = Problem::not_run(
+            ProblemKind::BadRequest,
+            format!("the engine answered {status}: {shown}"),
+        );
+        settle_not_run(self.state, self.call, self.grant, problem).await
+    }
+
+    pub(super) async fn stream(
+        &self,
+        mut events: EngineEvents,
+        caller: &Caller,
+        builder: &mut AnswerBuilder,
+    ) -> Attempt {
+        let started = self.state.clock.now();
+        let mut resumed = false;
+        loop {
+            let next = tokio::select! {
+                () = caller.left() => return self.caller_gone(builder).await,
+                next = within(self.state, self.call, next_event(&mut events)) => next,
+            };
+            match next {
+                Ok(EngineEvent::Chunk(chunk)) => {
+                    let first = builder.tokens() == 0;
+                    let passed = builder.take(chunk);
+                    if first && builder.tokens() == 1 {
+                        self.first_token(started);
+                    }
+                    match passed {
+                        Passed::Forward(chunk) => caller.forward(&chunk).await,
+                        Passed::Hold => {}
+                        Passed::Diverged => return self.diverged().await,
+                    }
+                }
+                Ok(EngineEvent::End) => break,
+                Err(SendError::Broken) if !resumed => {
+                    resumed = true;
+                    match self.resume(builder.tokens()).await {
+                        Some(again) => events = again,
+                        None => return self.lost(SendError::Broken, builder).await,
+                    }
+                }
+                Err(error) => return self.lost(error, builder).await,
+            }
+        }
+        self.state.release_call(self.placed, DispatchEnd::Finished);
+        match builder.whole(&self.grant.dispatch, Clock::wall_millis() / 1_000) {
+            Some(answer) => self.record(answer).await,
+            None => {
+                // An end without a finish reason is a cut stream, whatever the engine says.
+                self.settle_lost(SendError::Mismatched, builder).await
+            }
+        }
+    }
+
+    fn first_token(&self, started: Time) {
+        let seconds = self.state.clock.now().since(started).as_secs_f64();
+        self.state.metrics.first_token(seconds, &self.call.model.name);
+        self.state.prompt_filled(self.placed);
+    }
+
+    /// Takes a stream up again on the same engine, after the last token that arrived.
+    async fn resume(&self, tokens: u64) -> Option<EngineEvents> {
+        self.state.metrics.retry("resume");
+        let mut dispatch = self.dispatch.clone();
+        dispatch.headers.push((RESUME_HEADER, HeaderValue::from(tokens)));
+        let response = self.state.endpoints.send(&dispatch).await.ok()?;
+        response.status().is_success().then(|| engine_events(response))
+    }
+
+    pub(super) async fn lost(&self, error: SendError, builder: &AnswerBuilder) -> Attempt {
+        self.state.release_call(self.placed, DispatchEnd::Failed);
+        if error == SendError::TimedOut {
+            self.cancel().await;
+        }
+        self.settle_lost(error, builder).await
+    }
+
+    /// Settles a dispatch whose engine went silent or away, and says whether to try elsewhere.
+    ///
+    /// The group scores the request against the engine's death, so the next grant may be for an
+    /// engine of its own, or refused: without that, one bad request would take down engine after
+    /// engine from a single VM.
+    async fn settle_lost(&self, error: SendError, builder: &AnswerBuilder) -> Attempt {
+        let Running { state, call, grant, placed, .. } = self;
+        slog::warn!(state.log, "engine lost with a call in flight";
+            "program" => %call.program, "turn" => grant.turn, "dispatch" => &grant.dispatch,
+            "endpoint" => %placed.name, "error" => ?error);
+        let mut settle = outcome(call, grant, Outcome::Unknown, "the engine went away");
+        settle.crashed = error == SendError::Broken;
+        settle.endpoint = placed.name.to_string();
+        settle.usage = Some(partial_usage(call, grant, builder));
+        if let Err(problem) = settle_now(state, call, settle).await {
+            return Attempt::Failed(problem);
+        }
+        if time_left(state, call).is_some_and(|left| left.is_zero()) {
+            let mut problem = Problem::unknown("the deadline passed while an engine had the call");
+            problem.kind = ProblemKind::Deadline;
+            return Attempt::Failed(problem);
+        }
+        Attempt::Again(Problem::unknown("every engine that had the call went away"))
+    }
+
+    async fn diverged(&self) -> Attempt {
+        self.cancel().await;
+        self.state.release_call(self.placed, DispatchEnd::Cancelled);
+        let settle = outcome(self.call, self.grant, Outcome::Unknown, "answers diverged");
+        settle_quietly(self.state, self.call, settle).await;
+        Attempt::Failed(Problem::unknown("the engine was lost and another words it otherwise"))
+    }
+
+    /// Frees the engine and settles what was generated; a resend under the key runs it again.
+    async fn caller_gone(&self, builder: &AnswerBuilder) -> Attempt {
+        self.cancel().await;
+        self.state.release_call(self.placed, DispatchEnd::Cancelled);
+        let mut settle = outcome(self.call, self.grant, Outcome::Unknown, "the caller went away");
+        settle.usage = Some(partial_usage(self.call, self.grant, builder));
+        settle.endpoint = self.placed.name.to_string();
+        settle_quietly(self.state, self.call, settle).await;
+        Attempt::Failed(Problem::unknown("the caller went away"))
+    }
+
+    async fn cancel(&self) {
+        let path = format!("/v1/dispatches/{}", self.dispatch.id);
+        let timeout = self.state.settings.timeouts.peer();
+        let cancel = self.state.endpoints.control(
+            http::Method::DELETE,
+            &self.placed.address,
+            &path,
+            Bytes::new(),
+            timeout,
+        );
+        // The engine also notices the closed connection; the order only makes it faster.
+        let _ = cancel.await;
+    }
+
+    /// Makes the answer durable; only then may the caller see its end.
+    async fn record(&self, answer: Value) -> Attempt {
+        let model = &self.call.model;
+        let usage = usage_of(&answer, model.input_micros, model.output_micros);
+        let mut settle = outcome(self.call, self.grant, Outcome::Done, "");
+        settle.answer = Bytes::from(answer.to_string());
+        settle.status = 200;
+        settle.usage = Some(usage);
+        settle.endpoint = self.placed.name.to_string();
+        match settle_now(self.state, self.call, settle).await {
+            Ok(()) => {
+                self.state.gate.observe(&model.name, Signal::Waited(Duration::ZERO));
+                self.count(&usage);
+                Attempt::Whole(answer)
+            }
+            Err(problem) => Attempt::Failed(problem),
+        }
+    }
+
+    fn count(&self, usage: &Usage) {
+        let metrics = &self.state.metrics;
+        let prior = self.grant.prior / BYTES_PER_TOKEN;
+        let filled = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+        let fresh = usage.prompt_tokens.saturating_sub(prior);
+        metrics.cache(filled, CacheUse::Filled);
+        metrics.cache(usage.cached_tokens, CacheUse::Reused);
+        metrics.cache(filled.saturating_sub(fresh), CacheUse::Refilled);
+        metrics.output(usage.output_tokens, &self.call.model.name);
+        slog::debug!(self.state.log, "turn recorded";
+            "program" => %self.call.program, "turn" => self.grant.turn,
+            "dispatch" => &self.grant.dispatch, "endpoint" => %self.placed.name,
+            "revision" => self.call.revision.0);
+    }
+}
+
+async fn next_event(events: &mut EngineEvents) -> Result<EngineEvent, SendError> {
+    match events.next().await {
+        Some(Ok(event)) => Ok(event),
+        Some(Err(_)) | None => Err(SendError::Broken),
+    }
+}
+
+/// Bounds a step by the caller's deadline and by the silence an engine is allowed.
+pub(super) async fn within<T>(
+    state: &EntryState,
+    call: &TurnCall,
+    step: impl Future<Output = Result<T, SendError>>,
+) -> Result<T, SendError> {
+    let silence = state.settings.timeouts.silence();
+    let limit = time_left(state, call).map_or(silence, |left| left.min(silence));
+    tokio::time::timeout(limit, step).await.unwrap_or(Err(SendError::TimedOut))
+}
--- /dev/null
+++ b/crates/gypsumglade/src/entry/turn_settlement.rs
@@ -0,0 +1,65 @@
+//! What a program's group is told of a dispatch: its outcome, and what it used.
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::common::Outcome;
+use gypsumglade_core::wire::program::{Grant, Settle, Usage};
+
+use super::answer::AnswerBuilder;
+use super::problem::Problem;
+use super::state::EntryState;
+use super::turn_call::{BYTES_PER_TOKEN, TurnCall, program_ref};
+use super::turn_dispatch::Attempt;
+
+/// Longest wait for a group to take an outcome, across a change of leader.
+const SETTLE_PATIENCE: Duration = Duration::from_secs(30);
+
+/// What a dispatch without a whole answer has used, as far as its tokens arrived.
+///
+/// The prompt is estimated: an engine counts it only in a whole answer.
+pub(super) fn partial_usage(call: &TurnCall, grant: &Grant, builder: &AnswerBuilder) -> Usage {
+    let prompt_tokens = grant.history.len() as u64 / BYTES_PER_TOKEN + 1;
+    let output_tokens = builder.tokens();
+    let prompt = prompt_tokens.saturating_mul(call.model.input_micros);
+    let output = output_tokens.saturating_mul(call.model.output_micros);
+    let micros = prompt.saturating_add(output);
+    Usage { prompt_tokens, output_tokens, micros, cached_tokens: 0 }
+}
+
+pub(super) async fn settle_not_run(
+    state: &EntryState,
+    call: &TurnCall,
+    grant: &Grant,
+    problem: Problem,
+) -> Attempt {
+    let settle = outcome(call, grant, Outcome::NotRun, &problem.message);
+    match settle_now(state, call, settle).await {
+        Ok(()) => Attempt::Failed(problem),
+        // Nothing was sent, whether or not the group has heard of it yet.
+        Err(_) => Attempt::Failed(problem.retry_after(super::GROUP_RETRY_MS)),
+    }
+}
+
+pub(super) async fn settle_quietly(state: &EntryState, call: &TurnCall, settle: Settle) {
+    if let Err(problem) = settle_now(state, call, settle).await {
+        slog::warn!(state.log, "an outcome was not recorded";
+            "program" => %call.program, "reason" => %problem.message);
+    }
+}
+
+pub(super) async fn settle_now(
+    state: &EntryState,
+    call: &TurnCall,
+    settle: Settle,
+) -> Result<(), Problem> {
+    super::settle(state, &call.org, &call.program, settle, SETTLE_PATIENCE).await
+}
+
+pub(super) fn outcome(call: &TurnCall, grant: &Grant, outcome: Outcome, reason: &str) -> Settle {
+    Settle {
+        program: Some(program_ref(call)),
+        dispatch: grant.dispatch.clone(),
+        outcome: outcome.into(),
+        reason: reason.to_owned(),
+        ..Settle::default()
+    }
+}
--- a/crates/gypsumglade/src/members.rs
+++ b/crates/gypsumglade/src/members.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Buf as _, BufMut as _, Bytes, BytesMut};
 use gypsumglade_core::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::directory::EntryAddress;
 use crate::membership::Member;
@@ -87,6 +88,25 @@
     }
 }
 
+/// The members, told only to an asker that does not know them: at 390 VMs the list is 36 KB, and
+/// it seldom changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberNews {
+    /// Digest of the list.
+    pub digest: u64,
+    /// The list, absent if the asker named its digest.
+    pub members: Option<Vec<EntryMember>>,
+}
+
+impl MemberNews {
+    /// Returns what an asker has to learn that knows the list of digest `known`.
+    pub fn since(known: u64, members: Vec<EntryMember>) -> MemberNews {
+        let text = serde_json::to_vec(&members).unwrap_or_default();
+        let digest = xxh3_64(&text);
+        MemberNews { digest, members: (digest != known).then_some(members) }
+    }
+}
+
 /// Returns the membership addresses that a process asks first.
 pub fn seeds(settings: &Settings) -> Vec<SocketAddr> {
     let others = settings.peers.iter().filter(|peer| peer.vm != settings.vm.id);
--- a/crates/gypsumglade/src/settings/store.rs
+++ b/crates/gypsumglade/src/settings/store.rs
@@ -30,7 +30,7 @@
             folder: PathBuf::from("data"),
             peers: LOOPBACK,
             admin: LOOPBACK,
-            heartbeat_ms: 100,
+            heartbeat_ms: 200,
             election_ms: 1_000,
         }
     }
--- a/crates/gypsumglade/src/store/member_watch.rs
+++ b/crates/gypsumglade/src/store/member_watch.rs
@@ -9,7 +9,7 @@
 
 use super::context::StoreContext;
 use super::program_group::GroupInput;
-use crate::members::EntryMember;
+use crate::members::{EntryMember, MemberNews};
 use crate::rpc::Method;
 
 /// Pause between two askings.
@@ -26,6 +26,8 @@
 struct Watch {
     lives: HashMap<VmId, u32>,
     down: HashMap<VmId, Time>,
+    members: Vec<EntryMember>,
+    digest: u64,
 }
 
 /// Asks until the process ends: the entry on the same VM first, then any other.
@@ -33,8 +35,9 @@
     let mut watch = Watch::default();
     let mut turn = 0;
     while !halt.is_cancelled() {
-        match ask(&context, turn).await {
-            Some(members) => {
+        match ask(&context, turn, watch.digest).await {
+            Some(news) => {
+                let members = watch.learn(news);
                 for vm in watch.gone(&members, context.clock.now()) {
                     slog::warn!(context.log, "an entry VM is gone"; "gone" => vm.0);
                     context.feed_all(|| GroupInput::Gone(vm)).await;
@@ -52,19 +55,31 @@
     }
 }
 
-async fn ask(context: &StoreContext, turn: usize) -> Option<Vec<EntryMember>> {
+async fn ask(context: &StoreContext, turn: usize, known: u64) -> Option<MemberNews> {
     let entries = context.directory.entries();
     let own = entries.iter().find(|entry| entry.vm == context.vm && turn == 0);
     let entry = own.or_else(|| entries.get(turn % entries.len().max(1)))?;
     if entry.peers.port() == 0 {
         return None;
     }
-    let call = context.peers.call(entry.peers, Method::Members, ArrayParams::new(), TIMEOUT);
-    let members: Vec<EntryMember> = serde_json::from_str(&call.await.ok()?).ok()?;
-    (members.len() > 1).then_some(members)
+    let mut parameters = ArrayParams::new();
+    parameters.insert(known).ok()?;
+    let call = context.peers.call(entry.peers, Method::Members, parameters, TIMEOUT);
+    let news: MemberNews = serde_json::from_str(&call.await.ok()?).ok()?;
+    // An entry that knows itself alone has not joined yet.
+    let alone = news.members.as_ref().is_some_and(|members| members.len() < 2);
+    (!alone).then_some(news)
 }
 
 impl Watch {
+    fn learn(&mut self, news: MemberNews) -> Vec<EntryMember> {
+        self.digest = news.digest;
+        if let Some(members) = news.members {
+            self.members = members;
+        }
+        self.members.clone()
+    }
+
     /// Returns the VMs whose calls nobody carries any more: down for a while, or restarted.
     fn gone(&mut self, members: &[EntryMember], now: Time) -> Vec<VmId> {
         let mut gone = Vec::new();
--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -15,7 +15,7 @@
 use crate::replica::Event;
 
 /// Pause between two looks for what is due in a group.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 /// Inputs that may wait before askers are slowed down.
 const INPUT_BUFFER: usize = 4_096;
 
