--- a/crates/core/src/program/quarantine.rs
+++ b/crates/core/src/program/quarantine.rs
@@ -53,7 +53,7 @@
         let score = self.by_digest.entry(digest).or_default();
         let proved = share.alone && score.deaths > 0;
         score.blame = score.blame.saturating_add(share.share.min(WHOLE_DEATH));
-        score.deaths += 1;
+        score.deaths = score.deaths.saturating_add(1);
         score.quarantined |= proved || score.blame >= QUARANTINE_BLAME;
         score.at_ms = now_ms;
         Some(record(&digest, score))
--- /dev/null
+++ b/crates/core/tests/border_datagram.rs
@@ -0,0 +1,150 @@
+//! Bad input at membership's border: any bytes, and damaged datagrams of real VMs.
+
+#[path = "membership_harness/mod.rs"]
+mod harness;
+
+use bytes::Bytes;
+use gypsumglade_core::membership::{Effect, Input, MAX_DATAGRAM, Membership, Mutation};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::membership as wire;
+use harness::{Net, address};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest::test_runner::{Config, RngSeed};
+use prost::Message as _;
+
+/// Environment variable with the count of cases, for long runs.
+const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
+/// Cases of a property when the environment names no other count.
+const CASES: u32 = 256;
+
+fn config(seed: u64) -> Config {
+    let asked = std::env::var(CASES_VARIABLE).ok().and_then(|text| text.parse().ok());
+    Config {
+        cases: asked.unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// A VM that knows four others.
+fn joined() -> (Membership, Time) {
+    let mut net = Net::new(5, 0.0, 7, Mutation::None);
+    let end = net.now + Duration::from_secs(20);
+    assert!(net.run_until(end, Net::agreed));
+    let node = net.nodes.remove(&VmId(1)).expect("VMs are numbered from one");
+    (node, net.now)
+}
+
+/// Feeds a datagram and lets two minutes pass; checks every datagram sent.
+fn feed(node: &mut Membership, now: Time, bytes: Bytes) -> Result<(), TestCaseError> {
+    let input = Input::Datagram { from: address(VmId(2)), bytes };
+    let mut effects = node.step(now, input);
+    let end = now + Duration::from_secs(120);
+    let mut at = now;
+    for _ in 0..2_000 {
+        at = node.wake().max(at);
+        if at > end {
+            break;
+        }
+        effects.extend(node.step(at, Input::Tick));
+    }
+    for effect in effects {
+        if let Effect::Send { bytes, .. } = effect {
+            prop_assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
+            prop_assert!(wire::Datagram::decode(bytes).is_ok());
+        }
+    }
+    Ok(())
+}
+
+fn number() -> impl Strategy<Value = u32> {
+    prop_oneof![0..7_u32, Just(u32::MAX), any::<u32>()]
+}
+
+fn rumour() -> impl Strategy<Value = wire::Rumour> {
+    let profile = (vec(any::<u8>(), 0..20), number(), vec(any::<u8>(), 0..100), number()).prop_map(
+        |(address, place, digest, version)| wire::Profile {
+            address: address.into(),
+            domain: place,
+            region: place,
+            digest: digest.into(),
+            version,
+            incarnation: version,
+        },
+    );
+    let profile = proptest::option::of(profile);
+    (number(), number(), -1..6_i32, number(), profile).prop_map(
+        |(vm, incarnation, liveness, accuser, profile)| wire::Rumour {
+            vm,
+            incarnation,
+            liveness,
+            accuser,
+            profile,
+        },
+    )
+}
+
+fn body() -> impl Strategy<Value = Option<wire::datagram::Body>> {
+    use wire::datagram::Body;
+    (0..7_u8, number(), number()).prop_map(|(kind, sequence, target)| match kind {
+        0 => Some(Body::Ping(wire::Ping { sequence, target: Some(target) })),
+        1 => Some(Body::Ack(wire::Ack { sequence })),
+        2 => Some(Body::PingRequest(wire::PingRequest { sequence, target })),
+        3 => Some(Body::Nack(wire::Nack { sequence })),
+        4 => Some(Body::PullRequest(wire::PullRequest { start: target })),
+        5 => Some(Body::PullReply(wire::PullReply { next: target })),
+        _ => None,
+    })
+}
+
+proptest! {
+    #![proptest_config(config(75))]
+
+    #[test]
+    fn step_survives_any_bytes(bytes in vec(any::<u8>(), 0..200)) {
+        let (mut node, now) = joined();
+        feed(&mut node, now, bytes.into())?;
+    }
+
+    #[test]
+    fn step_survives_any_news(
+        from in number(),
+        body in body(),
+        rumours in vec(rumour(), 0..6),
+    ) {
+        // A VM with the key and a fault tells nonsense: of itself, of VMs that don't exist, of
+        // this one, with incarnations at the end of their type.
+        let (mut node, now) = joined();
+        let datagram = wire::Datagram { from, body, rumours };
+        feed(&mut node, now, datagram.encode_to_vec().into())?;
+        prop_assert_eq!(node.me().vm, VmId(1));
+    }
+
+    #[test]
+    fn step_survives_a_damaged_datagram(
+        cut in proptest::option::of(any::<Index>()),
+        flips in vec((any::<Index>(), 1..=255_u8), 0..4),
+    ) {
+        let (mut node, now) = joined();
+        let mut other = Net::new(2, 0.0, 8, Mutation::None);
+        let end = other.now + Duration::from_secs(5);
+        other.run_until(end, Net::agreed);
+        let sender = other.nodes.get_mut(&VmId(2)).expect("it is up");
+        let sent = sender.step(end + Duration::from_secs(5), Input::Tick);
+        for effect in sent {
+            let Effect::Send { bytes, .. } = effect else { continue };
+            let mut bytes = bytes.to_vec();
+            for (at, flip) in &flips {
+                let at = at.index(bytes.len());
+                bytes[at] ^= flip;
+            }
+            if let Some(cut) = &cut {
+                bytes.truncate(cut.index(bytes.len()));
+            }
+            feed(&mut node, now, bytes.into())?;
+        }
+    }
+}
