--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -18,7 +18,7 @@
 use super::groups::{GroupClient, GroupMap};
 use super::peer_calls;
 use super::state::{Desk, EntryState, RunningCalls};
-use super::{announce, callers, membership_loop};
+use super::{announce, callers, leak_audit, membership_loop, order_holder};
 use crate::admin;
 use crate::clock::Clock;
 use crate::directory::Directory;
@@ -161,7 +161,7 @@
         groups: GroupClient::new(vm, peers.clone(), map, settings.timeouts.peer()),
         endpoints: EndpointClient::new(),
         config: ConfigView::new(lease, vm, keys, clock.now()),
-        gate: Gate::new(AdmissionSettings::default(), clock),
+        gate: Gate::new(admission_settings(), clock),
         metrics: Metrics::new()?,
         stop: CancellationToken::new(),
         tasks: TaskTracker::new(),
@@ -175,6 +175,13 @@
     })
 }
 
+/// Admission starts at what engines announce, and falls when they turn out to take less.
+fn admission_settings() -> AdmissionSettings {
+    let mut settings = AdmissionSettings::default();
+    settings.limit.start = settings.limit.most;
+    settings
+}
+
 fn place(settings: &Settings) -> Option<Place> {
     Some(Place {
         domain: settings.domain_id(&settings.vm.domain)?,
@@ -216,6 +223,8 @@
         })
         .await;
     });
+    tokio::spawn(leak_audit::run(Arc::clone(state), halt.clone()));
+    tokio::spawn(order_holder::run(Arc::clone(state), halt.clone()));
     let (expiring, halt) = (Arc::clone(state), halt.clone());
     tokio::spawn(async move {
         while !halt.is_cancelled() {
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -1,5 +1,6 @@
 //! Runs one model call of a program: grant, engine, record, and again elsewhere if need be.
 
+use std::borrow::Cow;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,14 +8,14 @@
 use axum::response::sse::Event;
 use bytes::Bytes;
 use futures::StreamExt as _;
-use gypsumglade_core::policy::registry::ModelId;
+use gypsumglade_core::policy::admission::Signal;
 use gypsumglade_core::policy::route::{LastRun, RouteAsk, Target};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::common::{Class, Outcome};
 use gypsumglade_core::wire::program::reply::Body as ReplyBody;
 use gypsumglade_core::wire::program::request::Body as RequestBody;
 use gypsumglade_core::wire::program::{
-    BeginTurn, Grant, ProgramRef, Recorded, Request, Settle, Started, Usage,
+    BeginTurn, Grant, ProgramRef, Recorded, Refusal, Request, Settle, Started, Usage,
 };
 use http::{HeaderValue, Response};
 use hyper::body::Incoming;
@@ -25,9 +26,11 @@
 use super::answer::{AnswerBuilder, Passed, text_chunk, usage_of};
 use super::chat_request::ChatRequest;
 use super::endpoint_client::{
-    Dispatch, PRIORITY_HEADER, PROGRAM_HEADER, RESUME_HEADER, SendError, read_whole,
+    Dispatch, PRIORITY_HEADER, PROGRAM_HEADER, RESUME_HEADER, SendError, VERSION_HEADER, read_whole,
 };
 use super::groups::GroupUnavailable;
+use super::model_version::serves;
+use super::newer_revision;
 use super::problem::{Problem, ProblemKind};
 use super::sse::{EngineEvent, EngineEvents, engine_events, event};
 use super::state::{DispatchEnd, EntryState, Placed};
@@ -46,8 +49,6 @@
 const BYTES_PER_TOKEN: u64 = 4;
 /// Priority of urgent calls towards engines; normal ones go by turns attained.
 const URGENT_PRIORITY: u64 = 1_000;
-/// When to come back after no replica of a group answered.
-const GROUP_RETRY_MS: u64 = 1_000;
 
 /// Where a caller's stream is written to.
 pub type Sink = mpsc::Sender<Result<Event, Infallible>>;
@@ -138,18 +139,19 @@
     call: &TurnCall,
     caller: &Caller,
 ) -> Result<Value, Problem> {
+    let mut call = Cow::Borrowed(call);
     let mut builder = AnswerBuilder::default();
     let mut last = Problem::not_run(ProblemKind::Unavailable, "no attempt was possible");
     for attempt in 0..MAX_GRANTS {
         if attempt > 0 {
             state.metrics.retry("engine_lost");
         }
-        let grant = match ask_grant(state, call).await? {
+        let grant = match ask_current(state, &mut call).await? {
             Granted::Run(grant) => grant,
             Granted::Answer(recorded) => return replay(caller, &builder, &recorded).await,
         };
         let ended = state.running.add(&grant.dispatch);
-        let ran = run_granted(state, call, &grant, &caller.until(ended), &mut builder).await;
+        let ran = run_granted(state, &call, &grant, &caller.until(ended), &mut builder).await;
         state.running.remove(&grant.dispatch);
         match ran {
             Attempt::Whole(answer) => return Ok(answer),
@@ -166,21 +168,30 @@
     Answer(Recorded),
 }
 
-async fn ask_grant(state: &EntryState, call: &TurnCall) -> Result<Granted, Problem> {
+/// Asks for a grant, and asks again under the next revision if that is in force meanwhile.
+async fn ask_current(state: &EntryState, call: &mut Cow<'_, TurnCall>) -> Result<Granted, Problem> {
+    loop {
+        if let Some(granted) = ask_grant(state, call).await? {
+            return Ok(granted);
+        }
+        *call = Cow::Owned(newer_revision::renewed(state, call).await?);
+    }
+}
+
+/// Asks for a grant; `None` when the group acts under a newer revision than the call.
+async fn ask_grant(state: &EntryState, call: &TurnCall) -> Result<Option<Granted>, Problem> {
     let request = Request { body: Some(RequestBody::BeginTurn(begin_turn(state, call))) };
     let patience = time_left(state, call).unwrap_or(GRANT_PATIENCE);
     match state.groups.ask(&call.org, &call.program, &request, patience).await {
-        Ok(ReplyBody::Grant(grant)) => Ok(Granted::Run(grant)),
-        Ok(ReplyBody::Recorded(recorded)) => Ok(Granted::Answer(recorded)),
+        Ok(ReplyBody::Grant(grant)) => Ok(Some(Granted::Run(grant))),
+        Ok(ReplyBody::Recorded(recorded)) => Ok(Some(Granted::Answer(recorded))),
+        Ok(ReplyBody::Refused(refused)) if refused.code() == Refusal::StaleRevision => Ok(None),
         Ok(ReplyBody::Refused(refused)) => Err(refused.into()),
         Ok(ReplyBody::Unknown(unknown)) => Err(unknown.into()),
-        Ok(ReplyBody::Done(_)) => Err(Problem::unknown("the program group gave no grant")),
-        // A grant may have been given, but this VM never learnt of it and will not use it.
-        Err(GroupUnavailable { .. }) => Err(Problem::not_run(
-            ProblemKind::Unavailable,
-            "no quorum of the program's group answered",
-        )
-        .retry_after(GROUP_RETRY_MS)),
+        Ok(ReplyBody::Done(_) | ReplyBody::Leaks(_)) => {
+            Err(Problem::unknown("the program group gave no grant"))
+        }
+        Err(GroupUnavailable { .. }) => Err(super::no_quorum(call.resends)),
     }
 }
 
@@ -234,7 +245,7 @@
                 return settle_not_run(state, call, grant, problem).await;
             }
         };
-        let dispatch = dispatch(call, grant, &placed, body.clone());
+        let dispatch = dispatch(state, call, grant, &placed, body.clone());
         // Told beside the sending and not before it: if this VM dies in between, the leak audit
         // finds what the engine holds, and the caller does not wait for another round trip.
         let (_, sent) = tokio::join!(
@@ -245,6 +256,7 @@
             Err(SendError::NotSent) => {
                 state.release_call(&placed, DispatchEnd::Failed);
                 state.metrics.retry("refused");
+                state.gate.observe(&call.model.name, Signal::Overloaded);
                 excluded.push(placed.name.clone());
             }
             Err(error) => {
@@ -388,7 +400,7 @@
         let mut settle = outcome(call, grant, Outcome::Unknown, "the engine went away");
         settle.crashed = error == SendError::Broken;
         settle.endpoint = placed.name.to_string();
-        settle.usage = Some(partial_usage(call, builder));
+        settle.usage = Some(partial_usage(call, grant, builder));
         if let Err(problem) = settle_now(state, call, settle).await {
             return Attempt::Failed(problem);
         }
@@ -413,7 +425,7 @@
         self.cancel().await;
         self.state.release_call(self.placed, DispatchEnd::Cancelled);
         let mut settle = outcome(self.call, self.grant, Outcome::Unknown, "the caller went away");
-        settle.usage = Some(partial_usage(self.call, builder));
+        settle.usage = Some(partial_usage(self.call, self.grant, builder));
         settle.endpoint = self.placed.name.to_string();
         settle_quietly(self.state, self.call, settle).await;
         Attempt::Failed(Problem::unknown("the caller went away"))
@@ -444,6 +456,7 @@
         settle.endpoint = self.placed.name.to_string();
         match settle_now(self.state, self.call, settle).await {
             Ok(()) => {
+                self.state.gate.observe(&model.name, Signal::Waited(Duration::ZERO));
                 self.count(&usage);
                 Attempt::Whole(answer)
             }
@@ -486,10 +499,15 @@
 }
 
 /// What a dispatch without a whole answer has used, as far as its tokens arrived.
-fn partial_usage(call: &TurnCall, builder: &AnswerBuilder) -> Usage {
+///
+/// The prompt is estimated: an engine counts it only in a whole answer.
+fn partial_usage(call: &TurnCall, grant: &Grant, builder: &AnswerBuilder) -> Usage {
+    let prompt_tokens = grant.history.len() as u64 / BYTES_PER_TOKEN + 1;
     let output_tokens = builder.tokens();
-    let micros = output_tokens.saturating_mul(call.model.output_micros);
-    Usage { output_tokens, micros, ..Usage::default() }
+    let prompt = prompt_tokens.saturating_mul(call.model.input_micros);
+    let output = output_tokens.saturating_mul(call.model.output_micros);
+    let micros = prompt.saturating_add(output);
+    Usage { prompt_tokens, output_tokens, micros, cached_tokens: 0 }
 }
 
 async fn settle_not_run(
@@ -502,7 +520,7 @@
     match settle_now(state, call, settle).await {
         Ok(()) => Attempt::Failed(problem),
         // Nothing was sent, whether or not the group has heard of it yet.
-        Err(_) => Attempt::Failed(problem.retry_after(GROUP_RETRY_MS)),
+        Err(_) => Attempt::Failed(problem.retry_after(super::GROUP_RETRY_MS)),
     }
 }
 
@@ -552,7 +570,7 @@
         at: state.clock.now(),
     });
     RouteAsk {
-        target: Target::Model(ModelId::new(&call.model.name, &call.model.version)),
+        target: Target::Model(state.served_version(&call.model)),
         program: super::program_hash(&call.org, &call.program),
         prompt_tokens: grant.history.len() as u64 / BYTES_PER_TOKEN,
         prior_tokens,
@@ -569,20 +587,28 @@
 const MAX_LAST_RUNS: usize = 2;
 
 fn not_allowed(state: &EntryState, call: &TurnCall) -> Vec<EndpointName> {
-    let model = ModelId::new(&call.model.name, &call.model.version);
     let desk = state.desk();
-    let candidates = desk.registry.candidates(&model).iter();
-    let names = candidates.filter_map(|key| desk.registry.get(*key)).map(|found| &found.name);
+    let engines = desk.registry.iter().filter(|(_, found)| serves(found, &call.model));
+    let names = engines.map(|(_, found)| &found.name);
     let allowed = |name: &str| call.model.endpoints.iter().any(|pattern| pattern.matches(name));
     names.filter(|name| !allowed(name)).cloned().collect()
 }
 
-fn dispatch(call: &TurnCall, grant: &Grant, placed: &Placed, body: Bytes) -> Dispatch {
+fn dispatch(
+    state: &EntryState,
+    call: &TurnCall,
+    grant: &Grant,
+    placed: &Placed,
+    body: Bytes,
+) -> Dispatch {
     let priority = match call.class {
         Class::Urgent => URGENT_PRIORITY,
         Class::Normal => grant.turn.min(URGENT_PRIORITY - 1),
     };
     let mut headers = vec![(PRIORITY_HEADER, HeaderValue::from(priority))];
+    if let Ok(value) = HeaderValue::from_str(&state.version_at(&placed.name, &call.model)) {
+        headers.push((VERSION_HEADER, value));
+    }
     let program = format!("{}/{}", call.org, call.program);
     if let Ok(value) = HeaderValue::from_str(&program) {
         headers.push((PROGRAM_HEADER, value));
