--- a/crates/gypsumglade/src/entry/announce.rs
+++ b/crates/gypsumglade/src/entry/announce.rs
@@ -235,7 +235,8 @@
 
 /// Reads events from the last gap on: the registry then sees how many it missed.
 fn cache_events(bodies: &[CacheEventBody]) -> CacheEvents {
-    let follows = |pair: &[CacheEventBody]| pair[1].sequence == pair[0].sequence + 1;
+    let next = |body: &CacheEventBody| body.sequence.checked_add(1);
+    let follows = |pair: &[CacheEventBody]| next(&pair[0]) == Some(pair[1].sequence);
     let start = bodies.windows(2).rposition(|pair| !follows(pair)).map_or(0, |gap| gap + 1);
     let bodies = &bodies[start..];
     CacheEvents {
