--- a/crates/core/tests/policy_registry.rs
+++ b/crates/core/tests/policy_registry.rs
@@ -177,6 +177,19 @@
     assert!(play(without(|settings| settings.safeguards.replay = false), &steps).is_err());
 }
 
+#[test]
+fn announce_address_mutation() {
+    // A second process takes a live endpoint's name from another address. Callers' calls must go
+    // on to the first: the name is its own for as long as its lease runs.
+    let thief = || Announcement { address: "10.9.9.9:80".into(), ..engine(5, 1) };
+    let mut registry = Registry::default();
+    registry.announce(at(0), engine(4, 1));
+    assert_eq!(registry.announce(at(10), thief()), Announced::Ignored(Ignored::Taken));
+    let mut open = without(|settings| settings.safeguards.address = false);
+    open.announce(at(0), engine(4, 1));
+    assert!(matches!(open.announce(at(10), thief()), Announced::Replaced { .. }));
+}
+
 #[test]
 fn leave_before_announcement() {
     let mut registry = Registry::default();
--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -89,7 +89,8 @@
 /// then only the program's group knows what became of it; any other was not run, since a grant
 /// that this VM never learnt of is never used.
 fn no_quorum(resent: bool) -> Problem {
-    let message = "no quorum of the program's group answered";
+    let message =
+        "the program's group gave no answer: an earlier turn is missing or under way, or no quorum";
     let problem = match resent {
         true => Problem::unknown(message),
         false => Problem::not_run(ProblemKind::Unavailable, message),
