Spend a retry budget in both call paths, and check receipts in the fault run

Change: retries draw on the organisation's budget with jitter and the deadline; callers compare each receipt's key with their own.

--- a/crates/gypsumglade/src/entry/problem.rs
+++ b/crates/gypsumglade/src/entry/problem.rs
@@ -106,6 +106,9 @@
     }
 }
 
+/// When to come back while a group changes its leader or revision.
+const CHANGE_RETRY_MS: u64 = 1_000;
+
 /// A call's problem, ready to be answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
@@ -222,7 +225,12 @@
             Refusal::TooLarge => ProblemKind::TooLarge,
         };
         let problem = Problem::not_run(kind, refused.detail);
-        if refused.retry_ms == 0 { problem } else { problem.retry_after(refused.retry_ms) }
+        match (refused.retry_ms, kind) {
+            // The other side is changing leader or revision, which takes about this long.
+            (0, ProblemKind::Unavailable) => problem.retry_after(CHANGE_RETRY_MS),
+            (0, _) => problem,
+            (millis, _) => problem.retry_after(millis),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/gypsumglade/src/entry/retrying.rs
@@ -0,0 +1,63 @@
+//! Whether a failed attempt is followed by another, and the wait before it.
+
+use gypsumglade_core::policy::retry::{Failure, RetryAsk, RetryDecision};
+use gypsumglade_core::prelude::*;
+
+use super::state::EntryState;
+
+/// One call's attempts, as its organisation's retry budget sees them.
+#[derive(Clone, Debug)]
+pub(super) struct Attempts {
+    org: OrgName,
+    repeatable: bool,
+    deadline: Option<Time>,
+    made: u32,
+}
+
+impl Attempts {
+    /// Begins a call, which earns its organisation a part of a retry.
+    pub(super) fn begin(
+        state: &EntryState,
+        org: &OrgName,
+        repeatable: bool,
+        deadline: Option<Time>,
+    ) -> Attempts {
+        state.desk().retries.sent(org);
+        Attempts { org: org.clone(), repeatable, deadline, made: 0 }
+    }
+
+    /// Waits for the next attempt; false when there is none.
+    ///
+    /// Without a budget, every call of an organisation whose engines fail is sent several times
+    /// just when there is least room for it, and the engines that are left fail too. The drawn
+    /// wait keeps calls that failed together from coming back together.
+    pub(super) async fn again(
+        &mut self,
+        state: &EntryState,
+        failure: Failure,
+        reason: &'static str,
+    ) -> bool {
+        self.made += 1;
+        let now = state.clock.now();
+        let ask = RetryAsk {
+            org: self.org.clone(),
+            attempts: self.made,
+            repeatable: self.repeatable,
+            failure,
+            deadline: self.deadline,
+            advice: None,
+        };
+        let decision = state.desk().retries.decide(now, &ask);
+        match decision {
+            RetryDecision::At(at) => {
+                state.metrics.retry(reason);
+                tokio::time::sleep(at.since(now)).await;
+                true
+            }
+            RetryDecision::Stop(why) => {
+                slog::debug!(state.log, "no further attempt"; "why" => %why, "reason" => reason);
+                false
+            }
+        }
+    }
+}
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -7,6 +7,7 @@
 use gypsumglade_core::lease::{LeaseSettings, VmRegion};
 use gypsumglade_core::policy::admission::AdmissionSettings;
 use gypsumglade_core::policy::registry::{Registry, RegistrySettings};
+use gypsumglade_core::policy::retry::{Retries, RetrySettings};
 use gypsumglade_core::policy::route::{Place, PolicyWeights, RouteSettings, Router};
 use gypsumglade_core::prelude::*;
 use tokio_util::sync::CancellationToken;
@@ -153,6 +154,7 @@
     let lease = LeaseSettings { length_ms: settings.timeouts.lease_ms, ..LeaseSettings::default() };
     let registry = Registry::new(RegistrySettings::default());
     let router = Router::new(RouteSettings::default(), rand::random());
+    let retries = Retries::new(RetrySettings::default(), rand::random());
     let map = GroupMap::new(&settings, &directory);
     Ok(EntryState {
         vm,
@@ -167,7 +169,7 @@
         tasks: TaskTracker::new(),
         running: RunningCalls::default(),
         members: Mutex::default(),
-        desk: Mutex::new(Desk { registry, router }),
+        desk: Mutex::new(Desk { registry, router, retries }),
         log,
         peers,
         directory,
--- a/crates/gypsumglade/src/entry/state.rs
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -7,6 +7,7 @@
 use gypsumglade_core::policy::registry::{
     DispatchKey, DispatchLoad, Endpoint, EndpointKind, Registry,
 };
+use gypsumglade_core::policy::retry::Retries;
 use gypsumglade_core::policy::route::{Choice, Place, RouteAsk, RouteError, Router};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::program::Release;
@@ -101,6 +102,7 @@
 pub(super) struct Desk {
     pub(super) registry: Registry,
     pub(super) router: Router,
+    pub(super) retries: Retries,
 }
 
 /// An endpoint chosen for a dispatch, counted as in flight there until it is settled.
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gypsumglade_core::policy::retry::Failure;
 use gypsumglade_core::policy::route::{RouteAsk, Target};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::common::{Class, Outcome};
@@ -19,10 +20,9 @@
 use super::call::CallHeaders;
 use super::endpoint_client::{Dispatch, KEY_HEADER, PROGRAM_HEADER, SendError};
 use super::problem::{Problem, ProblemKind};
+use super::retrying::Attempts;
 use super::state::{DispatchEnd, EntryState, Placed};
 
-/// Attempts at a repeatable call whose endpoint went away.
-const MAX_ATTEMPTS: usize = 3;
 /// Longest wait for a grant or an end of program.
 const GROUP_PATIENCE: Duration = Duration::from_secs(15);
 /// Longest wait for a group to take an outcome, across a change of leader.
@@ -130,23 +130,22 @@
 /// # Errors
 /// Every problem says whether the call ran.
 pub async fn run(state: &Arc<EntryState>, call: &ToolCall) -> Result<ToolAnswer, Problem> {
-    let attempts = if call.repeatable() { MAX_ATTEMPTS } else { 1 };
-    let mut last = Problem::not_run(ProblemKind::Unavailable, "no attempt was possible");
-    for attempt in 0..attempts {
-        if attempt > 0 {
-            state.metrics.retry("service_lost");
-        }
+    let mut attempts = Attempts::begin(state, &call.org, call.repeatable(), call.deadline);
+    loop {
         let grant = match ask_grant(state, call).await? {
             Granted::Run(grant) => grant,
             Granted::Answer(answer) => return Ok(answer),
         };
-        match run_granted(state, call, &grant).await {
+        match run_granted(state, call, &grant, &mut attempts).await {
             Ok(answer) => return Ok(answer),
             Err(problem) if problem.outcome == Outcome::NotRun => return Err(problem),
-            Err(problem) => last = problem,
+            Err(problem) => {
+                if !attempts.again(state, Failure::Unknown, "service_lost").await {
+                    return Err(problem);
+                }
+            }
         }
     }
-    Err(last)
 }
 
 enum Granted {
@@ -205,6 +204,7 @@
     state: &Arc<EntryState>,
     call: &ToolCall,
     grant: &Grant,
+    attempts: &mut Attempts,
 ) -> Result<ToolAnswer, Problem> {
     let mut excluded = not_allowed(state, call);
     loop {
@@ -224,8 +224,12 @@
             }
             Err(SendError::NotSent) => {
                 state.release_call(&placed, DispatchEnd::Failed);
-                state.metrics.retry("refused");
                 excluded.push(placed.name.clone());
+                if !attempts.again(state, Failure::NotRun, "refused").await {
+                    let problem = Problem::not_run(ProblemKind::Overloaded, "the service refused")
+                        .retry_after(super::GROUP_RETRY_MS);
+                    return not_run(state, call, grant, problem).await;
+                }
             }
             Err(error) => {
                 state.release_call(&placed, DispatchEnd::Failed);
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use gypsumglade_core::policy::admission::Signal;
+use gypsumglade_core::policy::retry::Failure;
 use gypsumglade_core::policy::route::{LastRun, RouteAsk, Target};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::common::Class;
@@ -22,6 +23,7 @@
 use super::model_version::serves;
 use super::newer_revision;
 use super::problem::{Problem, ProblemKind};
+use super::retrying::Attempts;
 use super::sse::engine_events;
 use super::state::{DispatchEnd, EntryState, Placed};
 use super::turn_call::{BYTES_PER_TOKEN, TurnCall, begin_turn, program_ref, time_left};
@@ -29,10 +31,8 @@
 use super::turn_settlement::settle_not_run;
 use super::waiting_caller::Caller;
 
-/// Grants asked for one call before the caller is told to come back.
-const MAX_GRANTS: usize = 4;
-/// Endpoints tried under one grant, each refused before it started.
-const MAX_REFUSALS: usize = 8;
+/// When to come back after engines refused the call.
+const REFUSED_RETRY_MS: u64 = 1_000;
 /// Longest wait for a grant when the caller gave no deadline.
 const GRANT_PATIENCE: Duration = Duration::from_secs(15);
 /// Priority of urgent calls towards engines; normal ones go by turns attained.
@@ -49,26 +49,29 @@
 ) -> Result<Value, Problem> {
     let mut call = Cow::Borrowed(call);
     let mut builder = AnswerBuilder::default();
-    let mut last = Problem::not_run(ProblemKind::Unavailable, "no attempt was possible");
-    for attempt in 0..MAX_GRANTS {
-        if attempt > 0 {
-            state.metrics.retry("engine_lost");
-        }
+    let mut attempts = Attempts::begin(state, &call.org, true, call.deadline);
+    loop {
         let grant = match ask_current(state, &mut call).await? {
             Granted::Run(grant) => grant,
             Granted::Answer(recorded) => return replay(caller, &builder, &recorded).await,
         };
         let ended = state.running.add(&grant.dispatch);
-        let ran = run_granted(state, &call, &grant, &caller.until(ended), &mut builder).await;
+        let ran = {
+            let caller = caller.until(ended);
+            run_granted(state, &call, &grant, &caller, &mut builder, &mut attempts).await
+        };
         state.running.remove(&grant.dispatch);
         match ran {
             Attempt::Whole(answer) => return Ok(answer),
-            Attempt::Again(problem) => last = problem,
+            Attempt::Again(problem) => {
+                if !attempts.again(state, Failure::Unknown, "engine_lost").await {
+                    return Err(problem);
+                }
+            }
             Attempt::Failed(problem) => return Err(problem),
         }
         builder.restart();
     }
-    Err(last)
 }
 
 enum Granted {
@@ -109,6 +112,7 @@
     grant: &Grant,
     caller: &Caller,
     builder: &mut AnswerBuilder,
+    attempts: &mut Attempts,
 ) -> Attempt {
     let body = match call.request.engine_body(&grant.history, grant.max_output) {
         Ok(body) => body,
@@ -118,7 +122,7 @@
         }
     };
     let mut excluded = not_allowed(state, call);
-    for _ in 0..MAX_REFUSALS {
+    loop {
         let placed = match state.place_call(&route_ask(state, call, grant, &excluded)) {
             Ok(placed) => placed,
             Err(error) => {
@@ -137,9 +141,13 @@
         match sent {
             Err(SendError::NotSent) => {
                 state.release_call(&placed, DispatchEnd::Failed);
-                state.metrics.retry("refused");
                 state.gate.observe(&call.model.name, Signal::Overloaded);
                 excluded.push(placed.name.clone());
+                if !attempts.again(state, Failure::NotRun, "refused").await {
+                    let problem = Problem::not_run(ProblemKind::Overloaded, "the engines refused")
+                        .retry_after(REFUSED_RETRY_MS);
+                    return settle_not_run(state, call, grant, problem).await;
+                }
             }
             Err(error) => {
                 let running = Running { state, call, grant, placed: &placed, dispatch: &dispatch };
@@ -155,9 +163,6 @@
             }
         }
     }
-    let problem =
-        Problem::not_run(ProblemKind::Overloaded, "every engine refused").retry_after(1_000);
-    settle_not_run(state, call, grant, problem).await
 }
 
 async fn tell_started(state: &EntryState, call: &TurnCall, grant: &Grant, placed: &Placed) {
--- a/crates/gypsumglade/tests/fault_run/callers.rs
+++ b/crates/gypsumglade/tests/fault_run/callers.rs
@@ -185,7 +185,8 @@
             let sending = caller.tool(program, "kit-planner", path, &key, body.clone());
             let answer = tokio::time::timeout(SEND_TIMEOUT, sending).await;
             match answer.map(|answer| answer.map(|answer| self.read(program, &answer))) {
-                Ok(Ok(Read::Whole(_))) => {
+                Ok(Ok(Read::Whole(receipt))) => {
+                    self.check_receipt(program, &service_key(program, &key), &receipt);
                     told = Told::Done;
                     break;
                 }
@@ -199,6 +200,14 @@
         self.seen.deposits.push(Deposit { key, told });
     }
 
+    /// A receipt must be the caller's own, also when the service crosses its answers.
+    fn check_receipt(&mut self, program: &str, key: &str, receipt: &str) {
+        let named: Value = serde_json::from_str(receipt).unwrap_or_default();
+        if named["key"] != key {
+            self.seen.wrong.push(format!("{program}: a receipt of another: {receipt}"));
+        }
+    }
+
     /// Reads an answer as a caller would: its status, its outcome, and whether it is whole.
     fn read(&mut self, program: &str, answer: &HttpAnswer) -> Read {
         self.calls.fetch_add(1, Ordering::Relaxed);
@@ -210,7 +219,8 @@
             if stream && !text.trim_end().ends_with("data: [DONE]") {
                 return Read::Again(Told::Unknown);
             }
-            return Read::Whole(answer.text());
+            let chat = answer.text();
+            return Read::Whole(if chat.is_empty() { text.into_owned() } else { chat });
         }
         let body = answer.json();
         let outcome = body.pointer("/error/outcome").and_then(Value::as_str);
