Check the configuration lease again after every wait

Cause, found by reading: a call was checked against its lease when it came in, then could wait in the queue for longer than the lease ran. A store that lags behind the control group might still have granted it under the revision before, after a roll had been reported in force. Ruled out: grants that were given before; those may finish. Change: the lease is checked before a grant is asked for and again when it is there; a grant that came too late is given back as not-run.

--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -86,6 +86,18 @@
     Err(Problem::not_run(ProblemKind::BadRequest, message))
 }
 
+/// Tells whether this VM acts on the revision that a call was read under, at this moment.
+///
+/// It is asked before a grant is asked for and again when it is there: the call may have waited in
+/// a queue, or the process been paused, beyond its lease. A roll counts a silent VM's lease as
+/// over by then, and a store that lags behind might still grant under the older revision.
+///
+/// # Errors
+/// Refuses when the lease is out.
+fn acts_on(state: &EntryState, revision: RevisionNumber) -> Result<bool, Problem> {
+    Ok(state.config.active(state.clock.now())?.revision == revision)
+}
+
 /// Tells that no quorum answered. A call under a caller's own key may have been sent before, and
 /// then only the program's group knows what became of it; any other was not run, since a grant
 /// that this VM never learnt of is never used.
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -154,6 +154,25 @@
 }
 
 async fn ask_grant(state: &EntryState, call: &ToolCall) -> Result<Granted, Problem> {
+    check_revision(state, call)?;
+    let granted = ask_group(state, call).await?;
+    let Granted::Run(grant) = &granted else { return Ok(granted) };
+    if let Err(problem) = check_revision(state, call) {
+        return not_run(state, call, grant, problem).await.map(Granted::Answer);
+    }
+    Ok(granted)
+}
+
+/// Refuses a call that was read under a revision which this VM no longer acts on.
+fn check_revision(state: &EntryState, call: &ToolCall) -> Result<(), Problem> {
+    if super::acts_on(state, RevisionNumber(call.begin.revision))? {
+        return Ok(());
+    }
+    let message = "a newer bundle revision came into force meanwhile";
+    Err(Problem::not_run(ProblemKind::Unavailable, message).retry_after(super::GROUP_RETRY_MS))
+}
+
+async fn ask_group(state: &EntryState, call: &ToolCall) -> Result<Granted, Problem> {
     let mut begin = call.begin.clone();
     begin.nonce = super::fresh_id(state);
     let request = Request { body: Some(RequestBody::BeginCall(begin)) };
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -8,7 +8,7 @@
 use gypsumglade_core::policy::retry::Failure;
 use gypsumglade_core::policy::route::{LastRun, RouteAsk, Target};
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::wire::common::Class;
+use gypsumglade_core::wire::common::{Class, Outcome};
 use gypsumglade_core::wire::program::reply::Body as ReplyBody;
 use gypsumglade_core::wire::program::request::Body as RequestBody;
 use gypsumglade_core::wire::program::{Grant, Recorded, Refusal, Request, Started};
@@ -28,7 +28,7 @@
 use super::state::{DispatchEnd, EntryState, Placed};
 use super::turn_call::{BYTES_PER_TOKEN, TurnCall, begin_turn, program_ref, time_left};
 use super::turn_dispatch::{Attempt, Running, within};
-use super::turn_settlement::settle_not_run;
+use super::turn_settlement::{outcome, settle_not_run, settle_quietly};
 use super::waiting_caller::Caller;
 
 /// When to come back after engines refused the call.
@@ -82,14 +82,29 @@
 /// Asks for a grant, and asks again under the next revision if that is in force meanwhile.
 async fn ask_current(state: &EntryState, call: &mut Cow<'_, TurnCall>) -> Result<Granted, Problem> {
     loop {
-        if let Some(granted) = ask_grant(state, call).await? {
-            return Ok(granted);
+        if super::acts_on(state, call.revision)? {
+            match ask_grant(state, call).await? {
+                Some(Granted::Run(grant))
+                    if !super::acts_on(state, call.revision).unwrap_or(false) =>
+                {
+                    hand_back(state, call, &grant).await;
+                    continue;
+                }
+                Some(granted) => return Ok(granted),
+                None => {}
+            }
         }
         *call = Cow::Owned(newer_revision::renewed(state, call).await?);
     }
 }
 
 /// Asks for a grant; `None` when the group acts under a newer revision than the call.
+/// Gives back a grant that came when this VM might no longer act on its revision.
+async fn hand_back(state: &EntryState, call: &TurnCall, grant: &Grant) {
+    let settle = outcome(call, grant, Outcome::NotRun, "the bundle revision was replaced");
+    settle_quietly(state, call, settle).await;
+}
+
 async fn ask_grant(state: &EntryState, call: &TurnCall) -> Result<Option<Granted>, Problem> {
     let request = Request { body: Some(RequestBody::BeginTurn(begin_turn(state, call))) };
     let patience = time_left(state, call).unwrap_or(GRANT_PATIENCE);
--- a/crates/gypsumglade/tests/nine_vms.rs
+++ b/crates/gypsumglade/tests/nine_vms.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use gypsumglade::demo::caller::ChatCall;
+use gypsumglade::embedded::wait_until;
 use serde_json::json;
 use support::{Cluster, chat, prompt_tokens};
 
@@ -68,7 +69,7 @@
     });
     let entry = cluster.entries[2].take().expect("the entry runs");
     let state = std::sync::Arc::clone(entry.state());
-    let begun = gypsumglade::embedded::wait_until(Duration::from_secs(30), async || {
+    let begun = wait_until(Duration::from_secs(30), async || {
         state.running.count() > 0 || streaming.is_finished()
     });
     assert!(begun.await);
@@ -77,3 +78,28 @@
     let text = String::from_utf8_lossy(&answer.body);
     assert!(text.trim_end().ends_with("data: [DONE]"), "{text}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 8)]
+async fn call_without_lease_is_not_run() {
+    // All stores are gone, so no VM can confirm the bundle in force. The caller is told at once
+    // that its call was not run and when to come back, because a roll elsewhere may count this
+    // VM's lease as over; and no engine has started anything.
+    let mut cluster = Cluster::start().await;
+    for store in &mut cluster.stores {
+        store.take().expect("the store runs").stop().await;
+    }
+    let state = std::sync::Arc::clone(cluster.entries[4].as_ref().expect("it runs").state());
+    let lapsed = wait_until(Duration::from_secs(60), async || {
+        state.config.active(state.clock.now()).is_err()
+    });
+    assert!(lapsed.await);
+    let answer = cluster.caller(5).chat(&chat("kit-5", 1, "any lens")).await;
+    let answer = answer.expect("an answer comes").json();
+    let named = |path: &str| answer.pointer(path).and_then(|value| value.as_str());
+    assert_eq!(
+        (named("/error/code"), named("/error/outcome")),
+        (Some("no_lease"), Some("not-run"))
+    );
+    let started: u64 = cluster.engines.iter().map(|engine| engine.stats().counts.started).sum();
+    assert_eq!(started, 0);
+}
