Count prefixes left behind by a move, and prompts over the paid link

Cause: both metrics were declared and never counted. Change: a recorded turn whose engine is not the last one's counts the prefix left there as dropped, and a prompt to another region counts its bytes. No test reads the metrics page for them yet.

--- a/crates/gypsumglade/src/entry/turn_dispatch.rs
+++ b/crates/gypsumglade/src/entry/turn_dispatch.rs
@@ -227,6 +227,15 @@
         metrics.cache(filled, CacheUse::Filled);
         metrics.cache(usage.cached_tokens, CacheUse::Reused);
         metrics.cache(filled.saturating_sub(fresh), CacheUse::Refilled);
+        let moved =
+            self.grant.endpoints.first().is_some_and(|last| last.as_str() != self.placed.name);
+        if moved {
+            // The engine that ran the last turn still holds the prefix, and nobody comes back for it.
+            metrics.cache(prior, CacheUse::Dropped);
+        }
+        if self.placed.region != self.state.place.region {
+            metrics.region_link(self.dispatch.body.len() as u64, "prompt");
+        }
         metrics.output(usage.output_tokens, &self.call.model.name);
         slog::debug!(self.state.log, "turn recorded";
             "program" => %self.call.program, "turn" => self.grant.turn,
