Check bearer tokens in one place

Cause: the check of an Authorization header against a secret stood three times (peers, announcements, operators); a mend to one would have missed the others. Change: Secret::borne_by serves all three.

--- a/crates/gypsumglade/src/admin.rs
+++ b/crates/gypsumglade/src/admin.rs
@@ -15,7 +15,7 @@
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 use gypsumglade_core::wire::operator::control_request::Body as RequestBody;
 use gypsumglade_core::wire::operator::{ControlReply, ControlRequest, StatusQuery};
-use http::{StatusCode, header};
+use http::StatusCode;
 use jsonrpsee::core::params::ArrayParams;
 use prost::Message as _;
 use serde_json::{Value, json};
@@ -117,9 +117,7 @@
 }
 
 async fn check_token(State(token): State<Secret>, request: Request, next: Next) -> Response {
-    let given = request.headers().get(header::AUTHORIZATION);
-    let given = given.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
-    if !given.is_some_and(|given| token.matches(given)) {
+    if !token.borne_by(request.headers()) {
         let advice = "send `Authorization: Bearer <tokens.admin of the settings>`";
         return (StatusCode::UNAUTHORIZED, advice).into_response();
     }
--- a/crates/gypsumglade/src/entry/announce.rs
+++ b/crates/gypsumglade/src/entry/announce.rs
@@ -10,7 +10,7 @@
     Announced, Announcement, CacheEvent, CacheEvents, EndpointKind, LoadReport, ModelId,
 };
 use gypsumglade_core::prelude::*;
-use http::{HeaderMap, StatusCode, header};
+use http::{HeaderMap, StatusCode};
 use jsonrpsee::core::params::ArrayParams;
 
 use super::state::EntryState;
@@ -121,7 +121,7 @@
     headers: HeaderMap,
     body: Result<Json<AnnouncementBody>, axum::extract::rejection::JsonRejection>,
 ) -> Response {
-    if !bears_token(&state, &headers) {
+    if !state.settings.tokens.endpoints.borne_by(&headers) {
         return (StatusCode::UNAUTHORIZED, "send the endpoints' token").into_response();
     }
     let Json(body) = match body {
@@ -185,12 +185,6 @@
     }
 }
 
-fn bears_token(state: &EntryState, headers: &HeaderMap) -> bool {
-    let given = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
-    let given = given.and_then(|value| value.strip_prefix("Bearer "));
-    given.is_some_and(|given| state.settings.tokens.endpoints.matches(given))
-}
-
 fn announcement(state: &EntryState, body: &AnnouncementBody) -> Result<Announcement, String> {
     let settings = &state.settings;
     let unknown = |what: &str, name: &str| format!("`{what}`: {name:?} is not in the settings");
--- a/crates/gypsumglade/src/rpc/server.rs
+++ b/crates/gypsumglade/src/rpc/server.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 
-use http::header::AUTHORIZATION;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use jsonrpsee::Methods;
@@ -54,7 +53,9 @@
         watch_stop(stop_handle.clone(), stopped.clone());
         let service = tower::service_fn(move |request: Request<Incoming>| {
             let mut rpc = builder.clone().build(methods.clone(), stop_handle.clone());
-            let allowed = bears(&request, &token);
+            // A stranger that reaches the port could otherwise settle calls or vote; the handshake is
+            // where it is turned away, before a single call is parsed.
+            let allowed = token.borne_by(request.headers());
             async move {
                 if !allowed {
                     return Ok::<_, Infallible>(denied());
@@ -81,16 +82,6 @@
     });
 }
 
-/// Tells whether the request carries the peers' token.
-///
-/// A stranger that reaches the port could otherwise settle calls or vote; the handshake is where
-/// it is turned away, before a single call is parsed.
-fn bears(request: &Request<Incoming>, token: &Secret) -> bool {
-    let Some(header) = request.headers().get(AUTHORIZATION) else { return false };
-    let Ok(text) = header.to_str() else { return false };
-    text.strip_prefix("Bearer ").is_some_and(|given| token.matches(given))
-}
-
 fn denied() -> Response<HttpBody> {
     status_only(StatusCode::UNAUTHORIZED)
 }
--- a/crates/gypsumglade/src/secret.rs
+++ b/crates/gypsumglade/src/secret.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 
 use compact_str::CompactString;
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
 use serde::Deserialize;
 use sha2::{Digest as _, Sha256};
 
@@ -22,6 +24,13 @@
         &self.0
     }
 
+    /// Tells whether a request's `Authorization: Bearer` header presents this secret.
+    pub fn borne_by(&self, headers: &HeaderMap) -> bool {
+        let given = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let given = given.and_then(|value| value.strip_prefix("Bearer "));
+        given.is_some_and(|given| self.matches(given))
+    }
+
     /// Tells whether `given` is this secret.
     ///
     /// Both sides are hashed before they are compared, so that the time taken says nothing about
