--- a/crates/core/src/bundle/check.rs
+++ b/crates/core/src/bundle/check.rs
@@ -6,7 +6,7 @@
 use super::content::{
     Agent, Bundle, EndpointPattern, Model, Organisation, Policy, Service, Version,
 };
-use super::{Digest, Findings};
+use super::{Digest, Findings, routes};
 
 /// Most characters of a name.
 const MAX_NAME: usize = 64;
@@ -47,6 +47,7 @@
         check_organisation(&path, org, &known, &mut names, findings);
         keys.add(&format!("{path}.key_digest"), &org.key_digest, "one key for one name", findings);
     }
+    routes::check(&bundle.routes, &bundle.pools, findings);
     check_policy(&bundle.policy, findings);
     check_patterns("fencing.ignored_by", &bundle.fencing.ignored_by, findings);
     for (index, digest) in bundle.quarantine.lift.iter().enumerate() {
--- a/crates/core/src/bundle/content.rs
+++ b/crates/core/src/bundle/content.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use super::check;
+use super::routes::{CallerLimits, Pool, Route};
 use super::{Findings, MAX_CONTENT};
 use crate::prelude::*;
 
@@ -33,6 +34,18 @@
     /// Operators' word on quarantined requests.
     #[serde(default)]
     pub quarantine: Quarantine,
+    /// Callers' paths whose requests are passed through to endpoints as they are.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<Route>,
+    /// Pools of endpoints that routes lead to.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub pools: Vec<Pool>,
+    /// What callers of the routes may send.
+    #[serde(default)]
+    pub callers: CallerLimits,
+    /// The order that the bundle was made from, in the operator's own format, if it came so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub original: Option<CompactString>,
 }
 
 impl Bundle {
@@ -100,14 +113,28 @@
     deepest
 }
 
-fn read(yaml: &[u8], findings: &mut Findings) -> Result<Bundle, Findings> {
-    let document = serde_yaml_ng::Deserializer::from_slice(yaml);
+/// Reads the text of a bundle.
+///
+/// JSON is YAML too, and its own reader takes a twentieth of the time: a bundle of 350 routes that
+/// a tool wrote costs an entry 1 ms and not 20.
+fn read(text: &[u8], findings: &mut Findings) -> Result<Bundle, Findings> {
+    if text.first() == Some(&b'{') {
+        let mut document = serde_json::Deserializer::from_slice(text);
+        return read_tracked(&mut document, findings);
+    }
+    read_tracked(serde_yaml_ng::Deserializer::from_slice(text), findings)
+}
+
+fn read_tracked<'de, D>(document: D, findings: &mut Findings) -> Result<Bundle, Findings>
+where
+    D: serde::Deserializer<'de>,
+{
     let mut track = serde_path_to_error::Track::new();
     let tracked = serde_path_to_error::Deserializer::new(document, &mut track);
     let result = serde_ignored::deserialize(tracked, |path| {
         findings.push(&path.to_string(), "an unknown field", "only the fields of docs/BUNDLE.md");
     });
-    result.map_err(|error: serde_yaml_ng::Error| {
+    result.map_err(|error: D::Error| {
         findings.push(&track.path().to_string(), error, "a value of the type in docs/BUNDLE.md");
         std::mem::take(findings)
     })
--- a/crates/core/src/bundle/mod.rs
+++ b/crates/core/src/bundle/mod.rs
@@ -8,6 +8,7 @@
 mod content;
 mod digest;
 mod findings;
+mod routes;
 mod signing;
 
 pub use content::{
@@ -16,6 +17,7 @@
 };
 pub use digest::{DIGEST_LENGTH, Digest};
 pub use findings::{Finding, Findings};
+pub use routes::{CallerLimits, Pool, PoolEngine, Repeat, Route, Share, Stream};
 pub use signing::{
     KeyPair, OperatorKeys, PublicKey, RollBackOrder, Signature, SignatureError, SignedBundle,
 };
--- /dev/null
+++ b/crates/core/src/control/endpoints.rs
@@ -0,0 +1,167 @@
+//! Endpoints as the control group's log holds them.
+//!
+//! A store that acknowledges that an endpoint drains may be lost the next moment. The news is
+//! therefore committed before it is acknowledged, so that every later leader knows of it too.
+
+use std::collections::BTreeMap;
+
+use crate::prelude::*;
+use crate::wire::control::{Deregister, EndpointNews, EndpointRecord, Snapshot};
+
+/// Departed endpoints whose last announcement is remembered against late ones.
+const MAX_DEPARTED: usize = 4_096;
+
+/// An announcement's place in the life of its name: start, then count within that start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Stamp {
+    incarnation: u64,
+    sequence: u64,
+}
+
+/// The endpoints that announced themselves and neither left nor fell silent.
+#[derive(Clone, Debug, Default)]
+pub struct Endpoints {
+    present: BTreeMap<CompactString, EndpointRecord>,
+    /// Incarnations that ended, so that a late announcement does not bring one back.
+    departed: BTreeMap<CompactString, u64>,
+    change: u64,
+}
+
+impl Endpoints {
+    /// Returns the number of the last change; it only grows.
+    pub fn change(&self) -> u64 {
+        self.change
+    }
+
+    /// Returns one endpoint by its name.
+    pub fn get(&self, name: &str) -> Option<&EndpointRecord> {
+        self.present.get(name)
+    }
+
+    /// Returns every endpoint, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.present.values()
+    }
+
+    /// Returns what an asker that knows change `seen` lacks.
+    pub fn news(&self, seen: u64) -> EndpointNews {
+        let known = seen == self.change;
+        let endpoints = if known { Vec::new() } else { self.iter().cloned().collect() };
+        EndpointNews { change: self.change, endpoints, unavailable: false, leader: 0 }
+    }
+
+    /// Tells whether an announcement says something that the log does not hold yet.
+    ///
+    /// Most announcements only prolong a lease, which the leader keeps in memory; committing each
+    /// would cost a sync per endpoint and second.
+    pub fn is_news(&self, record: &EndpointRecord) -> bool {
+        if !self.accepts(record) {
+            return false;
+        }
+        let Some(known) = self.present.get(record.name.as_str()) else { return true };
+        let unchanged = EndpointRecord { sequence: record.sequence, ..known.clone() };
+        unchanged != with_sticky_leaving(known, record)
+    }
+
+    /// Takes an announcement in. Late ones of an earlier start, or of an earlier moment of the same
+    /// start, change nothing.
+    pub fn register(&mut self, record: &EndpointRecord) {
+        if !self.is_news(record) {
+            return;
+        }
+        let record = match self.present.get(record.name.as_str()) {
+            Some(known) => with_sticky_leaving(known, record),
+            None => record.clone(),
+        };
+        self.evict_address(&record);
+        self.departed.remove(record.name.as_str());
+        self.present.insert(record.name.to_compact_string(), record);
+        self.change += 1;
+    }
+
+    /// Removes an incarnation for good.
+    pub fn deregister(&mut self, name: &str, incarnation: u64) {
+        let known = self.present.get(name);
+        if known.is_some_and(|known| known.incarnation > incarnation) {
+            return;
+        }
+        if self.present.remove(name).is_some() {
+            self.change += 1;
+        }
+        self.depart(name.to_compact_string(), incarnation);
+    }
+
+    /// Writes the state into a snapshot.
+    pub(super) fn save(&self, snapshot: &mut Snapshot) {
+        let departed = self.departed.iter();
+        let departed = departed.map(|(name, incarnation)| Deregister {
+            name: name.to_string(),
+            incarnation: *incarnation,
+        });
+        snapshot.endpoints = self.iter().cloned().collect();
+        snapshot.endpoint_change = self.change;
+        snapshot.departed = departed.collect();
+    }
+
+    /// Reads the state that [`Endpoints::save`] wrote.
+    pub(super) fn load(snapshot: &Snapshot) -> Endpoints {
+        let present = snapshot.endpoints.iter();
+        let present = present.map(|record| (record.name.to_compact_string(), record.clone()));
+        let departed = snapshot.departed.iter();
+        let departed = departed.map(|gone| (gone.name.to_compact_string(), gone.incarnation));
+        Endpoints {
+            present: present.collect(),
+            departed: departed.collect(),
+            change: snapshot.endpoint_change,
+        }
+    }
+
+    fn accepts(&self, record: &EndpointRecord) -> bool {
+        let ended = self.departed.get(record.name.as_str());
+        if ended.is_some_and(|ended| record.incarnation <= *ended) {
+            return false;
+        }
+        let known = self.present.get(record.name.as_str());
+        if known.is_some_and(|known| stamp(record) <= stamp(known)) {
+            return false;
+        }
+        // An address belongs to the latest start there: a report that a partition held back must
+        // not take it away from the endpoint that runs there now.
+        !self.present.values().any(|other| {
+            other.name != record.name
+                && other.address == record.address
+                && other.incarnation > record.incarnation
+        })
+    }
+
+    fn evict_address(&mut self, record: &EndpointRecord) {
+        let former: Vec<(CompactString, u64)> = self
+            .present
+            .values()
+            .filter(|other| other.name != record.name && other.address == record.address)
+            .map(|other| (other.name.to_compact_string(), other.incarnation))
+            .collect();
+        for (name, incarnation) in former {
+            self.present.remove(&name);
+            self.depart(name, incarnation);
+        }
+    }
+
+    fn depart(&mut self, name: CompactString, incarnation: u64) {
+        if self.departed.len() == MAX_DEPARTED {
+            self.departed.pop_first();
+        }
+        let ended = self.departed.entry(name).or_default();
+        *ended = incarnation.max(*ended);
+    }
+}
+
+fn stamp(record: &EndpointRecord) -> Stamp {
+    Stamp { incarnation: record.incarnation, sequence: record.sequence }
+}
+
+/// Returns `record` with the rule that a start that drains never takes work again.
+fn with_sticky_leaving(known: &EndpointRecord, record: &EndpointRecord) -> EndpointRecord {
+    let same = known.incarnation == record.incarnation;
+    EndpointRecord { leaving: record.leaving || (same && known.leaving), ..record.clone() }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -7,6 +7,7 @@
 //! docs/design/bundles.md.
 
 pub mod delta;
+mod endpoints;
 mod history;
 mod memory;
 mod placement;
@@ -14,6 +15,7 @@
 mod revision;
 mod snapshot;
 
+pub use endpoints::Endpoints;
 pub use history::History;
 pub use memory::REMEMBERED;
 pub use placement::group_of;
@@ -66,6 +68,7 @@
     memory: Memory,
     order_lease: Option<wire::OrderLease>,
     groups: Vec<wire::GroupPlacement>,
+    endpoints: Endpoints,
     mutation: Mutation,
 }
 
@@ -89,6 +92,7 @@
             memory: Memory::default(),
             order_lease: None,
             groups: Vec::new(),
+            endpoints: Endpoints::default(),
             mutation,
         }
     }
@@ -113,6 +117,11 @@
         &self.groups
     }
 
+    /// Returns the endpoints that announced themselves.
+    pub fn endpoints(&self) -> &Endpoints {
+        &self.endpoints
+    }
+
     /// Applies a committed command.
     pub fn apply(&mut self, command: &wire::Command) -> wire::Answer {
         let body = match &command.body {
@@ -120,6 +129,8 @@
             Some(CommandBody::RollBack(order)) => self.roll_back(order),
             Some(CommandBody::TakeOrders(take)) => self.take_orders(take),
             Some(CommandBody::Place(place)) => self.place(place),
+            Some(CommandBody::Register(register)) => self.register(register),
+            Some(CommandBody::Deregister(gone)) => self.deregister(gone),
             None => rejected(Fault::Malformed, "the command is empty"),
         };
         wire::Answer { body: Some(body) }
@@ -232,6 +243,19 @@
         AnswerBody::Orders(lease)
     }
 
+    fn register(&mut self, register: &wire::Register) -> AnswerBody {
+        let Some(endpoint) = &register.endpoint else {
+            return rejected(Fault::Malformed, "no endpoint is named");
+        };
+        self.endpoints.register(endpoint);
+        AnswerBody::Registered(wire::Registered {})
+    }
+
+    fn deregister(&mut self, gone: &wire::Deregister) -> AnswerBody {
+        self.endpoints.deregister(&gone.name, gone.incarnation);
+        AnswerBody::Registered(wire::Registered {})
+    }
+
     fn check_accept(&self, accept: &wire::Accept, keys: &OperatorKeys) -> Result<(), AnswerBody> {
         self.recall_order(&accept.order_id, accept_fingerprint(accept))?;
         let digest = wire_digest(&accept.digest)?;
--- a/crates/core/src/control/snapshot.rs
+++ b/crates/core/src/control/snapshot.rs
@@ -4,7 +4,7 @@
 use prost::Message;
 
 use super::memory::{Memory, OrderRecord, VersionRecord};
-use super::{Control, History, KEPT_REVISIONS, Mutation};
+use super::{Control, Endpoints, History, KEPT_REVISIONS, Mutation};
 use crate::bundle::Digest;
 use crate::prelude::*;
 use crate::wire::control as wire;
@@ -27,7 +27,7 @@
     /// Returns the whole state.
     pub fn snapshot(&self) -> Bytes {
         let (current, past) = self.history.to_wire();
-        let snapshot = wire::Snapshot {
+        let mut snapshot = wire::Snapshot {
             format: FORMAT,
             current,
             past,
@@ -36,7 +36,9 @@
             floor: self.memory.floor.as_ref().map(ToString::to_string).unwrap_or_default(),
             order_lease: self.order_lease,
             groups: self.groups.clone(),
+            ..wire::Snapshot::default()
         };
+        self.endpoints.save(&mut snapshot);
         snapshot.encode_to_vec().into()
     }
 
@@ -52,6 +54,7 @@
             return Err(RestoreError::Format(snapshot.format));
         }
         let memory = restore_memory(&snapshot).ok_or_else(|| damaged("orders or versions"))?;
+        let endpoints = Endpoints::load(&snapshot);
         let history = History::from_wire(KEPT_REVISIONS, snapshot.current, snapshot.past)
             .ok_or_else(|| damaged("revisions"))?;
         let whole = history.current().is_none_or(|now| Digest::of(&now.content) == now.digest);
@@ -63,6 +66,7 @@
             memory,
             order_lease: snapshot.order_lease,
             groups: snapshot.groups,
+            endpoints,
             mutation: Mutation::None,
         })
     }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -22,6 +22,8 @@
 impl GroupId {
     /// The group that holds bundles, leases and placement.
     pub const CONTROL: GroupId = GroupId(0);
+    /// The group that holds kept turns and token budgets; far from the program groups' numbers.
+    pub const TURNS: GroupId = GroupId(1 << 16);
 }
 
 /// One of a fixed count of shares of the program space; placement maps slots to groups.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,5 +14,8 @@
 pub mod prelude;
 pub mod program;
 pub mod replication;
+pub mod roster;
+pub mod stream;
 pub mod time;
+pub mod turns;
 pub mod wire;
--- a/crates/core/src/policy/registry/hints.rs
+++ b/crates/core/src/policy/registry/hints.rs
@@ -47,6 +47,12 @@
         self.next = end;
     }
 
+    /// Notes what the engine is expected to hold of a prefix from now on.
+    pub fn expect(&mut self, now: Time, prefix: u64, tokens: u64) {
+        self.make_room(prefix);
+        self.held.insert(prefix, CacheHint { tokens, at: now });
+    }
+
     /// Returns what the engine was last heard to hold of `program`.
     pub fn get(&self, program: u64) -> Option<CacheHint> {
         self.held.get(&program).copied()
--- a/crates/core/src/policy/registry/mod.rs
+++ b/crates/core/src/policy/registry/mod.rs
@@ -172,6 +172,21 @@
         keys
     }
 
+    /// Takes the load that an endpoint told with an answer.
+    pub fn reported(&mut self, now: Time, key: EndpointKey, load: LoadReport) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.load.reported(now, load);
+        }
+    }
+
+    /// Notes that an engine will hold this many tokens of a prefix, because a call that reads them
+    /// was sent there. Later cache events of the engine overrule it.
+    pub fn expect_prefix(&mut self, now: Time, key: EndpointKey, prefix: u64, tokens: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.hints.expect(now, prefix, tokens);
+        }
+    }
+
     /// Counts a call as sent; the key closes it later.
     pub fn dispatched(&mut self, now: Time, key: EndpointKey, load: DispatchLoad) -> DispatchKey {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/core/src/policy/route/cost.rs
+++ b/crates/core/src/policy/route/cost.rs
@@ -104,7 +104,17 @@
         (None, Some(hint)) => hint.tokens,
         (None, None) => 0,
     };
-    tokens.min(ask.prior_tokens).min(ask.prompt_tokens)
+    tokens.min(ask.prior_tokens).max(held_shared(endpoint, ask)).min(ask.prompt_tokens)
+}
+
+/// Tokens of the longest shared start that the endpoint is believed to hold. One that has grown
+/// since is held up to where it was.
+fn held_shared(endpoint: &Endpoint, ask: &RouteAsk) -> u64 {
+    let held = ask
+        .shared
+        .iter()
+        .filter_map(|prefix| endpoint.hint(prefix.hash).map(|hint| hint.tokens.min(prefix.tokens)));
+    held.max().unwrap_or(0)
 }
 
 fn wait(settings: &RouteSettings, endpoint: &Endpoint, load: &LoadView, floor: f64) -> f64 {
--- a/crates/core/src/policy/route/mod.rs
+++ b/crates/core/src/policy/route/mod.rs
@@ -41,6 +41,15 @@
     pub at: Time,
 }
 
+/// A start of a prompt, known by its content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedPrefix {
+    /// Hash of the content, under which hints know it.
+    pub hash: u64,
+    /// Tokens from the prompt's start to the prefix's end.
+    pub tokens: u64,
+}
+
 /// One call that needs an endpoint.
 #[derive(Clone, Debug)]
 pub struct RouteAsk {
@@ -56,6 +65,9 @@
     pub output_guess: u64,
     /// Where earlier turns ran, latest first.
     pub last: Vec<LastRun>,
+    /// Starts of the prompt that other programs may have left in an engine's memory, shortest
+    /// first.
+    pub shared: Vec<SharedPrefix>,
     /// Urgency.
     pub class: Class,
     /// Where the call comes from.
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -14,6 +14,7 @@
 mod links;
 mod log;
 mod progress;
+pub mod repair;
 mod replica;
 mod sender;
 mod settings;
--- /dev/null
+++ b/crates/core/src/roster.rs
@@ -0,0 +1,87 @@
+//! Processes that introduced themselves, where nobody hands out a list of them.
+//!
+//! Each process says hello to stores it knows of, at first to those that its settings name, and is
+//! told of all others. What is known is soft state with an age; nothing durable depends on it.
+
+use std::collections::BTreeMap;
+
+use crate::prelude::*;
+use crate::wire::discovery::{Node, Nodes, Role};
+
+/// Silence after which a process is no longer listed.
+///
+/// Processes say hello every half second, and a restart takes one to two seconds; a store that is
+/// listed too long costs a caller one failed connection.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+
+/// Longest age that is passed on, so that two processes can't keep a third one's memory alive by
+/// telling each other.
+const TELL_UNTIL: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Debug)]
+struct Heard {
+    node: Node,
+    at: Time,
+}
+
+/// Processes heard of lately.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    nodes: BTreeMap<VmId, Heard>,
+}
+
+impl Roster {
+    /// Takes in a process, heard from itself or through another.
+    pub fn hear(&mut self, now: Time, node: Node) {
+        let at = now - Duration::from_millis(node.age_ms);
+        let vm = VmId(node.vm);
+        let known = self.nodes.get(&vm);
+        if known.is_some_and(|known| known.at >= at) {
+            return;
+        }
+        // A process that restarted with an empty disk has a new identity at its old address. The
+        // earlier one is gone for good, and nothing should be sent to it there.
+        self.nodes.retain(|_, other| {
+            VmId(other.node.vm) == vm || other.node.peers != node.peers || other.at > at
+        });
+        self.nodes.insert(vm, Heard { node, at });
+    }
+
+    /// Forgets processes that have been silent for long.
+    pub fn expire(&mut self, now: Time) {
+        self.nodes.retain(|_, heard| now.since(heard.at) < FORGET_AFTER);
+    }
+
+    /// Returns the processes to tell another one of, with their ages.
+    pub fn nodes(&self, now: Time) -> Nodes {
+        let nodes = self.nodes.values().filter(|heard| now.since(heard.at) < TELL_UNTIL);
+        let aged = nodes.map(|heard| {
+            let age = now.since(heard.at).as_millis();
+            Node { age_ms: u64::try_from(age).unwrap_or(u64::MAX), ..heard.node.clone() }
+        });
+        Nodes { nodes: aged.collect() }
+    }
+
+    /// Returns the stores heard of, with the time each was last heard.
+    pub fn stores(&self) -> impl Iterator<Item = (&Node, Time)> {
+        let stores = self.nodes.values().filter(|heard| heard.node.role() == Role::Store);
+        stores.map(|heard| (&heard.node, heard.at))
+    }
+
+    /// Returns when a process was last heard.
+    pub fn last_heard(&self, vm: VmId) -> Option<Time> {
+        self.nodes.get(&vm).map(|heard| heard.at)
+    }
+
+    /// Returns the process that listens at an address now.
+    pub fn at_address(&self, peers: &str) -> Option<VmId> {
+        let found = self.nodes.values().find(|heard| heard.node.peers == peers);
+        found.map(|heard| VmId(heard.node.vm))
+    }
+
+    /// Returns the process with this name.
+    pub fn named(&self, name: &str) -> Option<&Node> {
+        let found = self.nodes.values().filter(|heard| heard.node.name == name);
+        found.max_by_key(|heard| heard.at).map(|heard| &heard.node)
+    }
+}
--- /dev/null
+++ b/crates/core/src/turns/budget.rs
@@ -0,0 +1,84 @@
+//! Token budgets that all entry VMs share.
+
+use std::collections::BTreeMap;
+
+use crate::prelude::*;
+
+/// How long a program's use of its budget is remembered after its last turn, in milliseconds.
+///
+/// A program that was stopped may come back for as long as its turns are kept, a minute today.
+/// Ten times that costs some hundred bytes a program.
+const MEMORY_MS: u64 = 600_000;
+
+/// A program whose budget holds no further turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spent {
+    /// Tokens spent, and set aside for turns that have not been settled.
+    pub tokens: u64,
+}
+
+/// One program's use of its budget.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Usage {
+    /// Tokens of settled turns.
+    pub(super) spent: u64,
+    /// Tokens set aside, by turn.
+    pub(super) reserved: BTreeMap<CompactString, u64>,
+    /// Wall clock of the last command.
+    pub(super) last_ms: u64,
+}
+
+impl Usage {
+    fn total(&self) -> u64 {
+        self.reserved.values().fold(self.spent, |sum, most| sum.saturating_add(*most))
+    }
+}
+
+/// Use of budgets by program.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Budgets {
+    pub(super) programs: BTreeMap<CompactString, Usage>,
+}
+
+impl Budgets {
+    /// Sets tokens aside for a turn.
+    ///
+    /// A turn counts with the most it may generate until it is settled. An entry VM that dies
+    /// leaves its turns unsettled for good: what they handed out is not known, and counting less
+    /// could let the program exceed its budget. Asking again for the same turn changes nothing, so
+    /// a lost answer costs no budget.
+    pub(super) fn reserve(
+        &mut self,
+        now: u64,
+        program: &str,
+        turn: &str,
+        most: u64,
+        budget: Option<u64>,
+    ) -> Result<(), Spent> {
+        let usage = self.programs.entry(program.into()).or_default();
+        usage.last_ms = now;
+        if usage.reserved.contains_key(turn) {
+            return Ok(());
+        }
+        let tokens = usage.total();
+        if budget.is_some_and(|budget| tokens.saturating_add(most) > budget) {
+            return Err(Spent { tokens });
+        }
+        usage.reserved.insert(turn.into(), most);
+        Ok(())
+    }
+
+    /// Replaces what was set aside for a turn by what it used. A second settlement changes nothing.
+    pub(super) fn settle(&mut self, now: u64, program: &str, turn: &str, tokens: u64) {
+        let Some(usage) = self.programs.get_mut(program) else { return };
+        usage.last_ms = now;
+        if usage.reserved.remove(turn).is_some() {
+            usage.spent = usage.spent.saturating_add(tokens);
+        }
+    }
+
+    /// Forgets programs that have been silent for long.
+    pub(super) fn expire(&mut self, now: u64) {
+        self.programs.retain(|_, usage| now.saturating_sub(usage.last_ms) < MEMORY_MS);
+    }
+}
--- /dev/null
+++ b/crates/core/src/turns/snapshot.rs
@@ -0,0 +1,84 @@
+//! A turn group's state as one message, for snapshots and restarts.
+
+use bytes::Bytes;
+use prost::Message;
+
+use super::budget::{Budgets, Usage};
+use super::state::Turns;
+use super::tree::{Turn, TurnTree};
+use crate::prelude::*;
+use crate::wire::turn as wire;
+
+/// Format of the snapshot; a reader refuses a higher one.
+const FORMAT: u32 = 1;
+
+/// Why a snapshot can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RestoreError {
+    /// The bytes aren't a snapshot.
+    #[error("the turn snapshot is damaged: {0}")]
+    Damaged(CompactString),
+    /// A newer version wrote it.
+    #[error("the turn snapshot has format {0}, this version reads up to {FORMAT}: upgrade")]
+    Format(u32),
+}
+
+impl Turns {
+    /// Returns the whole state.
+    pub fn snapshot(&self) -> Bytes {
+        let programs = self.budgets.programs.iter().map(|(name, usage)| program(name, usage));
+        let turns = self.tree.turns.iter().map(|(id, turn)| wire::TurnRecord {
+            turn: id.to_string(),
+            kept: Some(turn.kept.clone()),
+            until_ms: turn.until,
+        });
+        let snapshot = wire::Snapshot {
+            format: FORMAT,
+            programs: programs.collect(),
+            turns: turns.collect(),
+            clock_ms: self.clock,
+        };
+        snapshot.encode_to_vec().into()
+    }
+
+    /// Reads a state that [`Turns::snapshot`] wrote.
+    ///
+    /// # Errors
+    /// Returns why the bytes can't be read; the replica must not answer then.
+    pub fn restore(snapshot: &Bytes) -> Result<Turns, RestoreError> {
+        let snapshot = wire::Snapshot::decode(snapshot.clone())
+            .map_err(|error| RestoreError::Damaged(error.to_compact_string()))?;
+        if snapshot.format > FORMAT {
+            return Err(RestoreError::Format(snapshot.format));
+        }
+        let programs = snapshot.programs.into_iter().map(usage).collect();
+        let turns = snapshot.turns.into_iter().map(|record| {
+            let turn = Turn { kept: record.kept.unwrap_or_default(), until: record.until_ms };
+            (record.turn.to_compact_string(), turn)
+        });
+        Ok(Turns {
+            budgets: Budgets { programs },
+            tree: TurnTree { turns: turns.collect() },
+            clock: snapshot.clock_ms,
+        })
+    }
+}
+
+fn program(name: &CompactString, usage: &Usage) -> wire::ProgramRecord {
+    let reserved = usage.reserved.iter();
+    let reserved =
+        reserved.map(|(turn, most)| wire::Reservation { turn: turn.to_string(), most: *most });
+    wire::ProgramRecord {
+        program: name.to_string(),
+        spent: usage.spent,
+        reserved: reserved.collect(),
+        last_ms: usage.last_ms,
+    }
+}
+
+fn usage(record: wire::ProgramRecord) -> (CompactString, Usage) {
+    let reserved = record.reserved.into_iter();
+    let reserved = reserved.map(|set| (set.turn.to_compact_string(), set.most)).collect();
+    let usage = Usage { spent: record.spent, reserved, last_ms: record.last_ms };
+    (record.program.to_compact_string(), usage)
+}
--- /dev/null
+++ b/crates/core/src/turns/state.rs
@@ -0,0 +1,78 @@
+//! The state machine of a turn group.
+
+use super::budget::Budgets;
+use super::tree::TurnTree;
+use crate::wire::turn as wire;
+use crate::wire::turn::command::Body as CommandBody;
+use crate::wire::turn::reply::Body as ReplyBody;
+
+/// Milliseconds of the group's clock between two sweeps for what may be forgotten: rare enough that
+/// a sweep over some ten thousand turns costs little. Every replica sweeps at the same command.
+const SWEEP_MS: u64 = 5_000;
+
+/// The replicated state of a turn group.
+#[derive(Clone, Debug, Default)]
+pub struct Turns {
+    pub(super) budgets: Budgets,
+    pub(super) tree: TurnTree,
+    /// Latest wall clock of any command, in milliseconds.
+    pub(super) clock: u64,
+}
+
+impl Turns {
+    /// Applies a committed command and returns its answer.
+    pub fn apply(&mut self, command: &wire::Command) -> wire::Reply {
+        let body = match &command.body {
+            Some(CommandBody::Reserve(reserve)) => self.reserve(reserve),
+            Some(CommandBody::Settle(settle)) => self.settle(settle),
+            None => ReplyBody::Uncertain(wire::Uncertain {}),
+        };
+        wire::Reply { body: Some(body) }
+    }
+
+    /// Returns how many turns are kept.
+    pub fn kept(&self) -> usize {
+        self.tree.len()
+    }
+
+    /// Returns how many programs are remembered.
+    pub fn programs(&self) -> usize {
+        self.budgets.programs.len()
+    }
+
+    fn reserve(&mut self, reserve: &wire::Reserve) -> ReplyBody {
+        let now = self.advance(reserve.now_ms);
+        let Some(history) = self.tree.history(now, &reserve.previous) else {
+            return ReplyBody::Unknown(wire::UnknownTurn {});
+        };
+        let (turn, most) = (&reserve.turn, reserve.most);
+        match self.budgets.reserve(now, &reserve.program, turn, most, reserve.budget) {
+            Ok(()) => ReplyBody::Reserved(wire::Reserved { history }),
+            Err(spent) => {
+                let budget = reserve.budget.unwrap_or(u64::MAX);
+                ReplyBody::Spent(wire::BudgetSpent { spent: spent.tokens, budget })
+            }
+        }
+    }
+
+    fn settle(&mut self, settle: &wire::Settle) -> ReplyBody {
+        let now = self.advance(settle.now_ms);
+        self.budgets.settle(now, &settle.program, &settle.turn, settle.tokens);
+        if let Some(kept) = &settle.kept {
+            self.tree.keep(now, &settle.turn, kept.clone());
+        }
+        ReplyBody::Settled(wire::Settled {})
+    }
+
+    /// Takes the wall clock of a command. It never goes back: a leader whose clock lags behind its
+    /// predecessor's must not make an expired turn come back.
+    fn advance(&mut self, now: u64) -> u64 {
+        let before = self.clock;
+        self.clock = self.clock.max(now);
+        if before / SWEEP_MS != self.clock / SWEEP_MS {
+            self.tree.expire(self.clock);
+            self.budgets.expire(self.clock);
+        }
+        self.clock
+    }
+}
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -44,3 +44,15 @@
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod replication;
+
+/// Processes that introduce themselves to each other.
+#[path = "generated/gypsumglade.discovery.rs"]
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::all)]
+pub mod discovery;
+
+/// Commands, answers and snapshots of a turn group.
+#[path = "generated/gypsumglade.turn.rs"]
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::all)]
+pub mod turn;
--- a/crates/core/tests/policy_route.rs
+++ b/crates/core/tests/policy_route.rs
@@ -76,6 +76,7 @@
         prior_tokens: 20_000,
         output_guess: 100,
         last: Vec::new(),
+        shared: Vec::new(),
         class: Class::Normal,
         place: Place::default(),
         excluded: Vec::new(),
--- a/crates/core/tests/scenario_policy.rs
+++ b/crates/core/tests/scenario_policy.rs
@@ -166,6 +166,7 @@
             prior_tokens: prior,
             output_guess: 100,
             last: args.keys.get("last").iter().map(|name| run(name)).collect(),
+            shared: Vec::new(),
             class: Class::Normal,
             place: Place::default(),
             excluded: Vec::new(),
--- a/crates/gypsumglade/src/admin.rs
+++ b/crates/gypsumglade/src/admin.rs
@@ -16,23 +16,16 @@
 use gypsumglade_core::wire::operator::control_request::Body as RequestBody;
 use gypsumglade_core::wire::operator::{ControlReply, ControlRequest, StatusQuery};
 use http::StatusCode;
-use jsonrpsee::core::params::ArrayParams;
 use prost::Message as _;
 use serde_json::{Value, json};
 
+use crate::control_client::{ControlGroupClient, Patience};
 use crate::directory::Directory;
 use crate::entry::state::EntryState;
-use crate::rpc::{Method, PeerClients, decode, encode};
+use crate::rpc::PeerClients;
 use crate::secret::Secret;
 use crate::store::StoreState;
 
-/// Longest wait for one store to answer an operator.
-const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Rounds over all stores before an operator is told that none leads.
-const CONTROL_ROUNDS: usize = 10;
-/// Pause between two rounds: an election takes about this long.
-const CONTROL_PAUSE: Duration = Duration::from_millis(300);
-
 /// Returns the operators' routes of an entry VM.
 pub fn entry_routes(state: Arc<EntryState>) -> Router {
     let control =
@@ -59,6 +52,11 @@
     guarded(own.merge(control_routes(control)), token)
 }
 
+/// Returns a store's metrics page without a token.
+pub fn open_metrics(state: Arc<StoreState>) -> Router {
+    Router::new().route("/metrics", get(store_metrics)).with_state(state)
+}
+
 /// Finds the control group's leader for an operator.
 #[derive(Clone)]
 pub struct ControlClient {
@@ -70,38 +68,9 @@
 
 impl ControlClient {
     /// Asks the control group; `None` when no leader answered.
-    ///
-    /// A command is safe to ask again: its order id makes a repeat get the first answer.
     pub async fn ask(&self, request: &ControlRequest) -> Option<ControlReply> {
-        let payload = encode(request);
-        let mut leader: Option<VmId> = None;
-        for _ in 0..CONTROL_ROUNDS {
-            let stores = self.directory.stores();
-            let first = leader.take().and_then(|vm| stores.get(&vm).copied());
-            for address in first.into_iter().chain(stores.values().copied()) {
-                let Some(reply) = self.ask_store(address, &payload).await else { continue };
-                match reply.body {
-                    Some(ReplyBody::NotLeader(hint)) => {
-                        leader = (hint.leader != 0).then_some(VmId(hint.leader));
-                    }
-                    Some(ReplyBody::Uncertain(_)) | None => {}
-                    Some(ReplyBody::Answer(_) | ReplyBody::Status(_)) => return Some(reply),
-                }
-            }
-            tokio::time::sleep(CONTROL_PAUSE).await;
-        }
-        None
-    }
-
-    async fn ask_store(
-        &self,
-        address: std::net::SocketAddr,
-        payload: &str,
-    ) -> Option<ControlReply> {
-        let mut parameters = ArrayParams::new();
-        parameters.insert(payload).ok()?;
-        let call = self.peers.call(address, Method::Control, parameters, CONTROL_TIMEOUT);
-        decode(&call.await.ok()?).ok()
+        let (directory, peers) = (Arc::clone(&self.directory), self.peers.clone());
+        ControlGroupClient::new(directory, peers, Patience::OPERATOR).ask(request).await
     }
 }
 
@@ -191,6 +160,7 @@
         "vm": state.context.vm,
         "control": state.control.dump(),
         "programs": groups,
+        "turns": state.turns.dump(),
         "replicas": state.context.host.status().await,
         "stores": state.context.directory.stores(),
         "entries": state.context.directory.entries(),
--- a/crates/gypsumglade/src/bench/policy/run.rs
+++ b/crates/gypsumglade/src/bench/policy/run.rs
@@ -275,6 +275,7 @@
             prior_tokens: call.job.prior,
             output_guess: OUTPUT_GUESS,
             last: program.last.clone(),
+            shared: Vec::new(),
             class: program.plan.class,
             place: program.plan.place,
             excluded: Vec::new(),
--- a/crates/gypsumglade/src/cli/daemon.rs
+++ b/crates/gypsumglade/src/cli/daemon.rs
@@ -12,9 +12,10 @@
 use crate::directory::Directory;
 use crate::embedded::Embedded;
 use crate::entry::Entry;
+use crate::gateway::{Dialect, Gateway};
 use crate::logs;
 use crate::settings::Settings;
-use crate::store::Store;
+use crate::store::{Registrar, Store};
 
 /// What a process runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,19 +41,38 @@
 /// Command line of a daemon.
 #[derive(Debug, Parser)]
 #[command(version)]
-struct DaemonArgs {
+pub struct DaemonArgs {
     /// Settings file; `gypsumglade settings check FILE` checks it.
     #[arg(long, value_name = "FILE", env = "GYPSUMGLADE_SETTINGS")]
     settings: PathBuf,
 }
 
+/// What a platform brings to the daemons: its dialect towards callers and endpoints, and towards
+/// whoever asks the registrar.
+pub struct Platform {
+    /// Callers' and endpoints' dialect.
+    pub dialect: Arc<dyn Dialect>,
+    /// Routes of the registrar's interface.
+    pub registrar: fn(Registrar) -> axum::Router,
+}
+
 /// Runs a daemon of one role to its end.
 ///
 /// The first SIGTERM or SIGINT is a planned stop, in which calls in flight finish; a second one
 /// ends the process at once.
 pub fn main(roles: Roles) -> ExitCode {
     let args = DaemonArgs::parse();
-    let outcome = load(&args.settings).and_then(|settings| run(roles, settings));
+    exit_code(load(&args.settings).and_then(|settings| run(roles, settings)))
+}
+
+/// Runs the role that the settings name, in a platform's dialect, to its end: a store where they
+/// have a `store` section, otherwise a gateway.
+pub fn main_on(platform: Platform) -> ExitCode {
+    let args = DaemonArgs::parse();
+    exit_code(load(&args.settings).and_then(|settings| run_on(platform, settings)))
+}
+
+fn exit_code(outcome: Result<(), Failure>) -> ExitCode {
     match outcome {
         Ok(()) => ExitCode::from(exit::DONE),
         Err(failure) => {
@@ -69,14 +89,48 @@
 
 /// Runs roles until a planned stop is over.
 pub(super) fn run(roles: Roles, settings: Settings) -> Result<(), Failure> {
-    let runtime = tokio::runtime::Runtime::new().context("can't start the runtime")?;
+    let runtime = runtime(settings.threads).context("can't start the runtime")?;
     // The guard writes the log's last lines, so it outlives the roles.
     let (log, _guard) = logs::start(&settings.log, settings.vm.id, roles.name())?;
     Ok(runtime.block_on(serve(roles, settings, log))?)
 }
 
+fn run_on(platform: Platform, settings: Settings) -> Result<(), Failure> {
+    let runtime = runtime(settings.threads).context("can't start the runtime")?;
+    let role = if settings.store.is_some() { "store" } else { "gateway" };
+    let (log, _guard) = logs::start(&settings.log, settings.vm.id, role)?;
+    Ok(runtime.block_on(serve_on(platform, settings, log))?)
+}
+
+/// Builds the runtime. One thread spares a VM with a part of one processor the switches between
+/// threads.
+fn runtime(threads: u16) -> std::io::Result<tokio::runtime::Runtime> {
+    match threads {
+        0 => tokio::runtime::Runtime::new(),
+        1 => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        threads => tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(threads.into())
+            .enable_all()
+            .build(),
+    }
+}
+
+async fn serve_on(platform: Platform, settings: Settings, log: slog::Logger) -> anyhow::Result<()> {
+    let signals = Signals::new()?;
+    let running = if settings.store.is_some() {
+        let directory = Arc::new(Directory::new(&settings));
+        let mut store = Store::start(settings, directory, log).await?;
+        let routes = (platform.registrar)(store.registrar());
+        store.serve_registrar(routes).await?;
+        Running::Store(store)
+    } else {
+        Running::Gateway(Box::new(Gateway::start(settings, platform.dialect, log).await?))
+    };
+    stop_as_planned(running, signals).await
+}
+
 async fn serve(roles: Roles, settings: Settings, log: slog::Logger) -> anyhow::Result<()> {
-    let mut signals = Signals::new()?;
+    let signals = Signals::new()?;
     let directory = Arc::new(Directory::new(&settings));
     let running = match roles {
         Roles::Entry => Running::Entry(Entry::start(settings, directory, log).await?),
@@ -84,6 +138,10 @@
         Roles::Both => Running::Both(Box::new(Embedded::start(settings, log).await?)),
     };
     running.tell();
+    stop_as_planned(running, signals).await
+}
+
+async fn stop_as_planned(running: Running, mut signals: Signals) -> anyhow::Result<()> {
     signals.next().await;
     tokio::select! {
         () = running.stop() => Ok(()),
@@ -96,6 +154,7 @@
     Entry(Entry),
     Store(Store),
     Both(Box<Embedded>),
+    Gateway(Box<Gateway>),
 }
 
 impl Running {
@@ -105,6 +164,7 @@
             Running::Entry(entry) => serde_json::to_string(&entry.addresses()),
             Running::Store(store) => serde_json::to_string(&store.addresses()),
             Running::Both(both) => serde_json::to_string(&both.entry.addresses()),
+            Running::Gateway(gateway) => serde_json::to_string(&gateway.addresses()),
         };
         println!("{}", line.unwrap_or_default());
     }
@@ -114,6 +174,7 @@
             Running::Entry(entry) => entry.stop().await,
             Running::Store(store) => store.stop().await,
             Running::Both(both) => both.stop().await,
+            Running::Gateway(gateway) => gateway.stop().await,
         }
     }
 }
--- a/crates/gypsumglade/src/cli/orders.rs
+++ b/crates/gypsumglade/src/cli/orders.rs
@@ -56,7 +56,7 @@
             let message = format!("{}: {}", fault.as_str_name(), rejected.detail);
             Err(Failure::new(FailureKind::Refused, message, advice(fault)))
         }
-        Some(AnswerBody::Orders(_) | AnswerBody::Placed(_)) | None => {
+        Some(AnswerBody::Orders(_) | AnswerBody::Placed(_) | AnswerBody::Registered(_)) | None => {
             let message = "the answer is to another kind of order";
             let advice = "use a tool of the process's version";
             Err(Failure::new(FailureKind::Unknown, message, advice))
--- a/crates/gypsumglade/src/directory.rs
+++ b/crates/gypsumglade/src/directory.rs
@@ -69,6 +69,11 @@
         self.stores.write().expect("no panic while held").insert(vm, address);
     }
 
+    /// Takes the stores as discovery now sees them.
+    pub fn set_stores(&self, stores: BTreeMap<VmId, SocketAddr>) {
+        *self.stores.write().expect("no panic while held") = stores;
+    }
+
     fn read_entries(&self) -> RwLockReadGuard<'_, Vec<EntryAddress>> {
         self.entries.read().expect("no panic while held")
     }
--- /dev/null
+++ b/crates/gypsumglade/src/discovery.rs
@@ -0,0 +1,176 @@
+//! Finds the other processes from a few seeds, and keeps finding them as they come and go.
+//!
+//! Each process introduces itself to some stores twice a second and is told of all others. Nothing
+//! durable depends on what is learnt: a wrong or old entry costs a failed connection. See
+//! docs/design/provider.md.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::roster::Roster;
+use gypsumglade_core::wire::discovery::{Hello, Node, Nodes, Role};
+use jsonrpsee::core::params::ArrayParams;
+use rand::seq::IteratorRandom as _;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::rpc::{Method, PeerClients, decode, encode};
+use crate::settings::Settings;
+
+/// Pause between two rounds of introductions: a newcomer is known to all within two rounds.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Pause while no store is known yet.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_millis(800);
+/// Known stores that are asked in each round. News spread in a logarithm of rounds, and the cost
+/// of a round does not grow with the number of stores.
+const ASKED: usize = 2;
+
+/// The process that introduces itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Process {
+    /// Its identity.
+    pub vm: VmId,
+    /// What it runs.
+    pub role: Role,
+    /// Its listener for calls between processes.
+    pub address: SocketAddr,
+}
+
+/// What a process knows of the others.
+pub struct Discovery {
+    me: Node,
+    seeds: Vec<SocketAddr>,
+    roster: Mutex<Roster>,
+    directory: Arc<Directory>,
+    peers: PeerClients,
+    clock: Clock,
+}
+
+impl Discovery {
+    /// Creates the process's own introduction; `None` where the settings list the other VMs.
+    pub fn new(
+        settings: &Settings,
+        process: Process,
+        directory: Arc<Directory>,
+        peers: PeerClients,
+        clock: Clock,
+    ) -> Option<Arc<Discovery>> {
+        let discovery = settings.discovery.as_ref()?;
+        let node = Node {
+            vm: process.vm.0,
+            name: discovery.name.to_string(),
+            domain: settings.vm.domain.to_string(),
+            region: settings.vm.region.to_string(),
+            peers: process.address.to_string(),
+            role: process.role.into(),
+            age_ms: 0,
+        };
+        let seeds = discovery.peers(process.address.port());
+        let roster = Mutex::default();
+        let found = Discovery { me: node, seeds, roster, directory, peers, clock };
+        found.hear(Vec::new());
+        Some(Arc::new(found))
+    }
+
+    /// Takes in a process that introduced itself, and returns those to tell it of.
+    pub fn welcome(&self, hello: Hello) -> Nodes {
+        self.hear(hello.node.into_iter().collect());
+        self.roster().nodes(self.clock.now())
+    }
+
+    /// Returns the processes heard of lately.
+    pub fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.roster.lock().expect("no panic while held")
+    }
+
+    /// Returns the time on the roster's clock.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Introduces this process until `stop`.
+    pub async fn run(self: Arc<Self>, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            let targets = self.targets();
+            let asked = targets.into_iter().map(|address| self.introduce(address));
+            futures::future::join_all(asked).await;
+            let alone = self.directory.stores().keys().all(|vm| vm.0 == self.me.vm);
+            let pause = if alone { FIRST_PAUSE } else { PAUSE };
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    /// Returns whom to introduce this process to: some stores that it knows, and a seed.
+    ///
+    /// Seeds go on being asked: after a long partition they may be the only way back to processes
+    /// that all moved meanwhile. A process that knows nobody asks every seed.
+    fn targets(&self) -> Vec<SocketAddr> {
+        let own = self.me.peers.parse().ok();
+        let stores = self.directory.stores();
+        let known = stores.into_values().filter(|address| Some(*address) != own);
+        let mut targets = known.sample(&mut rand::rng(), ASKED);
+        let seeds = self.seeds.iter().copied().filter(|address| Some(*address) != own);
+        if targets.is_empty() {
+            targets.extend(seeds);
+        } else if let Some(seed) = seeds.choose(&mut rand::rng())
+            && !targets.contains(&seed)
+        {
+            targets.push(seed);
+        }
+        targets
+    }
+
+    async fn introduce(&self, address: SocketAddr) {
+        let hello = Hello { node: Some(self.me.clone()) };
+        let mut parameters = ArrayParams::new();
+        if parameters.insert(encode(&hello)).is_err() {
+            return;
+        }
+        // Who does not answer is asked again in a later round.
+        let Ok(text) = self.peers.call(address, Method::Hello, parameters, TIMEOUT).await else {
+            return;
+        };
+        if let Ok(nodes) = decode::<Nodes>(&text) {
+            self.hear(nodes.nodes);
+        }
+    }
+
+    fn hear(&self, nodes: Vec<Node>) {
+        let now = self.clock.now();
+        let mut roster = self.roster();
+        for node in nodes.into_iter().filter(|node| node.vm != self.me.vm) {
+            roster.hear(now, node);
+        }
+        roster.hear(now, self.me.clone());
+        roster.expire(now);
+        let stores = roster.stores().filter_map(|(node, _)| {
+            let address = node.peers.parse().ok()?;
+            Some((VmId(node.vm), address))
+        });
+        self.directory.set_stores(stores.collect());
+    }
+}
+
+/// Returns the identity that a seed takes when the whole deployment starts for the first time.
+///
+/// Every seed works out the others' from their addresses alone, so the first members of each group
+/// are known to all without a word between them, in whatever order they start. Any later process at
+/// the same address draws its identity at random: a wiped disk must never vote again under an
+/// identity that has voted.
+pub fn seed_identity(address: SocketAddr) -> VmId {
+    let hash = xxh3_64(address.to_string().as_bytes());
+    VmId(((hash >> 32) as u32).max(1))
+}
+
+/// Draws an identity that no process has had.
+pub fn fresh_identity() -> VmId {
+    VmId(rand::random_range(1..=u32::MAX))
+}
--- a/crates/gypsumglade/src/disk/folder.rs
+++ b/crates/gypsumglade/src/disk/folder.rs
@@ -60,7 +60,10 @@
 }
 
 /// Returns the VM whose folder it is; nothing for a folder that was never used.
-pub(super) fn owner(folder: &Path) -> anyhow::Result<Option<VmId>> {
+///
+/// # Errors
+/// Fails on a folder whose format file is damaged or of another version.
+pub fn owner(folder: &Path) -> anyhow::Result<Option<VmId>> {
     Ok(read_format(folder)?.map(|format| format.vm))
 }
 
--- a/crates/gypsumglade/src/disk/mod.rs
+++ b/crates/gypsumglade/src/disk/mod.rs
@@ -15,6 +15,7 @@
 mod writer;
 
 pub use faults::Faults;
+pub use folder::owner;
 pub use inspect::{Finding, GroupReport, Report, SegmentReport, inspect};
 pub use reader::Reader;
 pub use snapshot::Saver;
--- a/crates/gypsumglade/src/entry/active_bundle.rs
+++ b/crates/gypsumglade/src/entry/active_bundle.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 
-use gypsumglade_core::bundle::{Agent, Bundle, Model, Operation, Organisation, Service};
+use gypsumglade_core::bundle::{
+    Agent, Bundle, Model, Operation, Organisation, Pool, Route, Service,
+};
 use gypsumglade_core::prelude::*;
 use sha2::{Digest as _, Sha256};
 
@@ -18,6 +20,8 @@
     pub bundle: Bundle,
     organisations: HashMap<CompactString, usize>,
     agents: HashMap<CompactString, usize>,
+    /// Routes by host, those with the longest prefix first.
+    routes: HashMap<CompactString, Vec<usize>>,
 }
 
 impl ActiveBundle {
@@ -27,7 +31,20 @@
         let organisations = organisations.map(|(i, org)| (org.key_digest.clone(), i)).collect();
         let agents = bundle.agents.iter().enumerate();
         let agents = agents.map(|(i, agent)| (agent.name.clone(), i)).collect();
-        ActiveBundle { revision, bundle, organisations, agents }
+        let routes = index_routes(&bundle);
+        ActiveBundle { revision, bundle, organisations, agents, routes }
+    }
+
+    /// Finds the route of a path: of those of its host, the one with the longest prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.routes.get(host)?.iter();
+        let mut routes = routes.filter_map(|index| self.bundle.routes.get(*index));
+        routes.find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Finds a pool of endpoints.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.bundle.pools.iter().find(|pool| pool.name == name)
     }
 
     /// Finds the organisation of an API key.
@@ -88,3 +105,14 @@
         })
     }
 }
+
+fn index_routes(bundle: &Bundle) -> HashMap<CompactString, Vec<usize>> {
+    let mut routes: HashMap<CompactString, Vec<usize>> = HashMap::new();
+    for (index, route) in bundle.routes.iter().enumerate() {
+        routes.entry(route.host.clone()).or_default().push(index);
+    }
+    for found in routes.values_mut() {
+        found.sort_by_key(|index| std::cmp::Reverse(bundle.routes[*index].prefix.len()));
+    }
+    routes
+}
--- a/crates/gypsumglade/src/entry/config.rs
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -15,6 +15,7 @@
 use super::problem::{Problem, ProblemKind};
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::leader_hint::LeaderHint;
 use crate::rpc::{Method, PeerClients, decode, encode};
 
 /// Longest wait for a lease's answer: well below its length, so that another VM can be asked.
@@ -149,7 +150,9 @@
     let now = renewal.clock.now();
     match reply {
         Some(reply) => {
-            leaders.learn(&reply);
+            if let Some(Body::Unavailable(unavailable)) = &reply.body {
+                leaders.redirect(None, unavailable.leader.map(VmId));
+            }
             view.take(reply, now, &renewal.log);
         }
         None => {
@@ -159,33 +162,6 @@
     }
 }
 
-/// Which store was last said to lead the control group.
-#[derive(Debug, Default)]
-struct LeaderHint {
-    leader: Option<VmId>,
-    turn: usize,
-}
-
-impl LeaderHint {
-    fn learn(&mut self, reply: &ConfirmReply) {
-        if let Some(Body::Unavailable(unavailable)) = &reply.body {
-            self.leader = unavailable.leader.map(VmId);
-            self.turn += 1;
-        }
-    }
-
-    fn forget(&mut self) {
-        self.leader = None;
-        self.turn += 1;
-    }
-
-    fn address(&self, directory: &Directory) -> Option<std::net::SocketAddr> {
-        let stores = directory.stores();
-        let known = self.leader.and_then(|vm| stores.get(&vm).copied());
-        known.or_else(|| stores.values().nth(self.turn % stores.len().max(1)).copied())
-    }
-}
-
 fn target(
     renewal: &Renewal,
     leaders: &LeaderHint,
@@ -198,7 +174,7 @@
     // After every ancestor failed once, the path is tried from its start again.
     match path.get(failures % path.len().max(1))? {
         Upstream::Vm(vm) => renewal.directory.entry(*vm),
-        Upstream::Control => leaders.address(&renewal.directory),
+        Upstream::Control => leaders.target(&renewal.directory).map(|(_, address)| address),
     }
 }
 
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -381,6 +381,7 @@
         prior_tokens: 0,
         output_guess: 0,
         last: Vec::new(),
+        shared: Vec::new(),
         class: call.class,
         place: state.place,
         excluded: excluded.to_vec(),
--- /dev/null
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -0,0 +1,68 @@
+//! A request on its way, and the answer to it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gypsumglade_core::bundle::{Repeat, Route, Stream};
+use gypsumglade_core::prelude::*;
+use http::{Response, request};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt as _, Full};
+use tokio::time::Instant;
+
+use super::dialect::CallHead;
+use crate::entry::active_bundle::ActiveBundle;
+
+/// Why a relayed body ends before it is whole; the connection is cut.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the answer broke off")]
+pub(super) struct BrokenOff;
+
+/// Body of an answer to a caller.
+pub(super) type AnswerBody = BoxBody<Bytes, BrokenOff>;
+
+/// Answer to a caller.
+pub(super) type Answer = Response<AnswerBody>;
+
+/// One attempt of a caller, with its route.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) head: CallHead,
+    pub(super) parts: request::Parts,
+    /// What is sent to the endpoint: the caller's body, after a turn's history if it has one.
+    pub(super) body: Bytes,
+    pub(super) route: Route,
+    pub(super) pool: CompactString,
+    pub(super) bundle: Arc<ActiveBundle>,
+    pub(super) arrived: Instant,
+    /// End of the time that the caller and the operator give it.
+    pub(super) until: Instant,
+}
+
+impl Call {
+    /// Returns the time that is left.
+    pub(super) fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// Tells whether a request that may have run may be sent again.
+    pub(super) fn is_idempotent(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+
+    /// Returns how streams of the route behave, where it has streams.
+    pub(super) fn stream(&self) -> Option<Stream> {
+        self.route.stream
+    }
+
+    /// Returns the tokens in each event of the pool's engines.
+    pub(super) fn event_tokens(&self) -> u64 {
+        let pool = self.bundle.pool(&self.pool);
+        pool.and_then(|pool| pool.engine).map_or(0, |engine| engine.event_tokens)
+    }
+}
+
+/// Wraps a body that is whole.
+pub(super) fn whole(body: Bytes) -> AnswerBody {
+    Full::new(body).map_err(|never| match never {}).boxed()
+}
--- /dev/null
+++ b/crates/gypsumglade/src/gateway/channels.rs
@@ -0,0 +1,140 @@
+//! Connections to endpoints, reused with care.
+//!
+//! An endpoint serves one request at a time on a connection. A connection goes back only after a
+//! whole answer that was the endpoint's own; anything else on it poisons it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Longest time to open a connection; within a region it takes some milliseconds, and another
+/// endpoint is tried after it.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long an idle connection is kept where the endpoint does not say.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Part of the endpoint's own idle time for which a connection is kept: one that the endpoint
+/// closes while a request is on its way leaves open whether the request ran.
+const IDLE_PART: f64 = 0.6;
+/// Most idle connections kept for one endpoint.
+const MAX_IDLE: usize = 16;
+
+/// A connection that may carry the next request.
+#[derive(Debug)]
+pub(super) struct Channel {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    reused: bool,
+}
+
+/// Why a request has no answer head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ChannelError {
+    /// Surely not a byte was read by the endpoint.
+    NotSent,
+    /// It may have been read.
+    Broken,
+}
+
+#[derive(Debug)]
+struct Idle {
+    channel: Channel,
+    until: Instant,
+}
+
+/// Idle connections by endpoint.
+#[derive(Debug, Default)]
+pub(super) struct Channels {
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Channels {
+    /// Takes an idle connection, or opens one.
+    pub(super) async fn open(&self, address: SocketAddr) -> Result<Channel, ChannelError> {
+        if let Some(channel) = self.take(address) {
+            return Ok(channel);
+        }
+        self.connect(address).await
+    }
+
+    /// Opens a connection.
+    pub(super) async fn connect(&self, address: SocketAddr) -> Result<Channel, ChannelError> {
+        let opening = async {
+            let stream = TcpStream::connect(address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            let io = TokioIo::new(stream);
+            let (sender, connection) = Builder::new().handshake(io).await.ok()?;
+            // Its error shows in the request that it carries.
+            tokio::spawn(async move { drop(connection.await) });
+            Some(Channel { address, sender, reused: false })
+        };
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok().flatten();
+        opened.ok_or(ChannelError::NotSent)
+    }
+
+    /// Keeps a connection for the next request.
+    pub(super) fn keep(&self, mut channel: Channel, idle: Option<Duration>) {
+        if channel.sender.is_closed() {
+            return;
+        }
+        channel.reused = true;
+        let until = Instant::now() + idle.unwrap_or(DEFAULT_IDLE).mul_f64(IDLE_PART);
+        let mut all = self.idle.lock().expect("no panic while held");
+        let kept = all.entry(channel.address).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(Idle { channel, until });
+        }
+    }
+
+    /// Closes the connections whose idle time is over.
+    pub(super) fn expire(&self) {
+        let now = Instant::now();
+        let mut all = self.idle.lock().expect("no panic while held");
+        all.retain(|_, kept| {
+            kept.retain(|idle| idle.until > now && !idle.channel.sender.is_closed());
+            !kept.is_empty()
+        });
+    }
+
+    /// Takes the connection that was used last: those that stay unused then run out.
+    fn take(&self, address: SocketAddr) -> Option<Channel> {
+        let now = Instant::now();
+        let mut all = self.idle.lock().expect("no panic while held");
+        let kept = all.get_mut(&address)?;
+        while let Some(idle) = kept.pop() {
+            if idle.until > now && idle.channel.sender.is_ready() {
+                return Some(idle.channel);
+            }
+        }
+        None
+    }
+}
+
+impl Channel {
+    /// Tells whether it carried a request before.
+    pub(super) fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Sends a request and returns the head of what comes back.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ChannelError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            // The library gives the request back only if not a byte of it was written.
+            Err(error) if error.message().is_some() => Err(ChannelError::NotSent),
+            Err(_) => Err(ChannelError::Broken),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/gateway/follow.rs
@@ -0,0 +1,152 @@
+//! Follows the endpoints that the control group knows.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use gypsumglade_core::policy::registry::Announcement;
+use gypsumglade_core::policy::registry::CacheEvents;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::{EndpointNews, EndpointQuery, EndpointRecord};
+use jsonrpsee::core::params::ArrayParams;
+
+use super::placing::endpoint_kind;
+use super::state::GatewayState;
+use crate::leader_hint::LeaderHint;
+use crate::rpc::{Method, decode, encode};
+
+/// How long a question waits at the leader for news.
+const WAIT: Duration = Duration::from_millis(800);
+/// Longest wait for the answer: a leader that fell silent is noticed this fast, well within the
+/// time that a draining endpoint goes on serving.
+const TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Pause after a store that does not lead.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Time for which an endpoint counts as there without a word from the control group. The group
+/// tells when one goes; this only bounds a partition from it, which callers are served through.
+const LEASE: Duration = Duration::from_secs(60);
+/// Pause between two renewals of all leases.
+const RENEWAL: Duration = Duration::from_secs(10);
+
+/// What is known of the endpoints.
+struct Follower {
+    state: Arc<GatewayState>,
+    seen: u64,
+    known: HashMap<CompactString, EndpointRecord>,
+    /// Numbers the announcements to the registry, which takes none twice.
+    sequence: u64,
+    renewed: Time,
+    revision: RevisionNumber,
+}
+
+/// Follows until the process stops taking work.
+pub(super) async fn follow(state: Arc<GatewayState>, halt: tokio_util::sync::CancellationToken) {
+    let mut follower = Follower {
+        seen: 0,
+        known: HashMap::new(),
+        sequence: 0,
+        renewed: Time::ZERO,
+        revision: RevisionNumber::default(),
+        state,
+    };
+    let mut leader = LeaderHint::starting_at(rand::random_range(0..16));
+    while !halt.is_cancelled() {
+        let asked = follower.ask(&mut leader).await;
+        match asked {
+            Some(news) => follower.take(news),
+            None => tokio::time::sleep(PAUSE).await,
+        }
+        follower.renew_leases();
+    }
+}
+
+impl Follower {
+    async fn ask(&self, leader: &mut LeaderHint) -> Option<EndpointNews> {
+        let (vm, address) = leader.target(&self.state.directory)?;
+        let wait = if self.seen == 0 { Duration::ZERO } else { WAIT };
+        let query = EndpointQuery { seen: self.seen, wait_ms: wait.as_millis() as u64 };
+        let mut parameters = ArrayParams::new();
+        parameters.insert(encode(&query)).ok()?;
+        let call = self.state.peers.call(address, Method::Endpoints, parameters, TIMEOUT);
+        let news = call.await.ok().and_then(|text| decode::<EndpointNews>(&text).ok());
+        match news {
+            Some(news) if !news.unavailable => {
+                leader.confirm(vm);
+                Some(news)
+            }
+            Some(news) => {
+                leader.redirect(Some(vm), Some(VmId(news.leader)));
+                None
+            }
+            None => {
+                leader.forget();
+                None
+            }
+        }
+    }
+
+    fn take(&mut self, news: EndpointNews) {
+        if news.change == self.seen {
+            return;
+        }
+        self.seen = news.change;
+        let named = news.endpoints.into_iter().map(|found| (found.name.to_compact_string(), found));
+        let next: HashMap<CompactString, EndpointRecord> = named.collect();
+        self.drop_gone(&next);
+        self.known = next;
+        self.announce_all();
+        slog::info!(self.state.log, "endpoints followed"; "change" => self.seen,
+            "endpoints" => self.known.len(),
+            "leaving" => self.known.values().filter(|record| record.leaving).count());
+    }
+
+    /// Takes endpoints out that are gone or have started anew. Their name may be at another address
+    /// by now, which the registry would refuse while it thinks that the former start is there.
+    fn drop_gone(&self, next: &HashMap<CompactString, EndpointRecord>) {
+        let now = self.state.clock.now();
+        let mut desk = self.state.desk();
+        for (name, record) in &self.known {
+            let same = next.get(name).is_some_and(|new| new.incarnation == record.incarnation);
+            if !same {
+                desk.registry.leave(now, name, record.incarnation);
+            }
+        }
+    }
+
+    /// Renews the leases now and then, and announces anew after a change of the bundle, which says
+    /// what the endpoints of each pool are.
+    fn renew_leases(&mut self) {
+        let now = self.state.clock.now();
+        let revision = self.state.config.applied();
+        if revision != self.revision || now.since(self.renewed) > RENEWAL {
+            self.revision = revision;
+            self.announce_all();
+        }
+    }
+
+    fn announce_all(&mut self) {
+        let now = self.state.clock.now();
+        self.renewed = now;
+        let Ok(bundle) = self.state.config.active(now) else { return };
+        self.sequence += 1;
+        let mut desk = self.state.desk();
+        for record in self.known.values() {
+            let settings = &self.state.settings;
+            let announcement = Announcement {
+                name: record.name.to_compact_string(),
+                incarnation: record.incarnation,
+                sequence: self.sequence,
+                kind: endpoint_kind(&bundle, &record.pool, record.slots),
+                address: record.address.to_compact_string(),
+                domain: settings.domain_id(&record.domain).unwrap_or_default(),
+                region: settings.region_of(&record.domain).unwrap_or_default(),
+                fencing: false,
+                lease: LEASE,
+                leaving: record.leaving,
+                load: None,
+                cache_events: CacheEvents::default(),
+            };
+            desk.registry.announce(now, announcement);
+        }
+        desk.registry.expire(now);
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -0,0 +1,25 @@
+//! The entry's interface for requests that are passed through to endpoints as they are.
+//!
+//! A request goes through fixed steps: read its head in the callers' dialect, find its route, for a
+//! turn set its tokens aside, place it, send it, relay the answer, settle. What differs from one
+//! platform to another is behind [`Dialect`]. docs/design/provider.md has the reasons.
+
+mod call;
+mod channels;
+mod dialect;
+mod follow;
+mod lines;
+mod opening;
+mod placing;
+mod plain;
+mod relay;
+mod serve;
+mod settlement;
+mod state;
+mod streaming;
+mod turn_client;
+
+pub use dialect::{
+    AnswerHead, CallHead, Dialect, EndpointLoad, Order, PromptPart, Refusal, Standing, TurnHead,
+};
+pub use serve::{Gateway, GatewayAddresses};
--- /dev/null
+++ b/crates/gypsumglade/src/gateway/placing.rs
@@ -0,0 +1,200 @@
+//! Chooses an endpoint for an attempt, and counts the attempt there until it is over.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use gypsumglade_core::policy::Class;
+use gypsumglade_core::policy::registry::{
+    DispatchKey, DispatchLoad, EndpointKey, EndpointKind, LoadReport, ModelId,
+};
+use gypsumglade_core::policy::route::{Choice, RouteAsk, RouteError, SharedPrefix, Target};
+use gypsumglade_core::prelude::*;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::call::Call;
+use super::dialect::EndpointLoad;
+use super::state::GatewayState;
+
+/// Part of the tokens that an answer may have that it is expected to have.
+const OUTPUT_PART: f64 = 0.5;
+
+/// An attempt at an endpoint, counted as in flight there until it is dropped.
+pub(super) struct Flight {
+    state: Arc<GatewayState>,
+    endpoint: EndpointKey,
+    key: Option<DispatchKey>,
+    pub(super) name: EndpointName,
+    pub(super) incarnation: u64,
+    pub(super) address: SocketAddr,
+}
+
+/// Returns the pool of a request, by the weights of its route. A program stays with one pool, where
+/// its prompts are known.
+pub(super) fn choose_pool(route: &gypsumglade_core::bundle::Route, key: &str) -> CompactString {
+    let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+    let mut point = xxh3_64(key.as_bytes()) % total.max(1);
+    for share in &route.shares {
+        if point < u64::from(share.weight) {
+            return share.pool.clone();
+        }
+        point -= u64::from(share.weight);
+    }
+    CompactString::default()
+}
+
+/// Returns what an engine pool's endpoints are known by in the registry.
+pub(super) fn pool_model(pool: &str) -> ModelId {
+    ModelId::new(pool, "")
+}
+
+/// Chooses an endpoint that `excluded` does not name.
+///
+/// # Errors
+/// Returns when it is worth coming back.
+pub(super) fn place(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    excluded: &[EndpointName],
+) -> Result<Flight, Duration> {
+    let now = state.clock.now();
+    let ask = route_ask(state, call, excluded);
+    let mut desk = state.desk();
+    let desk = &mut *desk;
+    let choice = desk.router.choose(now, &desk.registry, &ask).map_err(|error| match error {
+        RouteError::NoEndpoint { retry_after, .. } | RouteError::NoneFree { retry_after, .. } => {
+            retry_after
+        }
+    })?;
+    let flight = take_off(state, &mut desk.registry, now, &choice);
+    for prefix in &ask.shared {
+        desk.registry.expect_prefix(now, choice.endpoint, prefix.hash, prefix.tokens);
+    }
+    flight.ok_or(NO_ADDRESS_PAUSE)
+}
+
+/// When to come back for an endpoint whose address can't be read: it will not become readable, but
+/// another endpoint may have come.
+const NO_ADDRESS_PAUSE: Duration = Duration::from_secs(1);
+
+fn take_off(
+    state: &Arc<GatewayState>,
+    registry: &mut gypsumglade_core::policy::registry::Registry,
+    now: Time,
+    choice: &Choice,
+) -> Option<Flight> {
+    let endpoint = registry.get(choice.endpoint)?;
+    let (name, incarnation) = (endpoint.name.clone(), endpoint.incarnation);
+    let address = endpoint.address.parse().ok()?;
+    let load = DispatchLoad { fill_tokens: choice.fill_tokens, alone: false };
+    let key = registry.dispatched(now, choice.endpoint, load);
+    let state = Arc::clone(state);
+    Some(Flight { state, endpoint: choice.endpoint, key: Some(key), name, incarnation, address })
+}
+
+fn route_ask(state: &GatewayState, call: &Call, excluded: &[EndpointName]) -> RouteAsk {
+    let engine = call.bundle.pool(&call.pool).is_some_and(|pool| pool.engine.is_some());
+    let target = match engine {
+        true => Target::Model(pool_model(&call.pool)),
+        false => Target::Service(call.pool.clone()),
+    };
+    let key = call.head.affinity.as_deref().unwrap_or(&call.head.id);
+    RouteAsk {
+        target,
+        program: xxh3_64(key.as_bytes()),
+        prompt_tokens: call.head.prompt_tokens,
+        prior_tokens: 0,
+        output_guess: (call.head.most_tokens as f64 * OUTPUT_PART) as u64,
+        last: Vec::new(),
+        shared: shared_prefixes(call),
+        class: if call.route.rank == 0 { Class::Urgent } else { Class::Normal },
+        place: state.place,
+        excluded: excluded.to_vec(),
+        isolate: false,
+    }
+}
+
+/// Returns the starts of the prompt, each known by the content of all parts up to its end: a part
+/// is in an engine's memory only together with those before it.
+fn shared_prefixes(call: &Call) -> Vec<SharedPrefix> {
+    let mut hash = 0;
+    let mut tokens = 0;
+    let parts = call.head.prompt.iter();
+    let prefixes = parts.map(|part| {
+        hash = xxh3_64_with_seed(&part.hash.to_le_bytes(), hash);
+        tokens += part.tokens;
+        SharedPrefix { hash, tokens }
+    });
+    prefixes.collect()
+}
+
+impl Flight {
+    /// Takes the load that came with an answer.
+    pub(super) fn reported(&self, load: EndpointLoad) {
+        let now = self.state.clock.now();
+        let report =
+            LoadReport { running: load.running, waiting: load.waiting, ..LoadReport::default() };
+        self.state.desk().registry.reported(now, self.endpoint, report);
+    }
+
+    /// Notes that the engine has read the prompt.
+    pub(super) fn filled(&self) {
+        if let Some(key) = self.key {
+            self.state.desk().registry.filled(key);
+        }
+    }
+
+    /// Ends with an answer of the endpoint.
+    pub(super) fn finished(mut self) {
+        if let Some(key) = self.key.take() {
+            let now = self.state.clock.now();
+            self.state.desk().registry.finished(now, key);
+        }
+    }
+
+    /// Ends with a failure of the endpoint, which counts against it.
+    pub(super) fn failed(mut self) {
+        if let Some(key) = self.key.take() {
+            let now = self.state.clock.now();
+            self.state.desk().registry.failed(now, key);
+        }
+    }
+
+    /// Ends because another endpoint has the address; this one gets no more work.
+    pub(super) fn misdirected(self) {
+        let now = self.state.clock.now();
+        self.state.desk().registry.leave(now, &self.name, self.incarnation);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if let Some(key) = self.key.take() {
+            let now = self.state.clock.now();
+            self.state.desk().registry.cancelled(now, key);
+        }
+    }
+}
+
+/// Returns what an endpoint of a pool is, as the registry knows it.
+pub(super) fn endpoint_kind(
+    bundle: &crate::entry::active_bundle::ActiveBundle,
+    pool: &str,
+    slots: u32,
+) -> EndpointKind {
+    match bundle.pool(pool).and_then(|found| found.engine) {
+        Some(engine) => EndpointKind::Engine {
+            models: vec![pool_model(pool)],
+            slots: engine.slots,
+            prefill_rate: PREFILL_RATE,
+            decode_rate: DECODE_RATE,
+            cache_tokens: engine.cache_tokens,
+        },
+        None => EndpointKind::Service { name: pool.into(), slots },
+    }
+}
+
+/// Prompt tokens that an engine reads in a second, from the users' sheets: 145 and 147 in 1 ms.
+const PREFILL_RATE: f64 = 146_000.0;
+/// Tokens that a lightly loaded engine generates in a second for one request, from the sheets' step
+/// of 0.87 to 1.08 ms.
+const DECODE_RATE: f64 = 1_000.0;
--- /dev/null
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -0,0 +1,128 @@
+//! Sets a turn's tokens aside before it runs, and settles them after.
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::turn::command::Body as CommandBody;
+use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
+use gypsumglade_core::wire::turn::{Kept, Reserve, Settle};
+
+use super::call::Call;
+use super::dialect::Refusal;
+use super::turn_client::TurnClient;
+
+/// Longest wait for the leave to run a turn. Past it the caller is better off trying another VM
+/// with the time that it has left.
+const RESERVE_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Longest wait for a settlement that nobody waits for; it spans an election.
+const BACKGROUND_PATIENCE: Duration = Duration::from_secs(8);
+/// When to come back while the turn group has no leader: an election takes about a second.
+const NO_LEADER_PAUSE: Duration = Duration::from_millis(400);
+
+/// A turn whose tokens are set aside.
+#[derive(Clone, Debug)]
+pub(super) struct Reservation {
+    turn: CompactString,
+    program: CompactString,
+    /// Present where the turn is kept for those that continue it.
+    keeps: Option<Keeping>,
+}
+
+#[derive(Clone, Debug)]
+struct Keeping {
+    previous: CompactString,
+    input: Bytes,
+    retention: u64,
+}
+
+/// Asks for leave to run a turn. Returns the body to send, and what to settle later; nothing needs
+/// settling for a request without budget whose turns are not kept.
+pub(super) async fn reserve(
+    client: &TurnClient,
+    call: &Call,
+) -> Result<(Bytes, Option<Reservation>), Refusal> {
+    let keep = call.stream().and_then(|stream| stream.keep_ms);
+    let turn = call.head.turn.clone().unwrap_or_default();
+    if keep.is_none() && turn.budget.is_none() {
+        return Ok((call.body.clone(), None));
+    }
+    let keeps = keep.map(|retention| Keeping {
+        previous: turn.previous.clone(),
+        input: call.body.clone(),
+        retention,
+    });
+    let reservation =
+        Reservation { turn: call.head.id.clone(), program: turn.program.clone(), keeps };
+    let ask = Reserve {
+        turn: call.head.id.to_string(),
+        program: turn.program.to_string(),
+        budget: turn.budget,
+        most: call.head.most_tokens,
+        previous: turn.previous.to_string(),
+        now_ms: 0,
+    };
+    let patience = call.left().min(RESERVE_PATIENCE);
+    match client.ask(CommandBody::Reserve(ask), patience).await {
+        Some(ReplyBody::Reserved(reserved)) => {
+            Ok((joined(reserved.history, &call.body), Some(reservation)))
+        }
+        Some(ReplyBody::Spent(_)) => Err(Refusal::BudgetSpent),
+        Some(ReplyBody::Unknown(_)) => Err(Refusal::UnknownTurn),
+        _ => {
+            // The leave may have been given all the same; without this its tokens would count as
+            // spent for good.
+            settle_later(client, reservation, 0);
+            Err(Refusal::Unavailable { after: NO_LEADER_PAUSE })
+        }
+    }
+}
+
+/// Settles a turn that ended whole, and returns whether it is durable. A turn that may be continued
+/// must be: its caller would go on from it at another VM.
+pub(super) async fn settle_whole(
+    client: &TurnClient,
+    reservation: Reservation,
+    tokens: u64,
+    output: Bytes,
+    patience: Duration,
+) -> bool {
+    let Some(keeping) = &reservation.keeps else {
+        settle_later(client, reservation, tokens);
+        return true;
+    };
+    let kept = Kept {
+        previous: keeping.previous.to_string(),
+        input: keeping.input.clone(),
+        output,
+        retention_ms: keeping.retention,
+    };
+    let settle = settle(&reservation, tokens, Some(kept));
+    let answer = client.ask(CommandBody::Settle(settle), patience).await;
+    matches!(answer, Some(ReplyBody::Settled(_)))
+}
+
+/// Settles a turn that is not kept, without a wait.
+pub(super) fn settle_later(client: &TurnClient, reservation: Reservation, tokens: u64) {
+    let client = client.clone();
+    tokio::spawn(async move {
+        let settle = settle(&reservation, tokens, None);
+        // If no leader takes it, the tokens stay set aside: the program's budget is never exceeded.
+        client.ask(CommandBody::Settle(settle), BACKGROUND_PATIENCE).await;
+    });
+}
+
+fn settle(reservation: &Reservation, tokens: u64, kept: Option<Kept>) -> Settle {
+    Settle {
+        turn: reservation.turn.to_string(),
+        program: reservation.program.to_string(),
+        tokens,
+        kept,
+        now_ms: 0,
+    }
+}
+
+fn joined(history: Bytes, input: &Bytes) -> Bytes {
+    if history.is_empty() {
+        return input.clone();
+    }
+    [history.as_ref(), input.as_ref()].concat().into()
+}
--- /dev/null
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -0,0 +1,60 @@
+//! What all tasks of a gateway share.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use gypsumglade_core::policy::registry::Registry;
+use gypsumglade_core::policy::route::{Place, Router};
+use gypsumglade_core::prelude::*;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::channels::Channels;
+use super::dialect::Dialect;
+use super::turn_client::TurnClient;
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::entry::config::ConfigView;
+use crate::metrics::Metrics;
+use crate::rpc::PeerClients;
+use crate::settings::Settings;
+
+/// One gateway.
+pub(super) struct GatewayState {
+    pub(super) vm: VmId,
+    pub(super) settings: Settings,
+    pub(super) place: Place,
+    pub(super) clock: Clock,
+    pub(super) directory: Arc<Directory>,
+    pub(super) peers: PeerClients,
+    pub(super) config: ConfigView,
+    pub(super) dialect: Arc<dyn Dialect>,
+    pub(super) channels: Channels,
+    pub(super) turns: TurnClient,
+    pub(super) metrics: Metrics,
+    pub(super) log: slog::Logger,
+    /// Cancelled when a planned stop begins.
+    pub(super) stop: CancellationToken,
+    /// Connections and relays under way, which a planned stop waits for.
+    pub(super) tasks: TaskTracker,
+    pub(super) desk: Mutex<Desk>,
+}
+
+/// The routing decisions' state, behind one lock that is never held across a wait.
+pub(super) struct Desk {
+    pub(super) registry: Registry,
+    pub(super) router: Router,
+}
+
+impl GatewayState {
+    pub(super) fn desk(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().expect("no panic while held")
+    }
+
+    /// Tells whether this VM should get callers: it knows its routes and some endpoint, and does
+    /// not stop.
+    pub(super) fn is_ready(&self) -> bool {
+        let configured = self.config.active(self.clock.now()).is_ok();
+        let served = self.desk().registry.iter().next().is_some();
+        configured && served && !self.stop.is_cancelled()
+    }
+}
--- /dev/null
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -0,0 +1,99 @@
+//! Requests whose answer is a stream of events.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+use super::call::{Answer, Call};
+use super::dialect::Refusal;
+use super::lines::forwarded;
+use super::opening::{Attempts, open};
+use super::plain::read_whole;
+use super::relay::{Relay, RelayFrame};
+use super::settlement::{reserve, settle_later};
+use super::state::GatewayState;
+
+/// Frames that may wait for a caller that reads slowly before its endpoint is slowed down.
+const FRAME_BUFFER: usize = 16;
+
+/// Answers a request with an endpoint's stream.
+///
+/// The head goes out with the first event, not before: until then the request can still be sent
+/// elsewhere, or be refused with a word on whether it ran.
+pub(super) async fn answer(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Answer, Refusal> {
+    let (body, reservation) = reserve(&state.turns, &call).await?;
+    match start(state, &call, &body).await {
+        Ok(Started::Stream(mut relay, head)) => {
+            relay.reservation = reservation;
+            let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
+            state.tasks.spawn(relay.run(sender));
+            Ok(streamed(*head, receiver))
+        }
+        Ok(Started::Whole(answer)) => {
+            if let Some(reservation) = reservation {
+                settle_later(&state.turns, reservation, 0);
+            }
+            Ok(answer)
+        }
+        Err(refusal) => {
+            if let Some(reservation) = reservation {
+                settle_later(&state.turns, reservation, 0);
+            }
+            Err(refusal)
+        }
+    }
+}
+
+enum Started {
+    /// A stream with its first event read.
+    Stream(Box<Relay>, Box<http::response::Parts>),
+    /// An answer that is no stream.
+    Whole(Answer),
+}
+
+async fn start(
+    state: &Arc<GatewayState>,
+    call: &Arc<Call>,
+    body: &Bytes,
+) -> Result<Started, Refusal> {
+    let mut attempts = Attempts::default();
+    loop {
+        let opened = open(state, call, body, call.head.last_event, &mut attempts).await?;
+        attempts.runs += 1;
+        if opened.response.status() != StatusCode::OK {
+            match read_whole(state, call, opened).await? {
+                Some(answer) => return Ok(Started::Whole(answer)),
+                None => return Err(Refusal::Lost),
+            }
+        }
+        let (parts, stream) = opened.response.into_parts();
+        let source = super::relay::Source::new(stream, opened.flight, opened.channel, opened.head);
+        let mut relay = Relay::new(Arc::clone(state), Arc::clone(call), body.clone(), source);
+        let first = tokio::time::timeout(call.left(), relay.read_first()).await;
+        match first {
+            Ok(true) => return Ok(Started::Stream(Box::new(relay), Box::new(parts))),
+            Ok(false) => {}
+            Err(_) => return Err(Refusal::TimedOut),
+        }
+        if !attempts.may_repeat(call) {
+            return Err(Refusal::Lost);
+        }
+    }
+}
+
+fn streamed(head: http::response::Parts, frames: mpsc::Receiver<RelayFrame>) -> Answer {
+    let body = StreamBody::new(ReceiverStream::new(frames));
+    let mut answer = Response::new(BodyExt::boxed(body));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = forwarded(&head.headers);
+    answer
+}
+
+/// Longest wait for a turn's settlement before its stream is cut: an election is waited out, and
+/// callers give up a silent stream after two seconds.
+pub(super) const SETTLE_PATIENCE: Duration = Duration::from_millis(1_800);
--- a/crates/gypsumglade/src/logs.rs
+++ b/crates/gypsumglade/src/logs.rs
@@ -26,6 +26,8 @@
 /// Daemon that wrote the line.
 pub const ROLE: &str = "role";
 
+/// File name that stands for standard output.
+const STANDARD_OUTPUT: &str = "-";
 /// Lines that may wait for the writing thread.
 const BUFFERED_LINES: usize = 4_096;
 
@@ -46,6 +48,7 @@
 ) -> anyhow::Result<(Logger, LogGuard)> {
     let target: Box<dyn Write + Send> = match &settings.file {
         None => Box::new(io::stderr()),
+        Some(path) if path == STANDARD_OUTPUT => Box::new(io::stdout()),
         Some(path) => {
             let file = OpenOptions::new().create(true).append(true).open(path);
             let advice = "check `log.file` and the folder's permissions";
--- a/crates/gypsumglade/src/rpc/method.rs
+++ b/crates/gypsumglade/src/rpc/method.rs
@@ -21,6 +21,12 @@
     Members,
     /// Entry to entry: an endpoint's announcement.
     Announce,
+    /// Any process to a store: introduces itself and asks for the others.
+    Hello,
+    /// Entry to store: asks for the endpoints that announced themselves.
+    Endpoints,
+    /// Entry to store: a request to the turn group.
+    Turn,
 }
 
 impl Method {
@@ -36,6 +42,9 @@
             Method::Score => "score",
             Method::Members => "members",
             Method::Announce => "announce",
+            Method::Hello => "hello",
+            Method::Endpoints => "endpoints",
+            Method::Turn => "turn",
         }
     }
 }
--- a/crates/gypsumglade/src/settings/listen.rs
+++ b/crates/gypsumglade/src/settings/listen.rs
@@ -18,6 +18,9 @@
     pub peers: SocketAddr,
     /// The operators' interface, metrics and dumps.
     pub admin: SocketAddr,
+    /// Metrics page without a token, for a network that only the provider reaches; absent where
+    /// the operators' interface serves it.
+    pub metrics: Option<SocketAddr>,
     /// Membership datagrams, UDP.
     pub gossip: SocketAddr,
 }
@@ -32,6 +35,7 @@
             endpoints: LOOPBACK,
             peers: LOOPBACK,
             admin: LOOPBACK,
+            metrics: None,
             gossip: LOOPBACK,
         }
     }
--- a/crates/gypsumglade/src/settings/log.rs
+++ b/crates/gypsumglade/src/settings/log.rs
@@ -27,6 +27,6 @@
 pub struct LogSettings {
     /// How much is logged.
     pub level: Level,
-    /// File that lines are appended to; standard error when absent.
+    /// File that lines are appended to; standard error when absent, standard output for `-`.
     pub file: Option<PathBuf>,
 }
--- a/crates/gypsumglade/src/settings/mod.rs
+++ b/crates/gypsumglade/src/settings/mod.rs
@@ -4,8 +4,10 @@
 //! never half accepted: [`Settings::load`] collects every finding and reports them together. The
 //! keys are described for operators in docs/OPERATING.md.
 
+mod discovery;
 mod example;
 mod finding;
+mod gateway;
 mod limits;
 mod listen;
 mod load;
@@ -22,8 +24,10 @@
 
 use gypsumglade_core::prelude::*;
 
+pub use self::discovery::DiscoverySettings;
 pub use self::example::Role;
 pub use self::finding::{Finding, Findings};
+pub use self::gateway::GatewaySettings;
 pub use self::limits::LimitSettings;
 pub use self::listen::ListenSettings;
 pub use self::log::{Level, LogSettings};
@@ -46,6 +50,12 @@
     pub listen: ListenSettings,
     /// The other VMs known from the start: every store, and enough seeds for membership.
     pub peers: Vec<PeerSettings>,
+    /// How the other VMs are found where `peers` lists none.
+    pub discovery: Option<DiscoverySettings>,
+    /// The interface for requests that are passed through; absent where only programs are served.
+    pub gateway: Option<GatewaySettings>,
+    /// Threads of the runtime; zero for one on each processor.
+    pub threads: u16,
     /// Number of program groups; the same on every VM, and fixed once programs exist.
     pub groups: u32,
     /// The durable role; absent on a VM without a disk.
@@ -74,6 +84,9 @@
             vm: VmSettings::default(),
             listen: ListenSettings::default(),
             peers: Vec::new(),
+            discovery: None,
+            gateway: None,
+            threads: 0,
             groups: GROUPS,
             store: None,
             tokens: TokenSettings::default(),
@@ -125,12 +138,18 @@
 
     /// Returns the names of all failure domains, sorted, so that each VM counts them alike.
     pub fn domains(&self) -> Vec<CompactString> {
+        if let Some(discovery) = &self.discovery {
+            return discovery.domains.keys().cloned().collect();
+        }
         let peers = self.peers.iter().map(|p| p.domain.clone());
         sorted(peers.chain([self.vm.domain.clone()]).collect())
     }
 
     /// Returns the names of all regions, sorted, so that each VM counts them alike.
     pub fn regions(&self) -> Vec<CompactString> {
+        if let Some(discovery) = &self.discovery {
+            return sorted(discovery.domains.values().cloned().collect());
+        }
         let peers = self.peers.iter().map(|p| p.region.clone());
         sorted(peers.chain([self.vm.region.clone()]).collect())
     }
@@ -147,12 +166,21 @@
         u16::try_from(index).ok().map(RegionId)
     }
 
+    /// Returns a failure domain's region as the settings place it.
+    pub fn region_of(&self, domain: &str) -> Option<RegionId> {
+        let discovery = self.discovery.as_ref()?;
+        self.region_id(discovery.domains.get(domain)?)
+    }
+
     /// Collects what is wrong in the values, each alone and against one another.
     fn check(&self, findings: &mut Findings) {
-        self.vm.check(findings);
+        self.vm.check(self.discovery.is_some(), findings);
         self.listen.check(findings);
         findings.range("groups", u64::from(self.groups), 1..=u64::from(SLOTS), "groups");
-        peers::check(&self.vm, &self.peers, self.store.is_some(), findings);
+        match &self.discovery {
+            Some(discovery) => discovery.check(&self.vm, findings),
+            None => peers::check(&self.vm, &self.peers, self.store.is_some(), findings),
+        }
         if let Some(store) = &self.store {
             store.check(findings);
         }
--- a/crates/gypsumglade/src/settings/store.rs
+++ b/crates/gypsumglade/src/settings/store.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use gypsumglade_core::bundle::KeyPair;
 use gypsumglade_core::prelude::*;
 
 use super::Findings;
 use super::listen::LOOPBACK;
+use crate::secret::Secret;
 
 /// Replicas on this VM's disk.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -18,6 +20,17 @@
     pub peers: SocketAddr,
     /// The operators' interface of the store daemon.
     pub admin: SocketAddr,
+    /// Where endpoints announce themselves and operators give orders, if a dialect of the platform
+    /// is served; see docs/design/provider.md.
+    pub registrar: Option<SocketAddr>,
+    /// Private key, as 64 hexadecimal digits, with which this store signs orders that reach its
+    /// registrar. Absent where operators sign their bundles themselves.
+    pub signer: Option<Secret>,
+    /// Silence after which an endpoint that announced itself there counts as gone, in milliseconds.
+    pub endpoint_lease_ms: u64,
+    /// VMs with a disk whose loss at one time the groups bear; each group has twice as many voters
+    /// and one more.
+    pub tolerate: u32,
     /// Milliseconds between a leader's heartbeats.
     pub heartbeat_ms: u64,
     /// Milliseconds without a heartbeat after which a follower stands for election.
@@ -30,6 +43,10 @@
             folder: PathBuf::from("data"),
             peers: LOOPBACK,
             admin: LOOPBACK,
+            registrar: None,
+            signer: None,
+            endpoint_lease_ms: 5_000,
+            tolerate: 1,
             heartbeat_ms: 200,
             election_ms: 1_000,
         }
@@ -37,11 +54,23 @@
 }
 
 impl StoreSettings {
+    /// Returns the key with which orders at the registrar are signed.
+    pub fn key_pair(&self) -> Option<KeyPair> {
+        let seed: [u8; 32] = hex::decode(self.signer.as_ref()?.reveal()).ok()?.try_into().ok()?;
+        Some(KeyPair::from_seed(seed))
+    }
+
     pub(super) fn check(&self, findings: &mut Findings) {
+        if self.signer.is_some() && self.key_pair().is_none() {
+            findings.add("store.signer", "a secret", "64 hexadecimal digits");
+        }
         if self.folder.as_os_str().is_empty() {
             findings.add("store.folder", "an empty path", "a folder on a disk that syncs");
         }
         findings.range("store.heartbeat_ms", self.heartbeat_ms, 10..=10_000, "milliseconds");
+        findings.range("store.tolerate", u64::from(self.tolerate), 0..=4, "VMs");
+        let lease = self.endpoint_lease_ms;
+        findings.range("store.endpoint_lease_ms", lease, 100..=600_000, "milliseconds");
         let least = self.heartbeat_ms.saturating_mul(3);
         findings.range("store.election_ms", self.election_ms, least..=60_000, "milliseconds");
     }
--- a/crates/gypsumglade/src/settings/timeouts.rs
+++ b/crates/gypsumglade/src/settings/timeouts.rs
@@ -1,5 +1,6 @@
 //! Bounds on time.
 
+use gypsumglade_core::lease::LeaseSettings;
 use gypsumglade_core::prelude::*;
 
 use super::Findings;
@@ -20,6 +21,8 @@
     pub drain_ms: u64,
     /// Without confirmation of its revision for this long, an entry takes no new work.
     pub lease_ms: u64,
+    /// Pause between two confirmations of the revision.
+    pub confirm_ms: u64,
 }
 
 impl Default for TimeoutSettings {
@@ -31,6 +34,7 @@
             peer_ms: 2_000,
             drain_ms: 60_000,
             lease_ms: 5_000,
+            confirm_ms: 1_000,
         }
     }
 }
@@ -69,6 +73,15 @@
         Duration::from_millis(self.lease_ms)
     }
 
+    /// Returns the times of the configuration lease.
+    pub fn config_lease(&self) -> LeaseSettings {
+        LeaseSettings {
+            length_ms: self.lease_ms,
+            interval_ms: self.confirm_ms,
+            ..LeaseSettings::default()
+        }
+    }
+
     pub(super) fn check(&self, findings: &mut Findings) {
         for (place, value) in [
             ("timeouts.connect_ms", self.connect_ms),
@@ -81,5 +94,6 @@
         }
         // A bundle must be in force everywhere within 12 s, and the lease bounds that.
         findings.range("timeouts.lease_ms", self.lease_ms, 1_000..=10_000, "milliseconds");
+        findings.range("timeouts.confirm_ms", self.confirm_ms, 50..=5_000, "milliseconds");
     }
 }
--- a/crates/gypsumglade/src/settings/vm.rs
+++ b/crates/gypsumglade/src/settings/vm.rs
@@ -8,7 +8,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub struct VmSettings {
-    /// Number of this VM, never given to another one later.
+    /// Number of this VM, never given to another one later; zero with `discovery`, where each
+    /// process makes its own.
     pub id: u32,
     /// Failure domain that it shares with the VMs that fail together with it.
     pub domain: CompactString,
@@ -22,8 +23,11 @@
         VmId(self.id)
     }
 
-    pub(super) fn check(&self, findings: &mut Findings) {
-        findings.range("vm.id", u64::from(self.id), 1..=u64::from(u32::MAX), "as a VM's number");
+    /// Checks the values; a VM that makes its own identity has no number here.
+    pub(super) fn check(&self, discovered: bool, findings: &mut Findings) {
+        let least = if discovered { 0 } else { 1 };
+        let numbers = least..=u64::from(u32::MAX);
+        findings.range("vm.id", u64::from(self.id), numbers, "as a VM's number");
         findings.name("vm.domain", &self.domain);
         findings.name("vm.region", &self.region);
     }
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -1,13 +1,13 @@
 //! The control group on this store: bundles and configuration leases.
 
+mod endpoints;
 mod order_lease;
 
-use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::Bytes;
 use gypsumglade_core::bundle::{Bundle, OperatorKeys};
-use gypsumglade_core::control::Control;
+use gypsumglade_core::control::{Control, Revision};
 use gypsumglade_core::lease::{ConfigGrants, InForce, LeaseSettings, serve};
 use gypsumglade_core::orders::OrderGrants;
 use gypsumglade_core::prelude::*;
@@ -21,11 +21,13 @@
     ControlReply, ControlRequest, NotLeader, Status, StatusQuery, Uncertain, VmState,
 };
 use prost::Message as _;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, watch};
 
+use super::answers::{Answers, Lookup};
 use super::context::StoreContext;
 use super::program_group::GroupInput;
 use crate::replica::{Event, ProposeError};
+use endpoints::Heard;
 
 /// The control group's state on one store, and its leases while it leads.
 pub struct ControlGroup {
@@ -33,21 +35,24 @@
     keys: OperatorKeys,
     lease: LeaseSettings,
     state: Mutex<ControlState>,
+    /// Number of the last change to the endpoints.
+    changes: watch::Sender<u64>,
+    /// Number of the revision that this store has applied.
+    revisions: watch::Sender<u64>,
 }
 
 struct ControlState {
     control: Control,
-    applied: LogIndex,
+    answers: Answers<Answer>,
     role: Role,
-    waiting: Vec<(LogIndex, oneshot::Sender<Answer>)>,
-    /// Latest answers, for an asker that learns its entry's place after it was applied.
-    recent: VecDeque<(LogIndex, Answer)>,
+    heard: Heard,
     /// Renewals of the order lease, from this leader's first asker on.
     orders: Option<OrderGrants>,
 }
 
-/// Answers kept for askers that come late to them.
-const RECENT_ANSWERS: usize = 256;
+/// Longest wait of a reader for a follower to apply what the leader has committed: several
+/// heartbeats.
+const APPLY_WAIT: Duration = Duration::from_millis(600);
 
 enum Role {
     Leader { term: Term, grants: Box<ConfigGrants> },
@@ -63,13 +68,14 @@
     ) -> Arc<ControlGroup> {
         let state = ControlState {
             control: Control::new(),
-            applied: LogIndex::default(),
+            answers: Answers::default(),
             role: Role::Follower(None),
-            waiting: Vec::new(),
-            recent: VecDeque::new(),
+            heard: Heard::default(),
             orders: None,
         };
-        Arc::new(ControlGroup { context, keys, lease, state: Mutex::new(state) })
+        let (changes, revisions) = (watch::Sender::new(0), watch::Sender::new(0));
+        let state = Mutex::new(state);
+        Arc::new(ControlGroup { context, keys, lease, state, changes, revisions })
     }
 
     /// Applies the log's news until the process ends.
@@ -91,6 +97,8 @@
         let body = match request.body {
             Some(RequestBody::Command(command)) => match command.body {
                 Some(CommandBody::TakeOrders(take)) => self.take_orders(take).await,
+                Some(CommandBody::Register(register)) => self.register(register).await,
+                Some(CommandBody::Deregister(gone)) => self.deregister(gone).await,
                 _ => self.command(command).await,
             },
             Some(RequestBody::Status(query)) => self.status(&query).await,
@@ -119,13 +127,14 @@
         let state = self.state();
         let current = state.control.current();
         serde_json::json!({
-            "applied": state.applied,
+            "applied": state.answers.applied(),
             "leads": matches!(state.role, Role::Leader { .. }),
             "revision": current.map(|revision| revision.number),
             "version": current.map(|revision| revision.version.clone()),
             "digest": current.map(|revision| revision.digest.to_string()),
             "order_lease": state.control.order_lease(),
             "groups": state.control.groups(),
+            "endpoints": state.control.endpoints().iter().collect::<Vec<_>>(),
         })
     }
 
@@ -169,16 +178,11 @@
 
     /// Waits until the entry at `index` is applied here, and returns its answer.
     async fn answer_at(&self, index: LogIndex) -> Option<Answer> {
-        let (sender, receiver) = oneshot::channel();
-        {
-            let mut state = self.state();
-            if state.applied >= index {
-                let found = state.recent.iter().find(|(at, _)| *at == index);
-                return found.map(|(_, answer)| answer.clone());
-            }
-            state.waiting.push((index, sender));
+        let found = self.state().answers.lookup(index);
+        match found {
+            Lookup::Known(answer) => answer,
+            Lookup::Later(receiver) => receiver.await.ok(),
         }
-        receiver.await.ok()
     }
 
     async fn status(&self, query: &StatusQuery) -> ReplyBody {
@@ -214,20 +218,22 @@
         let mut state = self.state();
         state.role = Role::Leader { term, grants: Box::new(grants) };
         state.orders = None;
+        state.heard = Heard::default();
     }
 
     async fn committed(&self, index: LogIndex, data: &Bytes) {
         let changed = {
             let mut state = self.state();
-            state.applied = index;
             let before = state.control.history().number();
             if data.is_empty() {
+                state.answers.note(index, None);
                 false
             } else {
                 // Every entry was encoded by a leader of this group.
                 let command = Command::decode(data.clone()).unwrap_or_default();
                 let answer = state.control.apply(&command);
-                state.answer(index, &answer);
+                state.answers.note(index, Some(&answer));
+                self.tell_followers(&state);
                 state.control.history().number() != before
             }
         };
@@ -247,8 +253,8 @@
                     return;
                 }
             }
-            state.applied = index;
-            state.waiting.clear();
+            state.answers.restored(index);
+            self.tell_followers(&state);
         }
         self.tell_groups().await;
     }
@@ -256,7 +262,7 @@
     async fn snapshot(&self) {
         let (index, data) = {
             let state = self.state();
-            (state.applied, state.control.snapshot())
+            (state.answers.applied(), state.control.snapshot())
         };
         self.context.host.snapshot(GroupId::CONTROL, index, data).await;
     }
@@ -272,27 +278,23 @@
         self.context.feed_all(input).await;
     }
 
-    fn state(&self) -> MutexGuard<'_, ControlState> {
-        self.state.lock().expect("no panic while held")
+    /// Wakes whoever waits for a change of the endpoints or a revision.
+    fn tell_followers(&self, state: &ControlState) {
+        self.changes.send_replace(state.control.endpoints().change());
+        self.revisions.send_replace(state.control.history().number().0);
     }
-}
 
-impl ControlState {
-    fn answer(&mut self, index: LogIndex, answer: &Answer) {
-        if self.recent.len() == RECENT_ANSWERS {
-            self.recent.pop_front();
-        }
-        self.recent.push_back((index, answer.clone()));
-        let waiting = std::mem::take(&mut self.waiting);
-        for (wanted, sender) in waiting {
-            match wanted.cmp(&index) {
-                // The asker may have given up.
-                std::cmp::Ordering::Equal => drop(sender.send(answer.clone())),
-                // Applied before the asker got here; it learns `uncertain` and asks again.
-                std::cmp::Ordering::Less => drop(sender),
-                std::cmp::Ordering::Greater => self.waiting.push((wanted, sender)),
-            }
-        }
+    /// Returns the current revision once this store has applied `wanted`; `None` if it does not in
+    /// time, and nothing in it before the first bundle.
+    pub async fn await_revision(&self, wanted: RevisionNumber) -> Option<Option<Revision>> {
+        let mut revisions = self.revisions.subscribe();
+        let applied = revisions.wait_for(|applied| *applied >= wanted.0);
+        tokio::time::timeout(APPLY_WAIT, applied).await.ok()?.ok()?;
+        Some(self.state().control.current().cloned())
+    }
+
+    fn state(&self) -> MutexGuard<'_, ControlState> {
+        self.state.lock().expect("no panic while held")
     }
 }
 
--- /dev/null
+++ b/crates/gypsumglade/src/store/control_group/endpoints.rs
@@ -0,0 +1,156 @@
+//! Endpoints' announcements at the control group, and the entry VMs that follow them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::command::Body as CommandBody;
+use gypsumglade_core::wire::control::{
+    Answer, Command, Deregister, EndpointNews, EndpointQuery, Register, Registered, answer,
+};
+use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::{ControlGroup, Role, not_leader};
+
+/// Longest time that a question for news may wait.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+/// Pause between two looks for endpoints that fell silent.
+const LAPSE_PAUSE: Duration = Duration::from_millis(500);
+
+/// When endpoints were last heard, in the memory of the leader.
+#[derive(Debug, Default)]
+pub(super) struct Heard(HashMap<CompactString, Time>);
+
+impl Heard {
+    fn note(&mut self, name: &str, now: Time) {
+        match self.0.get_mut(name) {
+            Some(at) => *at = now,
+            None => drop(self.0.insert(name.into(), now)),
+        }
+    }
+
+    /// Tells whether an endpoint has been silent for `lease`. One that this leader never heard is
+    /// silent from the first time that it is asked about: a new leader must not drop endpoints
+    /// that announced themselves to the one before.
+    fn is_silent(&mut self, name: &str, now: Time, lease: Duration) -> bool {
+        let at = *self.0.entry(name.into()).or_insert(now);
+        now.since(at) > lease
+    }
+}
+
+impl ControlGroup {
+    /// Takes an endpoint's announcement.
+    ///
+    /// What changes anything is committed before it is acknowledged, since an endpoint that was
+    /// told that its draining is known relies on all entry VMs, whoever leads next. The rest only
+    /// proves that it is alive.
+    pub(super) async fn register(&self, register: Register) -> ReplyBody {
+        let Some(record) = &register.endpoint else { return not_leader(None) };
+        let now = self.context.clock.now();
+        let (news, term) = {
+            let mut state = self.state();
+            let term = match &state.role {
+                Role::Follower(leader) => return not_leader(*leader),
+                Role::Leader { term, .. } => *term,
+            };
+            state.heard.note(&record.name, now);
+            (state.control.endpoints().is_news(record), term)
+        };
+        if news {
+            slog::info!(self.context.log, "endpoint announced"; "endpoint" => &record.name,
+                "address" => &record.address, "pool" => &record.pool,
+                "incarnation" => record.incarnation, "leaving" => record.leaving);
+            return self.command(Command { body: Some(CommandBody::Register(register)) }).await;
+        }
+        if self.context.host.lease_term(GroupId::CONTROL).await != Some(term) {
+            return not_leader(None);
+        }
+        let body = answer::Body::Registered(Registered {});
+        ReplyBody::Answer(Answer { body: Some(body) })
+    }
+
+    /// Takes an endpoint's word that it is gone, or about to go without a further word.
+    pub(super) async fn deregister(&self, mut gone: Deregister) -> ReplyBody {
+        if gone.incarnation == 0 {
+            let state = self.state();
+            let known = state.control.endpoints().get(&gone.name);
+            gone.incarnation = known.map(|record| record.incarnation).unwrap_or_default();
+        }
+        slog::info!(self.context.log, "endpoint departs"; "endpoint" => &gone.name,
+            "incarnation" => gone.incarnation);
+        self.command(Command { body: Some(CommandBody::Deregister(gone)) }).await
+    }
+
+    /// Tells an entry VM of the endpoints, once they differ from what it knows.
+    ///
+    /// Only a leader with its lease answers: a store that was cut off would tell an entry VM that
+    /// reaches it that nothing changed, while endpoints drain and are replaced.
+    pub async fn follow(&self, query: &EndpointQuery) -> EndpointNews {
+        let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+        let until = Instant::now() + wait;
+        let mut changes = self.changes.subscribe();
+        loop {
+            let seen = *changes.borrow_and_update();
+            if seen != query.seen {
+                break;
+            }
+            if tokio::time::timeout_at(until, changes.changed()).await.is_err() {
+                break;
+            }
+        }
+        let (news, term) = {
+            let state = self.state();
+            match &state.role {
+                Role::Follower(leader) => return no_news(*leader),
+                Role::Leader { term, .. } => (state.control.endpoints().news(query.seen), *term),
+            }
+        };
+        if self.context.host.lease_term(GroupId::CONTROL).await != Some(term) {
+            return no_news(None);
+        }
+        news
+    }
+
+    /// Removes endpoints that fell silent, for as long as this store leads.
+    pub async fn lapse_endpoints(self: Arc<Self>, lease: Duration, halt: CancellationToken) {
+        while !halt.is_cancelled() {
+            for gone in self.silent_endpoints(lease) {
+                slog::warn!(self.context.log, "endpoint fell silent and is removed";
+                    "endpoint" => &gone.name, "incarnation" => gone.incarnation);
+                let command = Command { body: Some(CommandBody::Deregister(gone)) };
+                // A leader that is deposed meanwhile leaves it to the next one.
+                self.command(command).await;
+            }
+            tokio::select! {
+                () = halt.cancelled() => {}
+                () = tokio::time::sleep(LAPSE_PAUSE) => {}
+            }
+        }
+    }
+
+    fn silent_endpoints(&self, lease: Duration) -> Vec<Deregister> {
+        let now = self.context.clock.now();
+        let mut state = self.state();
+        let super::ControlState { control, heard, role, .. } = &mut *state;
+        if matches!(role, Role::Follower(_)) {
+            return Vec::new();
+        }
+        let endpoints = control.endpoints().iter();
+        let silent = endpoints.filter(|record| heard.is_silent(&record.name, now, lease));
+        let gone = silent.map(|record| Deregister {
+            name: record.name.clone(),
+            incarnation: record.incarnation,
+        });
+        gone.collect()
+    }
+}
+
+fn no_news(leader: Option<VmId>) -> EndpointNews {
+    EndpointNews {
+        unavailable: true,
+        leader: leader.unwrap_or_default().0,
+        ..EndpointNews::default()
+    }
+}
--- a/crates/gypsumglade/src/store/control_group/order_lease.rs
+++ b/crates/gypsumglade/src/store/control_group/order_lease.rs
@@ -79,7 +79,7 @@
 
     async fn caught_up(&self) -> bool {
         let barrier = self.context.host.read_barrier(GroupId::CONTROL).await;
-        barrier.is_ok_and(|barrier| self.state().applied >= barrier)
+        barrier.is_ok_and(|barrier| self.state().answers.applied() >= barrier)
     }
 
     async fn confirm_orders(&self, take: &TakeOrderLease) -> ReplyBody {
--- a/crates/gypsumglade/src/store/mod.rs
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -1,11 +1,16 @@
 //! The store daemon: control and program groups on durable replicas.
 
+mod answers;
 pub mod context;
 pub mod control_group;
 mod member_watch;
 mod peer_calls;
 pub mod program_group;
+mod registrar;
+mod repair;
 mod serve;
+pub mod turn_group;
 
 pub use context::ReleaseAnswer;
+pub use registrar::{Registrar, RegistrarError};
 pub use serve::{Store, StoreAddresses, StoreState};
--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -6,10 +6,12 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::wire::control::ConfirmRequest;
+use gypsumglade_core::wire::control::{ConfirmRequest, EndpointQuery};
+use gypsumglade_core::wire::discovery::Hello;
 use gypsumglade_core::wire::operator::ControlRequest;
 use gypsumglade_core::wire::program::request::Body;
 use gypsumglade_core::wire::program::{ProgramRef, Request, Score};
+use gypsumglade_core::wire::turn;
 use jsonrpsee::RpcModule;
 use jsonrpsee::types::ErrorObjectOwned;
 
@@ -51,6 +53,22 @@
         let request: ConfirmRequest = decode(&text).map_err(|error| invalid_payload(&error))?;
         Ok::<_, ErrorObjectOwned>(encode(&state.control.renew(&request).await))
     })?;
+    module.register_method(Method::Hello.name(), |parameters, state, _| {
+        let text: String = parameters.one()?;
+        let hello: Hello = decode(&text).map_err(|error| invalid_payload(&error))?;
+        let nodes = state.discovery.as_ref().map(|discovery| discovery.welcome(hello));
+        Ok::<_, ErrorObjectOwned>(encode(&nodes.unwrap_or_default()))
+    })?;
+    module.register_async_method(Method::Endpoints.name(), |parameters, state, _| async move {
+        let text: String = parameters.one()?;
+        let query: EndpointQuery = decode(&text).map_err(|error| invalid_payload(&error))?;
+        Ok::<_, ErrorObjectOwned>(encode(&state.control.follow(&query).await))
+    })?;
+    module.register_async_method(Method::Turn.name(), |parameters, state, _| async move {
+        let text: String = parameters.one()?;
+        let command: turn::Command = decode(&text).map_err(|error| invalid_payload(&error))?;
+        Ok::<_, ErrorObjectOwned>(encode(&state.turns.ask(command).await))
+    })?;
     module.register_async_method(Method::Score.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
         let score: Score = decode(&text).map_err(|error| invalid_payload(&error))?;
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -7,10 +7,10 @@
 use anyhow::Context as _;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use gypsumglade_core::lease::LeaseSettings;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program;
 use gypsumglade_core::replication;
+use gypsumglade_core::wire::discovery::Role;
 use jsonrpsee::core::params::ArrayParams;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -20,9 +20,14 @@
 use super::member_watch;
 use super::peer_calls;
 use super::program_group::{GroupInput, ProgramGroup};
+use super::registrar::Registrar;
+use super::repair::Repair;
+use super::turn_group::TurnGroup;
 use crate::admin;
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::discovery::{Discovery, Process, fresh_identity, seed_identity};
+use crate::disk;
 use crate::entry::config::operator_keys;
 use crate::entry::listener_options;
 use crate::listener::Listener;
@@ -45,6 +50,10 @@
     pub context: Arc<StoreContext>,
     /// The control group.
     pub control: Arc<ControlGroup>,
+    /// The turn group.
+    pub turns: Arc<TurnGroup>,
+    /// Who else is there, where nobody hands out a list.
+    pub discovery: Option<Arc<Discovery>>,
     /// Settings of the process.
     pub settings: Settings,
 }
@@ -54,6 +63,8 @@
     state: Arc<StoreState>,
     addresses: StoreAddresses,
     admin: Listener,
+    registrar: Option<Listener>,
+    metrics: Option<Listener>,
     _rpc: RpcServer,
     halt: CancellationToken,
 }
@@ -79,12 +90,17 @@
     ) -> anyhow::Result<Store> {
         let own = settings.store.clone().context("the settings have no `store` section")?;
         let halt = CancellationToken::new();
+        let vm = identity(&settings, &own)?;
         let peers = PeerClients::new(settings.tokens.peers.clone(), tls::peers(&settings.tls)?);
+        let clock = Clock::start();
+        let process = Process { vm, role: Role::Store, address: own.peers };
+        let (shared, callers) = (Arc::clone(&directory), peers.clone());
+        let discovery = Discovery::new(&settings, process, shared, callers, clock);
         let (outbound, batches) = mpsc::channel(BATCH_BUFFER);
-        let (host, events) = Host::start(host_settings(&settings, &own), outbound).await?;
+        let (host, events) = Host::start(host_settings(vm, &own), outbound).await?;
         let context = Arc::new(StoreContext {
-            vm: settings.vm.vm(),
-            clock: Clock::start(),
+            vm,
+            clock,
             host,
             directory,
             peers,
@@ -94,19 +110,27 @@
             groups: RwLock::default(),
             dead: Mutex::default(),
         });
-        let lease =
-            LeaseSettings { length_ms: settings.timeouts.lease_ms, ..LeaseSettings::default() };
         let keys = operator_keys(&settings.operators);
+        let lease = settings.timeouts.config_lease();
         let control = ControlGroup::new(Arc::clone(&context), keys, lease);
-        tokio::spawn(member_watch::watch(Arc::clone(&context), halt.clone()));
+        let turns = TurnGroup::new(Arc::clone(&context));
         tokio::spawn(send_batches(Arc::clone(&context), batches));
-        start_groups(&context, &control, events, settings.groups).await?;
-        let state = Arc::new(StoreState { context, control, settings });
+        let state = Arc::new(StoreState { context, control, turns, discovery, settings });
+        start_groups(&state, events).await?;
+        spawn_loops(&state, &own, &halt);
         let (rpc, admin) = listeners(&state, &own, &halt).await?;
+        let metrics = match state.settings.listen.metrics {
+            Some(address) => {
+                let options = listener_options(&state.settings, None)?;
+                let routes = admin::open_metrics(Arc::clone(&state));
+                Some(Listener::bind(address, routes, options, halt.clone()).await?)
+            }
+            None => None,
+        };
         let addresses = StoreAddresses { peers: rpc.address(), admin: admin.address() };
         slog::info!(state.context.log, "store started"; "peers" => %addresses.peers,
             "admin" => %addresses.admin, "folder" => %own.folder.display());
-        Ok(Store { state, addresses, admin, _rpc: rpc, halt })
+        Ok(Store { state, addresses, admin, registrar: None, metrics, _rpc: rpc, halt })
     }
 
     /// Returns the addresses in use.
@@ -119,18 +143,66 @@
         &self.state
     }
 
+    /// Returns what endpoints and operators may ask of this store.
+    pub fn registrar(&self) -> Registrar {
+        Registrar::new(&self.state)
+    }
+
+    /// Serves the registrar's interface in some dialect, on the address that the settings name.
+    ///
+    /// # Errors
+    /// Fails when the settings name no address, or it cannot be bound.
+    pub async fn serve_registrar(&mut self, routes: axum::Router) -> anyhow::Result<SocketAddr> {
+        let own = self.state.settings.store.as_ref();
+        let address = own.and_then(|own| own.registrar);
+        let address = address.context("the settings name no `store.registrar`")?;
+        let options = listener_options(&self.state.settings, None)?;
+        let listener = Listener::bind(address, routes, options, self.halt.clone()).await?;
+        let address = listener.address();
+        self.registrar = Some(listener);
+        Ok(address)
+    }
+
     /// Stops as planned: leadership is handed over first, so that no group waits for an election.
     pub async fn stop(self) {
         slog::info!(self.state.context.log, "store stops");
         self.state.context.host.transfer_all().await;
         self.halt.cancel();
         self.admin.drained().await;
+        for listener in self.registrar.into_iter().chain(self.metrics) {
+            listener.drained().await;
+        }
+    }
+}
+
+/// Returns who this store is: as its settings say, as its data folder says, or someone new.
+fn identity(settings: &Settings, own: &StoreSettings) -> anyhow::Result<VmId> {
+    let Some(discovery) = &settings.discovery else { return Ok(settings.vm.vm()) };
+    if let Some(owner) = disk::owner(&own.folder)? {
+        return Ok(owner);
     }
+    let seeds = discovery.peers(own.peers.port());
+    let forms_groups = discovery.first_start && seeds.contains(&own.peers);
+    Ok(if forms_groups { seed_identity(own.peers) } else { fresh_identity() })
 }
 
-fn host_settings(settings: &Settings, own: &StoreSettings) -> HostSettings {
+fn spawn_loops(state: &Arc<StoreState>, own: &StoreSettings, halt: &CancellationToken) {
+    let context = Arc::clone(&state.context);
+    let Some(discovery) = &state.discovery else {
+        tokio::spawn(member_watch::watch(context, halt.clone()));
+        return;
+    };
+    tokio::spawn(Arc::clone(discovery).run(halt.clone()));
+    let wanted = 2 * own.tolerate as usize + 1;
+    let repair = Repair { context, discovery: Arc::clone(discovery), wanted };
+    tokio::spawn(repair.run(halt.clone()));
+    let lease = Duration::from_millis(own.endpoint_lease_ms);
+    tokio::spawn(Arc::clone(&state.control).lapse_endpoints(lease, halt.clone()));
+}
+
+fn host_settings(vm: VmId, own: &StoreSettings) -> HostSettings {
     HostSettings {
-        vm: settings.vm.vm(),
+        vm,
         folder: Some(own.folder.clone()),
         replication: replication::Settings {
             heartbeat: Duration::from_millis(own.heartbeat_ms),
@@ -158,33 +230,50 @@
 }
 
 async fn start_groups(
-    context: &Arc<StoreContext>,
-    control: &Arc<ControlGroup>,
+    state: &Arc<StoreState>,
     events: mpsc::Receiver<Event>,
-    count: u32,
 ) -> anyhow::Result<()> {
+    let context = &state.context;
+    let count = state.settings.groups;
     let groups: Vec<ProgramGroup> =
         (1..=count).map(|n| ProgramGroup::start(GroupId(n), Arc::clone(context))).collect();
     context.groups.write().expect("no panic while held").extend(groups);
     let (control_events, receiver) = mpsc::channel(EVENT_BUFFER);
-    tokio::spawn(Arc::clone(control).run(receiver));
-    tokio::spawn(route_events(Arc::clone(context), control_events, events));
-    let mut members: Vec<VmId> = context.directory.stores().into_keys().collect();
-    if members.is_empty() {
-        members.push(context.vm);
-    }
-    for group in 0..=count {
-        context.host.create(GroupId(group), members.clone()).await?;
+    tokio::spawn(Arc::clone(&state.control).run(receiver));
+    let (turn_events, receiver) = mpsc::channel(EVENT_BUFFER);
+    tokio::spawn(Arc::clone(&state.turns).run(receiver));
+    let feeds = Feeds { control: control_events, turns: turn_events };
+    tokio::spawn(route_events(Arc::clone(context), feeds, events));
+    for group in (0..=count).map(GroupId).chain([GroupId::TURNS]) {
+        let Some(members) = founders(state) else { break };
+        context.host.create(group, members).await?;
     }
     Ok(())
 }
 
-/// Hands each replica's news to its group, in order.
-async fn route_events(
-    context: Arc<StoreContext>,
+/// Returns the first members of each group; `None` on a store that joins groups that others formed.
+///
+/// A store whose disk was wiped must not form a group again: two groups would each acknowledge
+/// orders that the other never sees.
+fn founders(state: &StoreState) -> Option<Vec<VmId>> {
+    let (settings, vm) = (&state.settings, state.context.vm);
+    if let Some(discovery) = &settings.discovery {
+        let seeds = discovery.peers(settings.store.as_ref()?.peers.port());
+        let founders: Vec<VmId> = seeds.into_iter().map(seed_identity).collect();
+        return (discovery.first_start && founders.contains(&vm)).then_some(founders);
+    }
+    let listed: Vec<VmId> = state.context.directory.stores().into_keys().collect();
+    Some(if listed.is_empty() { vec![vm] } else { listed })
+}
+
+/// Where the groups other than program groups take their news.
+struct Feeds {
     control: mpsc::Sender<Event>,
-    mut events: mpsc::Receiver<Event>,
-) {
+    turns: mpsc::Sender<Event>,
+}
+
+/// Hands each replica's news to its group, in order.
+async fn route_events(context: Arc<StoreContext>, feeds: Feeds, mut events: mpsc::Receiver<Event>) {
     while let Some(event) = events.recv().await {
         if let Event::Failed { reason } = &event {
             slog::crit!(context.log, "replicas stopped; see docs/OPERATING.md, \"Full disk\"";
@@ -192,7 +281,8 @@
             continue;
         }
         match group_of(&event) {
-            Some(GroupId::CONTROL) => drop(control.send(event).await),
+            Some(GroupId::CONTROL) => drop(feeds.control.send(event).await),
+            Some(GroupId::TURNS) => drop(feeds.turns.send(event).await),
             Some(group) => {
                 if let Some(group) = context.group(group) {
                     group.feed(GroupInput::Log(event)).await;
--- a/crates/wiregen/src/main.rs
+++ b/crates/wiregen/src/main.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 /// Schemas in `crates/core/proto`, one generated module each.
-const SCHEMAS: [&str; 7] = [
+const SCHEMAS: [&str; 9] = [
     "common.proto",
     "program.proto",
     "replication.proto",
@@ -14,6 +14,8 @@
     "membership.proto",
     "operator.proto",
     "endpoint.proto",
+    "turn.proto",
+    "discovery.proto",
 ];
 
 fn main() -> anyhow::Result<()> {
