--- a/crates/gypsumglade/src/cli/daemon.rs
+++ b/crates/gypsumglade/src/cli/daemon.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 
 use anyhow::Context as _;
 use clap::Parser;
@@ -69,7 +70,7 @@
 /// have a `store` section, otherwise a gateway.
 pub fn main_on(platform: Platform) -> ExitCode {
     let args = DaemonArgs::parse();
-    exit_code(load(&args.settings).and_then(|settings| run_on(platform, settings)))
+    exit_code(run_on(platform, &args.settings))
 }
 
 fn exit_code(outcome: Result<(), Failure>) -> ExitCode {
@@ -95,11 +96,12 @@
     Ok(runtime.block_on(serve(roles, settings, log))?)
 }
 
-fn run_on(platform: Platform, settings: Settings) -> Result<(), Failure> {
+fn run_on(platform: Platform, file: &Path) -> Result<(), Failure> {
+    let settings = load(file)?;
     let runtime = runtime(settings.threads).context("can't start the runtime")?;
     let role = if settings.store.is_some() { "store" } else { "gateway" };
     let (log, _guard) = logs::start(&settings.log, settings.vm.id, role)?;
-    Ok(runtime.block_on(serve_on(platform, settings, log))?)
+    Ok(runtime.block_on(serve_on(platform, file.to_path_buf(), settings, log))?)
 }
 
 /// Builds the runtime. One thread spares a VM with a part of one processor the switches between
@@ -115,18 +117,36 @@
     }
 }
 
-async fn serve_on(platform: Platform, settings: Settings, log: slog::Logger) -> anyhow::Result<()> {
-    let signals = Signals::new()?;
+async fn serve_on(
+    platform: Platform,
+    file: PathBuf,
+    settings: Settings,
+    log: slog::Logger,
+) -> anyhow::Result<()> {
+    let mut signals = Signals::new()?;
     let running = if settings.store.is_some() {
         let directory = Arc::new(Directory::new(&settings));
-        let mut store = Store::start(settings, directory, log).await?;
+        let mut store = Store::start(settings, directory, log.clone()).await?;
         let routes = (platform.registrar)(store.registrar());
         store.serve_registrar(routes).await?;
         Running::Store(store)
     } else {
-        Running::Gateway(Box::new(Gateway::start(settings, platform.dialect, log).await?))
+        Running::Gateway(Box::new(Gateway::start(settings, platform.dialect, log.clone()).await?))
     };
-    stop_as_planned(running, signals).await
+    let mut watch = Watch::new(&file);
+    let mut look = tokio::time::interval(WATCH_PAUSE);
+    loop {
+        let wish = tokio::select! {
+            wish = signals.next() => Some(wish),
+            _ = look.tick() => watch.has_changed().then_some(Wish::Reload),
+        };
+        match wish {
+            Some(Wish::Stop) => break,
+            Some(Wish::Reload) => watch.reload(&running, &log),
+            None => {}
+        }
+    }
+    stop_now(running, signals).await
 }
 
 async fn serve(roles: Roles, settings: Settings, log: slog::Logger) -> anyhow::Result<()> {
@@ -142,10 +162,14 @@
 }
 
 async fn stop_as_planned(running: Running, mut signals: Signals) -> anyhow::Result<()> {
-    signals.next().await;
+    signals.stop().await;
+    stop_now(running, signals).await
+}
+
+async fn stop_now(running: Running, mut signals: Signals) -> anyhow::Result<()> {
     tokio::select! {
         () = running.stop() => Ok(()),
-        () = signals.next() => anyhow::bail!("stopped by a second signal; calls were cut off"),
+        () = signals.stop() => anyhow::bail!("stopped by a second signal; calls were cut off"),
     }
 }
 
@@ -169,6 +193,16 @@
         println!("{}", line.unwrap_or_default());
     }
 
+    /// Takes what may change while the process runs: the seeds.
+    fn reload(&self, settings: &Settings) {
+        let Some(discovery) = &settings.discovery else { return };
+        match self {
+            Running::Store(store) => store.reload(discovery),
+            Running::Gateway(gateway) => gateway.reload(discovery),
+            Running::Entry(_) | Running::Both(_) => {}
+        }
+    }
+
     async fn stop(self) {
         match self {
             Running::Entry(entry) => entry.stop().await,
@@ -179,22 +213,73 @@
     }
 }
 
-/// The signals that ask for a stop.
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wish {
+    Stop,
+    Reload,
+}
+
+/// The signals that a daemon obeys.
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl Signals {
     fn new() -> anyhow::Result<Signals> {
         let terminate = signal(SignalKind::terminate())?;
-        Ok(Signals { terminate, interrupt: signal(SignalKind::interrupt())? })
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(Signals { terminate, interrupt, hangup: signal(SignalKind::hangup())? })
     }
 
-    async fn next(&mut self) {
+    async fn next(&mut self) -> Wish {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => Wish::Stop,
+            _ = self.interrupt.recv() => Wish::Stop,
+            _ = self.hangup.recv() => Wish::Reload,
+        }
+    }
+
+    async fn stop(&mut self) {
+        while self.next().await != Wish::Stop {}
+    }
+}
+
+/// Looks out for changes of the settings file.
+struct Watch {
+    file: PathBuf,
+    modified: Option<SystemTime>,
+}
+
+/// Pause between two looks at the settings file, which may change without a signal.
+const WATCH_PAUSE: Duration = Duration::from_secs(3);
+
+impl Watch {
+    fn new(file: &Path) -> Watch {
+        let mut watch = Watch { file: file.to_path_buf(), modified: None };
+        watch.has_changed();
+        watch
+    }
+
+    fn has_changed(&mut self) -> bool {
+        let found = std::fs::metadata(&self.file).and_then(|data| data.modified()).ok();
+        let changed = found.is_some() && found != self.modified;
+        self.modified = found.or(self.modified);
+        changed
+    }
+
+    /// Reads the file again. A file with findings changes nothing.
+    fn reload(&mut self, running: &Running, log: &slog::Logger) {
+        self.has_changed();
+        match Settings::load(&self.file) {
+            Ok(settings) => {
+                running.reload(&settings);
+                slog::info!(log, "settings reloaded");
+            }
+            Err(findings) => slog::error!(log, "settings not reloaded; correct the file";
+                "findings" => %findings),
         }
     }
 }
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -5,7 +5,7 @@
 //! docs/design/provider.md.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::roster::Roster;
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::rpc::{Method, PeerClients, decode, encode};
-use crate::settings::Settings;
+use crate::settings::{DiscoverySettings, Settings};
 
 /// Pause between two rounds of introductions: a newcomer is known to all within two rounds.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -44,7 +44,7 @@
 /// What a process knows of the others.
 pub struct Discovery {
     me: Node,
-    seeds: Vec<SocketAddr>,
+    seeds: RwLock<Vec<SocketAddr>>,
     roster: Mutex<Roster>,
     directory: Arc<Directory>,
     peers: PeerClients,
@@ -70,7 +70,7 @@
             role: process.role.into(),
             age_ms: 0,
         };
-        let seeds = discovery.peers(process.address.port());
+        let seeds = RwLock::new(discovery.peers(process.address.port()));
         let roster = Mutex::default();
         let found = Discovery { me: node, seeds, roster, directory, peers, clock };
         found.hear(Vec::new());
@@ -93,6 +93,12 @@
         self.clock.now()
     }
 
+    /// Takes other seeds, from settings that changed.
+    pub fn set_seeds(&self, settings: &DiscoverySettings) {
+        let Ok(own) = self.me.peers.parse::<SocketAddr>() else { return };
+        *self.seeds.write().expect("no panic while held") = settings.peers(own.port());
+    }
+
     /// Introduces this process until `stop`.
     pub async fn run(self: Arc<Self>, stop: CancellationToken) {
         while !stop.is_cancelled() {
@@ -117,7 +123,8 @@
         let stores = self.directory.stores();
         let known = stores.into_values().filter(|address| Some(*address) != own);
         let mut targets = known.sample(&mut rand::rng(), ASKED);
-        let seeds = self.seeds.iter().copied().filter(|address| Some(*address) != own);
+        let seeds = self.seeds.read().expect("no panic while held").clone();
+        let seeds = seeds.into_iter().filter(|address| Some(*address) != own);
         if targets.is_empty() {
             targets.extend(seeds);
         } else if let Some(seed) = seeds.choose(&mut rand::rng())
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -42,7 +42,7 @@
 use crate::listener::Listener;
 use crate::metrics::Metrics;
 use crate::rpc::PeerClients;
-use crate::settings::Settings;
+use crate::settings::{DiscoverySettings, Settings};
 use crate::tls;
 
 /// Longest time that a caller's connection may stay idle or take to send a head. It is above any
@@ -66,6 +66,7 @@
     addresses: GatewayAddresses,
     ready: Listener,
     metrics: Option<Listener>,
+    discovery: Option<Arc<Discovery>>,
     /// Ends the background loops; cancelled last.
     halt: CancellationToken,
 }
@@ -105,11 +106,11 @@
             None => None,
         };
         let addresses = GatewayAddresses { callers: callers.local_addr()?, ready: ready.address() };
-        spawn_loops(&state, &halt);
+        let discovery = spawn_loops(&state, &halt);
         tokio::spawn(accept(Arc::clone(&state), callers));
         slog::info!(state.log, "gateway started"; "vm" => state.vm.0,
             "callers" => %addresses.callers, "ready" => %addresses.ready);
-        Ok(Gateway { state, addresses, ready, metrics, halt })
+        Ok(Gateway { state, addresses, ready, metrics, discovery, halt })
     }
 
     /// Returns the addresses in use.
@@ -117,6 +118,13 @@
         self.addresses
     }
 
+    /// Takes what changed in the settings.
+    pub fn reload(&self, settings: &DiscoverySettings) {
+        if let Some(discovery) = &self.discovery {
+            discovery.set_seeds(settings);
+        }
+    }
+
     /// Stops as planned: no callers from the balancer, requests in flight finish, callers of open
     /// connections are told to open others, then everything closes.
     pub async fn stop(self) {
@@ -177,16 +185,17 @@
 /// Longest lease of an endpoint here; the control group says when one goes.
 const MAX_LEASE: Duration = Duration::from_secs(120);
 
-fn spawn_loops(state: &Arc<GatewayState>, halt: &CancellationToken) {
+fn spawn_loops(state: &Arc<GatewayState>, halt: &CancellationToken) -> Option<Arc<Discovery>> {
     let process = Process { vm: state.vm, role: Role::Entry, address: state.settings.listen.peers };
     let (directory, peers) = (Arc::clone(&state.directory), state.peers.clone());
     let discovery = Discovery::new(&state.settings, process, directory, peers, state.clock);
-    if let Some(discovery) = discovery {
-        tokio::spawn(discovery.run(halt.clone()));
+    if let Some(discovery) = &discovery {
+        tokio::spawn(Arc::clone(discovery).run(halt.clone()));
     }
     tokio::spawn(follow::follow(Arc::clone(state), halt.clone()));
     tokio::spawn(renew_config(Arc::clone(state), halt.clone()));
     tokio::spawn(sweep_channels(Arc::clone(state), halt.clone()));
+    discovery
 }
 
 async fn renew_config(state: Arc<GatewayState>, halt: CancellationToken) {
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -58,7 +58,7 @@
             Ok(_) => slog::info!(self.context.log, "group membership changed";
                 "group" => group.0, "change" => ?change),
             // Most often a learner that has not caught up yet; the next look tries again.
-            Err(error) => slog::debug!(self.context.log, "group membership not changed";
+            Err(error) => slog::info!(self.context.log, "group membership not changed";
                 "group" => group.0, "change" => ?change, "error" => %error),
         }
     }
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -34,7 +34,7 @@
 use crate::metrics::Metrics;
 use crate::replica::{Event, Host, HostSettings, Outbound};
 use crate::rpc::{Method, PeerClients, RpcServer};
-use crate::settings::{Settings, StoreSettings};
+use crate::settings::{DiscoverySettings, Settings, StoreSettings};
 use crate::tls;
 
 /// Events that may wait for the control group.
@@ -163,6 +163,13 @@
         Ok(address)
     }
 
+    /// Takes what changed in the settings.
+    pub fn reload(&self, settings: &DiscoverySettings) {
+        if let Some(discovery) = &self.state.discovery {
+            discovery.set_seeds(settings);
+        }
+    }
+
     /// Stops as planned: leadership is handed over first, so that no group waits for an election.
     pub async fn stop(self) {
         slog::info!(self.state.context.log, "store stops");
