Send replication batches to a peer several at a time, and joined

One call at a time carries a batch a round trip: 60 a second over the 16 ms between regions, while a leader in the far region makes 200. They queued up to the buffer's end, so heartbeats came seconds late and each new leader was deposed again. Batches that wait are now joined, and eight calls may be under way. Ruled out: slow disks and processor time (0.03 of a core), slow single calls (none above 100 ms between live stores). A call to a peer that does not answer is now bounded as a whole; callers used to queue behind each other's connects.

--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderValue};
@@ -22,6 +22,9 @@
 
 /// Longest time to open a connection; a silent partition is noticed this fast.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which an address counts as unreachable after a connect failed: short against any
+/// restart, long against the calls that queue up meanwhile.
+const REFUSE_FOR: Duration = Duration::from_millis(150);
 /// Calls in flight on one connection.
 const MAX_CALLS: usize = 8_192;
 
@@ -47,7 +50,14 @@
     connections: Arc<Mutex<HashMap<SocketAddr, Arc<Connection>>>>,
 }
 
-type Connection = tokio::sync::Mutex<Option<Arc<WsClient>>>;
+type Connection = tokio::sync::Mutex<Slot>;
+
+/// The connection to one address, or when it could last not be opened.
+#[derive(Default)]
+struct Slot {
+    client: Option<Arc<WsClient>>,
+    failed: Option<Instant>,
+}
 
 impl PeerClients {
     /// Creates an empty set that presents `token` on each connection, over TLS if given.
@@ -66,10 +76,11 @@
         parameters: ArrayParams,
         timeout: Duration,
     ) -> Result<String, RpcError> {
-        let client = self.client(address).await?;
-        let answer =
-            tokio::time::timeout(timeout, client.request::<String, _>(method.name(), parameters));
-        match answer.await {
+        let until = tokio::time::Instant::now() + timeout;
+        let opening = tokio::time::timeout_at(until, self.client(address)).await;
+        let client = opening.map_err(|_| RpcError::Unreachable(address))??;
+        let request = client.request::<String, _>(method.name(), parameters);
+        match tokio::time::timeout_at(until, request).await {
             Ok(Ok(text)) => Ok(text),
             Ok(Err(ClientError::Call(error))) => {
                 Err(RpcError::Refused(address, error.message().to_owned()))
@@ -84,12 +95,19 @@
     async fn client(&self, address: SocketAddr) -> Result<Arc<WsClient>, RpcError> {
         let connection = self.connection(address);
         let mut slot = connection.lock().await;
-        if let Some(client) = slot.as_ref().filter(|client| client.is_connected()) {
+        if let Some(client) = slot.client.as_ref().filter(|client| client.is_connected()) {
             return Ok(Arc::clone(client));
         }
-        let client = self.open(address).await.ok_or(RpcError::Unreachable(address))?;
-        let client = Arc::new(client);
-        *slot = Some(Arc::clone(&client));
+        // Calls that queued up behind one that found nobody would otherwise each wait out a
+        // connect of their own, one after another, long past their timeouts.
+        if slot.failed.is_some_and(|failed| failed.elapsed() < REFUSE_FOR) {
+            return Err(RpcError::Unreachable(address));
+        }
+        slot.failed = Some(Instant::now());
+        let client = self.open(address).await.ok_or(RpcError::Unreachable(address));
+        slot.failed = client.is_err().then(Instant::now);
+        let client = Arc::new(client?);
+        slot.client = Some(Arc::clone(&client));
         Ok(client)
     }
 
@@ -129,8 +147,8 @@
     async fn forget_broken(&self, address: SocketAddr, broken: &Arc<WsClient>) {
         let connection = self.connection(address);
         let mut slot = connection.lock().await;
-        if slot.as_ref().is_some_and(|client| Arc::ptr_eq(client, broken)) {
-            *slot = None;
+        if slot.client.as_ref().is_some_and(|client| Arc::ptr_eq(client, broken)) {
+            slot.client = None;
         }
     }
 }
--- a/crates/gypsumglade/src/store/mod.rs
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -4,6 +4,7 @@
 pub mod context;
 pub mod control_group;
 mod member_watch;
+pub mod outbound;
 mod peer_calls;
 pub mod program_group;
 mod registrar;
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -1,23 +1,20 @@
 //! Starts and stops a store.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, RwLock};
 
 use anyhow::Context as _;
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program;
 use gypsumglade_core::replication;
 use gypsumglade_core::wire::discovery::Role;
-use jsonrpsee::core::params::ArrayParams;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use super::context::StoreContext;
 use super::control_group::ControlGroup;
 use super::member_watch;
+use super::outbound;
 use super::peer_calls;
 use super::program_group::{GroupInput, ProgramGroup};
 use super::registrar::Registrar;
@@ -32,17 +29,13 @@
 use crate::entry::listener_options;
 use crate::listener::Listener;
 use crate::metrics::Metrics;
-use crate::replica::{Event, Host, HostSettings, Outbound};
-use crate::rpc::{Method, PeerClients, RpcServer};
+use crate::replica::{Event, Host, HostSettings};
+use crate::rpc::{PeerClients, RpcServer};
 use crate::settings::{DiscoverySettings, Settings, StoreSettings};
 use crate::tls;
 
 /// Events that may wait for the control group.
 const EVENT_BUFFER: usize = 1_024;
-/// Batches that may wait for one peer; beyond it they are dropped, and replication repeats them.
-const BATCH_BUFFER: usize = 256;
-/// Longest wait for a peer to take a batch.
-const BATCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What the listeners of a store share.
 pub struct StoreState {
@@ -96,7 +89,7 @@
         let process = Process { vm, role: Role::Store, address: own.peers };
         let (shared, callers) = (Arc::clone(&directory), peers.clone());
         let discovery = Discovery::new(&settings, process, shared, callers, clock);
-        let (outbound, batches) = mpsc::channel(BATCH_BUFFER);
+        let (outbound, batches) = mpsc::channel(outbound::BUFFER);
         let (host, events) = Host::start(host_settings(vm, &own), outbound).await?;
         let context = Arc::new(StoreContext {
             vm,
@@ -114,7 +107,7 @@
         let lease = settings.timeouts.config_lease();
         let control = ControlGroup::new(Arc::clone(&context), keys, lease);
         let turns = TurnGroup::new(Arc::clone(&context));
-        tokio::spawn(send_batches(Arc::clone(&context), batches));
+        tokio::spawn(outbound::send_batches(Arc::clone(&context), batches));
         let state = Arc::new(StoreState { context, control, turns, discovery, settings });
         start_groups(&state, events).await?;
         spawn_loops(&state, &own, &halt);
@@ -310,31 +303,3 @@
         Event::Failed { .. } => None,
     }
 }
-
-/// Sends replication batches, each peer's in order and none waiting for another's.
-async fn send_batches(context: Arc<StoreContext>, mut batches: mpsc::Receiver<Outbound>) {
-    let mut queues: HashMap<VmId, mpsc::Sender<Outbound>> = HashMap::new();
-    while let Some(batch) = batches.recv().await {
-        let queue = queues.entry(batch.to).or_insert_with(|| {
-            let (sender, receiver) = mpsc::channel(BATCH_BUFFER);
-            tokio::spawn(send_to_peer(Arc::clone(&context), receiver));
-            sender
-        });
-        // A full queue means a slow or silent peer; what is dropped is repeated.
-        let _ = queue.try_send(batch);
-    }
-}
-
-async fn send_to_peer(context: Arc<StoreContext>, mut batches: mpsc::Receiver<Outbound>) {
-    while let Some(batch) = batches.recv().await {
-        let Some(address) = context.directory.store(batch.to) else { continue };
-        let mut parameters = ArrayParams::new();
-        let text = STANDARD.encode(&batch.batch);
-        if parameters.insert(context.vm).and_then(|()| parameters.insert(text)).is_err() {
-            continue;
-        }
-        let call = context.peers.call(address, Method::Replication, parameters, BATCH_TIMEOUT);
-        // Replication repeats what was lost.
-        let _ = call.await;
-    }
-}
