Number introductions, and close idle connections of a stopping gateway early

A dead store's age was passed on between processes, and each relay added the time under way to it, so it seemed alive for two seconds more and its replacement waited. Only a later introduction counts now. A stopping gateway took requests for 6.5 s and cut them at the end; it now closes idle connections after 3 s and has 4.5 s for what it took.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -32,18 +32,27 @@
 
 impl Roster {
     /// Takes in a process, heard from itself or through another.
+    ///
+    /// Only a later introduction counts as a sign of life. Were the age alone compared, each relay
+    /// would add the time under way to the moment of the last one, and a dead process would seem to
+    /// live on for seconds.
     pub fn hear(&mut self, now: Time, node: Node) {
         let at = now - Duration::from_millis(node.age_ms);
         let vm = VmId(node.vm);
         let known = self.nodes.get(&vm);
-        if known.is_some_and(|known| known.at >= at) {
+        if known.is_some_and(|known| known.node.sequence >= node.sequence) {
             return;
         }
         // A process that restarted with an empty disk has a new identity at its old address. The
         // earlier one is gone for good, and nothing should be sent to it there.
-        self.nodes.retain(|_, other| {
-            VmId(other.node.vm) == vm || other.node.peers != node.peers || other.at > at
+        let newer = |other: &Node| other.sequence > node.sequence;
+        let taken = self.nodes.values().any(|other| {
+            other.node.peers == node.peers && VmId(other.node.vm) != vm && newer(&other.node)
         });
+        if taken {
+            return;
+        }
+        self.nodes.retain(|_, other| other.node.peers != node.peers);
         self.nodes.insert(vm, Heard { node, at });
     }
 
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -5,6 +5,7 @@
 //! docs/design/provider.md.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
 use gypsumglade_core::prelude::*;
@@ -46,6 +47,8 @@
     me: Node,
     seeds: RwLock<Vec<SocketAddr>>,
     roster: Mutex<Roster>,
+    /// Number of the latest introduction.
+    sequence: AtomicU64,
     directory: Arc<Directory>,
     peers: PeerClients,
     clock: Clock,
@@ -69,10 +72,12 @@
             peers: process.address.to_string(),
             role: process.role.into(),
             age_ms: 0,
+            sequence: 0,
         };
         let seeds = RwLock::new(discovery.peers(process.address.port()));
         let roster = Mutex::default();
-        let found = Discovery { me: node, seeds, roster, directory, peers, clock };
+        let sequence = AtomicU64::new(0);
+        let found = Discovery { me: node, seeds, roster, sequence, directory, peers, clock };
         found.hear(Vec::new());
         Some(Arc::new(found))
     }
@@ -102,9 +107,12 @@
     /// Introduces this process until `stop`.
     pub async fn run(self: Arc<Self>, stop: CancellationToken) {
         while !stop.is_cancelled() {
-            let targets = self.targets();
-            let asked = targets.into_iter().map(|address| self.introduce(address));
-            futures::future::join_all(asked).await;
+            self.hear(Vec::new());
+            for address in self.targets() {
+                // Each on its own: a round must not wait for a process that is gone.
+                let asking = Arc::clone(&self);
+                tokio::spawn(async move { asking.introduce(address).await });
+            }
             let alone = self.directory.stores().keys().all(|vm| vm.0 == self.me.vm);
             let pause = if alone { FIRST_PAUSE } else { PAUSE };
             tokio::select! {
@@ -136,7 +144,7 @@
     }
 
     async fn introduce(&self, address: SocketAddr) {
-        let hello = Hello { node: Some(self.me.clone()) };
+        let hello = Hello { node: Some(self.myself()) };
         let mut parameters = ArrayParams::new();
         if parameters.insert(encode(&hello)).is_err() {
             return;
@@ -150,13 +158,23 @@
         }
     }
 
+    /// Returns the process's own introduction of this moment.
+    ///
+    /// The time of day numbers it, so that a restarted process goes on where it was. A clock that
+    /// is set back silences a process until it has caught up; `sequence` keeps within one life.
+    fn myself(&self) -> Node {
+        let wall = Clock::wall_millis();
+        let before = self.sequence.fetch_max(wall, Ordering::Relaxed);
+        Node { sequence: before.max(wall), ..self.me.clone() }
+    }
+
     fn hear(&self, nodes: Vec<Node>) {
         let now = self.clock.now();
         let mut roster = self.roster();
         for node in nodes.into_iter().filter(|node| node.vm != self.me.vm) {
             roster.hear(now, node);
         }
-        roster.hear(now, self.me.clone());
+        roster.hear(now, self.myself());
         roster.expire(now);
         let stores = roster.stores().filter_map(|(node, _)| {
             let address = node.peers.parse().ok()?;
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -48,11 +48,13 @@
 /// Longest time that a caller's connection may stay idle or take to send a head. It is above any
 /// idle time that operators tell callers, so that no request crosses a close.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Time after a planned stop began until no further connection is taken: by then the balancer has
-/// missed two answers and sends no more.
-const LISTEN_ON: Duration = Duration::from_millis(2_500);
-/// Time after which connections that are still idle are closed, and the process ends.
-const LAST_CLOSE: Duration = Duration::from_millis(6_500);
+/// Time after a planned stop began until connections that are idle are closed and no further one is
+/// taken. By then the balancer has missed two answers and sends no more, and most callers have had
+/// an answer that tells them to open another connection.
+const LISTEN_ON: Duration = Duration::from_millis(3_000);
+/// Time after a planned stop began until the process ends whatever is still under way. Requests are
+/// taken for three seconds and last four at most; the provider kills a process after eight.
+const LAST_END: Duration = Duration::from_millis(7_500);
 /// Pause between two looks for idle connections to endpoints whose time is over.
 const CHANNEL_SWEEP: Duration = Duration::from_secs(1);
 /// When to come back to a VM that knows no bundle yet.
@@ -133,7 +135,7 @@
         let began = Instant::now();
         state.stop.cancel();
         state.tasks.close();
-        let _ = tokio::time::timeout_at(began + LAST_CLOSE, state.tasks.wait()).await;
+        let _ = tokio::time::timeout_at(began + LAST_END, state.tasks.wait()).await;
         self.halt.cancel();
         self.ready.drained().await;
         if let Some(metrics) = self.metrics {
@@ -272,7 +274,7 @@
     tokio::pin!(served);
     let closing = async {
         state.stop.cancelled().await;
-        tokio::time::sleep(LAST_CLOSE - CLOSE_MARGIN).await;
+        tokio::time::sleep(LISTEN_ON).await;
     };
     tokio::select! {
         // A caller's connection that broke is the caller's to notice.
@@ -283,9 +285,6 @@
     let _ = served.await;
 }
 
-/// Time between the close of idle connections and the end of the process.
-const CLOSE_MARGIN: Duration = Duration::from_millis(500);
-
 /// Takes one request through all steps.
 async fn serve(state: Arc<GatewayState>, request: Request<Incoming>) -> Answer {
     let arrived = Instant::now();
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -14,8 +14,9 @@
 /// Pause between two looks. A repair takes three steps, and a newcomer must have caught up some
 /// four seconds after its start.
 const PAUSE: Duration = Duration::from_millis(200);
-/// Silence after which a store counts as lost: four rounds of introductions.
-const SILENT_AFTER: Duration = Duration::from_millis(2_000);
+/// Silence after which a store counts as lost: three rounds of introductions. A store that is
+/// counted out too early comes back as a learner; nothing is lost by it.
+const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 
 /// What a repair needs to know.
 pub(super) struct Repair {
