Lead from the region with most voters, cache histories, empty stores

A turn group led from the northern region sent every commit and every fetched history over the link between regions, which filled up under a burst: its learner never caught up and leaders were deposed in turn. Leadership now moves to the region with the most voters. Entries keep the histories of turns that ended there, so that only the check that a turn is kept goes to the group. Stores can be emptied: the mark is in the control group's log, replicas move, and a store counts as empty once the leader of every group says so.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -22,6 +22,8 @@
 pub use revision::{Revision, RevisionError};
 pub use snapshot::RestoreError;
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 
 use crate::bundle::{Bundle, Digest, OperatorKeys, RollBackOrder, Signature, Version};
@@ -69,6 +71,7 @@
     order_lease: Option<wire::OrderLease>,
     groups: Vec<wire::GroupPlacement>,
     endpoints: Endpoints,
+    retiring: BTreeSet<VmId>,
     mutation: Mutation,
 }
 
@@ -93,6 +96,7 @@
             order_lease: None,
             groups: Vec::new(),
             endpoints: Endpoints::default(),
+            retiring: BTreeSet::new(),
             mutation,
         }
     }
@@ -122,6 +126,11 @@
         &self.endpoints
     }
 
+    /// Tells whether a store is to be emptied.
+    pub fn is_retiring(&self, vm: VmId) -> bool {
+        self.retiring.contains(&vm)
+    }
+
     /// Applies a committed command.
     pub fn apply(&mut self, command: &wire::Command) -> wire::Answer {
         let body = match &command.body {
@@ -131,6 +140,7 @@
             Some(CommandBody::Place(place)) => self.place(place),
             Some(CommandBody::Register(register)) => self.register(register),
             Some(CommandBody::Deregister(gone)) => self.deregister(gone),
+            Some(CommandBody::Retire(retire)) => self.retire(retire),
             None => rejected(Fault::Malformed, "the command is empty"),
         };
         wire::Answer { body: Some(body) }
@@ -256,6 +266,13 @@
         AnswerBody::Registered(wire::Registered {})
     }
 
+    /// Marks a store as one that is to hold nothing. It stays marked: a store that was emptied is
+    /// taken away, and its identity never comes back.
+    fn retire(&mut self, retire: &wire::Retire) -> AnswerBody {
+        self.retiring.insert(VmId(retire.vm));
+        AnswerBody::Registered(wire::Registered {})
+    }
+
     fn check_accept(&self, accept: &wire::Accept, keys: &OperatorKeys) -> Result<(), AnswerBody> {
         self.recall_order(&accept.order_id, accept_fingerprint(accept))?;
         let digest = wire_digest(&accept.digest)?;
--- a/crates/core/src/control/snapshot.rs
+++ b/crates/core/src/control/snapshot.rs
@@ -36,6 +36,7 @@
             floor: self.memory.floor.as_ref().map(ToString::to_string).unwrap_or_default(),
             order_lease: self.order_lease,
             groups: self.groups.clone(),
+            retiring: self.retiring.iter().map(|vm| vm.0).collect(),
             ..wire::Snapshot::default()
         };
         self.endpoints.save(&mut snapshot);
@@ -67,6 +68,7 @@
             order_lease: snapshot.order_lease,
             groups: snapshot.groups,
             endpoints,
+            retiring: snapshot.retiring.into_iter().map(VmId).collect(),
             mutation: Mutation::None,
         })
     }
--- a/crates/core/src/replication/repair.rs
+++ b/crates/core/src/replication/repair.rs
@@ -14,6 +14,8 @@
     pub vm: VmId,
     /// Its failure domain.
     pub domain: CompactString,
+    /// Its region.
+    pub region: CompactString,
     /// True when it is to be emptied and must hold nothing.
     pub retiring: bool,
 }
@@ -60,7 +62,31 @@
     None
 }
 
+/// Tells whether the leader should hand its leadership over, once its group needs no repair.
+///
+/// Every commit waits for a majority. From a region that holds a minority of the voters, each one
+/// crosses the link between regions and back, 16 ms and paid by volume; from the region with the
+/// most voters it does not. A store that is to be emptied can't remove itself.
+pub fn should_hand_over(members: &Members, survey: &Survey) -> bool {
+    let Some(me) = survey.alive.iter().find(|store| store.vm == survey.me) else { return false };
+    let others = survey
+        .alive
+        .iter()
+        .filter(|store| store.vm != me.vm && !store.retiring && members.is_voter(store.vm));
+    if me.retiring {
+        return others.count() > 0;
+    }
+    let own = survey.voters_in_region(members, &me.region);
+    let most = others.map(|store| survey.voters_in_region(members, &store.region)).max();
+    most.is_some_and(|most| most > own)
+}
+
 impl Survey {
+    fn voters_in_region(&self, members: &Members, region: &str) -> usize {
+        let stores = self.alive.iter().filter(|store| store.region == region && !store.retiring);
+        stores.filter(|store| members.is_voter(store.vm)).count()
+    }
+
     /// Tells whether a store is alive and may hold replicas.
     fn serves(&self, vm: VmId) -> bool {
         self.alive.iter().any(|store| store.vm == vm && !store.retiring)
--- a/crates/core/src/replication/status.rs
+++ b/crates/core/src/replication/status.rs
@@ -25,6 +25,8 @@
     pub snapshot: Position,
     /// The members in force.
     pub members: Members,
+    /// Whether they are committed: no change of them is under way.
+    pub settled: bool,
     /// Whether it holds a leader's lease right now.
     pub lease: bool,
 }
@@ -41,6 +43,7 @@
             last: self.log.last(),
             snapshot: self.log.snapshot(),
             members: self.log.members().clone(),
+            settled: self.log.members_since() <= self.commit,
             lease: self.holds_lease(now, links),
         }
     }
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use crate::prelude::*;
-use crate::wire::discovery::{Node, Nodes, Role};
+use crate::wire::discovery::{Led, Node, Nodes, Role};
 
 /// Silence after which a process is no longer listed.
 ///
@@ -77,6 +77,13 @@
         stores.map(|heard| (&heard.node, heard.at))
     }
 
+    /// Returns the members of each group, as told by its leader within `age`. Where two stores
+    /// think that they lead, both are told: what either still counts on must not be taken away.
+    pub fn led(&self, now: Time, age: Duration) -> Vec<Led> {
+        let fresh = self.nodes.values().filter(|heard| now.since(heard.at) < age);
+        fresh.flat_map(|heard| heard.node.led.iter().cloned()).collect()
+    }
+
     /// Returns when a process was last heard.
     pub fn last_heard(&self, vm: VmId) -> Option<Time> {
         self.nodes.get(&vm).map(|heard| heard.at)
--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -1,5 +1,7 @@
 //! The state machine of a turn group.
 
+use bytes::Bytes;
+
 use super::budget::Budgets;
 use super::tree::TurnTree;
 use crate::wire::turn as wire;
@@ -42,7 +44,11 @@
 
     fn reserve(&mut self, reserve: &wire::Reserve) -> ReplyBody {
         let now = self.advance(reserve.now_ms);
-        let Some(history) = self.tree.history(now, &reserve.previous) else {
+        let history = match reserve.held {
+            true => self.tree.is_kept(now, &reserve.previous).then(Bytes::new),
+            false => self.tree.history(now, &reserve.previous),
+        };
+        let Some(history) = history else {
             return ReplyBody::Unknown(wire::UnknownTurn {});
         };
         let (turn, most) = (&reserve.turn, reserve.most);
--- a/crates/core/src/turns/tree.rs
+++ b/crates/core/src/turns/tree.rs
@@ -61,6 +61,11 @@
         Some(history.freeze())
     }
 
+    /// Tells whether a turn is kept. Its chain is kept at least as long.
+    pub fn is_kept(&self, now: u64, id: &str) -> bool {
+        self.turns.get(id).is_some_and(|turn| turn.until > now)
+    }
+
     /// Forgets turns whose time is over.
     pub fn expire(&mut self, now: u64) {
         self.turns.retain(|_, turn| turn.until > now);
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -10,7 +10,7 @@
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::roster::Roster;
-use gypsumglade_core::wire::discovery::{Hello, Node, Nodes, Role};
+use gypsumglade_core::wire::discovery::{Hello, Led, Node, Nodes, Role};
 use jsonrpsee::core::params::ArrayParams;
 use rand::seq::IteratorRandom as _;
 use tokio_util::sync::CancellationToken;
@@ -49,6 +49,8 @@
     roster: Mutex<Roster>,
     /// Number of the latest introduction.
     sequence: AtomicU64,
+    /// Groups that this process leads.
+    led: Mutex<Vec<Led>>,
     directory: Arc<Directory>,
     peers: PeerClients,
     clock: Clock,
@@ -73,11 +75,13 @@
             role: process.role.into(),
             age_ms: 0,
             sequence: 0,
+            led: Vec::new(),
         };
         let seeds = RwLock::new(discovery.peers(process.address.port()));
         let roster = Mutex::default();
         let sequence = AtomicU64::new(0);
-        let found = Discovery { me: node, seeds, roster, sequence, directory, peers, clock };
+        let led = Mutex::default();
+        let found = Discovery { me: node, seeds, roster, sequence, led, directory, peers, clock };
         found.hear(Vec::new());
         Some(Arc::new(found))
     }
@@ -98,6 +102,11 @@
         self.clock.now()
     }
 
+    /// Takes the groups that this process leads, to tell others with its next introductions.
+    pub fn set_led(&self, led: Vec<Led>) {
+        *self.led.lock().expect("no panic while held") = led;
+    }
+
     /// Takes other seeds, from settings that changed.
     pub fn set_seeds(&self, settings: &DiscoverySettings) {
         let Ok(own) = self.me.peers.parse::<SocketAddr>() else { return };
@@ -165,7 +174,8 @@
     fn myself(&self) -> Node {
         let wall = Clock::wall_millis();
         let before = self.sequence.fetch_max(wall, Ordering::Relaxed);
-        Node { sequence: before.max(wall), ..self.me.clone() }
+        let led = self.led.lock().expect("no panic while held").clone();
+        Node { sequence: before.max(wall), led, ..self.me.clone() }
     }
 
     fn hear(&self, nodes: Vec<Node>) {
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod channels;
 mod dialect;
 mod follow;
+mod history_cache;
 mod lines;
 mod opening;
 mod placing;
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -18,7 +18,6 @@
 use super::placing::Flight;
 use super::settlement::{Reservation, settle_later, settle_whole};
 use super::state::GatewayState;
-use super::streaming::SETTLE_PATIENCE;
 
 /// A piece of a caller's answer.
 pub(super) type RelayFrame = Result<Frame<Bytes>, BrokenOff>;
@@ -193,8 +192,7 @@
         let settled = match (self.reservation.take(), end) {
             (None, _) => true,
             (Some(reservation), End::Whole) => {
-                let turns = &self.state.turns;
-                settle_whole(turns, reservation, tokens, output, SETTLE_PATIENCE).await
+                settle_whole(&self.state, reservation, tokens, &self.body, output).await
             }
             (Some(reservation), End::Broken | End::Abandoned) => {
                 settle_later(&self.state.turns, reservation, tokens);
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -28,6 +28,7 @@
 use super::call::{Answer, Call};
 use super::channels::Channels;
 use super::dialect::{Dialect, Refusal};
+use super::history_cache::HistoryCache;
 use super::placing::choose_pool;
 use super::plain::{self, BODY_TIMEOUT, refused};
 use super::relay::STREAM_TIMEOUT;
@@ -173,6 +174,7 @@
         dialect,
         channels: Channels::default(),
         turns: TurnClient::new(Arc::clone(&directory), peers.clone()),
+        histories: HistoryCache::default(),
         metrics: Metrics::new()?,
         log,
         stop: CancellationToken::new(),
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -8,6 +8,7 @@
 
 use super::call::Call;
 use super::dialect::Refusal;
+use super::state::GatewayState;
 use super::turn_client::TurnClient;
 
 /// Longest wait for the leave to run a turn. Past it the caller is better off trying another VM
@@ -15,6 +16,9 @@
 const RESERVE_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Longest wait for a settlement that nobody waits for; it spans an election.
 const BACKGROUND_PATIENCE: Duration = Duration::from_secs(8);
+/// Longest wait for the settlement of a turn that is kept, before its stream is cut: an election is
+/// waited out, and callers give up a silent stream after two seconds.
+const SETTLE_PATIENCE: Duration = Duration::from_millis(1_800);
 /// When to come back while the turn group has no leader: an election takes about a second.
 const NO_LEADER_PAUSE: Duration = Duration::from_millis(400);
 
@@ -37,7 +41,7 @@
 /// Asks for leave to run a turn. Returns the body to send, and what to settle later; nothing needs
 /// settling for a request without budget whose turns are not kept.
 pub(super) async fn reserve(
-    client: &TurnClient,
+    state: &GatewayState,
     call: &Call,
 ) -> Result<(Bytes, Option<Reservation>), Refusal> {
     let keep = call.stream().and_then(|stream| stream.keep_ms);
@@ -50,6 +54,8 @@
         input: call.body.clone(),
         retention,
     });
+    let client = &state.turns;
+    let known = state.histories.get(&turn.previous);
     let reservation =
         Reservation { turn: call.head.id.clone(), program: turn.program.clone(), keeps };
     let ask = Reserve {
@@ -59,11 +65,13 @@
         most: call.head.most_tokens,
         previous: turn.previous.to_string(),
         now_ms: 0,
+        held: known.is_some(),
     };
     let patience = call.left().min(RESERVE_PATIENCE);
     match client.ask(CommandBody::Reserve(ask), patience).await {
         Some(ReplyBody::Reserved(reserved)) => {
-            Ok((joined(reserved.history, &call.body), Some(reservation)))
+            let history = known.unwrap_or(reserved.history);
+            Ok((joined(&history, &call.body), Some(reservation)))
         }
         Some(ReplyBody::Spent(_)) => Err(Refusal::BudgetSpent),
         Some(ReplyBody::Unknown(_)) => Err(Refusal::UnknownTurn),
@@ -79,16 +87,18 @@
 /// Settles a turn that ended whole, and returns whether it is durable. A turn that may be continued
 /// must be: its caller would go on from it at another VM.
 pub(super) async fn settle_whole(
-    client: &TurnClient,
+    state: &GatewayState,
     reservation: Reservation,
     tokens: u64,
+    sent: &Bytes,
     output: Bytes,
-    patience: Duration,
 ) -> bool {
+    let client = &state.turns;
     let Some(keeping) = &reservation.keeps else {
         settle_later(client, reservation, tokens);
         return true;
     };
+    let history = joined(sent, &output);
     let kept = Kept {
         previous: keeping.previous.to_string(),
         input: keeping.input.clone(),
@@ -96,8 +106,12 @@
         retention_ms: keeping.retention,
     };
     let settle = settle(&reservation, tokens, Some(kept));
-    let answer = client.ask(CommandBody::Settle(settle), patience).await;
-    matches!(answer, Some(ReplyBody::Settled(_)))
+    let answer = client.ask(CommandBody::Settle(settle), SETTLE_PATIENCE).await;
+    let settled = matches!(answer, Some(ReplyBody::Settled(_)));
+    if settled {
+        state.histories.put(reservation.turn.clone(), &keeping.previous, history);
+    }
+    settled
 }
 
 /// Settles a turn that is not kept, without a wait.
@@ -120,9 +134,9 @@
     }
 }
 
-fn joined(history: Bytes, input: &Bytes) -> Bytes {
-    if history.is_empty() {
-        return input.clone();
+fn joined(start: &Bytes, rest: &Bytes) -> Bytes {
+    if start.is_empty() {
+        return rest.clone();
     }
-    [history.as_ref(), input.as_ref()].concat().into()
+    [start.as_ref(), rest.as_ref()].concat().into()
 }
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -10,6 +10,7 @@
 
 use super::channels::Channels;
 use super::dialect::Dialect;
+use super::history_cache::HistoryCache;
 use super::turn_client::TurnClient;
 use crate::clock::Clock;
 use crate::directory::Directory;
@@ -30,6 +31,7 @@
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) channels: Channels,
     pub(super) turns: TurnClient,
+    pub(super) histories: HistoryCache,
     pub(super) metrics: Metrics,
     pub(super) log: slog::Logger,
     /// Cancelled when a planned stop begins.
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use gypsumglade_core::prelude::*;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use tokio::sync::mpsc;
@@ -26,7 +25,7 @@
 /// The head goes out with the first event, not before: until then the request can still be sent
 /// elsewhere, or be refused with a word on whether it ran.
 pub(super) async fn answer(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Answer, Refusal> {
-    let (body, reservation) = reserve(&state.turns, &call).await?;
+    let (body, reservation) = reserve(state, &call).await?;
     match start(state, &call, &body).await {
         Ok(Started::Stream(mut relay, head)) => {
             relay.reservation = reservation;
@@ -93,7 +92,3 @@
     *answer.headers_mut() = forwarded(&head.headers);
     answer
 }
-
-/// Longest wait for a turn's settlement before its stream is cut: an election is waited out, and
-/// callers give up a silent stream after two seconds.
-pub(super) const SETTLE_PATIENCE: Duration = Duration::from_millis(1_800);
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -57,6 +57,9 @@
     TransferAll {
         reply: oneshot::Sender<()>,
     },
+    Transfer {
+        group: GroupId,
+    },
     Change {
         group: GroupId,
         change: MemberChange,
@@ -221,6 +224,7 @@
                 self.snapshot(group, index, data, reply);
             }
             Command::TransferAll { reply } => self.transfer_all(reply),
+            Command::Transfer { group } => self.step(group, Input::Transfer),
             Command::Change { group, change, reply } => self.change(group, change, reply),
             Command::Status { reply } => drop(reply.send(self.status())),
             Command::Written(done) => done.into_iter().for_each(|done| self.written(done)),
--- a/crates/gypsumglade/src/replica/host.rs
+++ b/crates/gypsumglade/src/replica/host.rs
@@ -84,6 +84,12 @@
         self.ask(|reply| Command::TransferAll { reply }).await;
     }
 
+    /// Has a group's leadership handed over, if this VM has it and another is ready to take it.
+    pub fn transfer(&self, group: GroupId) {
+        // A host that has ended leads nothing.
+        let _ = self.commands.send(Command::Transfer { group });
+    }
+
     /// Makes one membership change and resolves once it is committed.
     pub async fn change_members(
         &self,
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -293,6 +293,11 @@
         Some(self.state().control.current().cloned())
     }
 
+    /// Tells whether a store is to be emptied, as far as this store has applied the log.
+    pub fn is_retiring(&self, vm: VmId) -> bool {
+        self.state().control.is_retiring(vm)
+    }
+
     fn state(&self) -> MutexGuard<'_, ControlState> {
         self.state.lock().expect("no panic while held")
     }
--- a/crates/gypsumglade/src/store/control_group/endpoints.rs
+++ b/crates/gypsumglade/src/store/control_group/endpoints.rs
@@ -18,6 +18,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Pause between two looks for endpoints that fell silent.
 const LAPSE_PAUSE: Duration = Duration::from_millis(500);
+/// Time between two looks past which the process counts as paused.
+const LONGEST_LOOK: Duration = Duration::from_millis(1_500);
 
 /// When endpoints were last heard, in the memory of the leader.
 #[derive(Debug, Default)]
@@ -115,7 +117,15 @@
 
     /// Removes endpoints that fell silent, for as long as this store leads.
     pub async fn lapse_endpoints(self: Arc<Self>, lease: Duration, halt: CancellationToken) {
+        let mut looked = self.context.clock.now();
         while !halt.is_cancelled() {
+            let now = self.context.clock.now();
+            if now.since(looked) > LONGEST_LOOK {
+                // The process was paused. Endpoints were silent only because nobody listened, and
+                // dropping them all would leave callers without any.
+                self.state().heard = Heard::default();
+            }
+            looked = now;
             for gone in self.silent_endpoints(lease) {
                 slog::warn!(self.context.log, "endpoint fell silent and is removed";
                     "endpoint" => &gone.name, "incarnation" => gone.incarnation);
--- a/crates/gypsumglade/src/store/mod.rs
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -13,5 +13,5 @@
 pub mod turn_group;
 
 pub use context::ReleaseAnswer;
-pub use registrar::{Registrar, RegistrarError};
+pub use registrar::{Registrar, RegistrarError, RetireError};
 pub use serve::{Store, StoreAddresses, StoreState};
--- a/crates/gypsumglade/src/store/registrar.rs
+++ b/crates/gypsumglade/src/store/registrar.rs
@@ -9,8 +9,9 @@
 use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::control::{
-    Accept, Answer, Command, Content, Deregister, EndpointRecord, Fault, Register, content,
+    Accept, Answer, Command, Content, Deregister, EndpointRecord, Fault, Register, Retire, content,
 };
+use gypsumglade_core::wire::discovery::Role;
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 use gypsumglade_core::wire::operator::control_request::Body as RequestBody;
 use gypsumglade_core::wire::operator::{ControlRequest, Status, StatusQuery};
@@ -33,6 +34,23 @@
     Invalid,
 }
 
+/// Why a store can't be emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RetireError {
+    /// No store has this name.
+    #[error("no store has this name")]
+    Unknown,
+    /// The others could not bear the losses that they must.
+    #[error("too few stores would be left")]
+    TooFew,
+    /// No leader took the order; ask again.
+    #[error("no store leads the control group just now; ask again")]
+    Unavailable,
+}
+
+/// Age past which what a leader told of its group's members no longer counts.
+const LED_AGE: Duration = Duration::from_secs(2);
+
 /// A store's registrar.
 #[derive(Clone)]
 pub struct Registrar {
@@ -105,6 +123,60 @@
         self.accept(accept).await
     }
 
+    /// Asks that a store be emptied, so that it can be taken away.
+    ///
+    /// # Errors
+    /// Says whether the store is not known, or too few would be left without it.
+    pub async fn retire(&self, name: &str) -> Result<(), RetireError> {
+        let vm = self.store_named(name).ok_or(RetireError::Unknown)?;
+        if self.state.control.is_retiring(vm) {
+            return Ok(());
+        }
+        if self.stores_without(vm) < self.wanted_voters() {
+            return Err(RetireError::TooFew);
+        }
+        let retire = CommandBody::Retire(Retire { vm: vm.0 });
+        self.command(retire).await.map(drop).map_err(|_| RetireError::Unavailable)
+    }
+
+    /// Tells whether a store that was to be emptied holds nothing any more. Each group's leader must
+    /// say so: a group whose leader is not heard of may still count on the store.
+    ///
+    /// # Errors
+    /// Says whether the store is not known.
+    pub fn is_retired(&self, name: &str) -> Result<bool, RetireError> {
+        let discovery = self.state.discovery.as_ref().ok_or(RetireError::Unknown)?;
+        let vm = self.store_named(name).ok_or(RetireError::Unknown)?;
+        let led = discovery.roster().led(discovery.now(), LED_AGE);
+        let groups = (0..=self.state.settings.groups).chain([GroupId::TURNS.0]);
+        let empty = groups.into_iter().all(|group| {
+            let mut told = led.iter().filter(|led| led.group == group).peekable();
+            told.peek().is_some() && told.all(|led| led.settled && !led.members.contains(&vm.0))
+        });
+        Ok(empty && self.state.control.is_retiring(vm))
+    }
+
+    fn store_named(&self, name: &str) -> Option<VmId> {
+        let discovery = self.state.discovery.as_ref()?;
+        let roster = discovery.roster();
+        let found = roster.named(name).filter(|node| node.role() == Role::Store)?;
+        Some(VmId(found.vm))
+    }
+
+    fn stores_without(&self, vm: VmId) -> usize {
+        let Some(discovery) = &self.state.discovery else { return 0 };
+        let now = discovery.now();
+        let roster = discovery.roster();
+        let fresh = roster.stores().filter(|(_, at)| now.since(*at) < LED_AGE);
+        let others = fresh.map(|(node, _)| VmId(node.vm)).filter(|other| *other != vm);
+        others.filter(|other| !self.state.control.is_retiring(*other)).count()
+    }
+
+    fn wanted_voters(&self) -> usize {
+        let own = self.state.settings.store.as_ref();
+        own.map_or(1, |own| 2 * own.tolerate as usize + 1)
+    }
+
     /// Returns the operator's text of the bundle in force, read so that no acknowledged order is
     /// missed. `None` before the first bundle, and for one that came another way.
     ///
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::repair::{Candidate, Survey, next_change};
-use gypsumglade_core::replication::{Members, Role};
+use gypsumglade_core::replication::repair::{Candidate, Survey, next_change, should_hand_over};
+use gypsumglade_core::replication::{Members, Role, Status};
+use gypsumglade_core::wire::discovery::Led;
 use tokio_util::sync::CancellationToken;
 
 use super::context::StoreContext;
+use super::control_group::ControlGroup;
 use crate::discovery::Discovery;
 
 /// Pause between two looks. A repair takes three steps, and a newcomer must have caught up some
@@ -18,26 +20,41 @@
 /// counted out too early comes back as a learner; nothing is lost by it.
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Pause between two hand-overs of one group's leadership, so that one that can't succeed costs
+/// little: commits wait while it is tried.
+const HAND_OVER_PAUSE: Duration = Duration::from_secs(3);
+
 /// What a repair needs to know.
 pub(super) struct Repair {
     pub(super) context: Arc<StoreContext>,
+    pub(super) control: Arc<ControlGroup>,
     pub(super) discovery: Arc<Discovery>,
     /// Voters that each group should have.
     pub(super) wanted: usize,
 }
 
+/// What the loop remembers between two looks.
+#[derive(Default)]
+struct Memory {
+    /// Where a member's identity was last heard; the roster forgets it once another takes its
+    /// address.
+    addresses: BTreeMap<VmId, CompactString>,
+    /// When each group's leadership was last to be handed over.
+    handed: BTreeMap<GroupId, Time>,
+}
+
 impl Repair {
     /// Looks after the groups until `halt`.
     pub(super) async fn run(self, halt: CancellationToken) {
-        // Where a member's identity was last heard; the roster forgets it once another takes its
-        // address.
-        let mut addresses = BTreeMap::new();
+        let mut memory = Memory::default();
         while !halt.is_cancelled() {
-            self.note_addresses(&mut addresses);
-            for group in self.context.host.status().await.groups {
-                if group.role == Role::Leader {
-                    self.repair(group.group, &group.members, &addresses).await;
-                }
+            self.note_addresses(&mut memory.addresses);
+            let groups = self.context.host.status().await.groups;
+            let led: Vec<_> =
+                groups.into_iter().filter(|group| group.role == Role::Leader).collect();
+            self.discovery.set_led(led.iter().map(told).collect());
+            for group in led {
+                self.repair(&group, &mut memory).await;
             }
             tokio::select! {
                 () = halt.cancelled() => {}
@@ -46,24 +63,33 @@
         }
     }
 
-    async fn repair(
-        &self,
-        group: GroupId,
-        members: &Members,
-        addresses: &BTreeMap<VmId, CompactString>,
-    ) {
-        let survey = self.survey(members, addresses);
-        let Some(change) = next_change(members, &survey) else { return };
-        let made = self.context.host.change_members(group, change).await;
-        match made {
+    async fn repair(&self, group: &Status, memory: &mut Memory) {
+        let survey = self.survey(&group.members, &memory.addresses);
+        let Some(change) = next_change(&group.members, &survey) else {
+            return self.hand_over(group, &survey, memory);
+        };
+        let number = group.group.0;
+        match self.context.host.change_members(group.group, change).await {
             Ok(_) => slog::info!(self.context.log, "group membership changed";
-                "group" => group.0, "change" => ?change),
+                "group" => number, "change" => ?change),
             // Most often a learner that has not caught up yet; the next look tries again.
-            Err(error) => slog::info!(self.context.log, "group membership not changed";
-                "group" => group.0, "change" => ?change, "error" => %error),
+            Err(error) => slog::debug!(self.context.log, "group membership not changed";
+                "group" => number, "change" => ?change, "error" => %error),
         }
     }
 
+    fn hand_over(&self, group: &Status, survey: &Survey, memory: &mut Memory) {
+        let now = self.context.clock.now();
+        let tried = memory.handed.get(&group.group);
+        let paused = tried.is_some_and(|at| now.since(*at) < HAND_OVER_PAUSE);
+        if paused || !group.settled || !should_hand_over(&group.members, survey) {
+            return;
+        }
+        memory.handed.insert(group.group, now);
+        slog::info!(self.context.log, "leadership is handed over"; "group" => group.group.0);
+        self.context.host.transfer(group.group);
+    }
+
     fn survey(&self, members: &Members, addresses: &BTreeMap<VmId, CompactString>) -> Survey {
         let now = self.discovery.now();
         let roster = self.discovery.roster();
@@ -71,7 +97,8 @@
         let alive = heard.map(|(node, _)| Candidate {
             vm: VmId(node.vm),
             domain: node.domain.to_compact_string(),
-            retiring: false,
+            region: node.region.to_compact_string(),
+            retiring: self.control.is_retiring(VmId(node.vm)),
         });
         let alive = alive.collect();
         let replaced = |vm: &VmId| {
@@ -88,3 +115,8 @@
         }
     }
 }
+
+fn told(group: &Status) -> Led {
+    let members = group.members.all().map(|vm| vm.0).collect();
+    Led { group: group.group.0, members, settled: group.settled }
+}
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -194,7 +194,8 @@
     };
     tokio::spawn(Arc::clone(discovery).run(halt.clone()));
     let wanted = 2 * own.tolerate as usize + 1;
-    let repair = Repair { context, discovery: Arc::clone(discovery), wanted };
+    let control = Arc::clone(&state.control);
+    let repair = Repair { context, control, discovery: Arc::clone(discovery), wanted };
     tokio::spawn(repair.run(halt.clone()));
     let lease = Duration::from_millis(own.endpoint_lease_ms);
     tokio::spawn(Arc::clone(&state.control).lapse_endpoints(lease, halt.clone()));
