Bound what is on its way to a follower, and run no program group for a gateway

A follower that had to catch up over the 30 Mbit/s link was sent up to 4 MB at once; heartbeats queued behind it for a second and the new leader was deposed. The log line of a stream tells the time of each step.

--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -65,6 +65,16 @@
     events: u64,
     attempts: Attempts,
     pub(super) reservation: Option<Reservation>,
+    pub(super) timeline: Timeline,
+}
+
+/// When a stream reached its steps, counted from its arrival.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Timeline {
+    /// Leave to run was given.
+    pub(super) reserved: Duration,
+    /// The first event came.
+    pub(super) first: Duration,
 }
 
 impl Relay {
@@ -86,6 +96,7 @@
             events: 0,
             attempts,
             reservation: None,
+            timeline: Timeline::default(),
         }
     }
 
@@ -185,6 +196,8 @@
 
     async fn finish(mut self, end: End, caller: &mpsc::Sender<RelayFrame>) {
         let tokens = self.events * self.call.event_tokens();
+        let last = self.call.arrived.elapsed();
+        let endpoint = self.attempts.tried.last().cloned().unwrap_or_default();
         if let Some(source) = self.source.take() {
             release(&self.state, source, end);
         }
@@ -201,7 +214,10 @@
         };
         slog::info!(self.state.log, "stream ended"; "request" => %self.call.head.id,
             "route" => %self.call.route.name, "end" => ?end, "events" => self.events,
-            "settled" => settled, "runs" => self.attempts.runs,
+            "settled" => settled, "runs" => self.attempts.runs, "endpoint" => endpoint.as_str(),
+            "reserved_ms" => self.timeline.reserved.as_millis() as u64,
+            "first_ms" => self.timeline.first.as_millis() as u64,
+            "last_ms" => last.as_millis() as u64,
             "ms" => self.call.arrived.elapsed().as_millis() as u64);
         if end != End::Whole || !settled {
             // Ends the answer in a way that can't be taken for its end. A caller that has gone
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -13,7 +13,7 @@
 use super::lines::forwarded;
 use super::opening::{Attempts, open};
 use super::plain::read_whole;
-use super::relay::{Relay, RelayFrame};
+use super::relay::{Relay, RelayFrame, Timeline};
 use super::settlement::{reserve, settle_later};
 use super::state::GatewayState;
 
@@ -26,9 +26,11 @@
 /// elsewhere, or be refused with a word on whether it ran.
 pub(super) async fn answer(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Answer, Refusal> {
     let (body, reservation) = reserve(state, &call).await?;
+    let reserved = call.arrived.elapsed();
     match start(state, &call, &body).await {
         Ok(Started::Stream(mut relay, head)) => {
             relay.reservation = reservation;
+            relay.timeline = Timeline { reserved, first: call.arrived.elapsed() };
             let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
             state.tasks.spawn(relay.run(sender));
             Ok(streamed(*head, receiver))
--- a/crates/gypsumglade/src/settings/mod.rs
+++ b/crates/gypsumglade/src/settings/mod.rs
@@ -56,7 +56,8 @@
     pub gateway: Option<GatewaySettings>,
     /// Threads of the runtime; zero for one on each processor.
     pub threads: u16,
-    /// Number of program groups; the same on every VM, and fixed once programs exist.
+    /// Number of program groups; the same on every VM, and fixed once programs exist. Zero where a
+    /// gateway passes all requests through, for turns and budgets have a group of their own.
     pub groups: u32,
     /// The durable role; absent on a VM without a disk.
     pub store: Option<StoreSettings>,
@@ -176,7 +177,8 @@
     fn check(&self, findings: &mut Findings) {
         self.vm.check(self.discovery.is_some(), findings);
         self.listen.check(findings);
-        findings.range("groups", u64::from(self.groups), 1..=u64::from(SLOTS), "groups");
+        let least = if self.gateway.is_some() || self.discovery.is_some() { 0 } else { 1 };
+        findings.range("groups", u64::from(self.groups), least..=u64::from(SLOTS), "groups");
         match &self.discovery {
             Some(discovery) => discovery.check(&self.vm, findings),
             None => peers::check(&self.vm, &self.peers, self.store.is_some(), findings),
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -34,6 +34,13 @@
 use crate::settings::{DiscoverySettings, Settings, StoreSettings};
 use crate::tls;
 
+/// Most entry bytes in one message to a follower, and most such messages on their way to it.
+///
+/// The narrowest link of the users carries 3.75 MB a second. Half a megabyte delays the heartbeats
+/// behind it by 0.2 s, a third of an election timeout; the 4 MB that the core allows by itself would
+/// depose a leader whose follower has to catch up.
+const BATCH_BYTES: usize = 64 * 1024;
+const IN_FLIGHT: usize = 8;
 /// Events that may wait for the control group.
 const EVENT_BUFFER: usize = 1_024;
 
@@ -208,6 +215,9 @@
         replication: replication::Settings {
             heartbeat: Duration::from_millis(own.heartbeat_ms),
             lease: Duration::from_millis(own.election_ms),
+            batch_bytes: BATCH_BYTES,
+            in_flight: IN_FLIGHT,
+            chunk_bytes: BATCH_BYTES,
             ..replication::Settings::default()
         },
         ..HostSettings::default()
