--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod admission;
 pub mod outlier;
+pub mod overload;
 pub mod priority;
 pub mod registry;
 pub mod retain;
--- a/crates/core/src/turns/budget.rs
+++ b/crates/core/src/turns/budget.rs
@@ -68,6 +68,12 @@
         Ok(())
     }
 
+    /// Tells whether a program had a turn other than this one.
+    pub(super) fn is_under_way(&self, program: &str, turn: &str) -> bool {
+        let Some(usage) = self.programs.get(program) else { return false };
+        usage.spent > 0 || usage.reserved.keys().any(|other| other != turn)
+    }
+
     /// Replaces what was set aside for a turn by what it used. A second settlement changes nothing.
     pub(super) fn settle(&mut self, now: u64, program: &str, turn: &str, tokens: u64) {
         let Some(usage) = self.programs.get_mut(program) else { return };
--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -53,7 +53,10 @@
         };
         let (turn, most) = (&reserve.turn, reserve.most);
         match self.budgets.reserve(now, &reserve.program, turn, most, reserve.budget) {
-            Ok(()) => ReplyBody::Reserved(wire::Reserved { history }),
+            Ok(()) => {
+                let under_way = self.budgets.is_under_way(&reserve.program, turn);
+                ReplyBody::Reserved(wire::Reserved { history, under_way })
+            }
             Err(spent) => {
                 let budget = reserve.budget.unwrap_or(u64::MAX);
                 ReplyBody::Spent(wire::BudgetSpent { spent: spent.tokens, budget })
--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -1,9 +1,10 @@
 //! A request on its way, and the answer to it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use gypsumglade_core::bundle::{Repeat, Route, Stream};
+use gypsumglade_core::policy::overload::Standing;
 use gypsumglade_core::prelude::*;
 use http::{Response, request};
 use http_body_util::combinators::BoxBody;
@@ -24,6 +25,17 @@
 /// Answer to a caller.
 pub(super) type Answer = Response<AnswerBody>;
 
+/// Longest time that a request may take where neither caller nor operator bounds it.
+const LONGEST: Duration = Duration::from_secs(300);
+
+/// The route of a request, with the pool that its weights chose and the bundle it stands in.
+#[derive(Debug)]
+pub(super) struct Matched {
+    pub(super) route: Route,
+    pub(super) pool: CompactString,
+    pub(super) bundle: Arc<ActiveBundle>,
+}
+
 /// One attempt of a caller, with its route.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -37,9 +49,41 @@
     pub(super) arrived: Instant,
     /// End of the time that the caller and the operator give it.
     pub(super) until: Instant,
+    /// Whether the program had a turn before; not known until the turn group has answered.
+    under_way: OnceLock<bool>,
 }
 
 impl Call {
+    /// Puts a request together with its route.
+    pub(super) fn new(
+        head: CallHead,
+        parts: request::Parts,
+        body: Bytes,
+        matched: Matched,
+        arrived: Instant,
+    ) -> Call {
+        let Matched { route, pool, bundle } = matched;
+        let timeout = Duration::from_millis(route.timeout_ms).min(LONGEST);
+        let until = arrived + head.deadline.unwrap_or(timeout).min(timeout);
+        let under_way = OnceLock::new();
+        Call { head, parts, body, route, pool, bundle, arrived, until, under_way }
+    }
+
+    /// Notes whether the program had a turn before.
+    pub(super) fn note_under_way(&self, under_way: bool) {
+        self.under_way.get_or_init(|| under_way);
+    }
+
+    /// Returns what is known of the request's program.
+    pub(super) fn standing(&self) -> Standing {
+        let finish = self.head.turn.as_ref().and_then(|turn| turn.finish);
+        Standing {
+            rank: self.route.rank,
+            under_way: self.under_way.get().copied().unwrap_or(true),
+            finish: finish.map(|finish| finish.saturating_sub(self.arrived.elapsed())),
+        }
+    }
+
     /// Returns the time that is left.
     pub(super) fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
--- a/crates/gypsumglade/src/gateway/opening.rs
+++ b/crates/gypsumglade/src/gateway/opening.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gypsumglade_core::policy::overload::urgency;
 use gypsumglade_core::prelude::*;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
@@ -19,8 +20,6 @@
 const MAX_REFUSALS: usize = 3;
 /// When to come back after several endpoints were full: some of their requests have ended by then.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
-/// Urgency where the operator's rank has no place on the endpoints' scale.
-const LAST_URGENCY: u8 = 9;
 
 /// An answer whose head is an endpoint's word on the request.
 pub(super) struct Opened {
@@ -183,7 +182,7 @@
     let order = Order {
         endpoint: &flight.name,
         left: call.left(),
-        urgency: call.route.rank.min(LAST_URGENCY),
+        urgency: urgency(call.standing()),
         after_event: after,
     };
     let path = call.parts.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/gypsumglade/src/gateway/placing.rs
+++ b/crates/gypsumglade/src/gateway/placing.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use gypsumglade_core::policy::Class;
+use gypsumglade_core::policy::overload::PoolLoad;
 use gypsumglade_core::policy::registry::{
     DispatchKey, DispatchLoad, EndpointKey, EndpointKind, LoadReport, ModelId,
 };
@@ -47,6 +48,19 @@
     ModelId::new(pool, "")
 }
 
+/// Returns what runs and waits at the endpoints of a request's pool.
+pub(super) fn pool_load(state: &GatewayState, call: &Call) -> PoolLoad {
+    let now = state.clock.now();
+    let desk = state.desk();
+    let model = pool_model(&call.pool);
+    let open = desk.registry.candidates(&model).iter().filter(|key| desk.registry.open(now, **key));
+    let endpoints = open.filter_map(|key| desk.registry.get(*key));
+    endpoints.fold(PoolLoad::default(), |sum, endpoint| PoolLoad {
+        calls: sum.calls + u64::from(endpoint.load(now).total),
+        slots: sum.slots + u64::from(endpoint.kind.slots()),
+    })
+}
+
 /// Chooses an endpoint that `excluded` does not name.
 ///
 /// # Errors
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -243,6 +243,3 @@
         End::Abandoned => {}
     }
 }
-
-/// Longest time that a stream may take where neither caller nor operator bounds it.
-pub(super) const STREAM_TIMEOUT: Duration = Duration::from_secs(300);
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -25,13 +25,12 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::call::{Answer, Call};
+use super::call::{Answer, Call, Matched};
 use super::channels::Channels;
 use super::dialect::{Dialect, Refusal};
 use super::history_cache::HistoryCache;
 use super::placing::choose_pool;
 use super::plain::{self, BODY_TIMEOUT, refused};
-use super::relay::STREAM_TIMEOUT;
 use super::state::{Desk, GatewayState};
 use super::turn_client::TurnClient;
 use super::{follow, streaming};
@@ -338,11 +337,9 @@
     let route = route.ok_or_else(|| refuse(Refusal::NoRoute))?;
     let limit = usize::try_from(bundle.bundle.callers.body_bytes).unwrap_or(usize::MAX);
     let body = read_body(body, limit).await.map_err(refuse)?;
-    let timeout = Duration::from_millis(route.timeout_ms).min(STREAM_TIMEOUT);
-    let until = arrived + head.deadline.unwrap_or(timeout).min(timeout);
     let program = head.turn.as_ref().map(|turn| &turn.program);
     let pool = choose_pool(&route, program.unwrap_or(&head.id));
-    Ok(Call { head, parts, body, route, pool, bundle, arrived, until })
+    Ok(Call::new(head, parts, body, Matched { route, pool, bundle }, arrived))
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -38,16 +38,24 @@
     retention: u64,
 }
 
-/// Asks for leave to run a turn. Returns the body to send, and what to settle later; nothing needs
-/// settling for a request without budget whose turns are not kept.
-pub(super) async fn reserve(
-    state: &GatewayState,
-    call: &Call,
-) -> Result<(Bytes, Option<Reservation>), Refusal> {
+/// Leave to run a turn.
+#[derive(Clone, Debug)]
+pub(super) struct Leave {
+    /// What to send: everything that precedes, then the turn's own input.
+    pub(super) body: Bytes,
+    /// Whether the program had a turn before this one.
+    pub(super) under_way: bool,
+    /// What to settle later; nothing for a request without budget whose turns are not kept.
+    pub(super) reservation: Option<Reservation>,
+}
+
+/// Asks for leave to run a turn.
+pub(super) async fn reserve(state: &GatewayState, call: &Call) -> Result<Leave, Refusal> {
     let keep = call.stream().and_then(|stream| stream.keep_ms);
     let turn = call.head.turn.clone().unwrap_or_default();
     if keep.is_none() && turn.budget.is_none() {
-        return Ok((call.body.clone(), None));
+        let body = call.body.clone();
+        return Ok(Leave { body, under_way: true, reservation: None });
     }
     let keeps = keep.map(|retention| Keeping {
         previous: turn.previous.clone(),
@@ -71,7 +79,11 @@
     match client.ask(CommandBody::Reserve(ask), patience).await {
         Some(ReplyBody::Reserved(reserved)) => {
             let history = known.unwrap_or(reserved.history);
-            Ok((joined(&history, &call.body), Some(reservation)))
+            Ok(Leave {
+                body: joined(&history, &call.body),
+                under_way: reserved.under_way,
+                reservation: Some(reservation),
+            })
         }
         Some(ReplyBody::Spent(_)) => Err(Refusal::BudgetSpent),
         Some(ReplyBody::Unknown(_)) => Err(Refusal::UnknownTurn),
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gypsumglade_core::policy::overload;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use tokio::sync::mpsc;
@@ -12,9 +13,10 @@
 use super::dialect::Refusal;
 use super::lines::forwarded;
 use super::opening::{Attempts, open};
+use super::placing::pool_load;
 use super::plain::read_whole;
 use super::relay::{Relay, RelayFrame, Timeline};
-use super::settlement::{reserve, settle_later};
+use super::settlement::{Leave, reserve, settle_later};
 use super::state::GatewayState;
 
 /// Frames that may wait for a caller that reads slowly before its endpoint is slowed down.
@@ -25,9 +27,13 @@
 /// The head goes out with the first event, not before: until then the request can still be sent
 /// elsewhere, or be refused with a word on whether it ran.
 pub(super) async fn answer(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Answer, Refusal> {
-    let (body, reservation) = reserve(state, &call).await?;
+    let Leave { body, under_way, reservation } = reserve(state, &call).await?;
     let reserved = call.arrived.elapsed();
-    match start(state, &call, &body).await {
+    let started = match admitted(state, &call, under_way) {
+        Ok(()) => start(state, &call, &body).await,
+        Err(refusal) => Err(refusal),
+    };
+    match started {
         Ok(Started::Stream(mut relay, head)) => {
             relay.reservation = reservation;
             relay.timeline = Timeline { reserved, first: call.arrived.elapsed() };
@@ -50,6 +56,18 @@
     }
 }
 
+/// Turns a new program away while its pool has more work than it can do in time.
+fn admitted(state: &GatewayState, call: &Call, under_way: bool) -> Result<(), Refusal> {
+    call.note_under_way(under_way);
+    let load = pool_load(state, call);
+    let spread = rand::random::<f64>();
+    overload::admit(load, call.standing(), spread).map_err(|after| {
+        slog::info!(state.log, "new program turned away"; "request" => %call.head.id,
+            "route" => %call.route.name, "calls" => load.calls, "slots" => load.slots);
+        Refusal::Unavailable { after }
+    })
+}
+
 enum Started {
     /// A stream with its first event read.
     Stream(Box<Relay>, Box<http::response::Parts>),
