--- /dev/null
+++ b/crates/core/tests/policy_overload.rs
@@ -0,0 +1,95 @@
+//! Which turns get an engine when there is more work than can be done in time.
+
+use gypsumglade_core::policy::overload::{PoolLoad, Standing, admit, urgency};
+use gypsumglade_core::prelude::*;
+
+fn standing(rank: u8, under_way: bool) -> Standing {
+    Standing { rank, under_way, finish: Some(Duration::from_secs(2)) }
+}
+
+fn load(calls: u64) -> PoolLoad {
+    PoolLoad { calls, slots: 100 }
+}
+
+#[test]
+fn admit_new_with_room() {
+    assert_eq!(admit(load(50), standing(0, false), 0.0), Ok(()));
+    assert_eq!(admit(load(50), standing(1, false), 0.0), Ok(()));
+}
+
+#[test]
+fn admit_under_way_always() {
+    assert_eq!(admit(load(500), standing(5, true), 0.0), Ok(()));
+}
+
+#[test]
+fn admit_less_urgent_first_away() {
+    assert!(admit(load(85), standing(1, false), 0.0).is_err());
+    assert!(admit(load(85), standing(0, false), 0.0).is_ok());
+}
+
+#[test]
+fn admit_never_below_half() {
+    assert!(admit(load(55), standing(9, false), 0.0).is_ok());
+}
+
+#[test]
+fn admit_spreads_returns() {
+    let soon = admit(load(200), standing(0, false), 0.0).expect_err("full");
+    let late = admit(load(200), standing(0, false), 1.0).expect_err("full");
+    assert!(soon < late && late < Duration::from_secs(1));
+}
+
+#[test]
+fn admit_unknown_load() {
+    assert!(admit(PoolLoad::default(), standing(0, false), 0.0).is_ok());
+}
+
+#[test]
+fn urgency_order() {
+    let late = Standing { finish: Some(Duration::ZERO), ..standing(0, true) };
+    let order =
+        [standing(0, true), standing(1, true), standing(0, false), standing(1, false), late];
+    let found: Vec<u8> = order.into_iter().map(urgency).collect();
+    assert!(found.is_sorted() && found[0] < found[4], "{found:?}");
+}
+
+/// A burst of twice what a pool can do, as ticks of 100 ms. Each program takes four turns of one
+/// tick; a slot runs one turn a tick, and a program is in time within eight ticks. Taken in whole,
+/// the queue grows and nearly nobody is in time; with new programs turned away, those let in are.
+#[test]
+fn admit_replays_burst() {
+    let whole = replay(|_, _| true);
+    let bounded = replay(|load, under_way| admit(load, standing(0, under_way), 0.0).is_ok());
+    assert!(bounded > 2 * whole, "in time: {bounded} with admission, {whole} without");
+}
+
+/// Returns how many programs end in time.
+fn replay(lets_in: impl Fn(PoolLoad, bool) -> bool) -> usize {
+    const SLOTS: usize = 40;
+    const ARRIVALS: usize = 20;
+    const TURNS: usize = 4;
+    const AIM: usize = 8;
+    let mut waiting: Vec<(usize, usize)> = Vec::new();
+    let mut in_time = 0;
+    for tick in 0..60 {
+        for _ in 0..ARRIVALS {
+            let load = PoolLoad { calls: waiting.len() as u64, slots: SLOTS as u64 };
+            if lets_in(load, false) {
+                waiting.push((tick, TURNS));
+            }
+        }
+        // First come, first served, as engines do without urgencies.
+        let served = waiting.len().min(SLOTS);
+        let mut after: Vec<(usize, usize)> = waiting.split_off(served);
+        for (start, left) in waiting.drain(..) {
+            match left {
+                1 if tick - start < AIM => in_time += 1,
+                1 => {}
+                _ => after.push((start, left - 1)),
+            }
+        }
+        waiting = after;
+    }
+    in_time
+}
--- /dev/null
+++ b/crates/core/tests/roster.rs
@@ -0,0 +1,95 @@
+//! Processes that introduce themselves.
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::roster::Roster;
+use gypsumglade_core::wire::discovery::{Led, Node, Role};
+
+fn store(vm: u32, peers: &str, sequence: u64, age_ms: u64) -> Node {
+    Node {
+        vm,
+        name: format!("store-{vm}"),
+        peers: peers.to_owned(),
+        role: Role::Store.into(),
+        sequence,
+        age_ms,
+        ..Node::default()
+    }
+}
+
+fn heard(roster: &Roster, vm: u32) -> Option<u64> {
+    roster.last_heard(VmId(vm)).map(Time::as_millis)
+}
+
+#[test]
+fn hear_later_introduction() {
+    let mut roster = Roster::default();
+    roster.hear(Time::from_millis(1_000), store(1, "10.0.0.1:1", 5, 0));
+    roster.hear(Time::from_millis(2_000), store(1, "10.0.0.1:1", 6, 0));
+    assert_eq!(heard(&roster, 1), Some(2_000));
+}
+
+/// A store dies, and the others go on telling each other of it. Each relay takes some milliseconds,
+/// and its age is told without them. Counted anew each time, it would look alive for seconds, and
+/// its replacement would wait for that long.
+#[test]
+fn hear_relayed_is_no_sign_of_life() {
+    let mut roster = Roster::default();
+    roster.hear(Time::from_millis(1_000), store(1, "10.0.0.1:1", 5, 0));
+    for relay in 1..=20 {
+        let now = 1_000 + relay * 100;
+        roster.hear(Time::from_millis(now), store(1, "10.0.0.1:1", 5, relay * 92));
+    }
+    assert_eq!(heard(&roster, 1), Some(1_000));
+}
+
+/// A store's disk is wiped; its process comes back at the same address under a new identity. Nothing
+/// may be sent to the former one there, nor may an old relay bring it back.
+#[test]
+fn hear_new_identity_at_address() {
+    let mut roster = Roster::default();
+    roster.hear(Time::from_millis(1_000), store(1, "10.0.0.1:1", 5, 0));
+    roster.hear(Time::from_millis(2_000), store(2, "10.0.0.1:1", 9, 0));
+    roster.hear(Time::from_millis(2_100), store(1, "10.0.0.1:1", 6, 1_000));
+    assert_eq!(roster.at_address("10.0.0.1:1"), Some(VmId(2)));
+    assert_eq!(heard(&roster, 1), None);
+}
+
+#[test]
+fn expire_silent() {
+    let mut roster = Roster::default();
+    roster.hear(Time::from_millis(0), store(1, "10.0.0.1:1", 5, 0));
+    roster.hear(Time::from_millis(9_000), store(2, "10.0.0.2:1", 5, 0));
+    roster.expire(Time::from_millis(11_000));
+    let left: Vec<u32> = roster.stores().map(|(node, _)| node.vm).collect();
+    assert_eq!(left, [2]);
+}
+
+#[test]
+fn nodes_tells_only_fresh() {
+    let mut roster = Roster::default();
+    roster.hear(Time::from_millis(0), store(1, "10.0.0.1:1", 5, 0));
+    roster.hear(Time::from_millis(6_000), store(2, "10.0.0.2:1", 5, 0));
+    let told = roster.nodes(Time::from_millis(6_500)).nodes;
+    assert_eq!(told.len(), 1);
+    assert_eq!((told[0].vm, told[0].age_ms), (2, 500));
+}
+
+#[test]
+fn led_by_two() {
+    let mut roster = Roster::default();
+    for vm in [1, 2] {
+        let led = vec![Led { group: 0, members: vec![vm], settled: true }];
+        let node = Node { led, ..store(vm, &format!("10.0.0.{vm}:1"), 5, 0) };
+        roster.hear(Time::from_millis(0), node);
+    }
+    assert_eq!(roster.led(Time::from_millis(100), Duration::from_secs(2)).len(), 2);
+    assert!(roster.led(Time::from_millis(5_000), Duration::from_secs(2)).is_empty());
+}
+
+#[test]
+fn named_latest() {
+    let mut roster = Roster::default();
+    roster.hear(Time::from_millis(0), Node { name: "s".into(), ..store(1, "10.0.0.1:1", 5, 0) });
+    roster.hear(Time::from_millis(9), Node { name: "s".into(), ..store(2, "10.0.0.2:1", 5, 0) });
+    assert_eq!(roster.named("s").map(|node| node.vm), Some(2));
+}
--- /dev/null
+++ b/crates/core/tests/stream_scanner.rs
@@ -0,0 +1,63 @@
+//! Events in a stream that is passed through.
+
+use gypsumglade_core::stream::EventScanner;
+use proptest::prelude::*;
+
+const STREAM: &[u8] =
+    b"id: 1\ndata: one\n\nid: 2\nweight: 7\ndata: two\n\n: comment\n\nid: 3\r\ndata:three\r\n\r\n";
+
+/// Feeds the pieces and returns what was passed on, how many events, and their data.
+fn pass(pieces: &[&[u8]]) -> (Vec<u8>, u64, Vec<u8>) {
+    let mut scanner = EventScanner::default();
+    let (mut passed, mut events) = (Vec::new(), 0);
+    for piece in pieces {
+        let completed = scanner.feed(piece);
+        passed.extend_from_slice(&completed.bytes);
+        events += completed.events;
+    }
+    (passed, events, scanner.into_data().to_vec())
+}
+
+#[test]
+fn feed_whole() {
+    let (passed, events, data) = pass(&[STREAM]);
+    assert_eq!(passed, STREAM);
+    assert_eq!(events, 3);
+    assert_eq!(data, b"one\ntwo\nthree\n");
+}
+
+/// An endpoint dies in the middle of an event. The caller must not get a piece of it: the stream
+/// goes on elsewhere after the last whole event, and the piece would stand before the whole one.
+#[test]
+fn feed_cut_event() {
+    let mut scanner = EventScanner::default();
+    let first = scanner.feed(b"id: 4\ndata: whole\n\nid: 5\ndata: ha");
+    assert_eq!(&first.bytes[..], b"id: 4\ndata: whole\n\n");
+    assert!(scanner.is_inside());
+    assert_eq!(scanner.last_id(), Some(4));
+
+    scanner.drop_partial();
+    let next = scanner.feed(b"id: 5\ndata: half\n\n");
+    assert_eq!(&next.bytes[..], b"id: 5\ndata: half\n\n");
+    assert!(!scanner.is_inside());
+    assert_eq!(&scanner.into_data()[..], b"whole\nhalf\n");
+}
+
+#[test]
+fn feed_nothing() {
+    assert_eq!(pass(&[]), (Vec::new(), 0, Vec::new()));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: prop::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// However the network cuts the stream, the same bytes, events and data come out.
+    #[test]
+    fn feed_any_pieces(mut cuts in prop::collection::vec(0..STREAM.len(), 0..12)) {
+        cuts.push(0);
+        cuts.push(STREAM.len());
+        cuts.sort_unstable();
+        let pieces: Vec<&[u8]> = cuts.windows(2).map(|pair| &STREAM[pair[0]..pair[1]]).collect();
+        prop_assert_eq!(pass(&pieces), pass(&[STREAM]));
+    }
+}
