--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -220,13 +220,32 @@
             "last_ms" => last.as_millis() as u64,
             "ms" => self.call.arrived.elapsed().as_millis() as u64);
         if end != End::Whole || !settled {
-            // Ends the answer in a way that can't be taken for its end. A caller that has gone
-            // needs none.
-            let _ = caller.send(Err(BrokenOff)).await;
+            break_off(caller).await;
         }
     }
 }
 
+/// Ends a caller's answer in a way that can't be taken for its end.
+///
+/// What was passed on before is flushed first: the connection is cut at the break, and a caller that
+/// may take its stream up again would lose the events that it had not been sent.
+async fn break_off(caller: &mpsc::Sender<RelayFrame>) {
+    let flushed = async {
+        while caller.capacity() < caller.max_capacity() {
+            tokio::time::sleep(FLUSH_PAUSE).await;
+        }
+        tokio::time::sleep(FLUSH_PAUSE).await;
+    };
+    // A caller that reads too slowly, or has gone, is cut all the same.
+    let _ = tokio::time::timeout(FLUSH_WAIT, flushed).await;
+    let _ = caller.send(Err(BrokenOff)).await;
+}
+
+/// Pause between two looks whether a caller's connection has taken all events.
+const FLUSH_PAUSE: Duration = Duration::from_millis(2);
+/// Longest wait for that: a caller that reads at all takes them in less than a round trip.
+const FLUSH_WAIT: Duration = Duration::from_millis(60);
+
 /// Ends the attempt at an endpoint, and keeps its connection if the answer was whole.
 fn release(state: &GatewayState, source: Source, end: End) {
     let Source { flight, channel, head, .. } = source;
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -9,6 +9,7 @@
 use axum::extract::State;
 use axum::routing::get;
 use bytes::Bytes;
+use gypsumglade_core::policy::outlier::HealthSettings;
 use gypsumglade_core::policy::registry::{Registry, RegistrySettings};
 use gypsumglade_core::policy::route::{Place, RouteSettings, Router};
 use gypsumglade_core::prelude::*;
@@ -160,7 +161,8 @@
         domain: settings.domain_id(&settings.vm.domain).unwrap_or_default(),
         region: settings.region_id(&settings.vm.region).unwrap_or_default(),
     };
-    let registry = RegistrySettings { max_lease: MAX_LEASE, ..RegistrySettings::default() };
+    let registry =
+        RegistrySettings { max_lease: MAX_LEASE, health: HEALTH, ..RegistrySettings::default() };
     let desk = Desk {
         registry: Registry::new(registry),
         router: Router::new(RouteSettings::default(), rand::random()),
@@ -185,6 +187,18 @@
     })
 }
 
+/// When an endpoint is taken out for its failures, and how it comes back.
+///
+/// A pool of three that loses one answer in twenty has runs of three failures by chance; out for
+/// five seconds each, most of the pool was gone. Endpoints start with what they need, so a second
+/// and a half is enough to spread what would come to a new one at once.
+const HEALTH: HealthSettings = HealthSettings {
+    failures: 4,
+    ejection: Duration::from_secs(1),
+    longest: Duration::from_secs(8),
+    ramp: Duration::from_millis(1_500),
+    floor: 0.25,
+};
 /// Longest lease of an endpoint here; the control group says when one goes.
 const MAX_LEASE: Duration = Duration::from_secs(120);
 
