--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -1,5 +1,7 @@
 //! The state machine of a turn group.
 
+use bytes::Bytes;
+
 use super::budget::Budgets;
 use super::tree::TurnTree;
 use crate::wire::turn as wire;
@@ -42,18 +44,18 @@
 
     fn reserve(&mut self, reserve: &wire::Reserve) -> ReplyBody {
         let now = self.advance(reserve.now_ms);
-        let pieces = match reserve.held {
-            true => self.tree.is_kept(now, &reserve.previous).then(Vec::new),
+        let history = match reserve.held {
+            true => self.tree.is_kept(now, &reserve.previous).then(Bytes::new),
             false => self.tree.history(now, &reserve.previous),
         };
-        let Some(pieces) = pieces else {
+        let Some(history) = history else {
             return ReplyBody::Unknown(wire::UnknownTurn {});
         };
         let (turn, most) = (&reserve.turn, reserve.most);
         match self.budgets.reserve(now, &reserve.program, turn, most, reserve.budget) {
             Ok(()) => {
                 let under_way = self.budgets.is_under_way(&reserve.program, turn);
-                ReplyBody::Reserved(wire::Reserved { pieces, under_way })
+                ReplyBody::Reserved(wire::Reserved { history, under_way })
             }
             Err(spent) => {
                 let budget = reserve.budget.unwrap_or(u64::MAX);
--- a/crates/core/src/turns/tree.rs
+++ b/crates/core/src/turns/tree.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use bytes::Bytes;
+use bytes::{BufMut, Bytes, BytesMut};
 
 use crate::prelude::*;
 use crate::wire::turn as wire;
 
-/// More pieces than any chain has; a longer one is a loop in damaged state.
-const MAX_CHAIN: usize = 200_000;
+/// More turns than any chain has; a longer one is a loop in damaged state.
+const MAX_CHAIN: usize = 100_000;
 
 /// One kept turn.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,17 +44,21 @@
 
     /// Returns everything that precedes a turn that continues `previous`: the input and output of
     /// each turn of the chain, oldest first. `None` when no such turn is kept.
-    pub fn history(&self, now: u64, previous: &str) -> Option<Vec<Bytes>> {
-        let mut pieces = Vec::new();
+    pub fn history(&self, now: u64, previous: &str) -> Option<Bytes> {
+        let mut chain = Vec::new();
         let mut next = previous;
-        while !next.is_empty() && pieces.len() < MAX_CHAIN {
+        while !next.is_empty() && chain.len() < MAX_CHAIN {
             let turn = self.turns.get(next).filter(|turn| turn.until > now)?;
-            // Gathered from the newest back, so each turn's output comes first.
-            pieces.extend([turn.kept.output.clone(), turn.kept.input.clone()]);
+            chain.push(&turn.kept);
             next = &turn.kept.previous;
         }
-        pieces.reverse();
-        Some(pieces)
+        let length = chain.iter().map(|kept| kept.input.len() + kept.output.len()).sum();
+        let mut history = BytesMut::with_capacity(length);
+        for kept in chain.iter().rev() {
+            history.put_slice(&kept.input);
+            history.put_slice(&kept.output);
+        }
+        Some(history.freeze())
     }
 
     /// Tells whether a turn is kept. Its chain is kept at least as long.
--- a/crates/core/tests/turns_tree.rs
+++ b/crates/core/tests/turns_tree.rs
@@ -40,7 +40,7 @@
         ..Reserve::default()
     };
     match apply(turns, Body::Reserve(ask)) {
-        Reply::Reserved(reserved) => Some(reserved.pieces.concat().into()),
+        Reply::Reserved(reserved) => Some(reserved.history),
         Reply::Unknown(_) => None,
         other => panic!("unexpected {other:?}"),
     }
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -11,7 +11,6 @@
 mod history_cache;
 mod lines;
 mod opening;
-pub mod packing;
 mod placing;
 mod plain;
 mod relay;
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -8,7 +8,6 @@
 
 use super::call::Call;
 use super::dialect::Refusal;
-use super::packing::{pack, unpack_all};
 use super::state::GatewayState;
 use super::turn_client::TurnClient;
 
@@ -79,10 +78,7 @@
     let patience = call.left().min(RESERVE_PATIENCE);
     match client.ask(CommandBody::Reserve(ask), patience).await {
         Some(ReplyBody::Reserved(reserved)) => {
-            let history = match known {
-                Some(history) => history,
-                None => unpack_all(&reserved.pieces).ok_or_else(|| damaged(state, call))?,
-            };
+            let history = known.unwrap_or(reserved.history);
             Ok(Leave {
                 body: joined(&history, &call.body),
                 under_way: reserved.under_way,
@@ -100,12 +96,6 @@
     }
 }
 
-/// Says that a turn's history can't be read, which is a fault of the program.
-fn damaged(state: &GatewayState, call: &Call) -> Refusal {
-    slog::error!(state.log, "a kept turn can't be unpacked"; "request" => %call.head.id);
-    Refusal::Unavailable { after: NO_LEADER_PAUSE }
-}
-
 /// Settles a turn that ended whole, and returns whether it is durable. A turn that may be continued
 /// must be: its caller would go on from it at another VM.
 pub(super) async fn settle_whole(
@@ -123,8 +113,8 @@
     let history = joined(sent, &output);
     let kept = Kept {
         previous: keeping.previous.to_string(),
-        input: pack(&keeping.input),
-        output: pack(&output),
+        input: keeping.input.clone(),
+        output,
         retention_ms: keeping.retention,
     };
     let settle = settle(&reservation, tokens, Some(kept));
