Carry replication over links of raw frames

Batches travelled as base64 in JSON calls, a third larger than they are, and the link between regions is full while a wiped store catches up. A link is opened by an HTTP upgrade on the peers' listener, with the same token; frames are answered, so that a connection that fell silent is noticed within a second.

--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -84,8 +84,8 @@
         let methods = peer_calls::methods(Arc::clone(&state))?;
         let token = state.settings.tokens.peers.clone();
         let options = with_tls(pairs.peers.as_ref())?;
-        let rpc =
-            RpcServer::bind(listen.peers, token, methods.into(), options, halt.clone()).await?;
+        let rpc = RpcServer::bind(listen.peers, token, methods.into(), None, options, halt.clone())
+            .await?;
         let membership = membership_loop::join(&state, rpc.address()).await?;
         let addresses = EntryAddresses {
             callers: callers.address(),
--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -5,17 +5,22 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use gypsumglade_core::prelude::VmId;
 use http::header::AUTHORIZATION;
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
 use jsonrpsee::core::client::{ClientT as _, Error as ClientError};
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio_rustls::TlsConnector;
 use tokio_rustls::rustls::ClientConfig;
 use tokio_rustls::rustls::pki_types::ServerName;
 
+use super::link::{self, Link};
 use super::method::Method;
 use super::server::MAX_MESSAGE_BYTES;
 use crate::secret::Secret;
@@ -92,6 +97,50 @@
         }
     }
 
+    /// Opens a link that carries frames to a store, under this process's identity.
+    ///
+    /// # Errors
+    /// Fails when the store can't be reached or takes no frames.
+    pub async fn open_link(&self, address: SocketAddr, vm: VmId) -> Result<Link, RpcError> {
+        let opening = tokio::time::timeout(CONNECT_TIMEOUT, self.upgrade(address, vm)).await;
+        opening.ok().flatten().ok_or(RpcError::Unreachable(address))
+    }
+
+    async fn upgrade(&self, address: SocketAddr, vm: VmId) -> Option<Link> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        match &self.tls {
+            None => self.upgrade_on(stream, address, vm).await,
+            Some(tls) => {
+                let name = ServerName::IpAddress(address.ip().into());
+                let connector = TlsConnector::from(Arc::clone(tls));
+                let stream = connector.connect(name, stream).await.ok()?;
+                self.upgrade_on(stream, address, vm).await
+            }
+        }
+    }
+
+    async fn upgrade_on<S>(&self, stream: S, address: SocketAddr, vm: VmId) -> Option<Link>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
+        let io = TokioIo::new(stream);
+        let (mut sender, connection) = http1::handshake(io).await.ok()?;
+        // Its error shows on the link that it carries.
+        tokio::spawn(async move { drop(connection.with_upgrades().await) });
+        let mut request = link::open_request(&address.to_string(), vm);
+        request.headers_mut().insert(AUTHORIZATION, self.bearer()?);
+        let response = sender.send_request(request).await.ok()?;
+        if response.status() != StatusCode::SWITCHING_PROTOCOLS {
+            return None;
+        }
+        hyper::upgrade::on(response).await.ok().map(Link::new)
+    }
+
+    fn bearer(&self) -> Option<HeaderValue> {
+        HeaderValue::from_str(&format!("Bearer {}", self.token.reveal())).ok()
+    }
+
     async fn client(&self, address: SocketAddr) -> Result<Arc<WsClient>, RpcError> {
         let connection = self.connection(address);
         let mut slot = connection.lock().await;
@@ -118,8 +167,7 @@
 
     async fn open(&self, address: SocketAddr) -> Option<WsClient> {
         let mut headers = HeaderMap::new();
-        let bearer = format!("Bearer {}", self.token.reveal());
-        headers.insert(AUTHORIZATION, HeaderValue::from_str(&bearer).ok()?);
+        headers.insert(AUTHORIZATION, self.bearer()?);
         let builder = WsClientBuilder::default()
             .set_headers(headers)
             .connection_timeout(CONNECT_TIMEOUT)
--- a/crates/gypsumglade/src/rpc/method.rs
+++ b/crates/gypsumglade/src/rpc/method.rs
@@ -5,8 +5,6 @@
 pub enum Method {
     /// Entry to store: a request to a program group.
     Program,
-    /// Store to store: a batch of replication messages.
-    Replication,
     /// Entry or operator to store: a command or question to the control group.
     Control,
     /// Entry to store or entry: renews the configuration lease.
@@ -34,7 +32,6 @@
     pub const fn name(self) -> &'static str {
         match self {
             Method::Program => "program",
-            Method::Replication => "replication",
             Method::Control => "control",
             Method::Lease => "lease",
             Method::Release => "release",
--- a/crates/gypsumglade/src/rpc/server.rs
+++ b/crates/gypsumglade/src/rpc/server.rs
@@ -12,6 +12,7 @@
 use jsonrpsee::types::error::INVALID_PARAMS_CODE;
 use tokio_util::sync::CancellationToken;
 
+use super::link::{self, TakeFrame};
 use crate::listener::{Listener, ListenerOptions};
 use crate::secret::Secret;
 
@@ -26,7 +27,8 @@
 }
 
 impl RpcServer {
-    /// Serves `methods` to peers that present `token`.
+    /// Serves `methods` to peers that present `token`, and takes frames of their links with `take`
+    /// where the process takes any.
     ///
     /// # Errors
     /// Fails when the address cannot be bound.
@@ -34,6 +36,7 @@
         address: SocketAddr,
         token: Secret,
         methods: Methods,
+        take: Option<TakeFrame>,
         options: ListenerOptions,
         stop: CancellationToken,
     ) -> anyhow::Result<RpcServer> {
@@ -56,10 +59,14 @@
             // A stranger that reaches the port could otherwise settle calls or vote; the handshake is
             // where it is turned away, before a single call is parsed.
             let allowed = token.borne_by(request.headers());
+            let take = take.clone();
             async move {
                 if !allowed {
                     return Ok::<_, Infallible>(denied());
                 }
+                if let Some(take) = take.filter(|_| request.uri().path() == link::PATH) {
+                    return Ok(link::accept(request, &take));
+                }
                 let answer: Result<Response<HttpBody>, BoxError> =
                     tower::Service::call(&mut rpc, request).await;
                 Ok(answer.unwrap_or_else(|_| status_only(StatusCode::INTERNAL_SERVER_ERROR)))
--- a/crates/gypsumglade/src/store/outbound.rs
+++ b/crates/gypsumglade/src/store/outbound.rs
@@ -1,30 +1,30 @@
 //! Carries replication batches to the other stores.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use bytes::{Bytes, BytesMut};
 use gypsumglade_core::prelude::*;
-use jsonrpsee::core::params::ArrayParams;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::context::StoreContext;
 use crate::replica::Outbound;
-use crate::rpc::Method;
+use crate::rpc::Link;
 
 /// Batches that may wait for one peer; beyond it they are dropped, and replication repeats them.
 pub(super) const BUFFER: usize = 256;
-/// Longest wait for a peer to take a batch.
-const TIMEOUT: Duration = Duration::from_secs(2);
-/// Calls under way to one peer.
+/// Longest wait for a peer to take a batch, before another link is opened.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after a link could not be opened.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Frames under way to one peer.
 ///
-/// With one call at a time a link of 16 ms carries 60 batches a second. A leader under load makes
-/// 200, so they queued for seconds: heartbeats came late and every election was lost again.
-const CALLS: usize = 8;
-/// Bytes after which waiting batches go out in more than one call.
-const CALL_BYTES: usize = 256 * 1024;
+/// With one at a time a link of 16 ms carries 60 batches a second. A leader under load makes 200,
+/// so they queued for seconds: heartbeats came late and every election was lost again.
+const FRAMES: usize = 32;
+/// Bytes after which waiting batches go out in more than one frame.
+const FRAME_BYTES: usize = 256 * 1024;
 
 /// Sends batches, none waiting for another peer's.
 pub(super) async fn send_batches(
@@ -44,24 +44,63 @@
     }
 }
 
+/// Keeps a link to one peer and sends it what comes.
 async fn send_to_peer(context: Arc<StoreContext>, to: VmId, mut batches: mpsc::Receiver<Bytes>) {
-    let calls = Arc::new(Semaphore::new(CALLS));
-    while let Some(first) = batches.recv().await {
-        // Waits before it gathers: what comes in meanwhile goes out with it.
-        let Ok(call) = Arc::clone(&calls).acquire_owned().await else { return };
-        let batch = gather(first, &mut batches);
-        let Some(address) = context.directory.store(to) else { continue };
-        let mut parameters = ArrayParams::new();
-        let text = STANDARD.encode(&batch);
-        if parameters.insert(context.vm).and_then(|()| parameters.insert(text)).is_err() {
+    loop {
+        let Some(address) = context.directory.store(to) else {
+            // Replication repeats what it can't send now; what waits would be old by then.
+            if batches.recv().await.is_none() {
+                return;
+            }
             continue;
+        };
+        match context.peers.open_link(address, context.vm).await {
+            Ok(link) => {
+                if carry(link, &mut batches).await == Carried::Ended {
+                    return;
+                }
+            }
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+        while batches.try_recv().is_ok() {}
+    }
+}
+
+/// Why a link carries no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Carried {
+    /// It broke, or the peer fell silent.
+    Broken,
+    /// Nothing more will come: the process stops.
+    Ended,
+}
+
+/// Sends batches until the link breaks or the peer falls silent on it. Connections may go silent
+/// without a reset; only the answers that stay away show it.
+async fn carry(mut link: Link, batches: &mut mpsc::Receiver<Bytes>) -> Carried {
+    let mut unanswered: VecDeque<Instant> = VecDeque::new();
+    loop {
+        let oldest = unanswered.front().copied().unwrap_or_else(Instant::now);
+        tokio::select! {
+            first = batches.recv(), if unanswered.len() < FRAMES => {
+                let Some(first) = first else { return Carried::Ended };
+                let batch = gather(first, batches);
+                unanswered.push_back(Instant::now());
+                match tokio::time::timeout(TIMEOUT, link.send(batch)).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) | Err(_) => return Carried::Broken,
+                }
+            }
+            answered = link.answered() => {
+                if !answered {
+                    return Carried::Broken;
+                }
+                unanswered.pop_front();
+            }
+            () = tokio::time::sleep_until(oldest + TIMEOUT), if !unanswered.is_empty() => {
+                return Carried::Broken;
+            }
         }
-        let peers = context.peers.clone();
-        tokio::spawn(async move {
-            // Replication repeats what was lost.
-            let _ = peers.call(address, Method::Replication, parameters, TIMEOUT).await;
-            drop(call);
-        });
     }
 }
 
@@ -71,7 +110,7 @@
     let Ok(second) = waiting.try_recv() else { return first };
     let mut joined = BytesMut::from(first.as_ref());
     joined.extend_from_slice(&second);
-    while joined.len() < CALL_BYTES {
+    while joined.len() < FRAME_BYTES {
         let Ok(next) = waiting.try_recv() else { break };
         joined.extend_from_slice(&next);
     }
--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -2,9 +2,6 @@
 
 use std::sync::Arc;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::{ConfirmRequest, EndpointQuery};
 use gypsumglade_core::wire::discovery::Hello;
@@ -37,12 +34,6 @@
         let reply = reply.ok_or_else(|| invalid_payload(&anyhow::anyhow!("the store stops")))?;
         Ok::<_, ErrorObjectOwned>(encode(&reply))
     })?;
-    module.register_method(Method::Replication.name(), |parameters, state, _| {
-        let (from, text): (VmId, String) = parameters.parse()?;
-        let batch = STANDARD.decode(text).map_err(|error| invalid_payload(&error.into()))?;
-        state.context.host.receive(from, Bytes::from(batch));
-        Ok::<_, ErrorObjectOwned>(DONE.to_owned())
-    })?;
     module.register_async_method(Method::Control.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
         let request: ControlRequest = decode(&text).map_err(|error| invalid_payload(&error))?;
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -30,7 +30,7 @@
 use crate::listener::Listener;
 use crate::metrics::Metrics;
 use crate::replica::{Event, Host, HostSettings};
-use crate::rpc::{PeerClients, RpcServer};
+use crate::rpc::{PeerClients, RpcServer, TakeFrame};
 use crate::settings::{DiscoverySettings, Settings, StoreSettings};
 use crate::tls;
 
@@ -243,7 +243,10 @@
     let options = listener_options(&state.settings, pairs.peers.as_ref())?;
     let methods = peer_calls::methods(Arc::clone(state))?;
     let token = state.settings.tokens.peers.clone();
-    let rpc = RpcServer::bind(own.peers, token, methods.into(), options, halt.clone()).await?;
+    let host = state.context.host.clone();
+    let take: TakeFrame = Arc::new(move |from, batch| host.receive(from, batch));
+    let methods = methods.into();
+    let rpc = RpcServer::bind(own.peers, token, methods, Some(take), options, halt.clone()).await?;
     let options = listener_options(&state.settings, pairs.admin.as_ref())?;
     let routes = admin::store_routes(Arc::clone(state));
     let admin = Listener::bind(own.admin, routes, options, halt.clone()).await?;
--- a/crates/gypsumglade/tests/border_rpc.rs
+++ b/crates/gypsumglade/tests/border_rpc.rs
@@ -11,6 +11,7 @@
 use gypsumglade::rpc::{Method, PeerClients, RpcError, decode, encode};
 use gypsumglade::secret::Secret;
 use gypsumglade::settings::Settings;
+use gypsumglade_core::ids::VmId;
 use gypsumglade_core::wire::control as control_wire;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::operator as operator_wire;
@@ -25,6 +26,7 @@
 use proptest::prelude::*;
 use proptest::strategy::ValueTree as _;
 use proptest::test_runner::TestRunner;
+use prost::Message as _;
 use serde_json::{Value, json};
 
 /// Longest wait for one answer, far above what it takes.
@@ -32,10 +34,17 @@
 /// Wait for answers to garbage; a request may be parked, which is no fault.
 const SHORT: Duration = Duration::from_millis(300);
 
-const ENTRY_METHODS: [Method; 5] =
-    [Method::Lease, Method::Announce, Method::Release, Method::Members, Method::Cancel];
-const STORE_METHODS: [Method; 5] =
-    [Method::Program, Method::Replication, Method::Control, Method::Lease, Method::Score];
+const ENTRY_METHODS: &[Method] =
+    &[Method::Lease, Method::Announce, Method::Release, Method::Members, Method::Cancel];
+const STORE_METHODS: &[Method] = &[
+    Method::Program,
+    Method::Control,
+    Method::Lease,
+    Method::Score,
+    Method::Hello,
+    Method::Endpoints,
+    Method::Turn,
+];
 
 fn parameters(values: &[Value]) -> ArrayParams {
     let mut parameters = ArrayParams::new();
@@ -111,7 +120,7 @@
     let peers = PeerClients::new(Secret::new("a guess of some length"), None);
     let body = json!({"jsonrpc": "2.0", "id": 1, "method": "members", "params": []}).to_string();
     for (address, methods) in [(entry(&system), ENTRY_METHODS), (store(&system), STORE_METHODS)] {
-        for method in methods {
+        for &method in methods {
             let answer = peers.call(address, method, ArrayParams::new(), PATIENCE).await;
             assert_eq!(answer, Err(RpcError::Unreachable(address)), "{method:?}");
         }
@@ -121,6 +130,23 @@
         let guess = plain.header("authorization", bearer("a guess of some length"));
         assert_eq!(guess.send(address).await.status, 401);
     }
+    // Nor may it open the link over which stores vote.
+    let link = peers.open_link(store(&system), VmId(9)).await;
+    assert_eq!(link.err(), Some(RpcError::Unreachable(store(&system))));
+    check_serving(&system, "good").await;
+}
+
+/// A peer of another version, or with damaged memory, sends frames that are no batches.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn link_with_garbage_is_survived() {
+    let system = System::bare().await;
+    let mut link = friend(&system).open_link(store(&system), VmId(9)).await.expect("a link");
+    let mut runner = TestRunner::deterministic();
+    for _ in 0..200 {
+        let garbage = vec(any::<u8>(), 0..200).new_tree(&mut runner).expect("a value").current();
+        link.send(garbage.into()).await.expect("sent");
+        assert!(link.answered().await, "the frame is taken");
+    }
     check_serving(&system, "good").await;
 }
 
@@ -152,7 +178,7 @@
         let values = strategy.new_tree(&mut runner).expect("a value").current();
         for (address, methods) in [(entry(&system), ENTRY_METHODS), (store(&system), STORE_METHODS)]
         {
-            for method in methods {
+            for &method in methods {
                 let answer = peers.call(address, method, parameters(&values), SHORT).await;
                 let reached = !matches!(answer, Err(RpcError::Unreachable(_)));
                 assert!(reached, "{method:?} {values:?}");
@@ -259,10 +285,10 @@
                     peers.call(store(&system), Method::Program, parameters(&values), SHORT).await;
             }
         }
+        let mut link = peers.open_link(store(&system), VmId(9)).await.expect("a link");
         for batch in batches(number) {
-            let values = [json!(9), json!(encode(&batch))];
-            let _ =
-                peers.call(store(&system), Method::Replication, parameters(&values), SHORT).await;
+            link.send(batch.encode_to_vec().into()).await.expect("sent");
+            assert!(link.answered().await, "the batch is taken");
         }
         let lease = control_wire::ConfirmRequest {
             vm: number as u32,
