--- a/crates/core/src/policy/overload.rs
+++ b/crates/core/src/policy/overload.rs
@@ -3,7 +3,11 @@
 //! The load that it answers is a burst of up to twice the usual callers for some seconds. Taken in
 //! whole, every program's turns wait behind all others', and nearly all programs end late. A program
 //! that is turned away before its first turn has cost nothing, so new programs are the ones to turn
-//! away; those under way are finished, the ones that can still be in time first.
+//! away, and those under way are finished.
+//!
+//! Turns are not ranked among each other at the engines. An engine preempts what runs for what is
+//! more urgent, and reads the preempted prompt again: ranked by route and progress, a burst had 1,000
+//! to 1,500 preemptions, and three times as many programs failed as with all turns alike.
 
 use crate::prelude::*;
 
@@ -20,14 +24,6 @@
 const RETRY_LEAST: Duration = Duration::from_millis(250);
 /// Spread of that time, so that those turned away together don't come back together.
 const RETRY_SPREAD: Duration = Duration::from_millis(350);
-/// Urgency of a first turn against one of a program under way, on the engines' scale of ten.
-const NEW_STEP: u8 = 3;
-/// Urgency of a program that can't end in time any more. It is worth less, and what it takes
-/// would make others late.
-const LATE_STEP: u8 = 5;
-/// The least urgent step of the engines' scale.
-const LAST: u8 = 9;
-
 /// What runs and waits at the endpoints of a pool, as this process knows it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PoolLoad {
@@ -44,8 +40,6 @@
     pub rank: u8,
     /// Whether the program has had a turn before.
     pub under_way: bool,
-    /// Time until the program should be finished, if the caller said so.
-    pub finish: Option<Duration>,
 }
 
 /// Tells whether a turn gets an engine now; otherwise when it is worth coming back.
@@ -64,13 +58,3 @@
     }
     Err(RETRY_LEAST + RETRY_SPREAD.mul_f64(spread.clamp(0.0, 1.0)))
 }
-
-/// Returns how urgent a turn is at its engine, zero first.
-pub fn urgency(standing: Standing) -> u8 {
-    let new = if standing.under_way { 0 } else { NEW_STEP };
-    let late = match standing.finish {
-        Some(left) if left.is_zero() => LATE_STEP,
-        _ => 0,
-    };
-    standing.rank.saturating_add(new.max(late)).min(LAST)
-}
--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -76,12 +76,7 @@
 
     /// Returns what is known of the request's program.
     pub(super) fn standing(&self) -> Standing {
-        let finish = self.head.turn.as_ref().and_then(|turn| turn.finish);
-        Standing {
-            rank: self.route.rank,
-            under_way: self.under_way.get().copied().unwrap_or(true),
-            finish: finish.map(|finish| finish.saturating_sub(self.arrived.elapsed())),
-        }
+        Standing { rank: self.route.rank, under_way: self.under_way.get().copied().unwrap_or(true) }
     }
 
     /// Returns the time that is left.
--- a/crates/gypsumglade/src/gateway/dialect.rs
+++ b/crates/gypsumglade/src/gateway/dialect.rs
@@ -77,8 +77,6 @@
     pub endpoint: &'a str,
     /// Time that is left.
     pub left: Duration,
-    /// Urgency, zero first.
-    pub urgency: u8,
     /// Event after which a stream goes on.
     pub after_event: Option<u64>,
 }
--- a/crates/gypsumglade/src/gateway/opening.rs
+++ b/crates/gypsumglade/src/gateway/opening.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use gypsumglade_core::policy::overload::urgency;
 use gypsumglade_core::prelude::*;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
@@ -179,12 +178,7 @@
     after: Option<u64>,
     flight: &Flight,
 ) -> Request<Full<Bytes>> {
-    let order = Order {
-        endpoint: &flight.name,
-        left: call.left(),
-        urgency: urgency(call.standing()),
-        after_event: after,
-    };
+    let order = Order { endpoint: &flight.name, left: call.left(), after_event: after };
     let path = call.parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut request = Request::new(Full::new(body.clone()));
     *request.method_mut() = call.parts.method.clone();
