Count suspension in every lease

A VM that is suspended stops the steady clock: a leader that woke would have taken its lease for fresh and answered reads, endpoints' reports and entries' questions beside the next leader. The process's clock and the replicas' now read the boot clock.

--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -1,7 +1,6 @@
 //! The loop that steps every replica of a VM and carries out what they decide.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::time::Instant;
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
@@ -14,6 +13,7 @@
 use super::queue::EventQueue;
 use super::settings::HostSettings;
 use super::storage::Storage;
+use crate::clock::Clock;
 use crate::disk::{Done, Job, JobWrite, RestoredGroup};
 
 /// Commands taken before effects that wait for a batch go out.
@@ -106,7 +106,7 @@
 pub(super) struct Engine {
     pub(super) settings: HostSettings,
     pub(super) seed: u64,
-    pub(super) started: Instant,
+    pub(super) clock: Clock,
     pub(super) groups: BTreeMap<GroupId, Group>,
     pub(super) storage: Storage,
     /// Pulses that stand in for idle groups' heartbeats.
@@ -141,7 +141,7 @@
         let mut engine = Engine {
             settings,
             seed,
-            started: Instant::now(),
+            clock: Clock::start(),
             groups: BTreeMap::new(),
             storage,
             // Far from the end of the range, for it is counted up.
@@ -204,7 +204,7 @@
     }
 
     pub(super) fn now(&self) -> Time {
-        Time::ZERO + self.started.elapsed()
+        self.clock.now()
     }
 
     fn take(&mut self, command: Command) {
