--- a/crates/core/src/policy/overload.rs
+++ b/crates/core/src/policy/overload.rs
@@ -24,13 +24,60 @@
 const RETRY_LEAST: Duration = Duration::from_millis(250);
 /// Spread of that time, so that those turned away together don't come back together.
 const RETRY_SPREAD: Duration = Duration::from_millis(350);
+/// How many times longer than alone an event may take before new programs are turned away.
+///
+/// Callers' aims are up to 2.2 times the time on idle engines, pauses and ways counted, and an engine
+/// with many slots slows down long before they are full: at half of 64 each token takes two and a
+/// half times as long. With 1.8, quiet spells between bursts were taken for bursts, and twice as many
+/// programs were turned away as came too late without.
+const MOST_STRETCH: f64 = 2.5;
+/// Weight of the newest stream in the mean pace: a burst shows after ten streams, half a second of
+/// one VM's load.
+const PACE_GAIN: f64 = 0.1;
+/// How fast the best pace is forgotten with each stream, so that it follows engines that changed.
+const BEST_DRIFT: f64 = 0.002;
+
+/// How fast a pool's engines generate now, against how fast they do when idle.
+///
+/// Engines don't tell their speed, but each stream shows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pace {
+    /// Mean seconds between events of the latest streams; zero before the first.
+    mean: f64,
+    /// The same of the fastest streams.
+    best: f64,
+}
+
+impl Pace {
+    /// Takes the mean time between the events of a stream that ended.
+    pub fn observe(&mut self, gap: Duration) {
+        let gap = gap.as_secs_f64();
+        if gap <= 0.0 {
+            return;
+        }
+        if self.mean == 0.0 {
+            *self = Pace { mean: gap, best: gap };
+            return;
+        }
+        self.mean += PACE_GAIN * (gap - self.mean);
+        self.best = gap.min(self.best * (1.0 + BEST_DRIFT));
+    }
+
+    /// Returns how many times longer than alone an event takes now.
+    pub fn stretch(&self) -> f64 {
+        if self.best == 0.0 { 1.0 } else { self.mean / self.best }
+    }
+}
+
 /// What runs and waits at the endpoints of a pool, as this process knows it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PoolLoad {
     /// Calls running or waiting.
     pub calls: u64,
     /// Calls that the endpoints run at one time.
     pub slots: u64,
+    /// How many times longer than alone an event takes; see [`Pace::stretch`].
+    pub stretch: f64,
 }
 
 /// What is known of a turn's program.
@@ -53,7 +100,8 @@
         return Ok(());
     }
     let limit = (NEW_LIMIT - RANK_STEP * f64::from(standing.rank)).max(LEAST_LIMIT);
-    if (load.calls as f64) < limit * load.slots as f64 {
+    let room = (load.calls as f64) < limit * load.slots as f64;
+    if room && load.stretch < MOST_STRETCH {
         return Ok(());
     }
     Err(RETRY_LEAST + RETRY_SPREAD.mul_f64(spread.clamp(0.0, 1.0)))
--- a/crates/core/tests/policy_overload.rs
+++ b/crates/core/tests/policy_overload.rs
@@ -1,6 +1,6 @@
 //! Which turns get an engine when there is more work than can be done in time.
 
-use gypsumglade_core::policy::overload::{PoolLoad, Standing, admit};
+use gypsumglade_core::policy::overload::{Pace, PoolLoad, Standing, admit};
 use gypsumglade_core::prelude::*;
 
 fn standing(rank: u8, under_way: bool) -> Standing {
@@ -8,7 +8,7 @@
 }
 
 fn load(calls: u64) -> PoolLoad {
-    PoolLoad { calls, slots: 100 }
+    PoolLoad { calls, slots: 100, stretch: 1.0 }
 }
 
 #[test]
@@ -40,6 +40,43 @@
     assert!(soon < late && late < Duration::from_secs(1));
 }
 
+/// Engines of 64 slots are half full and twice as slow as alone: every program in them ends late,
+/// though there are slots for many more.
+#[test]
+fn admit_slow_engines() {
+    let slow = PoolLoad { stretch: 2.5, ..load(45) };
+    assert!(admit(slow, standing(0, false), 0.0).is_err());
+    assert!(admit(slow, standing(0, true), 0.0).is_ok());
+}
+
+#[test]
+fn pace_follows_burst() {
+    let mut pace = Pace::default();
+    assert_eq!(pace.stretch(), 1.0);
+    for _ in 0..50 {
+        pace.observe(Duration::from_millis(20));
+    }
+    assert!(pace.stretch() < 1.05);
+    for _ in 0..15 {
+        pace.observe(Duration::from_millis(50));
+    }
+    assert!(pace.stretch() > 1.8, "{}", pace.stretch());
+    for _ in 0..40 {
+        pace.observe(Duration::from_millis(21));
+    }
+    assert!(pace.stretch() < 1.2, "{}", pace.stretch());
+}
+
+#[test]
+fn pace_forgets_faster_engines() {
+    let mut pace = Pace::default();
+    pace.observe(Duration::from_millis(10));
+    for _ in 0..1_000 {
+        pace.observe(Duration::from_millis(30));
+    }
+    assert!(pace.stretch() < 1.1, "{}", pace.stretch());
+}
+
 #[test]
 fn admit_unknown_load() {
     assert!(admit(PoolLoad::default(), standing(0, false), 0.0).is_ok());
@@ -65,7 +102,7 @@
     let mut in_time = 0;
     for tick in 0..60 {
         for _ in 0..ARRIVALS {
-            let load = PoolLoad { calls: waiting.len() as u64, slots: SLOTS as u64 };
+            let load = PoolLoad { calls: waiting.len() as u64, slots: SLOTS as u64, stretch: 1.0 };
             if lets_in(load, false) {
                 waiting.push((tick, TURNS));
             }
--- a/crates/gypsumglade/src/gateway/placing.rs
+++ b/crates/gypsumglade/src/gateway/placing.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use gypsumglade_core::policy::Class;
-use gypsumglade_core::policy::overload::PoolLoad;
+use gypsumglade_core::policy::overload::{Pace, PoolLoad};
 use gypsumglade_core::policy::registry::{
     DispatchKey, DispatchLoad, EndpointKey, EndpointKind, LoadReport, ModelId,
 };
@@ -54,13 +54,24 @@
     let desk = state.desk();
     let model = pool_model(&call.pool);
     let open = desk.registry.candidates(&model).iter().filter(|key| desk.registry.open(now, **key));
+    let stretch = desk.paces.get(&call.pool).map_or(1.0, Pace::stretch);
     let endpoints = open.filter_map(|key| desk.registry.get(*key));
-    endpoints.fold(PoolLoad::default(), |sum, endpoint| PoolLoad {
+    endpoints.fold(PoolLoad { stretch, ..PoolLoad::default() }, |sum, endpoint| PoolLoad {
         calls: sum.calls + u64::from(endpoint.load(now).total),
         slots: sum.slots + u64::from(endpoint.kind.slots()),
+        ..sum
     })
 }
 
+/// Notes how fast a stream of a pool's engines came.
+pub(super) fn note_pace(state: &GatewayState, pool: &CompactString, gap: Duration) {
+    let mut desk = state.desk();
+    match desk.paces.get_mut(pool) {
+        Some(pace) => pace.observe(gap),
+        None => desk.paces.entry(pool.clone()).or_default().observe(gap),
+    }
+}
+
 /// Chooses an endpoint that `excluded` does not name.
 ///
 /// # Errors
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use super::channels::Channel;
 use super::dialect::AnswerHead;
 use super::opening::{Attempts, Opened, open};
-use super::placing::Flight;
+use super::placing::{Flight, note_pace};
 use super::settlement::{Reservation, settle_later, settle_whole};
 use super::state::GatewayState;
 
@@ -197,6 +197,10 @@
     async fn finish(mut self, end: End, caller: &mpsc::Sender<RelayFrame>) {
         let tokens = self.events * self.call.event_tokens();
         let last = self.call.arrived.elapsed();
+        if let Some(gaps) = u32::try_from(self.events).ok().filter(|events| *events > 1) {
+            let gap = last.saturating_sub(self.timeline.first) / (gaps - 1);
+            note_pace(&self.state, &self.call.pool, gap);
+        }
         let endpoint = self.attempts.tried.last().cloned().unwrap_or_default();
         if let Some(source) = self.source.take() {
             release(&self.state, source, end);
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a gateway, and takes callers' requests in.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -166,6 +167,7 @@
     let desk = Desk {
         registry: Registry::new(registry),
         router: Router::new(RouteSettings::default(), rand::random()),
+        paces: HashMap::new(),
     };
     Ok(GatewayState {
         vm,
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -1,7 +1,9 @@
 //! What all tasks of a gateway share.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use gypsumglade_core::policy::overload::Pace;
 use gypsumglade_core::policy::registry::Registry;
 use gypsumglade_core::policy::route::{Place, Router};
 use gypsumglade_core::prelude::*;
@@ -45,6 +47,8 @@
 pub(super) struct Desk {
     pub(super) registry: Registry,
     pub(super) router: Router,
+    /// How fast each pool's engines generate.
+    pub(super) paces: HashMap<CompactString, Pace>,
 }
 
 impl GatewayState {
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -63,7 +63,8 @@
     let spread = rand::random::<f64>();
     overload::admit(load, call.standing(), spread).map_err(|after| {
         slog::info!(state.log, "new program turned away"; "request" => %call.head.id,
-            "route" => %call.route.name, "calls" => load.calls, "slots" => load.slots);
+            "route" => %call.route.name, "calls" => load.calls, "slots" => load.slots,
+            "stretch" => load.stretch);
         Refusal::Unavailable { after }
     })
 }
