--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -23,4 +23,5 @@
 pub use dialect::{
     AnswerHead, CallHead, Dialect, EndpointLoad, Order, PromptPart, Refusal, Standing, TurnHead,
 };
+pub use lines::forwarded;
 pub use serve::{Gateway, GatewayAddresses};
--- a/crates/gypsumglade/src/gateway/plain.rs
+++ b/crates/gypsumglade/src/gateway/plain.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use gypsumglade_core::prelude::*;
 use http::Response;
 use http_body_util::{BodyExt as _, Limited};
 
@@ -67,6 +66,3 @@
 pub(super) fn refused(state: &GatewayState, refusal: Refusal) -> Answer {
     state.dialect.refuse(&refusal).map(whole)
 }
-
-/// Longest time that a caller may take to send its body where the operator names none.
-pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -32,7 +32,7 @@
 use super::dialect::{Dialect, Refusal};
 use super::history_cache::HistoryCache;
 use super::placing::choose_pool;
-use super::plain::{self, BODY_TIMEOUT, refused};
+use super::plain::{self, refused};
 use super::state::{Desk, GatewayState};
 use super::turn_client::TurnClient;
 use super::{follow, streaming};
@@ -61,6 +61,9 @@
 const CHANNEL_SWEEP: Duration = Duration::from_secs(1);
 /// When to come back to a VM that knows no bundle yet.
 const NO_BUNDLE_PAUSE: Duration = Duration::from_millis(300);
+/// Longest time that a caller may take to send its body. Callers give up far sooner; this only ends
+/// what a caller that fell silent has left behind.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause after a failed accept (typically: out of file descriptors), so that the loop can't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -15,7 +15,7 @@
 use super::opening::{Attempts, open};
 use super::placing::pool_load;
 use super::plain::read_whole;
-use super::relay::{Relay, RelayFrame, Timeline};
+use super::relay::{Relay, RelayFrame, Source, Timeline};
 use super::settlement::{Leave, reserve, settle_later};
 use super::state::GatewayState;
 
@@ -92,7 +92,7 @@
             }
         }
         let (parts, stream) = opened.response.into_parts();
-        let source = super::relay::Source::new(stream, opened.flight, opened.channel, opened.head);
+        let source = Source::new(stream, opened.flight, opened.channel, opened.head);
         let mut relay = Relay::new(Arc::clone(state), Arc::clone(call), body.clone(), source);
         let first = tokio::time::timeout(call.left(), relay.read_first()).await;
         match first {
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -34,12 +34,13 @@
 use crate::settings::{DiscoverySettings, Settings, StoreSettings};
 use crate::tls;
 
-/// Most entry bytes in one message to a follower, and most such messages on their way to it.
+/// Most entry bytes in one message to a follower.
 ///
-/// The narrowest link of the users carries 3.75 MB a second. Half a megabyte delays the heartbeats
+/// With eight such messages on their way: the narrowest link of the users carries 3.75 MB a second. Half a megabyte delays the heartbeats
 /// behind it by 0.2 s, a third of an election timeout; the 4 MB that the core allows by itself would
 /// depose a leader whose follower has to catch up.
 const BATCH_BYTES: usize = 64 * 1024;
+/// Most entry messages on their way to one follower; see [`BATCH_BYTES`].
 const IN_FLIGHT: usize = 8;
 /// Bytes of one piece of a snapshot. One is under way at a time, so smaller ones would leave a link
 /// of 16 ms idle for half of the time.
--- a/crates/gypsumglade/tests/store_outbound.rs
+++ b/crates/gypsumglade/tests/store_outbound.rs
@@ -12,8 +12,8 @@
     Batch { messages: vec![message], pulse: Some(pulse) }.encode_to_vec().into()
 }
 
-/// A leader makes batches faster than the link takes calls. If each went out in a call of its own,
-/// they would queue for seconds and followers would depose a healthy leader. So what waits is
+/// A leader makes batches faster than a long link answers frames. If each went out in a frame of its
+/// own, they would queue for seconds and followers would depose a healthy leader. So what waits is
 /// joined: every message in order, and the latest pulse.
 #[test]
 fn gather_joins_waiting() {
