Ask groups' leaders, and processes, in one place each

Cause: the loop that finds a leader, follows its redirects and moves on after a loss stood twice, for the control group and for the turn group, and the step that wraps a message, calls a process and reads its answer stood five times.

Change: LeaderClient is the loop, told by a verdict what a reply says of who leads; PeerClients::ask is the step. The clients of the two groups keep their waits and pauses as they were.

Behaviour is the same; a question is now encoded once per store asked and not once in all, which differs only when a store did not lead. The loop of program groups (entry/groups.rs) stays apart: it tells its caller whether a request was sent, backs off with jitter and keeps a leader per group.

--- a/crates/gypsumglade/src/admin.rs
+++ b/crates/gypsumglade/src/admin.rs
@@ -19,7 +19,7 @@
 use prost::Message as _;
 use serde_json::{Value, json};
 
-use crate::control_client::{ControlGroupClient, Patience};
+use crate::control_client::{ControlGroupClient, OPERATOR};
 use crate::directory::Directory;
 use crate::entry::state::EntryState;
 use crate::rpc::PeerClients;
@@ -70,7 +70,7 @@
     /// Asks the control group; `None` when no leader answered.
     pub async fn ask(&self, request: &ControlRequest) -> Option<ControlReply> {
         let (directory, peers) = (Arc::clone(&self.directory), self.peers.clone());
-        ControlGroupClient::new(directory, peers, Patience::OPERATOR).ask(request).await
+        ControlGroupClient::new(directory, peers, OPERATOR).ask(request).await
     }
 }
 
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -11,14 +11,13 @@
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::roster::Roster;
 use gypsumglade_core::wire::discovery::{Hello, Led, Node, Nodes, Role};
-use jsonrpsee::core::params::ArrayParams;
 use rand::seq::IteratorRandom as _;
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
 use crate::directory::Directory;
-use crate::rpc::{Method, PeerClients, decode, encode};
+use crate::rpc::{Method, PeerClients};
 use crate::settings::{DiscoverySettings, Settings};
 
 /// Pause between two rounds of introductions: a newcomer is known to all within two rounds.
@@ -154,15 +153,9 @@
 
     async fn introduce(&self, address: SocketAddr) {
         let hello = Hello { node: Some(self.myself()) };
-        let mut parameters = ArrayParams::new();
-        if parameters.insert(encode(&hello)).is_err() {
-            return;
-        }
+        let asking = self.peers.ask::<Hello, Nodes>(address, Method::Hello, &hello, TIMEOUT);
         // Who does not answer is asked again in a later round.
-        let Ok(text) = self.peers.call(address, Method::Hello, parameters, TIMEOUT).await else {
-            return;
-        };
-        if let Ok(nodes) = decode::<Nodes>(&text) {
+        if let Ok(nodes) = asking.await {
             self.hear(nodes.nodes);
         }
     }
--- a/crates/gypsumglade/src/entry/config.rs
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -8,7 +8,6 @@
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::confirm_reply::Body;
 use gypsumglade_core::wire::control::{ConfirmReply, ConfirmRequest};
-use jsonrpsee::core::params::ArrayParams;
 use tokio_util::sync::CancellationToken;
 
 use super::active_bundle::ActiveBundle;
@@ -16,7 +15,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::leader_hint::LeaderHint;
-use crate::rpc::{Method, PeerClients, decode, encode};
+use crate::rpc::{Method, PeerClients, RpcError};
 
 /// Longest wait for a lease's answer: well below its length, so that another VM can be asked.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
@@ -146,16 +145,17 @@
         view.relay().fail(request.ask);
         return;
     };
-    let reply = ask(renewal, address, &request).await;
+    let asking = renewal.peers.ask(address, Method::Lease, &request, ASK_TIMEOUT);
+    let reply: Result<ConfirmReply, RpcError> = asking.await;
     let now = renewal.clock.now();
     match reply {
-        Some(reply) => {
+        Ok(reply) => {
             if let Some(Body::Unavailable(unavailable)) = &reply.body {
                 leaders.redirect(None, unavailable.leader.map(VmId));
             }
             view.take(reply, now, &renewal.log);
         }
-        None => {
+        Err(_) => {
             leaders.forget();
             view.relay().fail(request.ask);
         }
@@ -178,17 +178,6 @@
     }
 }
 
-async fn ask(
-    renewal: &Renewal,
-    address: std::net::SocketAddr,
-    request: &ConfirmRequest,
-) -> Option<ConfirmReply> {
-    let mut parameters = ArrayParams::new();
-    parameters.insert(encode(request)).ok()?;
-    let text = renewal.peers.call(address, Method::Lease, parameters, ASK_TIMEOUT).await.ok()?;
-    decode(&text).ok()
-}
-
 /// Returns the operators' keys as the core checks them.
 pub fn operator_keys(settings: &crate::settings::OperatorSettings) -> OperatorKeys {
     let keys = settings.keys.iter().filter_map(|key| key.parse().ok()).collect();
--- a/crates/gypsumglade/src/gateway/follow.rs
+++ b/crates/gypsumglade/src/gateway/follow.rs
@@ -7,12 +7,11 @@
 use gypsumglade_core::policy::registry::CacheEvents;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::{EndpointNews, EndpointQuery, EndpointRecord};
-use jsonrpsee::core::params::ArrayParams;
 
 use super::placing::endpoint_kind;
 use super::state::GatewayState;
 use crate::leader_hint::LeaderHint;
-use crate::rpc::{Method, decode, encode};
+use crate::rpc::{Method, RpcError};
 
 /// How long a question waits at the leader for news.
 const WAIT: Duration = Duration::from_millis(800);
@@ -64,20 +63,18 @@
         let (vm, address) = leader.target(&self.state.directory)?;
         let wait = if self.seen == 0 { Duration::ZERO } else { WAIT };
         let query = EndpointQuery { seen: self.seen, wait_ms: wait.as_millis() as u64 };
-        let mut parameters = ArrayParams::new();
-        parameters.insert(encode(&query)).ok()?;
-        let call = self.state.peers.call(address, Method::Endpoints, parameters, TIMEOUT);
-        let news = call.await.ok().and_then(|text| decode::<EndpointNews>(&text).ok());
+        let asking = self.state.peers.ask(address, Method::Endpoints, &query, TIMEOUT);
+        let news: Result<EndpointNews, RpcError> = asking.await;
         match news {
-            Some(news) if !news.unavailable => {
+            Ok(news) if !news.unavailable => {
                 leader.confirm(vm);
                 Some(news)
             }
-            Some(news) => {
+            Ok(news) => {
                 leader.redirect(Some(vm), Some(VmId(news.leader)));
                 None
             }
-            None => {
+            Err(_) => {
                 leader.forget();
                 None
             }
--- a/crates/gypsumglade/src/lib.rs
+++ b/crates/gypsumglade/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod embedded;
 pub mod entry;
 pub mod gateway;
+pub mod leader_client;
 pub mod leader_hint;
 pub mod listener;
 pub mod logs;
--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -13,6 +13,7 @@
 use jsonrpsee::core::client::{ClientT as _, Error as ClientError};
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use prost::Message;
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
@@ -20,6 +21,7 @@
 use tokio_rustls::rustls::ClientConfig;
 use tokio_rustls::rustls::pki_types::ServerName;
 
+use super::codec::{decode, encode};
 use super::link::{self, Link};
 use super::method::Method;
 use super::server::MAX_MESSAGE_BYTES;
@@ -97,6 +99,28 @@
         }
     }
 
+    /// Sends a message and returns the message that answers it.
+    ///
+    /// # Errors
+    /// As [`PeerClients::call`]; an answer that cannot be read counts as a refusal.
+    pub async fn ask<Q, A>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        question: &Q,
+        timeout: Duration,
+    ) -> Result<A, RpcError>
+    where
+        Q: Message,
+        A: Message + Default,
+    {
+        let mut parameters = ArrayParams::new();
+        let inserted = parameters.insert(encode(question));
+        inserted.map_err(|error| RpcError::Refused(address, error.to_string()))?;
+        let text = self.call(address, method, parameters, timeout).await?;
+        decode(&text).map_err(|error| RpcError::Refused(address, error.to_string()))
+    }
+
     /// Opens a link that carries frames to a store, under this process's identity.
     ///
     /// # Errors
--- a/crates/gypsumglade/src/store/registrar.rs
+++ b/crates/gypsumglade/src/store/registrar.rs
@@ -17,7 +17,7 @@
 use gypsumglade_core::wire::operator::{ControlRequest, Status, StatusQuery};
 
 use super::serve::StoreState;
-use crate::control_client::{ControlGroupClient, Patience};
+use crate::control_client::{ControlGroupClient, PROGRAM};
 use crate::settings::StoreSettings;
 
 /// Times that an order is tried again because another one was accepted in between.
@@ -64,7 +64,7 @@
     pub fn new(state: &Arc<StoreState>) -> Registrar {
         let context = &state.context;
         let directory = Arc::clone(&context.directory);
-        let control = ControlGroupClient::new(directory, context.peers.clone(), Patience::PROGRAM);
+        let control = ControlGroupClient::new(directory, context.peers.clone(), PROGRAM);
         let own = state.settings.store.as_ref();
         let signer = own.and_then(StoreSettings::key_pair).map(Arc::new);
         Registrar { state: Arc::clone(state), control, signer }
