--- a/crates/core/src/bundle/content.rs
+++ b/crates/core/src/bundle/content.rs
@@ -115,8 +115,9 @@
 
 /// Reads the text of a bundle.
 ///
-/// JSON is YAML too, and its own reader takes a twentieth of the time: a bundle of 350 routes that
-/// a tool wrote costs an entry 1 ms and not 20.
+/// JSON is YAML too, and its own reader is faster: a bundle of 350 routes that a tool wrote takes
+/// 1.4 ms and not 6.7 (medians of 101 readings, `cargo run --release -p gypsumglade-core --example
+/// bundle_read`).
 fn read(text: &[u8], findings: &mut Findings) -> Result<Bundle, Findings> {
     if text.first() == Some(&b'{') {
         let mut document = serde_json::Deserializer::from_slice(text);
