Set property tests up in one place

Ten test files each read the environment's count of cases and wrote out the same settings. Seeds, counts, shrinking and assertions are as they were.

--- a/crates/core/tests/border_bundle.rs
+++ b/crates/core/tests/border_bundle.rs
@@ -1,5 +1,8 @@
 //! Bad input at the border of bundles: any text, forged signatures, replayed orders.
 
+#[path = "support/property.rs"]
+mod property;
+
 use bytes::Bytes;
 use gypsumglade_core::bundle::{Bundle, KeyPair, OperatorKeys, Signature, SignedBundle};
 use gypsumglade_core::control::Control;
@@ -8,27 +11,15 @@
 use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::control::content::Body as ContentBody;
+use property::{cases, fixed};
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use prost::Message as _;
 
 const EXAMPLE: &str = include_str!("../../../examples/bundle.yaml");
-/// Environment variable with the count of cases, for long runs.
-const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
 /// Cases of a property when the environment names no other count.
 const CASES: u32 = 128;
 
-fn config(seed: u64) -> Config {
-    let asked = std::env::var(CASES_VARIABLE).ok().and_then(|text| text.parse().ok());
-    Config {
-        cases: asked.unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 fn key(seed: u8) -> KeyPair {
     KeyPair::from_seed([seed; 32])
 }
@@ -87,7 +78,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(72))]
+    #![proptest_config(fixed(72, cases(CASES)))]
 
     #[test]
     fn parse_survives_any_bytes(yaml in vec(any::<u8>(), 0..300)) {
--- a/crates/core/tests/border_datagram.rs
+++ b/crates/core/tests/border_datagram.rs
@@ -2,33 +2,23 @@
 
 #[path = "membership_harness/mod.rs"]
 mod harness;
+#[path = "support/property.rs"]
+mod property;
 
 use bytes::Bytes;
 use gypsumglade_core::membership::{Effect, Input, MAX_DATAGRAM, Membership, Mutation};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::membership as wire;
 use harness::{Net, address};
+use property::{cases, fixed};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::Index;
-use proptest::test_runner::{Config, RngSeed};
 use prost::Message as _;
 
-/// Environment variable with the count of cases, for long runs.
-const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
 /// Cases of a property when the environment names no other count.
 const CASES: u32 = 256;
 
-fn config(seed: u64) -> Config {
-    let asked = std::env::var(CASES_VARIABLE).ok().and_then(|text| text.parse().ok());
-    Config {
-        cases: asked.unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 /// A VM that knows four others.
 fn joined() -> (Membership, Time) {
     let mut net = Net::new(5, 0.0, 7, Mutation::None);
@@ -101,7 +91,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(75))]
+    #![proptest_config(fixed(75, cases(CASES)))]
 
     #[test]
     fn step_survives_any_bytes(bytes in vec(any::<u8>(), 0..200)) {
--- a/crates/core/tests/border_program.rs
+++ b/crates/core/tests/border_program.rs
@@ -1,33 +1,23 @@
 //! Bad input at a program group's border: damaged entries and snapshots.
 
+#[path = "support/property.rs"]
+mod property;
 mod support;
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program::{Effect, Input, Sequencer, Settings, State};
 use gypsumglade_core::wire::program as wire;
+use property::{cases, fixed};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::Index;
-use proptest::test_runner::{Config, RngSeed};
 use prost::Message as _;
 use support::*;
 
-/// Environment variable with the count of cases, for long runs.
-const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
 /// Cases of a property when the environment names no other count.
 const CASES: u32 = 512;
 
-fn config(seed: u64) -> Config {
-    let asked = std::env::var(CASES_VARIABLE).ok().and_then(|text| text.parse().ok());
-    Config {
-        cases: asked.unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 /// A group with programs in every state: turns, calls, children, a death, ends.
 fn group() -> Group {
     let mut group = Group::with_settings(1, Settings { escrow_turns: 2, ..Settings::default() });
@@ -97,7 +87,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(74))]
+    #![proptest_config(fixed(74, cases(CASES)))]
 
     #[test]
     fn committed_survives_any_bytes(entries in vec(vec(any::<u8>(), 0..60), 1..6)) {
--- a/crates/core/tests/control_placement.rs
+++ b/crates/core/tests/control_placement.rs
@@ -1,5 +1,8 @@
 //! Placement: VMs lost for good are replaced, one change of a group at a time.
 
+#[path = "support/property.rs"]
+mod property;
+
 use gypsumglade_core::control::plan::{
     GroupReport, PlanMutation, PlanSettings, Presence, StoreVm, create, plan,
 };
@@ -9,8 +12,9 @@
 use gypsumglade_core::wire::control::command::Body;
 use gypsumglade_core::wire::control::place::Step;
 use gypsumglade_core::wire::control::{Command, GroupPlacement, ReplicaRole};
+use property::{cases, fixed};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
+use proptest::test_runner::{Config, TestCaseError, TestRunner};
 
 const GROUPS: u32 = 4;
 const DOMAINS: u32 = 3;
@@ -156,14 +160,11 @@
     Ok(())
 }
 
+/// Cases of a property when the environment names no other count.
+const CASES: u32 = 1_000;
+
 fn run(mutation: Mutation, plan: PlanMutation, cases: u32) -> Result<(), String> {
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(4),
-        failure_persistence: None,
-        max_shrink_iters: 0,
-        ..Config::default()
-    };
+    let config = Config { max_shrink_iters: 0, ..fixed(4, cases) };
     let settings = PlanSettings { mutation: plan, ..PlanSettings::default() };
     let actions = prop::collection::vec(action(), 1..200);
     let result = TestRunner::new(config).run(&actions, |actions| {
@@ -173,16 +174,11 @@
     result.map_err(|error| error.to_string())
 }
 
-fn cases() -> u32 {
-    let cases = std::env::var("GYPSUMGLADE_CASES").ok();
-    cases.and_then(|cases| cases.parse().ok()).unwrap_or(1_000)
-}
-
 #[test]
 fn plan_replaces_one_replica_at_a_time() {
     // VMs go, come back or are given up at any moment, a second one right after a repair. Steps
     // reach the log late, twice or not at all, and planned on old news.
-    assert_eq!(run(Mutation::None, PlanMutation::None, cases()), Ok(()));
+    assert_eq!(run(Mutation::None, PlanMutation::None, cases(CASES)), Ok(()));
 }
 
 #[test]
--- a/crates/core/tests/control_revisions.rs
+++ b/crates/core/tests/control_revisions.rs
@@ -1,5 +1,8 @@
 //! Revisions of the control group: compare-and-set, resends, conflicts and roll backs.
 
+#[path = "support/property.rs"]
+mod property;
+
 use bytes::Bytes;
 use gypsumglade_core::bundle::{Digest, KeyPair, OperatorKeys, RollBackOrder, SignedBundle};
 use gypsumglade_core::control::{Control, Mutation, REMEMBERED, delta};
@@ -9,8 +12,9 @@
 use gypsumglade_core::wire::control::{
     Accept, Answer, Command, Content, Fault, Rejected, RollBack, content,
 };
+use property::{cases, fixed};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
+use proptest::test_runner::{Config, TestCaseError, TestRunner};
 
 fn bundle(version: u64, text: u8) -> Bytes {
     format!("version: \"{version}\"\n# variant {text}\n").into()
@@ -266,31 +270,23 @@
     Ok(())
 }
 
+/// Cases of a property when the environment names no other count.
+const CASES: u32 = 1_000;
+
 fn run(mutation: Mutation, cases: u32) -> Result<(), String> {
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(4),
-        failure_persistence: None,
-        max_shrink_iters: 0,
-        ..Config::default()
-    };
+    let config = Config { max_shrink_iters: 0, ..fixed(4, cases) };
     let orders = prop::collection::vec(order(), 1..40);
     let result = TestRunner::new(config).run(&orders, |orders| run_orders(mutation, &orders));
     result.map_err(|error| error.to_string())
 }
 
-fn cases() -> u32 {
-    let cases = std::env::var("GYPSUMGLADE_CASES").ok();
-    cases.and_then(|cases| cases.parse().ok()).unwrap_or(1_000)
-}
-
 fn assert_caught(mutation: Mutation) {
     assert!(run(mutation, 5_000).is_err(), "{mutation:?} went unnoticed");
 }
 
 #[test]
 fn apply_racing_orders() {
-    assert_eq!(run(Mutation::None, cases()), Ok(()));
+    assert_eq!(run(Mutation::None, cases(CASES)), Ok(()));
 }
 
 #[test]
--- a/crates/core/tests/journal_faults.rs
+++ b/crates/core/tests/journal_faults.rs
@@ -3,19 +3,20 @@
 //! The model is what fake endpoints really ran, used and held, and what every caller was told.
 //! It knows nothing of the journal. See docs/design/journal.md for the promises it checks.
 
+#[path = "support/property.rs"]
+mod property;
 mod support;
 
 use gypsumglade_core::program::{Safeguards, Settings};
 use gypsumglade_core::wire::program::request::Body;
+use property::{cases, fixed};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 use support::world::{CallId, Op, World};
 use support::*;
 
 /// Cases of the property when the environment names no other count.
 const CASES: u32 = 256;
-/// Environment variable with the count of cases, for long runs.
-const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
 /// Seed of the property's random choices.
 const SEED: u64 = 5;
 
@@ -101,13 +102,7 @@
 }
 
 fn check_random_faults(settings: &Settings) {
-    let config = Config {
-        cases: std::env::var(CASES_VARIABLE).ok().and_then(|n| n.parse().ok()).unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let mut runner = TestRunner::new(config);
+    let mut runner = TestRunner::new(fixed(SEED, cases(CASES)));
     let ops = prop::collection::vec(any_op(), 1..80);
     let result = runner.run(&ops, |ops| {
         let violations = run(settings.clone(), &ops);
--- a/crates/core/tests/lease_in_force.rs
+++ b/crates/core/tests/lease_in_force.rs
@@ -1,5 +1,8 @@
 //! The configuration lease: once a revision is reported in force, nobody acts on an older one.
 
+#[path = "support/property.rs"]
+mod property;
+
 use gypsumglade_core::lease::{
     ConfigGrants, ConfigLease, InForce, LeaseSettings, Mutation, Reply, Upstream, VmRegion,
     upstreams,
@@ -9,8 +12,9 @@
 use gypsumglade_core::wire::control::{
     ConfirmReply, ConfirmRequest, Revision, Unavailable, Update,
 };
+use property::{cases, fixed};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
+use proptest::test_runner::{Config, TestCaseError, TestRunner};
 
 /// Clock drift in the property: larger than in practice, so that cases that depend on it are
 /// found soon.
@@ -195,14 +199,11 @@
     }
 }
 
+/// Cases of a property when the environment names no other count.
+const CASES: u32 = 4_000;
+
 fn run(mutation: Mutation, cases: u32) -> Result<(), String> {
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(4),
-        failure_persistence: None,
-        max_shrink_iters: 0,
-        ..Config::default()
-    };
+    let config = Config { max_shrink_iters: 0, ..fixed(4, cases) };
     let rates = prop::collection::vec(prop::sample::select(vec![-DRIFT_PPM, DRIFT_PPM]), 5);
     let actions = prop::collection::vec(action(), 1..160);
     let result = TestRunner::new(config).run(&(rates, actions), |(rates, actions)| {
@@ -216,11 +217,6 @@
     result.map_err(|error| error.to_string())
 }
 
-fn cases() -> u32 {
-    let cases = std::env::var("GYPSUMGLADE_CASES").ok();
-    cases.and_then(|cases| cases.parse().ok()).unwrap_or(4_000)
-}
-
 /// Cases within which a switched-off safeguard must be noticed.
 const MUTATION_CASES: u32 = 60_000;
 
@@ -234,7 +230,7 @@
     // A VM cut off silently keeps its lease and acts on the old bundle while an operator is told
     // that the new one is in force. Requests and replies come late, twice, crossed or never;
     // VMs and leaders are replaced at any point; clocks drift by the bound, each its own way.
-    assert_eq!(run(Mutation::None, cases()), Ok(()));
+    assert_eq!(run(Mutation::None, cases(CASES)), Ok(()));
 }
 
 #[test]
--- a/crates/core/tests/orders_fencing.rs
+++ b/crates/core/tests/orders_fencing.rs
@@ -1,10 +1,14 @@
 //! The order lease: no two holders act at once, and late orders of an old one change nothing.
 
+#[path = "support/property.rs"]
+mod property;
+
 use gypsumglade_core::orders::{Fence, Mutation, OrderGrants, OrderHolder, OrderSettings};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::{OrderLease, TakeOrderLease};
+use property::{cases, fixed};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
+use proptest::test_runner::{Config, TestCaseError, TestRunner};
 
 const DRIFT_PPM: i64 = 100_000;
 const HOLDERS: usize = 2;
@@ -151,14 +155,11 @@
     }
 }
 
+/// Cases of a property when the environment names no other count.
+const CASES: u32 = 4_000;
+
 fn run(mutation: Mutation, checks_fencing: bool, cases: u32) -> Result<(), String> {
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(4),
-        failure_persistence: None,
-        max_shrink_iters: 0,
-        ..Config::default()
-    };
+    let config = Config { max_shrink_iters: 0, ..fixed(4, cases) };
     let rates = prop::collection::vec(prop::sample::select(vec![-DRIFT_PPM, DRIFT_PPM]), 3);
     let actions = prop::collection::vec(action(), 1..120);
     let result = TestRunner::new(config).run(&(rates, actions), |(rates, actions)| {
@@ -168,21 +169,16 @@
     result.map_err(|error| error.to_string())
 }
 
-fn cases() -> u32 {
-    let cases = std::env::var("GYPSUMGLADE_CASES").ok();
-    cases.and_then(|cases| cases.parse().ok()).unwrap_or(4_000)
-}
-
 #[test]
 fn number_with_endpoints_that_check() {
     // The holder is cut off and paused while another VM takes over; then its orders arrive.
-    assert_eq!(run(Mutation::None, true, cases()), Ok(()));
+    assert_eq!(run(Mutation::None, true, cases(CASES)), Ok(()));
 }
 
 #[test]
 fn number_with_endpoints_that_ignore_fencing() {
     // As above, but the endpoint obeys any order: only the wait keeps an old one away.
-    assert_eq!(run(Mutation::None, false, cases()), Ok(()));
+    assert_eq!(run(Mutation::None, false, cases(CASES)), Ok(()));
 }
 
 #[test]
--- a/crates/core/tests/quarantine_property.rs
+++ b/crates/core/tests/quarantine_property.rs
@@ -1,5 +1,7 @@
 //! Random loads with a request that kills engines: how many it costs, and whom else it hurts.
 
+#[path = "support/property.rs"]
+mod property;
 mod support;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -7,14 +9,13 @@
 use gypsumglade_core::program::{Input, RequestToken};
 use gypsumglade_core::wire::program as wire;
 use gypsumglade_core::wire::program::Refusal;
+use property::{cases, fixed};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 use support::*;
 
 /// Cases of the property when the environment names no other count.
 const CASES: u32 = 256;
-/// Environment variable with the count of cases, for long runs.
-const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
 /// Seed of the property's random choices.
 const SEED: u64 = 11;
 /// Engines that requests are spread over.
@@ -168,13 +169,7 @@
     // Three programs send the same bad request again and again, six send harmless ones; they
     // share three engines, and leaders change. Two engines are lost, and one more for each copy
     // that was in flight elsewhere when the first died. No harmless request is quarantined.
-    let config = Config {
-        cases: std::env::var(CASES_VARIABLE).ok().and_then(|n| n.parse().ok()).unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let mut runner = TestRunner::new(config);
+    let mut runner = TestRunner::new(fixed(SEED, cases(CASES)));
     let ops = prop::collection::vec(any_op(), 1..150);
     let result = runner.run(&ops, |ops| {
         let mut fleet = Fleet::new();
--- a/crates/core/tests/replication_safety.rs
+++ b/crates/core/tests/replication_safety.rs
@@ -3,17 +3,18 @@
 
 #[path = "replication/net.rs"]
 mod net;
+#[path = "support/property.rs"]
+mod property;
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{Input, MemberChange, Settings};
 use net::{Net, Weather};
+use property::fixed;
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestCaseError, TestRunner};
+use proptest::test_runner::{TestCaseError, TestRunner};
 
 /// Cases without the variable below.
 const CASES: u32 = 1_000;
-/// Environment variable with the number of cases of a long run.
-const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
 const VOTERS: u32 = 3;
 const SPARES: u32 = 2;
 const NODES: u32 = VOTERS + SPARES;
@@ -107,14 +108,8 @@
 }
 
 fn runner(cases: u32) -> TestRunner {
-    let cases = std::env::var(CASES_VARIABLE).ok().and_then(|n| n.parse().ok()).unwrap_or(cases);
-    TestRunner::new(ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(4),
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..ProptestConfig::default()
-    })
+    let config = fixed(4, property::cases(cases));
+    TestRunner::new(ProptestConfig { max_shrink_iters: 2_000, ..config })
 }
 
 fn check(settings: &Settings, seed: u64, ops: &[Op]) -> Result<(), TestCaseError> {
@@ -154,13 +149,7 @@
     let mut settings = settings();
     change(&mut settings);
     let strategy = (any::<u64>(), prop::collection::vec(op(), 1..60));
-    let config = ProptestConfig {
-        cases: MUTATION_CASES,
-        rng_seed: RngSeed::Fixed(4),
-        failure_persistence: None,
-        max_shrink_iters: 0,
-        ..ProptestConfig::default()
-    };
+    let config = ProptestConfig { max_shrink_iters: 0, ..fixed(4, MUTATION_CASES) };
     let result = TestRunner::new(config).run(&strategy, |(seed, ops)| check(&settings, seed, &ops));
     let error = result.expect_err("no rule was broken").to_string();
     assert!(SAFETY.iter().any(|rule| error.contains(rule)), "another rule was broken: {error}");
