Keep the stand-ins' draining and start number in one place

Engine and service each had the loop that waits until no call runs, and the service took the clock's reading from the engine's module. Behaviour is the same. Checked: fmt, clippy -D warnings, tests of gypsumglade-standin and gypsumglade (112 passed in the latter).

--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -14,7 +14,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 pub use self::chat::{Message, answer_text, answer_tokens, count_tokens};
 pub use self::http::CRASH_MARKER;
@@ -25,9 +25,7 @@
 use self::state::Shared;
 use crate::announce::{Announcement, Kind};
 use crate::announcer;
-
-/// Pause between two looks whether calls still run.
-const LEAVE_POLL: Duration = Duration::from_millis(10);
+use crate::process::millis_now;
 
 /// A running engine; it dies when the handle is dropped.
 pub struct Engine {
@@ -89,11 +87,7 @@
     pub async fn leave(&self) {
         self.shared.lock().leaving = true;
         self.shared.announce.notify_one();
-        while !self.shared.is_idle() {
-            tokio::time::sleep(LEAVE_POLL).await;
-        }
-        // The last answers are handed to their sockets; they get time to leave.
-        tokio::time::sleep(LEAVE_POLL).await;
+        self.shared.process.drained(|| self.shared.is_idle()).await;
     }
 
     /// Ends the engine at once, without a farewell.
@@ -133,9 +127,3 @@
         cache_events: state.reports.due(Instant::now()),
     }
 }
-
-/// Returns the milliseconds since 1970, which grow with each start.
-pub(crate) fn millis_now() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -1,6 +1,7 @@
 //! Life and death of one stand-in: listening, freezing, crashing.
 
 use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context as _;
 use axum::Router;
@@ -14,6 +15,9 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+/// Pause between two looks whether calls still run.
+const LEAVE_POLL: Duration = Duration::from_millis(10);
+
 /// Switches that the handle, the handlers and the announcer share.
 #[derive(Clone)]
 pub(crate) struct Process {
@@ -39,6 +43,15 @@
         let _ = frozen.wait_for(|on| !on).await;
     }
 
+    /// Returns once `is_idle` says that no call runs, and the last answers had time to leave.
+    pub(crate) async fn drained(&self, is_idle: impl Fn() -> bool) {
+        while !is_idle() {
+            tokio::time::sleep(LEAVE_POLL).await;
+        }
+        // The last answers are handed to their sockets; they get time to leave.
+        tokio::time::sleep(LEAVE_POLL).await;
+    }
+
     /// Binds `address` and serves `router` on it until death.
     pub(crate) async fn serve(
         &self,
@@ -56,6 +69,12 @@
     }
 }
 
+/// Returns the milliseconds since 1970, which grow with each start.
+pub(crate) fn millis_now() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
 async fn wait_until_thawed(
     State(process): State<Process>,
     request: Request,
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -7,7 +7,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 pub use self::fault::Fault;
 pub use self::settings::ServiceSettings;
@@ -15,10 +14,8 @@
 
 use self::state::Shared;
 use crate::announce::{Announcement, Kind, Load};
-use crate::{announcer, engine};
-
-/// Pause between two looks whether calls still run.
-const LEAVE_POLL: Duration = Duration::from_millis(10);
+use crate::announcer;
+use crate::process::millis_now;
 
 /// A running service; it dies when the handle is dropped.
 pub struct Service {
@@ -34,7 +31,7 @@
     /// Fails when the address can't be listened on.
     pub async fn start(mut settings: ServiceSettings) -> anyhow::Result<Service> {
         if settings.incarnation == 0 {
-            settings.incarnation = engine::millis_now();
+            settings.incarnation = millis_now();
         }
         let listen = settings.listen;
         let announce = settings.announce.clone();
@@ -78,11 +75,7 @@
     pub async fn leave(&self) {
         self.shared.lock().leaving = true;
         self.shared.announce.notify_one();
-        while self.shared.lock().running > 0 {
-            tokio::time::sleep(LEAVE_POLL).await;
-        }
-        // The last answers are handed to their sockets; they get time to leave.
-        tokio::time::sleep(LEAVE_POLL).await;
+        self.shared.process.drained(|| self.shared.lock().running == 0).await;
     }
 
     /// Ends the service at once, without a farewell.
