--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -47,6 +47,7 @@
         prompt_tokens: 20_000,
         prior_tokens: 19_000,
         output_guess: 190,
+        batch: None,
         last: vec![LastRun { endpoint: "engine-3".into(), tokens: 19_000, at: Time::ZERO }],
         shared: Vec::new(),
         class: Class::Normal,
--- a/crates/core/src/policy/registry/load.rs
+++ b/crates/core/src/policy/registry/load.rs
@@ -25,12 +25,21 @@
     pub fill_tokens: u64,
     /// Prefix tokens held, as last reported.
     pub cached_tokens: u64,
+    /// Age of the last report; the longest there is before the first.
+    pub age: Duration,
     /// True when no report is recent enough to be trusted.
     pub stale: bool,
     /// Mean seconds from dispatch to last byte, if any call finished yet.
     pub service: Option<f64>,
 }
 
+impl LoadView {
+    /// Returns the calls there that aren't of this process.
+    pub fn others(&self) -> u32 {
+        self.total - self.own
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Change {
     at: Time,
@@ -104,6 +113,7 @@
             own: self.own,
             fill_tokens: self.fill,
             cached_tokens: self.report.map_or(0, |report| report.cached),
+            age: self.report.map_or(Duration::MAX, |report| now.since(report.at)),
             stale: self.report.is_none_or(|report| {
                 now.since(report.at) > STALE_AFTER || now.since(report.heard) > STALE_AFTER
             }),
--- a/crates/core/src/policy/route/cost.rs
+++ b/crates/core/src/policy/route/cost.rs
@@ -1,6 +1,7 @@
 //! Cost of one candidate, in seconds.
 
 use super::{Choice, Place, RouteAsk, RouteSettings};
+use crate::policy::batch::BatchCost;
 use crate::policy::registry::{Endpoint, EndpointKey, EndpointKind, LoadView, Registry};
 use crate::prelude::*;
 
@@ -15,6 +16,8 @@
     pub network: f64,
     /// Generating the answer.
     pub decode: f64,
+    /// Time that the calls beside this one lose by it.
+    pub crowding: f64,
     /// Prefill that others will pay for memory pushed out, and tokens filled twice.
     pub waste: f64,
     /// The weighted sum that is compared.
@@ -37,23 +40,53 @@
     Absent,
 }
 
-/// Queue length assumed for endpoints whose load is stale: the mean of the fresh candidates.
-///
-/// A frozen report of an idle engine would otherwise win every decision until it falls over. With
-/// the mean as the least it can claim, silence is never an advantage; own calls still count on top.
-pub fn stale_floor(now: Time, registry: &Registry, keys: &[EndpointKey]) -> f64 {
-    let mut sum = 0.0;
-    let mut count = 0;
-    for endpoint in keys.iter().filter_map(|key| registry.get(*key)) {
-        let load = endpoint.load(now);
-        if !load.stale {
-            sum += f64::from(load.total) / f64::from(endpoint.kind.slots());
-            count += 1;
+/// What the candidates look like together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Crowd {
+    /// Queue length, in parts of the slots, assumed for endpoints whose load is stale: the mean of
+    /// the fresh candidates.
+    ///
+    /// A frozen report of an idle engine would otherwise win every decision until it falls over.
+    /// With the mean as the least it can claim, silence is never an advantage; own calls still
+    /// count on top.
+    floor: f64,
+    /// Mean calls of other processes at a candidate.
+    others: f64,
+}
+
+impl Crowd {
+    /// Looks at all candidates with fresh loads.
+    pub fn of(now: Time, registry: &Registry, keys: &[EndpointKey]) -> Crowd {
+        let mut sum = Crowd::default();
+        let mut count = 0;
+        for endpoint in keys.iter().filter_map(|key| registry.get(*key)) {
+            let load = endpoint.load(now);
+            if !load.stale {
+                sum.floor += f64::from(load.total) / f64::from(endpoint.kind.slots());
+                sum.others += f64::from(load.others());
+                count += 1;
+            }
         }
+        let count = f64::from(count.max(1));
+        Crowd { floor: sum.floor / count, others: sum.others / count }
+    }
+
+    /// Calls that run at an endpoint now, own ones and what others are expected to have there.
+    ///
+    /// A report tells others' calls of its moment. Those end within a call's time, and what comes
+    /// after follows the mean of all candidates. Taken as it stands, the engine that last reported
+    /// the least draws every process's calls until the next report: with nine processes that send
+    /// ten calls a second each, up to sixty in half a second.
+    fn beside(&self, load: &LoadView, service: f64) -> f64 {
+        let kept = (-load.age.as_secs_f64() / service.max(MIN_SERVICE)).exp();
+        let others = f64::from(load.others());
+        f64::from(load.own) + self.others + kept * (others - self.others)
     }
-    if count == 0 { 0.0 } else { sum / f64::from(count) }
 }
 
+/// Least seconds that a call's time counts for, so that a division is safe.
+const MIN_SERVICE: f64 = 0.001;
+
 /// Prices one candidate.
 pub fn price(
     settings: &RouteSettings,
@@ -61,7 +94,7 @@
     registry: &Registry,
     ask: &RouteAsk,
     key: EndpointKey,
-    floor: f64,
+    crowd: Crowd,
 ) -> Choice {
     let Some(endpoint) = registry.get(key) else {
         let cost = Cost { total: f64::INFINITY, ..Cost::default() };
@@ -73,15 +106,21 @@
     let source = import(settings, now, registry, ask, endpoint, resident);
     let fill_tokens = source.as_ref().map_or(missing, |import| missing - import.tokens);
     let mut cost = Cost {
-        wait: wait(settings, endpoint, &load, floor),
+        wait: wait(settings, endpoint, &load, crowd.floor),
         prefill: prefill_time(endpoint, fill_tokens) + source.as_ref().map_or(0.0, |i| i.cost),
         network: network(settings, ask, endpoint),
         decode: decode_time(endpoint, ask.output_guess),
+        crowding: 0.0,
         waste: waste(settings, ask, endpoint, &load, ask.prompt_tokens - fill_tokens),
         total: 0.0,
     };
+    if let Some(batch) = ask.batch {
+        let beside = crowd.beside(&load, load.service.unwrap_or(settings.service));
+        share_steps(&mut cost, batch, beside, ask.output_guess);
+    }
     let latency = cost.wait + cost.prefill + cost.network + cost.decode;
-    cost.total = settings.weights.latency * latency + settings.weights.waste * cost.waste;
+    cost.total =
+        settings.weights.latency * (latency + cost.crowding) + settings.weights.waste * cost.waste;
     let prefix = match source {
         Some(import) => Prefix::Import { from: import.from, tokens: import.tokens },
         None if resident > 0 => Prefix::Resident(resident),
@@ -90,6 +129,16 @@
     Choice { endpoint: key, cost, prefix, fill_tokens }
 }
 
+/// Prices the steps that a call shares with those beside it.
+///
+/// It is slowed by them, and slows each of them: by its part of every step, and by its prompt, which
+/// is read between their tokens.
+fn share_steps(cost: &mut Cost, batch: BatchCost, beside: f64, tokens: u64) {
+    let tokens = tokens as f64;
+    cost.decode = tokens * (batch.alone + batch.slope * beside);
+    cost.crowding = beside * (tokens * batch.slope + cost.prefill);
+}
+
 /// Tokens of the prompt that the endpoint is believed to hold.
 ///
 /// The program's own record says where it last ran and is exact up to eviction. A hint counts only
--- a/crates/core/src/policy/route/mod.rs
+++ b/crates/core/src/policy/route/mod.rs
@@ -15,6 +15,7 @@
 pub use settings::{Link, Links, Place, PolicyWeights, RouteParts, RouteSettings};
 
 use super::Class;
+use super::batch::BatchCost;
 use super::registry::{EndpointKey, EndpointKind, ModelId, Registry};
 use crate::prelude::*;
 
@@ -63,6 +64,8 @@
     pub prior_tokens: u64,
     /// Tokens that the answer is expected to have.
     pub output_guess: u64,
+    /// How engines slow down with what they run, where that is known.
+    pub batch: Option<BatchCost>,
     /// Where earlier turns ran, latest first.
     pub last: Vec<LastRun>,
     /// Starts of the prompt that other programs may have left in an engine's memory, shortest
@@ -189,14 +192,14 @@
         keys: &[EndpointKey],
         ramp: Ramp,
     ) -> Option<Choice> {
-        let floor = cost::stale_floor(now, registry, keys);
+        let crowd = cost::Crowd::of(now, registry, keys);
         let mut best: Option<Choice> = None;
         let mut ties = 1;
         for key in keys {
             if !usable(now, registry, ask, *key, ramp) {
                 continue;
             }
-            let choice = cost::price(&self.settings, now, registry, ask, *key, floor);
+            let choice = cost::price(&self.settings, now, registry, ask, *key, crowd);
             let Some(held) = &best else {
                 best = Some(choice);
                 continue;
--- a/crates/core/tests/policy_route.rs
+++ b/crates/core/tests/policy_route.rs
@@ -1,12 +1,14 @@
 //! Endpoint choice: what each term of the cost decides, and what may never be chosen.
 
 use gypsumglade_core::policy::Class;
+use gypsumglade_core::policy::batch::BatchCost;
 use gypsumglade_core::policy::registry::{
     Announced, Announcement, CacheEvents, DispatchLoad, EndpointKey, EndpointKind, LoadReport,
     ModelId, Registry, RegistrySettings,
 };
 use gypsumglade_core::policy::route::{
-    Choice, LastRun, Place, Prefix, RouteAsk, RouteError, RouteSettings, Router, Target,
+    Choice, LastRun, Place, Prefix, RouteAsk, RouteError, RouteSettings, Router, SharedPrefix,
+    Target,
 };
 use gypsumglade_core::prelude::*;
 use proptest::prelude::*;
@@ -75,6 +77,7 @@
         prompt_tokens: 20_500,
         prior_tokens: 20_000,
         output_guess: 100,
+        batch: None,
         last: Vec::new(),
         shared: Vec::new(),
         class: Class::Normal,
@@ -261,3 +264,72 @@
     settings.health.floor = 1.0;
     assert_eq!(sent_to_returned(settings), 20);
 }
+
+/// Two engines of 64 slots; the first runs most of what there is and holds the prompt's start.
+fn crowded(beside: u32, age: Duration) -> (Registry, Vec<EndpointKey>) {
+    let mut registry = Registry::default();
+    let loads = [beside, 2];
+    for (index, running) in loads.into_iter().enumerate() {
+        let mut news = engine(index as u32, 0, 1);
+        registry.announce(Time::ZERO, news.clone());
+        news.sequence = 2;
+        news.kind = EndpointKind::Engine {
+            models: vec![ModelId::new("advice", "1")],
+            slots: 64,
+            prefill_rate: 146_000.0,
+            decode_rate: 1_000.0,
+            cache_tokens: 800_000,
+        };
+        news.load = None;
+        registry.announce(Time::from_millis(9_000), news);
+    }
+    let names = ["engine-0", "engine-1"];
+    let keys: Vec<_> = names.iter().filter_map(|name| registry.key(name)).collect();
+    for (key, running) in keys.iter().zip(loads) {
+        registry.reported(NOW, *key, LoadReport { running, age, ..LoadReport::default() });
+    }
+    registry.expect_prefix(NOW, keys[0], 7, 12_600);
+    (registry, keys)
+}
+
+fn batched() -> RouteAsk {
+    RouteAsk {
+        prompt_tokens: 14_280,
+        prior_tokens: 0,
+        output_guess: 255,
+        batch: Some(BatchCost { alone: 0.000_87, slope: 0.000_04 }),
+        shared: vec![SharedPrefix { hash: 7, tokens: 12_600 }],
+        ..ask()
+    }
+}
+
+/// Callers see turns that take twice as long as alone, though engines beside theirs are all but
+/// idle: every new program goes to the engine that holds its shared prompt, since nothing tells that
+/// it generates more slowly with each call, long before its slots are full.
+#[test]
+fn choose_leaves_crowded_engine() {
+    let (registry, keys) = crowded(20, Duration::ZERO);
+    let choice = router().choose(NOW, &registry, &batched()).expect("open engines");
+    assert_eq!(choice.endpoint, keys[1]);
+    let unaware = RouteAsk { batch: None, ..batched() };
+    let choice = router().choose(NOW, &registry, &unaware).expect("open engines");
+    assert_eq!(choice.endpoint, keys[0]);
+}
+
+#[test]
+fn choose_keeps_prefix_with_few_beside() {
+    let (registry, keys) = crowded(5, Duration::ZERO);
+    let choice = router().choose(NOW, &registry, &batched()).expect("open engines");
+    assert_eq!(choice.endpoint, keys[0]);
+}
+
+/// Callers of a burst all land on one engine. Each entry VM heard half a second ago that it was
+/// idle, and none of them sees what the others have sent there since. A report that old says
+/// nothing of now, so the prompt's start decides again.
+#[test]
+fn choose_forgets_old_reports() {
+    let (registry, keys) = crowded(20, Duration::from_secs(4));
+    let settings = RouteSettings { service: 0.3, ..RouteSettings::default() };
+    let choice = Router::new(settings, 1).choose(NOW, &registry, &batched());
+    assert_eq!(choice.expect("open engines").endpoint, keys[0]);
+}
--- a/crates/core/tests/scenario_policy.rs
+++ b/crates/core/tests/scenario_policy.rs
@@ -165,6 +165,7 @@
             prompt_tokens: prior + 500,
             prior_tokens: prior,
             output_guess: 100,
+            batch: None,
             last: args.keys.get("last").iter().map(|name| run(name)).collect(),
             shared: Vec::new(),
             class: Class::Normal,
--- a/crates/gypsumglade/src/bench/policy/run.rs
+++ b/crates/gypsumglade/src/bench/policy/run.rs
@@ -274,6 +274,7 @@
             prompt_tokens: call.job.prompt,
             prior_tokens: call.job.prior,
             output_guess: OUTPUT_GUESS,
+            batch: None,
             last: program.last.clone(),
             shared: Vec::new(),
             class: program.plan.class,
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -380,6 +380,7 @@
         prompt_tokens: 0,
         prior_tokens: 0,
         output_guess: 0,
+        batch: None,
         last: Vec::new(),
         shared: Vec::new(),
         class: call.class,
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -210,6 +210,7 @@
         prompt_tokens: grant.history.len() as u64 / BYTES_PER_TOKEN,
         prior_tokens,
         output_guess: grant.max_output.min(call.request.output) / 2,
+        batch: None,
         last: last.take(MAX_LAST_RUNS).collect(),
         shared: Vec::new(),
         class: call.class,
--- a/crates/gypsumglade/src/gateway/dialect.rs
+++ b/crates/gypsumglade/src/gateway/dialect.rs
@@ -108,7 +108,7 @@
 }
 
 /// Load of an endpoint as it told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EndpointLoad {
     /// Requests running.
     pub running: u32,
--- a/crates/gypsumglade/src/gateway/placing.rs
+++ b/crates/gypsumglade/src/gateway/placing.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use gypsumglade_core::policy::Class;
-use gypsumglade_core::policy::overload::{Pace, PoolLoad};
+use gypsumglade_core::policy::overload::PoolLoad;
 use gypsumglade_core::policy::registry::{
     DispatchKey, DispatchLoad, EndpointKey, EndpointKind, LoadReport, ModelId,
 };
@@ -54,7 +54,7 @@
     let desk = state.desk();
     let model = pool_model(&call.pool);
     let open = desk.registry.candidates(&model).iter().filter(|key| desk.registry.open(now, **key));
-    let stretch = desk.paces.get(&call.pool).map_or(1.0, Pace::stretch);
+    let stretch = desk.speeds.get(&call.pool).map_or(1.0, |speed| speed.pace.stretch());
     let endpoints = open.filter_map(|key| desk.registry.get(*key));
     endpoints.fold(PoolLoad { stretch, ..PoolLoad::default() }, |sum, endpoint| PoolLoad {
         calls: sum.calls + u64::from(endpoint.load(now).total),
@@ -63,13 +63,14 @@
     })
 }
 
-/// Notes how fast a stream of a pool's engines came.
-pub(super) fn note_pace(state: &GatewayState, pool: &CompactString, gap: Duration) {
+/// Notes how fast a stream came.
+pub(super) fn note_speed(state: &GatewayState, call: &Call, gap: Duration, load: EndpointLoad) {
     let mut desk = state.desk();
-    match desk.paces.get_mut(pool) {
-        Some(pace) => pace.observe(gap),
-        None => desk.paces.entry(pool.clone()).or_default().observe(gap),
-    }
+    let speed = desk.speeds.entry(call.pool.clone()).or_default();
+    speed.pace.observe(gap);
+    let token = gap.as_secs_f64() / call.event_tokens().max(1) as f64;
+    // The request itself is among those running.
+    speed.batch.observe(f64::from(load.running.saturating_sub(1)), token);
 }
 
 /// Chooses an endpoint that `excluded` does not name.
@@ -82,9 +83,10 @@
     excluded: &[EndpointName],
 ) -> Result<Flight, Duration> {
     let now = state.clock.now();
-    let ask = route_ask(state, call, excluded);
     let mut desk = state.desk();
     let desk = &mut *desk;
+    let batch = desk.speeds.get(&call.pool).and_then(|speed| speed.batch.cost());
+    let ask = RouteAsk { batch, ..route_ask(state, call, excluded) };
     let choice = desk.router.choose(now, &desk.registry, &ask).map_err(|error| match error {
         RouteError::NoEndpoint { retry_after, .. } | RouteError::NoneFree { retry_after, .. } => {
             retry_after
@@ -129,6 +131,7 @@
         prompt_tokens: call.head.prompt_tokens,
         prior_tokens: 0,
         output_guess: (call.head.most_tokens as f64 * OUTPUT_PART) as u64,
+        batch: None,
         last: Vec::new(),
         shared: shared_prefixes(call),
         class: if call.route.rank == 0 { Class::Urgent } else { Class::Normal },
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use super::channels::Channel;
 use super::dialect::AnswerHead;
 use super::opening::{Attempts, Opened, open};
-use super::placing::{Flight, note_pace};
+use super::placing::{Flight, note_speed};
 use super::settlement::{Reservation, settle_later, settle_whole};
 use super::state::GatewayState;
 
@@ -199,7 +199,8 @@
         let last = self.call.arrived.elapsed();
         if let Some(gaps) = u32::try_from(self.events).ok().filter(|events| *events > 1) {
             let gap = last.saturating_sub(self.timeline.first) / (gaps - 1);
-            note_pace(&self.state, &self.call.pool, gap);
+            let load = self.source.as_ref().and_then(|source| source.head.load);
+            note_speed(&self.state, &self.call, gap, load.unwrap_or_default());
         }
         let endpoint = self.attempts.tried.last().cloned().unwrap_or_default();
         if let Some(source) = self.source.take() {
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -170,7 +170,7 @@
     let desk = Desk {
         registry: Registry::new(registry),
         router: Router::new(RouteSettings::default(), rand::random()),
-        paces: HashMap::new(),
+        speeds: HashMap::new(),
     };
     Ok(GatewayState {
         vm,
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use gypsumglade_core::policy::batch::BatchFit;
 use gypsumglade_core::policy::overload::Pace;
 use gypsumglade_core::policy::registry::Registry;
 use gypsumglade_core::policy::route::{Place, Router};
@@ -48,7 +49,16 @@
     pub(super) registry: Registry,
     pub(super) router: Router,
     /// How fast each pool's engines generate.
-    pub(super) paces: HashMap<CompactString, Pace>,
+    pub(super) speeds: HashMap<CompactString, Speed>,
+}
+
+/// How fast a pool's engines generate, as this VM's streams show it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Speed {
+    /// Now, against idle.
+    pub(super) pace: Pace,
+    /// By what runs on one engine.
+    pub(super) batch: BatchFit,
 }
 
 impl GatewayState {
