--- a/crates/core/src/lease/holder.rs
+++ b/crates/core/src/lease/holder.rs
@@ -10,6 +10,10 @@
 /// Requests whose replies may still come; older ones count as lost.
 const MAX_PENDING: usize = 8;
 
+/// How many times more often a VM asks while it has no lease: every 0.1 s with the shortest interval
+/// in use. Most such requests go to VMs that have none either, and few to the leader.
+const UNLEASED_PART: u32 = 4;
+
 /// One VM's configuration lease. It keeps nothing over a restart: a VM that starts has no lease
 /// and takes no work until it has confirmed the current revision.
 #[derive(Clone, Debug)]
@@ -97,7 +101,7 @@
         if now < self.due {
             return None;
         }
-        self.due = now + self.settings.interval();
+        self.due = now + self.pause(now);
         self.last_ask += 1;
         if self.pending.len() == MAX_PENDING {
             self.pending.pop_front();
@@ -165,6 +169,15 @@
         }
     }
 
+    /// Returns the time until the next request.
+    ///
+    /// A VM without a lease serves nobody. After all processes were killed, the VMs asked up to
+    /// 0.8 s after the control group had its leader.
+    fn pause(&self, now: Time) -> Duration {
+        let interval = self.settings.interval();
+        if now < self.until { interval } else { interval / UNLEASED_PART }
+    }
+
     /// Makes the next request due at once.
     pub(super) fn hurry(&mut self, now: Time) {
         self.due = self.due.min(now);
--- a/crates/core/src/policy/registry/mod.rs
+++ b/crates/core/src/policy/registry/mod.rs
@@ -9,6 +9,7 @@
 mod hints;
 mod home;
 mod load;
+mod renewal;
 mod settings;
 mod summary;
 
@@ -21,6 +22,7 @@
 pub use hints::{CacheHint, CacheHints};
 pub use home::home;
 pub use load::{LoadTracker, LoadView, STALE_AFTER};
+pub use renewal::Renewal;
 pub use settings::{RegistrySafeguards, RegistrySettings};
 pub use summary::{RosterDiffers, SummaryNumber};
 
--- /dev/null
+++ b/crates/core/src/policy/registry/renewal.rs
@@ -0,0 +1,37 @@
+//! When everything known of the endpoints is to be announced to the registry again.
+
+use crate::prelude::*;
+
+/// Pause between two renewals of all leases.
+const PAUSE: Duration = Duration::from_secs(10);
+
+/// What the registry was last told under.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Renewal {
+    last: Option<(RevisionNumber, Time)>,
+}
+
+impl Renewal {
+    /// Tells whether the registry is to be told again under the bundle that is in force.
+    ///
+    /// The bundle says what the endpoints of each pool are, so nothing is told without one. Only the
+    /// telling itself counts as done: a process that noted the revision when it first saw it, before
+    /// it held the lease to use it, had no endpoints for ten seconds and refused every request.
+    pub fn is_due(&self, now: Time, in_force: Option<RevisionNumber>) -> bool {
+        match (in_force, self.last) {
+            (None, _) => false,
+            (Some(_), None) => true,
+            (Some(revision), Some((told, at))) => revision != told || now.since(at) > PAUSE,
+        }
+    }
+
+    /// Notes that the registry was told.
+    pub fn done(&mut self, now: Time, revision: RevisionNumber) {
+        self.last = Some((revision, now));
+    }
+
+    /// Makes a renewal due, since there is news.
+    pub fn hurry(&mut self) {
+        self.last = None;
+    }
+}
--- a/crates/core/tests/lease_relay.rs
+++ b/crates/core/tests/lease_relay.rs
@@ -118,3 +118,25 @@
     let reply = relay.serve(&request, later);
     assert!(matches!(reply.body, Some(Body::Unavailable(_))));
 }
+
+/// Callers are refused though the control group has a leader again: every process was killed, and a
+/// VM that found no leader at its first request waits a whole interval before the next one.
+#[test]
+fn ask_sooner_without_lease() {
+    let interval = LeaseSettings::default().interval();
+    let mut relay = relay(2);
+    relay.ask(NOW).expect("the first is due");
+    assert!(relay.ask(NOW + interval / 2).is_some());
+}
+
+#[test]
+fn ask_rarely_with_lease() {
+    let mut leader = Leader::new();
+    leader.history.push(revision(1));
+    let interval = LeaseSettings::default().interval();
+    let mut relay = relay(2);
+    settle(&mut leader, &mut relay);
+    relay.ask(NOW + interval / 2).expect("the request before had no lease yet");
+    assert!(relay.ask(NOW + interval).is_none());
+    assert!(relay.ask(NOW + interval * 3 / 2).is_some());
+}
--- /dev/null
+++ b/crates/core/tests/policy_renewal.rs
@@ -0,0 +1,34 @@
+//! When the registry is told again of the endpoints.
+
+use gypsumglade_core::policy::registry::Renewal;
+use gypsumglade_core::prelude::*;
+
+const NOW: Time = Time::from_millis(1_000);
+const FIRST: RevisionNumber = RevisionNumber(15);
+
+/// Callers of an entry VM that has just started get nothing but refusals for ten seconds. It learnt
+/// of the endpoints first, then of the bundle, and asked whether the registry was to be told in the
+/// moment between the bundle and the lease on it: nothing could be told yet.
+#[test]
+fn is_due_until_told() {
+    let renewal = Renewal::default();
+    assert!(!renewal.is_due(NOW, None));
+    assert!(renewal.is_due(NOW, Some(FIRST)));
+}
+
+#[test]
+fn is_due_with_another_bundle() {
+    let mut renewal = Renewal::default();
+    renewal.done(NOW, FIRST);
+    assert!(!renewal.is_due(NOW, Some(FIRST)));
+    assert!(renewal.is_due(NOW, Some(RevisionNumber(16))));
+}
+
+#[test]
+fn is_due_after_pause_and_news() {
+    let mut renewal = Renewal::default();
+    renewal.done(NOW, FIRST);
+    assert!(renewal.is_due(NOW + Duration::from_secs(11), Some(FIRST)));
+    renewal.hurry();
+    assert!(renewal.is_due(NOW, Some(FIRST)));
+}
--- a/crates/core/tests/policy_route.rs
+++ b/crates/core/tests/policy_route.rs
@@ -270,7 +270,7 @@
 fn crowded(beside: u32, age: Duration) -> (Registry, Vec<EndpointKey>) {
     let mut registry = Registry::default();
     let loads = [beside, 2];
-    for (index, running) in loads.into_iter().enumerate() {
+    for index in 0..loads.len() {
         let mut news = engine(index as u32, 0, 1);
         registry.announce(Time::ZERO, news.clone());
         news.sequence = 2;
--- a/crates/gypsumglade/src/gateway/follow.rs
+++ b/crates/gypsumglade/src/gateway/follow.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use gypsumglade_core::policy::registry::Announcement;
-use gypsumglade_core::policy::registry::CacheEvents;
+use gypsumglade_core::policy::registry::{Announcement, CacheEvents, Renewal};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::{EndpointNews, EndpointQuery, EndpointRecord};
 
 use super::placing::endpoint_kind;
 use super::state::GatewayState;
+use crate::entry::active_bundle::ActiveBundle;
 use crate::leader_hint::LeaderHint;
 use crate::rpc::{Method, RpcError};
 
@@ -23,8 +23,6 @@
 /// Time for which an endpoint counts as there without a word from the control group. The group
 /// tells when one goes; this only bounds a partition from it, which callers are served through.
 const LEASE: Duration = Duration::from_secs(60);
-/// Pause between two renewals of all leases.
-const RENEWAL: Duration = Duration::from_secs(10);
 
 /// What is known of the endpoints.
 struct Follower {
@@ -33,8 +31,7 @@
     known: HashMap<CompactString, EndpointRecord>,
     /// Numbers the announcements to the registry, which takes none twice.
     sequence: u64,
-    renewed: Time,
-    revision: RevisionNumber,
+    renewal: Renewal,
 }
 
 /// Follows until the process stops taking work.
@@ -43,8 +40,7 @@
         seen: 0,
         known: HashMap::new(),
         sequence: 0,
-        renewed: Time::ZERO,
-        revision: RevisionNumber::default(),
+        renewal: Renewal::default(),
         state,
     };
     let mut leader = LeaderHint::starting_at(rand::random_range(0..16));
@@ -90,7 +86,7 @@
         let next: HashMap<CompactString, EndpointRecord> = named.collect();
         self.drop_gone(&next);
         self.known = next;
-        self.announce_all();
+        self.renewal.hurry();
         slog::info!(self.state.log, "endpoints followed"; "change" => self.seen,
             "endpoints" => self.known.len(),
             "leaving" => self.known.values().filter(|record| record.leaving).count());
@@ -109,21 +105,19 @@
         }
     }
 
-    /// Renews the leases now and then, and announces anew after a change of the bundle, which says
-    /// what the endpoints of each pool are.
+    /// Tells the registry of all endpoints when there is news of them, when another bundle is in
+    /// force, and now and then to renew their leases.
     fn renew_leases(&mut self) {
         let now = self.state.clock.now();
-        let revision = self.state.config.applied();
-        if revision != self.revision || now.since(self.renewed) > RENEWAL {
-            self.revision = revision;
-            self.announce_all();
+        let bundle = self.state.config.active(now).ok();
+        let due = self.renewal.is_due(now, bundle.as_ref().map(|bundle| bundle.revision));
+        if let Some(bundle) = bundle.filter(|_| due) {
+            self.announce_all(now, &bundle);
+            self.renewal.done(now, bundle.revision);
         }
     }
 
-    fn announce_all(&mut self) {
-        let now = self.state.clock.now();
-        self.renewed = now;
-        let Ok(bundle) = self.state.config.active(now) else { return };
+    fn announce_all(&mut self, now: Time, bundle: &ActiveBundle) {
         self.sequence += 1;
         let mut desk = self.state.desk();
         for record in self.known.values() {
@@ -132,7 +126,7 @@
                 name: record.name.to_compact_string(),
                 incarnation: record.incarnation,
                 sequence: self.sequence,
-                kind: endpoint_kind(&bundle, &record.pool, record.slots),
+                kind: endpoint_kind(bundle, &record.pool, record.slots),
                 address: record.address.to_compact_string(),
                 domain: settings.domain_id(&record.domain).unwrap_or_default(),
                 region: settings.region_of(&record.domain).unwrap_or_default(),
