--- a/crates/core/tests/turns_tree.rs
+++ b/crates/core/tests/turns_tree.rs
@@ -26,6 +26,7 @@
         tokens: 0,
         kept: Some(kept),
         now_ms: now,
+        ran: None,
     };
     apply(turns, Body::Settle(settle));
 }
