--- a/crates/core/src/policy/registry/renewal.rs
+++ b/crates/core/src/policy/registry/renewal.rs
@@ -30,6 +30,11 @@
         self.last = Some((revision, now));
     }
 
+    /// Tells whether there is something that could not be told yet, for want of a bundle.
+    pub fn is_pending(&self) -> bool {
+        self.last.is_none()
+    }
+
     /// Makes a renewal due, since there is news.
     pub fn hurry(&mut self) {
         self.last = None;
--- a/crates/core/tests/policy_renewal.rs
+++ b/crates/core/tests/policy_renewal.rs
@@ -29,6 +29,8 @@
     let mut renewal = Renewal::default();
     renewal.done(NOW, FIRST);
     assert!(renewal.is_due(NOW + Duration::from_secs(11), Some(FIRST)));
+    assert!(!renewal.is_pending());
     renewal.hurry();
+    assert!(renewal.is_pending());
     assert!(renewal.is_due(NOW, Some(FIRST)));
 }
--- a/crates/gypsumglade/src/gateway/follow.rs
+++ b/crates/gypsumglade/src/gateway/follow.rs
@@ -16,6 +16,9 @@
 
 /// How long a question waits at the leader for news.
 const WAIT: Duration = Duration::from_millis(800);
+/// The same while the endpoints known can't be used yet, for want of a bundle. After all processes
+/// were killed, requests were refused for 0.7 s longer since the loop waited for news meanwhile.
+const PENDING_WAIT: Duration = Duration::from_millis(50);
 /// Longest wait for the answer: a leader that fell silent is noticed this fast, well within the
 /// time that a draining endpoint goes on serving.
 const TIMEOUT: Duration = Duration::from_millis(1_300);
@@ -58,7 +61,11 @@
 impl Follower {
     async fn ask(&self, leader: &mut LeaderHint) -> Option<EndpointNews> {
         let (vm, address) = leader.target(&self.state.directory, Instant::now())?;
-        let wait = if self.seen == 0 { Duration::ZERO } else { WAIT };
+        let wait = match (self.seen, self.renewal.is_pending()) {
+            (0, _) => Duration::ZERO,
+            (_, true) => PENDING_WAIT,
+            (_, false) => WAIT,
+        };
         let query = EndpointQuery { seen: self.seen, wait_ms: wait.as_millis() as u64 };
         let asking = self.state.peers.ask(address, Method::Endpoints, &query, TIMEOUT);
         let news: Result<EndpointNews, RpcError> = asking.await;
