--- a/crates/core/src/turns/tree.rs
+++ b/crates/core/src/turns/tree.rs
@@ -1,7 +1,6 @@
 //! The tree of kept turns.
 
 use std::collections::{BTreeMap, BTreeSet};
-
 use std::ops::Bound::{Excluded, Unbounded};
 
 use bytes::{BufMut, Bytes, BytesMut};
--- a/crates/gypsumglade/tests/replica_cluster.rs
+++ b/crates/gypsumglade/tests/replica_cluster.rs
@@ -282,21 +282,31 @@
     }
 }
 
-#[tokio::test]
-async fn restart_behind_snapshot() {
-    // A VM is down while the others go on and drop the log that it lacks. It comes back and
-    // restores their snapshot, which arrives in several pieces.
-    let mut cluster = Cluster::of(3).await;
+/// Stops a follower, and has the others go on to sixty commands without it. Returns it with the last
+/// index of each other VM.
+async fn left_behind(cluster: &mut Cluster) -> (VmId, Vec<(VmId, LogIndex)>) {
     cluster.propose(GROUP, &commands(0..5)).await;
     let leader = cluster.leader(GROUP, None).await;
     let late = cluster.vms.keys().copied().find(|&vm| vm != leader).expect("a follower");
     cluster.stop(late).await;
     cluster.propose(GROUP, &commands(5..60)).await;
+    let mut others = Vec::new();
     for vm in cluster.vms.keys().copied().collect::<Vec<_>>() {
         cluster.told(vm, GROUP, &commands(0..60)).await;
-        let host = cluster.host(vm);
-        let commit = host.status().await.groups[0].commit;
-        host.snapshot(GROUP, commit, Bytes::from(commands(0..60).concat())).await;
+        others.push((vm, cluster.host(vm).status().await.groups[0].commit));
+    }
+    (late, others)
+}
+
+#[tokio::test]
+async fn restart_behind_snapshot() {
+    // A VM is down while the others go on and drop the log that it lacks. It comes back and
+    // restores their snapshot, which arrives in several pieces.
+    let mut cluster = Cluster::of(3).await;
+    let (late, others) = left_behind(&mut cluster).await;
+    for (vm, commit) in others {
+        let whole = Bytes::from(commands(0..60).concat());
+        cluster.host(vm).snapshot(GROUP, commit, whole).await;
     }
     cluster.propose(GROUP, &commands(60..62)).await;
     cluster.start(late, Faults::default()).await;
@@ -310,24 +320,16 @@
 #[tokio::test]
 async fn restart_behind_shorter_snapshot() {
     let mut cluster = Cluster::of(3).await;
-    cluster.propose(GROUP, &commands(0..5)).await;
-    let leader = cluster.leader(GROUP, None).await;
-    let late = cluster.vms.keys().copied().find(|&vm| vm != leader).expect("a follower");
-    cluster.stop(late).await;
-    cluster.propose(GROUP, &commands(5..60)).await;
-    let others: Vec<_> = cluster.vms.keys().copied().collect();
-    for vm in &others {
-        cluster.told(*vm, GROUP, &commands(0..60)).await;
-        let host = cluster.host(*vm);
-        let commit = host.status().await.groups[0].commit;
+    let (late, others) = left_behind(&mut cluster).await;
+    for (vm, commit) in &others {
         let whole = Bytes::from(commands(0..60).concat());
         let shorter = Bytes::from(commands(30..60).concat());
-        host.snapshot_sending(GROUP, commit, whole, shorter).await;
+        cluster.host(*vm).snapshot_sending(GROUP, *commit, whole, shorter).await;
     }
     cluster.propose(GROUP, &commands(60..62)).await;
     cluster.start(late, Faults::default()).await;
     cluster.told(late, GROUP, &commands(30..62)).await;
-    for vm in others {
+    for (vm, _) in others {
         cluster.stop(vm).await;
         cluster.start(vm, Faults::default()).await;
         cluster.told(vm, GROUP, &commands(0..62)).await;
