--- a/crates/gypsumglade/src/store/mod.rs
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -11,7 +11,7 @@
 mod repair;
 mod serve;
 mod text_repair;
-mod turn_group;
+pub mod turn_group;
 
 pub use context::ReleaseAnswer;
 pub use registrar::{Registrar, RegistrarError, RetireError};
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -19,7 +19,7 @@
 const PAUSE: Duration = Duration::from_millis(200);
 /// Silence after which a store counts as lost: three rounds of introductions. A store that is
 /// counted out too early comes back as a learner; nothing is lost by it.
-const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+pub(super) const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 
 /// Pause between two hand-overs of one group's leadership, so that one that can't succeed costs
 /// little: commits wait while it is tried.
--- a/crates/gypsumglade/src/store/text_repair.rs
+++ b/crates/gypsumglade/src/store/text_repair.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::context::StoreContext;
+use super::repair::SILENT_AFTER;
 use super::turn_group::TurnGroup;
 use crate::discovery::Discovery;
 use crate::rpc::Method;
@@ -24,10 +25,6 @@
 /// Longest wait for one batch: ten times what it takes on the narrowest link.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Silence after which a store is not asked: three rounds of introductions. One that is gone costs
-/// each batch the whole timeout.
-const SILENT_AFTER: Duration = Duration::from_millis(1_500);
-
 /// What the loop needs.
 pub(super) struct TextRepair {
     pub(super) context: Arc<StoreContext>,
@@ -90,7 +87,7 @@
     }
 
     /// Returns the other stores that are there, those of this region first: the link between regions
-    /// is narrow and paid by volume.
+    /// is narrow and paid by volume. One that is gone would cost each batch the whole timeout.
     fn sources(&self) -> Vec<SocketAddr> {
         let now = self.discovery.now();
         let roster = self.discovery.roster();
