Price the engines that hold a prompt's start, besides those drawn

Cause: a routing decision draws 16 candidates, and the gateway names no engines of its own. Engines spend half of their time on that, events slow down, and VMs turn new programs away at a quarter of the slots.

Change: the registry knows the way from a prefix to its holders, and they are always priced. The test fails without it.

Ruled out: drawing more candidates alone, which costs time with thousands of engines.

--- a/crates/core/src/policy/registry/announce.rs
+++ b/crates/core/src/policy/registry/announce.rs
@@ -52,6 +52,14 @@
         }
     }
 
+    /// Returns true for an engine that has loaded the model.
+    pub fn serves(&self, model: &ModelId) -> bool {
+        match self {
+            EndpointKind::Engine { models, .. } => models.contains(model),
+            EndpointKind::Service { .. } => false,
+        }
+    }
+
     /// Returns how many calls the endpoint runs at one time, never zero.
     pub fn slots(&self) -> u32 {
         match self {
--- a/crates/core/src/policy/registry/mod.rs
+++ b/crates/core/src/policy/registry/mod.rs
@@ -7,6 +7,7 @@
 mod announce;
 mod endpoint;
 mod hints;
+mod holders;
 mod home;
 mod load;
 mod renewal;
@@ -26,6 +27,7 @@
 pub use settings::{RegistrySafeguards, RegistrySettings};
 pub use summary::{RosterDiffers, SummaryNumber};
 
+use self::holders::Holders;
 use super::outlier::HealthSettings;
 use crate::prelude::*;
 
@@ -107,6 +109,7 @@
     services: HashMap<CompactString, Vec<EndpointKey>>,
     rosters: HashMap<VmId, Vec<EndpointKey>>,
     heard: HashMap<VmId, SummaryNumber>,
+    holders: Holders,
 }
 
 impl Registry {
@@ -186,9 +189,16 @@
     pub fn expect_prefix(&mut self, now: Time, key: EndpointKey, prefix: u64, tokens: u64) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.hints.expect(now, prefix, tokens);
+            self.holders.note(prefix, key);
         }
     }
 
+    /// Returns endpoints that are expected to hold a prefix, latest first. Each must still pass
+    /// [`Registry::open`].
+    pub fn holders(&self, prefix: u64) -> &[EndpointKey] {
+        self.holders.of(prefix)
+    }
+
     /// Counts a call as sent; the key closes it later.
     pub fn dispatched(&mut self, now: Time, key: EndpointKey, load: DispatchLoad) -> DispatchKey {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/core/src/policy/route/mod.rs
+++ b/crates/core/src/policy/route/mod.rs
@@ -16,12 +16,16 @@
 
 use super::Class;
 use super::batch::BatchCost;
-use super::registry::{EndpointKey, EndpointKind, ModelId, Registry};
+use super::registry::{EndpointKey, ModelId, Registry};
 use crate::prelude::*;
 
 /// How soon to try again when nothing can take the call.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Starts of a prompt whose holders are looked up; a program's last turns and what it shares with
+/// others are among them.
+const MOST_STARTS: usize = 8;
+
 /// What the call runs on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -163,6 +167,7 @@
         };
         let mut keys = self.sample(all);
         keys.extend(own(registry, ask, all));
+        keys.extend(holders(registry, ask));
         for ramp in [Ramp::Held, Ramp::Ignored] {
             // The sample can miss the few that are free; the whole list is the exception.
             for keys in [keys.as_slice(), all] {
@@ -224,14 +229,27 @@
 /// Returns the program's own engines that serve the target.
 fn own(registry: &Registry, ask: &RouteAsk, all: &[EndpointKey]) -> Vec<EndpointKey> {
     let Target::Model(model) = &ask.target else { return Vec::new() };
-    let serves = |key: &EndpointKey| match &registry.get(*key).map(|endpoint| &endpoint.kind) {
-        Some(EndpointKind::Engine { models, .. }) => models.contains(model),
-        _ => false,
-    };
+    let serves =
+        |key: &EndpointKey| registry.get(*key).is_some_and(|endpoint| endpoint.kind.serves(model));
     let keys = ask.last.iter().filter_map(|run| registry.key(&run.endpoint));
     if all.is_empty() { Vec::new() } else { keys.filter(serves).collect() }
 }
 
+/// Returns the engines that hold a start of the prompt. A draw from many engines would miss them, and
+/// the whole history would be read again at another.
+fn holders(registry: &Registry, ask: &RouteAsk) -> Vec<EndpointKey> {
+    let Target::Model(model) = &ask.target else { return Vec::new() };
+    let serves =
+        |key: &EndpointKey| registry.get(*key).is_some_and(|endpoint| endpoint.kind.serves(model));
+    // The longest starts come last, and save most.
+    let starts = ask.shared.iter().rev().take(MOST_STARTS);
+    let mut keys: Vec<EndpointKey> =
+        starts.flat_map(|start| registry.holders(start.hash)).copied().filter(serves).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    keys
+}
+
 /// Returns true when the endpoint may get this call.
 fn usable(now: Time, registry: &Registry, ask: &RouteAsk, key: EndpointKey, ramp: Ramp) -> bool {
     if !registry.open(now, key) {
--- a/crates/core/tests/policy_route.rs
+++ b/crates/core/tests/policy_route.rs
@@ -334,3 +334,32 @@
     let choice = Router::new(settings, 1).choose(NOW, &registry, &batched());
     assert_eq!(choice.expect("open engines").endpoint, keys[0]);
 }
+
+/// A caller waits while an engine reads a whole history that another one holds. Of the many engines
+/// that there are only a few are drawn for each decision, so the one that ran the program's last turn
+/// is mostly not among them, and every turn of a long program reads all that went before again.
+#[test]
+fn choose_finds_holder_outside_draw() {
+    let (mut registry, keys) = fleet(96);
+    registry.expect_prefix(NOW, keys[93], 7, 20_000);
+    let shared = vec![SharedPrefix { hash: 7, tokens: 20_000 }];
+    let ask = RouteAsk { prior_tokens: 0, shared, ..ask() };
+    let settings = RouteSettings { sample: 2, ..RouteSettings::default() };
+    for seed in 0..20 {
+        let choice = Router::new(settings.clone(), seed).choose(NOW, &registry, &ask);
+        assert_eq!(choice.expect("open engines").endpoint, keys[93]);
+    }
+}
+
+/// Engines that are gone, leave, or have loaded another model since must not be chosen because they
+/// once held a prompt's start.
+#[test]
+fn choose_skips_holder_that_left() {
+    let (mut registry, keys) = fleet(96);
+    registry.expect_prefix(NOW, keys[93], 7, 20_000);
+    registry.leave(NOW, "engine-93", 1);
+    let shared = vec![SharedPrefix { hash: 7, tokens: 20_000 }];
+    let ask = RouteAsk { prior_tokens: 0, shared, ..ask() };
+    let choice = router().choose(NOW, &registry, &ask).expect("open engines");
+    assert_ne!(choice.endpoint, keys[93]);
+}
