Learn from streams how fast engines read and generate

Change: a pool's reading speed is the slope of the time to the first event over unread prompt tokens, fitted like the batch's. The slope of a batch starts from the pool's slots.

--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -48,6 +48,7 @@
         prior_tokens: 19_000,
         output_guess: 190,
         batch: None,
+        fill: None,
         bytes: None,
         last: vec![LastRun { endpoint: "engine-3".into(), tokens: 19_000, at: Time::ZERO }],
         shared: Vec::new(),
--- a/crates/core/src/policy/batch.rs
+++ b/crates/core/src/policy/batch.rs
@@ -1,16 +1,14 @@
-//! How much slower an engine generates for each request that it runs at the same time.
+//! How fast a pool's engines read prompts, and how much slower they generate for each request that
+//! they run at the same time.
 //!
 //! An engine makes one token for each running request in a step, and a step takes longer the more
-//! requests are in it. Engines don't tell by how much, but each stream shows it: how long its tokens
-//! took, and how many requests ran beside it.
+//! requests are in it. Engines tell neither their speed nor by how much they slow down, but each stream
+//! shows it: how long its tokens took, how many requests ran beside it, and how long its first event
+//! took for the prompt tokens that the engine had to read.
 
-/// Weight that older streams keep with each new one: a hundred streams, some ten seconds of one VM's
-/// share of a pool, so that engines that changed are followed.
-const KEPT: f64 = 0.99;
-/// Part by which one more request slows a token, before streams show it: the users' engines are
-/// slowed by 0.035 and 0.046 of the time alone.
-const PRIOR_SLOPE: f64 = 0.04;
-/// How much the prior counts, in squared requests: less than streams beside one and beside five
+use super::line::{LineFit, Prior};
+
+/// Weight of the prior slope, in squared requests: less than streams beside one and beside five
 /// requests, which already tell the slope.
 const PRIOR_WEIGHT: f64 = 20.0;
 /// Least part of the mean time that counts as time alone, where streams vary for other reasons.
@@ -28,39 +26,55 @@
 /// Learns a pool's [`BatchCost`] from its streams by least squares.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BatchFit {
-    weight: f64,
-    beside: f64,
-    token: f64,
-    beside_beside: f64,
-    beside_token: f64,
+    fit: LineFit,
 }
 
 impl BatchFit {
     /// Takes a stream: how many requests ran beside it, and its seconds for a token.
     pub fn observe(&mut self, beside: f64, token: f64) {
-        if token <= 0.0 {
-            return;
+        if token > 0.0 {
+            self.fit.observe(beside, token);
         }
-        let add = |sum: &mut f64, value: f64| *sum = KEPT * *sum + value;
-        add(&mut self.weight, 1.0);
-        add(&mut self.beside, beside);
-        add(&mut self.token, token);
-        add(&mut self.beside_beside, beside * beside);
-        add(&mut self.beside_token, beside * token);
     }
 
     /// Returns what the streams so far show; nothing before the first.
-    pub fn cost(&self) -> Option<BatchCost> {
-        if self.weight == 0.0 {
-            return None;
+    ///
+    /// Until they show the slope, an engine with all of its `slots` taken is believed to take twice
+    /// as long for a token as alone: a batch that costs more than that would not be offered.
+    pub fn cost(&self, slots: u32) -> Option<BatchCost> {
+        let mean = self.fit.mean()?;
+        let part = 1.0 / f64::from(slots.max(1));
+        let slope = part * mean.y / (1.0 + part * mean.x);
+        let most = mean.y * (1.0 - LEAST_ALONE) / mean.x.max(1.0);
+        let line = self.fit.line(Prior { slope, weight: PRIOR_WEIGHT }, most)?;
+        Some(BatchCost { alone: line.start, slope: line.slope })
+    }
+}
+
+/// Weight of the prior slope in squared prompt tokens: two prompts a thousand tokens apart outweigh it.
+const FILL_WEIGHT: f64 = 500_000.0;
+
+/// Learns how fast a pool's engines read prompts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FillFit {
+    fit: LineFit,
+}
+
+impl FillFit {
+    /// Takes a stream: prompt tokens that its engine lacked, and seconds until its first event.
+    pub fn observe(&mut self, unread: f64, first: f64) {
+        if first > 0.0 {
+            self.fit.observe(unread, first);
         }
-        let beside = self.beside / self.weight;
-        let token = self.token / self.weight;
-        let spread = self.beside_beside - self.weight * beside * beside;
-        let common = self.beside_token - self.weight * beside * token;
-        let prior = PRIOR_SLOPE * token / (1.0 + PRIOR_SLOPE * beside);
-        let slope = (common + PRIOR_WEIGHT * prior) / (spread + PRIOR_WEIGHT);
-        let slope = slope.clamp(0.0, token * (1.0 - LEAST_ALONE) / beside.max(1.0));
-        Some(BatchCost { alone: token - slope * beside, slope })
+    }
+
+    /// Returns the seconds that each unread token adds; nothing before the first stream.
+    ///
+    /// Until prompts of unlike lengths show it, the whole wait counts as reading, which is the most
+    /// that it can be.
+    pub fn token(&self) -> Option<f64> {
+        let mean = self.fit.mean().filter(|mean| mean.x > 0.0)?;
+        let most = mean.y / mean.x;
+        Some(self.fit.line(Prior { slope: most, weight: FILL_WEIGHT }, most)?.slope)
     }
 }
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -5,13 +5,14 @@
 //! - [`registry`]: which endpoints there are and how busy they are (docs/design/registry.md).
 //! - [`route`]: the endpoint a call goes to (docs/design/routing.md).
 //! - [`admission`]: whether and when a call is let in (docs/design/admission.md).
-//! - [`batch`]: how much slower an engine is for each request that it runs.
+//! - [`batch`]: how fast engines read and generate, by what they run; [`line`] learns it.
 //! - [`priority`]: the order among programs that wait.
 //! - [`retain`]: prefix memory across tool pauses.
 //! - [`retry`] and [`outlier`]: what is tried again and where (docs/design/retries.md).
 
 pub mod admission;
 pub mod batch;
+pub mod line;
 pub mod outlier;
 pub mod overload;
 pub mod priority;
--- a/crates/core/src/policy/route/cost.rs
+++ b/crates/core/src/policy/route/cost.rs
@@ -106,8 +106,8 @@
     let source = import(settings, now, registry, ask, endpoint, resident);
     let fill_tokens = source.as_ref().map_or(missing, |import| missing - import.tokens);
     let mut cost = Cost {
-        wait: wait(settings, endpoint, &load, crowd.floor),
-        prefill: prefill_time(endpoint, fill_tokens) + source.as_ref().map_or(0.0, |i| i.cost),
+        wait: wait(settings, ask, endpoint, &load, crowd.floor),
+        prefill: prefill_time(ask, endpoint, fill_tokens) + source.as_ref().map_or(0.0, |i| i.cost),
         network: network(settings, ask, endpoint),
         decode: decode_time(endpoint, ask.output_guess),
         crowding: 0.0,
@@ -166,7 +166,13 @@
     held.max().unwrap_or(0)
 }
 
-fn wait(settings: &RouteSettings, endpoint: &Endpoint, load: &LoadView, floor: f64) -> f64 {
+fn wait(
+    settings: &RouteSettings,
+    ask: &RouteAsk,
+    endpoint: &Endpoint,
+    load: &LoadView,
+    floor: f64,
+) -> f64 {
     if !settings.parts.queue {
         return 0.0;
     }
@@ -177,7 +183,7 @@
     let ahead = (total + 1.0 - slots).max(0.0);
     // Prompts are filled one after another, so those still to fill delay this one even when slots
     // are free.
-    let prompts = prefill_time(endpoint, load.fill_tokens);
+    let prompts = prefill_time(ask, endpoint, load.fill_tokens);
     ahead / slots * service + prompts
 }
 
@@ -202,11 +208,11 @@
     let EndpointKind::Engine { cache_tokens, .. } = endpoint.kind else { return 0.0 };
     let twice = ask.prior_tokens.saturating_sub(present);
     if !settings.parts.pressure {
-        return prefill_time(endpoint, twice);
+        return prefill_time(ask, endpoint, twice);
     }
     let grows = ask.prompt_tokens + ask.output_guess - present;
     let pushed = (load.cached_tokens + grows).saturating_sub(cache_tokens).min(grows);
-    prefill_time(endpoint, twice + pushed)
+    prefill_time(ask, endpoint, twice + pushed)
 }
 
 struct Import {
@@ -237,7 +243,7 @@
         let link = settings.links.between(place(source), place(endpoint));
         let bytes = tokens as f64 * settings.kv_bytes;
         let cost = link.latency.as_secs_f64() + bytes / link.rate + bytes * link.price;
-        let cheaper = cost < prefill_time(endpoint, tokens);
+        let cheaper = cost < prefill_time(ask, endpoint, tokens);
         if cheaper && best.as_ref().is_none_or(|held| cost < held.cost) {
             best = Some(Import { from, tokens, cost });
         }
@@ -249,10 +255,11 @@
     Place { domain: endpoint.domain, region: endpoint.region }
 }
 
-fn prefill_time(endpoint: &Endpoint, tokens: u64) -> f64 {
-    match endpoint.kind {
-        EndpointKind::Engine { prefill_rate, .. } => tokens as f64 / prefill_rate.max(1.0),
-        EndpointKind::Service { .. } => 0.0,
+fn prefill_time(ask: &RouteAsk, endpoint: &Endpoint, tokens: u64) -> f64 {
+    match (&endpoint.kind, ask.fill) {
+        (EndpointKind::Engine { .. }, Some(token)) => tokens as f64 * token,
+        (EndpointKind::Engine { prefill_rate, .. }, None) => tokens as f64 / prefill_rate.max(1.0),
+        (EndpointKind::Service { .. }, _) => 0.0,
     }
 }
 
--- a/crates/core/src/policy/route/mod.rs
+++ b/crates/core/src/policy/route/mod.rs
@@ -72,6 +72,9 @@
     pub bytes: Option<u64>,
     /// How engines slow down with what they run, where that is known.
     pub batch: Option<BatchCost>,
+    /// Seconds that an engine takes to read a prompt token, where that is known; otherwise the rate
+    /// that the endpoint claims counts.
+    pub fill: Option<f64>,
     /// Where earlier turns ran, latest first.
     pub last: Vec<LastRun>,
     /// Starts of the prompt that other programs may have left in an engine's memory, shortest
--- a/crates/core/tests/policy_batch.rs
+++ b/crates/core/tests/policy_batch.rs
@@ -1,6 +1,6 @@
 //! How much slower engines are found to be for each request that they run.
 
-use gypsumglade_core::policy::batch::BatchFit;
+use gypsumglade_core::policy::batch::{BatchFit, FillFit};
 
 /// A token's seconds on an engine like the users': 0.87 ms alone, 0.04 ms for each further request.
 fn token(beside: f64) -> f64 {
@@ -9,7 +9,7 @@
 
 #[test]
 fn cost_unknown_before_streams() {
-    assert_eq!(BatchFit::default().cost(), None);
+    assert_eq!(BatchFit::default().cost(64), None);
 }
 
 #[test]
@@ -19,7 +19,7 @@
         let beside = f64::from(round % 20);
         fit.observe(beside, token(beside));
     }
-    let cost = fit.cost().expect("streams were seen");
+    let cost = fit.cost(64).expect("streams were seen");
     assert!((cost.alone - 0.000_87).abs() < 0.000_02, "{cost:?}");
     assert!((cost.slope - 0.000_04).abs() < 0.000_002, "{cost:?}");
 }
@@ -30,8 +30,9 @@
     for _ in 0..50 {
         fit.observe(4.0, token(4.0));
     }
-    let cost = fit.cost().expect("streams were seen");
-    assert!(cost.slope > 0.000_02 && cost.slope < 0.000_06, "{cost:?}");
+    let cost = fit.cost(64).expect("streams were seen");
+    // Twice as long with 64 beside as alone.
+    assert!((cost.slope * 64.0 / cost.alone - 1.0).abs() < 0.05, "{cost:?}");
 }
 
 /// A pool's engines turn slow for a while for reasons of their own while they are idle, so that
@@ -43,6 +44,61 @@
         let beside = f64::from(round % 10);
         fit.observe(beside, 0.004 - 0.000_3 * beside);
     }
-    let cost = fit.cost().expect("streams were seen");
+    let cost = fit.cost(64).expect("streams were seen");
     assert!(cost.slope >= 0.0 && cost.alone > 0.0, "{cost:?}");
 }
+
+/// A prompt's first event on an engine like the users': 30 ms, and 1 ms for each 50 tokens to read.
+fn first(unread: f64) -> f64 {
+    0.030 + unread / 50_000.0
+}
+
+#[test]
+fn token_unknown_before_streams() {
+    assert_eq!(FillFit::default().token(), None);
+}
+
+#[test]
+fn token_follows_streams() {
+    let mut fit = FillFit::default();
+    for round in 0..100 {
+        let unread = f64::from(round % 10) * 400.0;
+        fit.observe(unread, first(unread));
+    }
+    let token = fit.token().expect("streams were seen");
+    assert!((token * 50_000.0 - 1.0).abs() < 0.05, "{token}");
+}
+
+/// Engines are replaced by ones that read five times more slowly. Placed by the old speed, prompts
+/// go where they must be read again because it seems to cost nothing.
+#[test]
+fn token_follows_slower_engines() {
+    let mut fit = FillFit::default();
+    for round in 0..200 {
+        let unread = f64::from(round % 10) * 400.0;
+        fit.observe(unread, first(unread));
+    }
+    for round in 0..300 {
+        let unread = f64::from(round % 10) * 400.0;
+        fit.observe(unread, 0.030 + unread / 10_000.0);
+    }
+    let token = fit.token().expect("streams were seen");
+    assert!((token * 10_000.0 - 1.0).abs() < 0.2, "{token}");
+}
+
+/// Events that were held up come all at once, or clocks jump: figures that can't be are passed over,
+/// and no figure makes reading cost less than nothing or without end.
+#[test]
+fn token_survives_absurd_streams() {
+    let mut fit = FillFit::default();
+    for round in 0..100 {
+        let unread = f64::from(round % 10) * 400.0;
+        fit.observe(unread, first(unread));
+    }
+    for absurd in [f64::INFINITY, f64::NAN, 0.0, -1.0] {
+        fit.observe(500.0, absurd);
+    }
+    fit.observe(f64::NAN, 0.1);
+    let token = fit.token().expect("streams were seen");
+    assert!((token * 50_000.0 - 1.0).abs() < 0.05, "{token}");
+}
--- a/crates/core/tests/policy_route.rs
+++ b/crates/core/tests/policy_route.rs
@@ -78,6 +78,7 @@
         prior_tokens: 20_000,
         output_guess: 100,
         batch: None,
+        fill: None,
         bytes: None,
         last: Vec::new(),
         shared: Vec::new(),
--- a/crates/core/tests/scenario_policy.rs
+++ b/crates/core/tests/scenario_policy.rs
@@ -166,6 +166,7 @@
             prior_tokens: prior,
             output_guess: 100,
             batch: None,
+            fill: None,
             bytes: None,
             last: args.keys.get("last").iter().map(|name| run(name)).collect(),
             shared: Vec::new(),
--- a/crates/gypsumglade/src/bench/policy/run.rs
+++ b/crates/gypsumglade/src/bench/policy/run.rs
@@ -275,6 +275,7 @@
             prior_tokens: call.job.prior,
             output_guess: OUTPUT_GUESS,
             batch: None,
+            fill: None,
             bytes: None,
             last: program.last.clone(),
             shared: Vec::new(),
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -381,6 +381,7 @@
         prior_tokens: 0,
         output_guess: 0,
         batch: None,
+        fill: None,
         bytes: None,
         last: Vec::new(),
         shared: Vec::new(),
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -211,6 +211,7 @@
         prior_tokens,
         output_guess: grant.max_output.min(call.request.output) / 2,
         batch: None,
+        fill: None,
         bytes: None,
         last: last.take(MAX_LAST_RUNS).collect(),
         shared: Vec::new(),
--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use gypsumglade_core::bundle::{Repeat, Route, Stream};
+use gypsumglade_core::bundle::{PoolEngine, Repeat, Route, Stream};
 use gypsumglade_core::prelude::*;
 use http::{Response, request};
 use http_body_util::combinators::BoxBody;
@@ -92,8 +92,16 @@
 
     /// Returns the tokens in each event of the pool's engines.
     pub(super) fn event_tokens(&self) -> u64 {
-        let pool = self.bundle.pool(&self.pool);
-        pool.and_then(|pool| pool.engine).map_or(0, |engine| engine.event_tokens)
+        self.engine().map_or(0, |engine| engine.event_tokens)
+    }
+
+    /// Returns how many requests each engine of the pool runs at one time.
+    pub(super) fn engine_slots(&self) -> u32 {
+        self.engine().map_or(0, |engine| engine.slots)
+    }
+
+    fn engine(&self) -> Option<PoolEngine> {
+        self.bundle.pool(&self.pool).and_then(|pool| pool.engine)
     }
 }
 
--- a/crates/gypsumglade/src/gateway/placing.rs
+++ b/crates/gypsumglade/src/gateway/placing.rs
@@ -12,6 +12,7 @@
 use gypsumglade_core::policy::route::{Choice, RouteAsk, RouteError, SharedPrefix, Target};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::turn::PromptRun;
+use tokio::time::Instant;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::call::Call;
@@ -31,6 +32,8 @@
     pub(super) address: SocketAddr,
     /// Prompt tokens that the endpoint was expected to lack.
     pub(super) unread: u64,
+    /// When it was placed.
+    pub(super) placed: Instant,
 }
 
 /// Returns the pool of a request, by the weights of its route. A program stays with one pool, where
@@ -67,6 +70,13 @@
     })
 }
 
+/// Notes how long a stream's first event took an engine that had to read this many prompt tokens.
+pub(super) fn note_first(state: &GatewayState, call: &Call, unread: u64, first: Duration) {
+    let mut desk = state.desk();
+    let speed = desk.speeds.entry(call.pool.clone()).or_default();
+    speed.fill.observe(unread as f64, first.as_secs_f64());
+}
+
 /// Notes how fast a stream came.
 pub(super) fn note_speed(state: &GatewayState, call: &Call, gap: Duration, load: EndpointLoad) {
     let mut desk = state.desk();
@@ -100,9 +110,11 @@
     let now = state.clock.now();
     let mut desk = state.desk();
     let desk = &mut *desk;
-    let batch = desk.speeds.get(&call.pool).and_then(|speed| speed.batch.cost());
+    let speed = desk.speeds.get(&call.pool).copied().unwrap_or_default();
+    let batch = speed.batch.cost(call.engine_slots());
     let bytes = Some(body.len() as u64);
-    let ask = RouteAsk { batch, bytes, ..route_ask(state, call, excluded) };
+    let ask =
+        RouteAsk { batch, fill: speed.fill.token(), bytes, ..route_ask(state, call, excluded) };
     let choice = desk.router.choose(now, &desk.registry, &ask).map_err(|error| match error {
         RouteError::NoEndpoint { retry_after, .. } | RouteError::NoneFree { retry_after, .. } => {
             retry_after
@@ -140,6 +152,7 @@
         incarnation,
         address,
         unread,
+        placed: Instant::now(),
     })
 }
 
@@ -157,6 +170,7 @@
         prior_tokens: 0,
         output_guess: (call.head.most_tokens as f64 * OUTPUT_PART) as u64,
         batch: None,
+        fill: None,
         bytes: None,
         last: Vec::new(),
         shared: shared_prefixes(call),
@@ -239,16 +253,14 @@
         Some(engine) => EndpointKind::Engine {
             models: vec![pool_model(pool)],
             slots: engine.slots,
-            prefill_rate: PREFILL_RATE,
-            decode_rate: DECODE_RATE,
+            prefill_rate: UNKNOWN_RATE,
+            decode_rate: UNKNOWN_RATE,
             cache_tokens: engine.cache_tokens,
         },
         None => EndpointKind::Service { name: pool.into(), slots },
     }
 }
 
-/// Prompt tokens that an engine reads in a second, from the users' sheets: 145 and 147 in 1 ms.
-const PREFILL_RATE: f64 = 146_000.0;
-/// Tokens that a lightly loaded engine generates in a second for one request, from the sheets' step
-/// of 0.87 to 1.08 ms.
-const DECODE_RATE: f64 = 1_000.0;
+/// Tokens a second of an engine before its pool's first streams show its speed: no limit, so that
+/// reading and generating decide nothing until then.
+const UNKNOWN_RATE: f64 = f64::INFINITY;
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use super::channels::Channel;
 use super::dialect::AnswerHead;
 use super::opening::{Attempts, Opened, open};
-use super::placing::{Flight, note_speed};
+use super::placing::{Flight, note_first, note_speed};
 use super::settlement::{Reservation, Used, settle_later, settle_whole};
 use super::state::GatewayState;
 
@@ -168,6 +168,8 @@
         let completed = self.scanner.feed(&data);
         if before.is_none() && completed.events > 0 {
             source.flight.filled();
+            let Flight { unread, placed, .. } = source.flight;
+            note_first(&self.state, &self.call, unread, placed.elapsed());
         }
         Some(Ok(completed))
     }
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use gypsumglade_core::policy::batch::BatchFit;
+use gypsumglade_core::policy::batch::{BatchFit, FillFit};
 use gypsumglade_core::policy::overload::Pace;
 use gypsumglade_core::policy::registry::Registry;
 use gypsumglade_core::policy::route::{Place, Router};
@@ -59,6 +59,8 @@
     pub(super) pace: Pace,
     /// By what runs on one engine.
     pub(super) batch: BatchFit,
+    /// Reading prompts.
+    pub(super) fill: FillFit,
 }
 
 impl GatewayState {
