List the mechanisms that can be switched off, and set link prices

Cause: ablations need each mechanism of the data path to be switched off without other code, and the prices of bytes are the deployment owner's to set.

Change: one enum, read by the settings (`policy.off`), the router and the policy benchmark. Prices of bytes between failure domains and between regions are settings. Defaults are as before.

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -6,6 +6,7 @@
 //! - [`route`]: the endpoint a call goes to (docs/design/routing.md).
 //! - [`admission`]: whether and when a call is let in (docs/design/admission.md).
 //! - [`batch`]: how fast engines read and generate, by what they run; [`line`] learns it.
+//! - [`mechanism`]: the list of what can be switched off.
 //! - [`priority`]: the order among programs that wait.
 //! - [`retain`]: prefix memory across tool pauses.
 //! - [`retry`] and [`outlier`]: what is tried again and where (docs/design/retries.md).
@@ -13,6 +14,7 @@
 pub mod admission;
 pub mod batch;
 pub mod line;
+pub mod mechanism;
 pub mod outlier;
 pub mod overload;
 pub mod priority;
--- a/crates/core/src/policy/route/cost.rs
+++ b/crates/core/src/policy/route/cost.rs
@@ -2,6 +2,7 @@
 
 use super::{Choice, Place, RouteAsk, RouteSettings};
 use crate::policy::batch::BatchCost;
+use crate::policy::mechanism::Mechanism;
 use crate::policy::registry::{Endpoint, EndpointKey, EndpointKind, LoadView, Registry};
 use crate::prelude::*;
 
@@ -101,7 +102,11 @@
         return Choice { endpoint: key, cost, prefix: Prefix::Absent, fill_tokens: 0 };
     };
     let load = endpoint.load(now);
-    let resident = if settings.parts.prefix { held(settings, now, endpoint, ask) } else { 0 };
+    let resident = if settings.mechanisms.has(Mechanism::Prefix) {
+        held(settings, now, endpoint, ask)
+    } else {
+        0
+    };
     let missing = ask.prompt_tokens - resident;
     let source = import(settings, now, registry, ask, endpoint, resident);
     let fill_tokens = source.as_ref().map_or(missing, |import| missing - import.tokens);
@@ -114,8 +119,11 @@
         waste: waste(settings, ask, endpoint, &load, ask.prompt_tokens - fill_tokens),
         total: 0.0,
     };
-    if let Some(batch) = ask.batch {
-        let beside = crowd.beside(&load, load.service.unwrap_or(settings.service));
+    if let Some(batch) = ask.batch.filter(|_| settings.mechanisms.has(Mechanism::Batch)) {
+        let beside = match settings.mechanisms.has(Mechanism::Fading) {
+            true => crowd.beside(&load, load.service.unwrap_or(settings.service)),
+            false => f64::from(load.total),
+        };
         share_steps(&mut cost, batch, beside, ask.output_guess);
     }
     let latency = cost.wait + cost.prefill + cost.network + cost.decode;
@@ -173,7 +181,7 @@
     load: &LoadView,
     floor: f64,
 ) -> f64 {
-    if !settings.parts.queue {
+    if !settings.mechanisms.has(Mechanism::Queue) {
         return 0.0;
     }
     let slots = f64::from(endpoint.kind.slots());
@@ -188,7 +196,7 @@
 }
 
 fn network(settings: &RouteSettings, ask: &RouteAsk, endpoint: &Endpoint) -> f64 {
-    if !settings.parts.network {
+    if !settings.mechanisms.has(Mechanism::Network) {
         return 0.0;
     }
     let link = settings.links.between(ask.place, place(endpoint));
@@ -207,7 +215,7 @@
 ) -> f64 {
     let EndpointKind::Engine { cache_tokens, .. } = endpoint.kind else { return 0.0 };
     let twice = ask.prior_tokens.saturating_sub(present);
-    if !settings.parts.pressure {
+    if !settings.mechanisms.has(Mechanism::Pressure) {
         return prefill_time(ask, endpoint, twice);
     }
     let grows = ask.prompt_tokens + ask.output_guess - present;
@@ -230,7 +238,7 @@
     endpoint: &Endpoint,
     resident: u64,
 ) -> Option<Import> {
-    if !settings.import || !settings.parts.prefix {
+    if !settings.import || !settings.mechanisms.has(Mechanism::Prefix) {
         return None;
     }
     let mut best: Option<Import> = None;
--- a/crates/core/src/policy/route/mod.rs
+++ b/crates/core/src/policy/route/mod.rs
@@ -12,10 +12,11 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use cost::{Cost, Prefix};
-pub use settings::{Link, Links, Place, PolicyWeights, RouteParts, RouteSettings};
+pub use settings::{Link, Links, Place, PolicyWeights, RouteSettings};
 
 use super::Class;
 use super::batch::BatchCost;
+use super::mechanism::{Mechanism, Mechanisms};
 use super::registry::{EndpointKey, ModelId, Registry};
 use crate::prelude::*;
 
@@ -170,8 +171,14 @@
         };
         let mut keys = self.sample(all);
         keys.extend(own(registry, ask, all));
-        keys.extend(holders(registry, ask));
-        for ramp in [Ramp::Held, Ramp::Ignored] {
+        if self.settings.mechanisms.has(Mechanism::Holders) {
+            keys.extend(holders(registry, ask));
+        }
+        let held = match self.settings.mechanisms.has(Mechanism::SlowStart) {
+            true => Ramp::Held,
+            false => Ramp::Ignored,
+        };
+        for ramp in [held, Ramp::Ignored] {
             // The sample can miss the few that are free; the whole list is the exception.
             for keys in [keys.as_slice(), all] {
                 if let Some(choice) = self.cheapest(now, registry, ask, keys, ramp) {
@@ -206,7 +213,7 @@
         let mut best: Option<Choice> = None;
         let mut ties = 1;
         for key in keys {
-            if !usable(now, registry, ask, *key, ramp) {
+            if !usable(now, registry, ask, *key, ramp, self.settings.mechanisms) {
                 continue;
             }
             let choice = cost::price(&self.settings, now, registry, ask, *key, crowd);
@@ -254,12 +261,22 @@
 }
 
 /// Returns true when the endpoint may get this call.
-fn usable(now: Time, registry: &Registry, ask: &RouteAsk, key: EndpointKey, ramp: Ramp) -> bool {
+fn usable(
+    now: Time,
+    registry: &Registry,
+    ask: &RouteAsk,
+    key: EndpointKey,
+    ramp: Ramp,
+    mechanisms: Mechanisms,
+) -> bool {
     if !registry.open(now, key) {
         return false;
     }
     let Some(endpoint) = registry.get(key) else { return false };
-    if endpoint.isolated() || endpoint.health.ejected(now) {
+    if endpoint.isolated() {
+        return false;
+    }
+    if mechanisms.has(Mechanism::Ejection) && endpoint.health.ejected(now) {
         return false;
     }
     if ask.excluded.contains(&endpoint.name) {
--- a/crates/core/src/policy/route/settings.rs
+++ b/crates/core/src/policy/route/settings.rs
@@ -1,5 +1,6 @@
 //! What a routing decision weighs, and the prices of the links between endpoints and VMs.
 
+use crate::policy::mechanism::Mechanisms;
 use crate::prelude::*;
 
 /// Weights of the operator's bundle: what a second and a wasted token are worth.
@@ -91,8 +92,8 @@
     pub record_age: Duration,
     /// Seconds assumed for a call's service where no call finished yet.
     pub service: f64,
-    /// Parts that the benchmark can switch off to see what they are worth.
-    pub parts: RouteParts,
+    /// Mechanisms that are on.
+    pub mechanisms: Mechanisms,
 }
 
 impl Default for RouteSettings {
@@ -106,26 +107,7 @@
             import: false,
             record_age: Duration::from_secs(1800),
             service: 4.0,
-            parts: RouteParts::default(),
+            mechanisms: Mechanisms::default(),
         }
     }
 }
-
-/// Parts of the cost; the benchmark switches them off one at a time.
-#[derive(Clone, Copy, Debug)]
-pub struct RouteParts {
-    /// Count the wait for a slot and for prefill.
-    pub queue: bool,
-    /// Count the missing prefix.
-    pub prefix: bool,
-    /// Count prefix memory of others that the call would push out.
-    pub pressure: bool,
-    /// Count the network.
-    pub network: bool,
-}
-
-impl Default for RouteParts {
-    fn default() -> Self {
-        RouteParts { queue: true, prefix: true, pressure: true, network: true }
-    }
-}
--- a/crates/gypsumglade/src/bench/policy/mod.rs
+++ b/crates/gypsumglade/src/bench/policy/mod.rs
@@ -14,7 +14,8 @@
 mod tally;
 mod workload;
 
-use gypsumglade_core::policy::route::{Link, Links, PolicyWeights, RouteParts};
+use gypsumglade_core::policy::mechanism::{Mechanism, Mechanisms};
+use gypsumglade_core::policy::route::{Link, Links, PolicyWeights};
 use gypsumglade_core::prelude::*;
 
 pub use plot::plot;
@@ -278,13 +279,12 @@
 
 fn ablations() -> Vec<(&'static str, Strategy)> {
     let all = Parts::default();
-    let route = RouteParts::default();
-    let cost = |route| Strategy::Ours(Parts { route, ..all });
+    let cost = |off| Strategy::Ours(Parts { route: Mechanisms::without(&[off]), ..all });
     vec![
-        ("no queue cost", cost(RouteParts { queue: false, ..route })),
-        ("no prefix cost", cost(RouteParts { prefix: false, ..route })),
-        ("no pressure cost", cost(RouteParts { pressure: false, ..route })),
-        ("no network cost", cost(RouteParts { network: false, ..route })),
+        ("no queue cost", cost(Mechanism::Queue)),
+        ("no prefix cost", cost(Mechanism::Prefix)),
+        ("no pressure cost", cost(Mechanism::Pressure)),
+        ("no network cost", cost(Mechanism::Network)),
         ("no retention", Strategy::Ours(Parts { retain: false, ..all })),
         ("no release at end", Strategy::Ours(Parts { free: false, ..all })),
         ("no program order", Strategy::Ours(Parts { order: false, ..all })),
--- a/crates/gypsumglade/src/bench/policy/run.rs
+++ b/crates/gypsumglade/src/bench/policy/run.rs
@@ -98,7 +98,7 @@
             ..RouteSettings::default()
         };
         if let Some(parts) = strategy.parts() {
-            settings.parts = parts.route;
+            settings.mechanisms = parts.route;
         }
         let mut run = Run {
             fleet,
--- a/crates/gypsumglade/src/bench/policy/strategy.rs
+++ b/crates/gypsumglade/src/bench/policy/strategy.rs
@@ -1,14 +1,15 @@
 //! The policies that are compared, at the one place where they differ: the choice of an engine.
 
+use gypsumglade_core::policy::mechanism::Mechanisms;
 use gypsumglade_core::policy::registry::{EndpointKey, Registry};
-use gypsumglade_core::policy::route::{LastRun, RouteAsk, RouteParts, Router};
+use gypsumglade_core::policy::route::{LastRun, RouteAsk, Router};
 use gypsumglade_core::prelude::*;
 
 /// Parts of our policy, each of which the benchmark switches off in turn.
 #[derive(Clone, Copy, Debug)]
 pub struct Parts {
-    /// Parts of the routing cost.
-    pub route: RouteParts,
+    /// Mechanisms of the routing cost.
+    pub route: Mechanisms,
     /// Prefix memory is marked in pauses.
     pub retain: bool,
     /// Prefix memory of ended programs is freed.
@@ -21,7 +22,7 @@
 
 impl Default for Parts {
     fn default() -> Self {
-        let route = RouteParts::default();
+        let route = Mechanisms::default();
         Parts { route, retain: true, free: true, order: true, admission: true }
     }
 }
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -44,7 +44,7 @@
 use crate::listener::Listener;
 use crate::metrics::Metrics;
 use crate::rpc::PeerClients;
-use crate::settings::{DiscoverySettings, Settings};
+use crate::settings::{DiscoverySettings, PolicySettings, Settings};
 use crate::tls;
 
 /// Longest time that a caller's connection may stay idle or take to send a head. It is above any
@@ -171,7 +171,7 @@
         RegistrySettings { max_lease: MAX_LEASE, health: HEALTH, ..RegistrySettings::default() };
     let desk = Desk {
         registry: Registry::new(registry),
-        router: Router::new(route_settings(), rand::random()),
+        router: Router::new(route_settings(&settings.policy), rand::random()),
         speeds: HashMap::new(),
     };
     Ok(GatewayState {
@@ -195,20 +195,16 @@
 }
 
 /// Returns how the gateway weighs what an endpoint costs.
-///
-/// With the default price, meant for histories that stay where they are, no prompt ever crossed to
-/// the other region: with a third of the engines and two fifths of the callers, turns of the northern
-/// VMs waited 0.6 s for their first event in a burst, those of the southern ones 0.24 s.
-fn route_settings() -> RouteSettings {
-    let mut settings = RouteSettings::default();
-    settings.links.paid.price = PAID_PRICE;
+fn route_settings(policy: &PolicySettings) -> RouteSettings {
+    let mut settings =
+        RouteSettings { mechanisms: policy.mechanisms(), ..RouteSettings::default() };
+    settings.links.region.price = policy.domain_price / MEGABYTE;
+    settings.links.paid.price = policy.region_price / MEGABYTE;
     settings
 }
 
-/// Seconds that each byte between regions counts for. A prompt of 20 KB counts 30 ms beside the 21 ms
-/// that it takes: at the users' prices it costs 0.3 % of its program's worth, which being 1 % of the
-/// program's time sooner makes up for.
-const PAID_PRICE: f64 = 1.5e-6;
+/// Bytes of a megabyte, in which prices are set.
+const MEGABYTE: f64 = 1e6;
 
 /// When an endpoint is taken out for its failures, and how it comes back.
 ///
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gypsumglade_core::policy::mechanism::Mechanism;
 use gypsumglade_core::policy::overload::{self, Standing};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -28,7 +29,8 @@
 /// elsewhere, or be refused with a word on whether it ran.
 pub(super) async fn answer(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Answer, Refusal> {
     let Leave { body, under_way, ran, reservation } = reserve(state, &call).await?;
-    if let Some(run) = &ran {
+    let mechanisms = state.settings.policy.mechanisms();
+    if let Some(run) = ran.as_ref().filter(|_| mechanisms.has(Mechanism::LastRun)) {
         note_run(state, run);
     }
     let reserved = call.arrived.elapsed();
@@ -61,6 +63,9 @@
 
 /// Turns a new program away while its pool has more work than it can do in time.
 fn admitted(state: &GatewayState, call: &Call, under_way: bool) -> Result<(), Refusal> {
+    if !state.settings.policy.mechanisms().has(Mechanism::Admission) {
+        return Ok(());
+    }
     let load = pool_load(state, call);
     let standing = Standing { rank: call.route.rank, under_way };
     let spread = rand::random::<f64>();
--- a/crates/gypsumglade/src/settings/load.rs
+++ b/crates/gypsumglade/src/settings/load.rs
@@ -95,7 +95,7 @@
     if path.contains('.') {
         "a key that `gypsumglade settings example store` shows in this section"
     } else {
-        "vm, listen, peers, discovery, gateway, threads, groups, store, tokens, operators, limits, timeouts, log, tls"
+        "vm, listen, peers, discovery, gateway, threads, groups, store, tokens, operators, limits, policy, timeouts, log, tls"
     }
 }
 
--- a/crates/gypsumglade/src/settings/mod.rs
+++ b/crates/gypsumglade/src/settings/mod.rs
@@ -14,6 +14,7 @@
 mod log;
 mod operators;
 mod peers;
+mod policy;
 mod store;
 mod timeouts;
 mod tls;
@@ -33,6 +34,7 @@
 pub use self::log::{Level, LogSettings};
 pub use self::operators::OperatorSettings;
 pub use self::peers::PeerSettings;
+pub use self::policy::PolicySettings;
 pub use self::store::StoreSettings;
 pub use self::timeouts::TimeoutSettings;
 pub use self::tls::{CertificateSettings, TlsSettings};
@@ -67,6 +69,8 @@
     pub operators: OperatorSettings,
     /// Bounds on size and concurrency.
     pub limits: LimitSettings,
+    /// Prices of links, and mechanisms that are off.
+    pub policy: PolicySettings,
     /// Bounds on time.
     pub timeouts: TimeoutSettings,
     /// Where log lines go.
@@ -93,6 +97,7 @@
             tokens: TokenSettings::default(),
             operators: OperatorSettings::default(),
             limits: LimitSettings::default(),
+            policy: PolicySettings::default(),
             timeouts: TimeoutSettings::default(),
             log: LogSettings::default(),
             tls: TlsSettings::default(),
@@ -189,6 +194,7 @@
         self.tokens.check(findings);
         self.operators.check(findings);
         self.limits.check(findings);
+        self.policy.check(findings);
         self.timeouts.check(findings);
         self.tls.check(findings);
     }
--- /dev/null
+++ b/crates/gypsumglade/src/settings/policy.rs
@@ -0,0 +1,46 @@
+//! How the data path decides.
+
+use gypsumglade_core::policy::mechanism::{Mechanism, Mechanisms};
+use gypsumglade_core::prelude::*;
+
+use super::Findings;
+
+/// Prices that the deployment's owner pays, and mechanisms that are off.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct PolicySettings {
+    /// Mechanisms that are switched off; for trials.
+    pub off: Vec<Mechanism>,
+    /// Seconds of a caller's time that a megabyte between failure domains of a region is worth.
+    pub domain_price: f64,
+    /// Seconds of a caller's time that a megabyte between regions is worth.
+    pub region_price: f64,
+}
+
+/// Highest price of a megabyte, in seconds: at it a prompt of 20 KB would rather wait half an hour.
+const MOST_PRICE: f64 = 100_000.0;
+
+impl Default for PolicySettings {
+    fn default() -> PolicySettings {
+        PolicySettings { off: Vec::new(), domain_price: 0.0, region_price: 1.5 }
+    }
+}
+
+impl PolicySettings {
+    /// Returns the mechanisms that are on.
+    pub fn mechanisms(&self) -> Mechanisms {
+        Mechanisms::without(&self.off)
+    }
+
+    pub(super) fn check(&self, findings: &mut Findings) {
+        let prices = [
+            ("policy.domain_price", self.domain_price),
+            ("policy.region_price", self.region_price),
+        ];
+        for (place, price) in prices {
+            if !(0.0..=MOST_PRICE).contains(&price) {
+                findings.add(place, price, "seconds for a megabyte, from 0 to 100000");
+            }
+        }
+    }
+}
