Tell processes of stores only, and entries only of changes among them

Cause: every introduction was answered by a list of all processes.

Change: rosters hold stores, and an entry that sends the digest of what it was told last gets no list while it is the same. Stores still get all, since repair goes by each one's silence. The tests fail without it.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -1,10 +1,15 @@
 //! Processes that introduced themselves, where nobody hands out a list of them.
 //!
 //! Each process says hello to stores it knows of, at first to those that its settings name, and is
-//! told of all others. What is known is soft state with an age; nothing durable depends on it.
+//! told of all stores. What is known is soft state with an age; nothing durable depends on it.
+//!
+//! Only stores are listed: nobody asks an entry VM for anything, and the lists of a deployment of many
+//! entries were most of the bytes between its failure domains.
 
 use std::collections::BTreeMap;
 
+use xxhash_rust::xxh3::Xxh3;
+
 use crate::prelude::*;
 use crate::wire::discovery::{Led, Node, Nodes, Role};
 
@@ -24,19 +29,36 @@
     at: Time,
 }
 
-/// Processes heard of lately.
+/// Returns what tells one list of stores from another: their identities and addresses. Never zero,
+/// which stands for an asker without a list.
+pub fn digest(nodes: &[Node]) -> u64 {
+    let mut known: Vec<(u32, &str)> =
+        nodes.iter().map(|node| (node.vm, node.peers.as_str())).collect();
+    known.sort_unstable();
+    let mut hasher = Xxh3::new();
+    for (vm, peers) in known {
+        hasher.update(&vm.to_le_bytes());
+        hasher.update(peers.as_bytes());
+    }
+    hasher.digest().max(1)
+}
+
+/// Stores heard of lately.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     nodes: BTreeMap<VmId, Heard>,
 }
 
 impl Roster {
-    /// Takes in a process, heard from itself or through another.
+    /// Takes in a store, heard from itself or through another; other processes are passed over.
     ///
     /// Only a later introduction counts as a sign of life. Were the age alone compared, each relay
     /// would add the time under way to the moment of the last one, and a dead process would seem to
     /// live on for seconds.
     pub fn hear(&mut self, now: Time, node: Node) {
+        if node.role() != Role::Store {
+            return;
+        }
         let at = now - Duration::from_millis(node.age_ms);
         let vm = VmId(node.vm);
         let known = self.nodes.get(&vm);
@@ -61,14 +83,31 @@
         self.nodes.retain(|_, heard| now.since(heard.at) < FORGET_AFTER);
     }
 
-    /// Returns the processes to tell another one of, with their ages.
-    pub fn nodes(&self, now: Time) -> Nodes {
+    /// Returns the stores to tell a process of, with their ages.
+    ///
+    /// `known` is the digest of those that it was told of last. An entry VM only needs to know which
+    /// stores there are, and where; told that they are the same, it costs a store a few bytes.
+    pub fn nodes(&self, now: Time, known: u64) -> Nodes {
         let nodes = self.nodes.values().filter(|heard| now.since(heard.at) < TELL_UNTIL);
         let aged = nodes.map(|heard| {
             let age = now.since(heard.at).as_millis();
             Node { age_ms: u64::try_from(age).unwrap_or(u64::MAX), ..heard.node.clone() }
         });
-        Nodes { nodes: aged.collect() }
+        let nodes: Vec<Node> = aged.collect();
+        match known != 0 && known == digest(&nodes) {
+            true => Nodes { nodes: Vec::new(), same: true },
+            false => Nodes { nodes, same: false },
+        }
+    }
+
+    /// Notes that another store has just heard of these too. It may have heard of them as long ago as
+    /// it tells of any store.
+    pub fn confirm(&mut self, now: Time, stores: &[VmId]) {
+        for vm in stores {
+            if let Some(heard) = self.nodes.get_mut(vm) {
+                heard.at = heard.at.max(now - TELL_UNTIL);
+            }
+        }
     }
 
     /// Returns the stores heard of, with the time each was last heard.
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -1,7 +1,7 @@
 //! Processes that introduce themselves.
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::roster::Roster;
+use gypsumglade_core::roster::{Roster, digest};
 use gypsumglade_core::wire::discovery::{Led, Node, Role};
 
 fn store(vm: u32, peers: &str, sequence: u64, age_ms: u64) -> Node {
@@ -69,7 +69,7 @@
     let mut roster = Roster::default();
     roster.hear(Time::from_millis(0), store(1, "10.0.0.1:1", 5, 0));
     roster.hear(Time::from_millis(6_000), store(2, "10.0.0.2:1", 5, 0));
-    let told = roster.nodes(Time::from_millis(6_500)).nodes;
+    let told = roster.nodes(Time::from_millis(6_500), 0).nodes;
     assert_eq!(told.len(), 1);
     assert_eq!((told[0].vm, told[0].age_ms), (2, 500));
 }
@@ -93,3 +93,58 @@
     roster.hear(Time::from_millis(9), Node { name: "s".into(), ..store(2, "10.0.0.2:1", 5, 0) });
     assert_eq!(roster.named("s").map(|node| node.vm), Some(2));
 }
+
+/// Nobody asks an entry VM for anything. With each introduction answered by a list of all processes,
+/// what a deployment sends to find its stores grows with the square of its entries.
+#[test]
+fn nodes_grows_with_stores_only() {
+    let mut roster = Roster::default();
+    let now = Time::from_millis(1_000);
+    roster.hear(now, store(1, "10.0.0.1:1", 5, 0));
+    for vm in 100..500 {
+        let entry = Node { role: Role::Entry.into(), ..store(vm, "10.0.1.1:1", 5, 0) };
+        roster.hear(now, Node { peers: format!("10.0.1.{vm}:1"), ..entry });
+    }
+    assert_eq!(roster.nodes(now, 0).nodes.len(), 1);
+}
+
+#[test]
+fn nodes_same_as_told() {
+    let mut roster = Roster::default();
+    let now = Time::from_millis(1_000);
+    roster.hear(now, store(1, "10.0.0.1:1", 5, 0));
+    roster.hear(now, store(2, "10.0.0.2:1", 5, 0));
+    let told = digest(&roster.nodes(now, 0).nodes);
+    let again = roster.nodes(now, told);
+    assert!(again.same && again.nodes.is_empty());
+    roster.hear(now, store(3, "10.0.0.3:1", 5, 0));
+    assert_eq!(roster.nodes(now, told).nodes.len(), 3);
+}
+
+/// A store is replaced by one with an empty disk at the same address. An entry VM that is told that
+/// all is as before would go on asking for the former one.
+#[test]
+fn nodes_differ_after_replacement() {
+    let mut roster = Roster::default();
+    let now = Time::from_millis(1_000);
+    roster.hear(now, store(1, "10.0.0.1:1", 5, 0));
+    let told = digest(&roster.nodes(now, 0).nodes);
+    roster.hear(now, store(2, "10.0.0.1:1", 9, 0));
+    assert!(!roster.nodes(now, told).same);
+}
+
+/// Stores answer that nothing changed for a minute; an entry VM must not forget them meanwhile, nor
+/// remember one that they stopped naming.
+#[test]
+fn confirm_keeps_those_told() {
+    let mut roster = Roster::default();
+    roster.hear(Time::from_millis(1_000), store(1, "10.0.0.1:1", 5, 0));
+    roster.hear(Time::from_millis(1_000), store(2, "10.0.0.2:1", 5, 0));
+    for round in 2..120 {
+        let now = Time::from_millis(round * 500);
+        roster.confirm(now, &[VmId(1)]);
+        roster.expire(now);
+    }
+    let left: Vec<u32> = roster.stores().map(|(node, _)| node.vm).collect();
+    assert_eq!(left, [1]);
+}
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Finds the other processes from a few seeds, and keeps finding them as they come and go.
 //!
-//! Each process introduces itself to some stores twice a second and is told of all others. Nothing
+//! Each process introduces itself to some stores twice a second and is told of all stores. Nothing
 //! durable depends on what is learnt: a wrong or old entry costs a failed connection. See
 //! docs/design/provider.md.
 
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::roster::Roster;
+use gypsumglade_core::roster::{Roster, digest};
 use gypsumglade_core::wire::discovery::{Hello, Led, Node, Nodes, Role};
 use rand::seq::IteratorRandom as _;
 use tokio_util::sync::CancellationToken;
@@ -41,11 +41,19 @@
     pub address: SocketAddr,
 }
 
+/// The stores that a process was told of last.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    digest: u64,
+    stores: Vec<VmId>,
+}
+
 /// What a process knows of the others.
 pub struct Discovery {
     me: Node,
     seeds: RwLock<Vec<SocketAddr>>,
     roster: Mutex<Roster>,
+    told: Mutex<Told>,
     /// Number of the latest introduction.
     sequence: AtomicU64,
     /// Groups that this process leads.
@@ -80,21 +88,31 @@
             lacking: false,
         };
         let seeds = RwLock::new(discovery.peers(process.address.port()));
-        let roster = Mutex::default();
+        let (roster, told) = (Mutex::default(), Mutex::default());
         let sequence = AtomicU64::new(0);
         let led = Mutex::default();
         // A store lacks what its group has until it has found that it doesn't.
         let lacking = AtomicBool::new(process.role == Role::Store);
-        let found =
-            Discovery { me: node, seeds, roster, sequence, led, lacking, directory, peers, clock };
+        let found = Discovery {
+            me: node,
+            seeds,
+            roster,
+            told,
+            sequence,
+            led,
+            lacking,
+            directory,
+            peers,
+            clock,
+        };
         found.hear(Vec::new());
         Some(Arc::new(found))
     }
 
-    /// Takes in a process that introduced itself, and returns those to tell it of.
+    /// Takes in a process that introduced itself, and returns the stores to tell it of.
     pub fn welcome(&self, hello: Hello) -> Nodes {
         self.hear(hello.node.into_iter().collect());
-        self.roster().nodes(self.clock.now())
+        self.roster().nodes(self.clock.now(), hello.known)
     }
 
     /// Returns the processes heard of lately.
@@ -163,14 +181,35 @@
     }
 
     async fn introduce(&self, address: SocketAddr) {
-        let hello = Hello { node: Some(self.myself()) };
+        let told = self.told();
+        let hello = Hello { node: Some(self.myself()), known: told.digest };
         let asking = self.peers.ask::<Hello, Nodes>(address, Method::Hello, &hello, TIMEOUT);
         // Who does not answer is asked again in a later round.
-        if let Ok(nodes) = asking.await {
-            self.hear(nodes.nodes);
+        match asking.await {
+            Ok(nodes) if nodes.same => self.roster().confirm(self.clock.now(), &told.stores),
+            Ok(nodes) => {
+                self.note_told(&nodes.nodes);
+                self.hear(nodes.nodes);
+            }
+            Err(_) => {}
         }
     }
 
+    /// Returns the stores that this process was told of last. A store wants all of them each time:
+    /// it repairs groups by how long each has been silent.
+    fn told(&self) -> Told {
+        match self.me.role() {
+            Role::Store => Told::default(),
+            Role::Entry => self.told.lock().expect("no panic while held").clone(),
+        }
+    }
+
+    fn note_told(&self, nodes: &[Node]) {
+        let stores = nodes.iter().map(|node| VmId(node.vm)).collect();
+        let told = Told { digest: digest(nodes), stores };
+        *self.told.lock().expect("no panic while held") = told;
+    }
+
     /// Returns the process's own introduction of this moment.
     ///
     /// The time of day numbers it, so that a restarted process goes on where it was. A clock that
