Tell entries which endpoints changed, not all of them

Change: the control group remembers which endpoints its latest thousand changes touched. The tests fail without it.

--- a/crates/core/src/control/endpoints.rs
+++ b/crates/core/src/control/endpoints.rs
@@ -3,7 +3,7 @@
 //! A store that acknowledges that an endpoint drains may be lost the next moment. The news is
 //! therefore committed before it is acknowledged, so that every later leader knows of it too.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::prelude::*;
 use crate::wire::control::{Deregister, EndpointNews, EndpointRecord, Snapshot};
@@ -11,6 +11,10 @@
 /// Departed endpoints whose last announcement is remembered against late ones.
 const MAX_DEPARTED: usize = 4_096;
 
+/// Latest changes whose endpoints are remembered, so that an asker is told only what it lacks. One that
+/// fell further behind is told all.
+const MAX_RECENT: usize = 1_024;
+
 /// An announcement's place in the life of its name: start, then count within that start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Stamp {
@@ -25,6 +29,15 @@
     /// Incarnations that ended, so that a late announcement does not bring one back.
     departed: BTreeMap<CompactString, u64>,
     change: u64,
+    /// Names that the latest changes touched, oldest first; none of those before a restart.
+    recent: VecDeque<Touched>,
+}
+
+/// An endpoint that a change touched.
+#[derive(Clone, Debug)]
+struct Touched {
+    change: u64,
+    name: CompactString,
 }
 
 impl Endpoints {
@@ -44,10 +57,49 @@
     }
 
     /// Returns what an asker that knows change `seen` lacks.
+    ///
+    /// While endpoints are replaced one after another, every entry VM asks after each change. Told all
+    /// endpoints each time, what they are sent grows with endpoints, changes and VMs together.
     pub fn news(&self, seen: u64) -> EndpointNews {
-        let known = seen == self.change;
-        let endpoints = if known { Vec::new() } else { self.iter().cloned().collect() };
-        EndpointNews { change: self.change, endpoints, unavailable: false, leader: 0 }
+        if seen == self.change {
+            return EndpointNews { change: self.change, ..EndpointNews::default() };
+        }
+        let Some(names) = self.touched_since(seen) else {
+            let endpoints = self.iter().cloned().collect();
+            return EndpointNews { change: self.change, endpoints, ..EndpointNews::default() };
+        };
+        let present = names.iter().filter_map(|name| self.present.get(*name));
+        let gone = names.iter().filter(|name| !self.present.contains_key(**name));
+        EndpointNews {
+            change: self.change,
+            endpoints: present.cloned().collect(),
+            delta: true,
+            gone: gone.map(ToString::to_string).collect(),
+            ..EndpointNews::default()
+        }
+    }
+
+    /// Returns the endpoints that the changes after `seen` touched; nothing if some of those changes
+    /// are no longer remembered.
+    fn touched_since(&self, seen: u64) -> Option<BTreeSet<&CompactString>> {
+        let oldest = self.recent.front()?.change;
+        if seen == 0 || seen + 1 < oldest || seen > self.change {
+            return None;
+        }
+        let later = self.recent.iter().filter(|touched| touched.change > seen);
+        Some(later.map(|touched| &touched.name).collect())
+    }
+
+    fn touch(&mut self, name: CompactString) {
+        self.change += 1;
+        self.remember(self.change, name);
+    }
+
+    fn remember(&mut self, change: u64, name: CompactString) {
+        if self.recent.len() == MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(Touched { change, name });
     }
 
     /// Tells whether an announcement says something that the log does not hold yet.
@@ -75,8 +127,9 @@
         };
         self.evict_address(&record);
         self.departed.remove(record.name.as_str());
-        self.present.insert(record.name.to_compact_string(), record);
-        self.change += 1;
+        let name = record.name.to_compact_string();
+        self.present.insert(name.clone(), record);
+        self.touch(name);
     }
 
     /// Removes an incarnation for good.
@@ -86,7 +139,7 @@
             return;
         }
         if self.present.remove(name).is_some() {
-            self.change += 1;
+            self.touch(name.to_compact_string());
         }
         self.depart(name.to_compact_string(), incarnation);
     }
@@ -113,6 +166,7 @@
             present: present.collect(),
             departed: departed.collect(),
             change: snapshot.endpoint_change,
+            recent: VecDeque::new(),
         }
     }
 
@@ -143,6 +197,8 @@
             .collect();
         for (name, incarnation) in former {
             self.present.remove(&name);
+            // Part of the change that the announcement is about to make.
+            self.remember(self.change + 1, name.clone());
             self.depart(name, incarnation);
         }
     }
--- a/crates/core/tests/control_endpoints.rs
+++ b/crates/core/tests/control_endpoints.rs
@@ -139,3 +139,64 @@
     assert_eq!(restored.endpoints().change(), control.endpoints().change());
     assert!(restored.is_retiring(gypsumglade_core::ids::VmId(7)));
 }
+
+/// Names of the endpoints that are told of, and of those told as gone.
+fn told(control: &Control, seen: u64) -> (Vec<String>, Vec<String>) {
+    let news = control.endpoints().news(seen);
+    (news.endpoints.into_iter().map(|record| record.name).collect(), news.gone)
+}
+
+/// Endpoints are replaced one after another, and every entry VM asks after each change. What it is
+/// told must be what changed, or a deployment's own messages fill the links between its failure
+/// domains.
+#[test]
+fn news_tells_only_changes() {
+    let mut control = Control::new();
+    for (index, name) in ["a", "bb", "ccc"].into_iter().enumerate() {
+        register(&mut control, record(name, 1 + index as u64, 1));
+    }
+    let seen = control.endpoints().change();
+    register(&mut control, EndpointRecord { leaving: true, ..record("bb", 2, 2) });
+    deregister(&mut control, "ccc", 3);
+
+    assert_eq!(told(&control, seen), (vec!["bb".to_owned()], vec!["ccc".to_owned()]));
+    assert!(control.endpoints().news(seen).delta);
+    assert_eq!(told(&control, control.endpoints().change()), (Vec::new(), Vec::new()));
+}
+
+/// An address is taken over by another endpoint. The former one must not go on getting calls at an
+/// entry VM that is told only of changes.
+#[test]
+fn news_tells_of_evicted() {
+    let mut control = Control::new();
+    register(&mut control, record("one", 5, 1));
+    let seen = control.endpoints().change();
+    register(&mut control, record("two", 6, 1));
+
+    assert_eq!(told(&control, seen), (vec!["two".to_owned()], vec!["one".to_owned()]));
+}
+
+#[test]
+fn news_tells_all_to_newcomer() {
+    let mut control = Control::new();
+    register(&mut control, record("a", 5, 1));
+    register(&mut control, record("bb", 6, 1));
+
+    assert!(!control.endpoints().news(0).delta);
+    assert_eq!(told(&control, 0).0, ["a", "bb"]);
+}
+
+/// A leader was restored from a snapshot, which does not say what the changes before it touched. An
+/// asker that lacks some of them must be told all, or it would keep endpoints that are gone.
+#[test]
+fn news_tells_all_after_restore() {
+    let mut control = Control::new();
+    register(&mut control, record("a", 5, 1));
+    let seen = control.endpoints().change();
+    register(&mut control, record("bb", 6, 1));
+    let restored = Control::restore(&control.snapshot()).expect("own snapshot");
+
+    let news = restored.endpoints().news(seen);
+    assert!(!news.delta);
+    assert_eq!(news.endpoints.len(), 2);
+}
--- a/crates/gypsumglade/src/gateway/follow.rs
+++ b/crates/gypsumglade/src/gateway/follow.rs
@@ -90,8 +90,12 @@
             return;
         }
         self.seen = news.change;
+        let mut next = if news.delta { self.known.clone() } else { HashMap::new() };
+        for name in &news.gone {
+            next.remove(name.as_str());
+        }
         let named = news.endpoints.into_iter().map(|found| (found.name.to_compact_string(), found));
-        let next: HashMap<CompactString, EndpointRecord> = named.collect();
+        next.extend(named);
         self.drop_gone(&next);
         self.known = next;
         self.renewal.hurry();
