Don't learn engines' speed from streams during which this process stood still

Change: a watch counts how often the process stood still, and streams that span a stand are not learnt from.

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -9,6 +9,7 @@
 //! - [`mechanism`]: the list of what can be switched off.
 //! - [`priority`]: the order among programs that wait.
 //! - [`retain`]: prefix memory across tool pauses.
+//! - [`stall`]: whether this process stood still.
 //! - [`retry`] and [`outlier`]: what is tried again and where (docs/design/retries.md).
 
 pub mod admission;
@@ -22,5 +23,6 @@
 pub mod retain;
 pub mod retry;
 pub mod route;
+pub mod stall;
 
 pub use crate::wire::common::Class;
--- /dev/null
+++ b/crates/core/src/policy/stall.rs
@@ -0,0 +1,47 @@
+//! Notices when a process stood still, so that it doesn't take its own stand for endpoints' slowness.
+//!
+//! A stream that was under way while a VM was suspended, or its processor was taken away, seems to have
+//! taken an engine all that time. Learnt from, a stand of six seconds made engines seem a hundred times
+//! slower than alone, and the VM turned new programs away for seconds after it was back, while engines
+//! had slots free.
+
+use crate::prelude::*;
+
+/// Pause between two looks at the clock.
+pub const TICK: Duration = Duration::from_millis(100);
+/// How late a look may come before the process counts as having stood still: more than a busy
+/// processor delays it, less than callers notice.
+const SLACK: Duration = Duration::from_millis(150);
+
+/// How often a process had stood still at some moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stalls(u64);
+
+/// Counts how often a process stood still.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StallWatch {
+    stalls: Stalls,
+    at: Time,
+}
+
+impl StallWatch {
+    /// Starts at `now`.
+    pub fn new(now: Time) -> StallWatch {
+        StallWatch { stalls: Stalls::default(), at: now }
+    }
+
+    /// Looks at the clock, every [`TICK`].
+    pub fn look(&mut self, now: Time) {
+        self.stalls = self.stalls(now);
+        self.at = now;
+    }
+
+    /// Returns how often the process has stood still. It counts a stand that no look has noticed yet:
+    /// what waited during the stand may run before the next look does.
+    pub fn stalls(&self, now: Time) -> Stalls {
+        match now.since(self.at) > TICK + SLACK {
+            true => Stalls(self.stalls.0 + 1),
+            false => self.stalls,
+        }
+    }
+}
--- a/crates/gypsumglade/src/gateway/placing.rs
+++ b/crates/gypsumglade/src/gateway/placing.rs
@@ -7,9 +7,10 @@
 use gypsumglade_core::policy::Class;
 use gypsumglade_core::policy::overload::PoolLoad;
 use gypsumglade_core::policy::registry::{
-    DispatchKey, DispatchLoad, EndpointKey, EndpointKind, LoadReport, ModelId,
+    DispatchKey, DispatchLoad, EndpointKey, EndpointKind, LoadReport, ModelId, Registry,
 };
 use gypsumglade_core::policy::route::{Choice, RouteAsk, RouteError, SharedPrefix, Target};
+use gypsumglade_core::policy::stall::{StallWatch, Stalls};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::turn::PromptRun;
 use tokio::time::Instant;
@@ -34,6 +35,8 @@
     pub(super) unread: u64,
     /// When it was placed.
     pub(super) placed: Instant,
+    /// How often this process had stood still by then.
+    pub(super) stalls: Stalls,
 }
 
 /// Returns the pool of a request, by the weights of its route. A program stays with one pool, where
@@ -71,14 +74,27 @@
 }
 
 /// Notes how long a stream's first event took an engine that had to read this many prompt tokens.
-pub(super) fn note_first(state: &GatewayState, call: &Call, unread: u64, first: Duration) {
+pub(super) fn note_first(state: &GatewayState, call: &Call, flight: &Flight) {
+    if flight.was_stalled() {
+        return;
+    }
+    let (unread, first) = (flight.unread, flight.placed.elapsed());
     let mut desk = state.desk();
     let speed = desk.speeds.entry(call.pool.clone()).or_default();
     speed.fill.observe(unread as f64, first.as_secs_f64());
 }
 
 /// Notes how fast a stream came.
-pub(super) fn note_speed(state: &GatewayState, call: &Call, gap: Duration, load: EndpointLoad) {
+pub(super) fn note_speed(
+    state: &GatewayState,
+    call: &Call,
+    flight: &Flight,
+    gap: Duration,
+    load: EndpointLoad,
+) {
+    if flight.was_stalled() {
+        return;
+    }
     let mut desk = state.desk();
     let speed = desk.speeds.entry(call.pool.clone()).or_default();
     speed.pace.observe(gap);
@@ -120,7 +136,7 @@
             retry_after
         }
     })?;
-    let flight = take_off(state, &mut desk.registry, now, &choice);
+    let flight = take_off(state, &mut desk.registry, &desk.watch, now, &choice);
     for prefix in &ask.shared {
         desk.registry.expect_prefix(now, choice.endpoint, prefix.hash, prefix.tokens);
     }
@@ -133,7 +149,8 @@
 
 fn take_off(
     state: &Arc<GatewayState>,
-    registry: &mut gypsumglade_core::policy::registry::Registry,
+    registry: &mut Registry,
+    watch: &StallWatch,
     now: Time,
     choice: &Choice,
 ) -> Option<Flight> {
@@ -143,6 +160,7 @@
     let load = DispatchLoad { fill_tokens: choice.fill_tokens, alone: false };
     let key = registry.dispatched(now, choice.endpoint, load);
     let state = Arc::clone(state);
+    let stalls = watch.stalls(now);
     let unread = choice.fill_tokens;
     Some(Flight {
         state,
@@ -153,6 +171,7 @@
         address,
         unread,
         placed: Instant::now(),
+        stalls,
     })
 }
 
@@ -196,6 +215,13 @@
 }
 
 impl Flight {
+    /// Tells whether this process stood still since the attempt was placed, so that its times say
+    /// nothing of the endpoint.
+    fn was_stalled(&self) -> bool {
+        let now = self.state.clock.now();
+        self.state.desk().watch.stalls(now) != self.stalls
+    }
+
     /// Takes the load that came with an answer.
     pub(super) fn reported(&self, load: EndpointLoad) {
         let now = self.state.clock.now();
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -168,8 +168,7 @@
         let completed = self.scanner.feed(&data);
         if before.is_none() && completed.events > 0 {
             source.flight.filled();
-            let Flight { unread, placed, .. } = source.flight;
-            note_first(&self.state, &self.call, unread, placed.elapsed());
+            note_first(&self.state, &self.call, &source.flight);
         }
         Some(Ok(completed))
     }
@@ -196,13 +195,21 @@
         true
     }
 
+    /// Learns from a stream how fast its engine generates.
+    fn learn(&self, source: &Source, last: Duration) {
+        let Some(events) = u32::try_from(self.events).ok().filter(|events| *events > 1) else {
+            return;
+        };
+        let gap = last.saturating_sub(self.timeline.first) / (events - 1);
+        let load = source.head.load.unwrap_or_default();
+        note_speed(&self.state, &self.call, &source.flight, gap, load);
+    }
+
     async fn finish(mut self, end: End, caller: &mpsc::Sender<RelayFrame>) {
         let tokens = self.events * self.call.event_tokens();
         let last = self.call.arrived.elapsed();
-        if let Some(gaps) = u32::try_from(self.events).ok().filter(|events| *events > 1) {
-            let gap = last.saturating_sub(self.timeline.first) / (gaps - 1);
-            let load = self.source.as_ref().and_then(|source| source.head.load);
-            note_speed(&self.state, &self.call, gap, load.unwrap_or_default());
+        if let Some(source) = &self.source {
+            self.learn(source, last);
         }
         let endpoint = self.attempts.tried.last().cloned();
         let used = Used { tokens, endpoint: endpoint.clone().filter(|_| self.events > 0) };
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -13,6 +13,7 @@
 use gypsumglade_core::policy::outlier::HealthSettings;
 use gypsumglade_core::policy::registry::{Registry, RegistrySettings};
 use gypsumglade_core::policy::route::{Place, RouteSettings, Router};
+use gypsumglade_core::policy::stall::{self, StallWatch};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::discovery::Role;
 use http::header::{CONNECTION, HeaderValue};
@@ -173,6 +174,7 @@
         registry: Registry::new(registry),
         router: Router::new(route_settings(&settings.policy), rand::random()),
         speeds: HashMap::new(),
+        watch: StallWatch::new(clock.now()),
     };
     Ok(GatewayState {
         vm,
@@ -231,6 +233,7 @@
     tokio::spawn(follow::follow(Arc::clone(state), halt.clone()));
     tokio::spawn(renew_config(Arc::clone(state), halt.clone()));
     tokio::spawn(sweep_channels(Arc::clone(state), halt.clone()));
+    tokio::spawn(watch_stalls(Arc::clone(state), halt.clone()));
     discovery
 }
 
@@ -247,6 +250,14 @@
     config::renew(&state.config, &renewal, |_| {}).await;
 }
 
+async fn watch_stalls(state: Arc<GatewayState>, halt: CancellationToken) {
+    while !halt.is_cancelled() {
+        let now = state.clock.now();
+        state.desk().watch.look(now);
+        tokio::time::sleep(stall::TICK).await;
+    }
+}
+
 async fn sweep_channels(state: Arc<GatewayState>, halt: CancellationToken) {
     while !halt.is_cancelled() {
         state.channels.expire();
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -7,6 +7,7 @@
 use gypsumglade_core::policy::overload::Pace;
 use gypsumglade_core::policy::registry::Registry;
 use gypsumglade_core::policy::route::{Place, Router};
+use gypsumglade_core::policy::stall::StallWatch;
 use gypsumglade_core::prelude::*;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -50,6 +51,7 @@
     pub(super) router: Router,
     /// How fast each pool's engines generate.
     pub(super) speeds: HashMap<CompactString, Speed>,
+    pub(super) watch: StallWatch,
 }
 
 /// How fast a pool's engines generate, as this VM's streams show it.
