Log what placing goes by, and take tuning stories out of comments

Each stream's line has its program's time left and the learnt speed of its pool's engines. Comments keep their purpose; figures of measurements stay in the commits that brought them.

--- a/crates/core/src/replication/repair.rs
+++ b/crates/core/src/replication/repair.rs
@@ -65,10 +65,9 @@
 /// Tells whether the leader should hand its leadership over, before anything else is repaired.
 ///
 /// Every commit waits for a majority, and a learner is filled by the leader. From the region with
-/// fewer stores both cross the link between regions, 16 ms and paid by volume: a southern store that
-/// had lost its disk took 3 to 5 s to fill from a northern leader, 0.6 s from a southern one. Stores
-/// are counted and not voters, since the one to be filled doesn't vote yet. A store that is to be
-/// emptied can't remove itself.
+/// fewer stores both cross the link between regions, slow and paid by volume, and a store that lost its
+/// disk takes several times as long to fill. Stores are counted and not voters, since the one to be
+/// filled doesn't vote yet. A store that is to be emptied can't remove itself.
 pub fn should_hand_over(members: &Members, survey: &Survey) -> bool {
     let Some(me) = survey.alive.iter().find(|store| store.vm == survey.me) else { return false };
     let others = survey
--- a/crates/core/src/turns/runs.rs
+++ b/crates/core/src/turns/runs.rs
@@ -9,8 +9,8 @@
 /// Engines that read a program's prompts, oldest first.
 ///
 /// An engine has a prompt's start in its memory only if it read it. Callers come in through one entry
-/// VM and then another, and a VM that doesn't know where the last turn ran reads the whole history
-/// again elsewhere: half of all such turns moved, and read 5,200 tokens where 1,400 were new.
+/// VM and then another, and a VM that doesn't know where the last turn ran has the whole history read
+/// again elsewhere.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Runs(pub(super) Vec<PromptRun>);
 
--- a/crates/core/src/turns/snapshot.rs
+++ b/crates/core/src/turns/snapshot.rs
@@ -32,8 +32,8 @@
 
     /// Returns the state without any text, for a store that fetches it later.
     ///
-    /// Text is nearly all of the state: over a link of 30 Mbit/s that of 17 seconds took 7 s, and
-    /// until a store that lost its disk has everything, no other may be lost.
+    /// Text is nearly all of the state and takes seconds over a narrow link, and until a store that lost
+    /// its disk has everything, no other may be lost.
     pub fn snapshot_textless(&self) -> Bytes {
         self.encoded(|_| true)
     }
--- a/crates/gypsumglade/src/entry/config.rs
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -19,7 +19,7 @@
 use crate::rpc::{Method, PeerClients, RpcError};
 
 /// Longest wait for a lease's answer, before another VM is asked. An answer takes a round trip and a
-/// look at the leader's lease, 20 ms; a processor that is out of its share stands still for 0.1 s.
+/// look at the leader's lease; a processor that is out of its share stands still for a tenth of a second.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between looks at whether a renewal is due.
 const POLL: Duration = Duration::from_millis(50);
--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -85,6 +85,11 @@
         self.head.turn.as_ref().map(|turn| turn.program.as_str())
     }
 
+    /// Returns the time until the program should be finished, as the caller told it.
+    pub(super) fn finish(&self) -> Option<Duration> {
+        self.head.turn.as_ref().and_then(|turn| turn.finish)
+    }
+
     /// Returns the line of turns that a turn belongs to, for logs.
     pub(super) fn session(&self) -> Option<&str> {
         self.head.turn.as_ref().map(|turn| turn.session.as_str())
--- a/crates/gypsumglade/src/gateway/follow.rs
+++ b/crates/gypsumglade/src/gateway/follow.rs
@@ -16,8 +16,8 @@
 
 /// How long a question waits at the leader for news.
 const WAIT: Duration = Duration::from_millis(800);
-/// The same while the endpoints known can't be used yet, for want of a bundle. After all processes
-/// were killed, requests were refused for 0.7 s longer since the loop waited for news meanwhile.
+/// The same while the endpoints known can't be used yet, for want of a bundle: a loop that waits for
+/// news meanwhile keeps refusing requests after all processes were killed.
 const PENDING_WAIT: Duration = Duration::from_millis(50);
 /// Longest wait for the answer: a leader that fell silent is noticed this fast, well within the
 /// time that a draining endpoint goes on serving.
--- a/crates/gypsumglade/src/gateway/history_cache.rs
+++ b/crates/gypsumglade/src/gateway/history_cache.rs
@@ -1,7 +1,7 @@
 //! Histories of turns that ended here, so that the next turn need not fetch them.
 //!
-//! A conversation of eleven turns grows to 40 KB. Fetched from the turn group before each turn, that
-//! was most of what crossed the link between regions, and delayed commits behind it. Nothing rests
+//! A conversation grows with each turn. Fetched whole from the turn group before each turn, histories
+//! would be most of what crosses the link between regions, and delay commits behind them. Nothing rests
 //! on the cache: the turn group says whether a turn is still kept.
 
 use std::collections::HashMap;
--- a/crates/gypsumglade/src/gateway/placing.rs
+++ b/crates/gypsumglade/src/gateway/placing.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use gypsumglade_core::policy::Class;
+use gypsumglade_core::policy::batch::BatchCost;
 use gypsumglade_core::policy::overload::PoolLoad;
 use gypsumglade_core::policy::registry::{
     DispatchKey, DispatchLoad, EndpointKey, EndpointKind, LoadReport, ModelId, Registry,
@@ -18,7 +19,7 @@
 
 use super::call::Call;
 use super::dialect::EndpointLoad;
-use super::state::GatewayState;
+use super::state::{Desk, GatewayState};
 
 /// Part of the tokens that an answer may have that it is expected to have.
 const OUTPUT_PART: f64 = 0.5;
@@ -73,6 +74,20 @@
     })
 }
 
+/// What is known of the speed of a pool's engines.
+pub(super) struct Learnt {
+    /// Generating.
+    pub(super) cost: Option<BatchCost>,
+    /// Seconds to read a prompt token.
+    pub(super) fill: Option<f64>,
+}
+
+/// Returns what is known of the speed of a call's pool.
+pub(super) fn learnt(state: &GatewayState, call: &Call) -> Learnt {
+    let speed = state.desk().speeds.get(&call.pool).copied().unwrap_or_default();
+    Learnt { cost: speed.batch.cost(call.engine_slots()), fill: speed.fill.token() }
+}
+
 /// Notes how long a stream's first event took an engine that had to read this many prompt tokens.
 pub(super) fn note_first(state: &GatewayState, call: &Call, flight: &Flight) {
     if flight.was_stalled() {
@@ -95,12 +110,13 @@
     if flight.was_stalled() {
         return;
     }
+    let token = gap.as_secs_f64() / call.event_tokens().max(1) as f64;
+    // The request itself is among those running.
+    let beside = f64::from(load.running.saturating_sub(1));
     let mut desk = state.desk();
     let speed = desk.speeds.entry(call.pool.clone()).or_default();
+    speed.batch.observe(beside, token);
     speed.pace.observe(gap);
-    let token = gap.as_secs_f64() / call.event_tokens().max(1) as f64;
-    // The request itself is among those running.
-    speed.batch.observe(f64::from(load.running.saturating_sub(1)), token);
 }
 
 /// Notes where a prompt's start was read last, as the turn group knows it. Other VMs' turns are news
@@ -126,11 +142,7 @@
     let now = state.clock.now();
     let mut desk = state.desk();
     let desk = &mut *desk;
-    let speed = desk.speeds.get(&call.pool).copied().unwrap_or_default();
-    let batch = speed.batch.cost(call.engine_slots());
-    let bytes = Some(body.len() as u64);
-    let ask =
-        RouteAsk { batch, fill: speed.fill.token(), bytes, ..route_ask(state, call, excluded) };
+    let ask = route_ask(state, desk, call, body, excluded);
     let choice = desk.router.choose(now, &desk.registry, &ask).map_err(|error| match error {
         RouteError::NoEndpoint { retry_after, .. } | RouteError::NoneFree { retry_after, .. } => {
             retry_after
@@ -175,7 +187,14 @@
     })
 }
 
-fn route_ask(state: &GatewayState, call: &Call, excluded: &[EndpointName]) -> RouteAsk {
+fn route_ask(
+    state: &GatewayState,
+    desk: &Desk,
+    call: &Call,
+    body: &Bytes,
+    excluded: &[EndpointName],
+) -> RouteAsk {
+    let speed = desk.speeds.get(&call.pool).copied().unwrap_or_default();
     let engine = call.bundle.pool(&call.pool).is_some_and(|pool| pool.engine.is_some());
     let target = match engine {
         true => Target::Model(pool_model(&call.pool)),
@@ -188,9 +207,9 @@
         prompt_tokens: call.head.prompt_tokens,
         prior_tokens: 0,
         output_guess: (call.head.most_tokens as f64 * OUTPUT_PART) as u64,
-        batch: None,
-        fill: None,
-        bytes: None,
+        batch: speed.batch.cost(call.engine_slots()),
+        fill: speed.fill.token(),
+        bytes: Some(body.len() as u64),
         last: Vec::new(),
         shared: shared_prefixes(call),
         class: if call.route.rank == 0 { Class::Urgent } else { Class::Normal },
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use super::channels::Channel;
 use super::dialect::AnswerHead;
 use super::opening::{Attempts, Opened, open};
-use super::placing::{Flight, note_first, note_speed};
+use super::placing::{Flight, learnt, note_first, note_speed};
 use super::settlement::{Reservation, Used, settle_later, settle_whole};
 use super::state::GatewayState;
 
@@ -228,10 +228,15 @@
                 true
             }
         };
+        let learnt = learnt(&self.state, &self.call);
         slog::info!(self.state.log, "stream ended"; "request" => %self.call.head.id,
             "program" => self.call.program(), "session" => self.call.session(),
             "route" => %self.call.route.name, "end" => ?end, "events" => self.events,
+            "finish_ms" => self.call.finish().map(|finish| finish.as_millis() as u64),
             "prompt" => self.call.head.prompt_tokens, "unread" => unread,
+            "token_us" => micros(learnt.cost.map(|cost| cost.alone)),
+            "slope_us" => micros(learnt.cost.map(|cost| cost.slope)),
+            "fill_us" => micros(learnt.fill),
             "settled" => settled, "runs" => self.attempts.runs, "endpoint" => endpoint.as_deref(),
             "reserved_ms" => self.timeline.reserved.as_millis() as u64,
             "first_ms" => self.timeline.first.as_millis() as u64,
@@ -264,6 +269,11 @@
 /// Longest wait for that: a caller that reads at all takes them in less than a round trip.
 const FLUSH_WAIT: Duration = Duration::from_millis(60);
 
+/// Returns seconds as microseconds, for logs.
+fn micros(seconds: Option<f64>) -> Option<f64> {
+    seconds.map(|seconds| seconds * 1e6)
+}
+
 /// Ends the attempt at an endpoint, and keeps its connection if the answer was whole.
 fn release(state: &GatewayState, source: Source, end: End) {
     let Source { flight, channel, head, .. } = source;
--- a/crates/gypsumglade/src/store/outbound.rs
+++ b/crates/gypsumglade/src/store/outbound.rs
@@ -20,8 +20,8 @@
 const PAUSE: Duration = Duration::from_millis(100);
 /// Frames under way to one peer.
 ///
-/// With one at a time a link of 16 ms carries 60 batches a second. A leader under load makes 200,
-/// so they queued for seconds: heartbeats came late and every election was lost again.
+/// With one at a time, a link between regions carries fewer batches a second than a leader under load
+/// makes: they queue for seconds, heartbeats come late and every election is lost again.
 const FRAMES: usize = 32;
 /// Bytes after which waiting batches go out in more than one frame.
 const FRAME_BYTES: usize = 256 * 1024;
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -37,20 +37,19 @@
 
 /// Most entry bytes in one message to a follower.
 ///
-/// The narrowest link of the users carries 3.75 MB a second. Eight such messages on their way, half
-/// a megabyte, delay the heartbeats behind them by 0.14 s; the 4 MB that the core allows by itself
-/// would depose a leader whose follower has to catch up.
+/// Eight such messages on their way delay the heartbeats behind them on a narrow link by less than an
+/// election's patience; what the core allows by itself would depose a leader whose follower has to
+/// catch up.
 const BATCH_BYTES: usize = 64 * 1024;
 /// Most entry messages on their way to one follower; see [`BATCH_BYTES`].
 const IN_FLIGHT: usize = 8;
 /// Bytes of one piece of a snapshot. One is under way at a time, so smaller ones would leave a link
-/// of 16 ms idle for half of the time.
+/// between regions idle for half of the time.
 const CHUNK_BYTES: usize = 256 * 1024;
 /// Entries that a learner may lack and still be promoted.
 ///
-/// A busy turn group appends 400 entries a second, and each takes 20 to 100 ms to a learner in
-/// another region and back. With 16 allowed, one that had everything but those under way was kept
-/// waiting for six seconds, until a quiet moment; this many are half a second of them.
+/// A learner in another region always lacks what is on its way there: half a second of a busy turn
+/// group's entries. Allowed less, one that had all the rest would wait for a quiet moment to vote.
 const PROMOTE_LAG: u64 = 200;
 /// Events that may wait for the control group.
 const EVENT_BUFFER: usize = 1_024;
--- a/crates/gypsumglade/src/store/text_repair.rs
+++ b/crates/gypsumglade/src/store/text_repair.rs
@@ -17,8 +17,8 @@
 use crate::discovery::Discovery;
 use crate::rpc::Method;
 
-/// Turns asked for at one time: some 200 KB of text, which holds up what follows on a link of
-/// 30 Mbit/s for 50 ms.
+/// Turns asked for at one time: little enough text that what follows on a narrow link is hardly held
+/// up.
 const BATCH: usize = 64;
 /// Pause between two looks while nothing is lacking, and after a round that brought nothing.
 const PAUSE: Duration = Duration::from_millis(100);
