--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 
 use anyhow::Context as _;
@@ -31,7 +30,7 @@
 
 use super::call::{Answer, Call, Matched};
 use super::channels::Channels;
-use super::dialect::{CallHead, Dialect, Refusal};
+use super::dialect::{Dialect, Refusal};
 use super::history_cache::HistoryCache;
 use super::placing::choose_pool;
 use super::plain::{self, refused};
@@ -61,15 +60,10 @@
 const LAST_END: Duration = Duration::from_millis(7_500);
 /// Pause between two looks for idle connections to endpoints whose time is over.
 const CHANNEL_SWEEP: Duration = Duration::from_secs(1);
-/// When to come back to a VM that knows no bundle: an election takes about a second, and callers who
-/// are told less have used up their attempts by then.
+/// When to come back to a VM that knows no bundle yet: where all processes were killed, the control
+/// group has a leader again a second after they are back. Callers who were told 0.3 s had used up
+/// their attempts by then, and their programs failed.
 const NO_BUNDLE_PAUSE: Duration = Duration::from_millis(900);
-/// Longest wait for routes and endpoints: an election and the first leases after it.
-const SUPPLY_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Part of the caller's time that the wait may take.
-const SUPPLY_PART: f64 = 0.25;
-/// Pause between two looks for them.
-const SUPPLY_POLL: Duration = Duration::from_millis(20);
 /// Longest time that a caller may take to send its body. Callers give up far sooner; this only ends
 /// what a caller that fell silent has left behind.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -196,7 +190,6 @@
         stop: CancellationToken::new(),
         tasks: TaskTracker::new(),
         desk: Mutex::new(desk),
-        fresh: AtomicBool::new(true),
         directory,
         peers,
         settings,
@@ -217,9 +210,9 @@
 
 /// When an endpoint is taken out for its failures, and how it comes back.
 ///
-/// A small pool that loses some answers has short runs of failures by chance; out for long each time,
-/// most of it would be gone. Endpoints start with what they need, so a short ramp is enough to spread
-/// what would come to a new one at once.
+/// A pool of three that loses one answer in twenty has runs of three failures by chance; out for
+/// five seconds each, most of the pool was gone. Endpoints start with what they need, so a second
+/// and a half is enough to spread what would come to a new one at once.
 const HEALTH: HealthSettings = HealthSettings {
     failures: 4,
     ejection: Duration::from_secs(1),
@@ -382,7 +375,6 @@
     let head = state.dialect.read_call(&parts);
     let head = head.ok_or((CompactString::default(), Refusal::Malformed))?;
     let refuse = |refusal| (head.id.clone(), refusal);
-    await_supplies(state, &head).await;
     let bundle = state.config.active(state.clock.now());
     let bundle = bundle.map_err(|_| refuse(Refusal::Unavailable { after: NO_BUNDLE_PAUSE }))?;
     let route = bundle.route(&head.host, parts.uri.path()).cloned();
@@ -394,24 +386,6 @@
     Ok(Call::new(head, parts, body, Matched { route, pool, bundle }, arrived))
 }
 
-/// Waits a while for routes and endpoints, on a VM that has just started.
-///
-/// Where all processes were killed together, callers are there before the control group has a leader
-/// again. Refused, they come back up to a second after their VM could have served them, and those whose
-/// attempts are used up lose their program. The wait is a small part of what the caller has left, so
-/// that it can still turn to another VM. A VM that was cut off after it had all this refuses at once: it
-/// does not know when it will have it again.
-async fn await_supplies(state: &GatewayState, head: &CallHead) {
-    let left = head.deadline.unwrap_or(SUPPLY_PATIENCE);
-    let until = Instant::now() + SUPPLY_PATIENCE.min(left.mul_f64(SUPPLY_PART));
-    while state.is_fresh() && !state.stop.is_cancelled() && Instant::now() < until {
-        if state.is_supplied() {
-            return;
-        }
-        tokio::time::sleep(SUPPLY_POLL).await;
-    }
-}
-
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
     let reading = Limited::new(body, limit).collect();
     match tokio::time::timeout(BODY_TIMEOUT, reading).await {
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -1,11 +1,10 @@
 //! What all tasks of a gateway share.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use gypsumglade_core::policy::batch::{BatchFit, FillFit};
-use gypsumglade_core::policy::overload::PoolPace;
+use gypsumglade_core::policy::overload::Pace;
 use gypsumglade_core::policy::registry::Registry;
 use gypsumglade_core::policy::route::{Place, Router};
 use gypsumglade_core::policy::stall::StallWatch;
@@ -44,25 +43,23 @@
     /// Connections and relays under way, which a planned stop waits for.
     pub(super) tasks: TaskTracker,
     pub(super) desk: Mutex<Desk>,
-    /// True until this VM first knew its routes and some endpoint.
-    pub(super) fresh: AtomicBool,
 }
 
 /// The routing decisions' state, behind one lock that is never held across a wait.
 pub(super) struct Desk {
     pub(super) registry: Registry,
     pub(super) router: Router,
-    /// How fast each pool's engines are.
+    /// How fast each pool's engines generate.
     pub(super) speeds: HashMap<CompactString, Speed>,
     pub(super) watch: StallWatch,
 }
 
-/// How fast a pool's engines are, as this VM's streams show it.
+/// How fast a pool's engines generate, as this VM's streams show it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Speed {
-    /// Generating now, against idle.
-    pub(super) pace: PoolPace,
-    /// Generating, by what runs on one engine.
+    /// Now, against idle.
+    pub(super) pace: Pace,
+    /// By what runs on one engine.
     pub(super) batch: BatchFit,
     /// Reading prompts.
     pub(super) fill: FillFit,
@@ -76,21 +73,8 @@
     /// Tells whether this VM should get callers: it knows its routes and some endpoint, and does
     /// not stop.
     pub(super) fn is_ready(&self) -> bool {
-        self.is_supplied() && !self.stop.is_cancelled()
-    }
-
-    /// Tells whether this VM knows its routes and some endpoint.
-    pub(super) fn is_supplied(&self) -> bool {
         let configured = self.config.active(self.clock.now()).is_ok();
-        let supplied = configured && self.desk().registry.iter().next().is_some();
-        if supplied {
-            self.fresh.store(false, Ordering::Relaxed);
-        }
-        supplied
-    }
-
-    /// Tells whether this VM has not known its routes and some endpoint since it started.
-    pub(super) fn is_fresh(&self) -> bool {
-        self.fresh.load(Ordering::Relaxed)
+        let served = self.desk().registry.iter().next().is_some();
+        configured && served && !self.stop.is_cancelled()
     }
 }
