--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -60,9 +60,8 @@
 const LAST_END: Duration = Duration::from_millis(7_500);
 /// Pause between two looks for idle connections to endpoints whose time is over.
 const CHANNEL_SWEEP: Duration = Duration::from_secs(1);
-/// When to come back to a VM that knows no bundle yet: where all processes were killed, the control
-/// group has a leader again a second after they are back. Callers who were told 0.3 s had used up
-/// their attempts by then, and their programs failed.
+/// When to come back to a VM that knows no bundle: an election takes about a second, and callers who
+/// are told less have used up their attempts by then.
 const NO_BUNDLE_PAUSE: Duration = Duration::from_millis(900);
 /// Longest time that a caller may take to send its body. Callers give up far sooner; this only ends
 /// what a caller that fell silent has left behind.
@@ -210,9 +209,9 @@
 
 /// When an endpoint is taken out for its failures, and how it comes back.
 ///
-/// A pool of three that loses one answer in twenty has runs of three failures by chance; out for
-/// five seconds each, most of the pool was gone. Endpoints start with what they need, so a second
-/// and a half is enough to spread what would come to a new one at once.
+/// A small pool that loses some answers has short runs of failures by chance; out for long each time,
+/// most of it would be gone. Endpoints start with what they need, so a short ramp is enough to spread
+/// what would come to a new one at once.
 const HEALTH: HealthSettings = HealthSettings {
     failures: 4,
     ejection: Duration::from_secs(1),
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use gypsumglade_core::policy::batch::{BatchFit, FillFit};
-use gypsumglade_core::policy::overload::Pace;
+use gypsumglade_core::policy::overload::PoolPace;
 use gypsumglade_core::policy::registry::Registry;
 use gypsumglade_core::policy::route::{Place, Router};
 use gypsumglade_core::policy::stall::StallWatch;
@@ -49,17 +49,17 @@
 pub(super) struct Desk {
     pub(super) registry: Registry,
     pub(super) router: Router,
-    /// How fast each pool's engines generate.
+    /// How fast each pool's engines are.
     pub(super) speeds: HashMap<CompactString, Speed>,
     pub(super) watch: StallWatch,
 }
 
-/// How fast a pool's engines generate, as this VM's streams show it.
+/// How fast a pool's engines are, as this VM's streams show it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Speed {
-    /// Now, against idle.
-    pub(super) pace: Pace,
-    /// By what runs on one engine.
+    /// Generating now, against idle.
+    pub(super) pace: PoolPace,
+    /// Generating, by what runs on one engine.
     pub(super) batch: BatchFit,
     /// Reading prompts.
     pub(super) fill: FillFit,
