--- /dev/null
+++ b/crates/gypsumglade/src/gateway/intake.rs
@@ -0,0 +1,154 @@
+//! Takes callers' connections and requests in, and sends each request on its way.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, request};
+use http_body_util::{BodyExt as _, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+use super::call::{Answer, Call, Matched};
+use super::dialect::Refusal;
+use super::placing::choose_pool;
+use super::plain::{self, refused};
+use super::state::GatewayState;
+use super::streaming;
+
+/// Longest time that a caller's connection may stay idle or take to send a head. It is above any
+/// idle time that operators tell callers, so that no request crosses a close.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Time after a planned stop began until connections that are idle are closed and no further one is
+/// taken. By then the balancer has missed two answers and sends no more, and most callers have had
+/// an answer that tells them to open another connection.
+const LISTEN_ON: Duration = Duration::from_millis(3_000);
+/// When to come back to a VM that knows no bundle: an election takes about a second, and callers who
+/// are told less have used up their attempts by then.
+const NO_BUNDLE_PAUSE: Duration = Duration::from_millis(900);
+/// Longest time that a caller may take to send its body. Callers give up far sooner; this only ends
+/// what a caller that fell silent has left behind.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause after a failed accept (typically: out of file descriptors), so that the loop can't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Takes connections until a planned stop is far enough.
+pub(super) async fn accept(state: Arc<GatewayState>, socket: TcpListener) {
+    let closing = async {
+        state.stop.cancelled().await;
+        tokio::time::sleep(LISTEN_ON).await;
+    };
+    tokio::pin!(closing);
+    loop {
+        let accepted = tokio::select! {
+            () = &mut closing => return,
+            accepted = socket.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => drop(state.tasks.spawn(connection(Arc::clone(&state), stream))),
+            Err(error) => {
+                slog::warn!(state.log, "cannot accept a caller"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves a caller's connection until it closes it, or a planned stop does.
+async fn connection(state: Arc<GatewayState>, stream: TcpStream) {
+    // Small frames of a token stream must not wait for an acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let serving = Arc::clone(&state);
+    let service = service_fn(move |request| {
+        let state = Arc::clone(&serving);
+        async move { Ok::<_, Infallible>(serve(state, request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(served);
+    let closing = async {
+        state.stop.cancelled().await;
+        tokio::time::sleep(LISTEN_ON).await;
+    };
+    tokio::select! {
+        // A caller's connection that broke is the caller's to notice.
+        _ = served.as_mut() => return,
+        () = closing => {}
+    }
+    served.as_mut().graceful_shutdown();
+    let _ = served.await;
+}
+
+/// Takes one request through all steps.
+async fn serve(state: Arc<GatewayState>, request: Request<Incoming>) -> Answer {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let line = format!("{} {}", parts.method, parts.uri.path());
+    let prepared = prepare(&state, parts, body, arrived).await;
+    let (id, result) = match prepared {
+        Ok(call) => {
+            let call = Arc::new(call);
+            let result = match call.stream() {
+                Some(_) => streaming::answer(&state, Arc::clone(&call)).await,
+                None => plain::answer(&state, &call).await,
+            };
+            (call.head.id.clone(), result)
+        }
+        Err((id, refusal)) => (id, Err(refusal)),
+    };
+    let outcome = match &result {
+        Ok(_) => "answered",
+        Err(refusal) => refusal.name(),
+    };
+    let status = result.as_ref().ok().map(|answer| answer.status().as_u16());
+    slog::info!(state.log, "request"; "request" => %id, "line" => line, "outcome" => outcome,
+        "status" => status, "ms" => arrived.elapsed().as_millis() as u64,
+        "revision" => state.config.applied().0);
+    state.metrics.call(arrived.elapsed().as_secs_f64(), "passed", outcome);
+    let mut answer = result.unwrap_or_else(|refusal| refused(&state, refusal));
+    if state.stop.is_cancelled() {
+        // The caller opens its next connection to another VM, with an answer in its hands.
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+type Refused = (CompactString, Refusal);
+
+async fn prepare(
+    state: &GatewayState,
+    parts: request::Parts,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<Call, Refused> {
+    let head = state.dialect.read_call(&parts);
+    let head = head.ok_or((CompactString::default(), Refusal::Malformed))?;
+    let refuse = |refusal| (head.id.clone(), refusal);
+    let bundle = state.config.active(state.clock.now());
+    let bundle = bundle.map_err(|_| refuse(Refusal::Unavailable { after: NO_BUNDLE_PAUSE }))?;
+    let route = bundle.route(&head.host, parts.uri.path()).cloned();
+    let route = route.ok_or_else(|| refuse(Refusal::NoRoute))?;
+    let limit = usize::try_from(bundle.bundle.callers.body_bytes).unwrap_or(usize::MAX);
+    let body = read_body(body, limit).await.map_err(refuse)?;
+    let program = head.turn.as_ref().map(|turn| &turn.program);
+    let pool = choose_pool(&route, program.unwrap_or(&head.id));
+    Ok(Call::new(head, parts, body, Matched { route, pool, bundle }, arrived))
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let reading = Limited::new(body, limit).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
+        // A caller that broke off or fell silent reads no answer.
+        Ok(Err(_)) | Err(_) => Err(Refusal::Malformed),
+    }
+}
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod follow;
 mod history_cache;
+mod intake;
 mod lines;
 mod opening;
 mod placing;
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -1,7 +1,6 @@
-//! Starts and stops a gateway, and takes callers' requests in.
+//! Starts and stops a gateway.
 
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
@@ -9,34 +8,24 @@
 use axum::Router as Routes;
 use axum::extract::State;
 use axum::routing::get;
-use bytes::Bytes;
 use gypsumglade_core::policy::outlier::HealthSettings;
 use gypsumglade_core::policy::registry::{Registry, RegistrySettings};
 use gypsumglade_core::policy::route::{Place, RouteSettings, Router};
 use gypsumglade_core::policy::stall::{self, StallWatch};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::discovery::Role;
-use http::header::{CONNECTION, HeaderValue};
-use http::{Request, StatusCode, request};
-use http_body_util::{BodyExt as _, Limited};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use http::StatusCode;
+use tokio::net::TcpListener;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::call::{Answer, Call, Matched};
 use super::channels::Channels;
-use super::dialect::{Dialect, Refusal};
+use super::dialect::Dialect;
 use super::history_cache::HistoryCache;
-use super::placing::choose_pool;
-use super::plain::{self, refused};
 use super::state::{Desk, GatewayState};
 use super::turn_client::TurnClient;
-use super::{follow, streaming};
+use super::{follow, intake};
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::discovery::{Discovery, Process, fresh_identity};
@@ -48,26 +37,11 @@
 use crate::settings::{DiscoverySettings, PolicySettings, Settings};
 use crate::tls;
 
-/// Longest time that a caller's connection may stay idle or take to send a head. It is above any
-/// idle time that operators tell callers, so that no request crosses a close.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Time after a planned stop began until connections that are idle are closed and no further one is
-/// taken. By then the balancer has missed two answers and sends no more, and most callers have had
-/// an answer that tells them to open another connection.
-const LISTEN_ON: Duration = Duration::from_millis(3_000);
 /// Time after a planned stop began until the process ends whatever is still under way. Requests are
 /// taken for three seconds and last four at most; the provider kills a process after eight.
 const LAST_END: Duration = Duration::from_millis(7_500);
 /// Pause between two looks for idle connections to endpoints whose time is over.
 const CHANNEL_SWEEP: Duration = Duration::from_secs(1);
-/// When to come back to a VM that knows no bundle: an election takes about a second, and callers who
-/// are told less have used up their attempts by then.
-const NO_BUNDLE_PAUSE: Duration = Duration::from_millis(900);
-/// Longest time that a caller may take to send its body. Callers give up far sooner; this only ends
-/// what a caller that fell silent has left behind.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause after a failed accept (typically: out of file descriptors), so that the loop can't spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A running gateway.
 pub struct Gateway {
@@ -116,7 +90,7 @@
         };
         let addresses = GatewayAddresses { callers: callers.local_addr()?, ready: ready.address() };
         let discovery = spawn_loops(&state, &halt);
-        tokio::spawn(accept(Arc::clone(&state), callers));
+        tokio::spawn(intake::accept(Arc::clone(&state), callers));
         slog::info!(state.log, "gateway started"; "vm" => state.vm.0,
             "callers" => %addresses.callers, "ready" => %addresses.ready);
         Ok(Gateway { state, addresses, ready, metrics, discovery, halt })
@@ -280,117 +254,3 @@
     };
     Routes::new().route("/metrics", get(page)).with_state(Arc::clone(state))
 }
-
-async fn accept(state: Arc<GatewayState>, socket: TcpListener) {
-    let closing = async {
-        state.stop.cancelled().await;
-        tokio::time::sleep(LISTEN_ON).await;
-    };
-    tokio::pin!(closing);
-    loop {
-        let accepted = tokio::select! {
-            () = &mut closing => return,
-            accepted = socket.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => drop(state.tasks.spawn(connection(Arc::clone(&state), stream))),
-            Err(error) => {
-                slog::warn!(state.log, "cannot accept a caller"; "error" => %error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Serves a caller's connection until it closes it, or a planned stop does.
-async fn connection(state: Arc<GatewayState>, stream: TcpStream) {
-    // Small frames of a token stream must not wait for an acknowledgement.
-    let _ = stream.set_nodelay(true);
-    let serving = Arc::clone(&state);
-    let service = service_fn(move |request| {
-        let state = Arc::clone(&serving);
-        async move { Ok::<_, Infallible>(serve(state, request).await) }
-    });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(served);
-    let closing = async {
-        state.stop.cancelled().await;
-        tokio::time::sleep(LISTEN_ON).await;
-    };
-    tokio::select! {
-        // A caller's connection that broke is the caller's to notice.
-        _ = served.as_mut() => return,
-        () = closing => {}
-    }
-    served.as_mut().graceful_shutdown();
-    let _ = served.await;
-}
-
-/// Takes one request through all steps.
-async fn serve(state: Arc<GatewayState>, request: Request<Incoming>) -> Answer {
-    let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
-    let line = format!("{} {}", parts.method, parts.uri.path());
-    let prepared = prepare(&state, parts, body, arrived).await;
-    let (id, result) = match prepared {
-        Ok(call) => {
-            let call = Arc::new(call);
-            let result = match call.stream() {
-                Some(_) => streaming::answer(&state, Arc::clone(&call)).await,
-                None => plain::answer(&state, &call).await,
-            };
-            (call.head.id.clone(), result)
-        }
-        Err((id, refusal)) => (id, Err(refusal)),
-    };
-    let outcome = match &result {
-        Ok(_) => "answered",
-        Err(refusal) => refusal.name(),
-    };
-    let status = result.as_ref().ok().map(|answer| answer.status().as_u16());
-    slog::info!(state.log, "request"; "request" => %id, "line" => line, "outcome" => outcome,
-        "status" => status, "ms" => arrived.elapsed().as_millis() as u64,
-        "revision" => state.config.applied().0);
-    state.metrics.call(arrived.elapsed().as_secs_f64(), "passed", outcome);
-    let mut answer = result.unwrap_or_else(|refusal| refused(&state, refusal));
-    if state.stop.is_cancelled() {
-        // The caller opens its next connection to another VM, with an answer in its hands.
-        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    answer
-}
-
-type Refused = (CompactString, Refusal);
-
-async fn prepare(
-    state: &GatewayState,
-    parts: request::Parts,
-    body: Incoming,
-    arrived: Instant,
-) -> Result<Call, Refused> {
-    let head = state.dialect.read_call(&parts);
-    let head = head.ok_or((CompactString::default(), Refusal::Malformed))?;
-    let refuse = |refusal| (head.id.clone(), refusal);
-    let bundle = state.config.active(state.clock.now());
-    let bundle = bundle.map_err(|_| refuse(Refusal::Unavailable { after: NO_BUNDLE_PAUSE }))?;
-    let route = bundle.route(&head.host, parts.uri.path()).cloned();
-    let route = route.ok_or_else(|| refuse(Refusal::NoRoute))?;
-    let limit = usize::try_from(bundle.bundle.callers.body_bytes).unwrap_or(usize::MAX);
-    let body = read_body(body, limit).await.map_err(refuse)?;
-    let program = head.turn.as_ref().map(|turn| &turn.program);
-    let pool = choose_pool(&route, program.unwrap_or(&head.id));
-    Ok(Call::new(head, parts, body, Matched { route, pool, bundle }, arrived))
-}
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        // A caller that broke off or fell silent reads no answer.
-        Ok(Err(_)) | Err(_) => Err(Refusal::Malformed),
-    }
-}
