Ask another endpoint when a call that may be repeated is overdue

The gateway waited for the whole of the caller's time, so the second attempt that the route allows was never made.

Change: a route's answers tell how long they take. A call that may run twice is given five times that, or its equal part of the time left, and then sent to another endpoint; the first counts as having failed. A call that may not be repeated, and the last attempt, wait as before.

--- a/crates/core/src/policy/mechanism.rs
+++ b/crates/core/src/policy/mechanism.rs
@@ -27,6 +27,8 @@
     Holders,
     /// The turn group tells which engine read a program's prompt last.
     LastRun,
+    /// A call that may be repeated is sent elsewhere when its answer takes unusually long.
+    Patience,
     /// New and returned endpoints get a growing share of calls.
     SlowStart,
     /// Endpoints that keep failing get no calls for a while.
@@ -35,7 +37,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order of the enum.
-    pub const ALL: [Mechanism; 11] = [
+    pub const ALL: [Mechanism; 12] = [
         Mechanism::Admission,
         Mechanism::Queue,
         Mechanism::Prefix,
@@ -45,6 +47,7 @@
         Mechanism::Fading,
         Mechanism::Holders,
         Mechanism::LastRun,
+        Mechanism::Patience,
         Mechanism::SlowStart,
         Mechanism::Ejection,
     ];
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -7,6 +7,7 @@
 //! - [`admission`]: whether and when a call is let in (docs/design/admission.md).
 //! - [`batch`]: how fast engines read and generate, by what they run; [`line`] learns it.
 //! - [`mechanism`]: the list of what can be switched off.
+//! - [`patience`]: how long an answer is waited for before another endpoint is asked.
 //! - [`priority`]: the order among programs that wait.
 //! - [`retain`]: prefix memory across tool pauses.
 //! - [`stall`]: whether this process stood still.
@@ -18,6 +19,7 @@
 pub mod mechanism;
 pub mod outlier;
 pub mod overload;
+pub mod patience;
 pub mod priority;
 pub mod registry;
 pub mod retain;
--- a/crates/core/src/policy/registry/mod.rs
+++ b/crates/core/src/policy/registry/mod.rs
@@ -235,6 +235,15 @@
         });
     }
 
+    /// Counts a call whose answer did not come in the usual time, which may eject its endpoint. The
+    /// call itself is closed apart.
+    pub fn overdue(&mut self, now: Time, key: EndpointKey) {
+        let settings = &self.settings.health;
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.health.failed(now, settings);
+        }
+    }
+
     /// Counts a call as given up by the caller, which says nothing about the endpoint.
     pub fn cancelled(&mut self, now: Time, dispatch: DispatchKey) {
         self.close(now, dispatch, |endpoint, _, _| endpoint.load.over(now, None));
--- /dev/null
+++ b/crates/core/tests/policy_mechanism.rs
@@ -0,0 +1,19 @@
+//! Switching mechanisms off, one by one.
+
+use gypsumglade_core::policy::mechanism::{Mechanism, Mechanisms};
+
+#[test]
+fn has_all_by_default() {
+    assert!(Mechanism::ALL.iter().all(|mechanism| Mechanisms::default().has(*mechanism)));
+}
+
+/// An ablation that switches off more than it names, or nothing, tells a wrong worth.
+#[test]
+fn without_only_those_named() {
+    for off in Mechanism::ALL {
+        let mechanisms = Mechanisms::without(&[off]);
+        for other in Mechanism::ALL {
+            assert_eq!(mechanisms.has(other), other != off, "{off:?} off, {other:?}");
+        }
+    }
+}
--- a/crates/gypsumglade/src/gateway/opening.rs
+++ b/crates/gypsumglade/src/gateway/opening.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gypsumglade_core::policy::mechanism::Mechanism;
 use gypsumglade_core::prelude::*;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::call::Call;
 use super::channels::{Channel, ChannelError};
@@ -80,9 +82,14 @@
             Err(_) => return Err(Refusal::Lost),
         };
         attempts.tried.push(flight.name.clone());
+        let (endpoint, sent) = (flight.endpoint, Instant::now());
+        let patience = patience(state, call, attempts, left);
         let sending = send(state, call, body, after, flight);
-        match tokio::time::timeout(left, sending).await {
-            Ok(Outcome::Opened(opened)) => return Ok(*opened),
+        match tokio::time::timeout(patience, sending).await {
+            Ok(Outcome::Opened(opened)) => {
+                note_answer(state, call, sent.elapsed());
+                return Ok(*opened);
+            }
             Ok(Outcome::NotRun) => refusals += 1,
             Ok(Outcome::InDoubt) => {
                 attempts.runs += 1;
@@ -90,6 +97,14 @@
                     return Err(Refusal::Lost);
                 }
             }
+            Err(_) if patience < left => {
+                attempts.runs += 1;
+                let now = state.clock.now();
+                state.desk().registry.overdue(now, endpoint);
+                slog::info!(state.log, "answer overdue"; "request" => %call.head.id,
+                    "route" => %call.route.name, "endpoint" => attempts.tried.last().map(|name| name.as_str()),
+                    "ms" => patience.as_millis() as u64);
+            }
             Err(_) => return Err(Refusal::TimedOut),
         }
         if refusals >= MAX_REFUSALS && attempts.runs == 0 {
@@ -98,6 +113,25 @@
     }
 }
 
+/// Returns how long to wait for an attempt's answer. A stream shows by its events that it is alive, and a
+/// call that may not be repeated has no other attempt.
+fn patience(state: &GatewayState, call: &Call, attempts: &Attempts, left: Duration) -> Duration {
+    let further = call.route.attempts.saturating_sub(attempts.runs + 1);
+    let repeats = call.is_idempotent() && call.stream().is_none();
+    if !repeats || !state.settings.policy.mechanisms().has(Mechanism::Patience) {
+        return left;
+    }
+    let time = state.desk().answers.get(&call.route.name).copied().unwrap_or_default();
+    time.patience(left, further)
+}
+
+fn note_answer(state: &GatewayState, call: &Call, took: Duration) {
+    if call.stream().is_none() {
+        let mut desk = state.desk();
+        desk.answers.entry(call.route.name.clone()).or_default().observe(took);
+    }
+}
+
 /// Says why a request's time ended between two attempts.
 fn over(attempts: &Attempts) -> Refusal {
     match attempts.runs {
--- a/crates/gypsumglade/src/gateway/placing.rs
+++ b/crates/gypsumglade/src/gateway/placing.rs
@@ -27,7 +27,7 @@
 /// An attempt at an endpoint, counted as in flight there until it is dropped.
 pub(super) struct Flight {
     state: Arc<GatewayState>,
-    endpoint: EndpointKey,
+    pub(super) endpoint: EndpointKey,
     key: Option<DispatchKey>,
     pub(super) name: EndpointName,
     pub(super) incarnation: u64,
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -147,6 +147,7 @@
         registry: Registry::new(registry),
         router: Router::new(route_settings(&settings.policy), rand::random()),
         speeds: HashMap::new(),
+        answers: HashMap::new(),
         watch: StallWatch::new(clock.now()),
     };
     Ok(GatewayState {
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -5,6 +5,7 @@
 
 use gypsumglade_core::policy::batch::{BatchFit, FillFit};
 use gypsumglade_core::policy::overload::PoolPace;
+use gypsumglade_core::policy::patience::AnswerTime;
 use gypsumglade_core::policy::registry::Registry;
 use gypsumglade_core::policy::route::{Place, Router};
 use gypsumglade_core::policy::stall::StallWatch;
@@ -51,6 +52,8 @@
     pub(super) router: Router,
     /// How fast each pool's engines are.
     pub(super) speeds: HashMap<CompactString, Speed>,
+    /// How long each route's answers take.
+    pub(super) answers: HashMap<CompactString, AnswerTime>,
     pub(super) watch: StallWatch,
 }
 
--- a/crates/gypsumglade/src/settings/load.rs
+++ b/crates/gypsumglade/src/settings/load.rs
@@ -99,8 +99,8 @@
     }
 }
 
-/// Removes what `path` names, and returns it; a list element is emptied, to keep the positions of
-/// its neighbours.
+/// Removes what `path` names, and returns it; a list element that is no text is emptied, to keep the
+/// positions of its neighbours.
 fn take(tree: &mut Value, path: &KeyPath) -> Option<Value> {
     let segments: Vec<&Segment> = path.iter().collect();
     let (last, front) = segments.split_last()?;
@@ -108,13 +108,16 @@
     match last {
         Segment::Map { key } => parent.as_mapping_mut()?.remove(key.as_str()),
         Segment::Seq { index } => {
-            let slot = parent.as_sequence_mut()?.get_mut(*index)?;
-            let empty = if slot.is_mapping() || slot.is_string() {
+            let list = parent.as_sequence_mut()?;
+            let slot = list.get_mut(*index)?;
+            if slot.is_mapping() {
                 return None;
-            } else {
-                Value::Mapping(Mapping::new())
-            };
-            Some(std::mem::replace(slot, empty))
+            }
+            // An empty mapping in the place of a text would be the next error.
+            if slot.is_string() {
+                return Some(list.remove(*index));
+            }
+            Some(std::mem::replace(slot, Value::Mapping(Mapping::new())))
         }
         Segment::Enum { .. } | Segment::Unknown => None,
     }
--- a/crates/gypsumglade/tests/settings_load.rs
+++ b/crates/gypsumglade/tests/settings_load.rs
@@ -121,3 +121,31 @@
         assert!(vms.iter().all(|s| s.peers == vms[0].peers), "{user}: one list for all");
     }
 }
+
+#[test]
+fn parse_policy() {
+    use gypsumglade_core::policy::mechanism::Mechanism;
+
+    let text = Settings::example(Role::Store);
+    let policy = "policy: { off: [holders, last_run], domain_price: 2.0 }";
+    let settings = parse(&format!("{text}\n{policy}\n")).expect("no findings");
+    let mechanisms = settings.policy.mechanisms();
+    assert!(!mechanisms.has(Mechanism::Holders) && mechanisms.has(Mechanism::Batch));
+
+    let bad = "policy: { off: [everything], domain_price: -1, region_price: .inf }";
+    let findings = parse(&format!("{text}\n{bad}\n")).expect_err("three bad values");
+    assert_eq!(places(&findings), ["policy.off[0]", "policy.domain_price", "policy.region_price"]);
+}
+
+/// Operators read on one page what a mechanism is worth before they switch it off.
+#[test]
+fn parse_policy_mechanisms_are_documented() {
+    use gypsumglade_core::policy::mechanism::Mechanism;
+
+    let page = include_str!("../../../docs/decisions.md");
+    for mechanism in Mechanism::ALL {
+        let name = serde_json::to_string(&mechanism).expect("a name");
+        let name = name.trim_matches('"');
+        assert!(page.contains(&format!("`{name}`")), "docs/decisions.md lacks `{name}`");
+    }
+}
