--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -5,7 +5,7 @@
 //! - [`registry`]: which endpoints there are and how busy they are (docs/design/registry.md).
 //! - [`route`]: the endpoint a call goes to (docs/design/routing.md).
 //! - [`admission`]: whether and when a call is let in (docs/design/admission.md).
-//! - [`batch`]: how fast engines read and generate, by what they run; [`line`] learns it.
+//! - [`batch`]: how fast engines read and generate, by what they run; [`mod@line`] learns it.
 //! - [`mechanism`]: the list of what can be switched off.
 //! - [`patience`]: how long an answer is waited for before another endpoint is asked.
 //! - [`priority`]: the order among programs that wait.
