Remember stores through a cut, and ask for the whole list once they are forgotten

An answer that a list is the same counted its stores as heard five seconds ago, so they were forgotten after five seconds more; and once they were, the digest still matched, so every store answered that nothing had changed.

Change: stores that are confirmed count as heard now; an entry that has forgotten one of them asks for the whole list. Both tests fail without it.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -100,16 +100,25 @@
         }
     }
 
-    /// Notes that another store has just heard of these too. It may have heard of them as long ago as
-    /// it tells of any store.
+    /// Notes that a store has just told that these are there.
+    ///
+    /// Counted from the oldest sign of life that it may have had, they would be forgotten after half
+    /// the time, and an entry VM that was cut off for some seconds would know no store any more.
     pub fn confirm(&mut self, now: Time, stores: &[VmId]) {
         for vm in stores {
             if let Some(heard) = self.nodes.get_mut(vm) {
-                heard.at = heard.at.max(now - TELL_UNTIL);
+                heard.at = heard.at.max(now);
             }
         }
     }
 
+    /// Tells whether all of these are still remembered. A process that has forgotten some must ask for
+    /// the whole list: told that it is the same as before, it would never learn of them again, and go on
+    /// under the bundle that it had.
+    pub fn knows(&self, stores: &[VmId]) -> bool {
+        stores.iter().all(|vm| self.nodes.contains_key(vm))
+    }
+
     /// Returns the stores heard of, with the time each was last heard.
     pub fn stores(&self) -> impl Iterator<Item = (&Node, Time)> {
         let stores = self.nodes.values().filter(|heard| heard.node.role() == Role::Store);
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -148,3 +148,26 @@
     let left: Vec<u32> = roster.stores().map(|(node, _)| node.vm).collect();
     assert_eq!(left, [1]);
 }
+
+/// An entry VM is cut off for six seconds. Until then stores told it that nothing had changed; it must
+/// remember them, or nothing tells it of the bundle that came meanwhile.
+#[test]
+fn confirm_outlasts_short_cut() {
+    let mut roster = Roster::default();
+    roster.hear(Time::from_millis(1_000), store(1, "10.0.0.1:1", 5, 0));
+    roster.confirm(Time::from_millis(20_000), &[VmId(1)]);
+    roster.expire(Time::from_millis(26_000));
+    assert!(roster.knows(&[VmId(1)]));
+}
+
+/// An entry VM is cut off for longer than it remembers stores. Back again, it asks a seed; told that the
+/// list is the same as before, it would know no store, and serve under an old bundle until its lease is
+/// over.
+#[test]
+fn knows_not_after_long_cut() {
+    let mut roster = Roster::default();
+    roster.hear(Time::from_millis(1_000), store(1, "10.0.0.1:1", 5, 0));
+    roster.confirm(Time::from_millis(20_000), &[VmId(1)]);
+    roster.expire(Time::from_millis(31_000));
+    assert!(!roster.knows(&[VmId(1)]));
+}
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -195,13 +195,14 @@
         }
     }
 
-    /// Returns the stores that this process was told of last. A store wants all of them each time:
-    /// it repairs groups by how long each has been silent.
+    /// Returns the stores that this process was told of last and still remembers. A store wants all of
+    /// them each time: it repairs groups by how long each has been silent.
     fn told(&self) -> Told {
-        match self.me.role() {
-            Role::Store => Told::default(),
-            Role::Entry => self.told.lock().expect("no panic while held").clone(),
+        if self.me.role() == Role::Store {
+            return Told::default();
         }
+        let told = self.told.lock().expect("no panic while held").clone();
+        if self.roster().knows(&told.stores) { told } else { Told::default() }
     }
 
     fn note_told(&self, nodes: &[Node]) {
