--- a/crates/core/src/policy/route/mod.rs
+++ b/crates/core/src/policy/route/mod.rs
@@ -239,27 +239,31 @@
 /// Returns the program's own engines that serve the target.
 fn own(registry: &Registry, ask: &RouteAsk, all: &[EndpointKey]) -> Vec<EndpointKey> {
     let Target::Model(model) = &ask.target else { return Vec::new() };
-    let serves =
-        |key: &EndpointKey| registry.get(*key).is_some_and(|endpoint| endpoint.kind.serves(model));
     let keys = ask.last.iter().filter_map(|run| registry.key(&run.endpoint));
-    if all.is_empty() { Vec::new() } else { keys.filter(serves).collect() }
+    if all.is_empty() {
+        return Vec::new();
+    }
+    keys.filter(|key| serves(registry, *key, model)).collect()
 }
 
 /// Returns the engines that hold a start of the prompt. A draw from many engines would miss them, and
 /// the whole history would be read again at another.
 fn holders(registry: &Registry, ask: &RouteAsk) -> Vec<EndpointKey> {
     let Target::Model(model) = &ask.target else { return Vec::new() };
-    let serves =
-        |key: &EndpointKey| registry.get(*key).is_some_and(|endpoint| endpoint.kind.serves(model));
     // The longest starts come last, and save most.
     let starts = ask.shared.iter().rev().take(MOST_STARTS);
-    let mut keys: Vec<EndpointKey> =
-        starts.flat_map(|start| registry.holders(start.hash)).copied().filter(serves).collect();
+    let held = starts.flat_map(|start| registry.holders(start.hash)).copied();
+    let mut keys: Vec<EndpointKey> = held.filter(|key| serves(registry, *key, model)).collect();
     keys.sort_unstable();
     keys.dedup();
     keys
 }
 
+/// Tells whether an endpoint is an engine that has loaded the model.
+fn serves(registry: &Registry, key: EndpointKey, model: &ModelId) -> bool {
+    registry.get(key).is_some_and(|endpoint| endpoint.kind.serves(model))
+}
+
 /// Returns true when the endpoint may get this call.
 fn usable(
     now: Time,
--- a/crates/core/src/policy/stall.rs
+++ b/crates/core/src/policy/stall.rs
@@ -1,9 +1,8 @@
 //! Notices when a process stood still, so that it doesn't take its own stand for endpoints' slowness.
 //!
 //! A stream that was under way while a VM was suspended, or its processor was taken away, seems to have
-//! taken an engine all that time. Learnt from, a stand of six seconds made engines seem a hundred times
-//! slower than alone, and the VM turned new programs away for seconds after it was back, while engines
-//! had slots free.
+//! taken an engine all that time. Learnt from, a stand of some seconds makes engines seem many times
+//! slower than alone, and the VM turns new programs away after it is back, while engines have slots free.
 
 use crate::prelude::*;
 
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -3,8 +3,8 @@
 //! Each process says hello to stores it knows of, at first to those that its settings name, and is
 //! told of all stores. What is known is soft state with an age; nothing durable depends on it.
 //!
-//! Only stores are listed: nobody asks an entry VM for anything, and the lists of a deployment of many
-//! entries were most of the bytes between its failure domains.
+//! Only stores are listed: nobody asks an entry VM for anything, and lists of entries would grow with
+//! the square of their number.
 
 use std::collections::BTreeMap;
 
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -115,7 +115,7 @@
         self.roster().nodes(self.clock.now(), hello.known)
     }
 
-    /// Returns the processes heard of lately.
+    /// Returns the stores heard of lately.
     pub fn roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().expect("no panic while held")
     }
