--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -80,6 +80,12 @@
         })
     }
 
+    /// Returns how much the state holds.
+    pub fn sizes(&self) -> TurnSizes {
+        let state = self.state();
+        TurnSizes { turns: state.turns.kept(), programs: state.turns.programs() }
+    }
+
     async fn answer_at(&self, index: LogIndex) -> Reply {
         let found = self.state().answers.lookup(index);
         found.wait().await.unwrap_or_else(|| Reply { body: Some(uncertain()) })
@@ -144,6 +150,15 @@
     }
 }
 
+/// How much the turn group's state holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TurnSizes {
+    /// Kept turns.
+    pub turns: usize,
+    /// Programs with a token budget.
+    pub programs: usize,
+}
+
 /// Sets the wall clock of a command. The leader's counts, so that entry VMs' clocks don't matter.
 fn stamp(command: &mut Command, now: u64) {
     match &mut command.body {
