--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -131,6 +131,11 @@
         self.retiring.contains(&vm)
     }
 
+    /// Returns the stores that are to be emptied.
+    pub fn retiring(&self) -> impl Iterator<Item = VmId> {
+        self.retiring.iter().copied()
+    }
+
     /// Applies a committed command.
     pub fn apply(&mut self, command: &wire::Command) -> wire::Answer {
         let body = match &command.body {
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -94,9 +94,11 @@
             Node { age_ms: u64::try_from(age).unwrap_or(u64::MAX), ..heard.node.clone() }
         });
         let nodes: Vec<Node> = aged.collect();
+        let led = self.led(now, TELL_UNTIL);
+        let retiring = led.into_iter().flat_map(|led| led.retiring).collect();
         match known != 0 && known == digest(&nodes) {
-            true => Nodes { nodes: Vec::new(), same: true },
-            false => Nodes { nodes, same: false },
+            true => Nodes { nodes: Vec::new(), same: true, retiring },
+            false => Nodes { nodes, same: false, retiring },
         }
     }
 
--- a/crates/core/src/turns/budget.rs
+++ b/crates/core/src/turns/budget.rs
@@ -19,6 +19,10 @@
     pub tokens: u64,
 }
 
+/// Silence after which it is forgotten where a program's prompts were read, in milliseconds: engines have
+/// dropped them by then, and they are most of what is remembered of a program.
+const RUNS_MEMORY_MS: u64 = 30_000;
+
 /// One program's use of its budget.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Usage {
@@ -101,6 +105,12 @@
 
     /// Forgets programs that have been silent for long.
     pub(super) fn expire(&mut self, now: u64) {
-        self.programs.retain(|_, usage| now.saturating_sub(usage.last_ms) < MEMORY_MS);
+        self.programs.retain(|_, usage| {
+            let silence = now.saturating_sub(usage.last_ms);
+            if silence >= RUNS_MEMORY_MS {
+                usage.runs = Runs::default();
+            }
+            silence < MEMORY_MS
+        });
     }
 }
--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -1,18 +1,22 @@
 //! Turns that callers continue, and the token budgets of their programs.
 //!
 //! A caller names the turn that it continues, so turns form a tree: several may continue the same
-//! one. The group keeps what each turn adds and gives back everything that precedes a new one. It
-//! also counts the tokens of each program, so that entry VMs share one budget, and knows which engine
-//! read its prompts last, so that they find it. Every replica applies the same commands in the same
-//! order; see docs/design/provider.md.
+//! one. The group keeps which turns there are and which stores hold their texts, see
+//! docs/design/texts.md. It also counts the tokens of each program, so that entry VMs share one budget,
+//! and knows which engine read its prompts last, so that they find it. Every replica applies the same
+//! commands in the same order; see docs/design/provider.md.
 
 mod budget;
+mod copies;
+mod holders;
 mod runs;
 mod snapshot;
 mod state;
 mod tree;
 
 pub use budget::Spent;
+pub use copies::{Copy, Survey};
+pub use holders::preferred;
 pub use snapshot::RestoreError;
 pub use state::Turns;
-pub use tree::{History, TurnTree};
+pub use tree::{Holding, TurnTree};
--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -1,10 +1,7 @@
 //! The state machine of a turn group.
 
-use bytes::Bytes;
-
 use super::budget::Budgets;
-use super::tree::{History, TurnTree};
-use crate::prelude::*;
+use super::tree::{Holding, TurnTree};
 use crate::wire::turn as wire;
 use crate::wire::turn::command::Body as CommandBody;
 use crate::wire::turn::reply::Body as ReplyBody;
@@ -28,6 +25,7 @@
         let body = match &command.body {
             Some(CommandBody::Reserve(reserve)) => self.reserve(reserve),
             Some(CommandBody::Settle(settle)) => self.settle(settle),
+            Some(CommandBody::Copied(copied)) => self.copied(copied),
             None => ReplyBody::Uncertain(wire::Uncertain {}),
         };
         wire::Reply { body: Some(body) }
@@ -38,27 +36,13 @@
         self.tree.len()
     }
 
-    /// Returns up to `most` turns whose text is lacking here, from the one after `after` on.
-    pub fn lacking(&self, after: &str, most: usize) -> Vec<CompactString> {
-        self.tree.lacking(after, most)
-    }
-
-    /// Returns those of the turns asked for whose text is here.
-    pub fn texts(&self, query: &wire::TextQuery) -> wire::Texts {
-        let found = query.turns.iter().filter_map(|turn| {
-            let kept = self.tree.text(turn)?.clone();
-            Some(wire::TurnRecord { turn: turn.clone(), kept: Some(kept), ..Default::default() })
+    /// Returns which of these turns are still kept, with how much longer.
+    pub fn still_kept(&self, turns: &[String]) -> Vec<wire::KeptTurn> {
+        let kept = turns.iter().filter_map(|turn| {
+            let left = self.tree.left(self.clock, turn)?;
+            Some(wire::KeptTurn { turn: turn.clone(), left_ms: left })
         });
-        wire::Texts { turns: found.collect() }
-    }
-
-    /// Takes text that another store had.
-    pub fn fill(&mut self, texts: wire::Texts) {
-        for record in texts.turns {
-            if let Some(kept) = record.kept {
-                self.tree.fill(&record.turn, kept);
-            }
-        }
+        kept.collect()
     }
 
     /// Returns how many programs are remembered.
@@ -68,24 +52,17 @@
 
     fn reserve(&mut self, reserve: &wire::Reserve) -> ReplyBody {
         let now = self.advance(reserve.now_ms);
-        if !self.tree.is_kept(now, &reserve.previous) {
+        let Some(chain) = self.tree.chain(now, &reserve.previous) else {
             return ReplyBody::Unknown(wire::UnknownTurn {});
-        }
+        };
         let (turn, most) = (&reserve.turn, reserve.most);
         match self.budgets.reserve(now, &reserve.program, turn, most, reserve.budget) {
             Ok(()) => {
-                let history = match reserve.held {
-                    true => History::Whole(Bytes::new()),
-                    false => self.tree.history(now, &reserve.previous),
-                };
-                // Set aside all the same, for every replica must: the asker asks again, which sets
-                // nothing aside a second time, and by then the text has come.
-                let History::Whole(history) = history else {
-                    return ReplyBody::Uncertain(wire::Uncertain {});
-                };
+                let chain = if reserve.held { Vec::new() } else { chain };
+                let chain = chain.iter().map(Holding::to_wire).collect();
                 let under_way = self.budgets.is_under_way(&reserve.program, turn);
                 let ran = self.budgets.last_run(&reserve.program, &reserve.prompts).cloned();
-                ReplyBody::Reserved(wire::Reserved { history, under_way, ran })
+                ReplyBody::Reserved(wire::Reserved { chain, under_way, ran })
             }
             Err(spent) => {
                 let budget = reserve.budget.unwrap_or(u64::MAX);
@@ -101,7 +78,15 @@
             self.budgets.note_run(&settle.program, run);
         }
         if let Some(kept) = &settle.kept {
-            self.tree.keep(now, &settle.turn, kept.clone());
+            self.tree.keep(now, &settle.turn, kept);
+        }
+        ReplyBody::Settled(wire::Settled {})
+    }
+
+    fn copied(&mut self, copied: &wire::Copied) -> ReplyBody {
+        self.advance(copied.now_ms);
+        for holding in &copied.turns {
+            self.tree.note_holders(&Holding::from_wire(holding));
         }
         ReplyBody::Settled(wire::Settled {})
     }
--- a/crates/core/src/turns/tree.rs
+++ b/crates/core/src/turns/tree.rs
@@ -1,9 +1,6 @@
 //! The tree of kept turns.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::ops::Bound::{Excluded, Unbounded};
-
-use bytes::{BufMut, Bytes, BytesMut};
+use std::collections::BTreeMap;
 
 use crate::prelude::*;
 use crate::wire::turn as wire;
@@ -11,73 +8,113 @@
 /// More turns than any chain has; a longer one is a loop in damaged state.
 const MAX_CHAIN: usize = 100_000;
 
-/// One kept turn.
+/// How long a turn is remembered past its time, in milliseconds: longer than a stream lasts. A turn that
+/// continues it may have been reserved just before, and keeps it once it is settled.
+const SETTLE_GRACE_MS: u64 = 30_000;
+
+/// One kept turn. Its text is on the disks of its holders, see docs/design/texts.md.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Turn {
-    pub(super) kept: wire::Kept,
+    pub(super) previous: CompactString,
+    /// Stores that have the turn's text.
+    pub(super) holders: Vec<VmId>,
+    /// Length of the text, in bytes.
+    pub(super) bytes: u64,
+    pub(super) retention: u64,
     /// Wall clock until which it is kept, in milliseconds.
     pub(super) until: u64,
 }
 
-/// What precedes a turn.
+impl Turn {
+    pub(super) fn from_wire(kept: &wire::Kept, until: u64) -> Turn {
+        Turn {
+            previous: kept.previous.to_compact_string(),
+            holders: kept.holders.iter().copied().map(VmId).collect(),
+            bytes: kept.bytes,
+            retention: kept.retention_ms,
+            until,
+        }
+    }
+
+    pub(super) fn holding(&self, id: &str) -> Holding {
+        Holding { turn: id.into(), holders: self.holders.clone(), bytes: self.bytes }
+    }
+
+    pub(super) fn to_wire(&self) -> wire::Kept {
+        wire::Kept {
+            previous: self.previous.to_string(),
+            retention_ms: self.retention,
+            holders: self.holders.iter().map(|vm| vm.0).collect(),
+            bytes: self.bytes,
+        }
+    }
+}
+
+/// Where the text of one turn is.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum History {
-    /// The input and output of each turn of the chain, oldest first.
-    Whole(Bytes),
-    /// The turn is kept, but this store does not have the text of all of its chain yet.
-    Lacking,
-    /// No such turn is kept.
-    Unknown,
+pub struct Holding {
+    /// The turn.
+    pub turn: CompactString,
+    /// Stores that have its text.
+    pub holders: Vec<VmId>,
+    /// Length of the text, in bytes.
+    pub bytes: u64,
+}
+
+impl Holding {
+    /// Returns the message for other processes.
+    pub fn to_wire(&self) -> wire::Holding {
+        let holders = self.holders.iter().map(|vm| vm.0).collect();
+        wire::Holding { turn: self.turn.to_string(), holders, bytes: self.bytes }
+    }
+
+    /// Reads the message of another process.
+    pub fn from_wire(holding: &wire::Holding) -> Holding {
+        Holding {
+            turn: holding.turn.to_compact_string(),
+            holders: holding.holders.iter().copied().map(VmId).collect(),
+            bytes: holding.bytes,
+        }
+    }
 }
 
 /// Turns by their id.
 #[derive(Clone, Debug, Default)]
 pub struct TurnTree {
     pub(super) turns: BTreeMap<CompactString, Turn>,
-    /// Kept turns whose text this store does not have yet. It differs from store to store, so no
-    /// command's effect may depend on it.
-    pub(super) textless: BTreeSet<CompactString>,
 }
 
 impl TurnTree {
     /// Keeps a turn, and its whole chain for as long as itself.
-    pub fn keep(&mut self, now: u64, id: &str, kept: wire::Kept) {
+    pub fn keep(&mut self, now: u64, id: &str, kept: &wire::Kept) {
         if self.turns.contains_key(id) {
             return;
         }
         let until = now.saturating_add(kept.retention_ms);
-        let mut next = kept.previous.to_compact_string();
-        self.turns.insert(id.into(), Turn { kept, until });
+        let turn = Turn::from_wire(kept, until);
+        let mut next = turn.previous.clone();
+        self.turns.insert(id.into(), turn);
         while let Some(turn) = self.turns.get_mut(&next) {
             if turn.until >= until {
                 break;
             }
             turn.until = until;
-            next = turn.kept.previous.to_compact_string();
+            next = turn.previous.clone();
         }
     }
 
-    /// Returns everything that precedes a turn that continues `previous`.
-    pub fn history(&self, now: u64, previous: &str) -> History {
+    /// Returns where the texts of everything that precedes a turn that continues `previous` are,
+    /// oldest first. Nothing if no such turn is kept.
+    pub fn chain(&self, now: u64, previous: &str) -> Option<Vec<Holding>> {
         let mut chain = Vec::new();
         let mut next = previous;
         while !next.is_empty() && chain.len() < MAX_CHAIN {
-            let Some(turn) = self.turns.get(next).filter(|turn| turn.until > now) else {
-                return History::Unknown;
-            };
-            if self.textless.contains(next) {
-                return History::Lacking;
-            }
-            chain.push(&turn.kept);
-            next = &turn.kept.previous;
+            let turn = self.turns.get(next).filter(|turn| turn.until > now)?;
+            chain.push(turn.holding(next));
+            next = &turn.previous;
         }
-        let length = chain.iter().map(|kept| kept.input.len() + kept.output.len()).sum();
-        let mut history = BytesMut::with_capacity(length);
-        for kept in chain.iter().rev() {
-            history.put_slice(&kept.input);
-            history.put_slice(&kept.output);
-        }
-        History::Whole(history.freeze())
+        chain.reverse();
+        Some(chain)
     }
 
     /// Tells whether a turn is kept, as the start of every chain is. Its chain is kept at least as
@@ -86,34 +123,22 @@
         id.is_empty() || self.turns.get(id).is_some_and(|turn| turn.until > now)
     }
 
-    /// Returns up to `most` turns whose text is lacking, from the one after `after` on.
-    pub fn lacking(&self, after: &str, most: usize) -> Vec<CompactString> {
-        let later = self.textless.range::<str, _>((Excluded(after), Unbounded));
-        later.take(most).cloned().collect()
-    }
-
-    /// Returns the text of a turn, if it is here.
-    pub fn text(&self, id: &str) -> Option<&wire::Kept> {
-        let turn = self.turns.get(id).filter(|_| !self.textless.contains(id))?;
-        Some(&turn.kept)
+    /// Returns how much longer a turn's text must be held, in milliseconds; nothing if it need not.
+    pub fn left(&self, now: u64, id: &str) -> Option<u64> {
+        let held = self.turns.get(id)?.until.saturating_add(SETTLE_GRACE_MS);
+        held.checked_sub(now).filter(|left| *left > 0)
     }
 
-    /// Takes the text of a turn whose text is lacking.
-    pub fn fill(&mut self, id: &str, text: wire::Kept) {
-        if !self.textless.remove(id) {
-            return;
-        }
-        if let Some(turn) = self.turns.get_mut(id) {
-            turn.kept.input = text.input;
-            turn.kept.output = text.output;
+    /// Notes that other stores hold a turn's text now.
+    pub fn note_holders(&mut self, holding: &Holding) {
+        if let Some(turn) = self.turns.get_mut(&holding.turn) {
+            turn.holders.clone_from(&holding.holders);
         }
     }
 
-    /// Forgets turns whose time is over.
+    /// Forgets turns whose time is over, and which no turn under way can continue.
     pub fn expire(&mut self, now: u64) {
-        self.turns.retain(|_, turn| turn.until > now);
-        let turns = &self.turns;
-        self.textless.retain(|id| turns.contains_key(id));
+        self.turns.retain(|_, turn| turn.until.saturating_add(SETTLE_GRACE_MS) > now);
     }
 
     /// Returns how many turns are kept.
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -5,10 +5,11 @@
 //! docs/design/provider.md.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::repair::Candidate;
 use gypsumglade_core::roster::{Roster, digest};
 use gypsumglade_core::wire::discovery::{Hello, Led, Node, Nodes, Role};
 use rand::seq::IteratorRandom as _;
@@ -58,8 +59,8 @@
     sequence: AtomicU64,
     /// Groups that this process leads.
     led: Mutex<Vec<Led>>,
-    /// Whether this store lacks the text of some kept turns.
-    lacking: AtomicBool,
+    /// Stores that are to be emptied, as this process was told last.
+    retiring: Mutex<Vec<u32>>,
     directory: Arc<Directory>,
     peers: PeerClients,
     clock: Clock,
@@ -85,14 +86,11 @@
             age_ms: 0,
             sequence: 0,
             led: Vec::new(),
-            lacking: false,
         };
         let seeds = RwLock::new(discovery.peers(process.address.port()));
         let (roster, told) = (Mutex::default(), Mutex::default());
         let sequence = AtomicU64::new(0);
         let led = Mutex::default();
-        // A store lacks what its group has until it has found that it doesn't.
-        let lacking = AtomicBool::new(process.role == Role::Store);
         let found = Discovery {
             me: node,
             seeds,
@@ -100,7 +98,7 @@
             told,
             sequence,
             led,
-            lacking,
+            retiring: Mutex::default(),
             directory,
             peers,
             clock,
@@ -130,9 +128,19 @@
         *self.led.lock().expect("no panic while held") = led;
     }
 
-    /// Takes whether this store lacks the text of some turns, to tell others.
-    pub fn set_lacking(&self, lacking: bool) {
-        self.lacking.store(lacking, Ordering::Relaxed);
+    /// Returns the stores heard of within `age`.
+    pub fn stores_heard(&self, age: Duration) -> Vec<Candidate> {
+        let now = self.now();
+        let retiring = self.retiring.lock().expect("no panic while held").clone();
+        let roster = self.roster();
+        let heard = roster.stores().filter(|(_, at)| now.since(*at) < age);
+        let heard = heard.map(|(node, _)| Candidate {
+            vm: VmId(node.vm),
+            domain: node.domain.to_compact_string(),
+            region: node.region.to_compact_string(),
+            retiring: retiring.contains(&node.vm),
+        });
+        heard.collect()
     }
 
     /// Takes other seeds, from settings that changed.
@@ -185,14 +193,13 @@
         let hello = Hello { node: Some(self.myself()), known: told.digest };
         let asking = self.peers.ask::<Hello, Nodes>(address, Method::Hello, &hello, TIMEOUT);
         // Who does not answer is asked again in a later round.
-        match asking.await {
-            Ok(nodes) if nodes.same => self.roster().confirm(self.clock.now(), &told.stores),
-            Ok(nodes) => {
-                self.note_told(&nodes.nodes);
-                self.hear(nodes.nodes);
-            }
-            Err(_) => {}
+        let Ok(nodes) = asking.await else { return };
+        self.retiring.lock().expect("no panic while held").clone_from(&nodes.retiring);
+        if nodes.same {
+            return self.roster().confirm(self.clock.now(), &told.stores);
         }
+        self.note_told(&nodes.nodes);
+        self.hear(nodes.nodes);
     }
 
     /// Returns the stores that this process was told of last and still remembers. A store wants all of
@@ -219,8 +226,7 @@
         let wall = Clock::wall_millis();
         let before = self.sequence.fetch_max(wall, Ordering::Relaxed);
         let led = self.led.lock().expect("no panic while held").clone();
-        let lacking = self.lacking.load(Ordering::Relaxed);
-        Node { sequence: before.max(wall), led, lacking, ..self.me.clone() }
+        Node { sequence: before.max(wall), led, ..self.me.clone() }
     }
 
     fn hear(&self, nodes: Vec<Node>) {
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod settlement;
 mod state;
 mod streaming;
+mod text_client;
 mod turn_client;
 
 pub use dialect::{
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -24,6 +24,7 @@
 use super::dialect::Dialect;
 use super::history_cache::HistoryCache;
 use super::state::{Desk, GatewayState};
+use super::text_client::TextClient;
 use super::turn_client::TurnClient;
 use super::{follow, intake};
 use crate::clock::Clock;
@@ -74,7 +75,8 @@
         log: slog::Logger,
     ) -> anyhow::Result<Gateway> {
         let own = settings.gateway.clone().context("the settings have no `gateway` section")?;
-        let state = Arc::new(gateway_state(settings, dialect, log)?);
+        let (state, discovery) = gateway_state(settings, dialect, log)?;
+        let state = Arc::new(state);
         let halt = CancellationToken::new();
         let callers = TcpListener::bind(own.callers).await;
         let callers = callers.with_context(|| format!("cannot listen on {}", own.callers))?;
@@ -89,7 +91,7 @@
             None => None,
         };
         let addresses = GatewayAddresses { callers: callers.local_addr()?, ready: ready.address() };
-        let discovery = spawn_loops(&state, &halt);
+        spawn_loops(&state, discovery.as_ref(), &halt);
         tokio::spawn(intake::accept(Arc::clone(&state), callers));
         slog::info!(state.log, "gateway started"; "vm" => state.vm.0,
             "callers" => %addresses.callers, "ready" => %addresses.ready);
@@ -130,7 +132,7 @@
     settings: Settings,
     dialect: Arc<dyn Dialect>,
     log: slog::Logger,
-) -> anyhow::Result<GatewayState> {
+) -> anyhow::Result<(GatewayState, Option<Arc<Discovery>>)> {
     let clock = Clock::start();
     let vm = fresh_identity();
     let directory = Arc::new(Directory::new(&settings));
@@ -150,7 +152,17 @@
         answers: HashMap::new(),
         watch: StallWatch::new(clock.now()),
     };
-    Ok(GatewayState {
+    let process = Process { vm, role: Role::Entry, address: settings.listen.peers };
+    let (shared, callers) = (Arc::clone(&directory), peers.clone());
+    let discovery = Discovery::new(&settings, process, shared, callers, clock);
+    let texts = TextClient::new(
+        discovery.clone(),
+        Arc::clone(&directory),
+        peers.clone(),
+        settings.vm.region.clone(),
+        settings.gateway.as_ref().map_or(0, |own| own.tolerate as usize) + 1,
+    );
+    let state = GatewayState {
         vm,
         place,
         clock,
@@ -158,6 +170,7 @@
         dialect,
         channels: Channels::default(),
         turns: TurnClient::new(Arc::clone(&directory), peers.clone()),
+        texts,
         histories: HistoryCache::default(),
         metrics: Metrics::new()?,
         log,
@@ -167,7 +180,8 @@
         directory,
         peers,
         settings,
-    })
+    };
+    Ok((state, discovery))
 }
 
 /// Returns how the gateway weighs what an endpoint costs.
@@ -197,18 +211,18 @@
 /// Longest lease of an endpoint here; the control group says when one goes.
 const MAX_LEASE: Duration = Duration::from_secs(120);
 
-fn spawn_loops(state: &Arc<GatewayState>, halt: &CancellationToken) -> Option<Arc<Discovery>> {
-    let process = Process { vm: state.vm, role: Role::Entry, address: state.settings.listen.peers };
-    let (directory, peers) = (Arc::clone(&state.directory), state.peers.clone());
-    let discovery = Discovery::new(&state.settings, process, directory, peers, state.clock);
-    if let Some(discovery) = &discovery {
+fn spawn_loops(
+    state: &Arc<GatewayState>,
+    discovery: Option<&Arc<Discovery>>,
+    halt: &CancellationToken,
+) {
+    if let Some(discovery) = discovery {
         tokio::spawn(Arc::clone(discovery).run(halt.clone()));
     }
     tokio::spawn(follow::follow(Arc::clone(state), halt.clone()));
     tokio::spawn(renew_config(Arc::clone(state), halt.clone()));
     tokio::spawn(sweep_channels(Arc::clone(state), halt.clone()));
     tokio::spawn(watch_stalls(Arc::clone(state), halt.clone()));
-    discovery
 }
 
 async fn renew_config(state: Arc<GatewayState>, halt: CancellationToken) {
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -5,7 +5,9 @@
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
-use gypsumglade_core::wire::turn::{Kept, PromptRun, Reserve, Settle};
+use gypsumglade_core::turns::Holding;
+use gypsumglade_core::wire::turn::{Kept, PromptRun, Reserve, Settle, Text};
+use tokio::time::Instant;
 
 use super::call::Call;
 use super::dialect::Refusal;
@@ -88,9 +90,18 @@
         prompts: starts.iter().map(|start| start.hash).collect(),
     };
     let patience = call.left().min(RESERVE_PATIENCE);
+    let until = Instant::now() + patience;
     match client.ask(CommandBody::Reserve(ask), patience).await {
         Some(ReplyBody::Reserved(reserved)) => {
-            let history = known.unwrap_or(reserved.history);
+            let chain: Vec<_> = reserved.chain.iter().map(Holding::from_wire).collect();
+            let history = match known {
+                Some(history) => Some(history),
+                None => state.texts.fetch(&chain, until).await,
+            };
+            let Some(history) = history else {
+                settle_later(client, reservation, Used::default());
+                return Err(Refusal::Unavailable { after: NO_LEADER_PAUSE });
+            };
             Ok(Leave {
                 body: joined(&history, &call.body),
                 under_way: reserved.under_way,
@@ -133,14 +144,24 @@
         return true;
     };
     let history = joined(sent, &output);
+    let until = Instant::now() + SETTLE_PATIENCE;
+    let bytes = keeping.input.len() + output.len();
+    let text = Text { turn: reservation.turn.to_string(), input: keeping.input.clone(), output };
+    let retention = Duration::from_millis(keeping.retention);
+    let put = state.texts.put(&reservation.program, text, retention, until).await;
+    let Some(holders) = put else {
+        settle_later(client, reservation, used);
+        return false;
+    };
     let kept = Kept {
         previous: keeping.previous.to_string(),
-        input: keeping.input.clone(),
-        output,
         retention_ms: keeping.retention,
+        holders: holders.into_iter().map(|vm| vm.0).collect(),
+        bytes: bytes as u64,
     };
     let settle = settle(&reservation, &used, Some(kept));
-    let answer = client.ask(CommandBody::Settle(settle), SETTLE_PATIENCE).await;
+    let left = until.saturating_duration_since(Instant::now());
+    let answer = client.ask(CommandBody::Settle(settle), left).await;
     let settled = matches!(answer, Some(ReplyBody::Settled(_)));
     if settled {
         state.histories.put(reservation.turn.clone(), &keeping.previous, history);
--- a/crates/gypsumglade/src/lib.rs
+++ b/crates/gypsumglade/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod secret;
 pub mod settings;
 pub mod store;
+pub mod texts;
 pub mod tls;
--- a/crates/gypsumglade/src/rpc/method.rs
+++ b/crates/gypsumglade/src/rpc/method.rs
@@ -25,8 +25,14 @@
     Endpoints,
     /// Entry to store: a request to the turn group.
     Turn,
-    /// Store to store: asks for the text of kept turns.
+    /// Entry to store: puts texts of turns on its disk.
+    PutTexts,
+    /// Any process to a store: asks for texts of turns.
     Texts,
+    /// Store to store: has it fetch texts that others hold.
+    CopyTexts,
+    /// Store to store: asks which turns are still kept.
+    KeptTurns,
 }
 
 impl Method {
@@ -44,7 +50,10 @@
             Method::Hello => "hello",
             Method::Endpoints => "endpoints",
             Method::Turn => "turn",
+            Method::PutTexts => "put_texts",
             Method::Texts => "texts",
+            Method::CopyTexts => "copy_texts",
+            Method::KeptTurns => "kept_turns",
         }
     }
 }
--- a/crates/gypsumglade/src/settings/gateway.rs
+++ b/crates/gypsumglade/src/settings/gateway.rs
@@ -13,10 +13,12 @@
     pub callers: SocketAddr,
     /// The balancer's question whether this VM takes callers.
     pub ready: SocketAddr,
+    /// Stores whose loss at one time kept turns bear; each text is put on one more.
+    pub tolerate: u32,
 }
 
 impl Default for GatewaySettings {
     fn default() -> GatewaySettings {
-        GatewaySettings { callers: LOOPBACK, ready: LOOPBACK }
+        GatewaySettings { callers: LOOPBACK, ready: LOOPBACK, tolerate: 1 }
     }
 }
--- a/crates/gypsumglade/src/settings/store.rs
+++ b/crates/gypsumglade/src/settings/store.rs
@@ -31,6 +31,8 @@
     /// VMs with a disk whose loss at one time the groups bear; each group has twice as many voters
     /// and one more.
     pub tolerate: u32,
+    /// Bytes of the folder that texts of kept turns may take.
+    pub text_bytes: u64,
     /// Milliseconds between a leader's heartbeats.
     pub heartbeat_ms: u64,
     /// Milliseconds without a heartbeat after which a follower stands for election.
@@ -47,6 +49,7 @@
             signer: None,
             endpoint_lease_ms: 5_000,
             tolerate: 1,
+            text_bytes: 256 * 1024 * 1024,
             heartbeat_ms: 200,
             election_ms: 1_000,
         }
@@ -69,6 +72,8 @@
         }
         findings.range("store.heartbeat_ms", self.heartbeat_ms, 10..=10_000, "milliseconds");
         findings.range("store.tolerate", u64::from(self.tolerate), 0..=4, "VMs");
+        let texts = 1024 * 1024..=u64::MAX;
+        findings.range("store.text_bytes", self.text_bytes, texts, "bytes");
         let lease = self.endpoint_lease_ms;
         findings.range("store.endpoint_lease_ms", lease, 100..=600_000, "milliseconds");
         let least = self.heartbeat_ms.saturating_mul(3);
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -295,6 +295,11 @@
         self.state().control.is_retiring(vm)
     }
 
+    /// Returns the stores that are to be emptied, as far as this store has applied the log.
+    pub(super) fn retiring(&self) -> Vec<u32> {
+        self.state().control.retiring().map(|vm| vm.0).collect()
+    }
+
     fn state(&self) -> MutexGuard<'_, ControlState> {
         self.state.lock().expect("no panic while held")
     }
--- a/crates/gypsumglade/src/store/mod.rs
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -10,7 +10,8 @@
 mod registrar;
 mod repair;
 mod serve;
-mod text_repair;
+mod text_copies;
+mod text_holder;
 pub mod turn_group;
 
 pub use context::ReleaseAnswer;
--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -60,10 +60,25 @@
         let command: turn::Command = decode(&text).map_err(|error| invalid_payload(&error))?;
         Ok::<_, ErrorObjectOwned>(encode(&state.turns.ask(command).await))
     })?;
-    module.register_method(Method::Texts.name(), |parameters, state, _| {
+    module.register_async_method(Method::PutTexts.name(), |parameters, state, _| async move {
+        let text: String = parameters.one()?;
+        let put: turn::TextPut = decode(&text).map_err(|error| invalid_payload(&error))?;
+        Ok::<_, ErrorObjectOwned>(encode(&state.texts.put(put).await))
+    })?;
+    module.register_async_method(Method::Texts.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
         let query: turn::TextQuery = decode(&text).map_err(|error| invalid_payload(&error))?;
-        Ok::<_, ErrorObjectOwned>(encode(&state.turns.texts(&query)))
+        Ok::<_, ErrorObjectOwned>(encode(&state.texts.get(&query).await))
+    })?;
+    module.register_async_method(Method::CopyTexts.name(), |parameters, state, _| async move {
+        let text: String = parameters.one()?;
+        let order: turn::TextCopy = decode(&text).map_err(|error| invalid_payload(&error))?;
+        Ok::<_, ErrorObjectOwned>(encode(&state.texts.copy(order).await))
+    })?;
+    module.register_async_method(Method::KeptTurns.name(), |parameters, state, _| async move {
+        let text: String = parameters.one()?;
+        let query: turn::KeptQuery = decode(&text).map_err(|error| invalid_payload(&error))?;
+        Ok::<_, ErrorObjectOwned>(encode(&state.turns.still_kept(&query).await))
     })?;
     module.register_async_method(Method::Score.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
--- a/crates/gypsumglade/src/store/registrar.rs
+++ b/crates/gypsumglade/src/store/registrar.rs
@@ -169,18 +169,7 @@
             let mut told = led.iter().filter(|led| led.group == group).peekable();
             told.peek().is_some() && told.all(|led| led.settled && !led.members.contains(&vm.0))
         });
-        Ok(empty && self.have_text(&led) && self.state.control.is_retiring(vm))
-    }
-
-    /// Tells whether every member of the turn group has the text of all kept turns. The store that
-    /// goes takes its copy along, and another may lose its disk right after.
-    fn have_text(&self, led: &[Led]) -> bool {
-        let Some(discovery) = &self.state.discovery else { return false };
-        let roster = discovery.roster();
-        let complete: Vec<u32> =
-            roster.stores().filter(|(node, _)| !node.lacking).map(|(node, _)| node.vm).collect();
-        let turns = led.iter().filter(|led| led.group == GroupId::TURNS.0);
-        turns.flat_map(|led| &led.members).all(|member| complete.contains(member))
+        Ok(empty && !is_relied_on(vm, &led) && self.state.control.is_retiring(vm))
     }
 
     fn store_named(&self, name: &str) -> Option<VmId> {
@@ -262,6 +251,12 @@
     }
 }
 
+/// Tells whether texts of kept turns are on too few stores without this one. Another may lose its disk
+/// right after this one is gone.
+fn is_relied_on(vm: VmId, led: &[Led]) -> bool {
+    led.iter().any(|led| led.holders.contains(&vm.0))
+}
+
 /// Tells whether a version is not above the one in force.
 fn is_overtaken(version: &str, current: &str) -> bool {
     use gypsumglade_core::bundle::Version;
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -11,7 +11,7 @@
 
 use super::context::StoreContext;
 use super::control_group::ControlGroup;
-use super::turn_group::TurnGroup;
+use super::text_copies::TextCopies;
 use crate::discovery::Discovery;
 
 /// Pause between two looks. A repair takes three steps, and a newcomer must have caught up some
@@ -29,7 +29,7 @@
 pub(super) struct Repair {
     pub(super) context: Arc<StoreContext>,
     pub(super) control: Arc<ControlGroup>,
-    pub(super) turns: Arc<TurnGroup>,
+    pub(super) copies: Arc<TextCopies>,
     pub(super) discovery: Arc<Discovery>,
     /// Voters that each group should have.
     pub(super) wanted: usize,
@@ -54,7 +54,7 @@
             let groups = self.context.host.status().await.groups;
             let led: Vec<_> =
                 groups.into_iter().filter(|group| group.role == Role::Leader).collect();
-            self.discovery.set_led(led.iter().map(told).collect());
+            self.discovery.set_led(led.iter().map(|group| self.told(group)).collect());
             for group in led {
                 self.repair(&group, &mut memory).await;
             }
@@ -71,10 +71,6 @@
             return;
         }
         let Some(change) = next_change(&group.members, &survey) else { return };
-        if group.group == GroupId::TURNS && matches!(change, MemberChange::AddLearner(_)) {
-            // A newcomer is sent this, and not the log with all text since the last one.
-            self.turns.snapshot().await;
-        }
         let number = group.group.0;
         match self.context.host.change_members(group.group, change).await {
             Ok(_) => slog::info!(self.context.log, "group membership changed";
@@ -118,14 +114,21 @@
         Survey { me: self.context.vm, alive, gone, wanted: self.wanted }
     }
 
+    /// Returns what to tell others of a group that this store leads.
+    fn told(&self, group: &Status) -> Led {
+        let members = group.members.all().map(|vm| vm.0).collect();
+        let mut led = Led { group: group.group.0, members, settled: group.settled, ..Led::default() };
+        match group.group {
+            GroupId::TURNS => led.holders = self.copies.relied(),
+            GroupId::CONTROL => led.retiring = self.control.retiring(),
+            _ => {}
+        }
+        led
+    }
+
     fn note_addresses(&self, addresses: &mut BTreeMap<VmId, CompactString>) {
         for (node, _) in self.discovery.roster().stores() {
             addresses.entry(VmId(node.vm)).or_insert_with(|| node.peers.to_compact_string());
         }
     }
 }
-
-fn told(group: &Status) -> Led {
-    let members = group.members.all().map(|vm| vm.0).collect();
-    Led { group: group.group.0, members, settled: group.settled }
-}
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -19,7 +19,8 @@
 use super::program_group::{GroupInput, ProgramGroup};
 use super::registrar::Registrar;
 use super::repair::Repair;
-use super::text_repair::TextRepair;
+use super::text_copies::TextCopies;
+use super::text_holder::TextHolder;
 use super::turn_group::TurnGroup;
 use crate::admin;
 use crate::clock::Clock;
@@ -33,6 +34,7 @@
 use crate::replica::{Event, Host, HostSettings};
 use crate::rpc::{PeerClients, RpcServer, TakeFrame};
 use crate::settings::{DiscoverySettings, Settings, StoreSettings};
+use crate::texts::{TextLimits, TextStore};
 use crate::tls;
 
 /// Most entry bytes in one message to a follower.
@@ -51,6 +53,8 @@
 /// A learner in another region always lacks what is on its way there: half a second of a busy turn
 /// group's entries. Allowed less, one that had all the rest would wait for a quiet moment to vote.
 const PROMOTE_LAG: u64 = 200;
+/// Folder of kept turns' texts, below the data folder.
+const TEXTS: &str = "texts";
 /// Events that may wait for the control group.
 const EVENT_BUFFER: usize = 1_024;
 
@@ -62,6 +66,8 @@
     pub control: Arc<ControlGroup>,
     /// The turn group.
     pub turns: Arc<TurnGroup>,
+    /// Texts of kept turns on this store's disk.
+    pub texts: Arc<TextHolder>,
     /// Who else is there, where nobody hands out a list.
     pub discovery: Option<Arc<Discovery>>,
     /// Settings of the process.
@@ -124,8 +130,11 @@
         let lease = settings.timeouts.config_lease();
         let control = ControlGroup::new(Arc::clone(&context), keys, lease);
         let turns = TurnGroup::new(Arc::clone(&context));
+        let limits = TextLimits { disk_bytes: own.text_bytes };
+        let texts = TextStore::open(&own.folder.join(TEXTS), limits)?;
+        let texts = TextHolder::new(Arc::clone(&context), texts);
         tokio::spawn(outbound::send_batches(Arc::clone(&context), batches));
-        let state = Arc::new(StoreState { context, control, turns, discovery, settings });
+        let state = Arc::new(StoreState { context, control, turns, texts, discovery, settings });
         start_groups(&state, events).await?;
         spawn_loops(&state, &own, &halt);
         let (rpc, admin) = listeners(&state, &own, &halt).await?;
@@ -213,15 +222,13 @@
     let wanted = 2 * own.tolerate as usize + 1;
     let control = Arc::clone(&state.control);
     let turns = Arc::clone(&state.turns);
-    let repair = Repair { context, control, turns, discovery: Arc::clone(discovery), wanted };
+    let (others, known) = (Arc::clone(&state.context), Arc::clone(discovery));
+    let tolerated = own.tolerate as usize;
+    let copies = TextCopies::new(others, Arc::clone(&control), turns, known, tolerated + 1);
+    tokio::spawn(Arc::clone(&copies).run(halt.clone()));
+    tokio::spawn(Arc::clone(&state.texts).drop_unkept(halt.clone()));
+    let repair = Repair { context, control, copies, discovery: Arc::clone(discovery), wanted };
     tokio::spawn(repair.run(halt.clone()));
-    let text = TextRepair {
-        context: Arc::clone(&state.context),
-        turns: Arc::clone(&state.turns),
-        discovery: Arc::clone(discovery),
-        region: state.settings.vm.region.clone(),
-    };
-    tokio::spawn(text.run(halt.clone()));
     let lease = Duration::from_millis(own.endpoint_lease_ms);
     tokio::spawn(Arc::clone(&state.control).lapse_endpoints(lease, halt.clone()));
 }
--- /dev/null
+++ b/crates/gypsumglade/src/store/text_holder.rs
@@ -0,0 +1,138 @@
+//! Texts of kept turns on this store's disk, as others use them.
+
+use std::sync::Arc;
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::turn::{
+    KeptQuery, KeptReply, Text, TextCopy, TextPut, TextQuery, TextStored, Texts, TextsHeld,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::context::StoreContext;
+use crate::leader_client::{LeaderClient, Patience, Verdict};
+use crate::rpc::Method;
+use crate::texts::TextStore;
+
+/// Longest wait for one store to give texts.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause between two looks for texts whose time is over.
+const DUE_PAUSE: Duration = Duration::from_secs(1);
+/// Turns that the turn group's leader is asked about at one time.
+const DUE_BATCH: usize = 512;
+/// How long the turn group is asked which turns are still kept, before the next look.
+const DUE_PATIENCE: Patience = Patience {
+    call: Duration::from_secs(1),
+    whole: Duration::from_secs(3),
+    pause: Duration::from_millis(100),
+};
+/// How long a copied text is held before it is asked about.
+const COPY_RETENTION: Duration = Duration::from_secs(60);
+
+/// Puts, gives, copies and drops this store's texts.
+pub struct TextHolder {
+    context: Arc<StoreContext>,
+    texts: TextStore,
+    group: LeaderClient,
+}
+
+impl TextHolder {
+    /// Creates the holder of the texts on this store's disk.
+    pub fn new(context: Arc<StoreContext>, texts: TextStore) -> Arc<TextHolder> {
+        let directory = Arc::clone(&context.directory);
+        let group = LeaderClient::new(directory, context.peers.clone(), Method::KeptTurns);
+        Arc::new(TextHolder { context, texts, group })
+    }
+
+    /// Puts texts on the disk.
+    pub async fn put(&self, put: TextPut) -> TextStored {
+        let retention = Duration::from_millis(put.retention_ms);
+        let stored = self.texts.put(put.texts, retention).await;
+        if let Err(error) = stored {
+            slog::warn!(self.context.log, "texts refused"; "error" => %error);
+        }
+        TextStored { stored: stored.is_ok() }
+    }
+
+    /// Returns the texts that are here.
+    pub async fn get(&self, query: &TextQuery) -> Texts {
+        Texts { texts: self.texts.get(&query.turns).await }
+    }
+
+    /// Fetches texts that other stores hold.
+    pub async fn copy(&self, order: TextCopy) -> TextsHeld {
+        let here = self.texts.get(&order.turns).await;
+        let mut held: Vec<String> = here.into_iter().map(|text| text.turn).collect();
+        for source in order.sources.iter().copied().map(VmId) {
+            let turns: Vec<String> =
+                order.turns.iter().filter(|turn| !held.contains(turn)).cloned().collect();
+            if turns.is_empty() {
+                break;
+            }
+            let texts = self.fetch(source, turns).await;
+            let names: Vec<String> = texts.iter().map(|text| text.turn.clone()).collect();
+            match self.texts.put(texts, COPY_RETENTION).await {
+                Ok(()) => held.extend(names),
+                Err(error) => {
+                    slog::warn!(self.context.log, "copied texts refused"; "error" => %error);
+                    break;
+                }
+            }
+        }
+        TextsHeld { turns: held }
+    }
+
+    /// Drops texts whose turns are not kept any more, until `halt`.
+    pub(super) async fn drop_unkept(self: Arc<Self>, halt: CancellationToken) {
+        while !halt.is_cancelled() {
+            let due = self.texts.due(DUE_BATCH);
+            let full = due.len() == DUE_BATCH;
+            if self.settle_due(due).await && full {
+                continue;
+            }
+            tokio::select! {
+                () = halt.cancelled() => {}
+                () = tokio::time::sleep(DUE_PAUSE) => {}
+            }
+        }
+    }
+
+    async fn fetch(&self, source: VmId, turns: Vec<String>) -> Vec<Text> {
+        let Some(address) = self.context.directory.store(source) else { return Vec::new() };
+        let query = TextQuery { turns };
+        let asking = self.context.peers.ask(address, Method::Texts, &query, FETCH_TIMEOUT);
+        let texts: Result<Texts, _> = asking.await;
+        match texts {
+            Ok(texts) => texts.texts,
+            Err(error) => {
+                slog::info!(self.context.log, "a store gave no text";
+                    "store" => %address, "error" => %error);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Asks which of these turns are still kept, and drops the texts of the others. Returns whether the
+    /// group could tell.
+    async fn settle_due(&self, due: Vec<CompactString>) -> bool {
+        if due.is_empty() {
+            return false;
+        }
+        let query = KeptQuery { turns: due.iter().map(ToString::to_string).collect() };
+        let Some(reply) = self.group.ask(&query, DUE_PATIENCE, verdict).await else { return false };
+        for turn in due {
+            match reply.turns.iter().find(|kept| turn == kept.turn) {
+                Some(kept) => self.texts.extend(&turn, Duration::from_millis(kept.left_ms)),
+                None => self.texts.drop(&turn),
+            }
+        }
+        true
+    }
+}
+
+fn verdict(reply: &KeptReply) -> Verdict {
+    match reply.leads {
+        true => Verdict::Leads,
+        false if reply.leader == 0 => Verdict::Uncertain,
+        false => Verdict::Redirects(VmId(reply.leader)),
+    }
+}
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -1,21 +1,24 @@
 //! The turn group on this store: kept turns and token budgets.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::LogIndex;
-use gypsumglade_core::turns::Turns;
+use gypsumglade_core::turns::{Copy, Holding, Survey, Turns};
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
-use gypsumglade_core::wire::turn::{Command, NotLeader, Reply, TextQuery, Texts, Uncertain};
+use gypsumglade_core::wire::turn::{
+    Command, Copied, KeptQuery, KeptReply, NotLeader, Reply, Uncertain,
+};
 use prost::Message as _;
 use tokio::sync::mpsc;
 
 use super::answers::Answers;
 use super::context::StoreContext;
 use crate::clock::Clock;
-use crate::replica::{Event, ProposeError};
+use crate::replica::{Event, ProposeError, ReadError};
 
 /// The turn group's state on one store.
 pub struct TurnGroup {
@@ -26,6 +29,8 @@
 #[derive(Default)]
 struct TurnState {
     turns: Turns,
+    /// True once this store leads and has applied what earlier leaders committed.
+    leads: bool,
     answers: Answers<Reply>,
 }
 
@@ -40,9 +45,11 @@
         while let Some(event) = events.recv().await {
             match event {
                 Event::Leader { term, .. } => {
+                    self.state().leads = true;
                     slog::info!(self.context.log, "leads the turn group"; "term" => term.0);
                 }
                 Event::Follower { leader, .. } => {
+                    self.state().leads = false;
                     let leader = leader.map(|vm| vm.0);
                     slog::info!(self.context.log, "follows in the turn group"; "leader" => leader);
                 }
@@ -75,7 +82,6 @@
         serde_json::json!({
             "applied": state.answers.applied(),
             "turns": state.turns.kept(),
-            "textless": state.turns.lacking("", usize::MAX).len(),
             "programs": state.turns.programs(),
         })
     }
@@ -109,34 +115,54 @@
         state.answers.restored(index);
     }
 
-    /// Takes a snapshot. Other stores are sent one without text, and fetch that later.
-    pub(super) async fn snapshot(&self) {
-        let (index, data, sent) = {
+    /// Takes a snapshot.
+    async fn snapshot(&self) {
+        let (index, data) = {
             let state = self.state();
-            (state.answers.applied(), state.turns.snapshot(), state.turns.snapshot_textless())
+            (state.answers.applied(), state.turns.snapshot())
         };
-        self.context.host.snapshot_sending(GroupId::TURNS, index, data, sent).await;
+        self.context.host.snapshot(GroupId::TURNS, index, data).await;
     }
 
-    /// Returns turns whose text this store does not have, from the one after `after` on.
-    pub(super) fn lacking(&self, after: &str, most: usize) -> Vec<CompactString> {
-        self.state().turns.lacking(after, most)
+    /// Returns which of these turns are still kept, if this store leads the group.
+    pub async fn still_kept(&self, query: &KeptQuery) -> KeptReply {
+        let barrier = self.context.host.read_barrier(GroupId::TURNS).await;
+        let state = self.state();
+        match barrier {
+            // Only a leader that has applied what earlier ones committed can say that a turn is not
+            // kept: its text is dropped then.
+            Ok(_) if state.leads => KeptReply {
+                leads: true,
+                turns: state.turns.still_kept(&query.turns),
+                leader: self.context.vm.0,
+            },
+            Ok(_) => KeptReply::default(),
+            Err(ReadError::NotLeader { hint }) => {
+                KeptReply { leader: hint.unwrap_or_default().0, ..KeptReply::default() }
+            }
+        }
     }
 
-    /// Tells whether this store has all that a member of the group has.
-    pub(super) fn is_complete(&self) -> bool {
+    /// Returns what to copy next, and which stores texts rely on.
+    pub(super) fn plan_copies(&self, survey: &Survey, most: usize) -> CopyPlan {
         let state = self.state();
-        state.answers.applied() > LogIndex(0) && state.turns.lacking("", 1).is_empty()
+        CopyPlan {
+            copies: state.turns.plan_copies(survey, most),
+            relied: state.turns.relied_on(survey),
+        }
     }
 
-    /// Returns the text that another store asks for.
-    pub fn texts(&self, query: &TextQuery) -> Texts {
-        self.state().turns.texts(query)
+    /// Notes where copied texts are, and returns once that is committed.
+    pub(super) async fn note_copied(&self, copied: &[Holding]) -> bool {
+        let turns = copied.iter().map(Holding::to_wire).collect();
+        let body = CommandBody::Copied(Copied { turns, now_ms: 0 });
+        let reply = self.ask(Command { body: Some(body) }).await;
+        matches!(reply.body, Some(ReplyBody::Settled(_)))
     }
 
-    /// Takes text that another store had.
-    pub(super) fn fill(&self, texts: Texts) {
-        self.state().turns.fill(texts);
+    /// Tells whether this store leads the group and has applied what earlier leaders committed.
+    pub(super) fn leads(&self) -> bool {
+        self.state().leads
     }
 
     fn state(&self) -> MutexGuard<'_, TurnState> {
@@ -144,11 +170,19 @@
     }
 }
 
+/// What the turn group's leader is to do about texts on too few stores.
+pub(super) struct CopyPlan {
+    pub(super) copies: Vec<Copy>,
+    /// Stores that hold such texts.
+    pub(super) relied: BTreeSet<VmId>,
+}
+
 /// Sets the wall clock of a command. The leader's counts, so that entry VMs' clocks don't matter.
 fn stamp(command: &mut Command, now: u64) {
     match &mut command.body {
         Some(CommandBody::Reserve(reserve)) => reserve.now_ms = now,
         Some(CommandBody::Settle(settle)) => settle.now_ms = now,
+        Some(CommandBody::Copied(copied)) => copied.now_ms = now,
         None => {}
     }
 }
