--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -1,5 +1,6 @@
 //! Texts on a store's disk: what survives, what is refused, and how space comes back.
 
+use std::collections::BTreeSet;
 use std::fs::{self, File, OpenOptions};
 use std::os::unix::fs::FileExt;
 use std::path::PathBuf;
@@ -9,6 +10,9 @@
 use gypsumglade::disk::Faults;
 use gypsumglade::texts::{PutError, TextLimits, TextOptions, TextStatus, TextStore};
 use gypsumglade_core::wire::turn::Text;
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
 
 const LONG: Duration = Duration::from_secs(3600);
@@ -591,3 +595,147 @@
         assert_eq!(get(&store, i).await, Some(text(i, 1000)));
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn get_while_moved() {
+    // Guards against a text that can't be read for a moment, because its file goes while it is moved.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    let kept: Vec<_> = (0..4).map(name).collect();
+    store.put((0..4).map(|i| text(i, 3000)).collect(), LONG).await.expect("the texts are put");
+    let reader = store.clone();
+    let reading = tokio::spawn(async move {
+        let mut first = reader.status().syncs;
+        let mut rounds = 0;
+        while first < 600 {
+            let texts = reader.get(&kept).await;
+            assert_eq!(texts, (0..4).map(|i| text(i, 3000)).collect::<Vec<_>>());
+            first = reader.status().syncs;
+            rounds += 1;
+        }
+        rounds
+    });
+    let mut i = 4;
+    while !reading.is_finished() {
+        put(&store, i, 30_000).await;
+        store.drop(&name(i));
+        i += 1;
+    }
+    assert!(reading.await.expect("every text was read in every round") > 0);
+    assert!(store.status().disk_bytes <= SMALL);
+}
+
+fn runner(cases: u32, seed: u64) -> TestRunner {
+    TestRunner::new(ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })
+}
+
+fn runtime() -> Runtime {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime")
+}
+
+#[test]
+fn open_after_any_damage() {
+    // Guards against damage anywhere in a file that hides, or changes, a text which it doesn't touch.
+    let length = |i: usize| 50 + i * 37;
+    let whole = Folder::new(ROOMY);
+    let runtime = runtime();
+    let store = whole.open();
+    let texts: Vec<_> = (0..12).map(|i| text(i, length(i))).collect();
+    runtime.block_on(store.put(texts.clone(), LONG)).expect("the texts are put");
+    drop(store);
+    let bytes = fs::read(&whole.files()[0]).expect("a file");
+    let strategy = (0..bytes.len(), 1..400usize, any::<bool>(), any::<u8>());
+    let result = runner(300, 7).run(&strategy, |(at, count, cut, byte)| {
+        let folder = Folder::new(ROOMY);
+        let end = if cut { bytes.len() } else { (at + count).min(bytes.len()) };
+        let mut damaged = bytes.clone();
+        match cut {
+            true => damaged.truncate(at),
+            false => damaged[at..end].iter_mut().for_each(|old| *old ^= byte | 1),
+        }
+        fs::write(folder.root.path().join("texts-0000000001"), &damaged).expect("written");
+        let store = folder.open();
+        let mut start = 0;
+        for (i, text) in texts.iter().enumerate() {
+            let next = start + record_bytes(text) as usize;
+            let touched = at < next && start < end;
+            let expected = (!touched).then(|| text.clone());
+            prop_assert_eq!(runtime.block_on(get(&store, i)), expected, "text {}", i);
+            start = next;
+        }
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(usize),
+    Drop(usize),
+    Extend(usize),
+    Reopen,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        10 => (0..60usize).prop_map(Step::Put),
+        8 => (0..60usize).prop_map(Step::Drop),
+        2 => (0..60usize).prop_map(Step::Extend),
+        1 => Just(Step::Reopen),
+    ]
+}
+
+#[test]
+fn get_after_any_steps() {
+    // Guards against a text that is lost, or dropped and still there, after whatever was done before.
+    let runtime = runtime();
+    let steps = proptest::collection::vec(step(), 1..250);
+    let result = runner(40, 8).run(&steps, |steps| {
+        let folder = Folder::new(SMALL);
+        let mut store = folder.open();
+        let mut live = BTreeSet::new();
+        // Texts that a restart may have brought back.
+        let mut maybe = BTreeSet::new();
+        let length = |i: usize| 200 + i * 211;
+        for step in steps {
+            match step {
+                Step::Put(i) => {
+                    runtime.block_on(put(&store, i, length(i)));
+                    live.insert(i);
+                }
+                Step::Drop(i) => {
+                    store.drop(&name(i));
+                    live.remove(&i);
+                    maybe.remove(&i);
+                }
+                Step::Extend(i) => store.extend(&name(i), Duration::ZERO),
+                Step::Reopen => {
+                    drop(store);
+                    store = folder.open();
+                    maybe = (0..60).filter(|i| !live.contains(i)).collect();
+                }
+            }
+            prop_assert!(folder.file_bytes() <= SMALL);
+        }
+        for i in 0..60 {
+            match runtime.block_on(get(&store, i)) {
+                Some(found) => {
+                    prop_assert!(live.contains(&i) || maybe.contains(&i), "text {} is back", i);
+                    prop_assert_eq!(found, text(i, length(i)));
+                }
+                None => prop_assert!(!live.contains(&i), "text {} is lost", i),
+            }
+        }
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
