--- a/crates/core/src/turns/snapshot.rs
+++ b/crates/core/src/turns/snapshot.rs
@@ -20,8 +20,10 @@
     #[error("the turn snapshot is damaged: {0}")]
     Damaged(CompactString),
     /// Another version wrote it.
-    #[error("the turn snapshot has format {0}, this version reads {FORMAT}: run the version that \
-        wrote it, or start with an empty data folder")]
+    #[error(
+        "the turn snapshot has format {0}, this version reads {FORMAT}: run the version that \
+        wrote it, or start with an empty data folder"
+    )]
     Format(u32),
 }
 
--- a/crates/gypsumglade/src/admin.rs
+++ b/crates/gypsumglade/src/admin.rs
@@ -161,6 +161,7 @@
         "control": state.control.dump(),
         "programs": groups,
         "turns": state.turns.dump(),
+        "texts": state.texts.status(),
         "replicas": state.context.host.status().await,
         "stores": state.context.directory.stores(),
         "entries": state.context.directory.entries(),
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -5,7 +5,7 @@
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::repair::{Candidate, Survey, next_change, should_hand_over};
-use gypsumglade_core::replication::{MemberChange, Members, Role, Status};
+use gypsumglade_core::replication::{Members, Role, Status};
 use gypsumglade_core::wire::discovery::Led;
 use tokio_util::sync::CancellationToken;
 
@@ -117,7 +117,8 @@
     /// Returns what to tell others of a group that this store leads.
     fn told(&self, group: &Status) -> Led {
         let members = group.members.all().map(|vm| vm.0).collect();
-        let mut led = Led { group: group.group.0, members, settled: group.settled, ..Led::default() };
+        let mut led =
+            Led { group: group.group.0, members, settled: group.settled, ..Led::default() };
         match group.group {
             GroupId::TURNS => led.holders = self.copies.relied(),
             GroupId::CONTROL => led.retiring = self.control.retiring(),
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -34,7 +34,7 @@
 use crate::replica::{Event, Host, HostSettings};
 use crate::rpc::{PeerClients, RpcServer, TakeFrame};
 use crate::settings::{DiscoverySettings, Settings, StoreSettings};
-use crate::texts::{TextLimits, TextStore};
+use crate::texts::{TextLimits, TextOptions, TextStore};
 use crate::tls;
 
 /// Most entry bytes in one message to a follower.
@@ -131,7 +131,8 @@
         let control = ControlGroup::new(Arc::clone(&context), keys, lease);
         let turns = TurnGroup::new(Arc::clone(&context));
         let limits = TextLimits { disk_bytes: own.text_bytes };
-        let texts = TextStore::open(&own.folder.join(TEXTS), limits)?;
+        let options = TextOptions::new(limits, context.log.clone());
+        let texts = TextStore::open_with(&own.folder.join(TEXTS), options)?;
         let texts = TextHolder::new(Arc::clone(&context), texts);
         tokio::spawn(outbound::send_batches(Arc::clone(&context), batches));
         let state = Arc::new(StoreState { context, control, turns, texts, discovery, settings });
--- a/crates/gypsumglade/src/store/text_holder.rs
+++ b/crates/gypsumglade/src/store/text_holder.rs
@@ -11,7 +11,7 @@
 use super::context::StoreContext;
 use crate::leader_client::{LeaderClient, Patience, Verdict};
 use crate::rpc::Method;
-use crate::texts::TextStore;
+use crate::texts::{TextStatus, TextStore};
 
 /// Longest wait for one store to give texts.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
@@ -58,6 +58,11 @@
         Texts { texts: self.texts.get(&query.turns).await }
     }
 
+    /// Returns what this store holds, for a dump.
+    pub fn status(&self) -> TextStatus {
+        self.texts.status()
+    }
+
     /// Fetches texts that other stores hold.
     pub async fn copy(&self, order: TextCopy) -> TextsHeld {
         let here = self.texts.get(&order.turns).await;
