--- a/crates/gypsumglade/examples/text_puts.rs
+++ b/crates/gypsumglade/examples/text_puts.rs
@@ -1,14 +1,14 @@
 //! Prints what a store of texts does on this machine's disk: puts a second, syncs, and memory.
 //!
-//! `text_puts FOLDER CALLERS SECONDS` puts texts of 18 KB by so many callers, opens the folder again, and
-//! then notes many small texts to see what the index takes.
+//! `text_puts FOLDER CALLERS SECONDS SYNC_MS` puts texts of 18 KB by so many callers, on a disk whose syncs
+//! take so much longer, opens the folder again, and then notes many small texts to see what the index takes.
 
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use bytes::Bytes;
-use gypsumglade::texts::{PutError, TextLimits, TextStore};
+use gypsumglade::texts::{PutError, TextLimits, TextOptions, TextStore};
 use gypsumglade_core::wire::turn::Text;
 
 const TEXT_BYTES: usize = 18_000;
@@ -21,11 +21,12 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> anyhow::Result<()> {
     let mut words = std::env::args().skip(1);
-    let mut word = || words.next().context("text_puts FOLDER CALLERS SECONDS");
+    let mut word = || words.next().context("text_puts FOLDER CALLERS SECONDS SYNC_MS");
     let folder = PathBuf::from(word()?);
     let callers: usize = word()?.parse()?;
     let length = Duration::from_secs(word()?.parse()?);
-    put(&folder.join("large"), callers, length).await?;
+    let sync = Duration::from_millis(word()?.parse()?);
+    put(&folder.join("large"), callers, length, sync).await?;
     let begun = Instant::now();
     let before = memory("VmRSS")?;
     let store = open(&folder.join("large"))?;
@@ -41,8 +42,16 @@
     TextStore::open(folder, TextLimits { disk_bytes: DISK_BYTES })
 }
 
-async fn put(folder: &Path, callers: usize, length: Duration) -> anyhow::Result<()> {
-    let store = open(folder)?;
+async fn put(
+    folder: &Path,
+    callers: usize,
+    length: Duration,
+    sync: Duration,
+) -> anyhow::Result<()> {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let options = TextOptions::new(TextLimits { disk_bytes: DISK_BYTES }, log);
+    options.faults.slow_syncs(sync);
+    let store = TextStore::open_with(folder, options)?;
     let part = Bytes::from(vec![7; TEXT_BYTES / 2]);
     let begun = Instant::now();
     let mut tasks = tokio::task::JoinSet::new();
--- a/crates/gypsumglade/src/disk/faults.rs
+++ b/crates/gypsumglade/src/disk/faults.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
 
 /// Failures to come; without any, the disk works.
 #[doc(hidden)]
@@ -25,6 +26,8 @@
     folders: bool,
     /// Whether syncs wait.
     held: bool,
+    /// What each sync takes beside the disk's own time.
+    pause: Duration,
 }
 
 impl Faults {
@@ -54,6 +57,11 @@
         self.0.released.notify_all();
     }
 
+    /// Makes every sync take longer.
+    pub fn slow_syncs(&self, pause: Duration) {
+        self.plan().pause = pause;
+    }
+
     /// Returns how many of `wanted` bytes may be written.
     pub(crate) fn room(&self, wanted: usize) -> usize {
         let mut plan = self.plan();
@@ -66,6 +74,10 @@
     }
 
     pub(crate) fn check_sync(&self) -> io::Result<()> {
+        let pause = self.plan().pause;
+        if pause > Duration::ZERO {
+            std::thread::sleep(pause);
+        }
         let waiting = self.0.released.wait_while(self.plan(), |plan| plan.held);
         refuse(waiting.unwrap_or_else(PoisonError::into_inner).fail)
     }
--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -4,9 +4,12 @@
 use std::fs::{self, File, OpenOptions};
 use std::os::unix::fs::FileExt;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use gypsumglade::disk::Faults;
 use gypsumglade::texts::{PutError, TextLimits, TextOptions, TextStatus, TextStore};
 use gypsumglade_core::wire::turn::Text;
@@ -16,6 +19,8 @@
 use tokio::task::JoinHandle;
 
 const LONG: Duration = Duration::from_secs(3600);
+/// Looks, with a pause of a millisecond, after which a test gives up.
+const LOOKS: usize = 60_000;
 /// Limit of a roomy disk.
 const ROOMY: u64 = 256 * 1024 * 1024;
 /// Limit of a small disk, whose segments have an eighth of it.
@@ -30,17 +35,44 @@
     limit: u64,
     found: Duration,
     pause: Duration,
+    /// Messages of the highest level.
+    critical: Arc<AtomicUsize>,
+}
+
+/// Lets syncs go on in the end, also when a test panics: a store that is dropped waits for them.
+struct Held(Faults);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.release_syncs();
+    }
+}
+
+/// Counts messages of the highest level.
+struct Count(Arc<AtomicUsize>);
+
+impl slog::Drain for Count {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        if record.level() == slog::Level::Critical {
+            self.0.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
 }
 
 impl Folder {
     fn new(limit: u64) -> Folder {
         let root = tempfile::tempdir().expect("a folder");
-        Folder { root, faults: Faults::default(), limit, found: LONG, pause: LONG }
+        let critical = Arc::default();
+        Folder { root, faults: Faults::default(), limit, found: LONG, pause: LONG, critical }
     }
 
     fn open(&self) -> TextStore {
         let limits = TextLimits { disk_bytes: self.limit };
-        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let log = slog::Logger::root(Count(Arc::clone(&self.critical)), slog::o!());
         let mut options = TextOptions::new(limits, log);
         options.faults = self.faults.clone();
         options.found_retention = self.found;
@@ -48,6 +80,12 @@
         TextStore::open_with(self.root.path(), options).expect("the folder opens")
     }
 
+    /// Makes syncs wait until the guard goes.
+    fn hold(&self) -> Held {
+        self.faults.hold_syncs();
+        Held(self.faults.clone())
+    }
+
     fn files(&self) -> Vec<PathBuf> {
         let entries = fs::read_dir(self.root.path()).expect("a folder");
         let mut files: Vec<_> = entries.map(|entry| entry.expect("an entry").path()).collect();
@@ -91,15 +129,16 @@
     tokio::spawn(async move { store.put(vec![text], LONG).await })
 }
 
-/// Waits for what the writer does by itself. A test that never gets there is ended by its runner.
+/// Waits for what the writer does by itself.
 async fn until(store: &TextStore, reached: impl Fn(TextStatus) -> bool) -> TextStatus {
-    loop {
+    for _ in 0..LOOKS {
         let status = store.status();
         if reached(status) {
             return status;
         }
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
+    panic!("the writer never got there: {:?}", store.status());
 }
 
 /// Lets spawned tasks run until each has put what it has to put.
@@ -133,13 +172,13 @@
     // Guards against an answer for a text that a power loss would still take.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
-    folder.faults.hold_syncs();
+    let held = folder.hold();
     let waiting = spawn_put(&store, text(1, 100));
     queue_all().await;
     until(&store, |_| folder.file_bytes() > 0).await;
     assert!(!waiting.is_finished());
     assert_eq!(get(&store, 1).await, None, "an unsynced text counts as absent");
-    folder.faults.release_syncs();
+    drop(held);
     assert_eq!(waiting.await.expect("no panic"), Ok(()));
     assert_eq!(get(&store, 1).await, Some(text(1, 100)));
 }
@@ -298,16 +337,16 @@
     // Guards against memory that fills up with texts while a sync takes long.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
-    folder.faults.hold_syncs();
+    let held = folder.hold();
     let mut waiting = Vec::new();
     for i in 0..8 {
         waiting.push(spawn_put(&store, text(i, 1_000_000)));
     }
     queue_all().await;
     assert_eq!(store.status().queued_bytes, 8 * record_bytes(&text(0, 1_000_000)));
-    let refused = store.put(vec![text(8, 1_000_000)], LONG).await;
-    assert_eq!(refused, Err(PutError::Full), "it is refused while the others wait");
-    folder.faults.release_syncs();
+    let refused = store.put(vec![text(8, 1_000_000)], LONG).now_or_never();
+    assert_eq!(refused, Some(Err(PutError::Full)), "it is refused while the others wait");
+    drop(held);
     for put in waiting {
         assert_eq!(put.await.expect("no panic"), Ok(()));
     }
@@ -320,13 +359,13 @@
     // Guards against a sync for each text, which a disk of 5 ms a sync can't keep up with.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
-    folder.faults.hold_syncs();
+    let held = folder.hold();
     let first = spawn_put(&store, text(0, 1000));
     queue_all().await;
     until(&store, |_| folder.file_bytes() > 0).await;
     let others: Vec<_> = (1..50).map(|i| spawn_put(&store, text(i, 1000))).collect();
     queue_all().await;
-    folder.faults.release_syncs();
+    drop(held);
     assert_eq!(first.await.expect("no panic"), Ok(()));
     for put in others {
         assert_eq!(put.await.expect("no panic"), Ok(()));
@@ -339,7 +378,7 @@
     // Guards against a repeated put that is answered while the first one may still be lost.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
-    folder.faults.hold_syncs();
+    let held = folder.hold();
     let first = spawn_put(&store, text(1, 1000));
     queue_all().await;
     until(&store, |_| folder.file_bytes() > 0).await;
@@ -347,7 +386,7 @@
     let third = spawn_put(&store, text(1, 1000));
     queue_all().await;
     assert!(!second.is_finished() && !third.is_finished());
-    folder.faults.release_syncs();
+    drop(held);
     for put in [first, second, third] {
         assert_eq!(put.await.expect("no panic"), Ok(()));
     }
@@ -365,14 +404,14 @@
     // Guards against a repeated put that is answered although the first one's sync failed.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
-    folder.faults.hold_syncs();
+    let held = folder.hold();
     let first = spawn_put(&store, text(1, 1000));
     queue_all().await;
     until(&store, |_| folder.file_bytes() > 0).await;
     let second = spawn_put(&store, text(1, 1000));
     queue_all().await;
     folder.faults.fail_syncs();
-    folder.faults.release_syncs();
+    drop(held);
     assert_eq!(first.await.expect("no panic"), Err(PutError::Failed));
     assert_eq!(second.await.expect("no panic"), Err(PutError::Failed));
 }
@@ -391,6 +430,7 @@
     assert_eq!(get(&store, 2).await, None);
     assert!(store.status().failed);
     drop(store);
+    assert_eq!(folder.critical.load(Ordering::Relaxed), 1, "it is logged once");
     let healed = Folder { faults: Faults::default(), ..folder };
     let store = healed.open();
     assert_eq!(get(&store, 1).await, Some(text(1, 1000)));
@@ -479,6 +519,26 @@
     }
 }
 
+#[tokio::test]
+async fn drop_while_moved() {
+    // Guards against a text that comes back because it was dropped while its move was being synced.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    for i in 0..30 {
+        put(&store, i, 10_000).await;
+    }
+    let held = folder.hold();
+    (1..30).for_each(|i| store.drop(&name(i)));
+    // Only an unsynced move makes the files longer than what the store has noted.
+    until(&store, |status| folder.file_bytes() > status.disk_bytes).await;
+    assert_eq!(get(&store, 0).await, Some(text(0, 10_000)));
+    store.drop(&name(0));
+    drop(held);
+    until(&store, |status| status.disk_bytes == 0).await;
+    assert_eq!(get(&store, 0).await, None);
+    assert_eq!(folder.files(), Vec::<PathBuf>::new());
+}
+
 #[tokio::test]
 async fn drop_compacts_past_damaged_text() {
     // Guards against a damaged record that keeps its file from being compacted for ever.
