Show what a store holds, waits for and knows of its followers

Stores died for memory, and commits took seconds, and neither the metrics page nor the logs could tell which of memory, link or waiting it was. A store's page now has the time from proposal to outcome by kind of group, what each member lacks and how long it is silent, bytes held by kind, bytes that wait for each peer, and the memory of the process.

Gauges are worked out when the page is asked for.

--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -25,7 +25,7 @@
 pub use links::Links;
 pub use replica::{Replica, Role};
 pub use settings::{Safeguards, Settings};
-pub use status::Status;
+pub use status::{Lag, Status};
 pub use types::{
     Ballot, EntryMeta, LogIndex, MemberChange, Members, Position, Restored, Sequence, Term, quorum,
 };
--- a/crates/core/src/replication/status.rs
+++ b/crates/core/src/replication/status.rs
@@ -2,6 +2,7 @@
 
 use super::leader::Lead;
 use super::links::Links;
+use super::progress::{Flow, Progress};
 use super::replica::{Replica, Role};
 use super::types::{LogIndex, Members, Position, Term};
 use crate::prelude::*;
@@ -29,6 +30,26 @@
     pub settled: bool,
     /// Whether it holds a leader's lease right now.
     pub lease: bool,
+    /// Bytes of proposals that wait for a commit here.
+    pub backlog: usize,
+    /// What each other member lacks, as far as this leader knows; empty at a follower.
+    pub followers: Vec<Lag>,
+}
+
+/// What one member lacks of its leader's log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lag {
+    /// The member.
+    pub vm: VmId,
+    /// Entries that it isn't known to have synced.
+    pub entries: u64,
+    /// Bytes of those among them that the leader's log still has.
+    pub bytes: u64,
+    /// Time since the latest message that it is known to have answered was sent, or since the
+    /// leader was elected.
+    pub silent: Duration,
+    /// Whether it is sent a snapshot, since the log has no more of what it lacks.
+    pub snapshot: bool,
 }
 
 impl Replica {
@@ -45,7 +66,34 @@
             members: self.log.members().clone(),
             settled: self.log.members_since() <= self.commit,
             lease: self.holds_lease(now, links),
+            backlog: self.lead.as_ref().map_or(0, |lead| lead.backlog),
+            followers: self.followers(now, links),
+        }
+    }
+
+    fn followers(&self, now: Time, links: &Links) -> Vec<Lag> {
+        let Some(lead) = &self.lead else { return Vec::new() };
+        let last = self.log.last().index;
+        let matched = |progress: &Progress| progress.matched.max(self.log.base());
+        // One walk over what the member that is furthest behind lacks, for all of them.
+        let lowest = lead.progress.values().map(matched).min().unwrap_or(last);
+        let mut missing = vec![0];
+        for index in (lowest.0 + 1..=last.0).rev() {
+            let before = missing.last().copied().unwrap_or(0);
+            missing.push(before + self.log.size(LogIndex(index)) as u64);
         }
+        let lag = |(&vm, progress): (&VmId, &Progress)| {
+            let answered = progress.acked.max(self.pulse_answer(links, vm, progress));
+            let lacks = last.0.saturating_sub(matched(progress).0) as usize;
+            Lag {
+                vm,
+                entries: last.0.saturating_sub(progress.matched.0),
+                bytes: missing.get(lacks).copied().unwrap_or(0),
+                silent: now.since(answered.unwrap_or(lead.since).max(lead.since)),
+                snapshot: matches!(progress.flow, Flow::Snapshot { .. }),
+            }
+        };
+        lead.progress.iter().map(lag).collect()
     }
 
     /// Returns the last committed index that this replica knows.
--- a/crates/gypsumglade/src/admin.rs
+++ b/crates/gypsumglade/src/admin.rs
@@ -24,7 +24,7 @@
 use crate::entry::state::EntryState;
 use crate::rpc::PeerClients;
 use crate::secret::Secret;
-use crate::store::StoreState;
+use crate::store::{self, StoreState};
 
 /// Returns the operators' routes of an entry VM.
 pub fn entry_routes(state: Arc<EntryState>) -> Router {
@@ -134,7 +134,8 @@
 }
 
 async fn store_metrics(State(state): State<Arc<StoreState>>) -> Response {
-    page(state.context.metrics.page())
+    let gauges = store::page(&state).await;
+    page(state.context.metrics.page().and_then(|own| Ok(own + &gauges?)))
 }
 
 fn page(page: anyhow::Result<String>) -> Response {
--- a/crates/gypsumglade/src/metrics.rs
+++ b/crates/gypsumglade/src/metrics.rs
@@ -3,10 +3,11 @@
 //! The names are listed for operators in docs/OPERATING.md.
 
 use anyhow::Context as _;
+use gypsumglade_core::prelude::*;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _, UpDownCounter};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder as _, Registry, TextEncoder};
+use prometheus::{Encoder as _, IntGauge, Registry, TextEncoder};
 
 /// Bounds of the whole-program latency histogram, in seconds: a lookup to an hour's chat.
 const PROGRAM_SECONDS: [f64; 14] =
@@ -15,6 +16,41 @@
 const CALL_SECONDS: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.59, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0];
 
+/// Bounds of the histograms of replicated commits, in seconds: a disk's sync to a lost election.
+const COMMIT_SECONDS: [f64; 14] =
+    [0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
+
+/// Times from a proposal to its outcome, by kind of group.
+#[derive(Clone, Debug)]
+pub struct CommitSeconds(Histogram<f64>);
+
+impl CommitSeconds {
+    /// Notes one proposal.
+    pub fn record(&self, group: GroupId, took: Duration, outcome: &'static str) {
+        let labels = [label("group", group_name(group)), label("outcome", outcome)];
+        self.0.record(took.as_secs_f64(), &labels);
+    }
+}
+
+/// Returns a group's kind, as metrics and logs have it.
+pub fn group_name(group: GroupId) -> &'static str {
+    match group {
+        GroupId::CONTROL => "control",
+        GroupId::TURNS => "turns",
+        _ => "programs",
+    }
+}
+
+/// Returns the bytes of this process that are in memory, and nothing where the kernel doesn't tell.
+fn resident_bytes() -> Option<u64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = text.split_whitespace().nth(RESIDENT_FIELD)?.parse().ok()?;
+    Some(pages * rustix::param::page_size() as u64)
+}
+
+/// Place of the resident pages in `/proc/self/statm`.
+const RESIDENT_FIELD: usize = 1;
+
 /// Instruments of one process.
 pub struct Metrics {
     registry: Registry,
@@ -29,6 +65,8 @@
     shed: Counter<u64>,
     retries: Counter<u64>,
     region_bytes: Counter<u64>,
+    commits: CommitSeconds,
+    resident: IntGauge,
     waiting: UpDownCounter<i64>,
     flight: UpDownCounter<i64>,
 }
@@ -63,6 +101,8 @@
             meter.f64_histogram(name).with_unit("s").with_boundaries(bounds.to_vec()).build()
         };
         let count = |name: &'static str| meter.u64_counter(name).build();
+        let resident = IntGauge::new("process_resident_memory_bytes", "memory in use")?;
+        registry.register(Box::new(resident.clone()))?;
         Ok(Metrics {
             program_seconds: seconds("program_latency", &PROGRAM_SECONDS),
             call_seconds: seconds("call_latency", &CALL_SECONDS),
@@ -73,6 +113,8 @@
             shed: count("calls_shed"),
             retries: count("call_retries"),
             region_bytes: count("region_link_bytes"),
+            commits: CommitSeconds(seconds("replica_commit", &COMMIT_SECONDS)),
+            resident,
             waiting: meter.i64_up_down_counter("calls_waiting").build(),
             flight: meter.i64_up_down_counter("calls_in_flight").build(),
             registry,
@@ -85,11 +127,19 @@
     /// # Errors
     /// Fails when a metric cannot be written, which is a fault of the program.
     pub fn page(&self) -> anyhow::Result<String> {
+        if let Some(bytes) = resident_bytes() {
+            self.resident.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+        }
         let mut page = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut page)?;
         Ok(String::from_utf8(page)?)
     }
 
+    /// Returns where replicas note the time that proposals take.
+    pub fn commits(&self) -> CommitSeconds {
+        self.commits.clone()
+    }
+
     /// Records a program's time from first call to last answer.
     pub fn program(&self, seconds: f64) {
         self.program_seconds.record(seconds, &[]);
--- a/crates/gypsumglade/src/replica/calls.rs
+++ b/crates/gypsumglade/src/replica/calls.rs
@@ -10,8 +10,8 @@
 use prost::Message;
 use tokio::sync::oneshot;
 
-use super::engine::Engine;
-use super::event::{ChangeError, HostStatus, ProposeError, ReadError};
+use super::engine::{Engine, Taking};
+use super::event::{ChangeError, Held, HostStatus, ProposeError, ReadError};
 use super::group::{Group, Reply, Waiter};
 use super::storage::Storage;
 use crate::disk::{Job, JobWrite, RestoredGroup, Snapshot};
@@ -168,8 +168,9 @@
             group.snapshot = data.clone();
             group.length = data.len() as u64;
         }
-        let again = self.snapshots.iter().any(|(group, at, _)| *group == id && *at == index);
-        self.snapshots.push((id, index, reply));
+        let again = self.snapshots.iter().any(|other| other.group == id && other.index == index);
+        let bytes = if again { 0 } else { data.len() };
+        self.snapshots.push(Taking { group: id, index, bytes, reply });
         if again {
             return;
         }
@@ -202,7 +203,7 @@
         }
     }
 
-    pub(super) fn status(&self) -> HostStatus {
+    pub(super) fn status(&self, commands: usize) -> HostStatus {
         let now = self.now();
         HostStatus {
             vm: self.settings.vm,
@@ -212,8 +213,26 @@
                 .values()
                 .map(|group| group.replica.status(now, &self.links))
                 .collect(),
+            held: self.held(commands),
         }
     }
+
+    fn held(&self, commands: usize) -> Held {
+        let groups = self.groups.values();
+        let mut held = Held {
+            writing: self.snapshots.iter().map(|waiting| waiting.bytes).sum(),
+            events: self.events.waiting(),
+            commands,
+            ..Held::default()
+        };
+        for group in groups {
+            held.cache += group.tail.cached();
+            held.arriving += group.incoming.len();
+            held.sending += group.snapshot.len();
+            held.sending += group.sent.as_ref().map_or(0, |(_, sent)| sent.len());
+        }
+        held
+    }
 }
 
 /// Tells the callers that nothing was appended.
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -104,6 +104,15 @@
     }
 }
 
+/// A snapshot that is being written, and who waits for it.
+#[derive(Debug)]
+pub(super) struct Taking {
+    pub(super) group: GroupId,
+    pub(super) index: LogIndex,
+    pub(super) bytes: usize,
+    pub(super) reply: oneshot::Sender<()>,
+}
+
 /// Every replica of one VM with its disk, its peers and its callers.
 pub(super) struct Engine {
     pub(super) settings: HostSettings,
@@ -123,9 +132,11 @@
     pub(super) events: EventQueue,
     pub(super) failed: Option<CompactString>,
     pub(super) creating: Vec<(GroupId, oneshot::Sender<bool>)>,
-    pub(super) snapshots: Vec<(GroupId, LogIndex, oneshot::Sender<()>)>,
+    pub(super) snapshots: Vec<Taking>,
     pub(super) transfers: Vec<(Time, oneshot::Sender<()>)>,
     pub(super) tokens: u64,
+    /// Commands that waited when the latest of them was taken.
+    pub(super) waiting: usize,
     pub(super) effects: Vec<Effect>,
     /// Writes to memory, which are done at once.
     pub(super) done: VecDeque<Done>,
@@ -158,6 +169,7 @@
             snapshots: Vec::new(),
             transfers: Vec::new(),
             tokens: 0,
+            waiting: 0,
             effects: Vec::new(),
             done: VecDeque::new(),
         };
@@ -184,6 +196,7 @@
             tokio::select! {
                 command = inbox.recv() => {
                     let mut next = Some(command?);
+                    self.waiting = inbox.len();
                     for _ in 0..COMMANDS_PER_TURN {
                         match next {
                             Some(Command::Stop { reply }) => return Some(reply),
@@ -231,7 +244,7 @@
             Command::TransferAll { reply } => self.transfer_all(reply),
             Command::Transfer { group } => self.step(group, Input::Transfer),
             Command::Change { group, change, reply } => self.change(group, change, reply),
-            Command::Status { reply } => drop(reply.send(self.status())),
+            Command::Status { reply } => drop(reply.send(self.status(self.waiting))),
             Command::Written(done) => done.into_iter().for_each(|done| self.written(done)),
             Command::Compact(groups) => groups.into_iter().for_each(|group| self.release(group)),
             Command::DiskFailed(reason) => self.fail(reason),
@@ -343,9 +356,9 @@
             let base = group.compact();
             self.submit(Job { group: id, sequence: None, write: JobWrite::Forget(base) });
         }
-        let taken = |(group, at, _): &mut (GroupId, LogIndex, _)| *group == id && *at <= index;
-        for (_, _, reply) in self.snapshots.extract_if(.., taken) {
-            let _ = reply.send(());
+        let taken = |waiting: &mut Taking| waiting.group == id && waiting.index <= index;
+        for waiting in self.snapshots.extract_if(.., taken) {
+            let _ = waiting.reply.send(());
         }
     }
 
--- a/crates/gypsumglade/src/replica/event.rs
+++ b/crates/gypsumglade/src/replica/event.rs
@@ -111,4 +111,23 @@
     pub failed: Option<CompactString>,
     /// Its replicas, by group.
     pub groups: Vec<Status>,
+    /// What it holds in memory.
+    pub held: Held,
+}
+
+/// What a host holds in memory, by kind, so that one can tell which of them grows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// Bytes of the logs' latest entries.
+    pub cache: usize,
+    /// Bytes of snapshots that are being written to disk.
+    pub writing: usize,
+    /// Bytes of snapshots that are kept to be sent to others, or that have no file yet.
+    pub sending: usize,
+    /// Bytes of snapshots of which pieces have arrived.
+    pub arriving: usize,
+    /// Events that the owner hasn't taken.
+    pub events: usize,
+    /// Commands that the replicas haven't taken.
+    pub commands: usize,
 }
--- a/crates/gypsumglade/src/replica/host.rs
+++ b/crates/gypsumglade/src/replica/host.rs
@@ -1,5 +1,7 @@
 //! The handle to a VM's replicas.
 
+use std::time::Instant;
+
 use anyhow::{Context, bail};
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
@@ -9,6 +11,7 @@
 use super::engine::{self, Command};
 use super::event::{ChangeError, Event, HostStatus, Outbound, ProposeError, ReadError};
 use super::settings::HostSettings;
+use crate::metrics::CommitSeconds;
 
 /// Events that wait for the owner before the host holds back more.
 const EVENT_BACKLOG: usize = 1024;
@@ -17,6 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct Host {
     commands: mpsc::UnboundedSender<Command>,
+    commits: Option<CommitSeconds>,
 }
 
 impl Host {
@@ -29,10 +33,11 @@
         let (events, receiver) = mpsc::channel(EVENT_BACKLOG);
         let (ready, started) = oneshot::channel();
         let back = commands.downgrade();
+        let commits = settings.commits.clone();
         let run = move || engine::run(settings, outbound, events, inbox, back, ready);
         std::thread::Builder::new().name("replicas".to_owned()).spawn(run)?;
         started.await.context("the replica thread ended before it started")??;
-        Ok((Host { commands }, receiver))
+        Ok((Host { commands, commits }, receiver))
     }
 
     /// Creates a group's replica on this VM. Does nothing when it has one already.
@@ -49,8 +54,13 @@
 
     /// Appends a command and resolves once a quorum has synced it.
     pub async fn propose(&self, group: GroupId, data: Bytes) -> Result<LogIndex, ProposeError> {
+        let asked = Instant::now();
         let reply = self.ask(|reply| Command::Propose { group, data, reply }).await;
-        reply.unwrap_or(Err(ProposeError::Uncertain))
+        let outcome = reply.unwrap_or(Err(ProposeError::Uncertain));
+        if let Some(commits) = &self.commits {
+            commits.record(group, asked.elapsed(), outcome_name(outcome));
+        }
+        outcome
     }
 
     /// Returns the index that a read must see to miss nothing that was committed before it.
@@ -128,3 +138,12 @@
         answer.await.ok()
     }
 }
+
+fn outcome_name(outcome: Result<LogIndex, ProposeError>) -> &'static str {
+    match outcome {
+        Ok(_) => "committed",
+        Err(ProposeError::NotLeader { .. }) => "not_leader",
+        Err(ProposeError::Dropped) => "dropped",
+        Err(ProposeError::Uncertain) => "uncertain",
+    }
+}
--- a/crates/gypsumglade/src/replica/mod.rs
+++ b/crates/gypsumglade/src/replica/mod.rs
@@ -15,6 +15,6 @@
 mod storage;
 mod tail;
 
-pub use event::{ChangeError, Event, HostStatus, Outbound, ProposeError, ReadError};
+pub use event::{ChangeError, Event, Held, HostStatus, Outbound, ProposeError, ReadError};
 pub use host::Host;
 pub use settings::HostSettings;
--- a/crates/gypsumglade/src/replica/queue.rs
+++ b/crates/gypsumglade/src/replica/queue.rs
@@ -36,6 +36,16 @@
         EventQueue { sender, pending: VecDeque::new(), queued: BTreeMap::new() }
     }
 
+    /// Returns how many events the owner has not taken.
+    pub(super) fn waiting(&self) -> usize {
+        let waiting = |pending: &Pending| match pending {
+            Pending::Commit { next, last, .. } => (last.0 + 1).saturating_sub(next.0) as usize,
+            Pending::Event(_) => 1,
+        };
+        let channel = self.sender.max_capacity() - self.sender.capacity();
+        channel + self.pending.iter().map(waiting).sum::<usize>()
+    }
+
     /// Notes that a group's state machine starts after `index`; nothing is delivered for it.
     pub(super) fn start(&mut self, group: GroupId, index: LogIndex) {
         self.forget(group);
--- a/crates/gypsumglade/src/replica/settings.rs
+++ b/crates/gypsumglade/src/replica/settings.rs
@@ -6,6 +6,7 @@
 use gypsumglade_core::replication::Settings;
 
 use crate::disk::Faults;
+use crate::metrics::CommitSeconds;
 
 /// Settings of the replicas on one VM.
 #[derive(Clone, Debug)]
@@ -28,6 +29,8 @@
     pub settle: Duration,
     /// Spreads election timeouts; drawn at random when not set.
     pub seed: Option<u64>,
+    /// Where the time from a proposal to its outcome is noted.
+    pub commits: Option<CommitSeconds>,
     /// Failures of the disk that a test wants to see.
     #[doc(hidden)]
     pub faults: Faults,
@@ -45,6 +48,7 @@
             segment_bytes: 16 * 1024 * 1024,
             settle: Duration::from_secs(5),
             seed: None,
+            commits: None,
             faults: Faults::default(),
         }
     }
--- a/crates/gypsumglade/src/replica/tail.rs
+++ b/crates/gypsumglade/src/replica/tail.rs
@@ -102,6 +102,11 @@
         self.places.get(slot).copied().map(Found::OnDisk)
     }
 
+    /// Returns the bytes of the entries in memory.
+    pub(super) fn cached(&self) -> usize {
+        self.cached
+    }
+
     /// Returns the bytes of the entries after the snapshot, nearly.
     pub(super) fn bytes(&self) -> u64 {
         self.bytes
--- a/crates/gypsumglade/src/store/context.rs
+++ b/crates/gypsumglade/src/store/context.rs
@@ -9,6 +9,7 @@
 use jsonrpsee::core::params::ArrayParams;
 use rand::seq::IteratorRandom as _;
 
+use super::outbound::Queues;
 use super::program_group::{GroupInput, ProgramGroup};
 use crate::clock::Clock;
 use crate::directory::Directory;
@@ -35,6 +36,8 @@
     pub program_settings: program::Settings,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Batches on their way to the other stores.
+    pub queues: Queues,
     /// Log of the process.
     pub log: slog::Logger,
     pub(super) groups: RwLock<Vec<ProgramGroup>>,
--- /dev/null
+++ b/crates/gypsumglade/src/store/gauges.rs
@@ -0,0 +1,104 @@
+//! What a store holds and what its followers lack, worked out when the metrics page is asked for.
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::Role;
+use prometheus::{Encoder as _, GaugeVec, Opts, Registry, TextEncoder};
+
+use super::serve::StoreState;
+use crate::metrics::group_name;
+use crate::replica::{Held, HostStatus};
+
+/// Longest wait for the replicas' state; the page goes without it then, which shows that they are
+/// held up.
+const STATUS_WAIT: Duration = Duration::from_millis(500);
+
+/// Gauges of one page.
+struct Page {
+    registry: Registry,
+}
+
+/// Returns the store's part of the metrics page.
+///
+/// # Errors
+/// Fails when a metric cannot be written, which is a fault of the program.
+pub(crate) async fn page(state: &StoreState) -> anyhow::Result<String> {
+    let asked = tokio::time::timeout(STATUS_WAIT, state.context.host.status()).await;
+    let page = Page { registry: Registry::new() };
+    let bytes = page.gauge("store_held_bytes", "bytes in memory, by kind", &["kind"])?;
+    let counts = page.gauge("store_held_count", "things in memory, by kind", &["kind"])?;
+    let queues = page.gauge("store_peer_queue_bytes", "bytes that wait to be sent", &["peer"])?;
+    let mut queued = 0;
+    for (peer, waiting) in state.context.queues.waiting() {
+        queued += waiting;
+        set(&queues, &[&peer.0.to_string()], waiting as f64);
+    }
+    set(&bytes, &["peer_queues"], queued as f64);
+    let sizes = state.turns.sizes();
+    set(&counts, &["turns"], sizes.turns as f64);
+    set(&counts, &["programs"], sizes.programs as f64);
+    let responds =
+        page.gauge("store_replicas_respond", "1 if the replicas answered in time", &[])?;
+    set(&responds, &[], f64::from(u8::from(asked.is_ok())));
+    if let Ok(status) = asked {
+        page.held(&status.held, &bytes, &counts);
+        page.groups(&status)?;
+    }
+    let mut text = Vec::new();
+    TextEncoder::new().encode(&page.registry.gather(), &mut text)?;
+    Ok(String::from_utf8(text)?)
+}
+
+impl Page {
+    fn gauge(&self, name: &str, help: &str, labels: &[&str]) -> anyhow::Result<GaugeVec> {
+        let gauge = GaugeVec::new(Opts::new(name, help), labels)?;
+        self.registry.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+
+    fn held(&self, held: &Held, bytes: &GaugeVec, counts: &GaugeVec) {
+        set(bytes, &["log_cache"], held.cache as f64);
+        set(bytes, &["snapshot_writing"], held.writing as f64);
+        set(bytes, &["snapshot_sending"], held.sending as f64);
+        set(bytes, &["snapshot_arriving"], held.arriving as f64);
+        set(counts, &["events"], held.events as f64);
+        set(counts, &["commands"], held.commands as f64);
+    }
+
+    fn groups(&self, status: &HostStatus) -> anyhow::Result<()> {
+        let leads = self.gauge("replica_leads", "1 if this store leads one", &["group"])?;
+        let log = self.gauge("replica_log_entries", "entries after the snapshot", &["group"])?;
+        let backlog = self.gauge("replica_backlog_bytes", "bytes not committed", &["group"])?;
+        let labels = ["group", "follower"];
+        let entries = self.gauge("follower_behind_entries", "entries it lacks", &labels)?;
+        let bytes = self.gauge("follower_behind_bytes", "bytes it lacks", &labels)?;
+        let silent = self.gauge("follower_silent_seconds", "time without an answer", &labels)?;
+        let snapshot = self.gauge("follower_takes_snapshot", "1 if sent a snapshot", &labels)?;
+        for group in &status.groups {
+            // Program groups share a label: the worst of them counts.
+            let name = [group_name(group.group)];
+            let led = group.role == Role::Leader;
+            raise(&leads, &name, f64::from(u8::from(led)));
+            let length = group.last.index.0.saturating_sub(group.snapshot.index.0);
+            raise(&log, &name, length as f64);
+            raise(&backlog, &name, group.backlog as f64);
+            for lag in &group.followers {
+                let follower = lag.vm.0.to_string();
+                let labels = [group_name(group.group), follower.as_str()];
+                raise(&entries, &labels, lag.entries as f64);
+                raise(&bytes, &labels, lag.bytes as f64);
+                raise(&silent, &labels, lag.silent.as_secs_f64());
+                raise(&snapshot, &labels, f64::from(u8::from(lag.snapshot)));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn set(gauge: &GaugeVec, labels: &[&str], value: f64) {
+    gauge.with_label_values(labels).set(value);
+}
+
+fn raise(gauge: &GaugeVec, labels: &[&str], value: f64) {
+    let found = gauge.with_label_values(labels);
+    found.set(found.get().max(value));
+}
--- a/crates/gypsumglade/src/store/mod.rs
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -3,6 +3,8 @@
 mod answers;
 pub mod context;
 pub mod control_group;
+pub mod follower_watch;
+mod gauges;
 mod member_watch;
 pub mod outbound;
 mod peer_calls;
@@ -15,5 +17,6 @@
 pub mod turn_group;
 
 pub use context::ReleaseAnswer;
+pub(crate) use gauges::page;
 pub use registrar::{Registrar, RegistrarError, RetireError};
 pub use serve::{Store, StoreAddresses, StoreState};
--- a/crates/gypsumglade/src/store/outbound.rs
+++ b/crates/gypsumglade/src/store/outbound.rs
@@ -1,7 +1,8 @@
 //! Carries replication batches to the other stores.
 
-use std::collections::{HashMap, VecDeque};
-use std::sync::Arc;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 
 use bytes::{Bytes, BytesMut};
 use gypsumglade_core::prelude::*;
@@ -26,6 +27,24 @@
 /// Bytes after which waiting batches go out in more than one frame.
 const FRAME_BYTES: usize = 256 * 1024;
 
+/// Bytes that wait for each peer.
+#[derive(Clone, Debug, Default)]
+pub struct Queues {
+    peers: Arc<Mutex<BTreeMap<VmId, Arc<AtomicUsize>>>>,
+}
+
+impl Queues {
+    /// Returns how many bytes wait for each peer.
+    pub fn waiting(&self) -> Vec<(VmId, usize)> {
+        let peers = self.peers.lock().expect("no panic while held");
+        peers.iter().map(|(&vm, bytes)| (vm, bytes.load(Ordering::Relaxed))).collect()
+    }
+
+    fn peer(&self, vm: VmId) -> Arc<AtomicUsize> {
+        Arc::clone(self.peers.lock().expect("no panic while held").entry(vm).or_default())
+    }
+}
+
 /// Sends batches, none waiting for another peer's.
 pub(super) async fn send_batches(
     context: Arc<StoreContext>,
@@ -40,29 +59,39 @@
             sender
         });
         // A full queue means a slow or silent peer; what is dropped is repeated.
-        let _ = queue.try_send(batch.batch);
+        let bytes = batch.batch.len();
+        let waiting = context.queues.peer(to);
+        waiting.fetch_add(bytes, Ordering::Relaxed);
+        if queue.try_send(batch.batch).is_err() {
+            waiting.fetch_sub(bytes, Ordering::Relaxed);
+        }
     }
 }
 
 /// Keeps a link to one peer and sends it what comes.
 async fn send_to_peer(context: Arc<StoreContext>, to: VmId, mut batches: mpsc::Receiver<Bytes>) {
+    let waiting = context.queues.peer(to);
+    let taken = |bytes: usize| {
+        waiting.fetch_sub(bytes, Ordering::Relaxed);
+    };
     loop {
         let Some(address) = context.directory.store(to) else {
             // Replication repeats what it can't send now; what waits would be old by then.
-            if batches.recv().await.is_none() {
-                return;
-            }
+            let Some(batch) = batches.recv().await else { return };
+            taken(batch.len());
             continue;
         };
         match context.peers.open_link(address, context.vm).await {
             Ok(link) => {
-                if carry(link, &mut batches).await == Carried::Ended {
+                if carry(link, &mut batches, &taken).await == Carried::Ended {
                     return;
                 }
             }
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
-        while batches.try_recv().is_ok() {}
+        while let Ok(batch) = batches.try_recv() {
+            taken(batch.len());
+        }
     }
 }
 
@@ -77,7 +106,11 @@
 
 /// Sends batches until the link breaks or the peer falls silent on it. Connections may go silent
 /// without a reset; only the answers that stay away show it.
-async fn carry(mut link: Link, batches: &mut mpsc::Receiver<Bytes>) -> Carried {
+async fn carry(
+    mut link: Link,
+    batches: &mut mpsc::Receiver<Bytes>,
+    taken: &impl Fn(usize),
+) -> Carried {
     let mut unanswered: VecDeque<Instant> = VecDeque::new();
     loop {
         let oldest = unanswered.front().copied().unwrap_or_else(Instant::now);
@@ -85,6 +118,7 @@
             first = batches.recv(), if unanswered.len() < FRAMES => {
                 let Some(first) = first else { return Carried::Ended };
                 let batch = gather(first, batches);
+                taken(batch.len());
                 unanswered.push_back(Instant::now());
                 match tokio::time::timeout(TIMEOUT, link.send(batch)).await {
                     Ok(Ok(())) => {}
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -13,8 +13,9 @@
 
 use super::context::StoreContext;
 use super::control_group::ControlGroup;
+use super::follower_watch;
 use super::member_watch;
-use super::outbound;
+use super::outbound::{self, Queues};
 use super::peer_calls;
 use super::program_group::{GroupInput, ProgramGroup};
 use super::registrar::Registrar;
@@ -113,7 +114,10 @@
         let (shared, callers) = (Arc::clone(&directory), peers.clone());
         let discovery = Discovery::new(&settings, process, shared, callers, clock);
         let (outbound, batches) = mpsc::channel(outbound::BUFFER);
-        let (host, events) = Host::start(host_settings(vm, &own), outbound).await?;
+        let metrics = Metrics::new()?;
+        let mut host_settings = host_settings(vm, &own);
+        host_settings.commits = Some(metrics.commits());
+        let (host, events) = Host::start(host_settings, outbound).await?;
         let context = Arc::new(StoreContext {
             vm,
             clock,
@@ -121,7 +125,8 @@
             directory,
             peers,
             program_settings: program::Settings::default(),
-            metrics: Metrics::new()?,
+            metrics,
+            queues: Queues::default(),
             log,
             groups: RwLock::default(),
             dead: Mutex::default(),
@@ -213,6 +218,7 @@
 }
 
 fn spawn_loops(state: &Arc<StoreState>, own: &StoreSettings, halt: &CancellationToken) {
+    tokio::spawn(follower_watch::watch(Arc::clone(&state.context), halt.clone()));
     let context = Arc::clone(&state.context);
     let Some(discovery) = &state.discovery else {
         tokio::spawn(member_watch::watch(context, halt.clone()));
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -86,6 +86,12 @@
         })
     }
 
+    /// Returns how much the state holds.
+    pub fn sizes(&self) -> TurnSizes {
+        let state = self.state();
+        TurnSizes { turns: state.turns.kept(), programs: state.turns.programs() }
+    }
+
     async fn answer_at(&self, index: LogIndex) -> Reply {
         let found = self.state().answers.lookup(index);
         found.wait().await.unwrap_or_else(|| Reply { body: Some(uncertain()) })
@@ -170,6 +176,15 @@
     }
 }
 
+/// How much the turn group's state holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TurnSizes {
+    /// Kept turns.
+    pub turns: usize,
+    /// Programs with a token budget.
+    pub programs: usize,
+}
+
 /// What the turn group's leader is to do about texts on too few stores.
 pub(super) struct CopyPlan {
     pub(super) copies: Vec<Copy>,
