--- a/crates/gypsumglade/src/replica/effects.rs
+++ b/crates/gypsumglade/src/replica/effects.rs
@@ -99,7 +99,7 @@
         };
         chunk.data = data;
         chunk.last = last;
-        self.outbox.push(to, message);
+        self.outbox.push_bulk(to, message);
     }
 
     fn commit(&mut self, id: GroupId, index: LogIndex) {
--- a/crates/gypsumglade/src/replica/event.rs
+++ b/crates/gypsumglade/src/replica/event.rs
@@ -11,6 +11,8 @@
     pub to: VmId,
     /// For [`crate::replica::Host::receive`] there.
     pub batch: Bytes,
+    /// Whether it is a piece of a snapshot: all else should overtake it.
+    pub bulk: bool,
 }
 
 /// Something that the owner of a group's state machine must know. Events of one group arrive in
--- a/crates/gypsumglade/src/replica/outbox.rs
+++ b/crates/gypsumglade/src/replica/outbox.rs
@@ -11,7 +11,7 @@
 use super::event::Outbound;
 
 /// Bytes after which a batch goes out without waiting for more.
-const BATCH_BYTES: usize = 1024 * 1024;
+const BATCH_BYTES: usize = 128 * 1024;
 
 /// Gathers messages until [`Outbox::flush`].
 #[derive(Debug)]
@@ -31,12 +31,18 @@
         Outbox { sender, batches: BTreeMap::new() }
     }
 
+    /// Sends a piece of a snapshot, apart from all that should overtake it.
+    pub(super) fn push_bulk(&mut self, to: VmId, message: wire::Message) {
+        let batch = wire::Batch { messages: vec![message], pulse: None };
+        send(&self.sender, Outbound { to, batch: batch.encode_to_vec().into(), bulk: true });
+    }
+
     pub(super) fn push(&mut self, to: VmId, message: wire::Message) {
         let pending = self.batches.entry(to).or_default();
         pending.bytes += message.encoded_len();
         pending.batch.messages.push(message);
         if pending.bytes >= BATCH_BYTES {
-            send(&self.sender, to, pending);
+            send(&self.sender, pending.take(to));
         }
     }
 
@@ -47,16 +53,21 @@
     pub(super) fn flush(&mut self) {
         for (&to, pending) in &mut self.batches {
             if !pending.batch.messages.is_empty() || pending.batch.pulse.is_some() {
-                send(&self.sender, to, pending);
+                send(&self.sender, pending.take(to));
             }
         }
     }
 }
 
-fn send(sender: &mpsc::Sender<Outbound>, to: VmId, pending: &mut Pending) {
-    let batch = Bytes::from(pending.batch.encode_to_vec());
-    *pending = Pending::default();
+impl Pending {
+    fn take(&mut self, to: VmId) -> Outbound {
+        let batch = Bytes::from(std::mem::take(self).batch.encode_to_vec());
+        Outbound { to, batch, bulk: false }
+    }
+}
+
+fn send(sender: &mpsc::Sender<Outbound>, outbound: Outbound) {
     // A full queue means that the link is slow. Dropping is safe, for every message is repeated
     // until it is answered, and waiting here would delay the heartbeats of all other links.
-    let _ = sender.try_send(Outbound { to, batch });
+    let _ = sender.try_send(outbound);
 }
--- a/crates/gypsumglade/tests/replica_cluster.rs
+++ b/crates/gypsumglade/tests/replica_cluster.rs
@@ -171,7 +171,7 @@
 }
 
 async fn carry(from: VmId, mut batches: mpsc::Receiver<Outbound>, links: Links) {
-    while let Some(Outbound { to, batch }) = batches.recv().await {
+    while let Some(Outbound { to, batch, .. }) = batches.recv().await {
         let cut = |vm| links.cuts.lock().expect("cuts").contains(vm);
         if cut(&from) || cut(&to) {
             continue;
