--- a/crates/gypsumglade/src/replica/tail.rs
+++ b/crates/gypsumglade/src/replica/tail.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use bytes::Bytes;
 use gypsumglade_core::replication::LogIndex;
 use gypsumglade_core::wire::replication as wire;
 
@@ -45,7 +46,10 @@
         for entry in entries {
             self.cached += entry.data.len();
             self.bytes += entry.data.len() as u64;
-            self.cache.push_back(entry.clone());
+            // The data of an entry that arrived is a slice of its frame, which may hold pieces of
+            // snapshots. Kept as it is, a few entries would keep megabytes.
+            let data = Bytes::copy_from_slice(&entry.data);
+            self.cache.push_back(wire::Entry { data, ..entry.clone() });
         }
     }
 
--- /dev/null
+++ b/crates/gypsumglade/tests/replica_memory.rs
@@ -0,0 +1,48 @@
+//! What a host holds in memory is bounded by bytes.
+
+use std::path::PathBuf;
+
+use bytes::Bytes;
+use gypsumglade::replica::{Event, Host, HostSettings, Outbound};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::LogIndex;
+use gypsumglade_core::wire::replication::message::Body;
+use gypsumglade_core::wire::replication::{Append, Batch, Chunk, Entry, EntryKind, Message};
+use prost::Message as _;
+use tokio::sync::mpsc;
+
+const GROUP: GroupId = GroupId(1);
+const LEADER: VmId = VmId(1);
+const FOLLOWER: VmId = VmId(2);
+
+async fn started(
+    vm: VmId,
+    members: Vec<VmId>,
+    folder: Option<PathBuf>,
+) -> (Host, mpsc::Receiver<Event>, mpsc::Receiver<Outbound>) {
+    let (outbound, batches) = mpsc::channel(1_000);
+    let settings = HostSettings { vm, folder, ..HostSettings::default() };
+    let (host, events) = Host::start(settings, outbound).await.expect("the host starts");
+    host.create(GROUP, members).await.expect("created");
+    (host, events, batches)
+}
+
+/// Guards against a store that dies for memory while it takes a snapshot: an entry of a few bytes,
+/// kept for reading, kept all of the frame that it came in, with pieces of other groups' snapshots.
+#[tokio::test]
+async fn receive_keeps_no_frame() {
+    let (host, _events, _batches) = started(FOLLOWER, vec![LEADER, FOLLOWER], None).await;
+    let entry = Entry { term: 2, index: 2, kind: EntryKind::Command.into(), data: "one".into() };
+    let append = Append { prev_index: 1, prev_term: 1, entries: vec![entry], ..Append::default() };
+    let piece = Chunk { data: Bytes::from(vec![0; 200_000]), ..Chunk::default() };
+    let message = |term, body| Message { group: GROUP.0, term, body: Some(body) };
+    let messages = vec![message(2, Body::Append(append)), message(1, Body::Chunk(piece))];
+    let batch = Bytes::from(Batch { messages, pulse: None }.encode_to_vec());
+
+    host.receive(LEADER, batch.clone());
+
+    let status = host.status().await;
+    assert_eq!(status.groups[0].last.index, LogIndex(2), "the entry was taken");
+    assert_eq!(status.held.cache, 3, "and is held for reading");
+    assert!(batch.is_unique(), "its frame is still held");
+}
