--- a/crates/gypsumglade/src/replica/effects.rs
+++ b/crates/gypsumglade/src/replica/effects.rs
@@ -108,7 +108,7 @@
         };
         group.settle_waiters(index);
         self.events.commit(id, index);
-        if group.wants_snapshot(self.settings.snapshot_entries, self.settings.snapshot_bytes) {
+        if group.wants_snapshot(&self.settings) {
             self.events.need_snapshot(id);
         }
     }
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -354,6 +354,7 @@
             }
             group.length = length;
             let base = group.compact();
+            group.note_snapshot();
             self.submit(Job { group: id, sequence: None, write: JobWrite::Forget(base) });
         }
         let taken = |waiting: &mut Taking| waiting.group == id && waiting.index <= index;
--- a/crates/gypsumglade/src/replica/group.rs
+++ b/crates/gypsumglade/src/replica/group.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::event::{ChangeError, ProposeError, ReadError};
+use super::settings::HostSettings;
 use super::storage::Storage;
 use super::tail::{Found, Tail};
 use crate::disk::{RestoredGroup, Snapshot};
@@ -16,6 +17,9 @@
 /// How many times longer the log may grow while a snapshot is on its way to another VM.
 const SENDING_FACTOR: u64 = 4;
 
+/// How many times longer than the last snapshot the log may grow before the next one.
+const LOG_FACTOR: u64 = 2;
+
 /// Whom to tell what became of an appended entry.
 #[derive(Debug)]
 pub(super) enum Reply {
@@ -172,6 +176,12 @@
         base
     }
 
+    /// Notes that the owner gave the snapshot that it was asked for. It stands before the index at
+    /// which it was asked, but the next one need not wait for that.
+    pub(super) fn note_snapshot(&mut self) {
+        self.asked = self.replica.snapshot().index;
+    }
+
     /// Reads a piece of what other VMs are sent for the snapshot, and tells whether it is the last.
     pub(super) fn piece_to_send(
         &self,
@@ -211,7 +221,10 @@
     }
 
     /// Tells whether the owner should be asked for a snapshot, and notes that it was.
-    pub(super) fn wants_snapshot(&mut self, entries: u64, bytes: u64) -> bool {
+    pub(super) fn wants_snapshot(&mut self, settings: &HostSettings) -> bool {
+        let entries = settings.snapshot_entries;
+        let bytes = self.length.saturating_mul(LOG_FACTOR).max(settings.snapshot_least);
+        let bytes = bytes.min(settings.snapshot_bytes);
         let commit = self.replica.commit();
         let length = commit.0.saturating_sub(self.replica.snapshot().index.0);
         // A new snapshot makes one that is on its way to another VM start over. Under constant
@@ -221,7 +234,8 @@
         let long = length >= entries || (length > 0 && self.tail.bytes() >= bytes);
         // An owner that was asked is asked again only after a tenth of the limit, in case the
         // first request was lost to it.
-        let again = commit.0.saturating_sub(self.asked.0) >= (entries / 10).max(1);
+        let answered = self.asked <= self.replica.snapshot().index;
+        let again = answered || commit.0.saturating_sub(self.asked.0) >= (entries / 10).max(1);
         if long && again {
             self.asked = commit;
         }
--- a/crates/gypsumglade/src/replica/settings.rs
+++ b/crates/gypsumglade/src/replica/settings.rs
@@ -19,7 +19,10 @@
     pub replication: Settings,
     /// Entries of a group after which its owner is asked for a snapshot.
     pub snapshot_entries: u64,
-    /// Bytes of a group's entries after which its owner is asked for a snapshot.
+    /// Bytes of a group's entries after which its owner is asked for a snapshot, if its last one was
+    /// small. Else it is asked at twice that one's length: a snapshot costs as much as it is long.
+    pub snapshot_least: u64,
+    /// Bytes of a group's entries after which its owner is asked for a snapshot at the latest.
     pub snapshot_bytes: u64,
     /// Bytes of a group's latest entries that stay in memory.
     pub cache_bytes: usize,
@@ -43,6 +46,7 @@
             folder: None,
             replication: Settings::default(),
             snapshot_entries: 10_000,
+            snapshot_least: 4 * 1024 * 1024,
             snapshot_bytes: 64 * 1024 * 1024,
             cache_bytes: 1024 * 1024,
             segment_bytes: 16 * 1024 * 1024,
--- a/crates/gypsumglade/tests/replica_memory.rs
+++ b/crates/gypsumglade/tests/replica_memory.rs
@@ -27,6 +27,30 @@
     (host, events, batches)
 }
 
+/// Proposes until `bytes` were committed; returns the last index.
+async fn propose(host: &Host, bytes: usize) -> LogIndex {
+    const ENTRY: usize = 100_000;
+    let mut last = LogIndex(0);
+    for _ in 0..bytes / ENTRY {
+        last = loop {
+            match host.propose(GROUP, Bytes::from(vec![7; ENTRY])).await {
+                Ok(index) => break index,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        };
+    }
+    last
+}
+
+/// Returns whether the owner was asked for a snapshot so far.
+fn asked(events: &mut mpsc::Receiver<Event>) -> bool {
+    let mut asked = false;
+    while let Ok(event) = events.try_recv() {
+        asked |= matches!(event, Event::NeedSnapshot { .. });
+    }
+    asked
+}
+
 /// Guards against a store that dies for memory while it takes a snapshot: an entry of a few bytes,
 /// kept for reading, kept all of the frame that it came in, with pieces of other groups' snapshots.
 #[tokio::test]
@@ -46,3 +70,25 @@
     assert_eq!(status.held.cache, 3, "and is held for reading");
     assert!(batch.is_unique(), "its frame is still held");
 }
+
+/// Guards against logs of 64 MB that a store of 130 MB reads back, replays and snapshots at once after
+/// a restart.
+#[tokio::test]
+async fn snapshot_asked_by_state_size() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let data = Some(folder.path().join("data"));
+    let (host, mut events, _batches) = started(LEADER, vec![LEADER], data).await;
+    let index = propose(&host, 6_000_000).await;
+    host.status().await;
+    assert!(asked(&mut events), "6 MB of log and no state");
+
+    host.snapshot(GROUP, index, Bytes::from(vec![1; 5_000_000])).await;
+    let _ = asked(&mut events);
+    let index = propose(&host, 6_000_000).await;
+    host.status().await;
+    assert!(!asked(&mut events), "6 MB of log and 5 MB of state");
+    propose(&host, 6_000_000).await;
+    host.status().await;
+    assert!(asked(&mut events), "12 MB of log and 5 MB of state, by few entries");
+    assert!(index > LogIndex(60));
+}
