Bound by bytes what waits for the replicas and what waits for a commit

The inbox takes 8 MB: batches beyond it are dropped, which replication repeats, and proposals are answered as dropped, which they are. A store's leader refuses proposals beyond 4 MB.

Tests: try_take_up_to_limit, receive_and_propose_give_back. The type is new, so they couldn't fail before; the inbox itself is not driven to its bound by a test.

--- a/crates/gypsumglade/src/replica/calls.rs
+++ b/crates/gypsumglade/src/replica/calls.rs
@@ -223,6 +223,7 @@
             writing: self.snapshots.iter().map(|waiting| waiting.bytes).sum(),
             events: self.events.waiting(),
             commands,
+            inbox: self.inbox.held(),
             ..Held::default()
         };
         for group in groups {
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -1,12 +1,14 @@
 //! The loop that steps every replica of a VM and carries out what they decide.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{Effect, Input, Links, LogIndex, MemberChange, Term};
 use tokio::sync::{mpsc, oneshot};
 
+use super::budget::ByteBudget;
 use super::event::{ChangeError, Event, HostStatus, Outbound, ProposeError, ReadError};
 use super::group::Group;
 use super::outbox::Outbox;
@@ -84,13 +86,15 @@
     settings: HostSettings,
     outbound: mpsc::Sender<Outbound>,
     events: mpsc::Sender<Event>,
-    inbox: mpsc::UnboundedReceiver<Command>,
+    (inbox, bytes): (mpsc::UnboundedReceiver<Command>, Arc<ByteBudget>),
     back: mpsc::WeakUnboundedSender<Command>,
     ready: oneshot::Sender<anyhow::Result<()>>,
 ) {
     let opened = Storage::open(&settings, back).and_then(|(storage, groups)| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
-        Ok((runtime, Engine::new(settings, storage, groups, outbound, events)))
+        let mut engine = Engine::new(settings, storage, groups, outbound, events);
+        engine.inbox = bytes;
+        Ok((runtime, engine))
     });
     let (runtime, mut engine) = match opened {
         Ok(opened) => opened,
@@ -135,6 +139,8 @@
     pub(super) snapshots: Vec<Taking>,
     pub(super) transfers: Vec<(Time, oneshot::Sender<()>)>,
     pub(super) tokens: u64,
+    /// Bytes of commands that this thread hasn't taken.
+    pub(super) inbox: Arc<ByteBudget>,
     /// Commands that waited when the latest of them was taken.
     pub(super) waiting: usize,
     pub(super) effects: Vec<Effect>,
@@ -169,6 +175,7 @@
             snapshots: Vec::new(),
             transfers: Vec::new(),
             tokens: 0,
+            inbox: Arc::new(ByteBudget::new(0)),
             waiting: 0,
             effects: Vec::new(),
             done: VecDeque::new(),
@@ -225,7 +232,10 @@
     fn take(&mut self, command: Command) {
         match command {
             Command::Create { group, members, reply } => self.create(group, members, reply),
-            Command::Propose { group, data, reply } => self.propose(group, data, reply),
+            Command::Propose { group, data, reply } => {
+                self.inbox.give(data.len());
+                self.propose(group, data, reply);
+            }
             Command::Read { group, reply } => self.read(group, reply),
             Command::Lease { group, reply } => {
                 let now = self.now();
@@ -234,7 +244,10 @@
                 let term = held.map(|replica| replica.status(now, &self.links).term);
                 let _ = reply.send(term.filter(|_| self.failed.is_none()));
             }
-            Command::Receive { from, batch } => self.receive(from, batch),
+            Command::Receive { from, batch } => {
+                self.inbox.give(batch.len());
+                self.receive(from, batch);
+            }
             Command::Snapshot { group, index, data, sent, reply } => {
                 if let (Some(group), Some(sent)) = (self.groups.get_mut(&group), sent) {
                     group.sent = Some((index, sent));
--- a/crates/gypsumglade/src/replica/event.rs
+++ b/crates/gypsumglade/src/replica/event.rs
@@ -128,6 +128,8 @@
     pub sending: usize,
     /// Bytes of snapshots of which pieces have arrived.
     pub arriving: usize,
+    /// Bytes of batches and proposals that the replicas haven't taken.
+    pub inbox: usize,
     /// Events that the owner hasn't taken.
     pub events: usize,
     /// Commands that the replicas haven't taken.
--- a/crates/gypsumglade/src/replica/host.rs
+++ b/crates/gypsumglade/src/replica/host.rs
@@ -1,5 +1,6 @@
 //! The handle to a VM's replicas.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use anyhow::{Context, bail};
@@ -8,11 +9,15 @@
 use gypsumglade_core::replication::{LogIndex, MemberChange, Term};
 use tokio::sync::{mpsc, oneshot};
 
+use super::budget::ByteBudget;
 use super::engine::{self, Command};
 use super::event::{ChangeError, Event, HostStatus, Outbound, ProposeError, ReadError};
 use super::settings::HostSettings;
 use crate::metrics::CommitSeconds;
 
+/// Bytes of batches and proposals that may wait for the replicas. They wait while the processor or the
+/// disk's thread stands still, and could fill all memory meanwhile.
+const INBOX_BYTES: usize = 8 * 1024 * 1024;
 /// Events that wait for the owner before the host holds back more.
 const EVENT_BACKLOG: usize = 1024;
 
@@ -21,6 +26,7 @@
 pub struct Host {
     commands: mpsc::UnboundedSender<Command>,
     commits: Option<CommitSeconds>,
+    inbox: Arc<ByteBudget>,
 }
 
 impl Host {
@@ -34,10 +40,12 @@
         let (ready, started) = oneshot::channel();
         let back = commands.downgrade();
         let commits = settings.commits.clone();
-        let run = move || engine::run(settings, outbound, events, inbox, back, ready);
+        let waiting = Arc::new(ByteBudget::new(INBOX_BYTES));
+        let bytes = Arc::clone(&waiting);
+        let run = move || engine::run(settings, outbound, events, (inbox, bytes), back, ready);
         std::thread::Builder::new().name("replicas".to_owned()).spawn(run)?;
         started.await.context("the replica thread ended before it started")??;
-        Ok((Host { commands, commits }, receiver))
+        Ok((Host { commands, commits, inbox: waiting }, receiver))
     }
 
     /// Creates a group's replica on this VM. Does nothing when it has one already.
@@ -55,8 +63,12 @@
     /// Appends a command and resolves once a quorum has synced it.
     pub async fn propose(&self, group: GroupId, data: Bytes) -> Result<LogIndex, ProposeError> {
         let asked = Instant::now();
-        let reply = self.ask(|reply| Command::Propose { group, data, reply }).await;
-        let outcome = reply.unwrap_or(Err(ProposeError::Uncertain));
+        let outcome = if self.inbox.try_take(data.len()) {
+            let reply = self.ask(|reply| Command::Propose { group, data, reply }).await;
+            reply.unwrap_or(Err(ProposeError::Uncertain))
+        } else {
+            Err(ProposeError::Dropped)
+        };
         if let Some(commits) = &self.commits {
             commits.record(group, asked.elapsed(), outcome_name(outcome));
         }
@@ -76,8 +88,12 @@
         self.ask(|reply| Command::Lease { group, reply }).await.flatten()
     }
 
-    /// Takes a batch that another VM's host gave out.
+    /// Takes a batch that another VM's host gave out, or drops it while too much waits: its sender
+    /// repeats what isn't answered.
     pub fn receive(&self, from: VmId, batch: Bytes) {
+        if !self.inbox.try_take(batch.len()) {
+            return;
+        }
         // A host that has ended needs no messages.
         let _ = self.commands.send(Command::Receive { from, batch });
     }
--- a/crates/gypsumglade/src/replica/mod.rs
+++ b/crates/gypsumglade/src/replica/mod.rs
@@ -3,6 +3,7 @@
 //! A [`Host`] runs every replica of one VM on a thread of its own, so that load elsewhere in the
 //! process can't starve heartbeats. See docs/design/replication.md.
 
+mod budget;
 mod calls;
 mod effects;
 mod engine;
@@ -15,6 +16,7 @@
 mod storage;
 mod tail;
 
+pub use budget::ByteBudget;
 pub use event::{ChangeError, Event, Held, HostStatus, Outbound, ProposeError, ReadError};
 pub use host::Host;
 pub use settings::HostSettings;
--- a/crates/gypsumglade/src/store/gauges.rs
+++ b/crates/gypsumglade/src/store/gauges.rs
@@ -60,6 +60,7 @@
         set(bytes, &["snapshot_writing"], held.writing as f64);
         set(bytes, &["snapshot_sending"], held.sending as f64);
         set(bytes, &["snapshot_arriving"], held.arriving as f64);
+        set(bytes, &["inbox"], held.inbox as f64);
         set(counts, &["events"], held.events as f64);
         set(counts, &["commands"], held.commands as f64);
     }
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -54,6 +54,9 @@
 /// A learner in another region always lacks what is on its way there: half a second of a busy turn
 /// group's entries. Allowed less, one that had all the rest would wait for a quiet moment to vote.
 const PROMOTE_LAG: u64 = 200;
+/// Bytes of proposals that wait for a commit before more are refused: seconds of a busy turn group's
+/// entries, for which nobody would wait any more.
+const BACKLOG_BYTES: usize = 4 * 1024 * 1024;
 /// Folder of kept turns' texts, below the data folder.
 const TEXTS: &str = "texts";
 /// Events that may wait for the control group.
@@ -251,6 +254,7 @@
             in_flight: IN_FLIGHT,
             chunk_bytes: CHUNK_BYTES,
             promote_lag: PROMOTE_LAG,
+            backlog_bytes: BACKLOG_BYTES,
             ..replication::Settings::default()
         },
         ..HostSettings::default()
--- a/crates/gypsumglade/tests/replica_memory.rs
+++ b/crates/gypsumglade/tests/replica_memory.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use bytes::Bytes;
-use gypsumglade::replica::{Event, Host, HostSettings, Outbound};
+use gypsumglade::replica::{ByteBudget, Event, Host, HostSettings, Outbound};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::LogIndex;
 use gypsumglade_core::wire::replication::message::Body;
@@ -92,3 +92,28 @@
     assert!(asked(&mut events), "12 MB of log and 5 MB of state, by few entries");
     assert!(index > LogIndex(60));
 }
+
+/// Guards against a store that takes batches until its memory is full, while its replicas' thread gets
+/// no processor.
+#[test]
+fn try_take_up_to_limit() {
+    let budget = ByteBudget::new(1_000);
+    assert!(budget.try_take(5_000), "a long one has room when nothing waits");
+    assert!(!budget.try_take(1));
+    budget.give(5_000);
+    let taken = (0..100).filter(|_| budget.try_take(300)).count();
+    assert_eq!((taken, budget.held()), (3, 900));
+}
+
+/// Guards against batches and proposals that are counted in and never out: after 8 MB of them a host
+/// would take no more.
+#[tokio::test]
+async fn receive_and_propose_give_back() {
+    let (host, _events, _batches) = started(LEADER, vec![LEADER], None).await;
+    propose(&host, 20_000_000).await;
+    for _ in 0..200 {
+        host.receive(FOLLOWER, Bytes::from(vec![0; 100_000]));
+        host.status().await;
+    }
+    assert_eq!(host.status().await.held.inbox, 0);
+}
