Bound by bytes what is under way to a follower that is behind

What callers would see: commits that take seconds while one follower reads what it lacks. A leader let eight messages of 64 KB be under way to each follower; where a commit needs another follower behind the same 60 Mbit/s, it waited behind them.

commit_beside_ill_followers fails with the bound taken out of the settings it uses. entries_sent_once held before, too: nothing was sent twice to a follower on the narrow way.

--- a/crates/core/src/replication/progress.rs
+++ b/crates/core/src/replication/progress.rs
@@ -34,8 +34,8 @@
     /// Next index to send.
     pub(super) next: LogIndex,
     pub(super) flow: Flow,
-    /// Last index of each message in flight.
-    pub(super) in_flight: VecDeque<LogIndex>,
+    /// Last index and bytes of each message in flight.
+    pub(super) in_flight: VecDeque<(LogIndex, usize)>,
     /// When the latest message was sent that it has answered.
     pub(super) acked: Option<Time>,
     /// The latest read round that it has answered.
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns the bytes of entries in flight.
+    pub(super) fn flying_bytes(&self) -> usize {
+        self.in_flight.iter().map(|(_, bytes)| bytes).sum()
+    }
+
     /// Notes any answer of the current term.
     pub(super) fn note_answer(&mut self, sent: Time, round: u64) {
         self.acked = self.acked.max(Some(sent));
@@ -76,7 +81,7 @@
 
     /// Notes that the logs agree up to `index`. Returns whether that is news.
     pub(super) fn note_match(&mut self, index: LogIndex) -> bool {
-        while self.in_flight.front().is_some_and(|&last| last <= index) {
+        while self.in_flight.front().is_some_and(|&(last, _)| last <= index) {
             self.in_flight.pop_front();
         }
         let news = index > self.matched;
--- a/crates/core/src/replication/sender.rs
+++ b/crates/core/src/replication/sender.rs
@@ -77,7 +77,10 @@
     fn may_send(&self, progress: &Progress) -> bool {
         match progress.flow {
             Flow::Probe { waiting } => !waiting,
-            Flow::Stream => progress.in_flight.len() < self.settings.in_flight,
+            Flow::Stream => {
+                progress.in_flight.len() < self.settings.in_flight
+                    && progress.flying_bytes() < self.settings.in_flight_bytes
+            }
             Flow::Snapshot { .. } => false,
         }
     }
@@ -97,14 +100,14 @@
             progress.flow = Flow::Snapshot { index, offset: 0, sent: now };
             return self.send_chunk(now, to, round, progress, out);
         };
-        let (last, _) = self.log.batch(progress.next, self.settings.batch_bytes);
+        let (last, bytes) = self.log.batch(progress.next, self.settings.batch_bytes);
         let append = self.append_message(now, links, Position { index, term }, round);
         let message = self.envelope(Body::Append(append));
         out.push(Effect::SendEntries { to, message, first: progress.next, last });
         match &mut progress.flow {
             Flow::Probe { waiting } => *waiting = true,
             Flow::Stream => {
-                progress.in_flight.push_back(last);
+                progress.in_flight.push_back((last, bytes));
                 progress.next = last.next();
             }
             Flow::Snapshot { .. } => {}
--- a/crates/core/src/replication/settings.rs
+++ b/crates/core/src/replication/settings.rs
@@ -15,6 +15,9 @@
     pub batch_bytes: usize,
     /// Most entry messages on their way to one follower.
     pub in_flight: usize,
+    /// Bytes of entries on their way to one follower, beyond which no more are sent. What one that is
+    /// far behind is sent stands before the others' entries on a way that they share.
+    pub in_flight_bytes: usize,
     /// Most bytes of proposals that wait for a commit.
     pub backlog_bytes: usize,
     /// Entries before a snapshot that are kept for followers a little behind.
@@ -38,6 +41,7 @@
             drift: 0.01,
             batch_bytes: 256 * 1024,
             in_flight: 16,
+            in_flight_bytes: 4 * 1024 * 1024,
             backlog_bytes: 32 * 1024 * 1024,
             keep_entries: 1_000,
             keep_bytes: 1024 * 1024,
--- a/crates/core/tests/replication/net.rs
+++ b/crates/core/tests/replication/net.rs
@@ -15,6 +15,7 @@
 use gypsumglade_core::wire::replication as wire;
 use gypsumglade_core::wire::replication::message::Body;
 use node::{Disk, Node};
+use prost::Message as _;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -32,10 +33,40 @@
     pub delay: u64,
 }
 
+/// A way between two regions. What goes in one direction goes in order.
+#[derive(Clone, Debug, Default)]
+pub struct Narrow {
+    /// The nodes behind it.
+    pub far: BTreeSet<VmId>,
+    /// Bytes a second.
+    pub rate: u64,
+    /// Microseconds one way.
+    pub delay: u64,
+    /// When each direction is free again.
+    pub free: BTreeMap<bool, u64>,
+}
+
+impl Narrow {
+    /// Returns when a message of `bytes` arrives, if it goes this way.
+    fn carry(&mut self, now: u64, from: VmId, to: VmId, bytes: u64) -> Option<u64> {
+        let there = self.far.contains(&to);
+        if there == self.far.contains(&from) {
+            return None;
+        }
+        let free = self.free.entry(there).or_default();
+        *free = (*free).max(now) + bytes * 1_000_000 / self.rate;
+        Some(*free + self.delay)
+    }
+}
+
 pub struct Net {
     pub nodes: Vec<Node>,
     pub weather: Weather,
     pub cuts: BTreeSet<(VmId, VmId)>,
+    /// The way to some nodes that all traffic with them shares, if there is one.
+    pub narrow: Option<Narrow>,
+    /// Bytes that were sent to each node and not cut off.
+    pub carried: BTreeMap<VmId, u64>,
     pub broken: Option<String>,
     pub settings: Settings,
     /// Longest time of a sync in milliseconds.
@@ -62,6 +93,8 @@
             nodes: Vec::new(),
             weather: Weather { loss: 0.0, doubled: 0.0, delay: 5 },
             cuts: BTreeSet::new(),
+            narrow: None,
+            carried: BTreeMap::new(),
             broken: None,
             settings,
             sync_millis: 2,
@@ -357,7 +390,11 @@
                 continue;
             }
             self.sent += 1;
-            self.flying.insert((self.now + delay, self.sent), (from, to, batch.clone()));
+            let (now, bytes) = (self.now, batch.encoded_len() as u64);
+            *self.carried.entry(to).or_default() += bytes;
+            let narrow = self.narrow.as_mut().and_then(|way| way.carry(now, from, to, bytes));
+            let at = narrow.unwrap_or(now + delay);
+            self.flying.insert((at, self.sent), (from, to, batch.clone()));
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/replication_followers.rs
@@ -0,0 +1,136 @@
+//! Followers that are cut off, slow or far behind must not delay the commits of the others.
+//!
+//! Five of the members vote; some are behind the way between two regions that all traffic shares.
+
+#[path = "replication/net.rs"]
+#[allow(dead_code)]
+mod net;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::{Input, LogIndex, Replica, Settings};
+use net::{Narrow, Net, Weather};
+
+/// Bytes a second of the way between regions: 60 Mbit/s.
+const RATE: u64 = 7_500_000;
+/// Microseconds of it one way.
+const DELAY: u64 = 8_000;
+/// Bytes of an entry of the turn group.
+const ENTRY: usize = 600;
+
+/// What ails a follower.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ill {
+    CutOff,
+    Behind,
+}
+
+/// What was measured while some followers were ill.
+#[derive(Clone, Debug)]
+struct Measured {
+    /// Longest time from a proposal to its commit, in milliseconds.
+    worst: u64,
+    /// Bytes that each ill node was sent.
+    carried: Vec<u64>,
+}
+
+/// As stores set them.
+fn settings() -> Settings {
+    Settings {
+        lease: Duration::from_millis(600),
+        batch_bytes: 64 * 1024,
+        in_flight: 8,
+        in_flight_bytes: 128 * 1024,
+        ..Settings::default()
+    }
+}
+
+fn commit(net: &Net, id: VmId) -> LogIndex {
+    let replica = net.nodes[id.0 as usize - 1].replica.as_ref();
+    replica.map_or(LogIndex(0), Replica::commit)
+}
+
+/// Proposes entries, and returns the last one's index.
+fn propose(net: &mut Net, id: VmId, count: usize) -> LogIndex {
+    let commands = vec![Bytes::from(vec![7; ENTRY]); count];
+    net.step(id, Input::Propose { commands });
+    let replica = net.nodes[id.0 as usize - 1].replica.as_ref();
+    replica.map_or(LogIndex(0), |replica| replica.last().index)
+}
+
+/// Half of the other members are far, and the ill ones are among these. One near member is cut off
+/// while a far one is well, so that each commit needs it.
+fn measure(members: u32, ill: Ill, count: usize, lacking: usize) -> Measured {
+    let mut net = Net::new(3, settings(), members, 0);
+    net.weather = Weather { loss: 0.0, doubled: 0.0, delay: 1 };
+    net.run(3_000);
+    let leader = net.leader().expect("a leader");
+    let others: Vec<VmId> =
+        net.nodes.iter().map(|node| node.id).filter(|id| *id != leader).collect();
+    let far = others[others.len() / 2..].to_vec();
+    net.narrow = Some(Narrow {
+        far: far.iter().copied().collect(),
+        rate: RATE,
+        delay: DELAY,
+        ..Narrow::default()
+    });
+    net.run(1_000);
+    let sick: Vec<VmId> = far.iter().rev().copied().take(count).collect();
+    for id in &sick {
+        net.cut_off(*id);
+    }
+    if ill == Ill::Behind {
+        for _ in 0..lacking / ENTRY / 50 {
+            propose(&mut net, leader, 50);
+            net.run(20);
+        }
+        net.run(1_000);
+        net.cuts.clear();
+    }
+    if sick.len() < far.len() {
+        net.cut_off(others[0]);
+    }
+    net.carried.clear();
+    let mut worst = 0;
+    for _ in 0..200 {
+        let index = propose(&mut net, leader, 2);
+        let start = net.now;
+        while commit(&net, leader) < index {
+            net.run(1);
+            assert!(net.now < start + 5_000_000, "never committed: {:?}", net.broken);
+        }
+        worst = worst.max((net.now - start) / 1_000);
+        net.run(7);
+    }
+    assert_eq!(net.leader(), Some(leader), "the leader was deposed");
+    assert_eq!(net.broken, None);
+    let carried = sick.iter().map(|id| net.carried.get(id).copied().unwrap_or(0)).collect();
+    Measured { worst, carried }
+}
+
+/// Guards against commits that wait behind what one follower lacks.
+#[test]
+fn commit_beside_ill_followers() {
+    for members in [5, 11] {
+        let healthy = measure(members, Ill::CutOff, 0, 0).worst;
+        for ill in [Ill::CutOff, Ill::Behind] {
+            for count in [1, 2] {
+                let worst = measure(members, ill, count, 3_000_000).worst;
+                assert!(worst <= healthy + 60, "{members} members, {count} {ill:?}: {worst} ms");
+            }
+        }
+    }
+}
+
+/// Guards against a link between regions that is full of what a follower was sent before.
+#[test]
+fn entries_sent_once() {
+    let lacking = 3_000_000;
+    let measured = measure(5, Ill::Behind, 1, lacking);
+    let new = 200 * 2 * ENTRY as u64;
+    let most = (lacking as u64 + new) * 5 / 4;
+    assert!(measured.carried[0] <= most, "{:?} bytes for {most}", measured.carried);
+    assert!(measured.carried[0] >= lacking as u64, "{:?}", measured.carried);
+}
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -40,12 +40,14 @@
 
 /// Most entry bytes in one message to a follower.
 ///
-/// Eight such messages on their way delay the heartbeats behind them on a narrow link by less than an
-/// election's patience; what the core allows by itself would depose a leader whose follower has to
-/// catch up.
+/// Two of them to a follower that has to catch up are under way at a time, see [`IN_FLIGHT_BYTES`].
+/// What the core allows by itself would depose the leader, for heartbeats come behind it.
 const BATCH_BYTES: usize = 64 * 1024;
 /// Most entry messages on their way to one follower; see [`BATCH_BYTES`].
 const IN_FLIGHT: usize = 8;
+/// Bytes of entries on their way to one follower: a round trip between regions with a sync, at what
+/// that way carries. More only stands before the entries that commits wait for.
+const IN_FLIGHT_BYTES: usize = 128 * 1024;
 /// Bytes of one piece of a snapshot. One is under way at a time, so smaller ones would leave a link
 /// between regions idle for half of the time.
 const CHUNK_BYTES: usize = 256 * 1024;
@@ -252,6 +254,7 @@
             lease: Duration::from_millis(own.election_ms),
             batch_bytes: BATCH_BYTES,
             in_flight: IN_FLIGHT,
+            in_flight_bytes: IN_FLIGHT_BYTES,
             chunk_bytes: CHUNK_BYTES,
             promote_lag: PROMOTE_LAG,
             backlog_bytes: BACKLOG_BYTES,
