Ask further up for the lease where a relay is itself behind

What callers saw: requests handled under a bundle that had been replaced. One way to it: an entry VM whose relay is cut off from all stores is granted what the relay's own lease has left, ten seconds at most, and asks nobody else meanwhile, though it reaches every store itself.

A grant that is shorter than a whole lease by more than three intervals now counts as unserved: the next request goes to the next VM up, and the store's word is there within 2 s of the cut. A relay that is in touch is never that far behind, so the leader's load stays (reply_of_relay_keeps_to_it). What a relay can't serve, moreover, no longer makes a VM forget which store leads.

--- a/crates/core/src/lease/holder.rs
+++ b/crates/core/src/lease/holder.rs
@@ -14,6 +14,10 @@
 /// in use. Most such requests go to VMs that can't serve either, and few to the leader.
 const UNSERVED_PART: u32 = 4;
 
+/// How many intervals ago a relay may have had its own lease renewed and still count as in touch with
+/// the stores. The last of three relays on a path is two behind the first.
+const FRESH_INTERVALS: u32 = 3;
+
 /// One VM's configuration lease. It keeps nothing over a restart: a VM that starts has no lease
 /// and takes no work until it has confirmed the current revision.
 #[derive(Clone, Debug)]
@@ -89,7 +93,8 @@
         self.due
     }
 
-    /// Returns how many requests in a row went unserved: the place in the list of upstreams to
+    /// Returns how many requests in a row went unserved, or were served by one that is itself behind:
+    /// the place in the list of upstreams to
     /// ask next.
     pub fn failures(&self) -> usize {
         self.failures
@@ -191,6 +196,10 @@
         let from_reply = self.settings.mutation == Mutation::CountFromReply;
         let start = if from_reply { now } else { pending.sent };
         self.until = self.until.max(start + length);
-        self.failures = 0;
+        // A relay that is cut off passes on what its lease has left, and may be many seconds behind:
+        // the next request goes further up.
+        let age = self.settings.length().saturating_sub(length);
+        let fresh = age <= self.settings.interval() * FRESH_INTERVALS;
+        self.failures = if fresh { 0 } else { self.failures + 1 };
     }
 }
--- a/crates/core/tests/lease_relay.rs
+++ b/crates/core/tests/lease_relay.rs
@@ -1,5 +1,7 @@
 //! Relays with real bundles: deltas, contents that don't fit, and signatures that don't hold.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use gypsumglade_core::bundle::{Digest, KeyPair, OperatorKeys};
 use gypsumglade_core::control::{History, Revision};
@@ -140,3 +142,67 @@
     assert!(relay.ask(NOW + interval).is_none());
     assert!(relay.ask(NOW + interval * 3 / 2).is_some());
 }
+
+/// A VM takes callers' requests under a bundle that was replaced, for as long as a lease lasts. The VM
+/// that it asks for its lease is cut off from all stores and passes on what is left of its own, while
+/// the VM itself could reach every store.
+#[test]
+fn reply_of_cut_off_relay_moves_on() {
+    let settings =
+        LeaseSettings { length_ms: 10_000, interval_ms: 400, ..LeaseSettings::default() };
+    let new = |vm| Relay::new(settings, VmId(vm), 1, NOW);
+    let (mut history, mut grants) = (History::new(8), ConfigGrants::new(settings));
+    history.push(revision(1));
+    let (mut parent, mut child) = (new(1), new(2));
+    let mut now = NOW;
+    let mut learnt = None;
+    // The parent is cut off at 2 s, and the next revision is committed then.
+    let cut = NOW + Duration::from_millis(2_000);
+    while learnt.is_none() {
+        now = now + Duration::from_millis(10);
+        if now >= cut && history.number() < RevisionNumber(2) {
+            history.push(revision(2));
+        }
+        if now < cut
+            && let Some(request) = parent.ask(now)
+        {
+            let reply = serve(&history, &mut grants, settings.length(), &request, now);
+            parent.reply(reply, &keys(&operator()), now).expect("verifies");
+        }
+        // As entry VMs choose whom to ask: the parent, then the control leader.
+        let asks_leader = child.lease().failures() % 2 == 1;
+        if let Some(request) = child.ask(now) {
+            let reply = match asks_leader {
+                true => serve(&history, &mut grants, settings.length(), &request, now),
+                false => parent.serve(&request, now),
+            };
+            child.reply(reply, &keys(&operator()), now).expect("verifies");
+        }
+        learnt = (child.lease().applied() == RevisionNumber(2)).then_some(now);
+    }
+    let took = now.since(cut);
+    assert!(took <= Duration::from_millis(2_000), "learnt after {took:?}");
+}
+
+/// A VM whose parent is well doesn't go to the leader, or the leader's cost grows with the VMs.
+#[test]
+fn reply_of_relay_keeps_to_it() {
+    let settings =
+        LeaseSettings { length_ms: 10_000, interval_ms: 400, ..LeaseSettings::default() };
+    let (mut history, mut grants) = (History::new(8), ConfigGrants::new(settings));
+    history.push(revision(1));
+    let mut path: Vec<Relay> = (1..=3).map(|vm| Relay::new(settings, VmId(vm), 1, NOW)).collect();
+    for step in 0..2_000 {
+        let now = NOW + Duration::from_millis(step * 10);
+        for place in 0..path.len() {
+            let Some(request) = path[place].ask(now) else { continue };
+            let reply = match place.checked_sub(1) {
+                Some(above) => path[above].serve(&request, now),
+                None => serve(&history, &mut grants, settings.length(), &request, now),
+            };
+            path[place].reply(reply, &keys(&operator()), now).expect("verifies");
+            let settled = step > 200;
+            assert!(!settled || path[place].lease().failures() == 0, "VM {place} at {step}");
+        }
+    }
+}
--- a/crates/gypsumglade/src/entry/config.rs
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -143,7 +143,7 @@
     let now = renewal.clock.now();
     let failures = view.relay().lease().failures();
     let Some(request) = view.relay().ask(now) else { return };
-    let Some((vm, address)) = target(renewal, leaders, failures) else {
+    let Some(Target { store, address }) = target(renewal, leaders, failures) else {
         view.relay().fail(request.ask);
         return;
     };
@@ -152,27 +152,47 @@
     let now = renewal.clock.now();
     match reply {
         Ok(reply) => {
-            if let Some(Body::Unavailable(unavailable)) = &reply.body {
-                leaders.redirect(None, unavailable.leader.map(VmId));
+            // What a relay can't serve says nothing of the stores.
+            match (&reply.body, store) {
+                (Some(Body::Unavailable(unavailable)), Some(vm)) => {
+                    leaders.redirect(Some(vm), unavailable.leader.map(VmId));
+                }
+                (Some(Body::Grant(_)), Some(vm)) => leaders.confirm(vm),
+                _ => {}
             }
             view.take(reply, now, &renewal.log);
         }
         Err(_) => {
-            leaders.lost(vm, Instant::now());
+            if let Some(vm) = store {
+                leaders.lost(vm, Instant::now());
+            }
             view.relay().fail(request.ask);
         }
     }
 }
 
-fn target(renewal: &Renewal, leaders: &LeaderHint, failures: usize) -> Option<(VmId, SocketAddr)> {
+/// Whom a request for the lease goes to.
+struct Target {
+    /// The store, unless it is another entry VM.
+    store: Option<VmId>,
+    address: SocketAddr,
+}
+
+fn target(renewal: &Renewal, leaders: &LeaderHint, failures: usize) -> Option<Target> {
     let entries = renewal.directory.entries();
     let members: Vec<VmRegion> =
         entries.iter().map(|entry| VmRegion { vm: entry.vm, region: entry.region }).collect();
     let path = upstreams(renewal.me, &members);
     // After every ancestor failed once, the path is tried from its start again.
     match path.get(failures % path.len().max(1))? {
-        Upstream::Vm(vm) => renewal.directory.entry(*vm).map(|address| (*vm, address)),
-        Upstream::Control => leaders.target(&renewal.directory, Instant::now()),
+        Upstream::Vm(vm) => {
+            let address = renewal.directory.entry(*vm)?;
+            Some(Target { store: None, address })
+        }
+        Upstream::Control => {
+            let (vm, address) = leaders.target(&renewal.directory, Instant::now())?;
+            Some(Target { store: Some(vm), address })
+        }
     }
 }
 
