Let a store that follows tell VMs of a newer revision

What callers saw: requests handled under a bundle more than 3 s after a newer one had been acknowledged, while stores died and came back. While there was none, or the VM didn't find it, every other store answered that it doesn't lead, although it had applied the newer revision; and the VM went on under its lease, for 10 s at most.

A follower now answers a VM that is behind with the revision that it has applied. It is committed, so no leader can take it back; it grants nothing. renew_at_follower_tells_newer failed before: the VM had learnt nothing after 500 questions.

--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -148,7 +148,7 @@
                 let length = self.lease.length();
                 (serve(control.history(), grants, length, request, now), Some(*term))
             }
-            Role::Follower(leader) => (unavailable(request, *leader), None),
+            Role::Follower(leader) => (told(control, request, *leader), None),
         }
     }
 
@@ -323,6 +323,18 @@
     ReplyBody::NotLeader(NotLeader { leader: leader.unwrap_or_default().0 })
 }
 
+/// Answers a VM that asks a store that doesn't lead.
+///
+/// What a follower has applied is committed, so a newer revision may be told by anyone; only a lease
+/// needs the leader. While there is none, VMs would otherwise act on an older revision for as long as
+/// their leases last, next to stores that know better.
+fn told(control: &Control, request: &ConfirmRequest, leader: Option<VmId>) -> ConfirmReply {
+    match control.history().update(RevisionNumber(request.applied)) {
+        Some(update) => ConfirmReply { ask: request.ask, body: Some(ConfirmBody::Update(update)) },
+        None => unavailable(request, leader),
+    }
+}
+
 fn unavailable(request: &ConfirmRequest, leader: Option<VmId>) -> ConfirmReply {
     let unavailable = Unavailable { leader: leader.map(|vm| vm.0) };
     ConfirmReply { ask: request.ask, body: Some(ConfirmBody::Unavailable(unavailable)) }
--- /dev/null
+++ b/crates/gypsumglade/tests/config_spread.rs
@@ -0,0 +1,138 @@
+//! How a newer bundle gets from the stores to the VMs that act on it.
+
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gypsumglade::directory::Directory;
+use gypsumglade::operator;
+use gypsumglade::settings::Settings;
+use gypsumglade::store::{Store, StoreState};
+use gypsumglade_core::bundle::KeyPair;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::answer::Body as Answer;
+use gypsumglade_core::wire::control::confirm_reply::Body;
+use gypsumglade_core::wire::control::{ConfirmReply, ConfirmRequest};
+use gypsumglade_core::wire::operator::ControlRequest;
+use gypsumglade_core::wire::operator::control_reply::Body as Reply;
+use gypsumglade_core::wire::operator::control_request::Body as Request;
+
+/// Port of every store; each has a loopback address of its own.
+const PEERS: u16 = 7_310;
+/// Looks for something that another store must hear of.
+const LOOKS: usize = 500;
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn key() -> KeyPair {
+    KeyPair::from_seed([1; 32])
+}
+
+fn ip(number: u8) -> Ipv4Addr {
+    let process = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | (process[2] & 63), process[3], number)
+}
+
+fn settings(own: Ipv4Addr, seed: Ipv4Addr, folder: &Path) -> Settings {
+    let first = own == seed;
+    let (folder, operator) = (folder.display(), key().public());
+    let text = format!(
+        r#"
+vm: {{ domain: a, region: south }}
+threads: 1
+discovery: {{ name: "{own}", seeds: ["{seed}:1"], first_start: {first}, domains: {{ a: south }} }}
+listen: {{ peers: "{own}:{PEERS}" }}
+groups: 0
+store:
+  folder: "{folder}"
+  peers: "{own}:{PEERS}"
+  admin: "{own}:0"
+  tolerate: 1
+  heartbeat_ms: 50
+  election_ms: 300
+tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
+operators: {{ keys: ["{operator}"], threshold: 1 }}
+log: {{ file: "-" }}
+"#
+    );
+    Settings::parse(Path::new("settings.yaml"), &text)
+        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+}
+
+async fn start(own: Ipv4Addr, seed: Ipv4Addr, folder: &Path) -> Store {
+    let settings = settings(own, seed, folder);
+    let directory = Arc::new(Directory::new(&settings));
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Store::start(settings, directory, log).await.expect("a store starts")
+}
+
+/// Rolls a bundle out, and returns its revision once it is acknowledged.
+async fn roll(state: &StoreState, number: u64) -> u64 {
+    let bundle = operator::sign(&format!("version: \"{number}\"\n"), &key()).expect("it signs");
+    let base = RevisionNumber(number - 1);
+    let command = operator::accept_command(&bundle, base, &format!("order-{number}"));
+    let command = Request::Command(command.expect("it holds"));
+    for _ in 0..LOOKS {
+        let request = ControlRequest { body: Some(command.clone()) };
+        match state.control.ask(request).await.body.expect("an answer") {
+            Reply::Answer(answer) => match answer.body {
+                Some(Answer::Accepted(accepted)) => return accepted.revision,
+                other => panic!("{other:?}"),
+            },
+            _ => tokio::time::sleep(PAUSE).await,
+        }
+    }
+    panic!("no store led the control group")
+}
+
+/// A VM that acts on a revision and renews its lease.
+#[derive(Clone, Copy, Debug)]
+struct Vm {
+    number: u32,
+    applied: u64,
+    ask: u64,
+}
+
+impl Vm {
+    async fn renew(&mut self, state: &StoreState) -> ConfirmReply {
+        self.ask += 1;
+        let request = ConfirmRequest {
+            vm: self.number,
+            ask: self.ask,
+            applied: self.applied,
+            floor: self.applied,
+            incarnation: 1,
+        };
+        let reply = state.control.renew(&request).await;
+        if let Some(Body::Update(update)) = &reply.body {
+            self.applied = update.revision.as_ref().expect("it has one").number;
+        }
+        reply
+    }
+}
+
+/// Requests are handled under a bundle that was replaced seconds ago. The leader that acknowledged the
+/// newer one died, none is elected for a while, and the stores that have it told no VM that asked.
+#[tokio::test]
+async fn renew_at_follower_tells_newer() {
+    let folders = [0, 1].map(|_| tempfile::tempdir().expect("a temporary folder"));
+    let first = start(ip(1), ip(1), folders[0].path()).await;
+    let second = start(ip(2), ip(1), folders[1].path()).await;
+    assert_eq!(roll(first.state(), 1).await, 1);
+
+    let mut vm = Vm { number: 9, applied: 0, ask: 0 };
+    for _ in 0..LOOKS {
+        let reply = vm.renew(second.state()).await;
+        assert!(!matches!(reply.body, Some(Body::Grant(_))), "only a leader grants");
+        if vm.applied == 1 {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert_eq!(vm.applied, 1, "the follower has the revision and told nobody");
+    let reply = vm.renew(second.state()).await;
+    assert!(matches!(reply.body, Some(Body::Unavailable(_))), "{reply:?}");
+    second.stop().await;
+    first.stop().await;
+}
