Answer an order once VMs in touch have its revision

A leader acknowledged a revision at its commit. One that died right after that left VMs that learn of it only from the next leader, if stores die again some seconds later; and followers that hear of a commit with the next message may not know either.

The leader now waits for the VMs that hold a lease of its own to confirm the revision, for 0.6 s at most, before it answers.

--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -12,6 +12,7 @@
 use gypsumglade_core::orders::OrderGrants;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{LogIndex, Term};
+use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::control::confirm_reply::Body as ConfirmBody;
 use gypsumglade_core::wire::control::{Answer, Command, ConfirmReply, ConfirmRequest, Unavailable};
@@ -54,6 +55,12 @@
 /// heartbeats.
 const APPLY_WAIT: Duration = Duration::from_millis(600);
 
+/// Longest wait of an order's answer for the VMs to have its revision: a renewal's interval and a
+/// round trip for each of two requests. Operators count answers from a second on.
+const SPREAD_WAIT: Duration = Duration::from_millis(600);
+/// Pause between two looks at which VMs have it.
+const SPREAD_PAUSE: Duration = Duration::from_millis(20);
+
 enum Role {
     Leader { term: Term, grants: Box<ConfigGrants> },
     Follower(Option<VmId>),
@@ -159,7 +166,10 @@
         let data = Bytes::from(command.encode_to_vec());
         match self.context.host.propose(GroupId::CONTROL, data).await {
             Ok(index) => match self.answer_at(index).await {
-                Some(answer) => ReplyBody::Answer(answer),
+                Some(answer) => {
+                    self.spread(&answer).await;
+                    ReplyBody::Answer(answer)
+                }
                 None => ReplyBody::Uncertain(Uncertain {}),
             },
             Err(ProposeError::NotLeader { hint }) => not_leader(hint),
@@ -167,6 +177,32 @@
         }
     }
 
+    /// Waits until the VMs that renew their leases here have a new revision, or for a moment.
+    ///
+    /// Once an order is acknowledged, its revision must be in force within seconds. If this store died
+    /// right after that, VMs would have to wait for another leader, and followers may not even know
+    /// that the revision is committed.
+    async fn spread(&self, answer: &Answer) {
+        let Some(AnswerBody::Accepted(accepted)) = &answer.body else { return };
+        let revision = RevisionNumber(accepted.revision);
+        let until = self.context.clock.now() + SPREAD_WAIT;
+        while self.is_awaited(revision) && self.context.clock.now() < until {
+            tokio::time::sleep(SPREAD_PAUSE).await;
+        }
+    }
+
+    /// Tells whether a VM with a lease of this leader may still act on an older revision.
+    fn is_awaited(&self, revision: RevisionNumber) -> bool {
+        let now = self.context.clock.now();
+        match &self.state().role {
+            Role::Leader { grants, .. } => match grants.in_force(revision, now) {
+                InForce::Yes => false,
+                InForce::Waiting(waiting) => !waiting.vms.is_empty(),
+            },
+            Role::Follower(_) => false,
+        }
+    }
+
     /// Answers at once what need not, or must not, go into the log.
     fn refusal(&self, command: &Command) -> Option<ReplyBody> {
         let state = self.state();
--- a/crates/gypsumglade/tests/config_spread.rs
+++ b/crates/gypsumglade/tests/config_spread.rs
@@ -136,3 +136,39 @@
     second.stop().await;
     first.stop().await;
 }
+
+/// The same, where the leader dies before its followers know that the newer bundle is committed: it
+/// was acknowledged, and nobody but the leader could tell. So VMs that ask are told before.
+#[tokio::test]
+async fn ask_accept_waits_for_vms() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let store = start(ip(3), ip(3), folder.path()).await;
+    assert_eq!(roll(store.state(), 1).await, 1);
+    let mut vm = Vm { number: 9, applied: 1, ask: 0 };
+    vm.renew(store.state()).await;
+
+    let state = Arc::clone(store.state());
+    let rolled = tokio::spawn(async move { roll(&state, 2).await });
+    let mut turns = 0;
+    while !rolled.is_finished() {
+        // As a VM that asks a little later than the bundle is committed.
+        turns += 1;
+        if turns > 5 {
+            vm.renew(store.state()).await;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert_eq!((rolled.await.expect("it ends"), vm.applied), (2, 2));
+    store.stop().await;
+}
+
+/// An operator must have an answer although a VM is gone for good.
+#[tokio::test]
+async fn ask_accept_despite_silent_vm() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let store = start(ip(4), ip(4), folder.path()).await;
+    assert_eq!(roll(store.state(), 1).await, 1);
+    Vm { number: 9, applied: 1, ask: 0 }.renew(store.state()).await;
+    assert_eq!(roll(store.state(), 2).await, 2);
+    store.stop().await;
+}
