--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -15,7 +15,7 @@
 mod tree;
 
 pub use budget::Spent;
-pub use copies::{Copy, Survey};
+pub use copies::{Copy, Limits, Portion, Survey};
 pub use holders::preferred;
 pub use snapshot::RestoreError;
 pub use state::Turns;
--- a/crates/core/src/turns/tree.rs
+++ b/crates/core/src/turns/tree.rs
@@ -12,11 +12,15 @@
 /// continues it may have been reserved just before, and keeps it once it is settled.
 const SETTLE_GRACE_MS: u64 = 30_000;
 
+/// Stores that are remembered as holders of one text: more than ever hold it at one time, and few enough
+/// that losses one after another don't fill the state.
+const MOST_HOLDERS: usize = 8;
+
 /// One kept turn. Its text is on the disks of its holders, see docs/design/texts.md.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Turn {
     pub(super) previous: CompactString,
-    /// Stores that have the turn's text.
+    /// Stores that have the turn's text, or had it: those noted last come first.
     pub(super) holders: Vec<VmId>,
     /// Length of the text, in bytes.
     pub(super) bytes: u64,
@@ -29,7 +33,7 @@
     pub(super) fn from_wire(kept: &wire::Kept, until: u64) -> Turn {
         Turn {
             previous: kept.previous.to_compact_string(),
-            holders: kept.holders.iter().copied().map(VmId).collect(),
+            holders: distinct(kept.holders.iter().copied().map(VmId)),
             bytes: kept.bytes,
             retention: kept.retention_ms,
             until,
@@ -50,6 +54,17 @@
     }
 }
 
+/// Returns each store once, the first [`MOST_HOLDERS`]. One that is named twice is still one disk.
+fn distinct(stores: impl Iterator<Item = VmId>) -> Vec<VmId> {
+    let mut found = Vec::new();
+    for vm in stores {
+        if found.len() < MOST_HOLDERS && !found.contains(&vm) {
+            found.push(vm);
+        }
+    }
+    found
+}
+
 /// Where the text of one turn is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holding {
@@ -130,9 +145,13 @@
     }
 
     /// Notes that other stores hold a turn's text now.
+    ///
+    /// Those that held it before are remembered after them: one that was only silent still has it on its
+    /// disk, and a leader that was deposed for a while may not know of all.
     pub fn note_holders(&mut self, holding: &Holding) {
         if let Some(turn) = self.turns.get_mut(&holding.turn) {
-            turn.holders.clone_from(&holding.holders);
+            let before = std::mem::take(&mut turn.holders);
+            turn.holders = distinct(holding.holders.iter().copied().chain(before));
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/turns_copies.rs
@@ -0,0 +1,445 @@
+//! What is copied when stores are lost or are to be emptied.
+
+#[path = "support/property.rs"]
+mod property;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::repair::Candidate;
+use gypsumglade_core::turns::{Copy, Limits, Portion, Survey, Turns};
+use gypsumglade_core::wire::turn::command::Body;
+use gypsumglade_core::wire::turn::reply::Body as Reply;
+use gypsumglade_core::wire::turn::{Command, Copied, Holding, Kept, Reserve, Settle};
+use property::{cases, fixed};
+use proptest::prelude::*;
+use proptest::test_runner::TestRunner;
+
+/// Cases of the property when the environment names no other count.
+const CASES: u32 = 256;
+/// Seed of the property's random choices.
+const SEED: u64 = 29;
+/// Bytes of each turn's text.
+const TEXT_BYTES: u64 = 18_000;
+/// Enough for all texts of a test.
+const ENOUGH: Portion = Portion { texts: 1_000, bytes: 1_000_000_000 };
+/// All texts of a test at one time.
+const ALL: Limits = Limits { near: ENOUGH, abroad: ENOUGH };
+
+fn apply(turns: &mut Turns, body: Body) -> Reply {
+    turns.apply(&Command { body: Some(body) }).body.expect("every command is answered")
+}
+
+fn keep(turns: &mut Turns, turn: &str, previous: &str, holders: &[u32]) {
+    let kept = Kept {
+        previous: previous.to_owned(),
+        retention_ms: 60_000,
+        holders: holders.to_vec(),
+        bytes: TEXT_BYTES,
+    };
+    let settle = Settle { turn: turn.to_owned(), kept: Some(kept), now_ms: 1, ..Settle::default() };
+    apply(turns, Body::Settle(settle));
+}
+
+/// Carries a plan out, and returns how many texts were copied.
+fn carry_out(turns: &mut Turns, plan: &[Copy]) -> usize {
+    let copied: Vec<Holding> =
+        plan.iter().flat_map(|copy| &copy.turns).map(|holding| holding.to_wire()).collect();
+    let count = copied.len();
+    apply(turns, Body::Copied(Copied { turns: copied, now_ms: 2 }));
+    count
+}
+
+fn holders(turns: &mut Turns, turn: &str) -> Vec<VmId> {
+    let ask = Reserve { turn: "x".to_owned(), previous: turn.to_owned(), ..Reserve::default() };
+    let Reply::Reserved(reserved) = apply(turns, Body::Reserve(ask)) else { panic!("not kept") };
+    let last = reserved.chain.last().expect("a chain");
+    last.holders.iter().copied().map(VmId).collect()
+}
+
+fn store(vm: u32, domain: &str) -> Candidate {
+    let (domain, region) = (domain.into(), "south".into());
+    Candidate { vm: VmId(vm), domain, region, retiring: false }
+}
+
+fn abroad(vm: u32, domain: &str) -> Candidate {
+    Candidate { region: "north".into(), ..store(vm, domain) }
+}
+
+fn retiring(store: Candidate) -> Candidate {
+    Candidate { retiring: true, ..store }
+}
+
+fn survey(alive: impl IntoIterator<Item = Candidate>) -> Survey {
+    Survey { alive: alive.into_iter().collect(), copies: 2, ..Survey::default() }
+}
+
+fn alike(most: Portion) -> Limits {
+    Limits { near: most, abroad: most }
+}
+
+fn targets(plan: &[Copy]) -> Vec<u32> {
+    plan.iter().map(|copy| copy.target.0).collect()
+}
+
+#[test]
+fn plan_copies_nothing_lost() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    let survey = survey([store(1, "a"), store(2, "b"), store(3, "c")]);
+    assert_eq!(turns.plan_copies(&survey, &ALL), []);
+    assert_eq!(turns.relied_on(&survey), BTreeSet::new());
+}
+
+#[test]
+fn plan_copies_lost_holder() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    let survey = survey([store(1, "a"), store(3, "c")]);
+    let plan = turns.plan_copies(&survey, &ALL);
+    assert_eq!(targets(&plan), [3]);
+    assert_eq!(plan[0].sources, [VmId(1)]);
+    assert_eq!(plan[0].turns[0].holders, [VmId(1), VmId(3)]);
+    assert!(turns.relied_on(&survey).contains(&VmId(1)));
+    carry_out(&mut turns, &plan);
+    assert_eq!(turns.plan_copies(&survey, &ALL), []);
+    assert_eq!(turns.relied_on(&survey), BTreeSet::new());
+}
+
+/// A store that was silent for a while has its disk still. Were it forgotten, the next loss would have
+/// texts copied that are on two disks all the time.
+#[test]
+fn plan_copies_silent_holder_back() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    let plan = turns.plan_copies(&survey([store(1, "a"), store(3, "c")]), &ALL);
+    carry_out(&mut turns, &plan);
+    let after = survey([store(2, "b"), store(3, "c"), store(4, "d")]);
+    assert_eq!(turns.plan_copies(&after, &ALL), []);
+}
+
+/// A text with one store named twice is on one disk, and that disk's loss takes it.
+#[test]
+fn plan_copies_same_holder_twice() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 1]);
+    let survey = survey([store(1, "a"), store(2, "b")]);
+    assert_eq!(targets(&turns.plan_copies(&survey, &ALL)), [2]);
+    assert_eq!(turns.relied_on(&survey), BTreeSet::from([VmId(1)]));
+}
+
+/// A leader that was deposed for a while names holders that it planned before. The holder that another
+/// leader noted meanwhile may be the only one left.
+#[test]
+fn plan_copies_two_leaders() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    let late = turns.plan_copies(&survey([store(1, "a"), store(3, "c")]), &ALL);
+    let plan = turns.plan_copies(&survey([store(1, "a"), store(4, "d")]), &ALL);
+    carry_out(&mut turns, &plan);
+    carry_out(&mut turns, &late);
+    let left = survey([store(4, "d"), store(5, "e")]);
+    assert_eq!(targets(&turns.plan_copies(&left, &ALL)), [5]);
+}
+
+/// Disks lost one after another must not fill the state, nor push out the holders that are left.
+#[test]
+fn plan_copies_many_losses() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    for lost in 1..100 {
+        let survey = survey([store(lost + 1, "a"), store(lost + 2, "b")]);
+        let plan = turns.plan_copies(&survey, &ALL);
+        carry_out(&mut turns, &plan);
+        let known = holders(&mut turns, "a");
+        assert!(known.len() <= 8 && known.contains(&VmId(lost + 1)), "{known:?}");
+        assert!(known.contains(&VmId(lost + 2)), "{known:?}");
+    }
+}
+
+#[test]
+fn plan_copies_unreadable() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    keep(&mut turns, "b", "", &[2, 3]);
+    let survey = survey([store(3, "c"), store(4, "d")]);
+    let plan = turns.plan_copies(&survey, &ALL);
+    let copied: Vec<&str> =
+        plan.iter().flat_map(|copy| &copy.turns).map(|holding| holding.turn.as_str()).collect();
+    assert_eq!(copied, ["b"]);
+}
+
+/// A chain that is spread over stores costs its reader a call to each.
+#[test]
+fn plan_copies_chain_together() {
+    let mut turns = Turns::default();
+    let mut previous = String::new();
+    for number in 0..50 {
+        let turn = format!("t{number}");
+        keep(&mut turns, &turn, &previous, &[1, 2]);
+        previous = turn;
+    }
+    let others = (3..9).map(|vm| store(vm, &format!("d{vm}")));
+    let survey = survey(others.chain([store(1, "a")]));
+    let plan = turns.plan_copies(&survey, &ALL);
+    assert_eq!(plan.len(), 1);
+    assert_eq!(plan[0].turns.len(), 50);
+}
+
+#[test]
+fn plan_copies_own_domain() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    let near = (3..9).map(|vm| store(vm, "a"));
+    let survey = survey(near.chain([store(1, "a"), store(9, "b")]));
+    assert_eq!(targets(&turns.plan_copies(&survey, &ALL)), [9]);
+}
+
+/// Elections wait behind texts on the link between regions.
+#[test]
+fn plan_copies_own_region() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[5, 2]);
+    let far = (6..12).map(|vm| abroad(vm, &format!("n{vm}")));
+    let alive: Vec<_> = far.chain([store(5, "a"), store(3, "a")]).collect();
+    assert_eq!(targets(&turns.plan_copies(&survey(alive.clone()), &ALL)), [3]);
+    let failing = Survey { failing: BTreeSet::from([VmId(3)]), ..survey(alive) };
+    assert_eq!(targets(&turns.plan_copies(&failing, &ALL)), [3]);
+}
+
+/// Texts lie where their callers are: in the region of most holders, whatever their identities, and else
+/// in the larger one.
+#[test]
+fn plan_copies_most_region() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 7, 8]);
+    let north = [abroad(1, "n"), abroad(2, "m"), abroad(3, "o"), abroad(4, "p")];
+    let south = [store(7, "a"), store(8, "b"), store(9, "c")];
+    let survey = Survey { copies: 4, ..survey(north.into_iter().chain(south)) };
+    assert_eq!(targets(&turns.plan_copies(&survey, &ALL)), [9]);
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[7, 1]);
+    let plan = turns.plan_copies(&survey, &ALL);
+    assert!(matches!(targets(&plan)[..], [2..=4]), "{plan:?}");
+}
+
+#[test]
+fn plan_copies_only_abroad() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    let survey = survey([store(1, "a"), abroad(2, "n"), abroad(3, "m")]);
+    assert_eq!(turns.plan_copies(&survey, &ALL), []);
+    keep(&mut turns, "b", "", &[1, 9]);
+    let plan = turns.plan_copies(&survey, &ALL);
+    assert!(matches!(targets(&plan)[..], [2 | 3]), "{plan:?}");
+}
+
+/// A store whose disk is full would be asked again and again, and the texts stay on too few.
+#[test]
+fn plan_copies_failing_store() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 9]);
+    let alive = [store(1, "a"), store(2, "b"), store(3, "c")];
+    let first = turns.plan_copies(&survey(alive.clone()), &ALL)[0].target;
+    let failing = Survey { failing: BTreeSet::from([first]), ..survey(alive) };
+    let second = turns.plan_copies(&failing, &ALL)[0].target;
+    assert!(second != first && second != VmId(1));
+}
+
+/// Texts that can't be copied would fill each portion, and those behind them never be copied.
+#[test]
+fn plan_copies_put_off() {
+    let mut turns = Turns::default();
+    for turn in ["a", "b", "c"] {
+        keep(&mut turns, turn, "", &[1, 9]);
+    }
+    let survey = survey([store(1, "a"), store(2, "b")]);
+    let survey = Survey { put_off: BTreeSet::from(["a".into()]), ..survey };
+    let plan = turns.plan_copies(&survey, &alike(Portion { texts: 1, ..ENOUGH }));
+    assert_eq!(plan[0].turns[0].turn, "b");
+    assert_eq!(turns.relied_on(&survey), BTreeSet::from([VmId(1), VmId(9)]));
+}
+
+/// Long inputs fill a store's memory long before their number looks large.
+#[test]
+fn plan_copies_portion() {
+    let mut turns = Turns::default();
+    for number in 0..40 {
+        keep(&mut turns, &number.to_string(), "", &[1, 9]);
+    }
+    let survey = survey([store(1, "a"), store(2, "b")]);
+    let count = |most| turns.plan_copies(&survey, &alike(most))[0].turns.len();
+    assert_eq!(count(Portion { bytes: 3 * TEXT_BYTES, ..ENOUGH }), 3);
+    assert_eq!(count(Portion { bytes: 1, ..ENOUGH }), 1);
+    assert_eq!(count(Portion { texts: 7, ..ENOUGH }), 7);
+}
+
+/// A newcomer in the texts' region comes within seconds; until then, only a few cross the link.
+#[test]
+fn plan_copies_abroad_portion() {
+    let mut turns = Turns::default();
+    for number in 0..40 {
+        keep(&mut turns, &number.to_string(), "", &[1, 9]);
+    }
+    let limits = Limits { abroad: Portion { texts: 2, ..ENOUGH }, ..ALL };
+    let plan = turns.plan_copies(&survey([store(1, "a"), abroad(2, "n")]), &limits);
+    assert_eq!((plan[0].abroad, plan[0].turns.len()), (true, 2));
+    let plan = turns.plan_copies(&survey([store(1, "a"), store(2, "b")]), &limits);
+    assert_eq!((plan[0].abroad, plan[0].turns.len()), (false, 40));
+}
+
+#[test]
+fn split_parts() {
+    let mut turns = Turns::default();
+    for number in 0..7 {
+        keep(&mut turns, &number.to_string(), "", &[1, 9]);
+    }
+    let plan = turns.plan_copies(&survey([store(1, "a"), store(2, "b")]), &ALL);
+    let sizes = |most| -> Vec<usize> {
+        let parts = plan[0].clone().split(most);
+        let turns: Vec<_> = parts.iter().flat_map(|part| part.turns.clone()).collect();
+        assert_eq!(turns, plan[0].turns);
+        parts.iter().map(|part| part.turns.len()).collect()
+    };
+    assert_eq!(sizes(Portion { texts: 3, ..ENOUGH }), [3, 3, 1]);
+    assert_eq!(sizes(Portion { bytes: 2 * TEXT_BYTES, ..ENOUGH }), [2, 2, 2, 1]);
+    assert_eq!(sizes(Portion { bytes: 1, ..ENOUGH }), [1; 7]);
+    assert_eq!(sizes(ENOUGH), [7]);
+}
+
+#[test]
+fn plan_copies_retiring_holder() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    let survey = survey([retiring(store(1, "a")), store(2, "b"), store(3, "c")]);
+    let plan = turns.plan_copies(&survey, &ALL);
+    assert_eq!(targets(&plan), [3]);
+    assert_eq!(plan[0].sources, [VmId(1), VmId(2)]);
+    assert!(turns.relied_on(&survey).contains(&VmId(1)));
+    carry_out(&mut turns, &plan);
+    assert_eq!(turns.relied_on(&survey), BTreeSet::new());
+}
+
+/// The last disk of a text that is to be emptied is read from, and never asked to take more.
+#[test]
+fn plan_copies_only_retiring() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    let alive = [retiring(store(1, "a")), retiring(store(4, "d")), store(3, "c"), store(5, "e")];
+    let survey = survey(alive);
+    let plan = turns.plan_copies(&survey, &ALL);
+    assert_eq!(plan[0].sources, [VmId(1)]);
+    carry_out(&mut turns, &plan);
+    let plan = turns.plan_copies(&survey, &ALL);
+    carry_out(&mut turns, &plan);
+    let on = holders(&mut turns, "a");
+    assert!(on.contains(&VmId(3)) && on.contains(&VmId(5)) && !on.contains(&VmId(4)), "{on:?}");
+}
+
+/// While the others are silent for a moment, a store that is to be emptied has the only disk that can be
+/// read, and would be taken away.
+#[test]
+fn relied_on_others_silent() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2]);
+    let survey = survey([retiring(store(1, "a")), store(2, "b")]);
+    assert!(turns.relied_on(&survey).contains(&VmId(1)));
+    assert_eq!(turns.plan_copies(&survey, &ALL), []);
+}
+
+/// Stores of a property: failure domain, region, and whether it is to be emptied, is there at all, or
+/// lately took nothing.
+#[derive(Clone, Debug)]
+struct Place {
+    domain: u32,
+    region: u32,
+    retiring: bool,
+    alive: bool,
+    failing: bool,
+}
+
+fn any_place() -> impl Strategy<Value = Place> {
+    let flags = (prop::bool::weighted(0.2), prop::bool::weighted(0.7), prop::bool::weighted(0.2));
+    (0..3_u32, 0..2_u32, flags).prop_map(|(domain, region, (retiring, alive, failing))| Place {
+        domain,
+        region,
+        retiring,
+        alive,
+        failing,
+    })
+}
+
+fn surveyed(places: &[Place], copies: usize) -> Survey {
+    let alive = places.iter().zip(1..).filter(|(place, _)| place.alive);
+    let alive = alive.map(|(place, vm)| Candidate {
+        vm: VmId(vm),
+        domain: format!("{}{}", place.region, place.domain).into(),
+        region: place.region.to_string().into(),
+        retiring: place.retiring,
+    });
+    let failing = places.iter().zip(1..).filter(|(place, _)| place.failing);
+    let failing = failing.map(|(_, vm)| VmId(vm)).collect();
+    Survey { alive: alive.collect(), copies, failing, put_off: BTreeSet::new() }
+}
+
+/// Checks one plan: only stores that serve take texts, those that have one are read from, and texts with
+/// the same sources go to the same store.
+fn check_plan(plan: &[Copy], survey: &Survey, most: Portion) -> Result<(), TestCaseError> {
+    let find = |vm: VmId| survey.alive.iter().find(|store| store.vm == vm);
+    let mut counts: BTreeMap<VmId, usize> = BTreeMap::new();
+    let mut sources = BTreeSet::new();
+    for copy in plan {
+        *counts.entry(copy.target).or_default() += copy.turns.len();
+        prop_assert!(sources.insert(&copy.sources));
+        let region = |vm: VmId| find(vm).map(|store| store.region.clone());
+        let far = |vm: &VmId| region(*vm) != region(copy.target);
+        prop_assert!(copy.sources.iter().map(far).is_sorted());
+        prop_assert_eq!(copy.abroad, copy.sources.iter().all(far));
+        prop_assert!(find(copy.target).is_some_and(|store| !store.retiring));
+        prop_assert!(!copy.sources.is_empty() && !copy.sources.contains(&copy.target));
+        prop_assert!(copy.sources.iter().all(|vm| find(*vm).is_some()));
+        for holding in &copy.turns {
+            prop_assert!(holding.holders.contains(&copy.target));
+        }
+    }
+    prop_assert!(counts.values().all(|count| *count <= most.texts));
+    Ok(())
+}
+
+/// A text that stays on too few disks is lost with the next one.
+#[test]
+fn plan_copies_any() {
+    let mut runner = TestRunner::new(fixed(SEED, cases(CASES)));
+    let places = prop::collection::vec(any_place(), 1..9);
+    let texts = prop::collection::vec(prop::collection::vec(1..10_u32, 1..4), 0..40);
+    let strategy = (places, texts, 1..4_usize, 1..9_usize);
+    let property = |(places, texts, copies, texts_most): (Vec<Place>, Vec<Vec<u32>>, usize, usize)| {
+        let survey = surveyed(&places, copies);
+        let most = Portion { texts: texts_most, ..ENOUGH };
+        let mut turns = Turns::default();
+        for (number, holders) in texts.iter().enumerate() {
+            keep(&mut turns, &number.to_string(), "", holders);
+        }
+        let mut left = texts.len() * copies;
+        loop {
+            let plan = turns.plan_copies(&survey, &alike(most));
+            check_plan(&plan, &survey, most)?;
+            let copied = carry_out(&mut turns, &plan);
+            if copied == 0 {
+                break;
+            }
+            prop_assert!(copied <= left, "nothing is copied twice");
+            left -= copied;
+        }
+        let serving = survey.alive.iter().filter(|store| !store.retiring);
+        let serving: BTreeSet<VmId> = serving.map(|store| store.vm).collect();
+        for (number, before) in texts.iter().enumerate() {
+            let readable = before.iter().any(|vm| survey.alive.iter().any(|store| store.vm.0 == *vm));
+            let on = holders(&mut turns, &number.to_string());
+            let on = on.iter().filter(|vm| serving.contains(vm)).count();
+            prop_assert!(!readable || on >= copies.min(serving.len()), "{number}: {on}");
+        }
+        Ok(())
+    };
+    runner.run(&strategy, property).expect("the property holds");
+}
--- /dev/null
+++ b/crates/core/tests/turns_holders.rs
@@ -0,0 +1,107 @@
+//! Which stores hold the text of a program's turns.
+
+#[path = "support/property.rs"]
+mod property;
+
+use std::collections::BTreeSet;
+
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::repair::Candidate;
+use gypsumglade_core::turns::preferred;
+use property::{cases, fixed};
+use proptest::prelude::*;
+use proptest::test_runner::TestRunner;
+
+/// Cases of the properties when the environment names no other count.
+const CASES: u32 = 256;
+/// Seed of the properties' random choices.
+const SEED: u64 = 23;
+/// Programs whose texts are spread over stores.
+const PROGRAMS: usize = 3_000;
+
+fn store(vm: u32, domain: &str, region: &str) -> Candidate {
+    let (domain, region) = (domain.into(), region.into());
+    Candidate { vm: VmId(vm), domain, region, retiring: false }
+}
+
+fn any_stores() -> impl Strategy<Value = Vec<Candidate>> {
+    let place = (0..3_u32, 0..2_u32, any::<bool>());
+    prop::collection::vec(place, 0..9).prop_map(|places| {
+        let stores = places.into_iter().zip(1..);
+        let stores = stores.map(|((domain, region, retiring), vm)| {
+            let store = store(vm, &format!("{region}{domain}"), &region.to_string());
+            Candidate { retiring, ..store }
+        });
+        stores.collect()
+    })
+}
+
+/// A region's link is narrow and paid by volume, and a failure domain's machines fail together: the
+/// texts of a conversation must be near its callers, and not all in one domain.
+#[test]
+fn preferred_any() {
+    let mut runner = TestRunner::new(fixed(SEED, cases(CASES)));
+    let property = |(stores, program): (Vec<Candidate>, u32)| {
+        let order = preferred(&program.to_string(), "0", &stores);
+        let find = |vm: &VmId| stores.iter().find(|store| store.vm == *vm).expect("a known store");
+        let distinct: BTreeSet<VmId> = order.iter().copied().collect();
+        let serving: BTreeSet<VmId> =
+            stores.iter().filter(|store| !store.retiring).map(|store| store.vm).collect();
+        prop_assert_eq!(order.len(), distinct.len());
+        prop_assert_eq!(distinct, serving);
+        let abroad: Vec<bool> = order.iter().map(|vm| find(vm).region != "0").collect();
+        prop_assert!(abroad.is_sorted());
+        for region in ["0", "1"] {
+            let here = order.iter().map(find).filter(|store| store.region == region);
+            let domains: Vec<&str> = here.map(|store| store.domain.as_str()).collect();
+            let first: BTreeSet<&str> = domains.iter().copied().collect();
+            let begin: BTreeSet<&str> = domains[..first.len()].iter().copied().collect();
+            prop_assert_eq!(first, begin);
+        }
+        Ok(())
+    };
+    runner.run(&(any_stores(), any::<u32>()), property).expect("the property holds");
+}
+
+/// Each entry VM hears of stores in another order, and must choose the same.
+#[test]
+fn preferred_any_order() {
+    let mut runner = TestRunner::new(fixed(SEED, cases(CASES)));
+    let property = |(mut stores, program): (Vec<Candidate>, u32)| {
+        let program = program.to_string();
+        let before = preferred(&program, "0", &stores);
+        stores.reverse();
+        prop_assert_eq!(preferred(&program, "0", &stores), before);
+        Ok(())
+    };
+    runner.run(&(any_stores(), any::<u32>()), property).expect("the property holds");
+}
+
+/// Were the texts of all programs moved when a store comes, chains would lie on many stores each.
+#[test]
+fn preferred_newcomer() {
+    let mut stores: Vec<_> = (1..=4).map(|vm| store(vm, &format!("d{vm}"), "south")).collect();
+    let before: Vec<_> = (0..PROGRAMS)
+        .map(|program| preferred(&program.to_string(), "south", &stores))
+        .collect();
+    stores.push(store(5, "d5", "south"));
+    let mut moved = 0;
+    for (program, before) in before.into_iter().enumerate() {
+        let mut after = preferred(&program.to_string(), "south", &stores);
+        moved += usize::from(after[..2] != before[..2]);
+        after.retain(|vm| *vm != VmId(5));
+        assert_eq!(after, before);
+    }
+    // Two places of five are the newcomer's.
+    assert!((PROGRAMS / 3..PROGRAMS / 2).contains(&moved), "{moved}");
+}
+
+#[test]
+fn preferred_even_load() {
+    let stores: Vec<_> = (1..=3).map(|vm| store(vm, &format!("d{vm}"), "south")).collect();
+    for vm in 1..=3 {
+        let first = |program: &usize| preferred(&program.to_string(), "south", &stores)[0];
+        let count = (0..PROGRAMS).filter(|program| first(program) == VmId(vm)).count();
+        assert!((PROGRAMS / 4..PROGRAMS / 2).contains(&count), "{vm}: {count}");
+    }
+}
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -27,3 +27,4 @@
 };
 pub use lines::forwarded;
 pub use serve::{Gateway, GatewayAddresses};
+pub use text_client::TextClient;
--- a/crates/gypsumglade/src/gateway/text_client.rs
+++ b/crates/gypsumglade/src/gateway/text_client.rs
@@ -1,10 +1,11 @@
 //! Puts texts of kept turns on stores' disks, and fetches them; see docs/design/texts.md.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 
 use bytes::{Bytes, BytesMut};
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::repair::Candidate;
 use gypsumglade_core::turns::{Holding, preferred};
 use gypsumglade_core::wire::turn::{Text, TextPut, TextQuery, TextStored, Texts};
 use tokio::task::JoinSet;
@@ -16,8 +17,16 @@
 
 /// Wait for a store to put a text on its disk before another one is asked as well.
 const PUT_PATIENCE: Duration = Duration::from_millis(200);
+/// Longest wait for one store to put a text on its disk.
+const PUT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Wait for a store to give texts before another one is asked as well.
 const FETCH_PATIENCE: Duration = Duration::from_millis(200);
+/// Longest wait for one store to give texts.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes of texts that are asked for at one time: far below what one answer may have.
+const FETCH_BYTES: u64 = 4 * 1024 * 1024;
+/// Calls to one store that may fail before it is given up: one may have broken with its connection.
+const MOST_FAILURES: u32 = 2;
 /// Silence after which a store is not chosen.
 const SILENT_AFTER: Duration = Duration::from_secs(5);
 /// Time for which a store that did not answer is chosen last.
@@ -27,7 +36,7 @@
 
 /// Puts and fetches texts; clones share what they learn.
 #[derive(Clone)]
-pub(super) struct TextClient {
+pub struct TextClient {
     discovery: Option<Arc<Discovery>>,
     directory: Arc<Directory>,
     peers: PeerClients,
@@ -39,7 +48,7 @@
 
 impl TextClient {
     /// Creates a client that puts each text on `copies` stores.
-    pub(super) fn new(
+    pub fn new(
         discovery: Option<Arc<Discovery>>,
         directory: Arc<Directory>,
         peers: PeerClients,
@@ -51,7 +60,7 @@
     }
 
     /// Puts a text on as many stores as must have it, and returns them; nothing if `until` passes first.
-    pub(super) async fn put(
+    pub async fn put(
         &self,
         program: &str,
         text: Text,
@@ -69,19 +78,20 @@
             self.start_put(&mut putting, vm, &put, until);
         }
         let mut hedge = Instant::now() + PUT_PATIENCE;
-        while holders.len() < copies && Instant::now() < until {
+        while holders.len() < copies {
+            let hopeful = holders.len() + putting.len() + next.len();
+            if hopeful < copies || Instant::now() >= until {
+                break;
+            }
             tokio::select! {
-                stored = putting.join_next(), if !putting.is_empty() => {
-                    match stored {
-                        Some(Ok((vm, true))) => holders.push(vm),
-                        Some(Ok((_, false)) | Err(_)) => {
-                            if let Some(vm) = next.next() {
-                                self.start_put(&mut putting, vm, &put, until);
-                            }
+                Some(stored) = putting.join_next() => match stored {
+                    Ok((vm, true)) => holders.push(vm),
+                    Ok((_, false)) | Err(_) => {
+                        if let Some(vm) = next.next() {
+                            self.start_put(&mut putting, vm, &put, until);
                         }
-                        None => {}
                     }
-                }
+                },
                 () = tokio::time::sleep_until(hedge.min(until)) => {
                     let late = copies - holders.len();
                     for vm in next.by_ref().take(late) {
@@ -96,10 +106,13 @@
         (holders.len() == copies && copies > 0).then_some(holders)
     }
 
-    /// Returns the texts of a chain joined, oldest first; nothing if `until` passes first.
-    pub(super) async fn fetch(&self, chain: &[Holding], until: Instant) -> Option<Bytes> {
+    /// Returns the texts of a chain joined, oldest first; nothing once no store is left that may have
+    /// what is lacking, or `until` passes.
+    pub async fn fetch(&self, chain: &[Holding], until: Instant) -> Option<Bytes> {
         let mut found: HashMap<String, Text> = HashMap::new();
-        let mut asked: HashMap<VmId, usize> = HashMap::new();
+        let mut sources = Sources::default();
+        let mut asking = JoinSet::new();
+        let mut hedge = Instant::now();
         loop {
             let lacking: Vec<&Holding> =
                 chain.iter().filter(|holding| !found.contains_key(holding.turn.as_str())).collect();
@@ -109,47 +122,59 @@
             if Instant::now() >= until {
                 return None;
             }
-            let source = self.source(&lacking, &asked)?;
-            *asked.entry(source).or_default() += 1;
-            let wanted = lacking.iter().filter(|holding| holding.holders.contains(&source));
-            let turns = wanted.map(|holding| holding.turn.to_string()).collect();
-            let left = until.saturating_duration_since(Instant::now());
-            let patience = FETCH_PATIENCE * u32::try_from(asked[&source]).unwrap_or(1);
-            let texts = self.ask_texts(source, turns, left.min(patience)).await;
-            found.extend(texts.into_iter().map(|text| (text.turn.clone(), text)));
+            let due = Instant::now() >= hedge;
+            match self.source(&lacking, &sources) {
+                Some(vm) if due || sources.is_fresh_choice(vm) => {
+                    let turns = sources.begin(vm, &lacking);
+                    asking.spawn(self.clone().ask_texts(vm, turns, until));
+                    hedge = Instant::now() + FETCH_PATIENCE;
+                }
+                None if asking.is_empty() => return None,
+                None if due => hedge = Instant::now() + FETCH_PATIENCE,
+                _ => {}
+            }
+            tokio::select! {
+                Some(answer) = asking.join_next() => {
+                    let Ok(answer) = answer else { continue };
+                    found.extend(sources.end(answer));
+                }
+                () = tokio::time::sleep_until(hedge.min(until)) => {
+                    // They are chosen last from now on, until they answer.
+                    sources.under_way.iter().for_each(|vm| self.note(*vm, false));
+                }
+            }
         }
     }
 
-    /// Returns the store to ask next: one that has most of what is lacking and was asked least.
-    fn source(&self, lacking: &[&Holding], asked: &HashMap<VmId, usize>) -> Option<VmId> {
+    /// Returns the store to ask next: of those that may have a lacking text, one that failed least and has
+    /// most.
+    fn source(&self, lacking: &[&Holding], sources: &Sources) -> Option<VmId> {
         let mut counts: HashMap<VmId, usize> = HashMap::new();
-        for holder in lacking.iter().flat_map(|holding| &holding.holders) {
-            *counts.entry(*holder).or_default() += 1;
+        for holding in lacking {
+            let holders = holding.holders.iter().filter(|vm| sources.may_have(**vm, &holding.turn));
+            holders.for_each(|vm| *counts.entry(*vm).or_default() += 1);
         }
-        let near: Vec<VmId> = self.known().into_iter().map(|store| store.vm).collect();
+        let near: Vec<VmId> = self.near();
         let rank = |vm: VmId| near.iter().position(|other| *other == vm).unwrap_or(usize::MAX);
         let stores = counts.into_iter().filter(|(vm, _)| self.directory.store(*vm).is_some());
         let best = stores.min_by_key(|(vm, count)| {
-            let tries = asked.get(vm).copied().unwrap_or_default();
-            (tries, self.is_silent(*vm), usize::MAX - count, rank(*vm))
+            (sources.failures(*vm), self.is_silent(*vm), usize::MAX - count, rank(*vm), *vm)
         });
         best.map(|(vm, _)| vm)
     }
 
-    async fn ask_texts(&self, source: VmId, turns: Vec<String>, timeout: Duration) -> Vec<Text> {
-        let Some(address) = self.directory.store(source) else { return Vec::new() };
+    async fn ask_texts(self, source: VmId, turns: Vec<String>, until: Instant) -> Answer {
         let query = TextQuery { turns };
-        let texts = self.peers.ask::<_, Texts>(address, Method::Texts, &query, timeout).await;
-        match texts {
-            Ok(texts) => {
-                self.note(source, true);
-                texts.texts
-            }
-            Err(_) => {
-                self.note(source, false);
-                Vec::new()
+        let left = until.saturating_duration_since(Instant::now()).min(FETCH_TIMEOUT);
+        let texts = match self.directory.store(source) {
+            Some(address) => {
+                let asking = self.peers.ask::<_, Texts>(address, Method::Texts, &query, left);
+                asking.await.ok().map(|texts| texts.texts)
             }
-        }
+            None => None,
+        };
+        self.note(source, texts.is_some());
+        Answer { source, turns: query.turns, texts }
     }
 
     fn start_put(
@@ -176,9 +201,25 @@
         order
     }
 
-    fn known(&self) -> Vec<gypsumglade_core::replication::repair::Candidate> {
-        let heard = self.discovery.as_ref().map(|discovery| discovery.stores_heard(SILENT_AFTER));
-        heard.unwrap_or_default()
+    /// Returns the stores heard of; where the settings list them, all of them.
+    fn known(&self) -> Vec<Candidate> {
+        if let Some(discovery) = &self.discovery {
+            return discovery.stores_heard(SILENT_AFTER);
+        }
+        let stores = self.directory.stores().into_keys().map(|vm| Candidate {
+            vm,
+            domain: vm.0.to_compact_string(),
+            region: self.region.clone(),
+            retiring: false,
+        });
+        stores.collect()
+    }
+
+    /// Returns the stores heard of, those of the own region first.
+    fn near(&self) -> Vec<VmId> {
+        let mut stores = self.known();
+        stores.sort_by_key(|store| store.region != self.region);
+        stores.into_iter().map(|store| store.vm).collect()
     }
 
     fn is_silent(&self, vm: VmId) -> bool {
@@ -195,8 +236,72 @@
     }
 }
 
-/// Longest wait for one store to put a text on its disk.
-const PUT_TIMEOUT: Duration = Duration::from_secs(1);
+/// What a store answered that was asked for texts.
+struct Answer {
+    source: VmId,
+    /// The turns that it was asked for.
+    turns: Vec<String>,
+    /// Nothing if it didn't answer.
+    texts: Option<Vec<Text>>,
+}
+
+/// What one fetch knows of the stores that hold its texts.
+#[derive(Default)]
+struct Sources {
+    under_way: HashSet<VmId>,
+    failures: HashMap<VmId, u32>,
+    /// Turns whose texts a store answered that it hasn't.
+    absent: HashSet<(VmId, String)>,
+}
+
+impl Sources {
+    fn failures(&self, vm: VmId) -> u32 {
+        self.failures.get(&vm).copied().unwrap_or_default()
+    }
+
+    /// Tells whether a store may be asked for a turn's text now.
+    fn may_have(&self, vm: VmId, turn: &str) -> bool {
+        !self.under_way.contains(&vm)
+            && self.failures(vm) < MOST_FAILURES
+            && !self.absent.contains(&(vm, turn.to_owned()))
+    }
+
+    /// Tells whether a store may be asked at once: none is under way, and this one has not just failed.
+    fn is_fresh_choice(&self, vm: VmId) -> bool {
+        self.under_way.is_empty() && self.failures(vm) == 0
+    }
+
+    /// Returns what to ask a store for, and notes that it is asked.
+    fn begin(&mut self, vm: VmId, lacking: &[&Holding]) -> Vec<String> {
+        let mut bytes = 0;
+        let held = lacking.iter().filter(|holding| {
+            holding.holders.contains(&vm) && self.may_have(vm, &holding.turn)
+        });
+        let part = held.take_while(|holding| {
+            let room = bytes < FETCH_BYTES;
+            bytes += holding.bytes;
+            room
+        });
+        let turns = part.map(|holding| holding.turn.to_string()).collect();
+        self.under_way.insert(vm);
+        turns
+    }
+
+    /// Takes a store's answer, and returns its texts.
+    fn end(&mut self, answer: Answer) -> HashMap<String, Text> {
+        let vm = answer.source;
+        self.under_way.remove(&vm);
+        let Some(texts) = answer.texts else {
+            *self.failures.entry(vm).or_default() += 1;
+            return HashMap::new();
+        };
+        let found: HashMap<String, Text> =
+            texts.into_iter().map(|text| (text.turn.clone(), text)).collect();
+        let absent = answer.turns.into_iter().filter(|turn| !found.contains_key(turn));
+        self.absent.extend(absent.map(|turn| (vm, turn)));
+        found
+    }
+}
 
 fn joined(chain: &[Holding], found: &HashMap<String, Text>) -> Bytes {
     let texts = || chain.iter().filter_map(|holding| found.get(holding.turn.as_str()));
--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -63,7 +63,12 @@
     module.register_async_method(Method::PutTexts.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
         let put: turn::TextPut = decode(&text).map_err(|error| invalid_payload(&error))?;
-        Ok::<_, ErrorObjectOwned>(encode(&state.texts.put(put).await))
+        // An entry VM that hasn't heard yet that this store is to be emptied chooses another one.
+        let stored = match state.control.is_retiring(state.context.vm) {
+            true => turn::TextStored { stored: false },
+            false => state.texts.put(put).await,
+        };
+        Ok::<_, ErrorObjectOwned>(encode(&stored))
     })?;
     module.register_async_method(Method::Texts.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
--- a/crates/gypsumglade/src/store/registrar.rs
+++ b/crates/gypsumglade/src/store/registrar.rs
@@ -251,10 +251,14 @@
     }
 }
 
-/// Tells whether texts of kept turns are on too few stores without this one. Another may lose its disk
+/// Tells whether texts of kept turns may be on too few stores without this one. Another may lose its disk
 /// right after this one is gone.
+///
+/// A leader that has just begun to lead, or has not heard yet that the store is to be emptied, has not
+/// looked for such texts: its silence says nothing.
 fn is_relied_on(vm: VmId, led: &[Led]) -> bool {
-    led.iter().any(|led| led.holders.contains(&vm.0))
+    let mut told = led.iter().filter(|led| led.group == GroupId::TURNS.0);
+    told.any(|led| led.holders.contains(&vm.0) || !led.retiring.contains(&vm.0))
 }
 
 /// Tells whether a version is not above the one in force.
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -119,7 +119,10 @@
         let members = group.members.all().map(|vm| vm.0).collect();
         let mut led = Led { group: group.group.0, members, settled: group.settled, ..Led::default() };
         match group.group {
-            GroupId::TURNS => led.holders = self.copies.relied(),
+            GroupId::TURNS => {
+                let reliance = self.copies.reliance();
+                (led.holders, led.retiring) = (reliance.holders, reliance.retiring);
+            }
             GroupId::CONTROL => led.retiring = self.control.retiring(),
             _ => {}
         }
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -214,6 +214,7 @@
 
 fn spawn_loops(state: &Arc<StoreState>, own: &StoreSettings, halt: &CancellationToken) {
     let context = Arc::clone(&state.context);
+    tokio::spawn(Arc::clone(&state.texts).drop_unkept(halt.clone()));
     let Some(discovery) = &state.discovery else {
         tokio::spawn(member_watch::watch(context, halt.clone()));
         return;
@@ -226,7 +227,6 @@
     let tolerated = own.tolerate as usize;
     let copies = TextCopies::new(others, Arc::clone(&control), turns, known, tolerated + 1);
     tokio::spawn(Arc::clone(&copies).run(halt.clone()));
-    tokio::spawn(Arc::clone(&state.texts).drop_unkept(halt.clone()));
     let repair = Repair { context, control, copies, discovery: Arc::clone(discovery), wanted };
     tokio::spawn(repair.run(halt.clone()));
     let lease = Duration::from_millis(own.endpoint_lease_ms);
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::LogIndex;
-use gypsumglade_core::turns::{Copy, Holding, Survey, Turns};
+use gypsumglade_core::turns::{Copy, Holding, Limits, Survey, Turns};
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
 use gypsumglade_core::wire::turn::{
@@ -144,10 +144,10 @@
     }
 
     /// Returns what to copy next, and which stores texts rely on.
-    pub(super) fn plan_copies(&self, survey: &Survey, most: usize) -> CopyPlan {
+    pub(super) fn plan_copies(&self, survey: &Survey, limits: &Limits) -> CopyPlan {
         let state = self.state();
         CopyPlan {
-            copies: state.turns.plan_copies(survey, most),
+            copies: state.turns.plan_copies(survey, limits),
             relied: state.turns.relied_on(survey),
         }
     }
--- /dev/null
+++ b/crates/gypsumglade/tests/text_copies.rs
@@ -0,0 +1,479 @@
+//! Texts of kept turns on stores that are lost, restarted and emptied.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use gypsumglade::directory::Directory;
+use gypsumglade::gateway::TextClient;
+use gypsumglade::settings::Settings;
+use gypsumglade::store::{Registrar, RetireError, Store};
+use gypsumglade_core::prelude::{GroupId, VmId};
+use gypsumglade_core::turns::Holding;
+use gypsumglade_core::wire::turn::command::Body;
+use gypsumglade_core::wire::turn::reply::Body as Reply;
+use gypsumglade_core::wire::turn::{Command, Kept, Reserve, Settle, Text, TextPut, TextQuery};
+use tempfile::TempDir;
+use tokio::time::Instant;
+
+/// Port of every store; each has a loopback address of its own.
+const PEERS: u16 = 7_310;
+/// Turns of each conversation.
+const TURNS: usize = 15;
+/// Conversations; with all their turns, more texts than are copied at one time.
+const PROGRAMS: usize = 12;
+/// Bytes of a turn's input: all turns together are more than a log keeps for followers that lag.
+const INPUT_BYTES: usize = 10_000;
+/// How long turns are kept: longer than any test takes.
+const RETENTION: Duration = Duration::from_secs(600);
+/// Stores that each text is on.
+const COPIES: usize = 2;
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Longest wait for one put or fetch.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Addresses that the tests of this process have taken.
+static TAKEN: AtomicU8 = AtomicU8::new(1);
+
+fn next_ip() -> Ipv4Addr {
+    let process = std::process::id().to_be_bytes();
+    let number = TAKEN.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 128 | (process[2] & 63), process[3], number)
+}
+
+/// One store's address, failure domain and disk.
+struct Place {
+    own: Ipv4Addr,
+    domain: char,
+    folder: TempDir,
+}
+
+impl Place {
+    fn new(domain: char) -> Place {
+        Place { own: next_ip(), domain, folder: empty() }
+    }
+}
+
+fn empty() -> TempDir {
+    tempfile::tempdir().expect("a temporary folder")
+}
+
+/// Stores of one region, the lost ones left out.
+struct Cluster {
+    seeds: Vec<Ipv4Addr>,
+    places: Vec<Place>,
+    stores: BTreeMap<usize, Store>,
+}
+
+impl Cluster {
+    /// Starts three seeds, each in a failure domain of its own.
+    async fn start() -> Cluster {
+        let places: Vec<Place> = ['a', 'b', 'c'].into_iter().map(Place::new).collect();
+        let seeds = places.iter().map(|place| place.own).collect();
+        let mut cluster = Cluster { seeds, places, stores: BTreeMap::new() };
+        for number in 0..3 {
+            cluster.run(number, true).await;
+        }
+        cluster
+    }
+
+    /// Adds a store at an address of its own, and returns its number.
+    async fn add(&mut self, domain: char) -> usize {
+        self.places.push(Place::new(domain));
+        let number = self.places.len() - 1;
+        self.run(number, false).await;
+        number
+    }
+
+    async fn run(&mut self, number: usize, first: bool) {
+        let place = &self.places[number];
+        let settings = settings(place, &self.seeds, first);
+        let directory = Arc::new(Directory::new(&settings));
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let store = Store::start(settings, directory, log).await.expect("a store starts");
+        self.stores.insert(number, store);
+    }
+
+    async fn stop(&mut self, number: usize) {
+        self.stores.remove(&number).expect("a running store").stop().await;
+    }
+
+    /// Stops a store, takes its disk, and starts another one at its address.
+    async fn replace(&mut self, number: usize) {
+        self.stop(number).await;
+        self.places[number].folder = empty();
+        self.run(number, false).await;
+    }
+
+    async fn stop_all(mut self) {
+        while let Some((_, store)) = self.stores.pop_last() {
+            store.stop().await;
+        }
+    }
+
+    fn vm(&self, number: usize) -> VmId {
+        self.stores[&number].state().context.vm
+    }
+
+    fn any(&self) -> &Store {
+        self.stores.values().next().expect("a running store")
+    }
+
+    /// Returns the store that leads the turn group.
+    async fn leader(&self) -> &Store {
+        loop {
+            for store in self.stores.values() {
+                if store.state().context.host.lease_term(GroupId::TURNS).await.is_some() {
+                    return store;
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    fn client(&self) -> TextClient {
+        let state = self.any().state();
+        let (directory, peers) = (Arc::clone(&state.context.directory), &state.context.peers);
+        let region = "south".into();
+        TextClient::new(state.discovery.clone(), directory, peers.clone(), region, COPIES)
+    }
+
+    async fn ask(&self, body: Body) -> Reply {
+        loop {
+            for store in self.stores.values() {
+                let reply = store.state().turns.ask(Command { body: Some(body.clone()) }).await;
+                match reply.body.expect("every command is answered") {
+                    Reply::NotLeader(_) | Reply::Uncertain(_) => {}
+                    other => return other,
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Puts a turn's text on stores and settles it, as an entry VM does.
+    async fn keep(&self, program: usize, turn: &str, previous: &str, retention: Duration) {
+        let client = self.client();
+        let holders = loop {
+            let until = Instant::now() + PATIENCE;
+            let put = client.put(&program.to_string(), text(turn), retention, until).await;
+            // Right after its start, a store has not heard of the others.
+            if let Some(holders) = put.filter(|holders| holders.len() == COPIES) {
+                break holders;
+            }
+            tokio::time::sleep(PAUSE).await;
+        };
+        let kept = Kept {
+            previous: previous.to_owned(),
+            retention_ms: u64::try_from(retention.as_millis()).expect("a short time"),
+            holders: holders.into_iter().map(|vm| vm.0).collect(),
+            bytes: INPUT_BYTES as u64,
+        };
+        let settle = Settle {
+            turn: turn.to_owned(),
+            program: program.to_string(),
+            kept: Some(kept),
+            ..Settle::default()
+        };
+        assert!(matches!(self.ask(Body::Settle(settle)).await, Reply::Settled(_)));
+    }
+
+    async fn keep_all(&self) {
+        for program in 0..PROGRAMS {
+            let mut previous = String::new();
+            for number in 0..TURNS {
+                let turn = turn(program, number);
+                self.keep(program, &turn, &previous, RETENTION).await;
+                previous = turn;
+            }
+        }
+    }
+
+    /// Returns where the texts of a conversation are, as the turn group says.
+    async fn chain(&self, last: &str) -> Vec<Holding> {
+        let next = Reserve {
+            turn: "next".to_owned(),
+            program: "reader".to_owned(),
+            previous: last.to_owned(),
+            ..Reserve::default()
+        };
+        match self.ask(Body::Reserve(next)).await {
+            Reply::Reserved(reserved) => reserved.chain.iter().map(Holding::from_wire).collect(),
+            other => panic!("{last}: {other:?}"),
+        }
+    }
+
+    async fn chains(&self) -> Vec<Vec<Holding>> {
+        let mut chains = Vec::new();
+        for program in 0..PROGRAMS {
+            chains.push(self.chain(&turn(program, TURNS - 1)).await);
+        }
+        chains
+    }
+
+    /// Tells whether the turn group names two of the running stores, other than `without`, for each text.
+    async fn is_whole(&self, without: Option<VmId>) -> bool {
+        let running = self.stores.values().map(|store| store.state().context.vm);
+        let running: BTreeSet<VmId> = running.filter(|vm| Some(*vm) != without).collect();
+        let chains = self.chains().await;
+        chains.iter().flatten().all(|holding| {
+            holding.holders.iter().filter(|vm| running.contains(vm)).count() >= COPIES
+        })
+    }
+
+    async fn await_whole(&self, without: Option<VmId>) {
+        while !self.is_whole(without).await {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Checks that every store that the turn group names has the very bytes, and that each conversation
+    /// reads as it was.
+    async fn check(&self) {
+        let client = self.client();
+        let by_vm = self.stores.values().map(|store| (store.state().context.vm, store));
+        let by_vm: BTreeMap<VmId, &Store> = by_vm.collect();
+        for chain in self.chains().await {
+            assert_eq!(chain.len(), TURNS);
+            for holding in &chain {
+                for store in holding.holders.iter().filter_map(|vm| by_vm.get(vm)) {
+                    let here = held(store, &[holding.turn.as_str()]).await;
+                    assert_eq!(here, [text(&holding.turn)]);
+                }
+            }
+            let read = client.fetch(&chain, Instant::now() + PATIENCE).await.expect("readable");
+            let said: Vec<u8> =
+                chain.iter().flat_map(|holding| joined(&text(&holding.turn))).collect();
+            assert!(read == said, "another history");
+        }
+    }
+}
+
+fn settings(place: &Place, seeds: &[Ipv4Addr], first: bool) -> Settings {
+    let Place { own, domain, folder } = place;
+    let folder = folder.path().display();
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:1\"")).collect();
+    let seeds = seeds.join(", ");
+    let text = format!(
+        r#"
+vm: {{ domain: {domain}, region: south }}
+threads: 1
+discovery:
+  name: "{own}"
+  seeds: [{seeds}]
+  first_start: {first}
+  domains: {{ a: south, b: south, c: south, d: south }}
+listen: {{ peers: "{own}:{PEERS}" }}
+groups: 0
+store:
+  folder: "{folder}"
+  peers: "{own}:{PEERS}"
+  admin: "{own}:0"
+  tolerate: 1
+  heartbeat_ms: 50
+  election_ms: 300
+tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
+operators: {{ keys: ["68130c21391e43a090a1b7c5eb51a54a33104d132e61d9af0d58a5821ba0e743"], threshold: 1 }}
+log: {{ file: "-" }}
+"#
+    );
+    Settings::parse(Path::new("settings.yaml"), &text)
+        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+}
+
+fn turn(program: usize, number: usize) -> String {
+    format!("{program}-{number}")
+}
+
+fn text(turn: &str) -> Text {
+    let input = format!("<{turn:>INPUT_BYTES$}>").into();
+    Text { turn: turn.to_owned(), input, output: format!("[{turn}]").into() }
+}
+
+fn joined(text: &Text) -> Vec<u8> {
+    [text.input.as_ref(), text.output.as_ref()].concat()
+}
+
+async fn held(store: &Store, turns: &[&str]) -> Vec<Text> {
+    let turns = turns.iter().map(ToString::to_string).collect();
+    store.state().texts.get(&TextQuery { turns }).await.texts
+}
+
+async fn votes(store: &Store) -> bool {
+    let vm = store.state().context.vm;
+    let groups = store.state().context.host.status().await.groups;
+    let mut turns = groups.iter().filter(|group| group.group == GroupId::TURNS);
+    turns.any(|group| group.members.voters.contains(&vm))
+}
+
+/// Callers lose what their conversations said, if the next disk is lost before a newcomer has what was on
+/// the last one. Each store is lost in turn, so at the end no text is where it was put.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replace_each_store() {
+    let mut cluster = Cluster::start().await;
+    cluster.keep_all().await;
+    cluster.check().await;
+    let first: BTreeSet<VmId> = (0..3).map(|number| cluster.vm(number)).collect();
+    for number in 0..3 {
+        cluster.replace(number).await;
+        while !votes(&cluster.stores[&number]).await {
+            tokio::time::sleep(PAUSE).await;
+        }
+        cluster.await_whole(None).await;
+        cluster.check().await;
+    }
+    let now: BTreeSet<VmId> = (0..3).map(|number| cluster.vm(number)).collect();
+    assert!(first.is_disjoint(&now));
+    cluster.stop_all().await;
+}
+
+/// A store that never comes back has its texts' place taken by another one, at another address.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replace_at_other_address() {
+    let mut cluster = Cluster::start().await;
+    cluster.keep_all().await;
+    let lost = cluster.vm(1);
+    cluster.stop(1).await;
+    cluster.add('b').await;
+    cluster.await_whole(None).await;
+    cluster.check().await;
+    assert!(!cluster.stores.values().any(|store| store.state().context.vm == lost));
+    cluster.stop_all().await;
+}
+
+/// A planned restart would have a store's texts cross the network, while the disk that has them is back
+/// a second later.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_copies_nothing() {
+    let mut cluster = Cluster::start().await;
+    cluster.keep_all().await;
+    let before = cluster.chains().await;
+    let vm = cluster.vm(1);
+    cluster.stop(1).await;
+    cluster.run(1, false).await;
+    assert_eq!(cluster.vm(1), vm);
+    cluster.check().await;
+    // Longer than the silence after which a store counts as lost.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(cluster.chains().await, before);
+    let named = |vm: VmId| before.iter().flatten().filter(move |text| text.holders.contains(&vm));
+    for number in 0..3 {
+        let all: Vec<String> = before.iter().flatten().map(|text| text.turn.to_string()).collect();
+        let all: Vec<&str> = all.iter().map(String::as_str).collect();
+        let here = held(&cluster.stores[&number], &all).await;
+        assert_eq!(here.len(), named(cluster.vm(number)).count());
+    }
+    cluster.check().await;
+    cluster.stop_all().await;
+}
+
+/// An operator takes a store away once it is said to be empty. If texts were on it and one other only, the
+/// next lost disk takes them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retire_waits_for_texts() {
+    let mut cluster = Cluster::start().await;
+    let fourth = cluster.add('d').await;
+    cluster.keep_all().await;
+    let name = cluster.places[fourth].own.to_string();
+    let vm = cluster.vm(fourth);
+    let chains = cluster.chains().await;
+    assert!(chains.iter().flatten().any(|text| text.holders.contains(&vm)), "it has some texts");
+    let registrar = Registrar::new(cluster.any().state());
+    while registrar.retire(&name).await == Err(RetireError::Unavailable) {
+        tokio::time::sleep(PAUSE).await;
+    }
+    // Nobody has looked yet which texts rely on it.
+    assert_eq!(registrar.is_retired(&name), Ok(false));
+    while registrar.is_retired(&name) != Ok(true) {
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert!(cluster.is_whole(Some(vm)).await);
+    cluster.stop(fourth).await;
+    cluster.check().await;
+    cluster.stop_all().await;
+}
+
+/// An entry VM that hasn't heard that a store is to be emptied puts a text there, on a disk that is about
+/// to be taken away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn put_at_retiring_store() {
+    let mut cluster = Cluster::start().await;
+    let fourth = cluster.add('d').await;
+    let name = cluster.places[fourth].own.to_string();
+    let vm = cluster.vm(fourth);
+    let registrar = Registrar::new(cluster.any().state());
+    while registrar.retire(&name).await != Ok(()) {
+        tokio::time::sleep(PAUSE).await;
+    }
+    let store = &cluster.stores[&fourth];
+    while !store.state().control.is_retiring(vm) {
+        tokio::time::sleep(PAUSE).await;
+    }
+    for program in 0..PROGRAMS {
+        let turn = turn(program, 0);
+        cluster.keep(program, &turn, "", RETENTION).await;
+        assert_eq!(held(store, &[&turn]).await, []);
+    }
+    cluster.stop_all().await;
+}
+
+/// A leader that is deposed while it copies leaves texts at stores that the group doesn't name. The next
+/// one must take up what is left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_change_while_copying() {
+    let mut cluster = Cluster::start().await;
+    cluster.keep_all().await;
+    // Both others have been up for long enough to copy once they lead.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.replace(2).await;
+    let mut handed = BTreeSet::new();
+    while !cluster.is_whole(None).await {
+        let leader = cluster.leader().await;
+        if handed.insert(leader.state().context.vm) {
+            leader.state().context.host.transfer(GroupId::TURNS);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert!(!handed.is_empty());
+    cluster.check().await;
+    cluster.stop_all().await;
+}
+
+/// Disks fill with texts that nobody can read any more, if they aren't dropped; and conversations end, if
+/// texts are dropped whose turn was continued.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drop_expired() {
+    let cluster = Cluster::start().await;
+    let short = Duration::from_millis(500);
+    // Holders ask about these texts long before an entry VM's grace is over.
+    for turn in ["unsettled", "expired", "continued", "last"] {
+        let put = TextPut { texts: vec![text(turn)], retention_ms: 500 };
+        for store in cluster.stores.values() {
+            assert!(store.state().texts.put(put.clone()).await.stored);
+        }
+    }
+    cluster.keep(0, "expired", "", short).await;
+    cluster.keep(0, "continued", "", short).await;
+    cluster.keep(0, "last", "continued", RETENTION).await;
+    let mut number = 0;
+    loop {
+        let mut left = 0;
+        for store in cluster.stores.values() {
+            left += held(store, &["unsettled", "expired"]).await.len();
+            assert_eq!(held(store, &["continued", "last"]).await.len(), 2);
+        }
+        if left == 0 {
+            break;
+        }
+        // The group's clock goes on with its commands.
+        number += 1;
+        cluster.keep(0, &format!("tick-{number}"), "", short).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    assert_eq!(cluster.chain("last").await.len(), 2);
+    cluster.stop_all().await;
+}
