Have every store know which stores are to be emptied, and take no text there

Callers would lose texts: a store that is not a member of the control group never learnt that another one, or itself, is to be emptied. As leader of the turn group it counted that store's copies, and as holder it took new ones, right before its disk was taken away.

--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -4,6 +4,7 @@
 //! durable depends on what is learnt: a wrong or old entry costs a failed connection. See
 //! docs/design/provider.md.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
@@ -31,6 +32,9 @@
 /// of a round does not grow with the number of stores.
 const ASKED: usize = 2;
 
+/// Age up to which counts what the leaders of groups told.
+const LED_AGE: Duration = Duration::from_secs(5);
+
 /// The process that introduces itself.
 #[derive(Clone, Copy, Debug)]
 pub struct Process {
@@ -131,18 +135,29 @@
     /// Returns the stores heard of within `age`.
     pub fn stores_heard(&self, age: Duration) -> Vec<Candidate> {
         let now = self.now();
-        let retiring = self.retiring.lock().expect("no panic while held").clone();
+        let retiring = self.retiring();
         let roster = self.roster();
         let heard = roster.stores().filter(|(_, at)| now.since(*at) < age);
         let heard = heard.map(|(node, _)| Candidate {
             vm: VmId(node.vm),
             domain: node.domain.to_compact_string(),
             region: node.region.to_compact_string(),
-            retiring: retiring.contains(&node.vm),
+            retiring: retiring.contains(&VmId(node.vm)),
         });
         heard.collect()
     }
 
+    /// Returns the stores that are to be emptied, as far as this process was told.
+    ///
+    /// Few processes are members of the control group, which knows; the others learn it from its leader's
+    /// introductions.
+    pub fn retiring(&self) -> BTreeSet<VmId> {
+        let told = self.retiring.lock().expect("no panic while held").clone();
+        let led = self.roster().led(self.now(), LED_AGE);
+        let led = led.into_iter().flat_map(|led| led.retiring);
+        told.into_iter().chain(led).map(VmId).collect()
+    }
+
     /// Takes other seeds, from settings that changed.
     pub fn set_seeds(&self, settings: &DiscoverySettings) {
         let Ok(own) = self.me.peers.parse::<SocketAddr>() else { return };
--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -64,7 +64,7 @@
         let text: String = parameters.one()?;
         let put: turn::TextPut = decode(&text).map_err(|error| invalid_payload(&error))?;
         // An entry VM that hasn't heard yet that this store is to be emptied chooses another one.
-        let stored = match state.control.is_retiring(state.context.vm) {
+        let stored = match is_retiring(&state) {
             true => turn::TextStored { stored: false },
             false => state.texts.put(put).await,
         };
@@ -94,6 +94,13 @@
     Ok(module)
 }
 
+/// Tells whether this store is to be emptied, as far as it knows.
+fn is_retiring(state: &StoreState) -> bool {
+    let vm = state.context.vm;
+    let told = state.discovery.as_ref().is_some_and(|known| known.retiring().contains(&vm));
+    told || state.control.is_retiring(vm)
+}
+
 /// Returns the group that a request was sent to, if its program lives there.
 ///
 /// VMs whose settings name another count of groups send one program to two groups. Its caller
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -97,13 +97,16 @@
 
     fn survey(&self, members: &Members, addresses: &BTreeMap<VmId, CompactString>) -> Survey {
         let now = self.discovery.now();
+        let retiring = self.discovery.retiring();
         let roster = self.discovery.roster();
         let heard = roster.stores().filter(|(_, at)| now.since(*at) < SILENT_AFTER);
         let alive = heard.map(|(node, _)| Candidate {
             vm: VmId(node.vm),
             domain: node.domain.to_compact_string(),
             region: node.region.to_compact_string(),
-            retiring: self.control.is_retiring(VmId(node.vm)),
+            // This group's leader may not be a member of the control group.
+            retiring: self.control.is_retiring(VmId(node.vm))
+                || retiring.contains(&VmId(node.vm)),
         });
         let alive = alive.collect();
         let replaced = |vm: &VmId| {
--- a/crates/gypsumglade/src/store/text_copies.rs
+++ b/crates/gypsumglade/src/store/text_copies.rs
@@ -131,7 +131,8 @@
     /// Returns what the stores that have nothing to do should fetch, each in batches.
     fn look(&self, busy: &BTreeSet<VmId>) -> BTreeMap<VmId, Vec<Copy>> {
         // Read first: a store must be looked after as one to be emptied before that is told.
-        let retiring = self.control.retiring().into_iter().map(VmId).collect();
+        let mut retiring = self.discovery.retiring();
+        retiring.extend(self.control.retiring().into_iter().map(VmId));
         let survey = self.survey();
         let plan = self.turns.plan_copies(&survey, &LIMITS);
         self.memory().note(self.discovery.now(), plan.relied, retiring);
@@ -208,7 +209,7 @@
     fn survey(&self) -> Survey {
         let mut alive = self.discovery.stores_heard(LOST_AFTER);
         for store in &mut alive {
-            store.retiring = self.control.is_retiring(store.vm);
+            store.retiring |= self.control.is_retiring(store.vm);
         }
         let now = self.discovery.now();
         let mut memory = self.memory();
--- a/crates/gypsumglade/tests/text_copies.rs
+++ b/crates/gypsumglade/tests/text_copies.rs
@@ -9,13 +9,16 @@
 
 use gypsumglade::directory::Directory;
 use gypsumglade::gateway::TextClient;
+use gypsumglade::rpc::Method;
 use gypsumglade::settings::Settings;
 use gypsumglade::store::{Registrar, RetireError, Store};
 use gypsumglade_core::prelude::{GroupId, VmId};
 use gypsumglade_core::turns::Holding;
 use gypsumglade_core::wire::turn::command::Body;
 use gypsumglade_core::wire::turn::reply::Body as Reply;
-use gypsumglade_core::wire::turn::{Command, Kept, Reserve, Settle, Text, TextPut, TextQuery};
+use gypsumglade_core::wire::turn::{
+    Command, Kept, Reserve, Settle, Text, TextPut, TextQuery, TextStored,
+};
 use tempfile::TempDir;
 use tokio::time::Instant;
 
@@ -410,14 +413,17 @@
         tokio::time::sleep(PAUSE).await;
     }
     let store = &cluster.stores[&fourth];
-    while !store.state().control.is_retiring(vm) {
+    let told = store.state().discovery.as_ref().expect("stores find each other");
+    while !told.retiring().contains(&vm) {
         tokio::time::sleep(PAUSE).await;
     }
-    for program in 0..PROGRAMS {
-        let turn = turn(program, 0);
-        cluster.keep(program, &turn, "", RETENTION).await;
-        assert_eq!(held(store, &[&turn]).await, []);
-    }
+    let peers = &store.state().context.peers;
+    let put = TextPut { texts: vec![text("a")], retention_ms: 60_000 };
+    let address = store.addresses().peers;
+    let asking = peers.ask(address, Method::PutTexts, &put, PATIENCE);
+    let stored: TextStored = asking.await.expect("it answers");
+    assert!(!stored.stored);
+    assert_eq!(held(store, &["a"]).await, []);
     cluster.stop_all().await;
 }
 
