--- a/crates/gypsumglade/examples/replication_bench.rs
+++ b/crates/gypsumglade/examples/replication_bench.rs
@@ -157,7 +157,7 @@
 }
 
 async fn carry(from: VmId, mut queue: mpsc::Receiver<Outbound>, links: Arc<Links>) {
-    while let Some(Outbound { to, batch }) = queue.recv().await {
+    while let Some(Outbound { to, batch, .. }) = queue.recv().await {
         links.bytes.fetch_add(batch.len() as u64, Ordering::Relaxed);
         links.batches.fetch_add(1, Ordering::Relaxed);
         if let Some(host) = links.hosts.lock().expect("hosts").get(&to) {
