Bound by bytes what a start reads and what waits for the groups

What callers saw: stores that died for memory again while they read their state back.

Files are of 4 MB, and no more is read while 1 MB waits for the owners. start_takes_little_memory (8 MB at most) failed with either taken out.

--- a/crates/gypsumglade/src/replica/queue.rs
+++ b/crates/gypsumglade/src/replica/queue.rs
@@ -15,6 +15,9 @@
 use super::group::Group;
 use super::storage::Storage;
 
+/// Bytes of events that wait for the owner, beyond which no more are read.
+const EVENT_BYTES: usize = 1024 * 1024;
+
 /// Something to deliver; commits are held as a range.
 #[derive(Debug)]
 enum Pending {
@@ -27,13 +30,20 @@
 pub(super) struct EventQueue {
     sender: mpsc::Sender<Event>,
     pending: VecDeque<Pending>,
+    /// Bytes of each event that was put into the channel, as far back as the owner hasn't taken them.
+    sent: VecDeque<usize>,
     /// The last index of each group that was put in the queue.
     queued: BTreeMap<GroupId, LogIndex>,
 }
 
 impl EventQueue {
     pub(super) fn new(sender: mpsc::Sender<Event>) -> EventQueue {
-        EventQueue { sender, pending: VecDeque::new(), queued: BTreeMap::new() }
+        EventQueue {
+            sender,
+            pending: VecDeque::new(),
+            sent: VecDeque::new(),
+            queued: BTreeMap::new(),
+        }
     }
 
     /// Returns how many events the owner has not taken.
@@ -42,8 +52,7 @@
             Pending::Commit { next, last, .. } => (last.0 + 1).saturating_sub(next.0) as usize,
             Pending::Event(_) => 1,
         };
-        let channel = self.sender.max_capacity() - self.sender.capacity();
-        channel + self.pending.iter().map(waiting).sum::<usize>()
+        self.untaken() + self.pending.iter().map(waiting).sum::<usize>()
     }
 
     /// Notes that a group's state machine starts after `index`; nothing is delivered for it.
@@ -93,34 +102,60 @@
 
     /// Resolves when there is something to deliver and room for it.
     pub(super) async fn writable(&self) {
-        if self.pending.is_empty() || self.sender.reserve().await.is_err() {
+        // Without room for more bytes, as soon as the owner has taken one event more.
+        let permits = if self.is_full() { self.sender.capacity() + 1 } else { 1 };
+        if self.pending.is_empty() || self.sender.reserve_many(permits).await.is_err() {
             std::future::pending::<()>().await;
         }
     }
 
+    /// Returns how many events in the channel the owner hasn't taken.
+    fn untaken(&self) -> usize {
+        self.sender.max_capacity() - self.sender.capacity()
+    }
+
+    /// Tells whether as many bytes as may wait for the owner do.
+    fn is_full(&self) -> bool {
+        let untaken = self.sent.iter().rev().take(self.untaken());
+        untaken.sum::<usize>() >= EVENT_BYTES
+    }
+
+    fn note_sent(&mut self, bytes: usize) {
+        self.sent.push_back(bytes);
+        let taken = self.sent.len().saturating_sub(self.untaken());
+        self.sent.drain(..taken);
+    }
+
     /// Delivers as much as there is room for. Returns an entry's read error, if one failed.
     pub(super) fn deliver(
         &mut self,
         groups: &BTreeMap<GroupId, Group>,
         storage: &mut Storage,
     ) -> anyhow::Result<()> {
-        while let Some(front) = self.pending.front_mut() {
+        while !self.is_full()
+            && let Some(front) = self.pending.front_mut()
+        {
             let Ok(permit) = self.sender.try_reserve() else {
                 return Ok(());
             };
             match front {
                 Pending::Commit { group, next, last } => {
-                    if let Some(event) = committed(groups, storage, *group, *next)? {
-                        permit.send(event);
-                    }
+                    let event = committed(groups, storage, *group, *next)?;
                     *next = next.next();
                     if *next > *last {
                         self.pending.pop_front();
                     }
+                    if let Some(event) = event {
+                        let bytes = length(&event);
+                        permit.send(event);
+                        self.note_sent(bytes);
+                    }
                 }
                 Pending::Event(_) => {
                     if let Some(Pending::Event(event)) = self.pending.pop_front() {
+                        let bytes = length(&event);
                         permit.send(event);
+                        self.note_sent(bytes);
                     }
                 }
             }
@@ -136,6 +171,17 @@
     }
 }
 
+/// Returns the bytes of an event's data.
+fn length(event: &Event) -> usize {
+    match event {
+        Event::Committed { data, .. } | Event::Restore { data, .. } => data.len(),
+        Event::Leader { .. }
+        | Event::Follower { .. }
+        | Event::NeedSnapshot { .. }
+        | Event::Failed { .. } => 0,
+    }
+}
+
 /// Reads a committed entry. Nothing for the log's own entries.
 fn committed(
     groups: &BTreeMap<GroupId, Group>,
--- a/crates/gypsumglade/src/replica/settings.rs
+++ b/crates/gypsumglade/src/replica/settings.rs
@@ -26,7 +26,7 @@
     pub snapshot_bytes: u64,
     /// Bytes of a group's latest entries that stay in memory.
     pub cache_bytes: usize,
-    /// Bytes after which the log goes on in a new file.
+    /// Bytes after which the log goes on in a new file. A start reads one file at a time, whole.
     pub segment_bytes: u64,
     /// How long a proposal waits for its outcome after its leader was deposed.
     pub settle: Duration,
@@ -49,7 +49,7 @@
             snapshot_least: 4 * 1024 * 1024,
             snapshot_bytes: 64 * 1024 * 1024,
             cache_bytes: 1024 * 1024,
-            segment_bytes: 16 * 1024 * 1024,
+            segment_bytes: 4 * 1024 * 1024,
             settle: Duration::from_secs(5),
             seed: None,
             commits: None,
