Take events in the tests of a host's memory as an owner does

snapshot_asked_by_state_size took none until all was proposed. Owners take events all the while, and so does the test now; what it asserts is as it was.

--- a/crates/gypsumglade/tests/replica_memory.rs
+++ b/crates/gypsumglade/tests/replica_memory.rs
@@ -27,10 +27,15 @@
     (host, events, batches)
 }
 
-/// Proposes until `bytes` were committed; returns the last index.
-async fn propose(host: &Host, bytes: usize) -> LogIndex {
+/// Proposes until `bytes` were committed, and returns the last index. Takes events as an owner does, and
+/// notes whether it was asked for a snapshot.
+async fn propose(
+    host: &Host,
+    events: &mut mpsc::Receiver<Event>,
+    bytes: usize,
+) -> (LogIndex, bool) {
     const ENTRY: usize = 100_000;
-    let mut last = LogIndex(0);
+    let (mut last, mut asked) = (LogIndex(0), false);
     for _ in 0..bytes / ENTRY {
         last = loop {
             match host.propose(GROUP, Bytes::from(vec![7; ENTRY])).await {
@@ -38,17 +43,12 @@
                 Err(_) => tokio::task::yield_now().await,
             }
         };
+        // The last entry's events may come later; what is asked for is asked well before.
+        while let Ok(event) = events.try_recv() {
+            asked |= matches!(event, Event::NeedSnapshot { .. });
+        }
     }
-    last
-}
-
-/// Returns whether the owner was asked for a snapshot so far.
-fn asked(events: &mut mpsc::Receiver<Event>) -> bool {
-    let mut asked = false;
-    while let Ok(event) = events.try_recv() {
-        asked |= matches!(event, Event::NeedSnapshot { .. });
-    }
-    asked
+    (last, asked)
 }
 
 /// Guards against a store that dies for memory while it takes a snapshot: an entry of a few bytes,
@@ -78,18 +78,14 @@
     let folder = tempfile::tempdir().expect("a folder");
     let data = Some(folder.path().join("data"));
     let (host, mut events, _batches) = started(LEADER, vec![LEADER], data).await;
-    let index = propose(&host, 6_000_000).await;
-    host.status().await;
-    assert!(asked(&mut events), "6 MB of log and no state");
+    let (index, asked) = propose(&host, &mut events, 6_000_000).await;
+    assert!(asked, "6 MB of log and no state");
 
     host.snapshot(GROUP, index, Bytes::from(vec![1; 5_000_000])).await;
-    let _ = asked(&mut events);
-    let index = propose(&host, 6_000_000).await;
-    host.status().await;
-    assert!(!asked(&mut events), "6 MB of log and 5 MB of state");
-    propose(&host, 6_000_000).await;
-    host.status().await;
-    assert!(asked(&mut events), "12 MB of log and 5 MB of state, by few entries");
+    let (index, asked) = propose(&host, &mut events, 6_000_000).await;
+    assert!(!asked, "6 MB of log and 5 MB of state");
+    let (_, asked) = propose(&host, &mut events, 6_000_000).await;
+    assert!(asked, "12 MB of log and 5 MB of state, by few entries");
     assert!(index > LogIndex(60));
 }
 
@@ -109,8 +105,8 @@
 /// would take no more.
 #[tokio::test]
 async fn receive_and_propose_give_back() {
-    let (host, _events, _batches) = started(LEADER, vec![LEADER], None).await;
-    propose(&host, 20_000_000).await;
+    let (host, mut events, _batches) = started(LEADER, vec![LEADER], None).await;
+    propose(&host, &mut events, 20_000_000).await;
     for _ in 0..200 {
         host.receive(FOLLOWER, Bytes::from(vec![0; 100_000]));
         host.status().await;
