--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -55,9 +55,9 @@
 /// heartbeats.
 const APPLY_WAIT: Duration = Duration::from_millis(600);
 
-/// Longest wait of an order's answer for the VMs to have its revision: a renewal's interval and a
-/// round trip for each of two requests. Operators count answers from a second on.
-const SPREAD_WAIT: Duration = Duration::from_millis(600);
+/// Longest wait of an order's answer for the VMs to have its revision: a renewal's interval, and some
+/// time for the answer to get there. Operators count answers from a second on.
+const SPREAD_WAIT: Duration = Duration::from_millis(500);
 /// Pause between two looks at which VMs have it.
 const SPREAD_PAUSE: Duration = Duration::from_millis(20);
 
