--- a/crates/gypsumglade/src/store/context.rs
+++ b/crates/gypsumglade/src/store/context.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, RwLock};
 
+use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program;
+use gypsumglade_core::replication::LogIndex;
 use gypsumglade_core::wire::program::{Release, Score};
 use jsonrpsee::core::params::ArrayParams;
 use rand::seq::IteratorRandom as _;
@@ -43,6 +45,8 @@
     pub(super) groups: RwLock<Vec<ProgramGroup>>,
     /// Entry VMs that are down by now, for a replica that begins to lead.
     pub(super) dead: Mutex<BTreeSet<VmId>>,
+    /// Groups of which a snapshot is on its way to the disk.
+    pub(super) writing: Mutex<BTreeSet<GroupId>>,
 }
 
 /// What became of an order to free an engine's memory.
@@ -144,6 +148,22 @@
         *self.dead.lock().expect("no panic while held") = dead;
     }
 
+    /// Notes that a group takes a snapshot, and tells whether it should. While one is on its way to the
+    /// disk, a second would only take memory.
+    pub(super) fn begin_snapshot(&self, group: GroupId) -> bool {
+        self.writing.lock().expect("no panic while held").insert(group)
+    }
+
+    /// Has a snapshot written that [`StoreContext::begin_snapshot`] allowed, and doesn't wait for it:
+    /// commits must not wait for a disk that is slow.
+    pub(super) fn write_snapshot(self: &Arc<Self>, group: GroupId, index: LogIndex, data: Bytes) {
+        let context = Arc::clone(self);
+        tokio::spawn(async move {
+            context.host.snapshot(group, index, data).await;
+            context.writing.lock().expect("no panic while held").remove(&group);
+        });
+    }
+
     /// Returns a program group by its number.
     pub fn group(&self, group: GroupId) -> Option<ProgramGroup> {
         let index = group.0.checked_sub(1)? as usize;
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -93,7 +93,7 @@
                 Event::Follower { leader, .. } => self.state().role = Role::Follower(leader),
                 Event::Committed { index, data, .. } => self.committed(index, &data).await,
                 Event::Restore { index, data, .. } => self.restore(index, &data).await,
-                Event::NeedSnapshot { .. } => self.snapshot().await,
+                Event::NeedSnapshot { .. } => self.snapshot(),
                 Event::Failed { .. } => {}
             }
         }
@@ -292,12 +292,15 @@
         self.tell_groups().await;
     }
 
-    async fn snapshot(&self) {
+    fn snapshot(&self) {
+        if !self.context.begin_snapshot(GroupId::CONTROL) {
+            return;
+        }
         let (index, data) = {
             let state = self.state();
             (state.answers.applied(), state.control.snapshot())
         };
-        self.context.host.snapshot(GroupId::CONTROL, index, data).await;
+        self.context.write_snapshot(GroupId::CONTROL, index, data);
     }
 
     /// Tells the program groups of the revision, so that no grant is given under an older one.
--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -117,7 +117,7 @@
             let input = tokio::select! {
                 _ = tick.tick() => Some(Input::Tick),
                 input = inputs.recv() => match input {
-                    Some(input) => self.translate(input).await,
+                    Some(input) => self.translate(input),
                     None => return,
                 },
             };
@@ -129,7 +129,7 @@
         }
     }
 
-    async fn translate(&mut self, input: GroupInput) -> Option<Input> {
+    fn translate(&mut self, input: GroupInput) -> Option<Input> {
         match input {
             GroupInput::Request { from, request, reply } => {
                 self.measure(&request);
@@ -138,7 +138,7 @@
                 self.replies.insert(token, reply);
                 Some(Input::Request { token, from, request })
             }
-            GroupInput::Log(event) => self.log_input(event).await,
+            GroupInput::Log(event) => self.log_input(event),
             GroupInput::Failed(proposal) => Some(Input::ProposalFailed { proposal }),
             GroupInput::Config { revision, lifted } => Some(Input::Config { revision, lifted }),
             GroupInput::Gone(vm) => Some(Input::Gone { vm }),
@@ -162,7 +162,7 @@
         }
     }
 
-    async fn log_input(&mut self, event: Event) -> Option<Input> {
+    fn log_input(&mut self, event: Event) -> Option<Input> {
         match event {
             Event::Leader { term, .. } => {
                 slog::info!(self.context.log, "leads a program group";
@@ -182,9 +182,11 @@
             Event::Committed { index, data, .. } => Some(Input::Committed { index: index.0, data }),
             Event::Restore { index, data, .. } => Some(Input::Restored { index: index.0, data }),
             Event::NeedSnapshot { .. } => {
-                let snapshot = self.sequencer.state().snapshot();
-                let index = LogIndex(self.sequencer.applied());
-                self.context.host.snapshot(self.group, index, snapshot).await;
+                if self.context.begin_snapshot(self.group) {
+                    let snapshot = self.sequencer.state().snapshot();
+                    let index = LogIndex(self.sequencer.applied());
+                    self.context.write_snapshot(self.group, index, snapshot);
+                }
                 None
             }
             Event::Failed { .. } => None,
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -27,7 +27,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::discovery::{Discovery, Process, fresh_identity, seed_identity};
-use crate::disk;
+use crate::disk::{self, Faults};
 use crate::entry::config::operator_keys;
 use crate::entry::listener_options;
 use crate::listener::Listener;
@@ -109,6 +109,17 @@
         settings: Settings,
         directory: Arc<Directory>,
         log: slog::Logger,
+    ) -> anyhow::Result<Store> {
+        Store::start_with(settings, directory, log, Faults::default()).await
+    }
+
+    /// As [`Store::start`], on a disk that fails as a test wants it to.
+    #[doc(hidden)]
+    pub async fn start_with(
+        settings: Settings,
+        directory: Arc<Directory>,
+        log: slog::Logger,
+        faults: Faults,
     ) -> anyhow::Result<Store> {
         let own = settings.store.clone().context("the settings have no `store` section")?;
         let halt = CancellationToken::new();
@@ -122,6 +133,7 @@
         let metrics = Metrics::new()?;
         let mut host_settings = host_settings(vm, &own);
         host_settings.commits = Some(metrics.commits());
+        host_settings.faults = faults;
         let (host, events) = Host::start(host_settings, outbound).await?;
         let context = Arc::new(StoreContext {
             vm,
@@ -135,6 +147,7 @@
             log,
             groups: RwLock::default(),
             dead: Mutex::default(),
+            writing: Mutex::default(),
         });
         let keys = operator_keys(&settings.operators);
         let lease = settings.timeouts.config_lease();
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -55,7 +55,7 @@
                 }
                 Event::Committed { index, data, .. } => self.committed(index, data),
                 Event::Restore { index, data, .. } => self.restore(index, &data),
-                Event::NeedSnapshot { .. } => self.snapshot().await,
+                Event::NeedSnapshot { .. } => self.snapshot(),
                 Event::Failed { .. } => {}
             }
         }
@@ -122,12 +122,15 @@
     }
 
     /// Takes a snapshot.
-    async fn snapshot(&self) {
+    fn snapshot(&self) {
+        if !self.context.begin_snapshot(GroupId::TURNS) {
+            return;
+        }
         let (index, data) = {
             let state = self.state();
             (state.answers.applied(), state.turns.snapshot())
         };
-        self.context.host.snapshot(GroupId::TURNS, index, data).await;
+        self.context.write_snapshot(GroupId::TURNS, index, data);
     }
 
     /// Returns which of these turns are still kept, if this store leads the group.
