--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -55,9 +55,9 @@
 /// heartbeats.
 const APPLY_WAIT: Duration = Duration::from_millis(600);
 
-/// Longest wait of an order's answer for the VMs to have its revision: a renewal's interval and a
-/// round trip for each of two requests. Operators count answers from a second on.
-const SPREAD_WAIT: Duration = Duration::from_millis(600);
+/// Longest wait of an order's answer for the VMs to have its revision: a renewal's interval, and some
+/// time for the answer to get there. Operators count answers from a second on.
+const SPREAD_WAIT: Duration = Duration::from_millis(500);
 /// Pause between two looks at which VMs have it.
 const SPREAD_PAUSE: Duration = Duration::from_millis(20);
 
@@ -93,7 +93,7 @@
                 Event::Follower { leader, .. } => self.state().role = Role::Follower(leader),
                 Event::Committed { index, data, .. } => self.committed(index, &data).await,
                 Event::Restore { index, data, .. } => self.restore(index, &data).await,
-                Event::NeedSnapshot { .. } => self.snapshot().await,
+                Event::NeedSnapshot { .. } => self.snapshot(),
                 Event::Failed { .. } => {}
             }
         }
@@ -292,12 +292,15 @@
         self.tell_groups().await;
     }
 
-    async fn snapshot(&self) {
+    fn snapshot(&self) {
+        if !self.context.begin_snapshot(GroupId::CONTROL) {
+            return;
+        }
         let (index, data) = {
             let state = self.state();
             (state.answers.applied(), state.control.snapshot())
         };
-        self.context.host.snapshot(GroupId::CONTROL, index, data).await;
+        self.context.write_snapshot(GroupId::CONTROL, index, data);
     }
 
     /// Tells the program groups of the revision, so that no grant is given under an older one.
