--- /dev/null
+++ b/crates/core/tests/turns_long_stream.rs
@@ -0,0 +1,49 @@
+//! Turns whose stream lasts longer than what they continue is kept.
+
+use gypsumglade_core::turns::Turns;
+use gypsumglade_core::wire::turn::command::Body;
+use gypsumglade_core::wire::turn::reply::Body as Reply;
+use gypsumglade_core::wire::turn::{Command, Kept, Reserve, Settle};
+
+const RETENTION: u64 = 60_000;
+/// A gateway's bound on a request that neither its caller nor its route bounds.
+const LONGEST: u64 = 300_000;
+
+fn apply(turns: &mut Turns, body: Body) -> Reply {
+    turns.apply(&Command { body: Some(body) }).body.expect("every command is answered")
+}
+
+fn reserve(turns: &mut Turns, now_ms: u64, turn: &str, previous: &str) -> Reply {
+    let (turn, previous) = (turn.to_owned(), previous.to_owned());
+    let ask = Reserve { turn, previous, program: "p".to_owned(), now_ms, ..Reserve::default() };
+    apply(turns, Body::Reserve(ask))
+}
+
+fn settle(turns: &mut Turns, now_ms: u64, turn: &str, previous: &str) {
+    let kept = Kept {
+        previous: previous.to_owned(),
+        retention_ms: RETENTION,
+        holders: vec![1, 2, 3],
+        bytes: 18_000,
+    };
+    let turn = turn.to_owned();
+    let settle =
+        Settle { turn, program: "p".to_owned(), now_ms, kept: Some(kept), ..Settle::default() };
+    apply(turns, Body::Settle(settle));
+}
+
+/// A turn is given leave while the one before is kept, and its stream ends after that one's time and the
+/// grace are over. The caller was answered whole, and its next turn must not be unknown.
+#[test]
+fn chain_after_longest_stream() {
+    let mut turns = Turns::default();
+    settle(&mut turns, 1, "first", "");
+    let began = RETENTION - 1;
+    assert!(matches!(reserve(&mut turns, began, "second", "first"), Reply::Reserved(_)));
+    let ended = began + LONGEST;
+    // Others' commands sweep meanwhile.
+    reserve(&mut turns, ended - 1, "other", "");
+    settle(&mut turns, ended, "second", "first");
+    let next = reserve(&mut turns, ended + 1, "third", "second");
+    assert!(matches!(next, Reply::Reserved(_)), "the turn that just ended is unknown: {next:?}");
+}
--- /dev/null
+++ b/crates/core/tests/turns_size.rs
@@ -0,0 +1,54 @@
+//! What a turn group's state takes: memory of each turn, and bytes of a snapshot.
+
+use gypsumglade_core::turns::Turns;
+use gypsumglade_core::wire::turn::command::Body;
+use gypsumglade_core::wire::turn::{Command, Kept, Settle};
+
+/// Turns of a test: as many as a grown deployment keeps, 141 a second for a retention of 60 s and the
+/// grace of 30 s after it.
+const TURNS: usize = 12_690;
+/// Turns that each program has.
+const PROGRAM_TURNS: usize = 5;
+/// Most memory of a turn, beside its text.
+const TURN_BYTES: u64 = 600;
+/// Most bytes of a turn in a snapshot.
+const SNAPSHOT_BYTES: usize = 200;
+
+fn id(turn: usize) -> String {
+    format!("{:032x}-{:03}", turn as u128 * 0x9e37_79b9_7f4a_7c15, turn % 1_000)
+}
+
+fn filled(turns: usize) -> Turns {
+    let mut state = Turns::default();
+    for turn in 0..turns {
+        let previous = if turn % PROGRAM_TURNS == 0 { String::new() } else { id(turn - 1) };
+        let holders = (0..3).map(|copy| ((turn / PROGRAM_TURNS + copy) % 11 + 1) as u32);
+        let kept =
+            Kept { previous, retention_ms: 60_000, holders: holders.collect(), bytes: 18_400 };
+        let settle = Settle { turn: id(turn), now_ms: 1, kept: Some(kept), ..Settle::default() };
+        state.apply(&Command { body: Some(Body::Settle(settle)) });
+    }
+    state
+}
+
+/// Returns the memory of this process, in bytes.
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").expect("a process has a status");
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("it has a size");
+    let size: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+    size * 1024
+}
+
+/// Guards against a state that grows with more than the number of turns: a store has memory for what
+/// load times retention comes to, and for nothing that a turn's text would add.
+#[test]
+fn turns_take_little_memory() {
+    // The only test of this file: what runs beside it would count.
+    let before = resident();
+    let state = filled(TURNS);
+    let each = (resident() - before) / TURNS as u64;
+    let snapshot = state.snapshot().len() / TURNS;
+    println!("a turn takes {each} bytes, {snapshot} in a snapshot");
+    assert!(each <= TURN_BYTES, "a turn takes {each} bytes");
+    assert!(snapshot <= SNAPSHOT_BYTES, "a turn takes {snapshot} bytes of a snapshot");
+}
