--- a/crates/gypsumglade/src/replica/event.rs
+++ b/crates/gypsumglade/src/replica/event.rs
@@ -11,6 +11,8 @@
     pub to: VmId,
     /// For [`crate::replica::Host::receive`] there.
     pub batch: Bytes,
+    /// Whether it is a piece of a snapshot: all else should overtake it.
+    pub bulk: bool,
 }
 
 /// Something that the owner of a group's state machine must know. Events of one group arrive in
@@ -111,4 +113,25 @@
     pub failed: Option<CompactString>,
     /// Its replicas, by group.
     pub groups: Vec<Status>,
+    /// What it holds in memory.
+    pub held: Held,
+}
+
+/// What a host holds in memory, by kind, so that one can tell which of them grows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// Bytes of the logs' latest entries.
+    pub cache: usize,
+    /// Bytes of snapshots that are being written to disk.
+    pub writing: usize,
+    /// Bytes of snapshots that are kept to be sent to others, or that have no file yet.
+    pub sending: usize,
+    /// Bytes of snapshots of which pieces have arrived.
+    pub arriving: usize,
+    /// Bytes of batches and proposals that the replicas haven't taken.
+    pub inbox: usize,
+    /// Events that the owner hasn't taken.
+    pub events: usize,
+    /// Commands that the replicas haven't taken.
+    pub commands: usize,
 }
--- a/crates/gypsumglade/src/replica/settings.rs
+++ b/crates/gypsumglade/src/replica/settings.rs
@@ -6,6 +6,7 @@
 use gypsumglade_core::replication::Settings;
 
 use crate::disk::Faults;
+use crate::metrics::CommitSeconds;
 
 /// Settings of the replicas on one VM.
 #[derive(Clone, Debug)]
@@ -18,7 +19,10 @@
     pub replication: Settings,
     /// Entries of a group after which its owner is asked for a snapshot.
     pub snapshot_entries: u64,
-    /// Bytes of a group's entries after which its owner is asked for a snapshot.
+    /// Bytes of a group's entries after which its owner is asked for a snapshot, if its last one was
+    /// small. Else it is asked at twice that one's length: a snapshot costs as much as it is long.
+    pub snapshot_least: u64,
+    /// Bytes of a group's entries after which its owner is asked for a snapshot at the latest.
     pub snapshot_bytes: u64,
     /// Bytes of a group's latest entries that stay in memory.
     pub cache_bytes: usize,
@@ -28,6 +32,8 @@
     pub settle: Duration,
     /// Spreads election timeouts; drawn at random when not set.
     pub seed: Option<u64>,
+    /// Where the time from a proposal to its outcome is noted.
+    pub commits: Option<CommitSeconds>,
     /// Failures of the disk that a test wants to see.
     #[doc(hidden)]
     pub faults: Faults,
@@ -40,11 +46,13 @@
             folder: None,
             replication: Settings::default(),
             snapshot_entries: 10_000,
+            snapshot_least: 4 * 1024 * 1024,
             snapshot_bytes: 64 * 1024 * 1024,
             cache_bytes: 1024 * 1024,
             segment_bytes: 16 * 1024 * 1024,
             settle: Duration::from_secs(5),
             seed: None,
+            commits: None,
             faults: Faults::default(),
         }
     }
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -13,8 +13,9 @@
 
 use super::context::StoreContext;
 use super::control_group::ControlGroup;
+use super::follower_watch;
 use super::member_watch;
-use super::outbound;
+use super::outbound::{self, Queues};
 use super::peer_calls;
 use super::program_group::{GroupInput, ProgramGroup};
 use super::registrar::Registrar;
@@ -34,17 +35,19 @@
 use crate::replica::{Event, Host, HostSettings};
 use crate::rpc::{PeerClients, RpcServer, TakeFrame};
 use crate::settings::{DiscoverySettings, Settings, StoreSettings};
-use crate::texts::{TextLimits, TextStore};
+use crate::texts::{TextLimits, TextOptions, TextStore};
 use crate::tls;
 
 /// Most entry bytes in one message to a follower.
 ///
-/// Eight such messages on their way delay the heartbeats behind them on a narrow link by less than an
-/// election's patience; what the core allows by itself would depose a leader whose follower has to
-/// catch up.
+/// Two of them to a follower that has to catch up are under way at a time, see [`IN_FLIGHT_BYTES`].
+/// What the core allows by itself would depose the leader, for heartbeats come behind it.
 const BATCH_BYTES: usize = 64 * 1024;
 /// Most entry messages on their way to one follower; see [`BATCH_BYTES`].
 const IN_FLIGHT: usize = 8;
+/// Bytes of entries on their way to one follower: a round trip between regions with a sync, at what
+/// that way carries. More only stands before the entries that commits wait for.
+const IN_FLIGHT_BYTES: usize = 128 * 1024;
 /// Bytes of one piece of a snapshot. One is under way at a time, so smaller ones would leave a link
 /// between regions idle for half of the time.
 const CHUNK_BYTES: usize = 256 * 1024;
@@ -53,6 +56,9 @@
 /// A learner in another region always lacks what is on its way there: half a second of a busy turn
 /// group's entries. Allowed less, one that had all the rest would wait for a quiet moment to vote.
 const PROMOTE_LAG: u64 = 200;
+/// Bytes of proposals that wait for a commit before more are refused: seconds of a busy turn group's
+/// entries, for which nobody would wait any more.
+const BACKLOG_BYTES: usize = 4 * 1024 * 1024;
 /// Folder of kept turns' texts, below the data folder.
 const TEXTS: &str = "texts";
 /// Events that may wait for the control group.
@@ -113,7 +119,10 @@
         let (shared, callers) = (Arc::clone(&directory), peers.clone());
         let discovery = Discovery::new(&settings, process, shared, callers, clock);
         let (outbound, batches) = mpsc::channel(outbound::BUFFER);
-        let (host, events) = Host::start(host_settings(vm, &own), outbound).await?;
+        let metrics = Metrics::new()?;
+        let mut host_settings = host_settings(vm, &own);
+        host_settings.commits = Some(metrics.commits());
+        let (host, events) = Host::start(host_settings, outbound).await?;
         let context = Arc::new(StoreContext {
             vm,
             clock,
@@ -121,7 +130,8 @@
             directory,
             peers,
             program_settings: program::Settings::default(),
-            metrics: Metrics::new()?,
+            metrics,
+            queues: Queues::default(),
             log,
             groups: RwLock::default(),
             dead: Mutex::default(),
@@ -131,7 +141,8 @@
         let control = ControlGroup::new(Arc::clone(&context), keys, lease);
         let turns = TurnGroup::new(Arc::clone(&context));
         let limits = TextLimits { disk_bytes: own.text_bytes };
-        let texts = TextStore::open(&own.folder.join(TEXTS), limits)?;
+        let options = TextOptions::new(limits, context.log.clone());
+        let texts = TextStore::open_with(&own.folder.join(TEXTS), options)?;
         let texts = TextHolder::new(Arc::clone(&context), texts);
         tokio::spawn(outbound::send_batches(Arc::clone(&context), batches));
         let state = Arc::new(StoreState { context, control, turns, texts, discovery, settings });
@@ -213,6 +224,7 @@
 }
 
 fn spawn_loops(state: &Arc<StoreState>, own: &StoreSettings, halt: &CancellationToken) {
+    tokio::spawn(follower_watch::watch(Arc::clone(&state.context), halt.clone()));
     let context = Arc::clone(&state.context);
     tokio::spawn(Arc::clone(&state.texts).drop_unkept(halt.clone()));
     let Some(discovery) = &state.discovery else {
@@ -242,8 +254,10 @@
             lease: Duration::from_millis(own.election_ms),
             batch_bytes: BATCH_BYTES,
             in_flight: IN_FLIGHT,
+            in_flight_bytes: IN_FLIGHT_BYTES,
             chunk_bytes: CHUNK_BYTES,
             promote_lag: PROMOTE_LAG,
+            backlog_bytes: BACKLOG_BYTES,
             ..replication::Settings::default()
         },
         ..HostSettings::default()
--- /dev/null
+++ b/crates/gypsumglade/tests/replica_memory.rs
@@ -0,0 +1,119 @@
+//! What a host holds in memory is bounded by bytes.
+
+use std::path::PathBuf;
+
+use bytes::Bytes;
+use gypsumglade::replica::{ByteBudget, Event, Host, HostSettings, Outbound};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::LogIndex;
+use gypsumglade_core::wire::replication::message::Body;
+use gypsumglade_core::wire::replication::{Append, Batch, Chunk, Entry, EntryKind, Message};
+use prost::Message as _;
+use tokio::sync::mpsc;
+
+const GROUP: GroupId = GroupId(1);
+const LEADER: VmId = VmId(1);
+const FOLLOWER: VmId = VmId(2);
+
+async fn started(
+    vm: VmId,
+    members: Vec<VmId>,
+    folder: Option<PathBuf>,
+) -> (Host, mpsc::Receiver<Event>, mpsc::Receiver<Outbound>) {
+    let (outbound, batches) = mpsc::channel(1_000);
+    let settings = HostSettings { vm, folder, ..HostSettings::default() };
+    let (host, events) = Host::start(settings, outbound).await.expect("the host starts");
+    host.create(GROUP, members).await.expect("created");
+    (host, events, batches)
+}
+
+/// Proposes until `bytes` were committed; returns the last index.
+async fn propose(host: &Host, bytes: usize) -> LogIndex {
+    const ENTRY: usize = 100_000;
+    let mut last = LogIndex(0);
+    for _ in 0..bytes / ENTRY {
+        last = loop {
+            match host.propose(GROUP, Bytes::from(vec![7; ENTRY])).await {
+                Ok(index) => break index,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        };
+    }
+    last
+}
+
+/// Returns whether the owner was asked for a snapshot so far.
+fn asked(events: &mut mpsc::Receiver<Event>) -> bool {
+    let mut asked = false;
+    while let Ok(event) = events.try_recv() {
+        asked |= matches!(event, Event::NeedSnapshot { .. });
+    }
+    asked
+}
+
+/// Guards against a store that dies for memory while it takes a snapshot: an entry of a few bytes,
+/// kept for reading, kept all of the frame that it came in, with pieces of other groups' snapshots.
+#[tokio::test]
+async fn receive_keeps_no_frame() {
+    let (host, _events, _batches) = started(FOLLOWER, vec![LEADER, FOLLOWER], None).await;
+    let entry = Entry { term: 2, index: 2, kind: EntryKind::Command.into(), data: "one".into() };
+    let append = Append { prev_index: 1, prev_term: 1, entries: vec![entry], ..Append::default() };
+    let piece = Chunk { data: Bytes::from(vec![0; 200_000]), ..Chunk::default() };
+    let message = |term, body| Message { group: GROUP.0, term, body: Some(body) };
+    let messages = vec![message(2, Body::Append(append)), message(1, Body::Chunk(piece))];
+    let batch = Bytes::from(Batch { messages, pulse: None }.encode_to_vec());
+
+    host.receive(LEADER, batch.clone());
+
+    let status = host.status().await;
+    assert_eq!(status.groups[0].last.index, LogIndex(2), "the entry was taken");
+    assert_eq!(status.held.cache, 3, "and is held for reading");
+    assert!(batch.is_unique(), "its frame is still held");
+}
+
+/// Guards against logs of 64 MB that a store of 130 MB reads back, replays and snapshots at once after
+/// a restart.
+#[tokio::test]
+async fn snapshot_asked_by_state_size() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let data = Some(folder.path().join("data"));
+    let (host, mut events, _batches) = started(LEADER, vec![LEADER], data).await;
+    let index = propose(&host, 6_000_000).await;
+    host.status().await;
+    assert!(asked(&mut events), "6 MB of log and no state");
+
+    host.snapshot(GROUP, index, Bytes::from(vec![1; 5_000_000])).await;
+    let _ = asked(&mut events);
+    let index = propose(&host, 6_000_000).await;
+    host.status().await;
+    assert!(!asked(&mut events), "6 MB of log and 5 MB of state");
+    propose(&host, 6_000_000).await;
+    host.status().await;
+    assert!(asked(&mut events), "12 MB of log and 5 MB of state, by few entries");
+    assert!(index > LogIndex(60));
+}
+
+/// Guards against a store that takes batches until its memory is full, while its replicas' thread gets
+/// no processor.
+#[test]
+fn try_take_up_to_limit() {
+    let budget = ByteBudget::new(1_000);
+    assert!(budget.try_take(5_000), "a long one has room when nothing waits");
+    assert!(!budget.try_take(1));
+    budget.give(5_000);
+    let taken = (0..100).filter(|_| budget.try_take(300)).count();
+    assert_eq!((taken, budget.held()), (3, 900));
+}
+
+/// Guards against batches and proposals that are counted in and never out: after 8 MB of them a host
+/// would take no more.
+#[tokio::test]
+async fn receive_and_propose_give_back() {
+    let (host, _events, _batches) = started(LEADER, vec![LEADER], None).await;
+    propose(&host, 20_000_000).await;
+    for _ in 0..200 {
+        host.receive(FOLLOWER, Bytes::from(vec![0; 100_000]));
+        host.status().await;
+    }
+    assert_eq!(host.status().await.held.inbox, 0);
+}
--- /dev/null
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -0,0 +1,801 @@
+//! Texts on a store's disk: what survives, what is refused, and how space comes back.
+
+use std::collections::BTreeSet;
+use std::fs::{self, File, OpenOptions};
+use std::os::unix::fs::FileExt;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use gypsumglade::disk::Faults;
+use gypsumglade::texts::{PutError, TextLimits, TextOptions, TextStatus, TextStore};
+use gypsumglade_core::wire::turn::Text;
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
+
+const LONG: Duration = Duration::from_secs(3600);
+/// Looks, with a pause of a millisecond, after which a test gives up.
+const LOOKS: usize = 60_000;
+/// Limit of a roomy disk.
+const ROOMY: u64 = 256 * 1024 * 1024;
+/// Limit of a small disk, whose segments have an eighth of it.
+const SMALL: u64 = 1024 * 1024;
+const SMALL_SEGMENT: u64 = SMALL / 8;
+/// Bytes of a record beside its text.
+const OVERHEAD: u64 = 24;
+
+struct Folder {
+    root: tempfile::TempDir,
+    faults: Faults,
+    limit: u64,
+    found: Duration,
+    pause: Duration,
+    /// Messages of the highest level.
+    critical: Arc<AtomicUsize>,
+}
+
+/// Lets syncs go on in the end, also when a test panics: a store that is dropped waits for them.
+struct Held(Faults);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.release_syncs();
+    }
+}
+
+/// Counts messages of the highest level.
+struct Count(Arc<AtomicUsize>);
+
+impl slog::Drain for Count {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        if record.level() == slog::Level::Critical {
+            self.0.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+}
+
+impl Folder {
+    fn new(limit: u64) -> Folder {
+        let root = tempfile::tempdir().expect("a folder");
+        let critical = Arc::default();
+        Folder { root, faults: Faults::default(), limit, found: LONG, pause: LONG, critical }
+    }
+
+    fn open(&self) -> TextStore {
+        let limits = TextLimits { disk_bytes: self.limit };
+        let log = slog::Logger::root(Count(Arc::clone(&self.critical)), slog::o!());
+        let mut options = TextOptions::new(limits, log);
+        options.faults = self.faults.clone();
+        options.found_retention = self.found;
+        options.due_pause = self.pause;
+        TextStore::open_with(self.root.path(), options).expect("the folder opens")
+    }
+
+    /// Makes syncs wait until the guard goes.
+    fn hold(&self) -> Held {
+        self.faults.hold_syncs();
+        Held(self.faults.clone())
+    }
+
+    fn files(&self) -> Vec<PathBuf> {
+        let entries = fs::read_dir(self.root.path()).expect("a folder");
+        let mut files: Vec<_> = entries.map(|entry| entry.expect("an entry").path()).collect();
+        files.sort();
+        files
+    }
+
+    fn file_bytes(&self) -> u64 {
+        self.files().iter().map(|file| fs::metadata(file).map_or(0, |data| data.len())).sum()
+    }
+}
+
+fn name(i: usize) -> String {
+    format!("turn-{i:06}")
+}
+
+/// A text of which every byte depends on its number.
+fn text(i: usize, length: usize) -> Text {
+    let byte = |at: usize| (i * 31 + at * 7) as u8;
+    let input = Bytes::from_iter((0..length / 3).map(byte));
+    let output = Bytes::from_iter((length / 3..length).map(byte));
+    Text { turn: name(i), input, output }
+}
+
+fn record_bytes(text: &Text) -> u64 {
+    OVERHEAD + (text.turn.len() + text.input.len() + text.output.len()) as u64
+}
+
+async fn get(store: &TextStore, i: usize) -> Option<Text> {
+    let mut texts = store.get(&[name(i)]).await;
+    assert!(texts.len() <= 1);
+    texts.pop()
+}
+
+async fn put(store: &TextStore, i: usize, length: usize) {
+    store.put(vec![text(i, length)], LONG).await.expect("the text is put");
+}
+
+fn spawn_put(store: &TextStore, text: Text) -> JoinHandle<Result<(), PutError>> {
+    let store = store.clone();
+    tokio::spawn(async move { store.put(vec![text], LONG).await })
+}
+
+/// Waits for what the writer does by itself.
+async fn until(store: &TextStore, reached: impl Fn(TextStatus) -> bool) -> TextStatus {
+    for _ in 0..LOOKS {
+        let status = store.status();
+        if reached(status) {
+            return status;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    panic!("the writer never got there: {:?}", store.status());
+}
+
+/// Lets spawned tasks run until each has put what it has to put.
+async fn queue_all() {
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn put_survives_restart() {
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    for i in 0..20 {
+        put(&store, i, 18_000).await;
+    }
+    drop(store);
+    let store = folder.open();
+    for i in 0..20 {
+        assert_eq!(get(&store, i).await, Some(text(i, 18_000)));
+    }
+    assert_eq!(get(&store, 20).await, None);
+    let status = store.status();
+    let bytes = record_bytes(&text(0, 18_000)) * 20;
+    assert_eq!((status.texts, status.live_bytes, status.disk_bytes), (20, bytes, bytes));
+    assert_eq!(folder.file_bytes(), bytes);
+}
+
+#[tokio::test]
+async fn put_answers_after_sync() {
+    // Guards against an answer for a text that a power loss would still take.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    let held = folder.hold();
+    let waiting = spawn_put(&store, text(1, 100));
+    queue_all().await;
+    until(&store, |_| folder.file_bytes() > 0).await;
+    assert!(!waiting.is_finished());
+    assert_eq!(get(&store, 1).await, None, "an unsynced text counts as absent");
+    drop(held);
+    assert_eq!(waiting.await.expect("no panic"), Ok(()));
+    assert_eq!(get(&store, 1).await, Some(text(1, 100)));
+}
+
+#[tokio::test]
+async fn put_in_new_segment_waits_for_folder_sync() {
+    // Guards against a power loss that takes a new file whose data was synced and whose name wasn't.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    let length = SMALL_SEGMENT as usize - 1000;
+    put(&store, 1, length).await;
+    folder.faults.fail_folders();
+    put(&store, 2, 100).await;
+    let refused = store.put(vec![text(3, length)], LONG).await;
+    assert_eq!(refused, Err(PutError::Failed));
+}
+
+#[tokio::test]
+async fn open_cuts_torn_tail() {
+    // Guards against a crash in the middle of a write that would hide what was written before or later.
+    let record = record_bytes(&text(0, 1000));
+    for cut in [1, 500, record - 30, record - 10, record - 1, record] {
+        let folder = Folder::new(ROOMY);
+        let store = folder.open();
+        for i in 0..3 {
+            put(&store, i, 1000).await;
+        }
+        drop(store);
+        let file = &folder.files()[0];
+        File::options()
+            .write(true)
+            .open(file)
+            .and_then(|f| f.set_len(3 * record - cut))
+            .expect("cut");
+        let store = folder.open();
+        assert_eq!((store.status().texts, store.status().damaged), (2, 0), "cut by {cut}");
+        assert_eq!(folder.file_bytes(), 2 * record, "cut by {cut}");
+        assert_eq!(get(&store, 2).await, None);
+        put(&store, 2, 1000).await;
+        drop(store);
+        let store = folder.open();
+        for i in 0..3 {
+            assert_eq!(get(&store, i).await, Some(text(i, 1000)), "cut by {cut}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn open_cuts_unwritten_tail() {
+    // Guards against a power loss that leaves a file's new length and none of its data.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    drop(store);
+    let file = &folder.files()[0];
+    let whole = fs::metadata(file).expect("a file").len();
+    File::options().write(true).open(file).and_then(|f| f.set_len(whole + 90_000)).expect("grown");
+    let store = folder.open();
+    assert_eq!(get(&store, 1).await, Some(text(1, 1000)));
+    assert_eq!(folder.file_bytes(), whole);
+    assert_eq!(store.status().damaged, 0);
+}
+
+/// Flips a bit of a file.
+fn flip(file: &PathBuf, at: u64) {
+    let file = OpenOptions::new().read(true).write(true).open(file).expect("a file");
+    let mut byte = [0];
+    file.read_exact_at(&mut byte, at).expect("a byte");
+    file.write_all_at(&[byte[0] ^ 4], at).expect("written");
+}
+
+#[tokio::test]
+async fn open_skips_damaged_middle_record() {
+    // Guards against a flipped bit at rest, in each part of a record, that hides the records after it.
+    let record = record_bytes(&text(0, 100_000));
+    for at in [0, 5, 9, 13, 17, 21, OVERHEAD + 1, OVERHEAD + 500, record - 1] {
+        let folder = Folder::new(ROOMY);
+        let store = folder.open();
+        for i in 0..5 {
+            put(&store, i, 100_000).await;
+        }
+        drop(store);
+        flip(&folder.files()[0], 2 * record + at);
+        let store = folder.open();
+        let status = store.status();
+        assert_eq!((status.texts, status.damaged), (4, 1), "bit at {at}");
+        assert_eq!(status.disk_bytes, 5 * record);
+        assert_eq!(status.live_bytes, 4 * record);
+        for i in 0..5 {
+            let expected = (i != 2).then(|| text(i, 100_000));
+            assert_eq!(get(&store, i).await, expected, "bit at {at}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn open_finds_header_across_pieces() {
+    // Guards against a search that steps over the one header which two of its reads share.
+    let record = record_bytes(&text(0, 64 * 1024));
+    for shift in 0..6 {
+        let folder = Folder::new(ROOMY);
+        let store = folder.open();
+        // The search starts one byte after the first header; its pieces have 64 KiB.
+        let first = 64 * 1024 + 1 + shift - 4 - OVERHEAD as usize - name(0).len();
+        put(&store, 0, first).await;
+        put(&store, 1, 64 * 1024).await;
+        drop(store);
+        flip(&folder.files()[0], 0);
+        let store = folder.open();
+        assert_eq!(get(&store, 1).await, Some(text(1, 64 * 1024)), "shift {shift}");
+        assert_eq!((store.status().live_bytes, store.status().damaged), (record, 1));
+    }
+}
+
+#[tokio::test]
+async fn get_drops_damaged_text() {
+    // Guards against damage at rest that is read out as if it were the text.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    put(&store, 2, 1000).await;
+    flip(&folder.files()[0], 500);
+    assert_eq!(get(&store, 1).await, None);
+    assert_eq!(get(&store, 2).await, Some(text(2, 1000)));
+    assert_eq!((store.status().texts, store.status().damaged), (1, 1));
+    put(&store, 1, 1000).await;
+    assert_eq!(get(&store, 1).await, Some(text(1, 1000)));
+}
+
+#[tokio::test]
+async fn put_refuses_when_disk_full() {
+    // Guards against files that outgrow what the settings allow.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    let mut stored = 0;
+    let refused = loop {
+        match store.put(vec![text(stored, 10_000)], LONG).await {
+            Ok(()) => stored += 1,
+            Err(error) => break error,
+        }
+    };
+    assert_eq!(refused, PutError::Full);
+    let record = record_bytes(&text(0, 10_000));
+    let reserve = SMALL_SEGMENT / 4;
+    assert_eq!(stored as u64, (SMALL - reserve) / record);
+    assert!(folder.file_bytes() <= SMALL);
+    assert_eq!(get(&store, 0).await, Some(text(0, 10_000)));
+    // A store that is full again takes texts once others were dropped.
+    (0..20).for_each(|i| store.drop(&name(i)));
+    until(&store, |status| status.disk_bytes + record + reserve <= SMALL).await;
+    put(&store, stored, 10_000).await;
+}
+
+#[tokio::test]
+async fn put_refuses_when_queue_full() {
+    // Guards against memory that fills up with texts while a sync takes long.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    let held = folder.hold();
+    let mut waiting = Vec::new();
+    for i in 0..8 {
+        waiting.push(spawn_put(&store, text(i, 1_000_000)));
+    }
+    queue_all().await;
+    assert_eq!(store.status().queued_bytes, 8 * record_bytes(&text(0, 1_000_000)));
+    let refused = store.put(vec![text(8, 1_000_000)], LONG).now_or_never();
+    assert_eq!(refused, Some(Err(PutError::Full)), "it is refused while the others wait");
+    drop(held);
+    for put in waiting {
+        assert_eq!(put.await.expect("no panic"), Ok(()));
+    }
+    assert_eq!(store.status().queued_bytes, 0);
+    put(&store, 8, 1_000_000).await;
+}
+
+#[tokio::test]
+async fn put_shares_syncs() {
+    // Guards against a sync for each text, which a disk of 5 ms a sync can't keep up with.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    let held = folder.hold();
+    let first = spawn_put(&store, text(0, 1000));
+    queue_all().await;
+    until(&store, |_| folder.file_bytes() > 0).await;
+    let others: Vec<_> = (1..50).map(|i| spawn_put(&store, text(i, 1000))).collect();
+    queue_all().await;
+    drop(held);
+    assert_eq!(first.await.expect("no panic"), Ok(()));
+    for put in others {
+        assert_eq!(put.await.expect("no panic"), Ok(()));
+    }
+    assert_eq!(store.status().syncs, 2);
+}
+
+#[tokio::test]
+async fn put_twice_is_acknowledged_once_synced() {
+    // Guards against a repeated put that is answered while the first one may still be lost.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    let held = folder.hold();
+    let first = spawn_put(&store, text(1, 1000));
+    queue_all().await;
+    until(&store, |_| folder.file_bytes() > 0).await;
+    let second = spawn_put(&store, text(1, 1000));
+    let third = spawn_put(&store, text(1, 1000));
+    queue_all().await;
+    assert!(!second.is_finished() && !third.is_finished());
+    drop(held);
+    for put in [first, second, third] {
+        assert_eq!(put.await.expect("no panic"), Ok(()));
+    }
+    let bytes = record_bytes(&text(1, 1000));
+    put(&store, 1, 1000).await;
+    assert_eq!(store.status().disk_bytes, bytes, "it is on the disk once");
+    let twice = vec![text(2, 1000), text(1, 1000), text(2, 1000)];
+    store.put(twice, LONG).await.expect("the text is put");
+    assert_eq!(store.status().disk_bytes, 2 * bytes);
+    assert_eq!((store.status().texts, store.status().syncs), (2, 2));
+}
+
+#[tokio::test]
+async fn put_twice_fails_with_first() {
+    // Guards against a repeated put that is answered although the first one's sync failed.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    let held = folder.hold();
+    let first = spawn_put(&store, text(1, 1000));
+    queue_all().await;
+    until(&store, |_| folder.file_bytes() > 0).await;
+    let second = spawn_put(&store, text(1, 1000));
+    queue_all().await;
+    folder.faults.fail_syncs();
+    drop(held);
+    assert_eq!(first.await.expect("no panic"), Err(PutError::Failed));
+    assert_eq!(second.await.expect("no panic"), Err(PutError::Failed));
+}
+
+#[tokio::test]
+async fn put_fails_after_failed_sync() {
+    // Guards against texts acknowledged on a disk that has lost some, now or after a restart.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    folder.faults.fail_syncs();
+    assert_eq!(store.put(vec![text(2, 1000)], LONG).await, Err(PutError::Failed));
+    assert_eq!(store.put(vec![text(3, 1000)], LONG).await, Err(PutError::Failed));
+    assert_eq!(store.put(vec![text(1, 1000)], LONG).await, Err(PutError::Failed));
+    assert_eq!(get(&store, 1).await, Some(text(1, 1000)), "reads go on");
+    assert_eq!(get(&store, 2).await, None);
+    assert!(store.status().failed);
+    drop(store);
+    assert_eq!(folder.critical.load(Ordering::Relaxed), 1, "it is logged once");
+    let healed = Folder { faults: Faults::default(), ..folder };
+    let store = healed.open();
+    assert_eq!(get(&store, 1).await, Some(text(1, 1000)));
+    assert_eq!(get(&store, 2).await, None, "what no sync made stable isn't found again");
+    put(&store, 2, 1000).await;
+}
+
+#[tokio::test]
+async fn put_fails_after_short_write() {
+    // Guards against a device without space that leaves half a record before later ones.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    folder.faults.fill_after(300);
+    assert_eq!(store.put(vec![text(2, 1000)], LONG).await, Err(PutError::Failed));
+    assert_eq!(store.put(vec![text(3, 10)], LONG).await, Err(PutError::Failed));
+    assert_eq!(get(&store, 1).await, Some(text(1, 1000)));
+    drop(store);
+    let healed = Folder { faults: Faults::default(), ..folder };
+    let store = healed.open();
+    assert_eq!((store.status().texts, store.status().damaged), (1, 0));
+}
+
+#[tokio::test]
+async fn drop_frees_files() {
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    for i in 0..80 {
+        put(&store, i, 10_000).await;
+    }
+    assert!(folder.files().len() >= 6);
+    (0..80).for_each(|i| store.drop(&name(i)));
+    let status = until(&store, |status| status.disk_bytes == 0).await;
+    assert_eq!((status.texts, status.live_bytes), (0, 0));
+    assert_eq!(folder.files(), Vec::<PathBuf>::new());
+    assert_eq!(get(&store, 0).await, None);
+    put(&store, 0, 10_000).await;
+    assert_eq!(get(&store, 0).await, Some(text(0, 10_000)));
+}
+
+#[tokio::test]
+async fn drop_compacts_and_keeps_live_ones() {
+    // Guards against one long-lived text in each file that keeps them all, or is lost with its file.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    for i in 0..80 {
+        put(&store, i, 10_000).await;
+    }
+    let kept = |i: usize| i.is_multiple_of(12);
+    (0..80).filter(|i| !kept(*i)).for_each(|i| store.drop(&name(i)));
+    until(&store, |status| status.disk_bytes <= 2 * SMALL_SEGMENT).await;
+    for i in 0..80 {
+        assert_eq!(get(&store, i).await, kept(i).then(|| text(i, 10_000)), "text {i}");
+    }
+    drop(store);
+    assert!(folder.file_bytes() <= 2 * SMALL_SEGMENT);
+    let store = folder.open();
+    for i in (0..80).filter(|i| kept(*i)) {
+        assert_eq!(get(&store, i).await, Some(text(i, 10_000)), "text {i}");
+    }
+    assert_eq!(store.status().damaged, 0);
+}
+
+#[tokio::test]
+async fn drop_compacts_on_full_disk() {
+    // Guards against a full disk whose space never comes back, for moving live texts needs room too.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    let mut stored = 0;
+    while store.put(vec![text(stored, 5_000)], LONG).await.is_ok() {
+        stored += 1;
+    }
+    for round in 0..5 {
+        let kept = |i: usize| i.is_multiple_of(6);
+        let begun = round * stored;
+        (begun..begun + stored).filter(|i| !kept(*i)).for_each(|i| store.drop(&name(i)));
+        until(&store, |status| status.disk_bytes <= SMALL / 2).await;
+        assert!(folder.file_bytes() <= SMALL);
+        (begun..begun + stored).filter(|i| kept(*i)).for_each(|i| store.drop(&name(i)));
+        until(&store, |status| status.texts == 0 && status.disk_bytes == 0).await;
+        let next = begun + stored;
+        for i in next..next + stored {
+            put(&store, i, 5_000).await;
+            assert!(folder.file_bytes() <= SMALL);
+        }
+    }
+}
+
+#[tokio::test]
+async fn drop_while_moved() {
+    // Guards against a text that comes back because it was dropped while its move was being synced.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    for i in 0..30 {
+        put(&store, i, 10_000).await;
+    }
+    let held = folder.hold();
+    (1..30).for_each(|i| store.drop(&name(i)));
+    // Only an unsynced move makes the files longer than what the store has noted.
+    until(&store, |status| folder.file_bytes() > status.disk_bytes).await;
+    assert_eq!(get(&store, 0).await, Some(text(0, 10_000)));
+    store.drop(&name(0));
+    drop(held);
+    until(&store, |status| status.disk_bytes == 0).await;
+    assert_eq!(get(&store, 0).await, None);
+    assert_eq!(folder.files(), Vec::<PathBuf>::new());
+}
+
+#[tokio::test]
+async fn drop_compacts_past_damaged_text() {
+    // Guards against a damaged record that keeps its file from being compacted for ever.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    for i in 0..30 {
+        put(&store, i, 10_000).await;
+    }
+    flip(&folder.files()[0], 500);
+    (2..30).for_each(|i| store.drop(&name(i)));
+    until(&store, |status| status.damaged == 1 && folder.files().len() == 1 && status.texts == 1)
+        .await;
+    assert_eq!(get(&store, 0).await, None);
+    assert_eq!(get(&store, 1).await, Some(text(1, 10_000)));
+}
+
+#[tokio::test]
+async fn drop_may_be_undone_by_restart() {
+    // Guards against a dropped text that comes back after a restart and then stays for ever.
+    let mut folder = Folder::new(ROOMY);
+    folder.found = Duration::ZERO;
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    put(&store, 2, 1000).await;
+    store.drop(&name(1));
+    drop(store);
+    let store = folder.open();
+    let mut due = store.due(10);
+    due.sort();
+    assert_eq!(due, [name(1), name(2)]);
+    store.drop(&name(1));
+    store.extend(&name(2), LONG);
+    assert_eq!(get(&store, 1).await, None);
+    assert_eq!(get(&store, 2).await, Some(text(2, 1000)));
+}
+
+#[tokio::test]
+async fn due_after_retention() {
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    put(&store, 0, 100).await;
+    for i in 1..4 {
+        store.put(vec![text(i, 100)], Duration::ZERO).await.expect("the text is put");
+    }
+    let first = store.due(2);
+    assert_eq!(first, [name(1), name(2)], "the longest due comes first");
+    assert_eq!(store.due(10), [name(3)], "those returned come again only after the pause");
+    assert_eq!(store.due(10), Vec::<String>::new());
+    store.extend(&name(1), Duration::ZERO);
+    assert_eq!(store.due(10), [name(1)], "an extended one is due at its new time");
+    store.extend(&name(0), Duration::ZERO);
+    store.drop(&name(0));
+    store.extend(&name(0), Duration::ZERO);
+    assert_eq!(store.due(10), Vec::<String>::new(), "a dropped one is not due");
+}
+
+#[tokio::test]
+async fn due_again_after_pause() {
+    // Guards against a text that is never asked about again because one question got no answer.
+    let mut folder = Folder::new(ROOMY);
+    folder.pause = Duration::ZERO;
+    let store = folder.open();
+    store.put(vec![text(1, 100)], Duration::ZERO).await.expect("the text is put");
+    assert_eq!(store.due(10), [name(1)]);
+    assert_eq!(store.due(10), [name(1)]);
+    store.extend(&name(1), LONG);
+    assert_eq!(store.due(10), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn due_waits_for_found_texts() {
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    store.put(vec![text(1, 100)], Duration::ZERO).await.expect("the text is put");
+    drop(store);
+    let store = folder.open();
+    assert_eq!(store.due(10), Vec::<String>::new(), "a found text is held for a while");
+    assert_eq!(get(&store, 1).await, Some(text(1, 100)));
+}
+
+#[tokio::test]
+async fn open_reads_many_segments() {
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    for batch in 0..20 {
+        let texts = (0..50).map(|i| text(batch * 50 + i, 18_000)).collect();
+        store.put(texts, LONG).await.expect("the texts are put");
+    }
+    drop(store);
+    assert!(folder.files().len() > 2);
+    let store = folder.open();
+    assert_eq!(store.status().texts, 1000);
+    let turns: Vec<_> = (0..1000).step_by(37).map(name).collect();
+    let texts = store.get(&turns).await;
+    let expected: Vec<_> = (0..1000).step_by(37).map(|i| text(i, 18_000)).collect();
+    assert!(texts == expected, "all are read, in the order they were asked for");
+}
+
+#[tokio::test]
+async fn open_again_never_appends_to_old_file() {
+    // Guards against two stores of one process, old and new, that write to one file.
+    let folder = Folder::new(ROOMY);
+    let old = folder.open();
+    put(&old, 1, 1000).await;
+    let new = folder.open();
+    put(&old, 2, 1000).await;
+    put(&new, 3, 1000).await;
+    put(&old, 4, 1000).await;
+    assert_eq!(get(&new, 1).await, Some(text(1, 1000)));
+    assert_eq!(get(&new, 3).await, Some(text(3, 1000)));
+    drop((old, new));
+    let store = folder.open();
+    for i in 1..5 {
+        assert_eq!(get(&store, i).await, Some(text(i, 1000)));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn get_while_moved() {
+    // Guards against a text that can't be read for a moment, because its file goes while it is moved.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    let kept: Vec<_> = (0..4).map(name).collect();
+    store.put((0..4).map(|i| text(i, 3000)).collect(), LONG).await.expect("the texts are put");
+    let reader = store.clone();
+    let reading = tokio::spawn(async move {
+        let mut first = reader.status().syncs;
+        let mut rounds = 0;
+        while first < 600 {
+            let texts = reader.get(&kept).await;
+            assert_eq!(texts, (0..4).map(|i| text(i, 3000)).collect::<Vec<_>>());
+            first = reader.status().syncs;
+            rounds += 1;
+        }
+        rounds
+    });
+    let mut i = 4;
+    while !reading.is_finished() {
+        put(&store, i, 30_000).await;
+        store.drop(&name(i));
+        i += 1;
+    }
+    assert!(reading.await.expect("every text was read in every round") > 0);
+    assert!(store.status().disk_bytes <= SMALL);
+}
+
+fn runner(cases: u32, seed: u64) -> TestRunner {
+    TestRunner::new(ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })
+}
+
+fn runtime() -> Runtime {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime")
+}
+
+#[test]
+fn open_after_any_damage() {
+    // Guards against damage anywhere in a file that hides, or changes, a text which it doesn't touch.
+    let length = |i: usize| 50 + i * 37;
+    let whole = Folder::new(ROOMY);
+    let runtime = runtime();
+    let store = whole.open();
+    let texts: Vec<_> = (0..12).map(|i| text(i, length(i))).collect();
+    runtime.block_on(store.put(texts.clone(), LONG)).expect("the texts are put");
+    drop(store);
+    let bytes = fs::read(&whole.files()[0]).expect("a file");
+    let strategy = (0..bytes.len(), 1..400usize, any::<bool>(), any::<u8>());
+    let result = runner(300, 7).run(&strategy, |(at, count, cut, byte)| {
+        let folder = Folder::new(ROOMY);
+        let end = if cut { bytes.len() } else { (at + count).min(bytes.len()) };
+        let mut damaged = bytes.clone();
+        match cut {
+            true => damaged.truncate(at),
+            false => damaged[at..end].iter_mut().for_each(|old| *old ^= byte | 1),
+        }
+        fs::write(folder.root.path().join("texts-0000000001"), &damaged).expect("written");
+        let store = folder.open();
+        let mut start = 0;
+        for (i, text) in texts.iter().enumerate() {
+            let next = start + record_bytes(text) as usize;
+            let touched = at < next && start < end;
+            let expected = (!touched).then(|| text.clone());
+            prop_assert_eq!(runtime.block_on(get(&store, i)), expected, "text {}", i);
+            start = next;
+        }
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(usize),
+    Drop(usize),
+    Extend(usize),
+    Reopen,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        10 => (0..60usize).prop_map(Step::Put),
+        8 => (0..60usize).prop_map(Step::Drop),
+        2 => (0..60usize).prop_map(Step::Extend),
+        1 => Just(Step::Reopen),
+    ]
+}
+
+#[test]
+fn get_after_any_steps() {
+    // Guards against a text that is lost, or dropped and still there, after whatever was done before.
+    let runtime = runtime();
+    let steps = proptest::collection::vec(step(), 1..250);
+    let result = runner(40, 8).run(&steps, |steps| {
+        let folder = Folder::new(SMALL);
+        let mut store = folder.open();
+        let mut live = BTreeSet::new();
+        // Texts that a restart may have brought back.
+        let mut maybe = BTreeSet::new();
+        let length = |i: usize| 200 + i * 211;
+        for step in steps {
+            match step {
+                Step::Put(i) => {
+                    runtime.block_on(put(&store, i, length(i)));
+                    live.insert(i);
+                }
+                Step::Drop(i) => {
+                    store.drop(&name(i));
+                    live.remove(&i);
+                    maybe.remove(&i);
+                }
+                Step::Extend(i) => store.extend(&name(i), Duration::ZERO),
+                Step::Reopen => {
+                    drop(store);
+                    store = folder.open();
+                    maybe = (0..60).filter(|i| !live.contains(i)).collect();
+                }
+            }
+            prop_assert!(folder.file_bytes() <= SMALL);
+        }
+        for i in 0..60 {
+            match runtime.block_on(get(&store, i)) {
+                Some(found) => {
+                    prop_assert!(live.contains(&i) || maybe.contains(&i), "text {} is back", i);
+                    prop_assert_eq!(found, text(i, length(i)));
+                }
+                None => prop_assert!(!live.contains(&i), "text {} is lost", i),
+            }
+        }
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
