--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -78,7 +78,7 @@
 fn led_by_two() {
     let mut roster = Roster::default();
     for vm in [1, 2] {
-        let led = vec![Led { group: 0, members: vec![vm], settled: true }];
+        let led = vec![Led { group: 0, members: vec![vm], settled: true, ..Led::default() }];
         let node = Node { led, ..store(vm, &format!("10.0.0.{vm}:1"), 5, 0) };
         roster.hear(Time::from_millis(0), node);
     }
--- a/crates/gypsumglade/src/gateway/text_client.rs
+++ b/crates/gypsumglade/src/gateway/text_client.rs
@@ -274,9 +274,9 @@
     /// Returns what to ask a store for, and notes that it is asked.
     fn begin(&mut self, vm: VmId, lacking: &[&Holding]) -> Vec<String> {
         let mut bytes = 0;
-        let held = lacking.iter().filter(|holding| {
-            holding.holders.contains(&vm) && self.may_have(vm, &holding.turn)
-        });
+        let held = lacking
+            .iter()
+            .filter(|holding| holding.holders.contains(&vm) && self.may_have(vm, &holding.turn));
         let part = held.take_while(|holding| {
             let room = bytes < FETCH_BYTES;
             bytes += holding.bytes;
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -105,8 +105,7 @@
             domain: node.domain.to_compact_string(),
             region: node.region.to_compact_string(),
             // This group's leader may not be a member of the control group.
-            retiring: self.control.is_retiring(VmId(node.vm))
-                || retiring.contains(&VmId(node.vm)),
+            retiring: self.control.is_retiring(VmId(node.vm)) || retiring.contains(&VmId(node.vm)),
         });
         let alive = alive.collect();
         let replaced = |vm: &VmId| {
