Wait for a caller's body no longer than the caller waits

A caller whose body stopped coming was waited for thirty seconds, whatever time it had given, and a planned stop waited with it to its last moment. It then heard 400, though its request was proper.

The wait now ends with the caller's deadline or the route's timeout, and it hears 503, which is true: the request went nowhere.

body_waited_for_no_longer_than_caller failed before: 400 after thirty seconds.

--- a/crates/gypsumglade/src/gateway/intake.rs
+++ b/crates/gypsumglade/src/gateway/intake.rs
@@ -32,8 +32,8 @@
 /// When to come back to a VM that knows no bundle: an election takes about a second, and callers who
 /// are told less have used up their attempts by then.
 const NO_BUNDLE_PAUSE: Duration = Duration::from_millis(900);
-/// Longest time that a caller may take to send its body. Callers give up far sooner; this only ends
-/// what a caller that fell silent has left behind.
+/// Longest time that a caller may take to send its body, if neither it nor the operator bounds the request
+/// closer. It ends what a caller that fell silent has left behind.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause after a failed accept (typically: out of file descriptors), so that the loop can't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -137,7 +137,11 @@
     let route = bundle.route(&head.host, parts.uri.path()).cloned();
     let route = route.ok_or_else(|| refuse(Refusal::NoRoute))?;
     let limit = usize::try_from(bundle.bundle.callers.body_bytes).unwrap_or(usize::MAX);
-    let body = read_body(body, limit).await.map_err(refuse)?;
+    let timeout = Duration::from_millis(route.timeout_ms);
+    let patience = head.deadline.unwrap_or(timeout).min(timeout).min(BODY_TIMEOUT);
+    let reading = tokio::time::timeout_at(arrived + patience, read_body(body, limit)).await;
+    let body = reading.unwrap_or(Err(Refusal::Unavailable { after: Duration::ZERO }));
+    let body = body.map_err(refuse)?;
     let program = head.turn.as_ref().map(|turn| &turn.program);
     let pool = choose_pool(&route, program.unwrap_or(&head.id));
     Ok(Call::new(head, parts, body, Matched { route, pool, bundle }, arrived))
@@ -145,10 +149,10 @@
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
     let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        // A caller that broke off or fell silent reads no answer.
-        Ok(Err(_)) | Err(_) => Err(Refusal::Malformed),
+    match reading.await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
+        // A caller that broke off reads no answer.
+        Err(_) => Err(Refusal::Malformed),
     }
 }
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use gypsumglade_core::policy::route::SharedPrefix;
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::turns::Holding;
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
-use gypsumglade_core::turns::Holding;
 use gypsumglade_core::wire::turn::{Kept, PromptRun, Reserve, Settle, Text};
 use tokio::time::Instant;
 
