Deliver a stream whose settlement is late, as long as its caller waits

Callers saw streams whose engine had ended with 200 cut 1.8 s later, while stores were down, beside an election, and on a VM that had been told to stop. The settlement was given up after a fixed time, although its caller still waited and nothing else could help it: the answer was ready, and cut, the turn had to be generated again.

Putting the text and settling go on now until the caller leaves, its time is over or the route's timeout is. Both are idempotent by the turn's id, and the order stays: the text is on all its holders before the settlement is proposed. What is not durable by then is cut as before, and its tokens are settled in the background.

The log line of a stream's end now tells how long the text and the settlement took, and how it ended; turn_wait_seconds counts both.

--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -16,7 +16,7 @@
 use super::dialect::AnswerHead;
 use super::opening::{Attempts, Opened, open};
 use super::placing::{Flight, learnt, note_first, note_speed};
-use super::settlement::{Reservation, Used, settle_later, settle_whole};
+use super::settlement::{Ended, Reservation, Used, Waits, settle_later, settle_whole};
 use super::state::GatewayState;
 
 /// A piece of a caller's answer.
@@ -53,6 +53,17 @@
     Abandoned,
 }
 
+/// How a stream's settlement ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Settled {
+    /// Nothing of it is left to wait for.
+    Durable,
+    /// The caller's time was over before.
+    Late,
+    /// The caller left before.
+    Alone,
+}
+
 /// A stream on its way from an endpoint to a caller.
 pub(super) struct Relay {
     state: Arc<GatewayState>,
@@ -218,14 +229,25 @@
             release(&self.state, source, end);
         }
         let output = self.scanner.into_data();
+        let mut waits = Waits::default();
         let settled = match (self.reservation.take(), end) {
-            (None, _) => true,
+            (None, _) => Settled::Durable,
             (Some(reservation), End::Whole) => {
-                settle_whole(&self.state, reservation, used, &self.body, output).await
+                let ended = Ended { sent: &self.body, output: &output };
+                let settling =
+                    settle_whole(&self.state, &self.call, &reservation, &used, ended, &mut waits);
+                let settled = tokio::select! {
+                    durable = settling => if durable { Settled::Durable } else { Settled::Late },
+                    () = caller.closed() => Settled::Alone,
+                };
+                if settled != Settled::Durable {
+                    settle_later(&self.state, &reservation, &used);
+                }
+                settled
             }
             (Some(reservation), End::Broken | End::Abandoned) => {
-                settle_later(&self.state.turns, reservation, used);
-                true
+                settle_later(&self.state, &reservation, &used);
+                Settled::Durable
             }
         };
         let learnt = learnt(&self.state, &self.call);
@@ -237,12 +259,14 @@
             "token_us" => micros(learnt.cost.map(|cost| cost.alone)),
             "slope_us" => micros(learnt.cost.map(|cost| cost.slope)),
             "fill_us" => micros(learnt.fill),
-            "settled" => settled, "runs" => self.attempts.runs, "endpoint" => endpoint.as_deref(),
+            "settled" => settled == Settled::Durable, "settlement" => ?settled,
+            "put_ms" => waits.put.as_millis() as u64,
+            "settle_ms" => waits.settle.as_millis() as u64, "runs" => self.attempts.runs, "endpoint" => endpoint.as_deref(),
             "reserved_ms" => self.timeline.reserved.as_millis() as u64,
             "first_ms" => self.timeline.first.as_millis() as u64,
             "last_ms" => last.as_millis() as u64,
             "ms" => self.call.arrived.elapsed().as_millis() as u64);
-        if end != End::Whole || !settled {
+        if end != End::Whole || settled != Settled::Durable {
             break_off(caller).await;
         }
     }
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -13,16 +13,16 @@
 use super::dialect::Refusal;
 use super::placing::shared_prefixes;
 use super::state::GatewayState;
-use super::turn_client::TurnClient;
 
 /// Longest wait for the leave to run a turn. Past it the caller is better off trying another VM
 /// with the time that it has left.
 const RESERVE_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Longest wait for a settlement that nobody waits for; it spans an election.
 const BACKGROUND_PATIENCE: Duration = Duration::from_secs(8);
-/// Longest wait for the settlement of a turn that is kept, before its stream is cut: an election is
-/// waited out, and callers give up a silent stream after two seconds.
-const SETTLE_PATIENCE: Duration = Duration::from_millis(1_800);
+/// Longest wait for one try at putting a text, before stores are chosen anew.
+const PUT_TRY: Duration = Duration::from_secs(1);
+/// Pause before the next try; it doubles with each, since texts are large and a link may be full.
+const PUT_PAUSE: Duration = Duration::from_millis(50);
 /// When to come back while the turn group has no leader: an election takes about a second.
 const NO_LEADER_PAUSE: Duration = Duration::from_millis(400);
 
@@ -99,7 +99,7 @@
                 None => state.texts.fetch(&chain, until).await,
             };
             let Some(history) = history else {
-                settle_later(client, reservation, Used::default());
+                settle_later(state, &reservation, &Used::default());
                 return Err(Refusal::Unavailable { after: NO_LEADER_PAUSE });
             };
             Ok(Leave {
@@ -114,12 +114,23 @@
         _ => {
             // The leave may have been given all the same; without this its tokens would count as
             // used for good.
-            settle_later(client, reservation, Used::default());
+            settle_later(state, &reservation, &Used::default());
             Err(Refusal::Unavailable { after: NO_LEADER_PAUSE })
         }
     }
 }
 
+fn outcome(reply: Option<&ReplyBody>) -> &'static str {
+    match reply {
+        Some(_) => "answered",
+        None => "silent",
+    }
+}
+
+fn note_wait(state: &GatewayState, began: Instant, step: &'static str, outcome: &'static str) {
+    state.metrics.turn_wait(began.elapsed().as_secs_f64(), step, outcome);
+}
+
 /// What a turn used.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Used {
@@ -129,51 +140,95 @@
     pub(super) endpoint: Option<EndpointName>,
 }
 
-/// Settles a turn that ended whole, and returns whether it is durable. A turn that may be continued
-/// must be: its caller would go on from it at another VM.
+/// What a stream waited for after its engine had ended it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Waits {
+    /// Its text was put on disks.
+    pub(super) put: Duration,
+    /// The group took its settlement.
+    pub(super) settle: Duration,
+}
+
+/// Settles a turn that ended whole, and returns once it is durable, or when the caller's time is over.
+/// A turn that may be continued must be: its caller would go on from it at another VM.
+///
+/// The answer is ready, so nothing is worth more to its caller than the rest of its time.
 pub(super) async fn settle_whole(
     state: &GatewayState,
-    reservation: Reservation,
-    used: Used,
-    sent: &Bytes,
-    output: Bytes,
+    call: &Call,
+    reservation: &Reservation,
+    used: &Used,
+    ended: Ended<'_>,
+    waits: &mut Waits,
 ) -> bool {
-    let client = &state.turns;
     let Some(keeping) = &reservation.keeps else {
-        settle_later(client, reservation, used);
+        settle_later(state, reservation, used);
         return true;
     };
-    let history = joined(sent, &output);
-    let until = Instant::now() + SETTLE_PATIENCE;
+    let Ended { sent, output } = ended;
+    let began = Instant::now();
     let bytes = keeping.input.len() + output.len();
-    let text = Text { turn: reservation.turn.to_string(), input: keeping.input.clone(), output };
+    let turn = reservation.turn.to_string();
+    let text = Text { turn, input: keeping.input.clone(), output: output.clone() };
     let retention = Duration::from_millis(keeping.retention);
-    let put = state.texts.put(&reservation.program, text, retention, until).await;
-    let Some(holders) = put else {
-        settle_later(client, reservation, used);
-        return false;
-    };
+    let put = put_text(state, call, &reservation.program, text, retention).await;
+    waits.put = began.elapsed();
+    note_wait(state, began, "put", if put.is_some() { "answered" } else { "silent" });
+    let Some(holders) = put else { return false };
     let kept = Kept {
         previous: keeping.previous.to_string(),
         retention_ms: keeping.retention,
         holders: holders.into_iter().map(|vm| vm.0).collect(),
         bytes: bytes as u64,
     };
-    let settle = settle(&reservation, &used, Some(kept));
-    let left = until.saturating_duration_since(Instant::now());
-    let answer = client.ask(CommandBody::Settle(settle), left).await;
+    let settle = settle(reservation, used, Some(kept));
+    let began = Instant::now();
+    let answer = state.turns.ask(CommandBody::Settle(settle), call.left()).await;
+    waits.settle = began.elapsed();
+    note_wait(state, began, "settle", outcome(answer.as_ref()));
     let settled = matches!(answer, Some(ReplyBody::Settled(_)));
     if settled {
+        let history = joined(sent, output);
         state.histories.put(reservation.turn.clone(), &keeping.previous, history);
     }
     settled
 }
 
+/// What a turn was sent with and what it gave.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ended<'a> {
+    /// Everything before it, and its own input.
+    pub(super) sent: &'a Bytes,
+    /// Its output.
+    pub(super) output: &'a Bytes,
+}
+
+/// Puts a turn's text on stores, and on others while those can't take it, as long as its caller waits.
+async fn put_text(
+    state: &GatewayState,
+    call: &Call,
+    program: &str,
+    text: Text,
+    retention: Duration,
+) -> Option<Vec<VmId>> {
+    let mut pause = PUT_PAUSE;
+    while !call.left().is_zero() {
+        let until = call.until.min(Instant::now() + PUT_TRY);
+        let put = state.texts.put(program, text.clone(), retention, until).await;
+        if put.is_some() {
+            return put;
+        }
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0)).min(call.left())).await;
+        pause *= 2;
+    }
+    None
+}
+
 /// Settles a turn that is not kept, without a wait.
-pub(super) fn settle_later(client: &TurnClient, reservation: Reservation, used: Used) {
-    let client = client.clone();
+pub(super) fn settle_later(state: &GatewayState, reservation: &Reservation, used: &Used) {
+    let client = state.turns.clone();
+    let settle = settle(reservation, used, None);
     tokio::spawn(async move {
-        let settle = settle(&reservation, &used, None);
         // If no leader takes it, the tokens stay set aside: the program's budget is never exceeded.
         client.ask(CommandBody::Settle(settle), BACKGROUND_PATIENCE).await;
     });
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -48,13 +48,13 @@
         }
         Ok(Started::Whole(answer)) => {
             if let Some(reservation) = reservation {
-                settle_later(&state.turns, reservation, Used::default());
+                settle_later(state, &reservation, &Used::default());
             }
             Ok(answer)
         }
         Err(refusal) => {
             if let Some(reservation) = reservation {
-                settle_later(&state.turns, reservation, Used::default());
+                settle_later(state, &reservation, &Used::default());
             }
             Err(refusal)
         }
--- a/crates/gypsumglade/src/metrics.rs
+++ b/crates/gypsumglade/src/metrics.rs
@@ -23,6 +23,7 @@
     program_seconds: Histogram<f64>,
     call_seconds: Histogram<f64>,
     first_token: Histogram<f64>,
+    turn_wait: Histogram<f64>,
     cache_tokens: Counter<u64>,
     output_tokens: Counter<u64>,
     outcomes: Counter<u64>,
@@ -67,6 +68,7 @@
             program_seconds: seconds("program_latency", &PROGRAM_SECONDS),
             call_seconds: seconds("call_latency", &CALL_SECONDS),
             first_token: seconds("first_token_latency", &CALL_SECONDS),
+            turn_wait: seconds("turn_wait", &CALL_SECONDS),
             cache_tokens: count("prefix_cache_tokens"),
             output_tokens: count("output_tokens"),
             outcomes: count("call_outcomes"),
@@ -107,6 +109,11 @@
         self.first_token.record(seconds, &[label("model", model)]);
     }
 
+    /// Records how long a turn waited for a step of the turn group, and how that ended.
+    pub fn turn_wait(&self, seconds: f64, step: &'static str, outcome: &'static str) {
+        self.turn_wait.record(seconds, &[label("step", step), label("outcome", outcome)]);
+    }
+
     /// Counts prefix tokens by what became of them.
     pub fn cache(&self, tokens: u64, usage: CacheUse) {
         let name = match usage {
