Settle a turn whose caller leaves before its first event

A caller that left before the first event had its turn's tokens set aside for good: the task was dropped with the reservation, and nobody settled it. The program was told 402 by its next turn, though its budget held many more.

A reservation is now held by a guard until its stream starts, and dropped, it is settled to nothing. It also covers a caller that leaves while the group is asked.

--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -1,5 +1,7 @@
 //! Sets a turn's tokens aside before it runs, and settles them after.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use gypsumglade_core::policy::route::SharedPrefix;
 use gypsumglade_core::prelude::*;
@@ -45,7 +47,6 @@
 }
 
 /// Leave to run a turn.
-#[derive(Clone, Debug)]
 pub(super) struct Leave {
     /// What to send: everything that precedes, then the turn's own input.
     pub(super) body: Bytes,
@@ -54,16 +55,16 @@
     /// Where the prompt's start was read last.
     pub(super) ran: Option<PromptRun>,
     /// What to settle later; nothing for a request without budget whose turns are not kept.
-    pub(super) reservation: Option<Reservation>,
+    pub(super) held: Option<Held>,
 }
 
 /// Asks for leave to run a turn.
-pub(super) async fn reserve(state: &GatewayState, call: &Call) -> Result<Leave, Refusal> {
+pub(super) async fn reserve(state: &Arc<GatewayState>, call: &Call) -> Result<Leave, Refusal> {
     let keep = call.stream().and_then(|stream| stream.keep_ms);
     let turn = call.head.turn.clone().unwrap_or_default();
     if keep.is_none() && turn.budget.is_none() {
         let body = call.body.clone();
-        return Ok(Leave { body, under_way: true, ran: None, reservation: None });
+        return Ok(Leave { body, under_way: true, ran: None, held: None });
     }
     let keeps = keep.map(|retention| Keeping {
         previous: turn.previous.clone(),
@@ -91,6 +92,7 @@
     };
     let patience = call.left().min(RESERVE_PATIENCE);
     let until = Instant::now() + patience;
+    let held = Held { state: Arc::clone(state), reservation: Some(reservation) };
     match client.ask(CommandBody::Reserve(ask), patience).await {
         Some(ReplyBody::Reserved(reserved)) => {
             let chain: Vec<_> = reserved.chain.iter().map(Holding::from_wire).collect();
@@ -99,23 +101,45 @@
                 None => state.texts.fetch(&chain, until).await,
             };
             let Some(history) = history else {
-                settle_later(state, &reservation, &Used::default());
                 return Err(Refusal::Unavailable { after: NO_LEADER_PAUSE });
             };
             Ok(Leave {
                 body: joined(&history, &call.body),
                 under_way: reserved.under_way,
                 ran: reserved.ran,
-                reservation: Some(reservation),
+                held: Some(held),
             })
         }
-        Some(ReplyBody::Spent(_)) => Err(Refusal::BudgetSpent),
-        Some(ReplyBody::Unknown(_)) => Err(Refusal::UnknownTurn),
-        _ => {
-            // The leave may have been given all the same; without this its tokens would count as
-            // used for good.
-            settle_later(state, &reservation, &Used::default());
-            Err(Refusal::Unavailable { after: NO_LEADER_PAUSE })
+        Some(ReplyBody::Spent(_)) => {
+            held.take();
+            Err(Refusal::BudgetSpent)
+        }
+        Some(ReplyBody::Unknown(_)) => {
+            held.take();
+            Err(Refusal::UnknownTurn)
+        }
+        _ => Err(Refusal::Unavailable { after: NO_LEADER_PAUSE }),
+    }
+}
+
+/// A reservation that was made, or may have been. Dropped before its turn runs to a caller, it is settled
+/// to nothing: its tokens would count as used for good.
+pub(super) struct Held {
+    state: Arc<GatewayState>,
+    reservation: Option<Reservation>,
+}
+
+impl Held {
+    /// Returns the reservation, to be settled by whoever takes it.
+    pub(super) fn take(mut self) -> Option<Reservation> {
+        self.reservation.take()
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            settle_later(&self.state, &reservation, &Used::default());
         }
     }
 }
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -17,7 +17,7 @@
 use super::placing::{note_run, pool_load};
 use super::plain::read_whole;
 use super::relay::{Relay, RelayFrame, Source, Timeline};
-use super::settlement::{Leave, Used, reserve, settle_later};
+use super::settlement::{Held, Leave, reserve};
 use super::state::GatewayState;
 
 /// Frames that may wait for a caller that reads slowly before its endpoint is slowed down.
@@ -28,7 +28,7 @@
 /// The head goes out with the first event, not before: until then the request can still be sent
 /// elsewhere, or be refused with a word on whether it ran.
 pub(super) async fn answer(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Answer, Refusal> {
-    let Leave { body, under_way, ran, reservation } = reserve(state, &call).await?;
+    let Leave { body, under_way, ran, held } = reserve(state, &call).await?;
     let mechanisms = state.settings.policy.mechanisms();
     if let Some(run) = ran.as_ref().filter(|_| mechanisms.has(Mechanism::LastRun)) {
         note_run(state, run);
@@ -38,26 +38,15 @@
         Ok(()) => start(state, &call, &body).await,
         Err(refusal) => Err(refusal),
     };
-    match started {
-        Ok(Started::Stream(mut relay, head)) => {
-            relay.reservation = reservation;
+    match started? {
+        Started::Stream(mut relay, head) => {
+            relay.reservation = held.and_then(Held::take);
             relay.timeline = Timeline { reserved, first: call.arrived.elapsed() };
             let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
             state.tasks.spawn(relay.run(sender));
             Ok(streamed(*head, receiver))
         }
-        Ok(Started::Whole(answer)) => {
-            if let Some(reservation) = reservation {
-                settle_later(state, &reservation, &Used::default());
-            }
-            Ok(answer)
-        }
-        Err(refusal) => {
-            if let Some(reservation) = reservation {
-                settle_later(state, &reservation, &Used::default());
-            }
-            Err(refusal)
-        }
+        Started::Whole(answer) => Ok(answer),
     }
 }
 
