Refuse turns as soon as their group is known to be lost

While the turn group could not commit, callers were held for 1.5 s each, half of their time, or to its end, were refused, and came back to be held again. Each of them went from store to store by itself, every 25 ms, or every 500 ms where a store was silent.

What one ask learns holds for all of them, so a process now keeps it once (core policy::group_health): since when asks find no answer. Within the time that an election takes, a caller is held for the rest of it, and a quarter of its own time at most; a refusal costs it one of two or three attempts, so waiting out an election is worth more to it, and waiting beyond a quarter is not: it must still be served elsewhere. After that the group counts as lost, and callers are refused at once with 503 and a pause of up to a third of their time, which is as much as they honour, spread so that they don't come back together. One at a time is let through to see whether the group commits, at once if a leader was found, and the first answer, a background settlement's too, ends all refusing. Who waits is bounded by count and bytes.

Who leads is looked for once for all asks of a process (gateway/leader_search): by a read that costs the log nothing, from the store that led, then those that are named, then all others in random order, 30 ms apart and 100 ms later on. An ask whose leader is slow starts it after 150 ms and goes on waiting; it moves once another store says that it leads. So a silent leader costs no more 500 ms per ask.

The loss of the group and its return are logged, waits are counted by step and outcome, refusals by reason.

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -6,6 +6,7 @@
 //! - [`route`]: the endpoint a call goes to (docs/design/routing.md).
 //! - [`admission`]: whether and when a call is let in (docs/design/admission.md).
 //! - [`batch`]: how fast engines read and generate, by what they run; [`mod@line`] learns it.
+//! - [`group_health`]: whether a replicated group answers, and who is refused meanwhile.
 //! - [`mechanism`]: the list of what can be switched off.
 //! - [`patience`]: how long an answer is waited for before another endpoint is asked.
 //! - [`priority`]: the order among programs that wait.
@@ -15,6 +16,7 @@
 
 pub mod admission;
 pub mod batch;
+pub mod group_health;
 pub mod line;
 pub mod mechanism;
 pub mod outlier;
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod history_cache;
 mod intake;
+mod leader_search;
 mod lines;
 mod opening;
 mod placing;
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -163,7 +163,7 @@
         settings.vm.region.clone(),
         settings.gateway.as_ref().map_or(0, |own| own.tolerate as usize) + 1,
     );
-    let turns = TurnClient::new(Arc::clone(&directory), peers.clone());
+    let turns = TurnClient::new(Arc::clone(&directory), peers.clone(), clock, log.clone());
     let tasks = TaskTracker::new();
     let state = GatewayState {
         vm,
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gypsumglade_core::policy::group_health::Need;
 use gypsumglade_core::policy::route::SharedPrefix;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::turns::Holding;
@@ -16,15 +17,15 @@
 use super::placing::shared_prefixes;
 use super::state::GatewayState;
 
-/// Longest wait for the leave to run a turn. Past it the caller is better off trying another VM
-/// with the time that it has left.
-const RESERVE_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Longest wait for the histories of turns before a caller is better off at another VM, as a part of its
+/// time.
+const FETCH_PART: u32 = 4;
 /// Longest wait for one try at putting a text, before stores are chosen anew.
 const PUT_TRY: Duration = Duration::from_secs(1);
 /// Pause before the next try; it doubles with each, since texts are large and a link may be full.
 const PUT_PAUSE: Duration = Duration::from_millis(50);
-/// When to come back while the turn group has no leader: an election takes about a second.
-const NO_LEADER_PAUSE: Duration = Duration::from_millis(400);
+/// When to come back while histories can't be had: a store's copy is fetched from others.
+const NO_TEXT_PAUSE: Duration = Duration::from_millis(400);
 
 /// A turn whose tokens are set aside.
 #[derive(Clone, Debug)]
@@ -88,18 +89,30 @@
         held: known.is_some(),
         prompts: starts.iter().map(|start| start.hash).collect(),
     };
-    let patience = call.left().min(RESERVE_PATIENCE);
-    let until = Instant::now() + patience;
+    let need = Need { left: call.left(), bytes: call.body.len(), spread: rand::random() };
+    let ticket = client.admit(need).map_err(|refused| {
+        state.metrics.shed(refused.reason);
+        Refusal::Unavailable { after: refused.after }
+    })?;
     let held = Held { state: Arc::clone(state), reservation: Some(reservation) };
-    match client.ask(CommandBody::Reserve(ask), patience).await {
+    let asked = Instant::now();
+    let reply = client.ask_with(ticket, CommandBody::Reserve(ask)).await;
+    note_wait(state, asked, "reserve", outcome(reply.as_ref()));
+    match reply {
         Some(ReplyBody::Reserved(reserved)) => {
             let chain: Vec<_> = reserved.chain.iter().map(Holding::from_wire).collect();
+            let fetched = Instant::now();
             let history = match known {
                 Some(history) => Some(history),
-                None => state.texts.fetch(&chain, until).await,
+                None => state.texts.fetch(&chain, fetched + call.left() / FETCH_PART).await,
             };
+            if !chain.is_empty() {
+                let outcome = if history.is_some() { "answered" } else { "silent" };
+                note_wait(state, fetched, "fetch", outcome);
+            }
             let Some(history) = history else {
-                return Err(Refusal::Unavailable { after: NO_LEADER_PAUSE });
+                state.metrics.shed("texts_missing");
+                return Err(Refusal::Unavailable { after: NO_TEXT_PAUSE });
             };
             Ok(Leave {
                 body: joined(&history, &call.body),
@@ -116,7 +129,11 @@
             held.take();
             Err(Refusal::UnknownTurn)
         }
-        _ => Err(Refusal::Unavailable { after: NO_LEADER_PAUSE }),
+        _ => {
+            state.metrics.shed("group_silent");
+            let left = call.left();
+            Err(Refusal::Unavailable { after: client.pause(Need { left, ..need }) })
+        }
     }
 }
 
--- a/crates/gypsumglade/src/gateway/turn_client.rs
+++ b/crates/gypsumglade/src/gateway/turn_client.rs
@@ -1,47 +1,231 @@
 //! Asks the turn group on behalf of this process.
 
-use std::sync::Arc;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
 
+use gypsumglade_core::policy::group_health::{Admission, Ask, Change, End, GroupHealth, Need};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
 use gypsumglade_core::wire::turn::{Command, Reply};
+use tokio::sync::watch;
+use tokio::time::Instant;
 
+use super::leader_search::LeaderSearch;
+use crate::clock::Clock;
 use crate::directory::Directory;
-use crate::leader_client::{LeaderClient, Patience, Verdict};
 use crate::rpc::{Method, PeerClients};
 
 /// Longest wait for one store: a commit takes two round trips between regions and two syncs, some
 /// 50 ms; a store that is silent for ten times that is passed over.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Pause before another store is asked.
+/// Wait for the leader's answer before other stores are asked whether they lead.
+const SLOW_ANSWER: Duration = Duration::from_millis(150);
+/// Pause before a leader is asked again that gave no answer.
 const PAUSE: Duration = Duration::from_millis(25);
+/// The longest it grows to.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// A client of the turn group; clones share what they learn.
 #[derive(Clone)]
 pub(super) struct TurnClient {
-    leader: LeaderClient,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    directory: Arc<Directory>,
+    peers: PeerClients,
+    clock: Clock,
+    log: slog::Logger,
+    health: Mutex<GroupHealth>,
+    search: LeaderSearch,
+}
+
+/// Leave to ask the group, for a caller that may be refused.
+pub(super) struct Ticket {
+    asking: Asking,
+    /// Longest wait for the answer.
+    pub(super) patience: Duration,
+}
+
+/// What one try at the leader gave.
+enum Try {
+    Answered(ReplyBody),
+    /// It may have been handled all the same.
+    Failed,
+    /// Another store leads.
+    Moved,
 }
 
 impl TurnClient {
     /// Creates a client that knows no leader yet.
-    pub(super) fn new(directory: Arc<Directory>, peers: PeerClients) -> TurnClient {
-        TurnClient { leader: LeaderClient::new(directory, peers, Method::Turn) }
+    pub(super) fn new(
+        directory: Arc<Directory>,
+        peers: PeerClients,
+        clock: Clock,
+        log: slog::Logger,
+    ) -> TurnClient {
+        let search = LeaderSearch::new(Arc::clone(&directory), peers.clone());
+        let health = Mutex::default();
+        TurnClient { shared: Arc::new(Shared { directory, peers, clock, log, health, search }) }
+    }
+
+    /// Decides whether a caller may ask now.
+    pub(super) fn admit(&self, need: Need) -> Result<Ticket, Refused> {
+        let now = self.shared.clock.now();
+        match self.shared.health().admit(now, need) {
+            Admission::Ask { ask, patience } => {
+                let asking = Asking { shared: Arc::clone(&self.shared), ask: Some(ask) };
+                Ok(Ticket { asking, patience })
+            }
+            Admission::Refuse { after, reason } => Err(Refused { after, reason: reason.name() }),
+        }
+    }
+
+    /// Asks with a caller's leave, until its patience is over.
+    pub(super) async fn ask_with(&self, ticket: Ticket, body: CommandBody) -> Option<ReplyBody> {
+        let Ticket { asking, patience } = ticket;
+        self.shared.ask(asking, body, patience).await
     }
 
     /// Asks until the group answers or `whole` is over. Commands are idempotent by their turn's id,
     /// so asking again is safe.
     pub(super) async fn ask(&self, body: CommandBody, whole: Duration) -> Option<ReplyBody> {
+        let ask = self.shared.health().begin(self.shared.clock.now(), 0);
+        let asking = Asking { shared: Arc::clone(&self.shared), ask: Some(ask) };
+        self.shared.ask(asking, body, whole).await
+    }
+
+    /// Returns when a caller that found no answer should come back.
+    pub(super) fn pause(&self, need: Need) -> Duration {
+        self.shared.health().pause(self.shared.clock.now(), need)
+    }
+}
+
+/// A caller that is not to ask the group now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Refused {
+    /// When to come back.
+    pub(super) after: Duration,
+    /// Name of the reason, for metrics.
+    pub(super) reason: &'static str,
+}
+
+impl Shared {
+    async fn ask(
+        self: &Arc<Self>,
+        asking: Asking,
+        body: CommandBody,
+        whole: Duration,
+    ) -> Option<ReplyBody> {
         let command = Command { body: Some(body) };
-        let patience = Patience { call: CALL_TIMEOUT, whole, pause: PAUSE };
-        self.leader.ask(&command, patience, verdict).await?.body
+        let until = Instant::now() + whole;
+        let answer = tokio::time::timeout_at(until, self.ask_leaders(&command)).await.ok();
+        asking.end(if answer.is_some() { End::Answered } else { End::Silent });
+        answer
+    }
+
+    /// Asks whoever leads, time after time.
+    ///
+    /// Who that is, is looked for once for all asks of this process. Each ask on its own would go from
+    /// store to store for as long as an election lasts, and the stores would answer nothing else.
+    async fn ask_leaders(self: &Arc<Self>, command: &Command) -> ReplyBody {
+        let mut leaders = self.search.subscribe();
+        let mut pause = PAUSE;
+        loop {
+            let known = *leaders.borrow_and_update();
+            let target = known.and_then(|vm| Some((vm, self.directory.store(vm)?)));
+            let Some((vm, address)) = target else {
+                self.look_for_leader();
+                // The sender lives as long as this client.
+                let _ = leaders.changed().await;
+                continue;
+            };
+            match self.try_one(command, vm, address, &mut leaders).await {
+                Try::Answered(body) => return body,
+                Try::Moved => {}
+                Try::Failed => {
+                    tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+
+    async fn try_one(
+        self: &Arc<Self>,
+        command: &Command,
+        vm: VmId,
+        address: SocketAddr,
+        leaders: &mut watch::Receiver<Option<VmId>>,
+    ) -> Try {
+        let asking = self.peers.ask::<_, Reply>(address, Method::Turn, command, CALL_TIMEOUT);
+        tokio::pin!(asking);
+        let slow = tokio::time::sleep(SLOW_ANSWER);
+        tokio::pin!(slow);
+        let mut looked = false;
+        let reply = loop {
+            tokio::select! {
+                reply = &mut asking => break reply,
+                () = &mut slow, if !looked => {
+                    looked = true;
+                    self.look_for_leader();
+                }
+                moved = leaders.wait_for(|leader| leader.is_some_and(|leader| leader != vm)) => {
+                    // The command may be handled by both, which its turn's id makes safe.
+                    drop(moved);
+                    return Try::Moved;
+                }
+            }
+        };
+        match reply.map(|reply| reply.body) {
+            Ok(Some(ReplyBody::NotLeader(hint))) => self.search.lost(vm, Some(VmId(hint.leader))),
+            Ok(Some(ReplyBody::Uncertain(_)) | None) | Err(_) => self.search.lost(vm, None),
+            Ok(Some(body)) => return Try::Answered(body),
+        }
+        Try::Failed
+    }
+
+    fn look_for_leader(self: &Arc<Self>) {
+        let shared = Arc::clone(self);
+        self.search.start(move || shared.health().found());
+    }
+
+    fn health(&self) -> MutexGuard<'_, GroupHealth> {
+        self.health.lock().expect("no panic while held")
+    }
+}
+
+/// An ask that the health counts until its end, or until whoever asks has left.
+struct Asking {
+    shared: Arc<Shared>,
+    ask: Option<Ask>,
+}
+
+impl Asking {
+    fn end(mut self, end: End) {
+        self.settle(end);
+    }
+
+    fn settle(&mut self, end: End) {
+        let Some(ask) = self.ask.take() else { return };
+        let change = self.shared.health().end(self.shared.clock.now(), ask, end);
+        match change {
+            None => {}
+            Some(Change::Lost(silence)) => {
+                slog::warn!(self.shared.log, "turn group lost";
+                    "silent_ms" => silence.as_millis() as u64);
+            }
+            Some(Change::Regained(silence)) => {
+                slog::info!(self.shared.log, "turn group regained";
+                    "silent_ms" => silence.as_millis() as u64);
+            }
+        }
     }
 }
 
-fn verdict(reply: &Reply) -> Verdict {
-    match &reply.body {
-        Some(ReplyBody::NotLeader(hint)) => Verdict::Redirects(VmId(hint.leader)),
-        Some(ReplyBody::Uncertain(_)) | None => Verdict::Uncertain,
-        Some(_) => Verdict::Leads,
+impl Drop for Asking {
+    fn drop(&mut self) {
+        self.settle(End::Dropped);
     }
 }
