--- a/crates/gypsumglade/src/replica/effects.rs
+++ b/crates/gypsumglade/src/replica/effects.rs
@@ -99,7 +99,7 @@
         };
         chunk.data = data;
         chunk.last = last;
-        self.outbox.push(to, message);
+        self.outbox.push_bulk(to, message);
     }
 
     fn commit(&mut self, id: GroupId, index: LogIndex) {
@@ -108,7 +108,7 @@
         };
         group.settle_waiters(index);
         self.events.commit(id, index);
-        if group.wants_snapshot(self.settings.snapshot_entries, self.settings.snapshot_bytes) {
+        if group.wants_snapshot(&self.settings) {
             self.events.need_snapshot(id);
         }
     }
--- a/crates/gypsumglade/src/replica/event.rs
+++ b/crates/gypsumglade/src/replica/event.rs
@@ -11,6 +11,8 @@
     pub to: VmId,
     /// For [`crate::replica::Host::receive`] there.
     pub batch: Bytes,
+    /// Whether it is a piece of a snapshot: all else should overtake it.
+    pub bulk: bool,
 }
 
 /// Something that the owner of a group's state machine must know. Events of one group arrive in
@@ -126,6 +128,8 @@
     pub sending: usize,
     /// Bytes of snapshots of which pieces have arrived.
     pub arriving: usize,
+    /// Bytes of batches and proposals that the replicas haven't taken.
+    pub inbox: usize,
     /// Events that the owner hasn't taken.
     pub events: usize,
     /// Commands that the replicas haven't taken.
--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -63,7 +63,12 @@
     module.register_async_method(Method::PutTexts.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
         let put: turn::TextPut = decode(&text).map_err(|error| invalid_payload(&error))?;
-        Ok::<_, ErrorObjectOwned>(encode(&state.texts.put(put).await))
+        // An entry VM that hasn't heard yet that this store is to be emptied chooses another one.
+        let stored = match is_retiring(&state) {
+            true => turn::TextStored { stored: false },
+            false => state.texts.put(put).await,
+        };
+        Ok::<_, ErrorObjectOwned>(encode(&stored))
     })?;
     module.register_async_method(Method::Texts.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
@@ -89,6 +94,13 @@
     Ok(module)
 }
 
+/// Tells whether this store is to be emptied, as far as it knows.
+fn is_retiring(state: &StoreState) -> bool {
+    let vm = state.context.vm;
+    let told = state.discovery.as_ref().is_some_and(|known| known.retiring().contains(&vm));
+    told || state.control.is_retiring(vm)
+}
+
 /// Returns the group that a request was sent to, if its program lives there.
 ///
 /// VMs whose settings name another count of groups send one program to two groups. Its caller
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -40,12 +40,14 @@
 
 /// Most entry bytes in one message to a follower.
 ///
-/// Eight such messages on their way delay the heartbeats behind them on a narrow link by less than an
-/// election's patience; what the core allows by itself would depose a leader whose follower has to
-/// catch up.
+/// Two of them to a follower that has to catch up are under way at a time, see [`IN_FLIGHT_BYTES`].
+/// What the core allows by itself would depose the leader, for heartbeats come behind it.
 const BATCH_BYTES: usize = 64 * 1024;
 /// Most entry messages on their way to one follower; see [`BATCH_BYTES`].
 const IN_FLIGHT: usize = 8;
+/// Bytes of entries on their way to one follower: a round trip between regions with a sync, at what
+/// that way carries. More only stands before the entries that commits wait for.
+const IN_FLIGHT_BYTES: usize = 128 * 1024;
 /// Bytes of one piece of a snapshot. One is under way at a time, so smaller ones would leave a link
 /// between regions idle for half of the time.
 const CHUNK_BYTES: usize = 256 * 1024;
@@ -54,6 +56,9 @@
 /// A learner in another region always lacks what is on its way there: half a second of a busy turn
 /// group's entries. Allowed less, one that had all the rest would wait for a quiet moment to vote.
 const PROMOTE_LAG: u64 = 200;
+/// Bytes of proposals that wait for a commit before more are refused: seconds of a busy turn group's
+/// entries, for which nobody would wait any more.
+const BACKLOG_BYTES: usize = 4 * 1024 * 1024;
 /// Folder of kept turns' texts, below the data folder.
 const TEXTS: &str = "texts";
 /// Events that may wait for the control group.
@@ -221,6 +226,7 @@
 fn spawn_loops(state: &Arc<StoreState>, own: &StoreSettings, halt: &CancellationToken) {
     tokio::spawn(follower_watch::watch(Arc::clone(&state.context), halt.clone()));
     let context = Arc::clone(&state.context);
+    tokio::spawn(Arc::clone(&state.texts).drop_unkept(halt.clone()));
     let Some(discovery) = &state.discovery else {
         tokio::spawn(member_watch::watch(context, halt.clone()));
         return;
@@ -233,7 +239,6 @@
     let tolerated = own.tolerate as usize;
     let copies = TextCopies::new(others, Arc::clone(&control), turns, known, tolerated + 1);
     tokio::spawn(Arc::clone(&copies).run(halt.clone()));
-    tokio::spawn(Arc::clone(&state.texts).drop_unkept(halt.clone()));
     let repair = Repair { context, control, copies, discovery: Arc::clone(discovery), wanted };
     tokio::spawn(repair.run(halt.clone()));
     let lease = Duration::from_millis(own.endpoint_lease_ms);
@@ -249,8 +254,10 @@
             lease: Duration::from_millis(own.election_ms),
             batch_bytes: BATCH_BYTES,
             in_flight: IN_FLIGHT,
+            in_flight_bytes: IN_FLIGHT_BYTES,
             chunk_bytes: CHUNK_BYTES,
             promote_lag: PROMOTE_LAG,
+            backlog_bytes: BACKLOG_BYTES,
             ..replication::Settings::default()
         },
         ..HostSettings::default()
