Keep no turn with fewer copies than losses to be borne, and hedge puts within a budget

A late put was sent to as many further stores as were missing, every 0.2 s, which multiplies traffic just while links or stores are slow. Now a put needs all its copies, and late puts are hedged one at a time from a tenth of all puts.

--- a/crates/gypsumglade/src/gateway/text_client.rs
+++ b/crates/gypsumglade/src/gateway/text_client.rs
@@ -17,6 +17,10 @@
 
 /// Wait for a store to put a text on its disk before another one is asked as well.
 const PUT_PATIENCE: Duration = Duration::from_millis(200);
+/// Hedges that each put earns.
+const HEDGES_EARNED: f64 = 0.1;
+/// Hedges that may be saved up.
+const MOST_HEDGES: f64 = 10.0;
 /// Longest wait for one store to put a text on its disk.
 const PUT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Wait for a store to give texts before another one is asked as well.
@@ -44,6 +48,8 @@
     copies: usize,
     /// Stores that did not answer lately.
     silent: Arc<Mutex<HashMap<VmId, Instant>>>,
+    /// Hedges that puts have earned.
+    hedges: Arc<Mutex<f64>>,
 }
 
 impl TextClient {
@@ -56,7 +62,8 @@
         copies: usize,
     ) -> TextClient {
         let silent = Arc::default();
-        TextClient { discovery, directory, peers, region, copies, silent }
+        let hedges = Arc::new(Mutex::new(MOST_HEDGES));
+        TextClient { discovery, directory, peers, region, copies, silent, hedges }
     }
 
     /// Puts a text on as many stores as must have it, and returns them; nothing if `until` passes first.
@@ -70,11 +77,14 @@
         let retention_ms = u64::try_from((retention + GRACE).as_millis()).unwrap_or(u64::MAX);
         let put = Arc::new(TextPut { texts: vec![text], retention_ms });
         let order = self.preferred(program);
-        let copies = self.copies.min(order.len());
-        let mut next = order.into_iter();
+        // A turn that is acknowledged with fewer copies is lost with as many disks as must be borne.
+        let copies = self.copies;
+        self.earn_hedge();
+        let mut next = order.into_iter().peekable();
         let mut putting = JoinSet::new();
         let mut holders = Vec::with_capacity(copies);
-        for vm in next.by_ref().take(copies) {
+        let mut asked: Vec<VmId> = next.by_ref().take(copies).collect();
+        for &vm in &asked {
             self.start_put(&mut putting, vm, &put, until);
         }
         let mut hedge = Instant::now() + PUT_PATIENCE;
@@ -88,13 +98,16 @@
                     Ok((vm, true)) => holders.push(vm),
                     Ok((_, false)) | Err(_) => {
                         if let Some(vm) = next.next() {
+                            asked.push(vm);
                             self.start_put(&mut putting, vm, &put, until);
                         }
                     }
                 },
                 () = tokio::time::sleep_until(hedge.min(until)) => {
-                    let late = copies - holders.len();
-                    for vm in next.by_ref().take(late) {
+                    // They are chosen last from now on, until they answer.
+                    asked.iter().filter(|vm| !holders.contains(vm)).for_each(|vm| self.note(*vm, false));
+                    if let Some(vm) = next.next_if(|_| self.take_hedge()) {
+                        asked.push(vm);
                         self.start_put(&mut putting, vm, &put, until);
                     }
                     hedge = Instant::now() + PUT_PATIENCE;
@@ -222,6 +235,22 @@
         stores.into_iter().map(|store| store.vm).collect()
     }
 
+    fn earn_hedge(&self) {
+        let mut hedges = self.hedges.lock().expect("no panic while held");
+        *hedges = (*hedges + HEDGES_EARNED).min(MOST_HEDGES);
+    }
+
+    /// Tells whether a late put may be hedged. While every store is slow, hedges would only add to what
+    /// slows them.
+    fn take_hedge(&self) -> bool {
+        let mut hedges = self.hedges.lock().expect("no panic while held");
+        let held = *hedges >= 1.0;
+        if held {
+            *hedges -= 1.0;
+        }
+        held
+    }
+
     fn is_silent(&self, vm: VmId) -> bool {
         let silent = self.silent.lock().expect("no panic while held");
         silent.get(&vm).is_some_and(|at| at.elapsed() < AVOIDED)
