Keep texts of kept turns on the disks of a few stores, out of the replicated log

Callers on the grown Fényrekesz site lost conversations and got cut streams or refusals at the end of their time, once the turn group's five voters had died for memory one after another, again and again.

The log carried each text to every follower, across the link between regions too. Time alone bounded both.

Now a text is on tolerate + 1 disks of the caller's region and in no memory; the log names its holders.

--- a/crates/gypsumglade/examples/replication_bench.rs
+++ b/crates/gypsumglade/examples/replication_bench.rs
@@ -157,7 +157,7 @@
 }
 
 async fn carry(from: VmId, mut queue: mpsc::Receiver<Outbound>, links: Arc<Links>) {
-    while let Some(Outbound { to, batch }) = queue.recv().await {
+    while let Some(Outbound { to, batch, .. }) = queue.recv().await {
         links.bytes.fetch_add(batch.len() as u64, Ordering::Relaxed);
         links.batches.fetch_add(1, Ordering::Relaxed);
         if let Some(host) = links.hosts.lock().expect("hosts").get(&to) {
@@ -173,6 +173,7 @@
         // An install is wanted, not the entries that are kept for followers a little behind.
         replication: Settings { keep_entries: 0, ..Settings::default() },
         snapshot_entries: u64::MAX,
+        snapshot_least: u64::MAX,
         snapshot_bytes: u64::MAX,
         ..HostSettings::default()
     }
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -4,11 +4,13 @@
 //! durable depends on what is learnt: a wrong or old entry costs a failed connection. See
 //! docs/design/provider.md.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::repair::Candidate;
 use gypsumglade_core::roster::{Roster, digest};
 use gypsumglade_core::wire::discovery::{Hello, Led, Node, Nodes, Role};
 use rand::seq::IteratorRandom as _;
@@ -30,6 +32,9 @@
 /// of a round does not grow with the number of stores.
 const ASKED: usize = 2;
 
+/// Age up to which counts what the leaders of groups told.
+const LED_AGE: Duration = Duration::from_secs(5);
+
 /// The process that introduces itself.
 #[derive(Clone, Copy, Debug)]
 pub struct Process {
@@ -58,8 +63,8 @@
     sequence: AtomicU64,
     /// Groups that this process leads.
     led: Mutex<Vec<Led>>,
-    /// Whether this store lacks the text of some kept turns.
-    lacking: AtomicBool,
+    /// Stores that are to be emptied, as this process was told last.
+    retiring: Mutex<Vec<u32>>,
     directory: Arc<Directory>,
     peers: PeerClients,
     clock: Clock,
@@ -85,14 +90,11 @@
             age_ms: 0,
             sequence: 0,
             led: Vec::new(),
-            lacking: false,
         };
         let seeds = RwLock::new(discovery.peers(process.address.port()));
         let (roster, told) = (Mutex::default(), Mutex::default());
         let sequence = AtomicU64::new(0);
         let led = Mutex::default();
-        // A store lacks what its group has until it has found that it doesn't.
-        let lacking = AtomicBool::new(process.role == Role::Store);
         let found = Discovery {
             me: node,
             seeds,
@@ -100,7 +102,7 @@
             told,
             sequence,
             led,
-            lacking,
+            retiring: Mutex::default(),
             directory,
             peers,
             clock,
@@ -130,9 +132,30 @@
         *self.led.lock().expect("no panic while held") = led;
     }
 
-    /// Takes whether this store lacks the text of some turns, to tell others.
-    pub fn set_lacking(&self, lacking: bool) {
-        self.lacking.store(lacking, Ordering::Relaxed);
+    /// Returns the stores heard of within `age`.
+    pub fn stores_heard(&self, age: Duration) -> Vec<Candidate> {
+        let now = self.now();
+        let retiring = self.retiring();
+        let roster = self.roster();
+        let heard = roster.stores().filter(|(_, at)| now.since(*at) < age);
+        let heard = heard.map(|(node, _)| Candidate {
+            vm: VmId(node.vm),
+            domain: node.domain.to_compact_string(),
+            region: node.region.to_compact_string(),
+            retiring: retiring.contains(&VmId(node.vm)),
+        });
+        heard.collect()
+    }
+
+    /// Returns the stores that are to be emptied, as far as this process was told.
+    ///
+    /// Few processes are members of the control group, which knows; the others learn it from its leader's
+    /// introductions.
+    pub fn retiring(&self) -> BTreeSet<VmId> {
+        let told = self.retiring.lock().expect("no panic while held").clone();
+        let led = self.roster().led(self.now(), LED_AGE);
+        let led = led.into_iter().flat_map(|led| led.retiring);
+        told.into_iter().chain(led).map(VmId).collect()
     }
 
     /// Takes other seeds, from settings that changed.
@@ -185,14 +208,13 @@
         let hello = Hello { node: Some(self.myself()), known: told.digest };
         let asking = self.peers.ask::<Hello, Nodes>(address, Method::Hello, &hello, TIMEOUT);
         // Who does not answer is asked again in a later round.
-        match asking.await {
-            Ok(nodes) if nodes.same => self.roster().confirm(self.clock.now(), &told.stores),
-            Ok(nodes) => {
-                self.note_told(&nodes.nodes);
-                self.hear(nodes.nodes);
-            }
-            Err(_) => {}
+        let Ok(nodes) = asking.await else { return };
+        self.retiring.lock().expect("no panic while held").clone_from(&nodes.retiring);
+        if nodes.same {
+            return self.roster().confirm(self.clock.now(), &told.stores);
         }
+        self.note_told(&nodes.nodes);
+        self.hear(nodes.nodes);
     }
 
     /// Returns the stores that this process was told of last and still remembers. A store wants all of
@@ -219,8 +241,7 @@
         let wall = Clock::wall_millis();
         let before = self.sequence.fetch_max(wall, Ordering::Relaxed);
         let led = self.led.lock().expect("no panic while held").clone();
-        let lacking = self.lacking.load(Ordering::Relaxed);
-        Node { sequence: before.max(wall), led, lacking, ..self.me.clone() }
+        Node { sequence: before.max(wall), led, ..self.me.clone() }
     }
 
     fn hear(&self, nodes: Vec<Node>) {
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod history_cache;
 mod intake;
+mod leader_search;
 mod lines;
 mod opening;
 mod placing;
@@ -17,8 +18,10 @@
 mod relay;
 mod serve;
 mod settlement;
+mod settling;
 mod state;
 mod streaming;
+mod text_client;
 mod turn_client;
 
 pub use dialect::{
@@ -26,3 +29,4 @@
 };
 pub use lines::forwarded;
 pub use serve::{Gateway, GatewayAddresses};
+pub use text_client::TextClient;
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -1,28 +1,31 @@
 //! Sets a turn's tokens aside before it runs, and settles them after.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
+use gypsumglade_core::policy::group_health::Need;
 use gypsumglade_core::policy::route::SharedPrefix;
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::turns::Holding;
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
-use gypsumglade_core::wire::turn::{Kept, PromptRun, Reserve, Settle};
+use gypsumglade_core::wire::turn::{Kept, PromptRun, Reserve, Settle, Text};
+use tokio::time::Instant;
 
 use super::call::Call;
 use super::dialect::Refusal;
 use super::placing::shared_prefixes;
 use super::state::GatewayState;
-use super::turn_client::TurnClient;
-
-/// Longest wait for the leave to run a turn. Past it the caller is better off trying another VM
-/// with the time that it has left.
-const RESERVE_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Longest wait for a settlement that nobody waits for; it spans an election.
-const BACKGROUND_PATIENCE: Duration = Duration::from_secs(8);
-/// Longest wait for the settlement of a turn that is kept, before its stream is cut: an election is
-/// waited out, and callers give up a silent stream after two seconds.
-const SETTLE_PATIENCE: Duration = Duration::from_millis(1_800);
-/// When to come back while the turn group has no leader: an election takes about a second.
-const NO_LEADER_PAUSE: Duration = Duration::from_millis(400);
+
+/// Longest wait for the histories of turns before a caller is better off at another VM, as a part of its
+/// time.
+const FETCH_PART: u32 = 4;
+/// Longest wait for one try at putting a text, before stores are chosen anew.
+const PUT_TRY: Duration = Duration::from_secs(1);
+/// Pause before the next try; it doubles with each, since texts are large and a link may be full.
+const PUT_PAUSE: Duration = Duration::from_millis(50);
+/// When to come back while histories can't be had: a store's copy is fetched from others.
+const NO_TEXT_PAUSE: Duration = Duration::from_millis(400);
 
 /// A turn whose tokens are set aside.
 #[derive(Clone, Debug)]
@@ -43,7 +46,6 @@
 }
 
 /// Leave to run a turn.
-#[derive(Clone, Debug)]
 pub(super) struct Leave {
     /// What to send: everything that precedes, then the turn's own input.
     pub(super) body: Bytes,
@@ -52,16 +54,16 @@
     /// Where the prompt's start was read last.
     pub(super) ran: Option<PromptRun>,
     /// What to settle later; nothing for a request without budget whose turns are not kept.
-    pub(super) reservation: Option<Reservation>,
+    pub(super) held: Option<Held>,
 }
 
 /// Asks for leave to run a turn.
-pub(super) async fn reserve(state: &GatewayState, call: &Call) -> Result<Leave, Refusal> {
+pub(super) async fn reserve(state: &Arc<GatewayState>, call: &Call) -> Result<Leave, Refusal> {
     let keep = call.stream().and_then(|stream| stream.keep_ms);
     let turn = call.head.turn.clone().unwrap_or_default();
     if keep.is_none() && turn.budget.is_none() {
         let body = call.body.clone();
-        return Ok(Leave { body, under_way: true, ran: None, reservation: None });
+        return Ok(Leave { body, under_way: true, ran: None, held: None });
     }
     let keeps = keep.map(|retention| Keeping {
         previous: turn.previous.clone(),
@@ -87,28 +89,87 @@
         held: known.is_some(),
         prompts: starts.iter().map(|start| start.hash).collect(),
     };
-    let patience = call.left().min(RESERVE_PATIENCE);
-    match client.ask(CommandBody::Reserve(ask), patience).await {
+    let need = Need { left: call.left(), bytes: call.body.len(), spread: rand::random() };
+    let ticket = client.admit(need).map_err(|refused| {
+        state.metrics.shed(refused.reason);
+        Refusal::Unavailable { after: refused.after }
+    })?;
+    let held = Held { state: Arc::clone(state), reservation: Some(reservation) };
+    let asked = Instant::now();
+    let reply = client.ask_with(ticket, CommandBody::Reserve(ask)).await;
+    note_wait(state, asked, "reserve", outcome(reply.as_ref()));
+    match reply {
         Some(ReplyBody::Reserved(reserved)) => {
-            let history = known.unwrap_or(reserved.history);
+            let chain: Vec<_> = reserved.chain.iter().map(Holding::from_wire).collect();
+            let fetched = Instant::now();
+            let history = match known {
+                Some(history) => Some(history),
+                None => state.texts.fetch(&chain, fetched + call.left() / FETCH_PART).await,
+            };
+            if !chain.is_empty() {
+                let outcome = if history.is_some() { "answered" } else { "silent" };
+                note_wait(state, fetched, "fetch", outcome);
+            }
+            let Some(history) = history else {
+                state.metrics.shed("texts_missing");
+                return Err(Refusal::Unavailable { after: NO_TEXT_PAUSE });
+            };
             Ok(Leave {
                 body: joined(&history, &call.body),
                 under_way: reserved.under_way,
                 ran: reserved.ran,
-                reservation: Some(reservation),
+                held: Some(held),
             })
         }
-        Some(ReplyBody::Spent(_)) => Err(Refusal::BudgetSpent),
-        Some(ReplyBody::Unknown(_)) => Err(Refusal::UnknownTurn),
+        Some(ReplyBody::Spent(_)) => {
+            held.take();
+            Err(Refusal::BudgetSpent)
+        }
+        Some(ReplyBody::Unknown(_)) => {
+            held.take();
+            Err(Refusal::UnknownTurn)
+        }
         _ => {
-            // The leave may have been given all the same; without this its tokens would count as
-            // used for good.
-            settle_later(client, reservation, Used::default());
-            Err(Refusal::Unavailable { after: NO_LEADER_PAUSE })
+            state.metrics.shed("group_silent");
+            let left = call.left();
+            Err(Refusal::Unavailable { after: client.pause(Need { left, ..need }) })
         }
     }
 }
 
+/// A reservation that was made, or may have been. Dropped before its turn runs to a caller, it is settled
+/// to nothing: its tokens would count as used for good.
+pub(super) struct Held {
+    state: Arc<GatewayState>,
+    reservation: Option<Reservation>,
+}
+
+impl Held {
+    /// Returns the reservation, to be settled by whoever takes it.
+    pub(super) fn take(mut self) -> Option<Reservation> {
+        self.reservation.take()
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            settle_later(&self.state, &reservation, &Used::default());
+        }
+    }
+}
+
+fn outcome(reply: Option<&ReplyBody>) -> &'static str {
+    match reply {
+        Some(_) => "answered",
+        None => "silent",
+    }
+}
+
+fn note_wait(state: &GatewayState, began: Instant, step: &'static str, outcome: &'static str) {
+    state.metrics.turn_wait(began.elapsed().as_secs_f64(), step, outcome);
+}
+
 /// What a turn used.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Used {
@@ -118,44 +179,93 @@
     pub(super) endpoint: Option<EndpointName>,
 }
 
-/// Settles a turn that ended whole, and returns whether it is durable. A turn that may be continued
-/// must be: its caller would go on from it at another VM.
+/// What a stream waited for after its engine had ended it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Waits {
+    /// Its text was put on disks.
+    pub(super) put: Duration,
+    /// The group took its settlement.
+    pub(super) settle: Duration,
+}
+
+/// Settles a turn that ended whole, and returns once it is durable, or when the caller's time is over.
+/// A turn that may be continued must be: its caller would go on from it at another VM.
+///
+/// The answer is ready, so nothing is worth more to its caller than the rest of its time.
 pub(super) async fn settle_whole(
     state: &GatewayState,
-    reservation: Reservation,
-    used: Used,
-    sent: &Bytes,
-    output: Bytes,
+    call: &Call,
+    reservation: &Reservation,
+    used: &Used,
+    ended: Ended<'_>,
+    waits: &mut Waits,
 ) -> bool {
-    let client = &state.turns;
     let Some(keeping) = &reservation.keeps else {
-        settle_later(client, reservation, used);
+        settle_later(state, reservation, used);
         return true;
     };
-    let history = joined(sent, &output);
+    let Ended { sent, output } = ended;
+    let began = Instant::now();
+    let bytes = keeping.input.len() + output.len();
+    let turn = reservation.turn.to_string();
+    let text = Text { turn, input: keeping.input.clone(), output: output.clone() };
+    let retention = Duration::from_millis(keeping.retention);
+    let put = put_text(state, call, &reservation.program, text, retention).await;
+    waits.put = began.elapsed();
+    note_wait(state, began, "put", if put.is_some() { "answered" } else { "silent" });
+    let Some(holders) = put else { return false };
     let kept = Kept {
         previous: keeping.previous.to_string(),
-        input: keeping.input.clone(),
-        output,
         retention_ms: keeping.retention,
+        holders: holders.into_iter().map(|vm| vm.0).collect(),
+        bytes: bytes as u64,
     };
-    let settle = settle(&reservation, &used, Some(kept));
-    let answer = client.ask(CommandBody::Settle(settle), SETTLE_PATIENCE).await;
+    let settle = settle(reservation, used, Some(kept));
+    let began = Instant::now();
+    let answer = state.turns.ask(CommandBody::Settle(settle), call.left()).await;
+    waits.settle = began.elapsed();
+    note_wait(state, began, "settle", outcome(answer.as_ref()));
     let settled = matches!(answer, Some(ReplyBody::Settled(_)));
     if settled {
+        let history = joined(sent, output);
         state.histories.put(reservation.turn.clone(), &keeping.previous, history);
     }
     settled
 }
 
+/// What a turn was sent with and what it gave.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ended<'a> {
+    /// Everything before it, and its own input.
+    pub(super) sent: &'a Bytes,
+    /// Its output.
+    pub(super) output: &'a Bytes,
+}
+
+/// Puts a turn's text on stores, and on others while those can't take it, as long as its caller waits.
+async fn put_text(
+    state: &GatewayState,
+    call: &Call,
+    program: &str,
+    text: Text,
+    retention: Duration,
+) -> Option<Vec<VmId>> {
+    let mut pause = PUT_PAUSE;
+    while !call.left().is_zero() {
+        let until = call.until.min(Instant::now() + PUT_TRY);
+        let put = state.texts.put(program, text.clone(), retention, until).await;
+        if put.is_some() {
+            return put;
+        }
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0)).min(call.left())).await;
+        pause *= 2;
+    }
+    None
+}
+
 /// Settles a turn that is not kept, without a wait.
-pub(super) fn settle_later(client: &TurnClient, reservation: Reservation, used: Used) {
-    let client = client.clone();
-    tokio::spawn(async move {
-        let settle = settle(&reservation, &used, None);
-        // If no leader takes it, the tokens stay set aside: the program's budget is never exceeded.
-        client.ask(CommandBody::Settle(settle), BACKGROUND_PATIENCE).await;
-    });
+pub(super) fn settle_later(state: &GatewayState, reservation: &Reservation, used: &Used) {
+    state.settling.settle(settle(reservation, used, None));
 }
 
 fn settle(reservation: &Reservation, used: &Used, kept: Option<Kept>) -> Settle {
--- /dev/null
+++ b/crates/gypsumglade/src/gateway/text_client.rs
@@ -0,0 +1,344 @@
+//! Puts texts of kept turns on stores' disks, and fetches them; see docs/design/texts.md.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex};
+
+use bytes::{Bytes, BytesMut};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::replication::repair::Candidate;
+use gypsumglade_core::turns::{Holding, preferred};
+use gypsumglade_core::wire::turn::{Text, TextPut, TextQuery, TextStored, Texts};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::directory::Directory;
+use crate::discovery::Discovery;
+use crate::rpc::{Method, PeerClients};
+
+/// Wait for a store to put a text on its disk before another one is asked as well.
+const PUT_PATIENCE: Duration = Duration::from_millis(200);
+/// Hedges that each put earns.
+const HEDGES_EARNED: f64 = 0.1;
+/// Hedges that may be saved up.
+const MOST_HEDGES: f64 = 10.0;
+/// Longest wait for one store to put a text on its disk.
+const PUT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Wait for a store to give texts before another one is asked as well.
+const FETCH_PATIENCE: Duration = Duration::from_millis(200);
+/// Longest wait for one store to give texts.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes of texts that are asked for at one time: far below what one answer may have.
+const FETCH_BYTES: u64 = 4 * 1024 * 1024;
+/// Calls to one store that may fail before it is given up: one may have broken with its connection.
+const MOST_FAILURES: u32 = 2;
+/// Silence after which a store is not chosen.
+const SILENT_AFTER: Duration = Duration::from_secs(5);
+/// Time for which a store that did not answer is chosen last.
+const AVOIDED: Duration = Duration::from_millis(1_500);
+/// How much longer than its turn a text is kept before its holder asks about it.
+const GRACE: Duration = Duration::from_secs(15);
+
+/// Puts and fetches texts; clones share what they learn.
+#[derive(Clone)]
+pub struct TextClient {
+    discovery: Option<Arc<Discovery>>,
+    directory: Arc<Directory>,
+    peers: PeerClients,
+    region: CompactString,
+    copies: usize,
+    /// Stores that did not answer lately.
+    silent: Arc<Mutex<HashMap<VmId, Instant>>>,
+    /// Hedges that puts have earned.
+    hedges: Arc<Mutex<f64>>,
+}
+
+impl TextClient {
+    /// Creates a client that puts each text on `copies` stores.
+    pub fn new(
+        discovery: Option<Arc<Discovery>>,
+        directory: Arc<Directory>,
+        peers: PeerClients,
+        region: CompactString,
+        copies: usize,
+    ) -> TextClient {
+        let silent = Arc::default();
+        let hedges = Arc::new(Mutex::new(MOST_HEDGES));
+        TextClient { discovery, directory, peers, region, copies, silent, hedges }
+    }
+
+    /// Puts a text on as many stores as must have it, and returns them; nothing if `until` passes first.
+    pub async fn put(
+        &self,
+        program: &str,
+        text: Text,
+        retention: Duration,
+        until: Instant,
+    ) -> Option<Vec<VmId>> {
+        let retention_ms = u64::try_from((retention + GRACE).as_millis()).unwrap_or(u64::MAX);
+        let put = Arc::new(TextPut { texts: vec![text], retention_ms });
+        let order = self.preferred(program);
+        // A turn that is acknowledged with fewer copies is lost with as many disks as must be borne.
+        let copies = self.copies;
+        self.earn_hedge();
+        let mut next = order.into_iter().peekable();
+        let mut putting = JoinSet::new();
+        let mut holders = Vec::with_capacity(copies);
+        let mut asked: Vec<VmId> = next.by_ref().take(copies).collect();
+        for &vm in &asked {
+            self.start_put(&mut putting, vm, &put, until);
+        }
+        let mut hedge = Instant::now() + PUT_PATIENCE;
+        while holders.len() < copies {
+            let hopeful = holders.len() + putting.len() + next.len();
+            if hopeful < copies || Instant::now() >= until {
+                break;
+            }
+            tokio::select! {
+                Some(stored) = putting.join_next() => match stored {
+                    Ok((vm, true)) => holders.push(vm),
+                    Ok((_, false)) | Err(_) => {
+                        if let Some(vm) = next.next() {
+                            asked.push(vm);
+                            self.start_put(&mut putting, vm, &put, until);
+                        }
+                    }
+                },
+                () = tokio::time::sleep_until(hedge.min(until)) => {
+                    // They are chosen last from now on, until they answer.
+                    asked.iter().filter(|vm| !holders.contains(vm)).for_each(|vm| self.note(*vm, false));
+                    if let Some(vm) = next.next_if(|_| self.take_hedge()) {
+                        asked.push(vm);
+                        self.start_put(&mut putting, vm, &put, until);
+                    }
+                    hedge = Instant::now() + PUT_PATIENCE;
+                }
+            }
+        }
+        // What is still under way may be stored as well; its holder drops it later.
+        putting.detach_all();
+        (holders.len() == copies && copies > 0).then_some(holders)
+    }
+
+    /// Returns the texts of a chain joined, oldest first; nothing once no store is left that may have
+    /// what is lacking, or `until` passes.
+    pub async fn fetch(&self, chain: &[Holding], until: Instant) -> Option<Bytes> {
+        let mut found: HashMap<String, Text> = HashMap::new();
+        let mut sources = Sources::default();
+        let mut asking = JoinSet::new();
+        let mut hedge = Instant::now();
+        loop {
+            let lacking: Vec<&Holding> =
+                chain.iter().filter(|holding| !found.contains_key(holding.turn.as_str())).collect();
+            if lacking.is_empty() {
+                return Some(joined(chain, &found));
+            }
+            if Instant::now() >= until {
+                return None;
+            }
+            let due = Instant::now() >= hedge;
+            match self.source(&lacking, &sources) {
+                Some(vm) if due || sources.is_fresh_choice(vm) => {
+                    let turns = sources.begin(vm, &lacking);
+                    asking.spawn(self.clone().ask_texts(vm, turns, until));
+                    hedge = Instant::now() + FETCH_PATIENCE;
+                }
+                None if asking.is_empty() => return None,
+                None if due => hedge = Instant::now() + FETCH_PATIENCE,
+                _ => {}
+            }
+            tokio::select! {
+                Some(answer) = asking.join_next() => {
+                    let Ok(answer) = answer else { continue };
+                    found.extend(sources.end(answer));
+                }
+                () = tokio::time::sleep_until(hedge.min(until)) => {
+                    // They are chosen last from now on, until they answer.
+                    sources.under_way.iter().for_each(|vm| self.note(*vm, false));
+                }
+            }
+        }
+    }
+
+    /// Returns the store to ask next: of those that may have a lacking text, one that failed least and has
+    /// most.
+    fn source(&self, lacking: &[&Holding], sources: &Sources) -> Option<VmId> {
+        let mut counts: HashMap<VmId, usize> = HashMap::new();
+        for holding in lacking {
+            let holders = holding.holders.iter().filter(|vm| sources.may_have(**vm, &holding.turn));
+            holders.for_each(|vm| *counts.entry(*vm).or_default() += 1);
+        }
+        let near: Vec<VmId> = self.near();
+        let rank = |vm: VmId| near.iter().position(|other| *other == vm).unwrap_or(usize::MAX);
+        let stores = counts.into_iter().filter(|(vm, _)| self.directory.store(*vm).is_some());
+        let best = stores.min_by_key(|(vm, count)| {
+            (sources.failures(*vm), self.is_silent(*vm), usize::MAX - count, rank(*vm), *vm)
+        });
+        best.map(|(vm, _)| vm)
+    }
+
+    async fn ask_texts(self, source: VmId, turns: Vec<String>, until: Instant) -> Answer {
+        let query = TextQuery { turns };
+        let left = until.saturating_duration_since(Instant::now()).min(FETCH_TIMEOUT);
+        let texts = match self.directory.store(source) {
+            Some(address) => {
+                let asking = self.peers.ask::<_, Texts>(address, Method::Texts, &query, left);
+                asking.await.ok().map(|texts| texts.texts)
+            }
+            None => None,
+        };
+        self.note(source, texts.is_some());
+        Answer { source, turns: query.turns, texts }
+    }
+
+    fn start_put(
+        &self,
+        putting: &mut JoinSet<(VmId, bool)>,
+        vm: VmId,
+        put: &Arc<TextPut>,
+        until: Instant,
+    ) {
+        let (client, put) = (self.clone(), Arc::clone(put));
+        putting.spawn(async move {
+            let Some(address) = client.directory.store(vm) else { return (vm, false) };
+            let timeout = until.saturating_duration_since(Instant::now()).min(PUT_TIMEOUT);
+            let stored = client.peers.ask(address, Method::PutTexts, put.as_ref(), timeout).await;
+            client.note(vm, stored.is_ok());
+            (vm, stored.is_ok_and(|stored: TextStored| stored.stored))
+        });
+    }
+
+    /// Returns stores in the order in which they should hold a program's texts, the silent ones last.
+    fn preferred(&self, program: &str) -> Vec<VmId> {
+        let mut order = preferred(program, &self.region, &self.known());
+        order.sort_by_key(|vm| self.is_silent(*vm));
+        order
+    }
+
+    /// Returns the stores heard of; where the settings list them, all of them.
+    fn known(&self) -> Vec<Candidate> {
+        if let Some(discovery) = &self.discovery {
+            return discovery.stores_heard(SILENT_AFTER);
+        }
+        let stores = self.directory.stores().into_keys().map(|vm| Candidate {
+            vm,
+            domain: vm.0.to_compact_string(),
+            region: self.region.clone(),
+            retiring: false,
+        });
+        stores.collect()
+    }
+
+    /// Returns the stores heard of, those of the own region first.
+    fn near(&self) -> Vec<VmId> {
+        let mut stores = self.known();
+        stores.sort_by_key(|store| store.region != self.region);
+        stores.into_iter().map(|store| store.vm).collect()
+    }
+
+    fn earn_hedge(&self) {
+        let mut hedges = self.hedges.lock().expect("no panic while held");
+        *hedges = (*hedges + HEDGES_EARNED).min(MOST_HEDGES);
+    }
+
+    /// Tells whether a late put may be hedged. While every store is slow, hedges would only add to what
+    /// slows them.
+    fn take_hedge(&self) -> bool {
+        let mut hedges = self.hedges.lock().expect("no panic while held");
+        let held = *hedges >= 1.0;
+        if held {
+            *hedges -= 1.0;
+        }
+        held
+    }
+
+    fn is_silent(&self, vm: VmId) -> bool {
+        let silent = self.silent.lock().expect("no panic while held");
+        silent.get(&vm).is_some_and(|at| at.elapsed() < AVOIDED)
+    }
+
+    fn note(&self, vm: VmId, answered: bool) {
+        let mut silent = self.silent.lock().expect("no panic while held");
+        match answered {
+            true => silent.remove(&vm),
+            false => silent.insert(vm, Instant::now()),
+        };
+    }
+}
+
+/// What a store answered that was asked for texts.
+struct Answer {
+    source: VmId,
+    /// The turns that it was asked for.
+    turns: Vec<String>,
+    /// Nothing if it didn't answer.
+    texts: Option<Vec<Text>>,
+}
+
+/// What one fetch knows of the stores that hold its texts.
+#[derive(Default)]
+struct Sources {
+    under_way: HashSet<VmId>,
+    failures: HashMap<VmId, u32>,
+    /// Turns whose texts a store answered that it hasn't.
+    absent: HashSet<(VmId, String)>,
+}
+
+impl Sources {
+    fn failures(&self, vm: VmId) -> u32 {
+        self.failures.get(&vm).copied().unwrap_or_default()
+    }
+
+    /// Tells whether a store may be asked for a turn's text now.
+    fn may_have(&self, vm: VmId, turn: &str) -> bool {
+        !self.under_way.contains(&vm)
+            && self.failures(vm) < MOST_FAILURES
+            && !self.absent.contains(&(vm, turn.to_owned()))
+    }
+
+    /// Tells whether a store may be asked at once: none is under way, and this one has not just failed.
+    fn is_fresh_choice(&self, vm: VmId) -> bool {
+        self.under_way.is_empty() && self.failures(vm) == 0
+    }
+
+    /// Returns what to ask a store for, and notes that it is asked.
+    fn begin(&mut self, vm: VmId, lacking: &[&Holding]) -> Vec<String> {
+        let mut bytes = 0;
+        let held = lacking
+            .iter()
+            .filter(|holding| holding.holders.contains(&vm) && self.may_have(vm, &holding.turn));
+        let part = held.take_while(|holding| {
+            let room = bytes < FETCH_BYTES;
+            bytes += holding.bytes;
+            room
+        });
+        let turns = part.map(|holding| holding.turn.to_string()).collect();
+        self.under_way.insert(vm);
+        turns
+    }
+
+    /// Takes a store's answer, and returns its texts.
+    fn end(&mut self, answer: Answer) -> HashMap<String, Text> {
+        let vm = answer.source;
+        self.under_way.remove(&vm);
+        let Some(texts) = answer.texts else {
+            *self.failures.entry(vm).or_default() += 1;
+            return HashMap::new();
+        };
+        let found: HashMap<String, Text> =
+            texts.into_iter().map(|text| (text.turn.clone(), text)).collect();
+        let absent = answer.turns.into_iter().filter(|turn| !found.contains_key(turn));
+        self.absent.extend(absent.map(|turn| (vm, turn)));
+        found
+    }
+}
+
+fn joined(chain: &[Holding], found: &HashMap<String, Text>) -> Bytes {
+    let texts = || chain.iter().filter_map(|holding| found.get(holding.turn.as_str()));
+    let length = texts().map(|text| text.input.len() + text.output.len()).sum();
+    let mut history = BytesMut::with_capacity(length);
+    for text in texts() {
+        history.extend_from_slice(&text.input);
+        history.extend_from_slice(&text.output);
+    }
+    history.freeze()
+}
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -20,13 +20,14 @@
 use super::program_group::{GroupInput, ProgramGroup};
 use super::registrar::Registrar;
 use super::repair::Repair;
-use super::text_repair::TextRepair;
+use super::text_copies::TextCopies;
+use super::text_holder::TextHolder;
 use super::turn_group::TurnGroup;
 use crate::admin;
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::discovery::{Discovery, Process, fresh_identity, seed_identity};
-use crate::disk;
+use crate::disk::{self, Faults};
 use crate::entry::config::operator_keys;
 use crate::entry::listener_options;
 use crate::listener::Listener;
@@ -34,16 +35,19 @@
 use crate::replica::{Event, Host, HostSettings};
 use crate::rpc::{PeerClients, RpcServer, TakeFrame};
 use crate::settings::{DiscoverySettings, Settings, StoreSettings};
+use crate::texts::{TextLimits, TextOptions, TextStore};
 use crate::tls;
 
 /// Most entry bytes in one message to a follower.
 ///
-/// Eight such messages on their way delay the heartbeats behind them on a narrow link by less than an
-/// election's patience; what the core allows by itself would depose a leader whose follower has to
-/// catch up.
+/// Two of them to a follower that has to catch up are under way at a time, see [`IN_FLIGHT_BYTES`].
+/// What the core allows by itself would depose the leader, for heartbeats come behind it.
 const BATCH_BYTES: usize = 64 * 1024;
 /// Most entry messages on their way to one follower; see [`BATCH_BYTES`].
 const IN_FLIGHT: usize = 8;
+/// Bytes of entries on their way to one follower: a round trip between regions with a sync, at what
+/// that way carries. More only stands before the entries that commits wait for.
+const IN_FLIGHT_BYTES: usize = 128 * 1024;
 /// Bytes of one piece of a snapshot. One is under way at a time, so smaller ones would leave a link
 /// between regions idle for half of the time.
 const CHUNK_BYTES: usize = 256 * 1024;
@@ -52,6 +56,11 @@
 /// A learner in another region always lacks what is on its way there: half a second of a busy turn
 /// group's entries. Allowed less, one that had all the rest would wait for a quiet moment to vote.
 const PROMOTE_LAG: u64 = 200;
+/// Bytes of proposals that wait for a commit before more are refused: seconds of a busy turn group's
+/// entries, for which nobody would wait any more.
+const BACKLOG_BYTES: usize = 4 * 1024 * 1024;
+/// Folder of kept turns' texts, below the data folder.
+const TEXTS: &str = "texts";
 /// Events that may wait for the control group.
 const EVENT_BUFFER: usize = 1_024;
 
@@ -63,6 +72,8 @@
     pub control: Arc<ControlGroup>,
     /// The turn group.
     pub turns: Arc<TurnGroup>,
+    /// Texts of kept turns on this store's disk.
+    pub texts: Arc<TextHolder>,
     /// Who else is there, where nobody hands out a list.
     pub discovery: Option<Arc<Discovery>>,
     /// Settings of the process.
@@ -98,6 +109,17 @@
         settings: Settings,
         directory: Arc<Directory>,
         log: slog::Logger,
+    ) -> anyhow::Result<Store> {
+        Store::start_with(settings, directory, log, Faults::default()).await
+    }
+
+    /// As [`Store::start`], on a disk that fails as a test wants it to.
+    #[doc(hidden)]
+    pub async fn start_with(
+        settings: Settings,
+        directory: Arc<Directory>,
+        log: slog::Logger,
+        faults: Faults,
     ) -> anyhow::Result<Store> {
         let own = settings.store.clone().context("the settings have no `store` section")?;
         let halt = CancellationToken::new();
@@ -111,6 +133,7 @@
         let metrics = Metrics::new()?;
         let mut host_settings = host_settings(vm, &own);
         host_settings.commits = Some(metrics.commits());
+        host_settings.faults = faults;
         let (host, events) = Host::start(host_settings, outbound).await?;
         let context = Arc::new(StoreContext {
             vm,
@@ -124,13 +147,18 @@
             log,
             groups: RwLock::default(),
             dead: Mutex::default(),
+            writing: Mutex::default(),
         });
         let keys = operator_keys(&settings.operators);
         let lease = settings.timeouts.config_lease();
         let control = ControlGroup::new(Arc::clone(&context), keys, lease);
         let turns = TurnGroup::new(Arc::clone(&context));
+        let limits = TextLimits { disk_bytes: own.text_bytes };
+        let options = TextOptions::new(limits, context.log.clone());
+        let texts = TextStore::open_with(&own.folder.join(TEXTS), options)?;
+        let texts = TextHolder::new(Arc::clone(&context), texts);
         tokio::spawn(outbound::send_batches(Arc::clone(&context), batches));
-        let state = Arc::new(StoreState { context, control, turns, discovery, settings });
+        let state = Arc::new(StoreState { context, control, turns, texts, discovery, settings });
         start_groups(&state, events).await?;
         spawn_loops(&state, &own, &halt);
         let (rpc, admin) = listeners(&state, &own, &halt).await?;
@@ -211,6 +239,7 @@
 fn spawn_loops(state: &Arc<StoreState>, own: &StoreSettings, halt: &CancellationToken) {
     tokio::spawn(follower_watch::watch(Arc::clone(&state.context), halt.clone()));
     let context = Arc::clone(&state.context);
+    tokio::spawn(Arc::clone(&state.texts).drop_unkept(halt.clone()));
     let Some(discovery) = &state.discovery else {
         tokio::spawn(member_watch::watch(context, halt.clone()));
         return;
@@ -219,15 +248,12 @@
     let wanted = 2 * own.tolerate as usize + 1;
     let control = Arc::clone(&state.control);
     let turns = Arc::clone(&state.turns);
-    let repair = Repair { context, control, turns, discovery: Arc::clone(discovery), wanted };
+    let (others, known) = (Arc::clone(&state.context), Arc::clone(discovery));
+    let tolerated = own.tolerate as usize;
+    let copies = TextCopies::new(others, Arc::clone(&control), turns, known, tolerated + 1);
+    tokio::spawn(Arc::clone(&copies).run(halt.clone()));
+    let repair = Repair { context, control, copies, discovery: Arc::clone(discovery), wanted };
     tokio::spawn(repair.run(halt.clone()));
-    let text = TextRepair {
-        context: Arc::clone(&state.context),
-        turns: Arc::clone(&state.turns),
-        discovery: Arc::clone(discovery),
-        region: state.settings.vm.region.clone(),
-    };
-    tokio::spawn(text.run(halt.clone()));
     let lease = Duration::from_millis(own.endpoint_lease_ms);
     tokio::spawn(Arc::clone(&state.control).lapse_endpoints(lease, halt.clone()));
 }
@@ -241,8 +267,10 @@
             lease: Duration::from_millis(own.election_ms),
             batch_bytes: BATCH_BYTES,
             in_flight: IN_FLIGHT,
+            in_flight_bytes: IN_FLIGHT_BYTES,
             chunk_bytes: CHUNK_BYTES,
             promote_lag: PROMOTE_LAG,
+            backlog_bytes: BACKLOG_BYTES,
             ..replication::Settings::default()
         },
         ..HostSettings::default()
