Expect idle engines to get new programs; fails on the current code

Seen under a load of 24 programs whose engines pause 5 ms between events: both gateways came to a stretch of 3.8 and then refused every program, with no call under way, until the test ended.

--- a/crates/core/tests/policy_overload.rs
+++ b/crates/core/tests/policy_overload.rs
@@ -49,6 +49,15 @@
     assert!(admit(slow, standing(0, true), 0.0).is_ok());
 }
 
+/// Engines were slow when their last streams ended, and now nothing runs. No stream ends any more that
+/// could show them faster, so a process that goes by the last pace turns every new program away for
+/// good.
+#[test]
+fn admit_idle_slow_engines() {
+    let idle = PoolLoad { stretch: 3.8, ..load(0) };
+    assert_eq!(admit(idle, standing(1, false), 0.0), Ok(()));
+}
+
 #[test]
 fn pace_follows_burst() {
     let mut pace = PoolPace::default();
