Let new programs in where next to nothing runs

Callers' new programs were refused for good once the last streams of a pool had been 2.5 times slower than alone: only a stream that ends lowers the stretch, and none could begin. Seen in the load of platform/tests: both gateways refused everything with no call under way until the test ended. Below a twentieth of the slots in use the pace of earlier streams no longer counts; above it streams end and show the pace. admit_idle_slow_engines failed before.

--- a/crates/core/src/policy/overload.rs
+++ b/crates/core/src/policy/overload.rs
@@ -27,6 +27,9 @@
 /// aims are a small multiple of the time on idle engines, pauses and tools counted, which slow engines
 /// don't stretch.
 const MOST_STRETCH: f64 = 2.5;
+/// Share of a pool's slots in use below which the pace of earlier streams isn't gone by: only streams that
+/// run can show that engines have become faster.
+const IDLE_SHARE: f64 = 0.05;
 /// Weight of the newest stream in the mean pace: a burst shows after ten streams.
 const PACE_GAIN: f64 = 0.1;
 /// Most that a stream counts for in the mean pace, against the mean. One engine that has turned many
@@ -112,8 +115,9 @@
         return Ok(());
     }
     let limit = (NEW_LIMIT - RANK_STEP * f64::from(standing.rank)).max(LEAST_LIMIT);
-    let room = (load.calls as f64) < limit * load.slots as f64;
-    if room && load.stretch < MOST_STRETCH {
+    let used = load.calls as f64 / load.slots as f64;
+    let slow = load.stretch >= MOST_STRETCH && used >= IDLE_SHARE;
+    if used < limit && !slow {
         return Ok(());
     }
     Err(RETRY_LEAST + RETRY_SPREAD.mul_f64(spread.clamp(0.0, 1.0)))
