--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -12,6 +12,7 @@
 use super::context::StoreContext;
 use super::control_group::ControlGroup;
 use super::text_copies::TextCopies;
+use super::turn_group::TurnGroup;
 use crate::discovery::Discovery;
 
 /// Pause between two looks. A repair takes three steps, and a newcomer must have caught up some
@@ -29,6 +30,7 @@
 pub(super) struct Repair {
     pub(super) context: Arc<StoreContext>,
     pub(super) control: Arc<ControlGroup>,
+    pub(super) turns: Arc<TurnGroup>,
     pub(super) copies: Arc<TextCopies>,
     pub(super) discovery: Arc<Discovery>,
     /// Voters that each group should have.
@@ -86,7 +88,9 @@
         let now = self.context.clock.now();
         let tried = memory.handed.get(&group.group);
         let paused = tried.is_some_and(|at| now.since(*at) < HAND_OVER_PAUSE);
-        if paused || !group.settled || !should_hand_over(&group.members, survey) {
+        let unfit = group.group == GroupId::TURNS && self.turns.is_unusable();
+        let misplaced = group.settled && should_hand_over(&group.members, survey);
+        if paused || !(unfit || misplaced) {
             return false;
         }
         memory.handed.insert(group.group, now);
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -250,9 +250,11 @@
     let turns = Arc::clone(&state.turns);
     let (others, known) = (Arc::clone(&state.context), Arc::clone(discovery));
     let tolerated = own.tolerate as usize;
-    let copies = TextCopies::new(others, Arc::clone(&control), turns, known, tolerated + 1);
+    let copies =
+        TextCopies::new(others, Arc::clone(&control), Arc::clone(&turns), known, tolerated + 1);
     tokio::spawn(Arc::clone(&copies).run(halt.clone()));
-    let repair = Repair { context, control, copies, discovery: Arc::clone(discovery), wanted };
+    let discovery = Arc::clone(discovery);
+    let repair = Repair { context, control, turns, copies, discovery, wanted };
     tokio::spawn(repair.run(halt.clone()));
     let lease = Duration::from_millis(own.endpoint_lease_ms);
     tokio::spawn(Arc::clone(&state.control).lapse_endpoints(lease, halt.clone()));
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::LogIndex;
+use gypsumglade_core::replication::{LogIndex, Term};
 use gypsumglade_core::turns::{Copy, Holding, Limits, Survey, Turns};
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
@@ -31,6 +31,9 @@
     turns: Turns,
     /// True once this store leads and has applied what earlier leaders committed.
     leads: bool,
+    /// True while the state lacks what a snapshot held that could not be read. What is applied meanwhile
+    /// proves nothing: a turn that isn't in it may be kept all the same.
+    unusable: bool,
     answers: Answers<Reply>,
 }
 
@@ -44,10 +47,7 @@
     pub async fn run(self: Arc<Self>, mut events: mpsc::Receiver<Event>) {
         while let Some(event) = events.recv().await {
             match event {
-                Event::Leader { term, .. } => {
-                    self.state().leads = true;
-                    slog::info!(self.context.log, "leads the turn group"; "term" => term.0);
-                }
+                Event::Leader { term, .. } => self.lead(term),
                 Event::Follower { leader, .. } => {
                     self.state().leads = false;
                     let leader = leader.map(|vm| vm.0);
@@ -64,6 +64,10 @@
     /// Serves an entry VM's command. The answer comes once the command is committed, and is worked
     /// out where it stands in the log, so no two entry VMs are given the same tokens.
     pub async fn ask(&self, mut command: Command) -> Reply {
+        if self.is_unusable() {
+            // Asked again, the entry VM finds the store that leads next.
+            return Reply { body: Some(uncertain()) };
+        }
         stamp(&mut command, Clock::wall_millis());
         let data = Bytes::from(command.encode_to_vec());
         let body = match self.context.host.propose(GroupId::TURNS, data).await {
@@ -81,6 +85,7 @@
         let state = self.state();
         serde_json::json!({
             "applied": state.answers.applied(),
+            "unusable": state.unusable,
             "turns": state.turns.kept(),
             "programs": state.turns.programs(),
         })
@@ -92,6 +97,19 @@
         TurnSizes { turns: state.turns.kept(), programs: state.turns.programs() }
     }
 
+    fn lead(&self, term: Term) {
+        let unusable = {
+            let mut state = self.state();
+            state.leads = true;
+            state.unusable
+        };
+        slog::info!(self.context.log, "leads the turn group"; "term" => term.0);
+        if unusable {
+            // Repair tries again where this one can't succeed yet.
+            self.context.host.transfer(GroupId::TURNS);
+        }
+    }
+
     async fn answer_at(&self, index: LogIndex) -> Reply {
         let found = self.state().answers.lookup(index);
         found.wait().await.unwrap_or_else(|| Reply { body: Some(uncertain()) })
@@ -99,6 +117,9 @@
 
     fn committed(&self, index: LogIndex, data: Bytes) {
         let mut state = self.state();
+        if state.unusable {
+            return state.answers.note(index, Some(&Reply { body: Some(uncertain()) }));
+        }
         if data.is_empty() {
             return state.answers.note(index, None);
         }
@@ -111,19 +132,19 @@
     fn restore(&self, index: LogIndex, data: &Bytes) {
         let mut state = self.state();
         match Turns::restore(data) {
-            Ok(turns) => state.turns = turns,
+            Ok(turns) => (state.turns, state.unusable) = (turns, false),
             Err(error) => {
+                (state.turns, state.unusable) = (Turns::default(), true);
                 slog::crit!(self.context.log, "a turn snapshot cannot be read; replace this \
                     store's data folder"; "error" => %error);
-                return;
             }
         }
         state.answers.restored(index);
     }
 
-    /// Takes a snapshot.
+    /// Takes a snapshot, unless it would pass a state that lacks turns for the whole of them.
     fn snapshot(&self) {
-        if !self.context.begin_snapshot(GroupId::TURNS) {
+        if self.is_unusable() || !self.context.begin_snapshot(GroupId::TURNS) {
             return;
         }
         let (index, data) = {
@@ -140,7 +161,7 @@
         match barrier {
             // Only a leader that has applied what earlier ones committed can say that a turn is not
             // kept: its text is dropped then.
-            Ok(_) if state.leads => KeptReply {
+            Ok(_) if state.leads && !state.unusable => KeptReply {
                 leads: true,
                 turns: state.turns.still_kept(&query.turns),
                 leader: self.context.vm.0,
@@ -155,6 +176,9 @@
     /// Returns what to copy next, and which stores texts rely on.
     pub(super) fn plan_copies(&self, survey: &Survey, limits: &Limits) -> CopyPlan {
         let state = self.state();
+        if state.unusable {
+            return CopyPlan::default();
+        }
         CopyPlan {
             copies: state.turns.plan_copies(survey, limits),
             relied: state.turns.relied_on(survey),
@@ -171,7 +195,13 @@
 
     /// Tells whether this store leads the group and has applied what earlier leaders committed.
     pub(super) fn leads(&self) -> bool {
-        self.state().leads
+        let state = self.state();
+        state.leads && !state.unusable
+    }
+
+    /// Tells whether the state lacks what a snapshot held, so that another store should lead.
+    pub(super) fn is_unusable(&self) -> bool {
+        self.state().unusable
     }
 
     fn state(&self) -> MutexGuard<'_, TurnState> {
@@ -189,6 +219,7 @@
 }
 
 /// What the turn group's leader is to do about texts on too few stores.
+#[derive(Default)]
 pub(super) struct CopyPlan {
     pub(super) copies: Vec<Copy>,
     /// Stores that hold such texts.
