Place a majority of each group's voters in the region with most stores

On a deployment of six failure domains in two regions every commit crossed the link between them, so every reservation and settlement waited some 16 ms more, and behind whatever the link of 60 Mbit/s carried.

Cause: a newcomer was chosen by failure domain only. With six southern and five northern stores two voters stood in the south and three in the north, while the leader moves to the region with most stores.

Placements are compared now: voters beyond a minority in one failure domain first, then how far the region with most stores is from a bare majority, then how crowded domains are. The newcomer and the surplus voter are those that leave the best placement. A group that is whole but placed otherwise is mended by `next_swap`: once the same swap was due for ten seconds a newcomer joins, and the surplus rule lets another go after it votes. Each swap is begun only if the placement becomes strictly better, and the surplus rule then leaves one at least as good, so swaps end. Of two regions alike in stores the name decides, for voters and for the leader, which no longer stays wherever it was.

Evidence: three new tests failed before (voters 10, 11, 12, 20, 21: two in the south for three; three voters in one failure domain for two; no swap) and pass. All earlier tests of replication_repair pass unchanged. text_copies passes but for restart_copies_nothing, which fails without this as well. Not run: a deployment in two regions.

--- a/crates/core/src/replication/repair.rs
+++ b/crates/core/src/replication/repair.rs
@@ -4,7 +4,10 @@
 //! and brings its group back to full strength, one committed step at a time. See
 //! docs/design/provider.md.
 
-use super::types::{MemberChange, Members};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::types::{MemberChange, Members, quorum};
 use crate::prelude::*;
 
 /// One store as the leader sees it.
@@ -62,12 +65,36 @@
     None
 }
 
+/// Returns the newcomer of a swap that places the voters better, for a group that [`next_change`] leaves as
+/// it is.
+///
+/// The newcomer joins first, and [`next_change`] lets another voter go once it votes, so at no time are
+/// fewer losses borne. Every swap makes the placement strictly better, whichever voter of those that may
+/// go leaves then; so swaps end.
+pub fn next_swap(members: &Members, survey: &Survey) -> Option<MemberChange> {
+    let whole = members.voters.len() == survey.wanted && members.learners.is_empty();
+    if !whole || !members.voters.iter().all(|vm| survey.serves(*vm)) {
+        return None;
+    }
+    let voters = survey.serving(members);
+    let leavers = || voters.iter().copied().filter(|vm| *vm != survey.me);
+    let swaps = survey.free(members).flat_map(|vm| leavers().map(move |leaver| (vm, leaver)));
+    let placed = swaps.map(|(vm, leaver)| {
+        let mut next = voters.clone();
+        next.remove(&leaver);
+        next.insert(vm);
+        (survey.placement(&next), vm)
+    });
+    let (best, vm) = placed.min()?;
+    (best < survey.placement(&voters)).then_some(MemberChange::AddLearner(vm))
+}
+
 /// Tells whether the leader should hand its leadership over, before anything else is repaired.
 ///
 /// Every commit waits for a majority, and a learner is filled by the leader. From the region with
 /// fewer stores both cross the link between regions, slow and paid by volume, and a store that lost its
 /// disk takes several times as long to fill. Stores are counted and not voters, since the one to be
-/// filled doesn't vote yet. A store that is to be emptied can't remove itself.
+/// filled doesn't vote yet. Of regions with as many stores the name decides, as for voters. A store that is to be emptied can't remove itself.
 pub fn should_hand_over(members: &Members, survey: &Survey) -> bool {
     let Some(me) = survey.alive.iter().find(|store| store.vm == survey.me) else { return false };
     let others = survey
@@ -77,43 +104,95 @@
     if me.retiring {
         return others.count() > 0;
     }
-    let own = survey.stores_in_region(&me.region);
-    let most = others.map(|store| survey.stores_in_region(&store.region)).max();
+    let own = survey.rank(&me.region);
+    let most = others.map(|store| survey.rank(&store.region)).max();
     most.is_some_and(|most| most > own)
 }
 
+/// How well voters are placed; the least is the best.
+///
+/// What is lost together counts first, then what each commit crosses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Placement {
+    /// Voters beyond a minority in one failure domain: losing it would stop the group.
+    excess: usize,
+    /// Voters that the home region has too many or too few. With a majority there, commits cross no link
+    /// between regions; those beyond it are of more use elsewhere.
+    astray: usize,
+    /// Sum of the squares of the voters in each failure domain.
+    crowd: usize,
+}
+
 impl Survey {
-    fn stores_in_region(&self, region: &str) -> usize {
+    /// Returns how much a region should have the leader and most voters: by its stores, then its name, so
+    /// that no two are alike and neither voters nor the leader go back and forth between them.
+    fn rank<'a>(&self, region: &'a str) -> (usize, &'a str) {
         let stores = self.alive.iter().filter(|store| store.region == region);
-        stores.filter(|store| !store.retiring).count()
+        (stores.filter(|store| !store.retiring).count(), region)
+    }
+
+    /// Returns the region that should have a majority of the voters.
+    fn home(&self) -> Option<&CompactString> {
+        let regions = self.alive.iter().filter(|store| !store.retiring).map(|store| &store.region);
+        regions.max_by_key(|region| self.rank(region))
+    }
+
+    fn find(&self, vm: VmId) -> Option<&Candidate> {
+        self.alive.iter().find(|store| store.vm == vm)
     }
 
     /// Tells whether a store is alive and may hold replicas.
     fn serves(&self, vm: VmId) -> bool {
-        self.alive.iter().any(|store| store.vm == vm && !store.retiring)
+        self.find(vm).is_some_and(|store| !store.retiring)
+    }
+
+    /// Returns the voters that serve.
+    fn serving(&self, members: &Members) -> BTreeSet<VmId> {
+        members.voters.iter().copied().filter(|vm| self.serves(*vm)).collect()
+    }
+
+    /// Returns the stores that could join.
+    fn free(&self, members: &Members) -> impl Iterator<Item = VmId> {
+        let serving = self.alive.iter().filter(|store| !store.retiring).map(|store| store.vm);
+        serving.filter(|vm| !members.all().any(|member| member == *vm))
     }
 
-    /// Returns the store to add: one in the failure domain with the fewest serving voters.
+    /// Returns the store to add: the one with which the voters are placed best.
     fn newcomer(&self, members: &Members) -> Option<VmId> {
-        let free = self.alive.iter().filter(|store| !store.retiring);
-        let free = free.filter(|store| !members.all().any(|member| member == store.vm));
-        free.min_by_key(|store| (self.voters_in(members, &store.domain), store.vm))
-            .map(|store| store.vm)
+        let voters = self.serving(members);
+        self.free(members).min_by_key(|vm| {
+            let mut next = voters.clone();
+            next.insert(*vm);
+            (self.placement(&next), *vm)
+        })
     }
 
-    /// Returns the voter to let go: one that does not serve, or one of the fullest domain. The
-    /// leader stays, as it can't remove itself.
+    /// Returns the voter to let go: one that does not serve, or the one without which the others are
+    /// placed best. The leader stays, as it can't remove itself.
     fn surplus(&self, members: &Members) -> Option<VmId> {
+        let voters = self.serving(members);
         let others = members.voters.iter().copied().filter(|vm| *vm != self.me);
-        others.max_by_key(|vm| {
-            let store = self.alive.iter().find(|store| store.vm == *vm);
-            let crowd = store.map_or(0, |store| self.voters_in(members, &store.domain));
-            (!self.serves(*vm), crowd, *vm)
+        others.min_by_key(|vm| {
+            let mut next = voters.clone();
+            next.remove(vm);
+            (self.serves(*vm), self.placement(&next), Reverse(*vm))
         })
     }
 
-    fn voters_in(&self, members: &Members, domain: &str) -> usize {
-        let stores = self.alive.iter().filter(|store| store.domain == domain);
-        stores.filter(|store| members.is_voter(store.vm) && !store.retiring).count()
+    fn placement(&self, voters: &BTreeSet<VmId>) -> Placement {
+        let home = self.home();
+        let mut domains: BTreeMap<&CompactString, usize> = BTreeMap::new();
+        let mut at_home = 0;
+        for store in voters.iter().filter_map(|vm| self.find(*vm)) {
+            *domains.entry(&store.domain).or_default() += 1;
+            at_home += usize::from(Some(&store.region) == home);
+        }
+        let majority = quorum(self.wanted);
+        let minority = self.wanted - majority;
+        Placement {
+            excess: domains.values().map(|count| count.saturating_sub(minority)).sum(),
+            astray: majority.abs_diff(at_home),
+            crowd: domains.values().map(|count| count * count).sum(),
+        }
     }
 }
--- a/crates/core/tests/replication_repair.rs
+++ b/crates/core/tests/replication_repair.rs
@@ -1,8 +1,12 @@
 //! Which membership change repairs a group next.
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::repair::{Candidate, Survey, next_change, should_hand_over};
+use gypsumglade_core::replication::repair::{
+    Candidate, Survey, next_change, next_swap, should_hand_over,
+};
 use gypsumglade_core::replication::{MemberChange, Members};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 
 fn candidate(vm: u32, domain: &str, region: &str) -> Candidate {
     Candidate { vm: VmId(vm), domain: domain.into(), region: region.into(), retiring: false }
@@ -147,3 +151,114 @@
     alive[0].retiring = true;
     assert!(should_hand_over(&voters(&[1, 2, 3]), &survey(1, alive)));
 }
+
+/// Six failure domains in two regions: eleven stores, six of them in the south.
+fn eleven() -> Vec<Candidate> {
+    let south = (0..6).map(|n| candidate(20 + n, ["a", "b", "c"][n as usize % 3], "south"));
+    let north = (0..5).map(|n| candidate(10 + n, ["d", "e", "f"][n as usize % 3], "north"));
+    south.chain(north).collect()
+}
+
+/// Repairs a group until nothing is left to be done, and returns its members. The leader hands its
+/// leadership to the voter of the best region where it should.
+fn repaired(mut members: Members, mut survey: Survey) -> Members {
+    for _ in 0..100 {
+        if should_hand_over(&members, &survey) {
+            let voters = survey.alive.iter().filter(|store| members.is_voter(store.vm));
+            let heirs = voters.filter(|store| !store.retiring).map(|store| store.vm);
+            let heir = heirs
+                .filter(|vm| *vm != survey.me)
+                .find(|vm| !should_hand_over(&members, &Survey { me: *vm, ..survey.clone() }));
+            survey.me = heir.expect("somebody is to lead");
+            continue;
+        }
+        let change = next_change(&members, &survey).or_else(|| next_swap(&members, &survey));
+        let Some(change) = change else { return members };
+        members = members.with(change);
+    }
+    panic!("repair goes in circles: {members:?}");
+}
+
+fn count(members: &Members, alive: &[Candidate], is: impl Fn(&Candidate) -> bool) -> usize {
+    alive.iter().filter(|store| members.is_voter(store.vm) && is(store)).count()
+}
+
+/// Three voters of five stood in the region with fewer stores while the leader moved to the other one:
+/// each commit waited for the narrow link between them.
+#[test]
+fn next_change_majority_in_home_region() {
+    let alive = eleven();
+    let survey = Survey { wanted: 5, ..survey(20, alive.clone()) };
+    let members = repaired(voters(&[10, 20, 21]), survey);
+    assert_eq!(members.voters.len(), 5);
+    assert_eq!(count(&members, &alive, |store| store.region == "south"), 3, "{members:?}");
+    for domain in ["a", "b", "c", "d", "e", "f"] {
+        assert!(count(&members, &alive, |store| store.domain == domain) <= 1, "{members:?}");
+    }
+}
+
+/// A group that was placed wrongly has as many voters as it should, so no repair would ever mend it.
+#[test]
+fn next_swap_wrong_region() {
+    let alive = eleven();
+    let members = voters(&[10, 11, 12, 20, 21]);
+    let survey = Survey { wanted: 5, ..survey(20, alive.clone()) };
+    assert_eq!(next_change(&members, &survey), None);
+    let first = next_swap(&members, &survey);
+    assert_eq!(first, Some(MemberChange::AddLearner(VmId(22))), "before another goes");
+    let members = repaired(members, survey);
+    assert_eq!(count(&members, &alive, |store| store.region == "south"), 3, "{members:?}");
+}
+
+/// With a voter silent a swap would be the second thing under way.
+#[test]
+fn next_swap_not_whole() {
+    let alive: Vec<Candidate> = eleven().into_iter().filter(|store| store.vm != VmId(12)).collect();
+    let survey = Survey { wanted: 5, ..survey(20, alive) };
+    assert_eq!(next_swap(&voters(&[10, 11, 12, 20, 21]), &survey), None);
+}
+
+/// Most voters in one failure domain would stop the group with it, though that spares the link.
+#[test]
+fn next_change_minority_in_each_domain() {
+    let mut alive: Vec<Candidate> = (0..6).map(|n| candidate(20 + n, "a", "south")).collect();
+    alive.extend((0..3).map(|n| candidate(10 + n, ["d", "e", "f"][n as usize], "north")));
+    let survey = Survey { wanted: 5, ..survey(20, alive.clone()) };
+    let members = repaired(voters(&[20, 21, 22]), survey);
+    assert_eq!(count(&members, &alive, |store| store.domain == "a"), 2, "{members:?}");
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Voters that go back and forth have a state sent each time, over the link between regions.
+    #[test]
+    fn next_swap_ends(
+        places in proptest::collection::vec((0_usize..6, any::<bool>()), 1..14),
+        founders in proptest::collection::btree_set(0_usize..14, 1..6),
+        tolerate in 0_usize..3,
+    ) {
+        const DOMAINS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+        let alive: Vec<Candidate> = places.iter().enumerate().map(|(number, (domain, retiring))| {
+            let region = if *domain < 3 { "south" } else { "north" };
+            let vm = u32::try_from(number).expect("few") + 1;
+            // A few of them only.
+            let retiring = *retiring && number % 4 == 3;
+            Candidate { retiring, ..candidate(vm, DOMAINS[*domain], region) }
+        }).collect();
+        let mut first: Vec<u32> =
+            founders.iter().map(|at| u32::try_from(at % alive.len()).expect("few") + 1).collect();
+        first.dedup();
+        let wanted = 2 * tolerate + 1;
+        let survey = Survey { wanted, ..survey(first[0], alive.clone()) };
+        let members = repaired(voters(&first), survey);
+        let serving = alive.iter().filter(|store| !store.retiring).count();
+        let voting = count(&members, &alive, |store| !store.retiring);
+        prop_assert!(voting >= wanted.min(serving), "{:?}", members);
+    }
+}
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::repair::{Candidate, Survey, next_change, should_hand_over};
-use gypsumglade_core::replication::{Members, Role, Status};
+use gypsumglade_core::replication::repair::{
+    Candidate, Survey, next_change, next_swap, should_hand_over,
+};
+use gypsumglade_core::replication::{MemberChange, Members, Role, Status};
 use gypsumglade_core::wire::discovery::Led;
 use tokio_util::sync::CancellationToken;
 
@@ -26,6 +28,10 @@
 /// little: commits wait while it is tried.
 const HAND_OVER_PAUSE: Duration = Duration::from_secs(3);
 
+/// How long the same swap of voters must be due before it is begun: longer than restarts take, which make
+/// a region look smaller for a while.
+const SWAP_AFTER: Duration = Duration::from_secs(10);
+
 /// What a repair needs to know.
 pub(super) struct Repair {
     pub(super) context: Arc<StoreContext>,
@@ -45,6 +51,8 @@
     addresses: BTreeMap<VmId, CompactString>,
     /// When each group's leadership was last to be handed over.
     handed: BTreeMap<GroupId, Time>,
+    /// The swap that each group is due, and since when.
+    swaps: BTreeMap<GroupId, (MemberChange, Time)>,
 }
 
 impl Repair {
@@ -72,7 +80,9 @@
         if self.hand_over(group, &survey, memory) {
             return;
         }
-        let Some(change) = next_change(&group.members, &survey) else { return };
+        let repair = next_change(&group.members, &survey);
+        let swap = self.swap(group, &survey, repair.is_none(), memory);
+        let Some(change) = repair.or(swap) else { return };
         let number = group.group.0;
         match self.context.host.change_members(group.group, change).await {
             Ok(_) => slog::info!(self.context.log, "group membership changed";
@@ -83,6 +93,27 @@
         }
     }
 
+    /// Returns the change that begins a swap of voters once it has been due for long.
+    fn swap(
+        &self,
+        group: &Status,
+        survey: &Survey,
+        whole: bool,
+        memory: &mut Memory,
+    ) -> Option<MemberChange> {
+        let wanted = (whole && group.settled).then(|| next_swap(&group.members, survey)).flatten();
+        let Some(change) = wanted else {
+            memory.swaps.remove(&group.group);
+            return None;
+        };
+        let now = self.context.clock.now();
+        let due = memory.swaps.entry(group.group).or_insert((change, now));
+        if due.0 != change {
+            *due = (change, now);
+        }
+        (now.since(due.1) >= SWAP_AFTER).then_some(change)
+    }
+
     /// Hands a group's leadership over if it belongs elsewhere, and tells whether it does so.
     fn hand_over(&self, group: &Status, survey: &Survey, memory: &mut Memory) -> bool {
         let now = self.context.clock.now();
