Give turns the group's time, not the leader's wall clock

Once the leadership moved to a store whose wall clock was ahead, callers were told 404 for turns kept a moment before. After a leader whose clock was ahead, the group's time stood still until the others' clocks had come that far: nothing was forgotten, and memory grew.

Cause: a leader stamped commands with its wall clock, and `Turns::advance` takes the latest.

A leader stamps with the group's time at the start of its lead plus what passed since by the process's clock, which counts suspension. `Event::Leader` comes after all that earlier leaders committed, so the start is never behind it; only the first leader of all takes its wall clock. Before that event a leader gives the latest time that it knows, and one that knows none answers as not ready: it may hold a log that it hasn't applied yet. Time without a leader isn't counted, so turns are kept longer, never shorter.

Evidence: tests/turn_clock.rs starts a store on a state whose time is an hour behind or ahead of its wall clock.

--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod copies;
 mod holders;
+mod lead;
 mod runs;
 mod snapshot;
 mod state;
@@ -17,6 +18,7 @@
 pub use budget::Spent;
 pub use copies::{Copy, Limits, Portion, Survey};
 pub use holders::preferred;
+pub use lead::LeadClock;
 pub use snapshot::RestoreError;
 pub use state::Turns;
 pub use tree::{Holding, TurnTree};
--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -15,7 +15,7 @@
 pub struct Turns {
     pub(super) budgets: Budgets,
     pub(super) tree: TurnTree,
-    /// Latest wall clock of any command, in milliseconds.
+    /// Latest time of any command, in milliseconds; zero before the first.
     pub(super) clock: u64,
 }
 
@@ -45,6 +45,11 @@
         kept.collect()
     }
 
+    /// Returns the group's time, in milliseconds; nothing before the first command.
+    pub fn time(&self) -> Option<u64> {
+        (self.clock > 0).then_some(self.clock)
+    }
+
     /// Returns how many programs are remembered.
     pub fn programs(&self) -> usize {
         self.budgets.programs.len()
@@ -91,8 +96,8 @@
         ReplyBody::Settled(wire::Settled {})
     }
 
-    /// Takes the wall clock of a command. It never goes back: a leader whose clock lags behind its
-    /// predecessor's must not make an expired turn come back.
+    /// Takes the time of a command. It never goes back: what a deposed leader proposed may come after
+    /// its successor's first command, and must not make an expired turn come back.
     fn advance(&mut self, now: u64) -> u64 {
         let before = self.clock;
         self.clock = self.clock.max(now);
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{LogIndex, Term};
-use gypsumglade_core::turns::{Copy, Holding, Limits, Survey, Turns};
+use gypsumglade_core::turns::{Copy, Holding, LeadClock, Limits, Survey, Turns};
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
 use gypsumglade_core::wire::turn::{
@@ -29,8 +29,8 @@
 #[derive(Default)]
 struct TurnState {
     turns: Turns,
-    /// True once this store leads and has applied what earlier leaders committed.
-    leads: bool,
+    /// Set once this store leads and has applied what earlier leaders committed.
+    lead: Option<LeadClock>,
     /// True while the state lacks what a snapshot held that could not be read. What is applied meanwhile
     /// proves nothing: a turn that isn't in it may be kept all the same.
     unusable: bool,
@@ -49,7 +49,7 @@
             match event {
                 Event::Leader { term, .. } => self.lead(term),
                 Event::Follower { leader, .. } => {
-                    self.state().leads = false;
+                    self.state().lead = None;
                     let leader = leader.map(|vm| vm.0);
                     slog::info!(self.context.log, "follows in the turn group"; "leader" => leader);
                 }
@@ -68,7 +68,10 @@
             // Asked again, the entry VM finds the store that leads next.
             return Reply { body: Some(uncertain()) };
         }
-        stamp(&mut command, Clock::wall_millis());
+        let Some(time) = self.time() else {
+            return Reply { body: Some(self.not_ready().await) };
+        };
+        stamp(&mut command, time);
         let data = Bytes::from(command.encode_to_vec());
         let body = match self.context.host.propose(GroupId::TURNS, data).await {
             Ok(index) => return self.answer_at(index).await,
@@ -80,6 +83,27 @@
         Reply { body: Some(body) }
     }
 
+    /// Returns the group's time for a command, in milliseconds.
+    ///
+    /// Between its election and the first look at what earlier leaders committed, a leader has none of
+    /// its own and gives the latest that it knows, with which the group's stands still.
+    fn time(&self) -> Option<u64> {
+        let state = self.state();
+        let now = self.context.clock.now();
+        state.lead.map(|lead| lead.millis(now)).or_else(|| state.turns.time())
+    }
+
+    /// Returns the answer of a store that knows no time of the group: it can't be asked yet, since what
+    /// it would propose might be the group's first command or not.
+    async fn not_ready(&self) -> ReplyBody {
+        match self.context.host.read_barrier(GroupId::TURNS).await {
+            Ok(_) => uncertain(),
+            Err(ReadError::NotLeader { hint }) => {
+                ReplyBody::NotLeader(NotLeader { leader: hint.unwrap_or_default().0 })
+            }
+        }
+    }
+
     /// Returns the state for a dump.
     pub fn dump(&self) -> serde_json::Value {
         let state = self.state();
@@ -100,7 +124,8 @@
     fn lead(&self, term: Term) {
         let unusable = {
             let mut state = self.state();
-            state.leads = true;
+            let now = self.context.clock.now();
+            state.lead = Some(LeadClock::start(state.turns.time(), Clock::wall_millis(), now));
             state.unusable
         };
         slog::info!(self.context.log, "leads the turn group"; "term" => term.0);
@@ -161,7 +186,7 @@
         match barrier {
             // Only a leader that has applied what earlier ones committed can say that a turn is not
             // kept: its text is dropped then.
-            Ok(_) if state.leads && !state.unusable => KeptReply {
+            Ok(_) if state.lead.is_some() && !state.unusable => KeptReply {
                 leads: true,
                 turns: state.turns.still_kept(&query.turns),
                 leader: self.context.vm.0,
@@ -196,7 +221,7 @@
     /// Tells whether this store leads the group and has applied what earlier leaders committed.
     pub(super) fn leads(&self) -> bool {
         let state = self.state();
-        state.leads && !state.unusable
+        state.lead.is_some() && !state.unusable
     }
 
     /// Tells whether the state lacks what a snapshot held, so that another store should lead.
@@ -226,7 +251,7 @@
     pub(super) relied: BTreeSet<VmId>,
 }
 
-/// Sets the wall clock of a command. The leader's counts, so that entry VMs' clocks don't matter.
+/// Sets the time of a command. The leader's counts, so that entry VMs' clocks don't matter.
 fn stamp(command: &mut Command, now: u64) {
     match &mut command.body {
         Some(CommandBody::Reserve(reserve)) => reserve.now_ms = now,
--- /dev/null
+++ b/crates/gypsumglade/tests/turn_clock.rs
@@ -0,0 +1,137 @@
+//! The time of kept turns, where wall clocks of stores differ.
+
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gypsumglade::clock::Clock;
+use gypsumglade::directory::Directory;
+use gypsumglade::replica::{Host, HostSettings};
+use gypsumglade::settings::Settings;
+use gypsumglade::store::Store;
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::turns::Turns;
+use gypsumglade_core::wire::turn::command::Body;
+use gypsumglade_core::wire::turn::reply::Body as Reply;
+use gypsumglade_core::wire::turn::{Command, Kept, Reserve, Settle};
+use tokio::sync::mpsc;
+
+const PEERS: u16 = 7_312;
+const VM: VmId = VmId(77);
+/// What a wall clock is off by.
+const OFF_MS: u64 = 3_600_000;
+/// Time for which the turns are kept that must be found.
+const RETENTION_MS: u64 = 60_000;
+/// Looks for what the group must come to.
+const LOOKS: usize = 200;
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Returns an address of this process and test.
+fn ip(test: u8) -> Ipv4Addr {
+    let process = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 128 | (process[2] & 63), process[3], test)
+}
+
+fn settings(test: u8, folder: &Path) -> Settings {
+    let (own, folder) = (ip(test), folder.display());
+    let text = format!(
+        r#"
+vm: {{ domain: a, region: south }}
+threads: 1
+discovery: {{ name: "{own}", seeds: ["{own}:1"], first_start: false, domains: {{ a: south }} }}
+listen: {{ peers: "{own}:{PEERS}" }}
+groups: 0
+store:
+  folder: "{folder}"
+  peers: "{own}:{PEERS}"
+  admin: "{own}:0"
+  tolerate: 0
+  heartbeat_ms: 50
+  election_ms: 300
+tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
+operators: {{ keys: ["68130c21391e43a090a1b7c5eb51a54a33104d132e61d9af0d58a5821ba0e743"], threshold: 1 }}
+log: {{ file: "-" }}
+"#
+    );
+    Settings::parse(Path::new("settings.yaml"), &text)
+        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+}
+
+fn settle(turn: &str, retention_ms: u64, now_ms: u64) -> Command {
+    let kept = Kept { retention_ms, holders: vec![VM.0], bytes: 1, ..Kept::default() };
+    let (turn, program) = (turn.to_owned(), "p".to_owned());
+    let settle = Settle { turn, program, now_ms, kept: Some(kept), ..Settle::default() };
+    Command { body: Some(Body::Settle(settle)) }
+}
+
+/// Leaves a folder with a turn that a leader with this wall clock kept, and starts a store on it.
+async fn start(test: u8, folder: &Path, wall: u64) -> Store {
+    let mut turns = Turns::default();
+    turns.apply(&settle("kept", RETENTION_MS, wall));
+    let (outbound, _batches) = mpsc::channel(16);
+    let host =
+        HostSettings { vm: VM, folder: Some(folder.to_path_buf()), ..HostSettings::default() };
+    let (host, _events) = Host::start(host, outbound).await.expect("the host starts");
+    host.create(GroupId::TURNS, vec![VM]).await.expect("created");
+    let index = loop {
+        match host.propose(GroupId::TURNS, Bytes::new()).await {
+            Ok(index) => break index,
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    };
+    host.snapshot(GroupId::TURNS, index, turns.snapshot()).await;
+    host.stop().await;
+    let settings = settings(test, folder);
+    let directory = Arc::new(Directory::new(&settings));
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Store::start(settings, directory, log).await.expect("a store starts")
+}
+
+/// Asks until the group tells what became of the command.
+async fn ask(store: &Store, command: Command) -> Reply {
+    for _ in 0..LOOKS {
+        match store.state().turns.ask(command.clone()).await.body {
+            None | Some(Reply::NotLeader(_) | Reply::Uncertain(_)) => {}
+            Some(reply) => return reply,
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("the group doesn't answer");
+}
+
+fn reserve(turn: &str, previous: &str) -> Command {
+    let (turn, previous) = (turn.to_owned(), previous.to_owned());
+    let program = "p".to_owned();
+    let reserve = Reserve { turn, program, previous, ..Reserve::default() };
+    Command { body: Some(Body::Reserve(reserve)) }
+}
+
+/// The leadership moves to a store whose wall clock is ahead. Callers were told that turns are unknown
+/// which were kept a moment ago.
+#[tokio::test]
+async fn lead_with_clock_ahead() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let store = start(1, folder.path(), Clock::wall_millis() - OFF_MS).await;
+    let reply = ask(&store, reserve("next", "kept")).await;
+    assert!(matches!(reply, Reply::Reserved(_)), "forgotten too early: {reply:?}");
+    store.stop().await;
+}
+
+/// The former leader's wall clock was ahead. The group's time stood still until the others' clocks had
+/// come that far, and all that callers left meanwhile was kept.
+#[tokio::test]
+async fn lead_after_clock_ahead() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let store = start(2, folder.path(), Clock::wall_millis() + OFF_MS).await;
+    let short = u64::try_from(PAUSE.as_millis()).expect("short");
+    assert!(matches!(ask(&store, settle("short", short, 0)).await, Reply::Settled(_)));
+    let mut looks = 0;
+    while !matches!(ask(&store, reserve("next", "short")).await, Reply::Unknown(_)) {
+        looks += 1;
+        assert!(looks < LOOKS, "kept for good");
+        tokio::time::sleep(PAUSE).await;
+    }
+    store.stop().await;
+}
