Sync the name of the folder of texts

What callers would see: after a loss of power of all stores soon after the first start, turns that were settled can't be continued, for no store has their texts.

Cause: `texts` is made after the data folder was synced, and only what is in it was synced from then on. Its own name could be lost, and the folder with it.

Fix: opening syncs the folder that `texts` is in before anything can be put, also where `texts` was there already, for the process that made it may have ended before the sync. A text is acknowledged only by a store that was opened, so each name on its path below the data folder is stable by then. Syncs of folders go through `Faults`, so a test can have one fail.

--- a/crates/gypsumglade/src/disk/faults.rs
+++ b/crates/gypsumglade/src/disk/faults.rs
@@ -1,9 +1,12 @@
 //! Failures of the disk, for tests: the one edge of this module that a test replaces.
 
 use std::io;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
+use super::folder;
+
 /// Failures to come; without any, the disk works.
 #[doc(hidden)]
 #[derive(Clone, Debug, Default)]
@@ -24,6 +27,8 @@
     fail: bool,
     /// Whether syncs of folders fail.
     folders: bool,
+    /// The one folder whose syncs fail.
+    folder: Option<PathBuf>,
     /// Whether syncs wait.
     held: bool,
     /// What each sync takes beside the disk's own time.
@@ -46,6 +51,11 @@
         self.plan().folders = true;
     }
 
+    /// Makes every sync of this folder fail from now on, where it is synced for texts.
+    pub fn fail_folder(&self, folder: &Path) {
+        self.plan().folder = Some(folder.to_path_buf());
+    }
+
     /// Makes syncs wait until [`Faults::release_syncs`].
     pub fn hold_syncs(&self) {
         self.plan().held = true;
@@ -82,8 +92,13 @@
         refuse(waiting.unwrap_or_else(PoisonError::into_inner).fail)
     }
 
-    pub(crate) fn check_folder(&self) -> io::Result<()> {
-        refuse(self.plan().folders)
+    /// Makes new, renamed and removed names of a folder stable, unless a test has it fail.
+    pub(crate) fn sync_folder(&self, path: &Path) -> io::Result<()> {
+        let plan = self.plan();
+        let fails = plan.folders || plan.folder.as_deref() == Some(path);
+        drop(plan);
+        refuse(fails)?;
+        folder::sync_folder(path)
     }
 
     fn plan(&self) -> std::sync::MutexGuard<'_, Plan> {
--- a/crates/gypsumglade/src/disk/folder.rs
+++ b/crates/gypsumglade/src/disk/folder.rs
@@ -101,7 +101,7 @@
 }
 
 /// Makes new, renamed and removed names stable.
-pub(crate) fn sync_folder(folder: &Path) -> io::Result<()> {
+pub(super) fn sync_folder(folder: &Path) -> io::Result<()> {
     File::open(folder)?.sync_all()
 }
 
--- a/crates/gypsumglade/src/disk/mod.rs
+++ b/crates/gypsumglade/src/disk/mod.rs
@@ -16,7 +16,6 @@
 
 pub use faults::Faults;
 pub use folder::owner;
-pub(crate) use folder::sync_folder;
 pub use inspect::{Finding, GroupReport, Report, SegmentReport, inspect};
 pub use reader::Reader;
 pub use snapshot::Saver;
--- a/crates/gypsumglade/src/texts/open.rs
+++ b/crates/gypsumglade/src/texts/open.rs
@@ -1,6 +1,7 @@
 //! Finds what an earlier process left, and starts the threads.
 
 use std::fs::{self, File};
+use std::io;
 use std::path::Path;
 use std::sync::{Arc, mpsc};
 use std::thread;
@@ -15,11 +16,13 @@
 use super::writer::Writer;
 use super::{Handle, TextOptions};
 use crate::clock::Clock;
-use crate::disk::sync_folder;
+use crate::disk::Faults;
 
 pub(super) fn open(folder: &Path, options: TextOptions) -> anyhow::Result<Handle> {
     fs::create_dir_all(folder)
         .with_context(|| format!("the folder {} can't be made", folder.display()))?;
+    sync_name(folder, &options.faults)
+        .with_context(|| format!("the name of {} can't be synced", folder.display()))?;
     let clock = Clock::start();
     let due = clock.now() + options.found_retention;
     let mut index = Index::default();
@@ -37,12 +40,22 @@
                 "cut" => scanned.length - scanned.whole);
         }
     }
-    sync_folder(folder)?;
+    options.faults.sync_folder(folder)?;
     let next = numbers.last().map_or(1, |last| last + 1);
     let shared = Arc::new(Shared::new(options, clock, index, damaged));
     start(folder, shared, next).context("the threads for texts can't be started")
 }
 
+/// Makes the folder's own name stable: a power loss would else take it with all that was acknowledged.
+///
+/// It is done for a folder that was there too. Whoever made it may have ended before the sync.
+fn sync_name(folder: &Path, faults: &Faults) -> io::Result<()> {
+    match folder.canonicalize()?.parent() {
+        Some(parent) => faults.sync_folder(parent),
+        None => Ok(()),
+    }
+}
+
 /// Reads a segment, and cuts off a last write that was cut short.
 ///
 /// The last one is synced too: a process that was killed leaves writes that nobody has synced, and a
--- a/crates/gypsumglade/src/texts/writer.rs
+++ b/crates/gypsumglade/src/texts/writer.rs
@@ -11,7 +11,6 @@
 use super::record;
 use super::segment;
 use super::shared::{BATCH_BYTES, Move, Put, Shared, Stable, Work};
-use crate::disk::sync_folder;
 
 /// The segment that is written to.
 struct Current {
@@ -145,8 +144,7 @@
         self.next += 1;
         let path = segment::path(&self.folder, number);
         let file = File::options().append(true).create_new(true).open(path)?;
-        self.shared.options.faults.check_folder()?;
-        sync_folder(&self.folder)?;
+        self.shared.options.faults.sync_folder(&self.folder)?;
         self.current = Some(Current { number, file, length: 0 });
         Ok((number, 0))
     }
--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -196,6 +196,22 @@
     assert_eq!(refused, Err(PutError::Failed));
 }
 
+#[test]
+fn open_syncs_name_of_folder() {
+    // Guards against a power loss that takes the whole new folder, for its name was never synced.
+    let folder = Folder::new(ROOMY);
+    let root = folder.root.path().canonicalize().expect("a folder");
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let mut options = TextOptions::new(TextLimits { disk_bytes: ROOMY }, log);
+    options.faults = folder.faults.clone();
+    folder.faults.fail_folder(&root);
+    // The second time the folder is there, left by a process that could not sync its name.
+    for _ in 0..2 {
+        let opened = TextStore::open_with(&root.join("texts"), options.clone());
+        assert!(opened.is_err(), "texts could be acknowledged in a folder that may go");
+    }
+}
+
 #[tokio::test]
 async fn open_cuts_torn_tail() {
     // Guards against a crash in the middle of a write that would hide what was written before or later.
