Let a store take texts again after its disk failed

What callers would see: a disk that refuses writes for a moment takes its store out of puts until somebody restarts it. After several such moments too few stores are left, and turns end without being kept.

Cause: the writer's thread ended with the first failed write or sync, and every put was refused from then on.

Fix: the writer cuts off what the failed write left, as before, and tries again after `RETRY_PAUSE`. It takes puts again once the cut is synced and 4 KiB could be written and synced in a new file. Meanwhile puts are refused at once. Nothing unsynced is acknowledged: puts of the failed write are answered with the failure, and the old file gets no further text. Until its cut is synced no put is taken, so that it is still the last file, which the next process cuts and syncs. A try that fails takes its new file away. The failure and the recovery are logged once each.

--- a/crates/gypsumglade/src/disk/faults.rs
+++ b/crates/gypsumglade/src/disk/faults.rs
@@ -56,6 +56,12 @@
         self.plan().folder = Some(folder.to_path_buf());
     }
 
+    /// Ends all failures.
+    pub fn heal(&self) {
+        let mut plan = self.plan();
+        (plan.room, plan.fail, plan.folders, plan.folder) = (None, false, false, None);
+    }
+
     /// Makes syncs wait until [`Faults::release_syncs`].
     pub fn hold_syncs(&self) {
         self.plan().held = true;
--- a/crates/gypsumglade/src/texts/mod.rs
+++ b/crates/gypsumglade/src/texts/mod.rs
@@ -32,6 +32,8 @@
 const FOUND_RETENTION: Duration = Duration::from_secs(30);
 /// How long a due text that was returned is not returned again: a lookup at the turn group takes less.
 const DUE_PAUSE: Duration = Duration::from_secs(5);
+/// Pause before a disk that failed is tried again.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Limits of a [`TextStore`].
 #[derive(Clone, Debug)]
@@ -51,6 +53,8 @@
     pub found_retention: Duration,
     /// How long a due text that was returned is not returned again.
     pub due_pause: Duration,
+    /// Pause before a disk that failed is tried again.
+    pub retry_pause: Duration,
     /// Failures of the disk to come.
     #[doc(hidden)]
     pub faults: Faults,
@@ -64,6 +68,7 @@
             log,
             found_retention: FOUND_RETENTION,
             due_pause: DUE_PAUSE,
+            retry_pause: RETRY_PAUSE,
             faults: Faults::default(),
         }
     }
@@ -80,7 +85,7 @@
     /// There is no room, on the disk or in the queue before it.
     #[error("no room for further texts")]
     Full,
-    /// The disk failed; the process must be restarted.
+    /// The disk failed. Puts are refused until it takes writes again.
     #[error("the disk failed")]
     Failed,
 }
@@ -100,7 +105,7 @@
     pub damaged: u64,
     /// Syncs since the store was opened.
     pub syncs: u64,
-    /// Whether puts are refused because the disk failed.
+    /// Whether puts are refused because the disk failed and has not taken a write since.
     pub failed: bool,
 }
 
--- a/crates/gypsumglade/src/texts/shared.rs
+++ b/crates/gypsumglade/src/texts/shared.rs
@@ -217,7 +217,8 @@
         }
     }
 
-    /// Refuses all puts from now on, also those that wait: dropping them answers their callers.
+    /// Refuses all puts until [`Shared::recover`], also those that wait: dropping them answers their
+    /// callers.
     pub(super) fn fail(&self) {
         let mut state = self.state();
         state.failed = true;
@@ -225,6 +226,19 @@
         state.queue.clear();
     }
 
+    /// Takes puts again.
+    pub(super) fn recover(&self) {
+        self.state().failed = false;
+    }
+
+    /// Waits until a disk that failed may be tried again. Returns false once the store is closed.
+    pub(super) fn wait_retry(&self) -> bool {
+        let pause = self.options.retry_pause;
+        let waiting = self.work.wait_timeout_while(self.state(), pause, |state| !state.closed);
+        let (state, _) = waiting.expect("no panic while held");
+        !state.closed
+    }
+
     /// Has the writer end once all is written.
     pub(super) fn close(&self) {
         self.state().closed = true;
--- a/crates/gypsumglade/src/texts/writer.rs
+++ b/crates/gypsumglade/src/texts/writer.rs
@@ -12,6 +12,9 @@
 use super::segment;
 use super::shared::{BATCH_BYTES, Move, Put, Shared, Stable, Work};
 
+/// Bytes that a disk which failed must take before puts are taken again: a block.
+const PROBE_BYTES: usize = 4 * 1024;
+
 /// The segment that is written to.
 struct Current {
     number: u32,
@@ -27,6 +30,8 @@
     /// Opened by the first write. It is always a new file: an earlier process in this address space may
     /// still hold the last one.
     current: Option<Current>,
+    /// The segment whose last write failed, until that is cut off.
+    unsynced: Option<Current>,
     /// Number of the next segment.
     next: u32,
     buffer: Vec<u8>,
@@ -34,10 +39,10 @@
 
 impl Writer {
     pub(super) fn new(shared: Arc<Shared>, folder: PathBuf, next: u32) -> Writer {
-        Writer { shared, folder, current: None, next, buffer: Vec::new() }
+        Writer { shared, folder, current: None, unsynced: None, next, buffer: Vec::new() }
     }
 
-    /// Writes until the store is closed, or the disk fails.
+    /// Writes until the store is closed.
     pub(super) fn run(mut self) {
         while let Some(work) = self.shared.next_work(self.current.as_ref().map(|c| c.number)) {
             let done = match work {
@@ -45,15 +50,54 @@
                 Work::Write { puts, moves } => self.write(puts, &moves),
             };
             if let Err(error) = done {
+                self.shared.fail();
                 slog::crit!(self.shared.options.log,
-                    "texts can't be written; make room or replace the disk, then restart the process";
+                    "texts can't be written and are refused; make room or replace the disk";
                     "folder" => %self.folder.display(), "error" => %error);
-                self.forget_unsynced();
-                return;
+                if !self.recover() {
+                    return;
+                }
             }
         }
     }
 
+    /// Tries until the disk takes writes again. Returns false if the store is closed before.
+    ///
+    /// Puts are refused meanwhile: their callers go to another store at once, and would wait here.
+    fn recover(&mut self) -> bool {
+        self.unsynced = self.current.take();
+        // A process that is ended during the pause must not leave what the failed sync did.
+        let _ = self.forget_unsynced();
+        while self.shared.wait_retry() {
+            if self.begin_anew().is_ok() {
+                self.shared.recover();
+                slog::warn!(self.shared.options.log, "texts can be written again";
+                    "folder" => %self.folder.display());
+                return true;
+            }
+        }
+        let _ = self.forget_unsynced();
+        false
+    }
+
+    /// Begins a new segment on a disk that failed, once a write to it could be synced.
+    ///
+    /// Nothing goes to the old one any more: what a failed sync left of it is not known.
+    fn begin_anew(&mut self) -> io::Result<()> {
+        self.forget_unsynced()?;
+        self.buffer.clear();
+        self.buffer.resize(PROBE_BYTES, 0);
+        let current = self.create_segment()?;
+        let probed = self.append_to(&current.file).and_then(|()| current.file.set_len(0));
+        if let Err(error) = probed {
+            // An empty file, or one of zeros, is no harm; a new one for each try would be.
+            let _ = fs::remove_file(segment::path(&self.folder, current.number));
+            return Err(error);
+        }
+        self.current = Some(current);
+        Ok(())
+    }
+
     /// Deletes a segment none of whose texts is live.
     ///
     /// The folder isn't synced. A file that comes back after a power loss brings texts that are found at
@@ -114,50 +158,72 @@
 
     /// Writes and syncs the buffer, and returns its length.
     fn append(&mut self) -> io::Result<u64> {
-        let Some(current) = &mut self.current else { return Ok(0) };
+        let Some(current) = &self.current else { return Ok(0) };
+        self.append_to(&current.file)?;
+        let bytes = self.buffer.len() as u64;
+        self.buffer.clear();
+        self.buffer.shrink_to(BATCH_BYTES as usize);
+        self.current.iter_mut().for_each(|current| current.length += bytes);
+        Ok(bytes)
+    }
+
+    /// Writes the buffer to the end of a file, and syncs it.
+    fn append_to(&self, mut file: &File) -> io::Result<()> {
         let faults = &self.shared.options.faults;
         let room = faults.room(self.buffer.len());
-        current.file.write_all(&self.buffer[..room])?;
+        file.write_all(&self.buffer[..room])?;
         if room < self.buffer.len() {
             return Err(ErrorKind::StorageFull.into());
         }
         faults.check_sync()?;
-        current.file.sync_data()?;
-        let bytes = self.buffer.len() as u64;
-        current.length += bytes;
-        self.buffer.clear();
-        self.buffer.shrink_to(BATCH_BYTES as usize);
-        Ok(bytes)
+        file.sync_data()
     }
 
     /// Returns the segment that `bytes` go to and its length; begins a new one if they don't fit.
-    ///
-    /// A file's data can be stable while its name isn't, and then a power loss takes the whole file. So
-    /// the folder is synced before anything in the new file is acknowledged.
     fn open_segment(&mut self, bytes: u64) -> io::Result<(u32, u64)> {
         let limit = self.shared.options.segment_bytes();
         let fitting = self.current.as_ref().filter(|current| current.length + bytes <= limit);
         if let Some(current) = fitting {
             return Ok((current.number, current.length));
         }
+        let current = self.create_segment()?;
+        let number = current.number;
+        self.current = Some(current);
+        Ok((number, 0))
+    }
+
+    /// Makes a new segment file.
+    ///
+    /// A file's data can be stable while its name isn't, and then a power loss takes the whole file. So
+    /// the folder is synced before anything in the new file is acknowledged.
+    fn create_segment(&mut self) -> io::Result<Current> {
         let number = self.next;
         self.next += 1;
         let path = segment::path(&self.folder, number);
-        let file = File::options().append(true).create_new(true).open(path)?;
-        self.shared.options.faults.sync_folder(&self.folder)?;
-        self.current = Some(Current { number, file, length: 0 });
-        Ok((number, 0))
+        let file = File::options().append(true).create_new(true).open(&path)?;
+        if let Err(error) = self.shared.options.faults.sync_folder(&self.folder) {
+            let _ = fs::remove_file(path);
+            return Err(error);
+        }
+        Ok(Current { number, file, length: 0 })
     }
 
     /// Cuts off what a failed sync may have left in memory only.
     ///
     /// The kernel may take pages for clean after a failed sync. The next process would read them, sync
-    /// them to no effect and acknowledge a text that is not on the disk. If the cut fails too, nothing
-    /// more can be done here: no put was acknowledged.
-    fn forget_unsynced(&mut self) {
-        if let Some(current) = &self.current {
-            let _ = current.file.set_len(current.length);
+    /// them to no effect and acknowledge a text that is not on the disk. Until the cut is synced no
+    /// further put is taken, so the file is still the last one, which the next process syncs and cuts.
+    fn forget_unsynced(&mut self) -> io::Result<()> {
+        let Some(old) = &self.unsynced else { return Ok(()) };
+        old.file.set_len(old.length)?;
+        self.shared.options.faults.check_sync()?;
+        old.file.sync_all()?;
+        if old.length == 0 {
+            // The index knows of no text in it, and would never have it deleted.
+            fs::remove_file(segment::path(&self.folder, old.number))?;
         }
+        self.unsynced = None;
+        Ok(())
     }
 }
 
--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -35,8 +35,12 @@
     limit: u64,
     found: Duration,
     pause: Duration,
+    /// Pause before a disk that failed is tried again.
+    retry: Duration,
     /// Messages of the highest level.
     critical: Arc<AtomicUsize>,
+    /// Messages that something is wrong, or no more.
+    warnings: Arc<AtomicUsize>,
 }
 
 /// Lets syncs go on in the end, also when a test panics: a store that is dropped waits for them.
@@ -48,16 +52,18 @@
     }
 }
 
-/// Counts messages of the highest level.
-struct Count(Arc<AtomicUsize>);
+/// Counts messages of the highest level, and warnings.
+struct Count(Arc<AtomicUsize>, Arc<AtomicUsize>);
 
 impl slog::Drain for Count {
     type Ok = ();
     type Err = slog::Never;
 
     fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
-        if record.level() == slog::Level::Critical {
-            self.0.fetch_add(1, Ordering::Relaxed);
+        match record.level() {
+            slog::Level::Critical => drop(self.0.fetch_add(1, Ordering::Relaxed)),
+            slog::Level::Warning => drop(self.1.fetch_add(1, Ordering::Relaxed)),
+            _ => {}
         }
         Ok(())
     }
@@ -66,17 +72,27 @@
 impl Folder {
     fn new(limit: u64) -> Folder {
         let root = tempfile::tempdir().expect("a folder");
-        let critical = Arc::default();
-        Folder { root, faults: Faults::default(), limit, found: LONG, pause: LONG, critical }
+        Folder {
+            root,
+            faults: Faults::default(),
+            limit,
+            found: LONG,
+            pause: LONG,
+            retry: Duration::from_millis(1),
+            critical: Arc::default(),
+            warnings: Arc::default(),
+        }
     }
 
     fn open(&self) -> TextStore {
         let limits = TextLimits { disk_bytes: self.limit };
-        let log = slog::Logger::root(Count(Arc::clone(&self.critical)), slog::o!());
+        let counts = Count(Arc::clone(&self.critical), Arc::clone(&self.warnings));
+        let log = slog::Logger::root(counts, slog::o!());
         let mut options = TextOptions::new(limits, log);
         options.faults = self.faults.clone();
         options.found_retention = self.found;
         options.due_pause = self.pause;
+        options.retry_pause = self.retry;
         TextStore::open_with(self.root.path(), options).expect("the folder opens")
     }
 
@@ -470,6 +486,71 @@
     assert_eq!((store.status().texts, store.status().damaged), (1, 0));
 }
 
+/// A way in which a disk refuses texts.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    Sync,
+    Folder,
+    Room,
+}
+
+#[tokio::test]
+async fn put_succeeds_after_recovery() {
+    // Guards against a store that takes no text until a restart because its disk failed for a moment.
+    for refusal in [Refusal::Sync, Refusal::Folder, Refusal::Room] {
+        let folder = Folder::new(SMALL);
+        let store = folder.open();
+        let length = SMALL_SEGMENT as usize - 100;
+        put(&store, 1, length).await;
+        for round in 1..4 {
+            match refusal {
+                Refusal::Sync => folder.faults.fail_syncs(),
+                Refusal::Folder => folder.faults.fail_folders(),
+                Refusal::Room => folder.faults.fill_after(300),
+            }
+            let refused = store.put(vec![text(2, length)], LONG).await;
+            assert_eq!(refused, Err(PutError::Failed), "{refusal:?}");
+            until(&store, |status| status.failed).await;
+            let waiting = store.put(vec![text(3, 10)], LONG).now_or_never();
+            assert_eq!(waiting, Some(Err(PutError::Failed)), "it is refused at once");
+            // Several tries fail, and leave nothing.
+            tokio::time::sleep(10 * folder.retry).await;
+            assert!(store.status().failed);
+            folder.faults.heal();
+            until(&store, |status| !status.failed).await;
+            assert_eq!(get(&store, 2).await, None, "what wasn't synced doesn't come back");
+            put(&store, 3 + round, 100).await;
+            assert_eq!(folder.critical.load(Ordering::Relaxed), round, "each is logged once");
+            assert_eq!(folder.warnings.load(Ordering::Relaxed), round, "each is logged once");
+        }
+        assert_eq!(folder.file_bytes(), store.status().disk_bytes, "{refusal:?}");
+        drop(store);
+        assert!(folder.files().iter().all(|file| fs::metadata(file).is_ok_and(|d| d.len() > 0)));
+        let store = folder.open();
+        assert_eq!((store.status().texts, store.status().damaged), (4, 0), "{refusal:?}");
+        assert_eq!(get(&store, 1).await, Some(text(1, length)));
+        assert_eq!(get(&store, 6).await, Some(text(6, 100)));
+    }
+}
+
+#[tokio::test]
+async fn put_after_recovery_goes_to_new_file() {
+    // Guards against texts that are appended to a file of which a failed sync left nobody knows what.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    let old = folder.files();
+    let bytes = folder.file_bytes();
+    folder.faults.fail_syncs();
+    assert_eq!(store.put(vec![text(2, 1000)], LONG).await, Err(PutError::Failed));
+    until(&store, |status| status.failed).await;
+    folder.faults.heal();
+    until(&store, |status| !status.failed).await;
+    put(&store, 2, 1000).await;
+    assert_eq!((old.len(), folder.files().len()), (1, 2));
+    assert_eq!(fs::metadata(&old[0]).expect("a file").len(), bytes);
+}
+
 #[tokio::test]
 async fn drop_frees_files() {
     let folder = Folder::new(SMALL);
