Read the files of texts after a store has started

What callers would see: a store that is restarted with many texts is silent for seconds. It votes later, so a second loss meanwhile stops turns, and it may count as lost, so that all its texts are copied although its disk is back.

Cause: opening read all files, some 2 s for 256 MB, before the store's listeners were bound.

Fix: opening only lists the files. A thread of its own reads them, from the newest on, and makes known what it found, in parts, once the file is synced. A put of a text that isn't known yet is accepted and written again; the newer record counts, for one that is known is never replaced by a found one. `get` waits up to 500 ms for a text that isn't known, so turns go on after all stores were restarted. Unread files count against the limit and are neither deleted nor compacted. `scanning` in the status says that the scan goes on. A file that can't be read no longer keeps the store from starting; this is logged, and the file stays.

Tests: those that look at what was found wait for the end of the scan first; what they ask for is as before. `open_does_not_wait_for_scan` failed with the scan done within opening ("assertion failed: status.scanning"), and `open_finds_newer_of_two_records` with that and with found records that replace known ones. `get_waits_for_scan` and `due_covers_found_texts` are new as well.

--- a/crates/gypsumglade/examples/text_puts.rs
+++ b/crates/gypsumglade/examples/text_puts.rs
@@ -30,6 +30,9 @@
     let begun = Instant::now();
     let before = memory("VmRSS")?;
     let store = open(&folder.join("large"))?;
+    while store.status().scanning {
+        std::thread::sleep(Duration::from_millis(1));
+    }
     let (took, status) = (begun.elapsed(), store.status());
     println!("open took {took:?}, memory {before} kB before and {} kB after", memory("VmRSS")?);
     println!("{status:?}");
--- a/crates/gypsumglade/src/disk/faults.rs
+++ b/crates/gypsumglade/src/disk/faults.rs
@@ -15,7 +15,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     plan: Mutex<Plan>,
-    /// Wakes what waits in a sync that is held.
+    /// Wakes what waits in a sync or a scan that is held.
     released: Condvar,
 }
 
@@ -31,6 +31,8 @@
     folder: Option<PathBuf>,
     /// Whether syncs wait.
     held: bool,
+    /// Whether scans of files wait.
+    scans_held: bool,
     /// What each sync takes beside the disk's own time.
     pause: Duration,
 }
@@ -73,6 +75,17 @@
         self.0.released.notify_all();
     }
 
+    /// Makes scans of files of texts wait until [`Faults::release_scans`].
+    pub fn hold_scans(&self) {
+        self.plan().scans_held = true;
+    }
+
+    /// Lets scans go on.
+    pub fn release_scans(&self) {
+        self.plan().scans_held = false;
+        self.0.released.notify_all();
+    }
+
     /// Makes every sync take longer.
     pub fn slow_syncs(&self, pause: Duration) {
         self.plan().pause = pause;
@@ -98,6 +111,11 @@
         refuse(waiting.unwrap_or_else(PoisonError::into_inner).fail)
     }
 
+    /// Waits while a test holds scans.
+    pub(crate) fn wait_scan(&self) {
+        drop(self.0.released.wait_while(self.plan(), |plan| plan.scans_held));
+    }
+
     /// Makes new, renamed and removed names of a folder stable, unless a test has it fail.
     pub(crate) fn sync_folder(&self, path: &Path) -> io::Result<()> {
         let plan = self.plan();
--- a/crates/gypsumglade/src/texts/index.rs
+++ b/crates/gypsumglade/src/texts/index.rs
@@ -51,12 +51,20 @@
     /// When each text is due, in order.
     due: BTreeSet<(Time, CompactString)>,
     segments: BTreeMap<u32, Usage>,
+    /// Bytes of the segments that an earlier process left and that were not scanned yet, or can't be. As
+    /// long as it is not known what is in them they stay.
+    unscanned: BTreeMap<u32, u64>,
     /// The segment that is being compacted. It is finished before another one is begun, so that no more
     /// than the live part of one segment is on the disk twice.
     compacting: Option<u32>,
 }
 
 impl Index {
+    /// Creates the index of a folder of which nothing but the bytes of each segment is known.
+    pub(super) fn new(unscanned: BTreeMap<u32, u64>) -> Index {
+        Index { unscanned, ..Index::default() }
+    }
+
     pub(super) fn len(&self) -> usize {
         self.texts.len()
     }
@@ -66,12 +74,14 @@
     }
 
     pub(super) fn disk_bytes(&self) -> u64 {
-        self.segments.values().map(|usage| usage.length).sum()
+        let scanned: u64 = self.segments.values().map(|usage| usage.length).sum();
+        scanned + self.unscanned.values().sum::<u64>()
     }
 
     /// Returns the bytes of the longest segment.
     pub(super) fn longest(&self) -> u64 {
-        self.segments.values().map(|usage| usage.length).max().unwrap_or_default()
+        let scanned = self.segments.values().map(|usage| usage.length);
+        scanned.chain(self.unscanned.values().copied()).max().unwrap_or_default()
     }
 
     pub(super) fn place(&self, turn: &str) -> Option<Place> {
@@ -91,6 +101,19 @@
         self.texts.insert(turn, Entry { place, due });
     }
 
+    /// Notes a text that a scan found. Scans go backwards, so one that is known is the newer one.
+    pub(super) fn insert_found(&mut self, turn: CompactString, place: Place, due: Time) {
+        if !self.texts.contains_key(&turn) {
+            self.insert(turn, place, due);
+        }
+    }
+
+    /// Notes that all texts of a segment were found, in its first `bytes`.
+    pub(super) fn end_scan(&mut self, segment: u32, bytes: u64) {
+        self.unscanned.remove(&segment);
+        self.grow(segment, bytes);
+    }
+
     /// Notes that a text was moved, unless it was dropped meanwhile.
     pub(super) fn relocate(&mut self, turn: &str, from: Place, to: Place) {
         let Some(entry) = self.texts.get_mut(turn).filter(|entry| entry.place == from) else {
@@ -138,15 +161,14 @@
     ///
     /// Deletes come first: they cost next to nothing.
     pub(super) fn reclaim(&mut self, current: Option<u32>, idle: bool) -> Option<Reclaim> {
-        let dead = self
-            .segments
-            .iter()
+        let scanned = || self.segments.iter().filter(|(n, _)| !self.unscanned.contains_key(*n));
+        let dead = scanned()
             .find(|(number, usage)| usage.live == 0 && (idle || current != Some(**number)));
         if let Some((&number, _)) = dead {
             return Some(Reclaim::Delete(number));
         }
         if self.compacting.is_none() {
-            let closed = self.segments.iter().filter(|(number, _)| current != Some(**number));
+            let closed = scanned().filter(|(number, _)| current != Some(**number));
             let sparse = closed.filter(|(_, usage)| usage.is_sparse());
             self.compacting = sparse.min_by_key(|(_, usage)| usage.live).map(|(&number, _)| number);
         }
--- a/crates/gypsumglade/src/texts/mod.rs
+++ b/crates/gypsumglade/src/texts/mod.rs
@@ -7,6 +7,7 @@
 mod open;
 mod reader;
 mod record;
+mod scanner;
 mod segment;
 mod shared;
 mod writer;
@@ -32,6 +33,9 @@
 const FOUND_RETENTION: Duration = Duration::from_secs(30);
 /// How long a due text that was returned is not returned again: a lookup at the turn group takes less.
 const DUE_PAUSE: Duration = Duration::from_secs(5);
+/// How long a text is waited for that may be in a file not scanned yet. Its caller asks another holder
+/// after that, and gives up on this one after a second.
+const SCAN_PATIENCE: Duration = Duration::from_millis(500);
 /// Pause before a disk that failed is tried again.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -55,6 +59,8 @@
     pub due_pause: Duration,
     /// Pause before a disk that failed is tried again.
     pub retry_pause: Duration,
+    /// How long a text is waited for that may be in a file not scanned yet.
+    pub scan_patience: Duration,
     /// Failures of the disk to come.
     #[doc(hidden)]
     pub faults: Faults,
@@ -69,6 +75,7 @@
             found_retention: FOUND_RETENTION,
             due_pause: DUE_PAUSE,
             retry_pause: RETRY_PAUSE,
+            scan_patience: SCAN_PATIENCE,
             faults: Faults::default(),
         }
     }
@@ -105,6 +112,8 @@
     pub damaged: u64,
     /// Syncs since the store was opened.
     pub syncs: u64,
+    /// Whether what an earlier process left is still being looked for.
+    pub scanning: bool,
     /// Whether puts are refused because the disk failed and has not taken a write since.
     pub failed: bool,
 }
@@ -115,7 +124,7 @@
     handle: Arc<Handle>,
 }
 
-/// Both threads; the last handle waits for them, so that what was put is written.
+/// The threads; the last handle waits for them, so that what was put is written.
 #[derive(Debug)]
 struct Handle {
     shared: Arc<Shared>,
@@ -124,7 +133,7 @@
 }
 
 impl TextStore {
-    /// Opens the folder, and finds what an earlier process left there.
+    /// Opens the folder. What an earlier process left there is found from then on.
     ///
     /// # Errors
     /// Fails when the folder can't be used.
@@ -133,7 +142,11 @@
         TextStore::open_with(folder, TextOptions::new(limits, log))
     }
 
-    /// Opens the folder as [`TextStore::open`] does, with all settings. Reads all files once.
+    /// Opens the folder as [`TextStore::open`] does, with all settings.
+    ///
+    /// It doesn't wait until all files were read: that takes seconds, in which a store would neither vote
+    /// nor be heard of, and be taken for lost. Until then a text may be put that is there already, and
+    /// [`TextStore::get`] takes longer.
     ///
     /// # Errors
     /// Fails when the folder can't be used.
@@ -155,7 +168,11 @@
     }
 
     /// Returns those of the turns' texts that are here; one that is not synced yet isn't.
+    ///
+    /// While the files of an earlier process are read, a text that is not known yet is waited for, for
+    /// some time.
     pub async fn get(&self, turns: &[String]) -> Vec<Text> {
+        self.handle.shared.wait_found(turns).await;
         let here = turns.iter().filter(|turn| self.handle.shared.place(turn).is_some());
         let turns: Vec<_> = here.cloned().collect();
         let (reply, texts) = oneshot::channel();
--- a/crates/gypsumglade/src/texts/segment.rs
+++ b/crates/gypsumglade/src/texts/segment.rs
@@ -1,5 +1,6 @@
 //! Segment files: their names, and what a scan finds in them.
 
+use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io;
 use std::os::unix::fs::FileExt;
@@ -20,16 +21,18 @@
     folder.join(format!("{PREFIX}{number:010}"))
 }
 
-/// Returns the numbers of the segment files, in order.
-pub(super) fn numbers(folder: &Path) -> io::Result<Vec<u32>> {
-    let mut numbers = Vec::new();
+/// Returns the bytes of each segment file, by its number.
+pub(super) fn lengths(folder: &Path) -> io::Result<BTreeMap<u32, u64>> {
+    let mut lengths = BTreeMap::new();
     for entry in fs::read_dir(folder)? {
-        let name = entry?.file_name();
+        let entry = entry?;
+        let name = entry.file_name();
         let number = name.to_str().and_then(|name| name.strip_prefix(PREFIX));
-        numbers.extend(number.and_then(|number| number.parse::<u32>().ok()));
+        if let Some(number) = number.and_then(|number| number.parse().ok()) {
+            lengths.insert(number, entry.metadata()?.len());
+        }
     }
-    numbers.sort_unstable();
-    Ok(numbers)
+    Ok(lengths)
 }
 
 /// Reads the bytes of one record.
--- a/crates/gypsumglade/src/texts/shared.rs
+++ b/crates/gypsumglade/src/texts/shared.rs
@@ -5,10 +5,11 @@
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::turn::Text;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::index::{Index, Place, Reclaim, SPARSE_PARTS};
 use super::record;
+use super::segment::Scanned;
 use super::{PutError, TextOptions, TextStatus};
 use crate::clock::Clock;
 
@@ -81,12 +82,57 @@
     state: Mutex<State>,
     /// Wakes the writer.
     work: Condvar,
+    /// Whether segments are still to be scanned; told anew whenever one was.
+    scanning: watch::Sender<bool>,
 }
 
 impl Shared {
-    pub(super) fn new(options: TextOptions, clock: Clock, index: Index, damaged: u64) -> Shared {
-        let state = Mutex::new(State { index, damaged, ..State::default() });
-        Shared { options, clock, state, work: Condvar::new() }
+    pub(super) fn new(options: TextOptions, clock: Clock, index: Index) -> Shared {
+        let state = Mutex::new(State { index, ..State::default() });
+        let scanning = watch::Sender::new(true);
+        Shared { options, clock, state, work: Condvar::new(), scanning }
+    }
+
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Waits until all of the texts are found, the scan is over or it takes too long.
+    pub(super) async fn wait_found(&self, turns: &[String]) {
+        let mut scanning = self.scanning.subscribe();
+        let found = || turns.iter().all(|turn| self.place(turn).is_some());
+        if *scanning.borrow_and_update() && !found() {
+            let ended = scanning.wait_for(|scanning| !scanning || found());
+            // What is not found in time counts as absent.
+            let _ = tokio::time::timeout(self.options.scan_patience, ended).await;
+        }
+    }
+
+    /// Makes known what a scan found.
+    pub(super) fn insert_found(&self, found: Vec<(CompactString, Place)>, due: Time) {
+        let mut state = self.state();
+        for (turn, place) in found {
+            state.index.insert_found(turn, place, due);
+        }
+    }
+
+    /// Notes that a segment was scanned, and what is in it is known.
+    pub(super) fn end_scan(&self, segment: u32, scanned: &Scanned) {
+        let mut state = self.state();
+        state.index.end_scan(segment, scanned.whole);
+        state.damaged += scanned.damaged;
+        drop(state);
+        self.work.notify_one();
+        self.scanning.send_replace(true);
+    }
+
+    /// Notes that no segment will be scanned any more.
+    pub(super) fn end_scans(&self) {
+        self.scanning.send_replace(false);
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.state().closed
     }
 
     /// Puts texts into the queue. Returns nothing if all of them are on the disk already.
@@ -246,6 +292,8 @@
     }
 
     pub(super) fn status(&self) -> TextStatus {
+        // Read first: who waits for it looks at the state meanwhile, see `wait_found`.
+        let scanning = *self.scanning.borrow();
         let state = self.state();
         TextStatus {
             texts: state.index.len(),
@@ -255,6 +303,7 @@
             damaged: state.damaged,
             syncs: state.syncs,
             failed: state.failed,
+            scanning,
         }
     }
 
--- a/crates/gypsumglade/tests/text_memory.rs
+++ b/crates/gypsumglade/tests/text_memory.rs
@@ -36,6 +36,9 @@
     drop(store);
     let put = peak();
     let store = TextStore::open(folder.path(), LIMITS).expect("the folder opens");
+    while store.status().scanning {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
     assert_eq!(store.status().texts, 400);
     assert!(store.status().disk_bytes > 10 * MOST * 1000);
     let open = peak();
--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -37,18 +37,21 @@
     pause: Duration,
     /// Pause before a disk that failed is tried again.
     retry: Duration,
+    /// How long a text that may not be found yet is waited for.
+    patience: Duration,
     /// Messages of the highest level.
     critical: Arc<AtomicUsize>,
     /// Messages that something is wrong, or no more.
     warnings: Arc<AtomicUsize>,
 }
 
-/// Lets syncs go on in the end, also when a test panics: a store that is dropped waits for them.
+/// Lets syncs and scans go on in the end, also when a test panics: a store that is dropped waits for them.
 struct Held(Faults);
 
 impl Drop for Held {
     fn drop(&mut self) {
         self.0.release_syncs();
+        self.0.release_scans();
     }
 }
 
@@ -79,12 +82,25 @@
             found: LONG,
             pause: LONG,
             retry: Duration::from_millis(1),
+            patience: LONG,
             critical: Arc::default(),
             warnings: Arc::default(),
         }
     }
 
+    /// Opens the folder, and waits until what is there was found.
     fn open(&self) -> TextStore {
+        let store = self.open_at_once();
+        for _ in 0..LOOKS {
+            if !store.status().scanning {
+                return store;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        panic!("the files were never read: {:?}", store.status());
+    }
+
+    fn open_at_once(&self) -> TextStore {
         let limits = TextLimits { disk_bytes: self.limit };
         let counts = Count(Arc::clone(&self.critical), Arc::clone(&self.warnings));
         let log = slog::Logger::root(counts, slog::o!());
@@ -93,6 +109,7 @@
         options.found_retention = self.found;
         options.due_pause = self.pause;
         options.retry_pause = self.retry;
+        options.scan_patience = self.patience;
         TextStore::open_with(self.root.path(), options).expect("the folder opens")
     }
 
@@ -102,6 +119,12 @@
         Held(self.faults.clone())
     }
 
+    /// Makes scans wait until the guard goes.
+    fn hold_scans(&self) -> Held {
+        self.faults.hold_scans();
+        Held(self.faults.clone())
+    }
+
     fn files(&self) -> Vec<PathBuf> {
         let entries = fs::read_dir(self.root.path()).expect("a folder");
         let mut files: Vec<_> = entries.map(|entry| entry.expect("an entry").path()).collect();
@@ -734,6 +757,100 @@
     assert!(texts == expected, "all are read, in the order they were asked for");
 }
 
+#[tokio::test]
+async fn open_does_not_wait_for_scan() {
+    // Guards against a restarted store that counts as lost, because it reads all its texts before it votes.
+    let mut folder = Folder::new(SMALL);
+    folder.patience = Duration::ZERO;
+    let store = folder.open();
+    for i in 0..20 {
+        put(&store, i, 10_000).await;
+    }
+    drop(store);
+    let (files, bytes) = (folder.files().len(), folder.file_bytes());
+    let held = folder.hold_scans();
+    let store = folder.open_at_once();
+    let status = store.status();
+    assert!(status.scanning);
+    assert_eq!(
+        (status.texts, status.disk_bytes),
+        (0, bytes),
+        "unread files count against the limit"
+    );
+    // It takes texts and gives them, and what is not found yet is absent.
+    put(&store, 20, 10_000).await;
+    put(&store, 7, 10_000).await;
+    assert_eq!(get(&store, 20).await, Some(text(20, 10_000)));
+    assert_eq!(get(&store, 1).await, None);
+    assert_eq!(folder.files().len(), files + 1, "no file goes before it was read");
+    drop(held);
+    until(&store, |status| !status.scanning).await;
+    for i in 0..21 {
+        assert_eq!(get(&store, i).await, Some(text(i, 10_000)));
+    }
+    let record = record_bytes(&text(0, 10_000));
+    let status = store.status();
+    assert_eq!((status.texts, status.damaged), (21, 0));
+    assert_eq!((status.live_bytes, status.disk_bytes), (21 * record, 22 * record));
+}
+
+#[tokio::test]
+async fn get_waits_for_scan() {
+    // Guards against turns that can't go on right after all stores were restarted.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    drop(store);
+    let held = folder.hold_scans();
+    let store = folder.open_at_once();
+    let spawn_get = |i| {
+        let reader = store.clone();
+        tokio::spawn(async move { get(&reader, i).await })
+    };
+    let (found, absent) = (spawn_get(1), spawn_get(2));
+    queue_all().await;
+    assert!(!found.is_finished() && !absent.is_finished());
+    drop(held);
+    assert_eq!(found.await.expect("no panic"), Some(text(1, 1000)));
+    assert_eq!(absent.await.expect("no panic"), None, "nobody waits once the scan is over");
+}
+
+#[tokio::test]
+async fn open_finds_newer_of_two_records() {
+    // Guards against an old record, put again during a scan, that keeps a file which could go.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    drop(store);
+    let old = folder.files();
+    let held = folder.hold_scans();
+    let store = folder.open_at_once();
+    put(&store, 1, 1000).await;
+    drop(held);
+    until(&store, |status| !status.scanning).await;
+    drop(store);
+    let store = folder.open();
+    until(&store, |status| status.disk_bytes == record_bytes(&text(1, 1000))).await;
+    assert_eq!(get(&store, 1).await, Some(text(1, 1000)));
+    assert!(!folder.files().contains(&old[0]));
+}
+
+#[tokio::test]
+async fn due_covers_found_texts() {
+    // Guards against a text found by a scan that is never asked about, and stays for ever.
+    let mut folder = Folder::new(ROOMY);
+    folder.found = Duration::ZERO;
+    let store = folder.open();
+    put(&store, 1, 100).await;
+    drop(store);
+    let held = folder.hold_scans();
+    let store = folder.open_at_once();
+    assert_eq!(store.due(10), Vec::<String>::new());
+    drop(held);
+    until(&store, |status| !status.scanning).await;
+    assert_eq!(store.due(10), [name(1)]);
+}
+
 #[tokio::test]
 async fn open_again_never_appends_to_old_file() {
     // Guards against two stores of one process, old and new, that write to one file.
