Take a text that is put twice into the queue once

What callers would see: while a disk is slow, entry VMs that ask again have the queue of 8 MB fill with copies of what is in it, and other turns' texts are refused.

Cause: a put was compared with what is on the disk only. What was queued or being written was queued again, and left out when its turn came.

Fix: the store knows in which put each queued text is. A put of such a text waits for that put's sync and takes no room; one that holds new texts too queues these and waits for all. It is answered as the first one is, so a failed sync fails both.

Evidence: `put_twice_takes_room_once` failed before (6011455 bytes queued instead of 3001070); the 37 tests of text_store pass.

--- a/crates/gypsumglade/src/texts/mod.rs
+++ b/crates/gypsumglade/src/texts/mod.rs
@@ -161,10 +161,10 @@
     /// # Errors
     /// Says why they are not on the disk.
     pub async fn put(&self, texts: Vec<Text>, retention: Duration) -> Result<(), PutError> {
-        match self.handle.shared.enqueue(texts, retention)? {
-            Some(synced) => synced.await.unwrap_or(Err(PutError::Failed)),
-            None => Ok(()),
+        for synced in self.handle.shared.enqueue(texts, retention)? {
+            synced.await.unwrap_or(Err(PutError::Failed))?;
         }
+        Ok(())
     }
 
     /// Returns those of the turns' texts that are here; one that is not synced yet isn't.
--- a/crates/gypsumglade/src/texts/shared.rs
+++ b/crates/gypsumglade/src/texts/shared.rs
@@ -1,6 +1,6 @@
 //! What callers, the writer and the reader share: the index, and the queue of what is to be written.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::{Condvar, Mutex, MutexGuard};
 
 use gypsumglade_core::prelude::*;
@@ -23,13 +23,19 @@
 /// Texts that wait for the disk.
 #[derive(Debug)]
 pub(super) struct Put {
+    number: PutNumber,
     pub(super) texts: Vec<Text>,
     bytes: u64,
     /// When they are due.
     pub(super) due: Time,
-    synced: oneshot::Sender<Result<(), PutError>>,
 }
 
+/// Names a put until it is answered.
+type PutNumber = u64;
+
+/// Answers one who waits for a put.
+type Waiter = oneshot::Sender<Result<(), PutError>>;
+
 /// A live text that is to be moved to the current segment.
 pub(super) type Move = (CompactString, Place);
 
@@ -66,6 +72,11 @@
 struct State {
     index: Index,
     queue: VecDeque<Put>,
+    /// Texts of the queue, and of what is being written, with the puts that they are in.
+    pending: HashMap<CompactString, PutNumber>,
+    /// Those who wait for each of these puts: its caller, and callers who put one of its texts again.
+    waiters: HashMap<PutNumber, Vec<Waiter>>,
+    next: PutNumber,
     /// Bytes of the queue, and of what is being written.
     queued: u64,
     failed: bool,
@@ -135,19 +146,29 @@
         self.state().closed
     }
 
-    /// Puts texts into the queue. Returns nothing if all of them are on the disk already.
+    /// Puts texts into the queue, and returns what is to be waited for until all of them are on the disk.
+    ///
+    /// One that is queued already, or being written, isn't queued again: a slow disk has callers ask
+    /// again, and the queue would be full of what it holds.
     pub(super) fn enqueue(
         &self,
         mut texts: Vec<Text>,
         retention: Duration,
-    ) -> Result<Option<oneshot::Receiver<Result<(), PutError>>>, PutError> {
+    ) -> Result<Vec<oneshot::Receiver<Result<(), PutError>>>, PutError> {
         let mut state = self.state();
         if state.failed || state.closed {
             return Err(PutError::Failed);
         }
-        texts.retain(|text| state.index.place(&text.turn).is_none());
+        let mut others = HashSet::new();
+        let mut seen: HashSet<CompactString> = HashSet::new();
+        texts.retain(|text| {
+            let pending = state.pending.get(text.turn.as_str());
+            others.extend(pending);
+            let known = pending.is_some() || state.index.place(&text.turn).is_some();
+            !known && seen.insert(text.turn.as_str().into())
+        });
         if texts.is_empty() {
-            return Ok(None);
+            return Ok(others.into_iter().map(|number| state.wait_for(number)).collect());
         }
         let bytes = texts.iter().map(|text| record::length(text) as u64).sum();
         let queued = state.queued.saturating_add(bytes);
@@ -157,12 +178,15 @@
         if !named || queued > QUEUE_BYTES || disk > room {
             return Err(PutError::Full);
         }
-        let (synced, waiting) = oneshot::channel();
+        let number = state.next;
+        state.next += 1;
         state.queued = queued;
+        state.pending.extend(seen.into_iter().map(|turn| (turn, number)));
         let due = self.clock.now() + retention;
-        state.queue.push_back(Put { texts, bytes, due, synced });
+        state.queue.push_back(Put { number, texts, bytes, due });
         self.work.notify_one();
-        Ok(Some(waiting))
+        others.insert(number);
+        Ok(others.into_iter().map(|number| state.wait_for(number)).collect())
     }
 
     /// Waits for what is to be done. Returns nothing once the store is closed and all is written.
@@ -192,15 +216,16 @@
         }
     }
 
-    /// Takes what is on the disk already out of `puts`, and what they hold twice.
-    ///
-    /// A text may have come to the disk while its second put was waiting.
+    /// Takes what is on the disk already out of `puts`: a scan may have found it while they waited.
     pub(super) fn retain_new(&self, puts: &mut [Put]) {
-        let state = self.state();
-        let mut seen: HashSet<CompactString> = HashSet::new();
-        for text in puts.iter_mut().map(|put| &mut put.texts) {
-            text.retain(|text| {
-                state.index.place(&text.turn).is_none() && seen.insert(text.turn.as_str().into())
+        let mut state = self.state();
+        for texts in puts.iter_mut().map(|put| &mut put.texts) {
+            texts.retain(|text| {
+                let new = state.index.place(&text.turn).is_none();
+                if !new {
+                    state.pending.remove(text.turn.as_str());
+                }
+                new
             });
         }
     }
@@ -213,16 +238,19 @@
             state.syncs += 1;
         }
         for (turn, place, due) in stable.texts {
+            state.pending.remove(&turn);
             state.index.insert(turn, place, due);
         }
         for (turn, from, to) in stable.moved {
             state.index.relocate(&turn, from, to);
         }
         state.queued -= puts.iter().map(|put| put.bytes).sum::<u64>();
+        let waiters = puts.iter().filter_map(|put| state.waiters.remove(&put.number));
+        let waiters: Vec<Waiter> = waiters.flatten().collect();
         drop(state);
-        for put in puts {
+        for waiter in waiters {
             // A caller that has gone needs no answer.
-            let _ = put.synced.send(Ok(()));
+            let _ = waiter.send(Ok(()));
         }
     }
 
@@ -270,6 +298,8 @@
         state.failed = true;
         state.queued = 0;
         state.queue.clear();
+        state.pending.clear();
+        state.waiters.clear();
     }
 
     /// Takes puts again.
@@ -320,6 +350,13 @@
 }
 
 impl State {
+    /// Has one more wait for a put that is queued or being written.
+    fn wait_for(&mut self, number: PutNumber) -> oneshot::Receiver<Result<(), PutError>> {
+        let (waiter, waiting) = oneshot::channel();
+        self.waiters.entry(number).or_default().push(waiter);
+        waiting
+    }
+
     /// Takes puts of up to `most` bytes together, and at least one.
     fn take_puts(&mut self, most: u64) -> Vec<Put> {
         let mut taken = 0;
--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -454,6 +454,40 @@
     assert_eq!((store.status().texts, store.status().syncs), (2, 2));
 }
 
+#[tokio::test]
+async fn put_twice_takes_room_once() {
+    // Guards against a queue that is filled by callers who ask again because the disk is slow.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    let held = folder.hold();
+    let first = spawn_put(&store, text(0, 1000));
+    queue_all().await;
+    until(&store, |_| folder.file_bytes() > 0).await;
+    // The first one is being written, the others wait in the queue.
+    let mut waiting = vec![first, spawn_put(&store, text(1, 3_000_000))];
+    queue_all().await;
+    let queued = store.status().queued_bytes;
+    waiting.extend((0..20).map(|i| spawn_put(&store, text(i % 2, 1000 + i % 2 * 2_999_000))));
+    queue_all().await;
+    assert_eq!(store.status().queued_bytes, queued);
+    // One that holds a new text too takes room for that one only, and waits for all.
+    let texts = vec![text(1, 3_000_000), text(2, 500), text(0, 1000)];
+    let other = store.clone();
+    let both = tokio::spawn(async move { other.put(texts, LONG).await });
+    queue_all().await;
+    assert_eq!(store.status().queued_bytes, queued + record_bytes(&text(2, 500)));
+    assert!(!both.is_finished() && waiting.iter().all(|put| !put.is_finished()));
+    drop(held);
+    for put in waiting.into_iter().chain([both]) {
+        assert_eq!(put.await.expect("no panic"), Ok(()));
+    }
+    assert_eq!((store.status().texts, store.status().queued_bytes), (3, 0));
+    assert_eq!(get(&store, 1).await, Some(text(1, 3_000_000)));
+    store.drop(&name(2));
+    put(&store, 2, 500).await;
+    assert_eq!(get(&store, 2).await, Some(text(2, 500)), "one that was dropped is put anew");
+}
+
 #[tokio::test]
 async fn put_twice_fails_with_first() {
     // Guards against a repeated put that is answered although the first one's sync failed.
