--- a/crates/gypsumglade/src/texts/mod.rs
+++ b/crates/gypsumglade/src/texts/mod.rs
@@ -7,6 +7,7 @@
 mod open;
 mod reader;
 mod record;
+mod scanner;
 mod segment;
 mod shared;
 mod writer;
@@ -32,6 +33,11 @@
 const FOUND_RETENTION: Duration = Duration::from_secs(30);
 /// How long a due text that was returned is not returned again: a lookup at the turn group takes less.
 const DUE_PAUSE: Duration = Duration::from_secs(5);
+/// How long a text is waited for that may be in a file not scanned yet. Its caller asks another holder
+/// after that, and gives up on this one after a second.
+const SCAN_PATIENCE: Duration = Duration::from_millis(500);
+/// Pause before a disk that failed is tried again.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Limits of a [`TextStore`].
 #[derive(Clone, Debug)]
@@ -51,6 +57,10 @@
     pub found_retention: Duration,
     /// How long a due text that was returned is not returned again.
     pub due_pause: Duration,
+    /// Pause before a disk that failed is tried again.
+    pub retry_pause: Duration,
+    /// How long a text is waited for that may be in a file not scanned yet.
+    pub scan_patience: Duration,
     /// Failures of the disk to come.
     #[doc(hidden)]
     pub faults: Faults,
@@ -64,6 +74,8 @@
             log,
             found_retention: FOUND_RETENTION,
             due_pause: DUE_PAUSE,
+            retry_pause: RETRY_PAUSE,
+            scan_patience: SCAN_PATIENCE,
             faults: Faults::default(),
         }
     }
@@ -80,7 +92,7 @@
     /// There is no room, on the disk or in the queue before it.
     #[error("no room for further texts")]
     Full,
-    /// The disk failed; the process must be restarted.
+    /// The disk failed. Puts are refused until it takes writes again.
     #[error("the disk failed")]
     Failed,
 }
@@ -100,7 +112,9 @@
     pub damaged: u64,
     /// Syncs since the store was opened.
     pub syncs: u64,
-    /// Whether puts are refused because the disk failed.
+    /// Whether what an earlier process left is still being looked for.
+    pub scanning: bool,
+    /// Whether puts are refused because the disk failed and has not taken a write since.
     pub failed: bool,
 }
 
@@ -110,7 +124,7 @@
     handle: Arc<Handle>,
 }
 
-/// Both threads; the last handle waits for them, so that what was put is written.
+/// The threads; the last handle waits for them, so that what was put is written.
 #[derive(Debug)]
 struct Handle {
     shared: Arc<Shared>,
@@ -119,7 +133,7 @@
 }
 
 impl TextStore {
-    /// Opens the folder, and finds what an earlier process left there.
+    /// Opens the folder. What an earlier process left there is found from then on.
     ///
     /// # Errors
     /// Fails when the folder can't be used.
@@ -128,7 +142,11 @@
         TextStore::open_with(folder, TextOptions::new(limits, log))
     }
 
-    /// Opens the folder as [`TextStore::open`] does, with all settings. Reads all files once.
+    /// Opens the folder as [`TextStore::open`] does, with all settings.
+    ///
+    /// It doesn't wait until all files were read: that takes seconds, in which a store would neither vote
+    /// nor be heard of, and be taken for lost. Until then a text may be put that is there already, and
+    /// [`TextStore::get`] takes longer.
     ///
     /// # Errors
     /// Fails when the folder can't be used.
@@ -143,14 +161,18 @@
     /// # Errors
     /// Says why they are not on the disk.
     pub async fn put(&self, texts: Vec<Text>, retention: Duration) -> Result<(), PutError> {
-        match self.handle.shared.enqueue(texts, retention)? {
-            Some(synced) => synced.await.unwrap_or(Err(PutError::Failed)),
-            None => Ok(()),
+        for synced in self.handle.shared.enqueue(texts, retention)? {
+            synced.await.unwrap_or(Err(PutError::Failed))?;
         }
+        Ok(())
     }
 
     /// Returns those of the turns' texts that are here; one that is not synced yet isn't.
+    ///
+    /// While the files of an earlier process are read, a text that is not known yet is waited for, for
+    /// some time.
     pub async fn get(&self, turns: &[String]) -> Vec<Text> {
+        self.handle.shared.wait_found(turns).await;
         let here = turns.iter().filter(|turn| self.handle.shared.place(turn).is_some());
         let turns: Vec<_> = here.cloned().collect();
         let (reply, texts) = oneshot::channel();
--- a/crates/gypsumglade/src/texts/shared.rs
+++ b/crates/gypsumglade/src/texts/shared.rs
@@ -1,14 +1,15 @@
 //! What callers, the writer and the reader share: the index, and the queue of what is to be written.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::{Condvar, Mutex, MutexGuard};
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::turn::Text;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::index::{Index, Place, Reclaim, SPARSE_PARTS};
 use super::record;
+use super::segment::Scanned;
 use super::{PutError, TextOptions, TextStatus};
 use crate::clock::Clock;
 
@@ -22,13 +23,19 @@
 /// Texts that wait for the disk.
 #[derive(Debug)]
 pub(super) struct Put {
+    number: PutNumber,
     pub(super) texts: Vec<Text>,
     bytes: u64,
     /// When they are due.
     pub(super) due: Time,
-    synced: oneshot::Sender<Result<(), PutError>>,
 }
 
+/// Names a put until it is answered.
+type PutNumber = u64;
+
+/// Answers one who waits for a put.
+type Waiter = oneshot::Sender<Result<(), PutError>>;
+
 /// A live text that is to be moved to the current segment.
 pub(super) type Move = (CompactString, Place);
 
@@ -65,6 +72,11 @@
 struct State {
     index: Index,
     queue: VecDeque<Put>,
+    /// Texts of the queue, and of what is being written, with the puts that they are in.
+    pending: HashMap<CompactString, PutNumber>,
+    /// Those who wait for each of these puts: its caller, and callers who put one of its texts again.
+    waiters: HashMap<PutNumber, Vec<Waiter>>,
+    next: PutNumber,
     /// Bytes of the queue, and of what is being written.
     queued: u64,
     failed: bool,
@@ -81,27 +93,82 @@
     state: Mutex<State>,
     /// Wakes the writer.
     work: Condvar,
+    /// Whether segments are still to be scanned; told anew whenever one was.
+    scanning: watch::Sender<bool>,
 }
 
 impl Shared {
-    pub(super) fn new(options: TextOptions, clock: Clock, index: Index, damaged: u64) -> Shared {
-        let state = Mutex::new(State { index, damaged, ..State::default() });
-        Shared { options, clock, state, work: Condvar::new() }
+    pub(super) fn new(options: TextOptions, clock: Clock, index: Index) -> Shared {
+        let state = Mutex::new(State { index, ..State::default() });
+        let scanning = watch::Sender::new(true);
+        Shared { options, clock, state, work: Condvar::new(), scanning }
+    }
+
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Waits until all of the texts are found, the scan is over or it takes too long.
+    pub(super) async fn wait_found(&self, turns: &[String]) {
+        let mut scanning = self.scanning.subscribe();
+        let found = || turns.iter().all(|turn| self.place(turn).is_some());
+        if *scanning.borrow_and_update() && !found() {
+            let ended = scanning.wait_for(|scanning| !scanning || found());
+            // What is not found in time counts as absent.
+            let _ = tokio::time::timeout(self.options.scan_patience, ended).await;
+        }
+    }
+
+    /// Makes known what a scan found.
+    pub(super) fn insert_found(&self, found: Vec<(CompactString, Place)>, due: Time) {
+        let mut state = self.state();
+        for (turn, place) in found {
+            state.index.insert_found(turn, place, due);
+        }
+    }
+
+    /// Notes that a segment was scanned, and what is in it is known.
+    pub(super) fn end_scan(&self, segment: u32, scanned: &Scanned) {
+        let mut state = self.state();
+        state.index.end_scan(segment, scanned.whole);
+        state.damaged += scanned.damaged;
+        drop(state);
+        self.work.notify_one();
+        self.scanning.send_replace(true);
+    }
+
+    /// Notes that no segment will be scanned any more.
+    pub(super) fn end_scans(&self) {
+        self.scanning.send_replace(false);
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.state().closed
     }
 
-    /// Puts texts into the queue. Returns nothing if all of them are on the disk already.
+    /// Puts texts into the queue, and returns what is to be waited for until all of them are on the disk.
+    ///
+    /// One that is queued already, or being written, isn't queued again: a slow disk has callers ask
+    /// again, and the queue would be full of what it holds.
     pub(super) fn enqueue(
         &self,
         mut texts: Vec<Text>,
         retention: Duration,
-    ) -> Result<Option<oneshot::Receiver<Result<(), PutError>>>, PutError> {
+    ) -> Result<Vec<oneshot::Receiver<Result<(), PutError>>>, PutError> {
         let mut state = self.state();
         if state.failed || state.closed {
             return Err(PutError::Failed);
         }
-        texts.retain(|text| state.index.place(&text.turn).is_none());
+        let mut others = HashSet::new();
+        let mut seen: HashSet<CompactString> = HashSet::new();
+        texts.retain(|text| {
+            let pending = state.pending.get(text.turn.as_str());
+            others.extend(pending);
+            let known = pending.is_some() || state.index.place(&text.turn).is_some();
+            !known && seen.insert(text.turn.as_str().into())
+        });
         if texts.is_empty() {
-            return Ok(None);
+            return Ok(others.into_iter().map(|number| state.wait_for(number)).collect());
         }
         let bytes = texts.iter().map(|text| record::length(text) as u64).sum();
         let queued = state.queued.saturating_add(bytes);
@@ -111,12 +178,15 @@
         if !named || queued > QUEUE_BYTES || disk > room {
             return Err(PutError::Full);
         }
-        let (synced, waiting) = oneshot::channel();
+        let number = state.next;
+        state.next += 1;
         state.queued = queued;
+        state.pending.extend(seen.into_iter().map(|turn| (turn, number)));
         let due = self.clock.now() + retention;
-        state.queue.push_back(Put { texts, bytes, due, synced });
+        state.queue.push_back(Put { number, texts, bytes, due });
         self.work.notify_one();
-        Ok(Some(waiting))
+        others.insert(number);
+        Ok(others.into_iter().map(|number| state.wait_for(number)).collect())
     }
 
     /// Waits for what is to be done. Returns nothing once the store is closed and all is written.
@@ -146,15 +216,16 @@
         }
     }
 
-    /// Takes what is on the disk already out of `puts`, and what they hold twice.
-    ///
-    /// A text may have come to the disk while its second put was waiting.
+    /// Takes what is on the disk already out of `puts`: a scan may have found it while they waited.
     pub(super) fn retain_new(&self, puts: &mut [Put]) {
-        let state = self.state();
-        let mut seen: HashSet<CompactString> = HashSet::new();
-        for text in puts.iter_mut().map(|put| &mut put.texts) {
-            text.retain(|text| {
-                state.index.place(&text.turn).is_none() && seen.insert(text.turn.as_str().into())
+        let mut state = self.state();
+        for texts in puts.iter_mut().map(|put| &mut put.texts) {
+            texts.retain(|text| {
+                let new = state.index.place(&text.turn).is_none();
+                if !new {
+                    state.pending.remove(text.turn.as_str());
+                }
+                new
             });
         }
     }
@@ -167,16 +238,19 @@
             state.syncs += 1;
         }
         for (turn, place, due) in stable.texts {
+            state.pending.remove(&turn);
             state.index.insert(turn, place, due);
         }
         for (turn, from, to) in stable.moved {
             state.index.relocate(&turn, from, to);
         }
         state.queued -= puts.iter().map(|put| put.bytes).sum::<u64>();
+        let waiters = puts.iter().filter_map(|put| state.waiters.remove(&put.number));
+        let waiters: Vec<Waiter> = waiters.flatten().collect();
         drop(state);
-        for put in puts {
+        for waiter in waiters {
             // A caller that has gone needs no answer.
-            let _ = put.synced.send(Ok(()));
+            let _ = waiter.send(Ok(()));
         }
     }
 
@@ -217,12 +291,28 @@
         }
     }
 
-    /// Refuses all puts from now on, also those that wait: dropping them answers their callers.
+    /// Refuses all puts until [`Shared::recover`], also those that wait: dropping them answers their
+    /// callers.
     pub(super) fn fail(&self) {
         let mut state = self.state();
         state.failed = true;
         state.queued = 0;
         state.queue.clear();
+        state.pending.clear();
+        state.waiters.clear();
+    }
+
+    /// Takes puts again.
+    pub(super) fn recover(&self) {
+        self.state().failed = false;
+    }
+
+    /// Waits until a disk that failed may be tried again. Returns false once the store is closed.
+    pub(super) fn wait_retry(&self) -> bool {
+        let pause = self.options.retry_pause;
+        let waiting = self.work.wait_timeout_while(self.state(), pause, |state| !state.closed);
+        let (state, _) = waiting.expect("no panic while held");
+        !state.closed
     }
 
     /// Has the writer end once all is written.
@@ -232,6 +322,8 @@
     }
 
     pub(super) fn status(&self) -> TextStatus {
+        // Read first: who waits for it looks at the state meanwhile, see `wait_found`.
+        let scanning = *self.scanning.borrow();
         let state = self.state();
         TextStatus {
             texts: state.index.len(),
@@ -241,6 +333,7 @@
             damaged: state.damaged,
             syncs: state.syncs,
             failed: state.failed,
+            scanning,
         }
     }
 
@@ -257,6 +350,13 @@
 }
 
 impl State {
+    /// Has one more wait for a put that is queued or being written.
+    fn wait_for(&mut self, number: PutNumber) -> oneshot::Receiver<Result<(), PutError>> {
+        let (waiter, waiting) = oneshot::channel();
+        self.waiters.entry(number).or_default().push(waiter);
+        waiting
+    }
+
     /// Takes puts of up to `most` bytes together, and at least one.
     fn take_puts(&mut self, most: u64) -> Vec<Put> {
         let mut taken = 0;
--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -35,29 +35,38 @@
     limit: u64,
     found: Duration,
     pause: Duration,
+    /// Pause before a disk that failed is tried again.
+    retry: Duration,
+    /// How long a text that may not be found yet is waited for.
+    patience: Duration,
     /// Messages of the highest level.
     critical: Arc<AtomicUsize>,
+    /// Messages that something is wrong, or no more.
+    warnings: Arc<AtomicUsize>,
 }
 
-/// Lets syncs go on in the end, also when a test panics: a store that is dropped waits for them.
+/// Lets syncs and scans go on in the end, also when a test panics: a store that is dropped waits for them.
 struct Held(Faults);
 
 impl Drop for Held {
     fn drop(&mut self) {
         self.0.release_syncs();
+        self.0.release_scans();
     }
 }
 
-/// Counts messages of the highest level.
-struct Count(Arc<AtomicUsize>);
+/// Counts messages of the highest level, and warnings.
+struct Count(Arc<AtomicUsize>, Arc<AtomicUsize>);
 
 impl slog::Drain for Count {
     type Ok = ();
     type Err = slog::Never;
 
     fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
-        if record.level() == slog::Level::Critical {
-            self.0.fetch_add(1, Ordering::Relaxed);
+        match record.level() {
+            slog::Level::Critical => drop(self.0.fetch_add(1, Ordering::Relaxed)),
+            slog::Level::Warning => drop(self.1.fetch_add(1, Ordering::Relaxed)),
+            _ => {}
         }
         Ok(())
     }
@@ -66,17 +75,41 @@
 impl Folder {
     fn new(limit: u64) -> Folder {
         let root = tempfile::tempdir().expect("a folder");
-        let critical = Arc::default();
-        Folder { root, faults: Faults::default(), limit, found: LONG, pause: LONG, critical }
+        Folder {
+            root,
+            faults: Faults::default(),
+            limit,
+            found: LONG,
+            pause: LONG,
+            retry: Duration::from_millis(1),
+            patience: LONG,
+            critical: Arc::default(),
+            warnings: Arc::default(),
+        }
     }
 
+    /// Opens the folder, and waits until what is there was found.
     fn open(&self) -> TextStore {
+        let store = self.open_at_once();
+        for _ in 0..LOOKS {
+            if !store.status().scanning {
+                return store;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        panic!("the files were never read: {:?}", store.status());
+    }
+
+    fn open_at_once(&self) -> TextStore {
         let limits = TextLimits { disk_bytes: self.limit };
-        let log = slog::Logger::root(Count(Arc::clone(&self.critical)), slog::o!());
+        let counts = Count(Arc::clone(&self.critical), Arc::clone(&self.warnings));
+        let log = slog::Logger::root(counts, slog::o!());
         let mut options = TextOptions::new(limits, log);
         options.faults = self.faults.clone();
         options.found_retention = self.found;
         options.due_pause = self.pause;
+        options.retry_pause = self.retry;
+        options.scan_patience = self.patience;
         TextStore::open_with(self.root.path(), options).expect("the folder opens")
     }
 
@@ -86,6 +119,12 @@
         Held(self.faults.clone())
     }
 
+    /// Makes scans wait until the guard goes.
+    fn hold_scans(&self) -> Held {
+        self.faults.hold_scans();
+        Held(self.faults.clone())
+    }
+
     fn files(&self) -> Vec<PathBuf> {
         let entries = fs::read_dir(self.root.path()).expect("a folder");
         let mut files: Vec<_> = entries.map(|entry| entry.expect("an entry").path()).collect();
@@ -196,6 +235,22 @@
     assert_eq!(refused, Err(PutError::Failed));
 }
 
+#[test]
+fn open_syncs_name_of_folder() {
+    // Guards against a power loss that takes the whole new folder, for its name was never synced.
+    let folder = Folder::new(ROOMY);
+    let root = folder.root.path().canonicalize().expect("a folder");
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let mut options = TextOptions::new(TextLimits { disk_bytes: ROOMY }, log);
+    options.faults = folder.faults.clone();
+    folder.faults.fail_folder(&root);
+    // The second time the folder is there, left by a process that could not sync its name.
+    for _ in 0..2 {
+        let opened = TextStore::open_with(&root.join("texts"), options.clone());
+        assert!(opened.is_err(), "texts could be acknowledged in a folder that may go");
+    }
+}
+
 #[tokio::test]
 async fn open_cuts_torn_tail() {
     // Guards against a crash in the middle of a write that would hide what was written before or later.
@@ -399,6 +454,40 @@
     assert_eq!((store.status().texts, store.status().syncs), (2, 2));
 }
 
+#[tokio::test]
+async fn put_twice_takes_room_once() {
+    // Guards against a queue that is filled by callers who ask again because the disk is slow.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    let held = folder.hold();
+    let first = spawn_put(&store, text(0, 1000));
+    queue_all().await;
+    until(&store, |_| folder.file_bytes() > 0).await;
+    // The first one is being written, the others wait in the queue.
+    let mut waiting = vec![first, spawn_put(&store, text(1, 3_000_000))];
+    queue_all().await;
+    let queued = store.status().queued_bytes;
+    waiting.extend((0..20).map(|i| spawn_put(&store, text(i % 2, 1000 + i % 2 * 2_999_000))));
+    queue_all().await;
+    assert_eq!(store.status().queued_bytes, queued);
+    // One that holds a new text too takes room for that one only, and waits for all.
+    let texts = vec![text(1, 3_000_000), text(2, 500), text(0, 1000)];
+    let other = store.clone();
+    let both = tokio::spawn(async move { other.put(texts, LONG).await });
+    queue_all().await;
+    assert_eq!(store.status().queued_bytes, queued + record_bytes(&text(2, 500)));
+    assert!(!both.is_finished() && waiting.iter().all(|put| !put.is_finished()));
+    drop(held);
+    for put in waiting.into_iter().chain([both]) {
+        assert_eq!(put.await.expect("no panic"), Ok(()));
+    }
+    assert_eq!((store.status().texts, store.status().queued_bytes), (3, 0));
+    assert_eq!(get(&store, 1).await, Some(text(1, 3_000_000)));
+    store.drop(&name(2));
+    put(&store, 2, 500).await;
+    assert_eq!(get(&store, 2).await, Some(text(2, 500)), "one that was dropped is put anew");
+}
+
 #[tokio::test]
 async fn put_twice_fails_with_first() {
     // Guards against a repeated put that is answered although the first one's sync failed.
@@ -454,6 +543,71 @@
     assert_eq!((store.status().texts, store.status().damaged), (1, 0));
 }
 
+/// A way in which a disk refuses texts.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    Sync,
+    Folder,
+    Room,
+}
+
+#[tokio::test]
+async fn put_succeeds_after_recovery() {
+    // Guards against a store that takes no text until a restart because its disk failed for a moment.
+    for refusal in [Refusal::Sync, Refusal::Folder, Refusal::Room] {
+        let folder = Folder::new(SMALL);
+        let store = folder.open();
+        let length = SMALL_SEGMENT as usize - 100;
+        put(&store, 1, length).await;
+        for round in 1..4 {
+            match refusal {
+                Refusal::Sync => folder.faults.fail_syncs(),
+                Refusal::Folder => folder.faults.fail_folders(),
+                Refusal::Room => folder.faults.fill_after(300),
+            }
+            let refused = store.put(vec![text(2, length)], LONG).await;
+            assert_eq!(refused, Err(PutError::Failed), "{refusal:?}");
+            until(&store, |status| status.failed).await;
+            let waiting = store.put(vec![text(3, 10)], LONG).now_or_never();
+            assert_eq!(waiting, Some(Err(PutError::Failed)), "it is refused at once");
+            // Several tries fail, and leave nothing.
+            tokio::time::sleep(10 * folder.retry).await;
+            assert!(store.status().failed);
+            folder.faults.heal();
+            until(&store, |status| !status.failed).await;
+            assert_eq!(get(&store, 2).await, None, "what wasn't synced doesn't come back");
+            put(&store, 3 + round, 100).await;
+            assert_eq!(folder.critical.load(Ordering::Relaxed), round, "each is logged once");
+            assert_eq!(folder.warnings.load(Ordering::Relaxed), round, "each is logged once");
+        }
+        assert_eq!(folder.file_bytes(), store.status().disk_bytes, "{refusal:?}");
+        drop(store);
+        assert!(folder.files().iter().all(|file| fs::metadata(file).is_ok_and(|d| d.len() > 0)));
+        let store = folder.open();
+        assert_eq!((store.status().texts, store.status().damaged), (4, 0), "{refusal:?}");
+        assert_eq!(get(&store, 1).await, Some(text(1, length)));
+        assert_eq!(get(&store, 6).await, Some(text(6, 100)));
+    }
+}
+
+#[tokio::test]
+async fn put_after_recovery_goes_to_new_file() {
+    // Guards against texts that are appended to a file of which a failed sync left nobody knows what.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    let old = folder.files();
+    let bytes = folder.file_bytes();
+    folder.faults.fail_syncs();
+    assert_eq!(store.put(vec![text(2, 1000)], LONG).await, Err(PutError::Failed));
+    until(&store, |status| status.failed).await;
+    folder.faults.heal();
+    until(&store, |status| !status.failed).await;
+    put(&store, 2, 1000).await;
+    assert_eq!((old.len(), folder.files().len()), (1, 2));
+    assert_eq!(fs::metadata(&old[0]).expect("a file").len(), bytes);
+}
+
 #[tokio::test]
 async fn drop_frees_files() {
     let folder = Folder::new(SMALL);
@@ -637,6 +791,100 @@
     assert!(texts == expected, "all are read, in the order they were asked for");
 }
 
+#[tokio::test]
+async fn open_does_not_wait_for_scan() {
+    // Guards against a restarted store that counts as lost, because it reads all its texts before it votes.
+    let mut folder = Folder::new(SMALL);
+    folder.patience = Duration::ZERO;
+    let store = folder.open();
+    for i in 0..20 {
+        put(&store, i, 10_000).await;
+    }
+    drop(store);
+    let (files, bytes) = (folder.files().len(), folder.file_bytes());
+    let held = folder.hold_scans();
+    let store = folder.open_at_once();
+    let status = store.status();
+    assert!(status.scanning);
+    assert_eq!(
+        (status.texts, status.disk_bytes),
+        (0, bytes),
+        "unread files count against the limit"
+    );
+    // It takes texts and gives them, and what is not found yet is absent.
+    put(&store, 20, 10_000).await;
+    put(&store, 7, 10_000).await;
+    assert_eq!(get(&store, 20).await, Some(text(20, 10_000)));
+    assert_eq!(get(&store, 1).await, None);
+    assert_eq!(folder.files().len(), files + 1, "no file goes before it was read");
+    drop(held);
+    until(&store, |status| !status.scanning).await;
+    for i in 0..21 {
+        assert_eq!(get(&store, i).await, Some(text(i, 10_000)));
+    }
+    let record = record_bytes(&text(0, 10_000));
+    let status = store.status();
+    assert_eq!((status.texts, status.damaged), (21, 0));
+    assert_eq!((status.live_bytes, status.disk_bytes), (21 * record, 22 * record));
+}
+
+#[tokio::test]
+async fn get_waits_for_scan() {
+    // Guards against turns that can't go on right after all stores were restarted.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    drop(store);
+    let held = folder.hold_scans();
+    let store = folder.open_at_once();
+    let spawn_get = |i| {
+        let reader = store.clone();
+        tokio::spawn(async move { get(&reader, i).await })
+    };
+    let (found, absent) = (spawn_get(1), spawn_get(2));
+    queue_all().await;
+    assert!(!found.is_finished() && !absent.is_finished());
+    drop(held);
+    assert_eq!(found.await.expect("no panic"), Some(text(1, 1000)));
+    assert_eq!(absent.await.expect("no panic"), None, "nobody waits once the scan is over");
+}
+
+#[tokio::test]
+async fn open_finds_newer_of_two_records() {
+    // Guards against an old record, put again during a scan, that keeps a file which could go.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    put(&store, 1, 1000).await;
+    drop(store);
+    let old = folder.files();
+    let held = folder.hold_scans();
+    let store = folder.open_at_once();
+    put(&store, 1, 1000).await;
+    drop(held);
+    until(&store, |status| !status.scanning).await;
+    drop(store);
+    let store = folder.open();
+    until(&store, |status| status.disk_bytes == record_bytes(&text(1, 1000))).await;
+    assert_eq!(get(&store, 1).await, Some(text(1, 1000)));
+    assert!(!folder.files().contains(&old[0]));
+}
+
+#[tokio::test]
+async fn due_covers_found_texts() {
+    // Guards against a text found by a scan that is never asked about, and stays for ever.
+    let mut folder = Folder::new(ROOMY);
+    folder.found = Duration::ZERO;
+    let store = folder.open();
+    put(&store, 1, 100).await;
+    drop(store);
+    let held = folder.hold_scans();
+    let store = folder.open_at_once();
+    assert_eq!(store.due(10), Vec::<String>::new());
+    drop(held);
+    until(&store, |status| !status.scanning).await;
+    assert_eq!(store.due(10), [name(1)]);
+}
+
 #[tokio::test]
 async fn open_again_never_appends_to_old_file() {
     // Guards against two stores of one process, old and new, that write to one file.
