Leave the leader and most voters in their region when another has as many stores

Between two regions alike in stores the name decided, so a restart of one store could move the leader to the other region and back.

--- a/crates/core/src/replication/repair.rs
+++ b/crates/core/src/replication/repair.rs
@@ -94,7 +94,8 @@
 /// Every commit waits for a majority, and a learner is filled by the leader. From the region with
 /// fewer stores both cross the link between regions, slow and paid by volume, and a store that lost its
 /// disk takes several times as long to fill. Stores are counted and not voters, since the one to be
-/// filled doesn't vote yet. Of regions with as many stores the name decides, as for voters. A store that is to be emptied can't remove itself.
+/// filled doesn't vote yet; between regions with as many stores the leader stays where it is. A store that is to be
+/// emptied can't remove itself.
 pub fn should_hand_over(members: &Members, survey: &Survey) -> bool {
     let Some(me) = survey.alive.iter().find(|store| store.vm == survey.me) else { return false };
     let others = survey
@@ -104,8 +105,8 @@
     if me.retiring {
         return others.count() > 0;
     }
-    let own = survey.rank(&me.region);
-    let most = others.map(|store| survey.rank(&store.region)).max();
+    let own = survey.stores_in_region(&me.region);
+    let most = others.map(|store| survey.stores_in_region(&store.region)).max();
     most.is_some_and(|most| most > own)
 }
 
@@ -124,17 +125,17 @@
 }
 
 impl Survey {
-    /// Returns how much a region should have the leader and most voters: by its stores, then its name, so
-    /// that no two are alike and neither voters nor the leader go back and forth between them.
-    fn rank<'a>(&self, region: &'a str) -> (usize, &'a str) {
+    fn stores_in_region(&self, region: &str) -> usize {
         let stores = self.alive.iter().filter(|store| store.region == region);
-        (stores.filter(|store| !store.retiring).count(), region)
+        stores.filter(|store| !store.retiring).count()
     }
 
-    /// Returns the region that should have a majority of the voters.
+    /// Returns the region that should have a majority of the voters: the one with most stores, of several
+    /// alike the leader's.
     fn home(&self) -> Option<&CompactString> {
+        let own = self.find(self.me).map(|me| &me.region);
         let regions = self.alive.iter().filter(|store| !store.retiring).map(|store| &store.region);
-        regions.max_by_key(|region| self.rank(region))
+        regions.max_by_key(|region| (self.stores_in_region(region), Some(*region) == own, *region))
     }
 
     fn find(&self, vm: VmId) -> Option<&Candidate> {
