Give back the memory of a settled program's reservations

A store held 630 bytes for each program of the last ten minutes, most of them for turns that had ended.

Cause: an emptied `BTreeMap` keeps its leaf, with room for eleven reservations.

The map is replaced by a new one once its last reservation is settled; a new one allocates nothing.

--- a/crates/core/src/turns/budget.rs
+++ b/crates/core/src/turns/budget.rs
@@ -88,6 +88,10 @@
         usage.last_ms = now;
         if usage.reserved.remove(turn).is_some() {
             usage.spent = usage.spent.saturating_add(tokens);
+            if usage.reserved.is_empty() {
+                // An emptied map keeps a leaf for eleven turns, most of what a program would take.
+                usage.reserved = BTreeMap::new();
+            }
         }
     }
 
