--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -65,8 +65,8 @@
     /// out where it stands in the log, so no two entry VMs are given the same tokens.
     pub async fn ask(&self, mut command: Command) -> Reply {
         if self.is_unusable() {
-            // Asked again, the entry VM finds the store that leads next.
-            return Reply { body: Some(uncertain()) };
+            // A follower names its leader; asked again, a leader has handed over.
+            return Reply { body: Some(self.not_ready().await) };
         }
         let Some(time) = self.time() else {
             return Reply { body: Some(self.not_ready().await) };
@@ -93,8 +93,8 @@
         state.lead.map(|lead| lead.millis(now)).or_else(|| state.turns.time())
     }
 
-    /// Returns the answer of a store that knows no time of the group: it can't be asked yet, since what
-    /// it would propose might be the group's first command or not.
+    /// Returns the answer of a store that must not propose: its state is unusable, or knows no time of
+    /// the group, since what it would propose might be the group's first command or not.
     async fn not_ready(&self) -> ReplyBody {
         match self.context.host.read_barrier(GroupId::TURNS).await {
             Ok(_) => uncertain(),
