Hold what a turn continues for as long as its request may take

A caller whose stream lasted longer than what was left of the previous turn's time and 30 s was answered whole, and its next turn got 404. Gateways allow calls of up to 300 s.

Cause: the previous turn was forgotten 30 s after its time, so settling its continuation made a chain whose start is missing.

A reservation says how long its request may still take (`Reserve.lasts_ms`). No other turn may continue it for longer than before. Zero keeps the present grace.

This commit does not build with the gateway as it is: gateway/settlement.rs names every field of `Reserve`, and must fill `lasts_ms` with the call's time left.

--- a/crates/core/src/turns/snapshot.rs
+++ b/crates/core/src/turns/snapshot.rs
@@ -54,7 +54,10 @@
         let programs = snapshot.programs.into_iter().map(usage).collect();
         let turns = snapshot.turns.into_iter().map(|record| {
             let kept = record.kept.unwrap_or_default();
-            (record.turn.to_compact_string(), Turn::from_wire(&kept, record.until_ms))
+            (
+                record.turn.to_compact_string(),
+                Turn { held: record.held_ms, ..Turn::from_wire(&kept, record.until_ms) },
+            )
         });
         Ok(Turns {
             budgets: Budgets { programs },
@@ -65,7 +68,12 @@
 }
 
 fn record(id: &CompactString, turn: &Turn) -> wire::TurnRecord {
-    wire::TurnRecord { turn: id.to_string(), kept: Some(turn.to_wire()), until_ms: turn.until }
+    wire::TurnRecord {
+        turn: id.to_string(),
+        kept: Some(turn.to_wire()),
+        until_ms: turn.until,
+        held_ms: turn.held,
+    }
 }
 
 fn program(name: &CompactString, usage: &Usage) -> wire::ProgramRecord {
--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -63,6 +63,7 @@
         let (turn, most) = (&reserve.turn, reserve.most);
         match self.budgets.reserve(now, &reserve.program, turn, most, reserve.budget) {
             Ok(()) => {
+                self.tree.hold(now, &reserve.previous, reserve.lasts_ms);
                 let chain = if reserve.held { Vec::new() } else { chain };
                 let chain = chain.iter().map(Holding::to_wire).collect();
                 let under_way = self.budgets.is_under_way(&reserve.program, turn);
--- a/crates/core/src/turns/tree.rs
+++ b/crates/core/src/turns/tree.rs
@@ -8,8 +8,9 @@
 /// More turns than any chain has; a longer one is a loop in damaged state.
 const MAX_CHAIN: usize = 100_000;
 
-/// How long a turn is remembered past its time, in milliseconds: longer than a stream lasts. A turn that
-/// continues it may have been reserved just before, and keeps it once it is settled.
+/// How long a turn is remembered past its time, and past the longest time of what continues it, in
+/// milliseconds: longer than a settlement takes. A turn that continues it may have been reserved just
+/// before, and keeps it once it is settled.
 const SETTLE_GRACE_MS: u64 = 30_000;
 
 /// Stores that are remembered as holders of one text: more than ever hold it at one time, and few enough
@@ -27,6 +28,8 @@
     pub(super) retention: u64,
     /// Wall clock until which it is kept, in milliseconds.
     pub(super) until: u64,
+    /// Time until which a turn that continues it may be under way, in milliseconds; zero without one.
+    pub(super) held: u64,
 }
 
 impl Turn {
@@ -37,9 +40,15 @@
             bytes: kept.bytes,
             retention: kept.retention_ms,
             until,
+            held: 0,
         }
     }
 
+    /// Returns the time until which it is remembered.
+    fn remembered(&self) -> u64 {
+        self.until.max(self.held).saturating_add(SETTLE_GRACE_MS)
+    }
+
     pub(super) fn holding(&self, id: &str) -> Holding {
         Holding { turn: id.into(), holders: self.holders.clone(), bytes: self.bytes }
     }
@@ -118,6 +127,23 @@
         }
     }
 
+    /// Remembers a chain for as long as a turn that continues it may take.
+    ///
+    /// A stream may outlast the time of what it continues. Were that forgotten meanwhile, the turn would
+    /// end whole and yet its own continuation be unknown. No other turn may continue it for longer.
+    pub fn hold(&mut self, now: u64, previous: &str, lasts: u64) {
+        let held = now.saturating_add(lasts);
+        let mut next = CompactString::from(previous);
+        while let Some(turn) = self.turns.get_mut(&next) {
+            // What precedes a turn is held at least as long as the turn.
+            if lasts == 0 || turn.held >= held {
+                break;
+            }
+            turn.held = held;
+            next = turn.previous.clone();
+        }
+    }
+
     /// Returns where the texts of everything that precedes a turn that continues `previous` are,
     /// oldest first. Nothing if no such turn is kept.
     pub fn chain(&self, now: u64, previous: &str) -> Option<Vec<Holding>> {
@@ -140,8 +166,8 @@
 
     /// Returns how much longer a turn's text must be held, in milliseconds; nothing if it need not.
     pub fn left(&self, now: u64, id: &str) -> Option<u64> {
-        let held = self.turns.get(id)?.until.saturating_add(SETTLE_GRACE_MS);
-        held.checked_sub(now).filter(|left| *left > 0)
+        let remembered = self.turns.get(id)?.remembered();
+        remembered.checked_sub(now).filter(|left| *left > 0)
     }
 
     /// Notes that other stores hold a turn's text now.
@@ -157,7 +183,7 @@
 
     /// Forgets turns whose time is over, and which no turn under way can continue.
     pub fn expire(&mut self, now: u64) {
-        self.turns.retain(|_, turn| turn.until.saturating_add(SETTLE_GRACE_MS) > now);
+        self.turns.retain(|_, turn| turn.remembered() > now);
     }
 
     /// Returns how many turns are kept.
--- a/crates/core/tests/turns_long_stream.rs
+++ b/crates/core/tests/turns_long_stream.rs
@@ -15,7 +15,8 @@
 
 fn reserve(turns: &mut Turns, now_ms: u64, turn: &str, previous: &str) -> Reply {
     let (turn, previous) = (turn.to_owned(), previous.to_owned());
-    let ask = Reserve { turn, previous, program: "p".to_owned(), now_ms, ..Reserve::default() };
+    let program = "p".to_owned();
+    let ask = Reserve { turn, previous, program, now_ms, lasts_ms: LONGEST, ..Reserve::default() };
     apply(turns, Body::Reserve(ask))
 }
 
@@ -43,6 +44,10 @@
     let ended = began + LONGEST;
     // Others' commands sweep meanwhile.
     reserve(&mut turns, ended - 1, "other", "");
+    // Its holders ask whether they may drop its text, and a newcomer takes the state over.
+    assert_eq!(turns.still_kept(&["first".to_owned()]).len(), 1);
+    turns = Turns::restore(&turns.snapshot()).expect("readable");
+    assert!(matches!(reserve(&mut turns, ended - 1, "late", "first"), Reply::Unknown(_)));
     settle(&mut turns, ended, "second", "first");
     let next = reserve(&mut turns, ended + 1, "third", "second");
     assert!(matches!(next, Reply::Reserved(_)), "the turn that just ended is unknown: {next:?}");
