Bound the memory of texts' places, and take a text longer than the queue

What callers would see: short texts fill a store's memory with their places long before they fill its disk, and the process ends with all its texts. A turn whose text is longer than 8 MB is never kept, although the settings allow such bodies.

Cause: only bytes on the disk counted against the limit, while each text takes 237 bytes of memory, whatever its length. A put that was longer than the queue may be was refused even where nothing was queued.

Fix: a text counts 1 KiB at least, while it is queued and on the disk, so the index takes a quarter of the limit at most. What a put counts is noted with it and taken off when it is answered. A put is taken whatever its length if nothing is queued or being written, up to the room on the disk and to 1 GiB, for places have 32 bits.

Evidence: `put_takes_one_longer_than_queue` ("it is alone: Full") and `put_refuses_many_short_ones` (Ok instead of Full) failed before.

--- a/crates/gypsumglade/src/texts/index.rs
+++ b/crates/gypsumglade/src/texts/index.rs
@@ -7,6 +7,15 @@
 /// A segment is compacted once less than one part in so many of it is live.
 pub(super) const SPARSE_PARTS: u64 = 4;
 
+/// Bytes that a text counts at least against the disk's limit. The index takes some 240 bytes of memory for
+/// each, so all of them take a quarter of the limit at most, however short they are.
+const LEAST_CHARGE: u64 = 1024;
+
+/// Returns what a record counts against the limit beyond its bytes.
+pub(super) fn padding(length: u64) -> u64 {
+    LEAST_CHARGE.saturating_sub(length)
+}
+
 /// Where a record is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Place {
@@ -54,6 +63,8 @@
     /// Bytes of the segments that an earlier process left and that were not scanned yet, or can't be. As
     /// long as it is not known what is in them they stay.
     unscanned: BTreeMap<u32, u64>,
+    /// What the texts count against the limit beyond their bytes.
+    padding: u64,
     /// The segment that is being compacted. It is finished before another one is begun, so that no more
     /// than the live part of one segment is on the disk twice.
     compacting: Option<u32>,
@@ -78,6 +89,11 @@
         scanned + self.unscanned.values().sum::<u64>()
     }
 
+    /// Returns what counts against the limit.
+    pub(super) fn charged_bytes(&self) -> u64 {
+        self.disk_bytes() + self.padding
+    }
+
     /// Returns the bytes of the longest segment.
     pub(super) fn longest(&self) -> u64 {
         let scanned = self.segments.values().map(|usage| usage.length);
@@ -97,6 +113,7 @@
     pub(super) fn insert(&mut self, turn: CompactString, place: Place, due: Time) {
         self.remove(&turn);
         self.segments.entry(place.segment).or_default().live += u64::from(place.length);
+        self.padding += padding(u64::from(place.length));
         self.due.insert((due, turn.clone()));
         self.texts.insert(turn, Entry { place, due });
     }
@@ -129,6 +146,7 @@
         let Some((turn, entry)) = self.texts.remove_entry(turn) else {
             return false;
         };
+        self.padding -= padding(u64::from(entry.place.length));
         self.due.remove(&(entry.due, turn));
         self.release(entry.place)
     }
--- a/crates/gypsumglade/src/texts/record.rs
+++ b/crates/gypsumglade/src/texts/record.rs
@@ -58,7 +58,7 @@
     let start = bytes.len();
     bytes.extend(MAGIC);
     for part in parts {
-        let length = u32::try_from(part.len()).expect("the queue holds less");
+        let length = u32::try_from(part.len()).expect("a put has less");
         bytes.extend(length.to_le_bytes());
     }
     bytes.extend(checksum.finalize().to_le_bytes());
--- a/crates/gypsumglade/src/texts/shared.rs
+++ b/crates/gypsumglade/src/texts/shared.rs
@@ -7,14 +7,17 @@
 use gypsumglade_core::wire::turn::Text;
 use tokio::sync::{oneshot, watch};
 
-use super::index::{Index, Place, Reclaim, SPARSE_PARTS};
+use super::index::{self, Index, Place, Reclaim, SPARSE_PARTS};
 use super::record;
 use super::segment::Scanned;
 use super::{PutError, TextOptions, TextStatus};
 use crate::clock::Clock;
 
-/// Bytes at most that wait for the disk, or are being written.
+/// Bytes at most that wait for the disk, or are being written. One put may have more if it is alone: it could
+/// never be taken else.
 pub(super) const QUEUE_BYTES: u64 = 8 * 1024 * 1024;
+/// Bytes of one put at most, for a place in a file has 32 bits.
+const PUT_BYTES: u64 = 1024 * 1024 * 1024;
 /// Bytes after which one sync takes no further texts: some 10 ms of a slow disk's time.
 pub(super) const BATCH_BYTES: u64 = 1024 * 1024;
 /// Live bytes that one sync moves out of a segment.
@@ -26,6 +29,7 @@
     number: PutNumber,
     pub(super) texts: Vec<Text>,
     bytes: u64,
+    padding: u64,
     /// When they are due.
     pub(super) due: Time,
 }
@@ -79,6 +83,8 @@
     next: PutNumber,
     /// Bytes of the queue, and of what is being written.
     queued: u64,
+    /// What these count against the limit of the disk beyond their bytes.
+    padding: u64,
     failed: bool,
     closed: bool,
     damaged: u64,
@@ -170,20 +176,24 @@
         if texts.is_empty() {
             return Ok(others.into_iter().map(|number| state.wait_for(number)).collect());
         }
-        let bytes = texts.iter().map(|text| record::length(text) as u64).sum();
+        let lengths = || texts.iter().map(|text| record::length(text) as u64);
+        let bytes: u64 = lengths().sum();
+        let padding: u64 = state.padding + lengths().map(index::padding).sum::<u64>();
         let queued = state.queued.saturating_add(bytes);
-        let disk = state.index.disk_bytes().saturating_add(queued);
+        let disk = state.index.charged_bytes().saturating_add(queued).saturating_add(padding);
         let room = self.put_room(state.index.longest().max(bytes));
         let named = texts.iter().all(record::is_nameable);
-        if !named || queued > QUEUE_BYTES || disk > room {
+        let crowded = state.queued > 0 && queued > QUEUE_BYTES;
+        if !named || crowded || bytes > PUT_BYTES || disk > room {
             return Err(PutError::Full);
         }
         let number = state.next;
         state.next += 1;
         state.queued = queued;
+        let padding = padding - std::mem::replace(&mut state.padding, padding);
         state.pending.extend(seen.into_iter().map(|turn| (turn, number)));
         let due = self.clock.now() + retention;
-        state.queue.push_back(Put { number, texts, bytes, due });
+        state.queue.push_back(Put { number, texts, bytes, padding, due });
         self.work.notify_one();
         others.insert(number);
         Ok(others.into_iter().map(|number| state.wait_for(number)).collect())
@@ -245,6 +255,7 @@
             state.index.relocate(&turn, from, to);
         }
         state.queued -= puts.iter().map(|put| put.bytes).sum::<u64>();
+        state.padding -= puts.iter().map(|put| put.padding).sum::<u64>();
         let waiters = puts.iter().filter_map(|put| state.waiters.remove(&put.number));
         let waiters: Vec<Waiter> = waiters.flatten().collect();
         drop(state);
@@ -297,6 +308,7 @@
         let mut state = self.state();
         state.failed = true;
         state.queued = 0;
+        state.padding = 0;
         state.queue.clear();
         state.pending.clear();
         state.waiters.clear();
--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -409,6 +409,50 @@
     put(&store, 8, 1_000_000).await;
 }
 
+#[tokio::test]
+async fn put_takes_one_longer_than_queue() {
+    // Guards against a turn that can never be kept, because its text is longer than the whole queue.
+    let folder = Folder::new(ROOMY);
+    let store = folder.open();
+    let long = |i| Text { output: Bytes::from(vec![7; 9_000_000]), ..text(i, 0) };
+    store.put(vec![long(1)], LONG).await.expect("it is alone");
+    assert!(get(&store, 1).await == Some(long(1)));
+    let held = folder.hold();
+    let first = spawn_put(&store, text(2, 100));
+    queue_all().await;
+    let refused = store.put(vec![long(3)], LONG).now_or_never();
+    assert_eq!(refused, Some(Err(PutError::Full)), "it isn't alone");
+    drop(held);
+    assert_eq!(first.await.expect("no panic"), Ok(()));
+    drop(store);
+    let store = folder.open();
+    assert_eq!((store.status().texts, store.status().damaged), (2, 0));
+    let small = Folder::new(SMALL).open();
+    let refused = small.put(vec![text(4, SMALL as usize)], LONG).now_or_never();
+    assert_eq!(refused, Some(Err(PutError::Full)), "the disk has no room for it");
+}
+
+#[tokio::test]
+async fn put_refuses_many_short_ones() {
+    // Guards against short texts that fill the memory with their places long before they fill the disk.
+    let folder = Folder::new(SMALL);
+    let store = folder.open();
+    let most = (SMALL - SMALL_SEGMENT / 4) / 1024;
+    let fitting = (0..most as usize).map(|i| text(i, 10)).collect();
+    store.put(fitting, LONG).await.expect("each counts as 1 KiB");
+    assert_eq!(store.put(vec![text(5000, 10)], LONG).await, Err(PutError::Full));
+    // What was dropped still has its few bytes on the disk, so one makes no room for another.
+    (0..2).for_each(|i| store.drop(&name(i)));
+    put(&store, 5000, 10).await;
+    assert_eq!(store.put(vec![text(5001, 10)], LONG).await, Err(PutError::Full));
+    drop(store);
+    let store = folder.open();
+    assert_eq!(store.status().texts as u64, most + 1, "the dropped ones are back");
+    assert_eq!(store.put(vec![text(5001, 10)], LONG).await, Err(PutError::Full));
+    (0..3).for_each(|i| store.drop(&name(i)));
+    put(&store, 5001, 10).await;
+}
+
 #[tokio::test]
 async fn put_shares_syncs() {
     // Guards against a sync for each text, which a disk of 5 ms a sync can't keep up with.
