--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -87,6 +87,7 @@
         previous: turn.previous.to_string(),
         now_ms: 0,
         held: known.is_some(),
+        lasts_ms: u64::try_from(call.left().as_millis()).unwrap_or(u64::MAX),
         prompts: starts.iter().map(|start| start.hash).collect(),
     };
     let need = Need { left: call.left(), bytes: call.body.len(), spread: rand::random() };
