Say which store answers a put or a copy of texts

What callers would see: a turn that can't be continued although all its holders seem to be there. One of them lost its disk and came back at its address as someone new; a put or copy that reached it was credited to the earlier identity.

Cause: `TextStored` and `TextsHeld` named no identity, so whoever asked took the one it had for the address.

Fix: both have `vm`. A copy that another identity answers than was asked is an error, so nothing is noted for either and the next look plans it anew. The gateway doesn't read the field yet; this is not part of this commit.

Evidence: `put_and_copy_tell_who_answers` failed with the field unset (0 instead of the new identity) and passes. No test reaches the refusal in text_copies, which needs a directory that is behind.

--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -65,7 +65,7 @@
         let put: turn::TextPut = decode(&text).map_err(|error| invalid_payload(&error))?;
         // An entry VM that hasn't heard yet that this store is to be emptied chooses another one.
         let stored = match is_retiring(&state) {
-            true => turn::TextStored { stored: false },
+            true => turn::TextStored { stored: false, vm: state.context.vm.0 },
             false => state.texts.put(put).await,
         };
         Ok::<_, ErrorObjectOwned>(encode(&stored))
--- a/crates/gypsumglade/src/store/text_copies.rs
+++ b/crates/gypsumglade/src/store/text_copies.rs
@@ -203,7 +203,11 @@
     async fn order(&self, target: VmId, order: &TextCopy) -> Result<TextsHeld, CopyError> {
         let address = self.context.directory.store(target).ok_or(CopyError::Unknown)?;
         let asking = self.context.peers.ask(address, Method::CopyTexts, order, TIMEOUT);
-        Ok(asking.await?)
+        let held: TextsHeld = asking.await?;
+        match VmId(held.vm) {
+            vm if vm == target => Ok(held),
+            other => Err(CopyError::Replaced(other)),
+        }
     }
 
     fn survey(&self) -> Survey {
@@ -245,6 +249,9 @@
     /// Its address is not known, or not yet.
     #[error("its address is not known")]
     Unknown,
+    /// Another store answers at its address. The texts are not on the disk that was meant.
+    #[error("{0} answers at its address")]
+    Replaced(VmId),
     /// It didn't answer.
     #[error(transparent)]
     Call(#[from] RpcError),
--- a/crates/gypsumglade/src/store/text_holder.rs
+++ b/crates/gypsumglade/src/store/text_holder.rs
@@ -50,7 +50,7 @@
         if let Err(error) = stored {
             slog::warn!(self.context.log, "texts refused"; "error" => %error);
         }
-        TextStored { stored: stored.is_ok() }
+        TextStored { stored: stored.is_ok(), vm: self.context.vm.0 }
     }
 
     /// Returns the texts that are here.
@@ -83,7 +83,7 @@
                 }
             }
         }
-        TextsHeld { turns: held }
+        TextsHeld { turns: held, vm: self.context.vm.0 }
     }
 
     /// Drops texts whose turns are not kept any more, until `halt`.
--- a/crates/gypsumglade/tests/text_copies.rs
+++ b/crates/gypsumglade/tests/text_copies.rs
@@ -17,7 +17,7 @@
 use gypsumglade_core::wire::turn::command::Body;
 use gypsumglade_core::wire::turn::reply::Body as Reply;
 use gypsumglade_core::wire::turn::{
-    Command, Kept, Reserve, Settle, Text, TextPut, TextQuery, TextStored,
+    Command, Kept, Reserve, Settle, Text, TextCopy, TextPut, TextQuery, TextStored, TextsHeld,
 };
 use tempfile::TempDir;
 use tokio::time::Instant;
@@ -427,6 +427,30 @@
     cluster.stop_all().await;
 }
 
+/// A store whose disk was lost comes back empty, as someone new, at the address it had. If an answer didn't
+/// say who gives it, a put or a copy would be credited to the earlier identity, and the group would name a
+/// holder that is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn put_and_copy_tell_who_answers() {
+    let mut cluster = Cluster::start().await;
+    let fourth = cluster.add('d').await;
+    let before = cluster.vm(fourth);
+    let address = cluster.stores[&fourth].addresses().peers;
+    cluster.replace(fourth).await;
+    let vm = cluster.vm(fourth);
+    assert_ne!(vm, before);
+    let peers = &cluster.stores[&0].state().context.peers;
+    let put = TextPut { texts: vec![text("a")], retention_ms: 60_000 };
+    let asking = peers.ask(address, Method::PutTexts, &put, PATIENCE);
+    let stored: TextStored = asking.await.expect("it answers");
+    assert_eq!((stored.stored, VmId(stored.vm)), (true, vm));
+    let order = TextCopy { turns: vec!["a".to_owned()], sources: Vec::new() };
+    let asking = peers.ask(address, Method::CopyTexts, &order, PATIENCE);
+    let held: TextsHeld = asking.await.expect("it answers");
+    assert_eq!((held.turns, VmId(held.vm)), (vec!["a".to_owned()], vm));
+    cluster.stop_all().await;
+}
+
 /// A leader that is deposed while it copies leaves texts at stores that the group doesn't name. The next
 /// one must take up what is left.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
