Count a put only for the identity that was asked

A store whose disk was wiped answers at its address under a new identity, and its answer was credited to the earlier one: the turn was settled with a holder that is gone. Read by the review; no test of the gateway's part.

--- a/crates/gypsumglade/src/gateway/text_client.rs
+++ b/crates/gypsumglade/src/gateway/text_client.rs
@@ -203,7 +203,8 @@
             let timeout = until.saturating_duration_since(Instant::now()).min(PUT_TIMEOUT);
             let stored = client.peers.ask(address, Method::PutTexts, put.as_ref(), timeout).await;
             client.note(vm, stored.is_ok());
-            (vm, stored.is_ok_and(|stored: TextStored| stored.stored))
+            // A store whose disk was wiped answers at the same address under another identity.
+            (vm, stored.is_ok_and(|stored: TextStored| stored.stored && stored.vm == vm.0))
         });
     }
 
