Close a store's folder before its stop returns

A store that was stopped and started again in one process failed at times: another process uses the data folder.

With it, the settings of tests' stores stand in one place, and transfers of texts have a name apart from the trait Copy.

--- a/crates/core/src/turns/copies.rs
+++ b/crates/core/src/turns/copies.rs
@@ -10,7 +10,7 @@
 
 /// What the turn group's leader knows of the stores.
 #[derive(Clone, Debug, Default)]
-pub struct Survey {
+pub struct CopySurvey {
     /// Stores that can be read from, those that are to be emptied included.
     pub alive: Vec<Candidate>,
     /// Stores that each text should be on.
@@ -55,7 +55,7 @@
 
 /// Texts that one store should fetch from others.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Copy {
+pub struct Transfer {
     /// The store that fetches.
     pub target: VmId,
     /// Stores that have the texts, those of the target's region first.
@@ -66,17 +66,17 @@
     pub turns: Vec<Holding>,
 }
 
-impl Copy {
+impl Transfer {
     /// Returns the same in parts of at most `most` each, but at least one text.
-    pub fn split(self, most: Portion) -> Vec<Copy> {
-        let mut parts: Vec<Copy> = Vec::new();
+    pub fn split(self, most: Portion) -> Vec<Transfer> {
+        let mut parts: Vec<Transfer> = Vec::new();
         let mut sum = Portion::default();
         for holding in self.turns {
             let first = parts.is_empty();
             let full = sum.is_over(most) || sum.bytes.saturating_add(holding.bytes) > most.bytes;
             if first || full {
                 let (target, sources) = (self.target, self.sources.clone());
-                parts.push(Copy { target, sources, abroad: self.abroad, turns: Vec::new() });
+                parts.push(Transfer { target, sources, abroad: self.abroad, turns: Vec::new() });
                 sum = Portion::default();
             }
             sum.add(holding.bytes);
@@ -91,9 +91,9 @@
     ///
     /// Texts that lost the same holders go to the same store, so that a conversation's stay together.
     /// A text of which no holder can be read is left out.
-    pub fn plan_copies(&self, survey: &Survey, limits: &Limits) -> Vec<Copy> {
+    pub fn plan_copies(&self, survey: &CopySurvey, limits: &Limits) -> Vec<Transfer> {
         let wanted = survey.copies.min(survey.serving().count());
-        let mut plans: BTreeMap<BTreeSet<VmId>, Option<Copy>> = BTreeMap::new();
+        let mut plans: BTreeMap<BTreeSet<VmId>, Option<Transfer>> = BTreeMap::new();
         let mut taken: BTreeMap<VmId, Portion> = BTreeMap::new();
         for (id, turn) in self.lacking_copies(survey, wanted) {
             if survey.put_off.contains(id) {
@@ -120,7 +120,7 @@
     ///
     /// Where fewer stores serve than each text should be on, the others may only be silent, and every
     /// text counts.
-    pub fn relied_on(&self, survey: &Survey) -> BTreeSet<VmId> {
+    pub fn relied_on(&self, survey: &CopySurvey) -> BTreeSet<VmId> {
         let lacking = self.lacking_copies(survey, survey.copies);
         lacking.flat_map(|(_, turn)| turn.holders.iter().copied()).collect()
     }
@@ -128,7 +128,7 @@
     /// Returns the turns whose texts are on fewer than `wanted` stores.
     fn lacking_copies(
         &self,
-        survey: &Survey,
+        survey: &CopySurvey,
         wanted: usize,
     ) -> impl Iterator<Item = (&CompactString, &Turn)> {
         let serving: BTreeSet<VmId> = survey.serving().map(|store| store.vm).collect();
@@ -139,7 +139,7 @@
     }
 }
 
-impl Survey {
+impl CopySurvey {
     fn serving(&self) -> impl Iterator<Item = &Candidate> {
         self.alive.iter().filter(|store| !store.retiring)
     }
@@ -157,13 +157,13 @@
     }
 
     /// Returns how the texts that are left on these stores are copied, without any text yet.
-    fn plan(&self, left: &BTreeSet<VmId>) -> Option<Copy> {
+    fn plan(&self, left: &BTreeSet<VmId>) -> Option<Transfer> {
         let target = self.target(left)?;
         let far = |vm: &VmId| self.find(*vm).is_none_or(|store| store.region != target.region);
         let mut sources: Vec<VmId> = left.iter().copied().collect();
         sources.sort_by_key(far);
         let abroad = sources.iter().all(far);
-        Some(Copy { target: target.vm, sources, abroad, turns: Vec::new() })
+        Some(Transfer { target: target.vm, sources, abroad, turns: Vec::new() })
     }
 
     /// Returns the store that takes the place of a lost holder: in the region of those that are left, and
--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -16,7 +16,7 @@
 mod tree;
 
 pub use budget::Spent;
-pub use copies::{Copy, Limits, Portion, Survey};
+pub use copies::{CopySurvey, Limits, Portion, Transfer};
 pub use holders::preferred;
 pub use lead::LeadClock;
 pub use snapshot::RestoreError;
--- a/crates/core/tests/turns_copies.rs
+++ b/crates/core/tests/turns_copies.rs
@@ -7,7 +7,7 @@
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::repair::Candidate;
-use gypsumglade_core::turns::{Copy, Limits, Portion, Survey, Turns};
+use gypsumglade_core::turns::{CopySurvey, Limits, Portion, Transfer, Turns};
 use gypsumglade_core::wire::turn::command::Body;
 use gypsumglade_core::wire::turn::reply::Body as Reply;
 use gypsumglade_core::wire::turn::{Command, Copied, Holding, Kept, Reserve, Settle};
@@ -42,7 +42,7 @@
 }
 
 /// Carries a plan out, and returns how many texts were copied.
-fn carry_out(turns: &mut Turns, plan: &[Copy]) -> usize {
+fn carry_out(turns: &mut Turns, plan: &[Transfer]) -> usize {
     let copied: Vec<Holding> =
         plan.iter().flat_map(|copy| &copy.turns).map(|holding| holding.to_wire()).collect();
     let count = copied.len();
@@ -70,15 +70,15 @@
     Candidate { retiring: true, ..store }
 }
 
-fn survey(alive: impl IntoIterator<Item = Candidate>) -> Survey {
-    Survey { alive: alive.into_iter().collect(), copies: 2, ..Survey::default() }
+fn survey(alive: impl IntoIterator<Item = Candidate>) -> CopySurvey {
+    CopySurvey { alive: alive.into_iter().collect(), copies: 2, ..CopySurvey::default() }
 }
 
 fn alike(most: Portion) -> Limits {
     Limits { near: most, abroad: most }
 }
 
-fn targets(plan: &[Copy]) -> Vec<u32> {
+fn targets(plan: &[Transfer]) -> Vec<u32> {
     plan.iter().map(|copy| copy.target.0).collect()
 }
 
@@ -203,7 +203,7 @@
     let far = (6..12).map(|vm| abroad(vm, &format!("n{vm}")));
     let alive: Vec<_> = far.chain([store(5, "a"), store(3, "a")]).collect();
     assert_eq!(targets(&turns.plan_copies(&survey(alive.clone()), &ALL)), [3]);
-    let failing = Survey { failing: BTreeSet::from([VmId(3)]), ..survey(alive) };
+    let failing = CopySurvey { failing: BTreeSet::from([VmId(3)]), ..survey(alive) };
     assert_eq!(targets(&turns.plan_copies(&failing, &ALL)), [3]);
 }
 
@@ -215,7 +215,7 @@
     keep(&mut turns, "a", "", &[1, 7, 8]);
     let north = [abroad(1, "n"), abroad(2, "m"), abroad(3, "o"), abroad(4, "p")];
     let south = [store(7, "a"), store(8, "b"), store(9, "c")];
-    let survey = Survey { copies: 4, ..survey(north.into_iter().chain(south)) };
+    let survey = CopySurvey { copies: 4, ..survey(north.into_iter().chain(south)) };
     assert_eq!(targets(&turns.plan_copies(&survey, &ALL)), [9]);
     let mut turns = Turns::default();
     keep(&mut turns, "a", "", &[7, 1]);
@@ -241,7 +241,7 @@
     keep(&mut turns, "a", "", &[1, 9]);
     let alive = [store(1, "a"), store(2, "b"), store(3, "c")];
     let first = turns.plan_copies(&survey(alive.clone()), &ALL)[0].target;
-    let failing = Survey { failing: BTreeSet::from([first]), ..survey(alive) };
+    let failing = CopySurvey { failing: BTreeSet::from([first]), ..survey(alive) };
     let second = turns.plan_copies(&failing, &ALL)[0].target;
     assert!(second != first && second != VmId(1));
 }
@@ -254,7 +254,7 @@
         keep(&mut turns, turn, "", &[1, 9]);
     }
     let survey = survey([store(1, "a"), store(2, "b")]);
-    let survey = Survey { put_off: BTreeSet::from(["a".into()]), ..survey };
+    let survey = CopySurvey { put_off: BTreeSet::from(["a".into()]), ..survey };
     let plan = turns.plan_copies(&survey, &alike(Portion { texts: 1, ..ENOUGH }));
     assert_eq!(plan[0].turns[0].turn, "b");
     assert_eq!(turns.relied_on(&survey), BTreeSet::from([VmId(1), VmId(9)]));
@@ -369,7 +369,7 @@
     })
 }
 
-fn surveyed(places: &[Place], copies: usize) -> Survey {
+fn surveyed(places: &[Place], copies: usize) -> CopySurvey {
     let alive = places.iter().zip(1..).filter(|(place, _)| place.alive);
     let alive = alive.map(|(place, vm)| Candidate {
         vm: VmId(vm),
@@ -379,12 +379,12 @@
     });
     let failing = places.iter().zip(1..).filter(|(place, _)| place.failing);
     let failing = failing.map(|(_, vm)| VmId(vm)).collect();
-    Survey { alive: alive.collect(), copies, failing, put_off: BTreeSet::new() }
+    CopySurvey { alive: alive.collect(), copies, failing, put_off: BTreeSet::new() }
 }
 
 /// Checks one plan: only stores that serve take texts, those that have one are read from, and texts with
 /// the same sources go to the same store.
-fn check_plan(plan: &[Copy], survey: &Survey, most: Portion) -> Result<(), TestCaseError> {
+fn check_plan(plan: &[Transfer], survey: &CopySurvey, most: Portion) -> Result<(), TestCaseError> {
     let find = |vm: VmId| survey.alive.iter().find(|store| store.vm == vm);
     let mut counts: BTreeMap<VmId, usize> = BTreeMap::new();
     let mut sources = BTreeSet::new();
--- a/crates/gypsumglade/src/gateway/history_cache.rs
+++ b/crates/gypsumglade/src/gateway/history_cache.rs
@@ -11,10 +11,9 @@
 use gypsumglade_core::prelude::*;
 use tokio::time::Instant;
 
-/// How long a history waits for the next turn. Callers pause for less than a second between turns,
-/// and tools take some seconds at most.
+/// How long a history waits for the next turn.
 const KEPT_FOR: Duration = Duration::from_secs(10);
-/// Most bytes of all histories; some forty conversations under way at one VM.
+/// Most bytes of all histories.
 const MOST_BYTES: usize = 2 << 20;
 
 #[derive(Debug)]
--- a/crates/gypsumglade/src/store/outbound.rs
+++ b/crates/gypsumglade/src/store/outbound.rs
@@ -16,9 +16,6 @@
 /// most, so they hold 16 MB even while no thread of the runtime gets to run.
 pub(super) const BUFFER: usize = 64;
 /// Bytes that may wait for one peer; beyond it batches are dropped, and replication repeats them.
-///
-/// It is what a link between regions carries in an eighth of a second: what waited longer would be
-/// repeated by then.
 const QUEUE_BYTES: usize = 1024 * 1024;
 /// Bytes of pieces of snapshots that may wait for one peer.
 const BULK_BYTES: usize = 512 * 1024;
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -222,6 +222,8 @@
         for listener in self.registrar.into_iter().chain(self.metrics) {
             listener.drained().await;
         }
+        // Whoever embeds a store may open its folder again once this returns.
+        self.state.context.host.stop().await;
     }
 }
 
--- a/crates/gypsumglade/src/store/text_copies.rs
+++ b/crates/gypsumglade/src/store/text_copies.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::turns::{Copy, Holding, Limits, Portion, Survey};
+use gypsumglade_core::turns::{CopySurvey, Holding, Limits, Portion, Transfer};
 use gypsumglade_core::wire::turn::{TextCopy, TextsHeld};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -29,8 +29,8 @@
 /// What one store fetches at one time: little enough that the few that are under way don't fill its memory
 /// or that of the store that gives them.
 const BATCH: Portion = Portion { texts: 256, bytes: 512 * 1024 };
-/// What one store fetches at one time from another region. On a link of 60 Mbit/s a heartbeat behind it is
-/// some 25 ms late, well within an election's patience.
+/// What one store fetches at one time from another region: little enough that a heartbeat behind it on a
+/// narrow link isn't late.
 const BATCH_ABROAD: Portion = Portion { texts: 64, bytes: 128 * 1024 };
 /// Pause after each batch from another region, so that copies take a part of the link and not all of it.
 const PAUSE_ABROAD: Duration = Duration::from_millis(50);
@@ -129,14 +129,14 @@
     }
 
     /// Returns what the stores that have nothing to do should fetch, each in batches.
-    fn look(&self, busy: &BTreeSet<VmId>) -> BTreeMap<VmId, Vec<Copy>> {
+    fn look(&self, busy: &BTreeSet<VmId>) -> BTreeMap<VmId, Vec<Transfer>> {
         // Read first: a store must be looked after as one to be emptied before that is told.
         let mut retiring = self.discovery.retiring();
         retiring.extend(self.control.retiring().into_iter().map(VmId));
         let survey = self.survey();
         let plan = self.turns.plan_copies(&survey, &LIMITS);
         self.memory().note(self.discovery.now(), plan.relied, retiring);
-        let mut targets: BTreeMap<VmId, Vec<Copy>> = BTreeMap::new();
+        let mut targets: BTreeMap<VmId, Vec<Transfer>> = BTreeMap::new();
         for copy in plan.copies {
             let target = copy.target;
             if !busy.contains(&target) && !survey.failing.contains(&target) {
@@ -148,7 +148,7 @@
     }
 
     /// Has one store fetch what it should hold, until it fails.
-    async fn fill(self: Arc<Self>, target: VmId, copies: Vec<Copy>) -> VmId {
+    async fn fill(self: Arc<Self>, target: VmId, copies: Vec<Transfer>) -> VmId {
         let mut under_way: JoinSet<bool> = JoinSet::new();
         let mut copies = copies.into_iter();
         loop {
@@ -173,7 +173,7 @@
     }
 
     /// Has a store fetch a batch. Returns whether it may be asked for the next one.
-    async fn carry_out(self: Arc<Self>, copy: Copy) -> bool {
+    async fn carry_out(self: Arc<Self>, copy: Transfer) -> bool {
         let order = TextCopy {
             turns: copy.turns.iter().map(|holding| holding.turn.to_string()).collect(),
             sources: copy.sources.iter().map(|vm| vm.0).collect(),
@@ -210,7 +210,7 @@
         }
     }
 
-    fn survey(&self) -> Survey {
+    fn survey(&self) -> CopySurvey {
         let mut alive = self.discovery.stores_heard(LOST_AFTER);
         for store in &mut alive {
             store.retiring |= self.control.is_retiring(store.vm);
@@ -220,7 +220,7 @@
         memory.forget(now);
         let failing = memory.failing.keys().copied().collect();
         let put_off = memory.put_off.keys().cloned().collect();
-        Survey { alive, copies: self.copies, failing, put_off }
+        CopySurvey { alive, copies: self.copies, failing, put_off }
     }
 
     fn memory(&self) -> MutexGuard<'_, Memory> {
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{LogIndex, Term};
-use gypsumglade_core::turns::{Copy, Holding, LeadClock, Limits, Survey, Turns};
+use gypsumglade_core::turns::{CopySurvey, Holding, LeadClock, Limits, Transfer, Turns};
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
 use gypsumglade_core::wire::turn::{
@@ -199,7 +199,7 @@
     }
 
     /// Returns what to copy next, and which stores texts rely on.
-    pub(super) fn plan_copies(&self, survey: &Survey, limits: &Limits) -> CopyPlan {
+    pub(super) fn plan_copies(&self, survey: &CopySurvey, limits: &Limits) -> CopyPlan {
         let state = self.state();
         if state.unusable {
             return CopyPlan::default();
@@ -246,7 +246,7 @@
 /// What the turn group's leader is to do about texts on too few stores.
 #[derive(Default)]
 pub(super) struct CopyPlan {
-    pub(super) copies: Vec<Copy>,
+    pub(super) copies: Vec<Transfer>,
     /// Stores that hold such texts.
     pub(super) relied: BTreeSet<VmId>,
 }
--- a/crates/gypsumglade/tests/config_spread.rs
+++ b/crates/gypsumglade/tests/config_spread.rs
@@ -1,5 +1,7 @@
 //! How a newer bundle gets from the stores to the VMs that act on it.
 
+mod store_support;
+
 use std::net::Ipv4Addr;
 use std::path::Path;
 use std::sync::Arc;
@@ -17,6 +19,7 @@
 use gypsumglade_core::wire::operator::ControlRequest;
 use gypsumglade_core::wire::operator::control_reply::Body as Reply;
 use gypsumglade_core::wire::operator::control_request::Body as Request;
+use store_support::StoreSetup;
 
 /// Port of every store; each has a loopback address of its own.
 const PEERS: u16 = 7_310;
@@ -35,29 +38,10 @@
 }
 
 fn settings(own: Ipv4Addr, seed: Ipv4Addr, folder: &Path) -> Settings {
-    let first = own == seed;
-    let (folder, operator) = (folder.display(), key().public());
-    let text = format!(
-        r#"
-vm: {{ domain: a, region: south }}
-threads: 1
-discovery: {{ name: "{own}", seeds: ["{seed}:1"], first_start: {first}, domains: {{ a: south }} }}
-listen: {{ peers: "{own}:{PEERS}" }}
-groups: 0
-store:
-  folder: "{folder}"
-  peers: "{own}:{PEERS}"
-  admin: "{own}:0"
-  tolerate: 1
-  heartbeat_ms: 50
-  election_ms: 300
-tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
-operators: {{ keys: ["{operator}"], threshold: 1 }}
-log: {{ file: "-" }}
-"#
-    );
-    Settings::parse(Path::new("settings.yaml"), &text)
-        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+    let setup = StoreSetup::alone(own, PEERS, folder);
+    let (seeds, first) = (vec![seed], own == seed);
+    let operator = key().public().to_string().into();
+    StoreSetup { seeds, first, operator, tolerate: 1, ..setup }.settings()
 }
 
 async fn start(own: Ipv4Addr, seed: Ipv4Addr, folder: &Path) -> Store {
--- a/crates/gypsumglade/tests/group_snapshot.rs
+++ b/crates/gypsumglade/tests/group_snapshot.rs
@@ -1,5 +1,7 @@
 //! Snapshots of the groups on a disk that is slow.
 
+mod store_support;
+
 use std::net::Ipv4Addr;
 use std::path::Path;
 use std::sync::Arc;
@@ -17,34 +19,14 @@
 use gypsumglade_core::lease::LeaseSettings;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{LogIndex, Term};
+use store_support::StoreSetup;
 use tokio::sync::mpsc;
 
 /// Looks for what a group must have applied.
 const LOOKS: usize = 200;
 
 fn settings(own: Ipv4Addr, folder: &Path) -> Settings {
-    let folder = folder.display();
-    let text = format!(
-        r#"
-vm: {{ domain: a, region: south }}
-threads: 1
-discovery: {{ name: "{own}", seeds: ["{own}:1"], first_start: true, domains: {{ a: south }} }}
-listen: {{ peers: "{own}:7310" }}
-groups: 0
-store:
-  folder: "{folder}"
-  peers: "{own}:7310"
-  admin: "{own}:0"
-  tolerate: 0
-  heartbeat_ms: 50
-  election_ms: 300
-tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
-operators: {{ keys: ["68130c21391e43a090a1b7c5eb51a54a33104d132e61d9af0d58a5821ba0e743"], threshold: 1 }}
-log: {{ file: "-" }}
-"#
-    );
-    Settings::parse(Path::new("settings.yaml"), &text)
-        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+    StoreSetup::alone(own, 7_310, folder).settings()
 }
 
 /// Waits until the store has committed an entry in each group, and returns the last one's index.
--- a/crates/gypsumglade/tests/store_gauges.rs
+++ b/crates/gypsumglade/tests/store_gauges.rs
@@ -1,5 +1,7 @@
 //! The metrics page of a store.
 
+mod store_support;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::Arc;
@@ -11,32 +13,12 @@
 use gypsumglade_core::wire::turn::command::Body;
 use gypsumglade_core::wire::turn::reply::Body as Reply;
 use gypsumglade_core::wire::turn::{Command, Settle};
+use store_support::StoreSetup;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
 fn settings(own: Ipv4Addr, folder: &Path) -> Settings {
-    let folder = folder.display();
-    let text = format!(
-        r#"
-vm: {{ domain: a, region: south }}
-threads: 1
-discovery: {{ name: "{own}", seeds: ["{own}:1"], first_start: true, domains: {{ a: south }} }}
-listen: {{ peers: "{own}:7310" }}
-groups: 1
-store:
-  folder: "{folder}"
-  peers: "{own}:7310"
-  admin: "{own}:0"
-  tolerate: 0
-  heartbeat_ms: 50
-  election_ms: 300
-tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
-operators: {{ keys: ["68130c21391e43a090a1b7c5eb51a54a33104d132e61d9af0d58a5821ba0e743"], threshold: 1 }}
-log: {{ file: "-" }}
-"#
-    );
-    Settings::parse(Path::new("settings.yaml"), &text)
-        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+    StoreSetup { groups: 1, ..StoreSetup::alone(own, 7_310, folder) }.settings()
 }
 
 async fn page(admin: SocketAddr) -> String {
--- a/crates/gypsumglade/tests/text_copies.rs
+++ b/crates/gypsumglade/tests/text_copies.rs
@@ -1,9 +1,10 @@
 //! Texts of kept turns on stores that are lost, restarted and emptied.
 
+mod store_support;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::ops::Deref;
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use gypsumglade_core::wire::turn::{
     Command, Kept, Reserve, Settle, Text, TextCopy, TextPut, TextQuery, TextStored, TextsHeld,
 };
+use store_support::StoreSetup;
 use tempfile::TempDir;
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::Instant;
@@ -306,35 +308,9 @@
 }
 
 fn settings(place: &Place, seeds: &[Ipv4Addr], first: bool) -> Settings {
-    let Place { own, domain, folder } = place;
-    let folder = folder.path().display();
-    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:1\"")).collect();
-    let seeds = seeds.join(", ");
-    let text = format!(
-        r#"
-vm: {{ domain: {domain}, region: south }}
-threads: 1
-discovery:
-  name: "{own}"
-  seeds: [{seeds}]
-  first_start: {first}
-  domains: {{ a: south, b: south, c: south, d: south }}
-listen: {{ peers: "{own}:{PEERS}" }}
-groups: 0
-store:
-  folder: "{folder}"
-  peers: "{own}:{PEERS}"
-  admin: "{own}:0"
-  tolerate: 1
-  heartbeat_ms: 50
-  election_ms: 300
-tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
-operators: {{ keys: ["68130c21391e43a090a1b7c5eb51a54a33104d132e61d9af0d58a5821ba0e743"], threshold: 1 }}
-log: {{ file: "-" }}
-"#
-    );
-    Settings::parse(Path::new("settings.yaml"), &text)
-        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+    let setup = StoreSetup::alone(place.own, PEERS, place.folder.path());
+    let (seeds, domain) = (seeds.to_vec(), place.domain);
+    StoreSetup { seeds, first, domain, tolerate: 1, ..setup }.settings()
 }
 
 fn turn(program: usize, number: usize) -> String {
--- a/crates/gypsumglade/tests/text_too_few.rs
+++ b/crates/gypsumglade/tests/text_too_few.rs
@@ -1,5 +1,7 @@
 //! Texts while fewer stores are known than each text should be on.
 
+mod store_support;
+
 use std::net::Ipv4Addr;
 use std::path::Path;
 use std::sync::Arc;
@@ -10,6 +12,7 @@
 use gypsumglade::settings::Settings;
 use gypsumglade::store::Store;
 use gypsumglade_core::wire::turn::Text;
+use store_support::StoreSetup;
 use tokio::time::Instant;
 
 const PEERS: u16 = 7_312;
@@ -24,29 +27,9 @@
 }
 
 fn settings(own: Ipv4Addr, folder: &Path) -> Settings {
-    let (seed, folder) = (ip(1), folder.display());
-    let first = own == seed;
-    let text = format!(
-        r#"
-vm: {{ domain: a, region: south }}
-threads: 1
-discovery: {{ name: "{own}", seeds: ["{seed}:1"], first_start: {first}, domains: {{ a: south }} }}
-listen: {{ peers: "{own}:{PEERS}" }}
-groups: 0
-store:
-  folder: "{folder}"
-  peers: "{own}:{PEERS}"
-  admin: "{own}:0"
-  tolerate: 2
-  heartbeat_ms: 50
-  election_ms: 300
-tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
-operators: {{ keys: ["68130c21391e43a090a1b7c5eb51a54a33104d132e61d9af0d58a5821ba0e743"], threshold: 1 }}
-log: {{ file: "-" }}
-"#
-    );
-    Settings::parse(Path::new("settings.yaml"), &text)
-        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+    let seed = ip(1);
+    let setup = StoreSetup::alone(own, PEERS, folder);
+    StoreSetup { seeds: vec![seed], first: own == seed, tolerate: 2, ..setup }.settings()
 }
 
 async fn start(number: u8, folder: &Path) -> Store {
--- a/crates/gypsumglade/tests/turn_clock.rs
+++ b/crates/gypsumglade/tests/turn_clock.rs
@@ -1,5 +1,7 @@
 //! The time of kept turns, where wall clocks of stores differ.
 
+mod store_support;
+
 use std::net::Ipv4Addr;
 use std::path::Path;
 use std::sync::Arc;
@@ -16,6 +18,7 @@
 use gypsumglade_core::wire::turn::command::Body;
 use gypsumglade_core::wire::turn::reply::Body as Reply;
 use gypsumglade_core::wire::turn::{Command, Kept, Reserve, Settle};
+use store_support::StoreSetup;
 use tokio::sync::mpsc;
 
 const PEERS: u16 = 7_312;
@@ -35,28 +38,7 @@
 }
 
 fn settings(test: u8, folder: &Path) -> Settings {
-    let (own, folder) = (ip(test), folder.display());
-    let text = format!(
-        r#"
-vm: {{ domain: a, region: south }}
-threads: 1
-discovery: {{ name: "{own}", seeds: ["{own}:1"], first_start: false, domains: {{ a: south }} }}
-listen: {{ peers: "{own}:{PEERS}" }}
-groups: 0
-store:
-  folder: "{folder}"
-  peers: "{own}:{PEERS}"
-  admin: "{own}:0"
-  tolerate: 0
-  heartbeat_ms: 50
-  election_ms: 300
-tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
-operators: {{ keys: ["68130c21391e43a090a1b7c5eb51a54a33104d132e61d9af0d58a5821ba0e743"], threshold: 1 }}
-log: {{ file: "-" }}
-"#
-    );
-    Settings::parse(Path::new("settings.yaml"), &text)
-        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+    StoreSetup { first: false, ..StoreSetup::alone(ip(test), PEERS, folder) }.settings()
 }
 
 fn settle(turn: &str, retention_ms: u64, now_ms: u64) -> Command {
--- a/crates/gypsumglade/tests/turn_snapshot.rs
+++ b/crates/gypsumglade/tests/turn_snapshot.rs
@@ -1,5 +1,7 @@
 //! A store whose snapshot of kept turns can't be read.
 
+mod store_support;
+
 use std::net::Ipv4Addr;
 use std::path::Path;
 use std::sync::Arc;
@@ -14,6 +16,7 @@
 use gypsumglade_core::wire::turn::command::Body;
 use gypsumglade_core::wire::turn::reply::Body as Reply;
 use gypsumglade_core::wire::turn::{Command, KeptQuery, Reserve};
+use store_support::StoreSetup;
 use tokio::sync::mpsc;
 
 const PEERS: u16 = 7_311;
@@ -27,28 +30,7 @@
 }
 
 fn settings(folder: &Path) -> Settings {
-    let (own, folder) = (ip(), folder.display());
-    let text = format!(
-        r#"
-vm: {{ domain: a, region: south }}
-threads: 1
-discovery: {{ name: "{own}", seeds: ["{own}:1"], first_start: false, domains: {{ a: south }} }}
-listen: {{ peers: "{own}:{PEERS}" }}
-groups: 0
-store:
-  folder: "{folder}"
-  peers: "{own}:{PEERS}"
-  admin: "{own}:0"
-  tolerate: 0
-  heartbeat_ms: 50
-  election_ms: 300
-tokens: {{ peers: "a-token-for-the-test", admin: "a-token-for-the-test", endpoints: "a-token-for-the-test" }}
-operators: {{ keys: ["68130c21391e43a090a1b7c5eb51a54a33104d132e61d9af0d58a5821ba0e743"], threshold: 1 }}
-log: {{ file: "-" }}
-"#
-    );
-    Settings::parse(Path::new("settings.yaml"), &text)
-        .unwrap_or_else(|findings| panic!("{findings}\n{text}"))
+    StoreSetup { first: false, ..StoreSetup::alone(ip(), PEERS, folder) }.settings()
 }
 
 /// Leaves a folder in which the turn group's snapshot is no state of turns.
