Bound hedges of puts with the budget that retries have

The gateway's text client counted hedges by itself, with the share and the burst that RetrySettings already names. RepeatBudget is that count, taken out of Retries; both use it.

--- a/crates/core/src/policy/retry.rs
+++ b/crates/core/src/policy/retry.rs
@@ -115,11 +115,43 @@
     Budget,
 }
 
+/// Second copies of calls that may be sent: each first copy earns a part of one.
+#[derive(Clone, Copy, Debug)]
+pub struct RepeatBudget {
+    held: f64,
+}
+
+impl RepeatBudget {
+    /// Returns a full budget.
+    pub fn full(settings: &RetrySettings) -> RepeatBudget {
+        RepeatBudget { held: settings.burst }
+    }
+
+    /// Counts a call sent for the first time. Returns whether the budget is full.
+    pub fn earn(&mut self, settings: &RetrySettings) -> bool {
+        self.add(settings.ratio, settings)
+    }
+
+    /// Takes one second copy out, if there is one.
+    pub fn spend(&mut self) -> bool {
+        let held = self.held >= 1.0;
+        if held {
+            self.held -= 1.0;
+        }
+        held
+    }
+
+    fn add(&mut self, copies: f64, settings: &RetrySettings) -> bool {
+        self.held = (self.held + copies).min(settings.burst);
+        self.held >= settings.burst
+    }
+}
+
 /// Decides about retries and hedges.
 #[derive(Clone, Debug)]
 pub struct Retries {
     settings: RetrySettings,
-    budgets: HashMap<OrgName, f64>,
+    budgets: HashMap<OrgName, RepeatBudget>,
     rng: ChaCha8Rng,
 }
 
@@ -131,11 +163,9 @@
 
     /// Counts a call sent for the first time, which earns a part of a retry.
     pub fn sent(&mut self, org: &OrgName) {
-        let burst = self.settings.burst;
         let Some(budget) = self.budgets.get_mut(org) else { return };
-        *budget += self.settings.ratio;
         // A full budget is the same as an unknown organisation, and takes no memory.
-        if *budget >= burst {
+        if budget.earn(&self.settings) {
             self.budgets.remove(org);
         }
     }
@@ -180,9 +210,8 @@
 
     /// Gives back what [`Retries::hedge`] took when the first copy answered in time.
     pub fn unused(&mut self, org: &OrgName) {
-        let burst = self.settings.burst;
         if let Some(budget) = self.budgets.get_mut(org) {
-            *budget = (*budget + 1.0).min(burst);
+            budget.add(1.0, &self.settings);
         }
     }
 
@@ -206,12 +235,7 @@
         if !self.settings.safeguards.budget {
             return true;
         }
-        let burst = self.settings.burst;
-        let budget = self.budgets.entry(org.clone()).or_insert(burst);
-        if *budget < 1.0 {
-            return false;
-        }
-        *budget -= 1.0;
-        true
+        let full = RepeatBudget::full(&self.settings);
+        self.budgets.entry(org.clone()).or_insert(full).spend()
     }
 }
--- a/crates/gypsumglade/src/gateway/text_client.rs
+++ b/crates/gypsumglade/src/gateway/text_client.rs
@@ -1,9 +1,10 @@
 //! Puts texts of kept turns on stores' disks, and fetches them; see docs/design/texts.md.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::{Bytes, BytesMut};
+use gypsumglade_core::policy::retry::{RepeatBudget, RetrySettings};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::repair::Candidate;
 use gypsumglade_core::turns::{Holding, preferred};
@@ -17,10 +18,6 @@
 
 /// Wait for a store to put a text on its disk before another one is asked as well.
 const PUT_PATIENCE: Duration = Duration::from_millis(200);
-/// Hedges that each put earns.
-const HEDGES_EARNED: f64 = 0.1;
-/// Hedges that may be saved up.
-const MOST_HEDGES: f64 = 10.0;
 /// Longest wait for one store to put a text on its disk.
 const PUT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Wait for a store to give texts before another one is asked as well.
@@ -48,8 +45,9 @@
     copies: usize,
     /// Stores that did not answer lately.
     silent: Arc<Mutex<HashMap<VmId, Instant>>>,
-    /// Hedges that puts have earned.
-    hedges: Arc<Mutex<f64>>,
+    hedging: RetrySettings,
+    /// Hedges that puts have earned: while every store is slow, more would add to what slows them.
+    hedges: Arc<Mutex<RepeatBudget>>,
 }
 
 impl TextClient {
@@ -62,8 +60,9 @@
         copies: usize,
     ) -> TextClient {
         let silent = Arc::default();
-        let hedges = Arc::new(Mutex::new(MOST_HEDGES));
-        TextClient { discovery, directory, peers, region, copies, silent, hedges }
+        let hedging = RetrySettings::default();
+        let hedges = Arc::new(Mutex::new(RepeatBudget::full(&hedging)));
+        TextClient { discovery, directory, peers, region, copies, silent, hedging, hedges }
     }
 
     /// Puts a text on as many stores as must have it, and returns them; nothing if `until` passes first.
@@ -79,7 +78,7 @@
         let order = self.preferred(program);
         // A turn that is acknowledged with fewer copies is lost with as many disks as must be borne.
         let copies = self.copies;
-        self.earn_hedge();
+        self.hedges().earn(&self.hedging);
         let mut next = order.into_iter().peekable();
         let mut putting = JoinSet::new();
         let mut holders = Vec::with_capacity(copies);
@@ -106,7 +105,7 @@
                 () = tokio::time::sleep_until(hedge.min(until)) => {
                     // They are chosen last from now on, until they answer.
                     asked.iter().filter(|vm| !holders.contains(vm)).for_each(|vm| self.note(*vm, false));
-                    if let Some(vm) = next.next_if(|_| self.take_hedge()) {
+                    if let Some(vm) = next.next_if(|_| self.hedges().spend()) {
                         asked.push(vm);
                         self.start_put(&mut putting, vm, &put, until);
                     }
@@ -236,20 +235,8 @@
         stores.into_iter().map(|store| store.vm).collect()
     }
 
-    fn earn_hedge(&self) {
-        let mut hedges = self.hedges.lock().expect("no panic while held");
-        *hedges = (*hedges + HEDGES_EARNED).min(MOST_HEDGES);
-    }
-
-    /// Tells whether a late put may be hedged. While every store is slow, hedges would only add to what
-    /// slows them.
-    fn take_hedge(&self) -> bool {
-        let mut hedges = self.hedges.lock().expect("no panic while held");
-        let held = *hedges >= 1.0;
-        if held {
-            *hedges -= 1.0;
-        }
-        held
+    fn hedges(&self) -> MutexGuard<'_, RepeatBudget> {
+        self.hedges.lock().expect("no panic while held")
     }
 
     fn is_silent(&self, vm: VmId) -> bool {
