Look for a turn's chain only where its asker lacks the texts

Each reservation walked and copied the whole chain on every voter, also for askers that hold the texts and need only know that the turn is kept, which is_kept tells. A turn's chain is kept at least as long as the turn, so the answers are the same. With it, two comments name the group's time and not a wall clock.

--- a/crates/core/src/turns/budget.rs
+++ b/crates/core/src/turns/budget.rs
@@ -30,7 +30,7 @@
     pub(super) spent: u64,
     /// Tokens set aside, by turn.
     pub(super) reserved: BTreeMap<CompactString, u64>,
-    /// Wall clock of the last command.
+    /// The group's time of the last command, in milliseconds.
     pub(super) last_ms: u64,
     /// Where its prompts were read.
     pub(super) runs: Runs,
--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -57,14 +57,16 @@
 
     fn reserve(&mut self, reserve: &wire::Reserve) -> ReplyBody {
         let now = self.advance(reserve.now_ms);
-        let Some(chain) = self.tree.chain(now, &reserve.previous) else {
-            return ReplyBody::Unknown(wire::UnknownTurn {});
+        let previous = &reserve.previous;
+        let chain = match reserve.held {
+            true => self.tree.is_kept(now, previous).then(Vec::new),
+            false => self.tree.chain(now, previous),
         };
+        let Some(chain) = chain else { return ReplyBody::Unknown(wire::UnknownTurn {}) };
         let (turn, most) = (&reserve.turn, reserve.most);
         match self.budgets.reserve(now, &reserve.program, turn, most, reserve.budget) {
             Ok(()) => {
-                self.tree.hold(now, &reserve.previous, reserve.lasts_ms);
-                let chain = if reserve.held { Vec::new() } else { chain };
+                self.tree.hold(now, previous, reserve.lasts_ms);
                 let chain = chain.iter().map(Holding::to_wire).collect();
                 let under_way = self.budgets.is_under_way(&reserve.program, turn);
                 let ran = self.budgets.last_run(&reserve.program, &reserve.prompts).cloned();
--- a/crates/core/src/turns/tree.rs
+++ b/crates/core/src/turns/tree.rs
@@ -26,7 +26,7 @@
     /// Length of the text, in bytes.
     pub(super) bytes: u64,
     pub(super) retention: u64,
-    /// Wall clock until which it is kept, in milliseconds.
+    /// The group's time until which it is kept, in milliseconds.
     pub(super) until: u64,
     /// Time until which a turn that continues it may be under way, in milliseconds; zero without one.
     pub(super) held: u64,
