--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -37,6 +37,13 @@
     answers: Answers<Reply>,
 }
 
+impl TurnState {
+    /// Tells whether this store can answer for the group.
+    fn leads(&self) -> bool {
+        self.lead.is_some() && !self.unusable
+    }
+}
+
 impl TurnGroup {
     /// Creates the group's state machine, empty until the log is delivered.
     pub fn new(context: Arc<StoreContext>) -> Arc<TurnGroup> {
@@ -64,31 +71,29 @@
     /// Serves an entry VM's command. The answer comes once the command is committed, and is worked
     /// out where it stands in the log, so no two entry VMs are given the same tokens.
     pub async fn ask(&self, mut command: Command) -> Reply {
-        if self.is_unusable() {
-            // A follower names its leader; asked again, a leader has handed over.
-            return Reply { body: Some(self.not_ready().await) };
-        }
         let Some(time) = self.time() else {
+            // A follower names its leader; asked again, a leader has handed over.
             return Reply { body: Some(self.not_ready().await) };
         };
         stamp(&mut command, time);
         let data = Bytes::from(command.encode_to_vec());
         let body = match self.context.host.propose(GroupId::TURNS, data).await {
             Ok(index) => return self.answer_at(index).await,
-            Err(ProposeError::NotLeader { hint }) => {
-                ReplyBody::NotLeader(NotLeader { leader: hint.unwrap_or_default().0 })
-            }
+            Err(ProposeError::NotLeader { hint }) => not_leader(hint),
             Err(ProposeError::Dropped | ProposeError::Uncertain) => uncertain(),
         };
         Reply { body: Some(body) }
     }
 
-    /// Returns the group's time for a command, in milliseconds.
+    /// Returns the group's time for a command, in milliseconds; nothing where none may be proposed.
     ///
     /// Between its election and the first look at what earlier leaders committed, a leader has none of
     /// its own and gives the latest that it knows, with which the group's stands still.
     fn time(&self) -> Option<u64> {
         let state = self.state();
+        if state.unusable {
+            return None;
+        }
         let now = self.context.clock.now();
         state.lead.map(|lead| lead.millis(now)).or_else(|| state.turns.time())
     }
@@ -98,9 +103,7 @@
     async fn not_ready(&self) -> ReplyBody {
         match self.context.host.read_barrier(GroupId::TURNS).await {
             Ok(_) => uncertain(),
-            Err(ReadError::NotLeader { hint }) => {
-                ReplyBody::NotLeader(NotLeader { leader: hint.unwrap_or_default().0 })
-            }
+            Err(ReadError::NotLeader { hint }) => not_leader(hint),
         }
     }
 
@@ -186,7 +189,7 @@
         match barrier {
             // Only a leader that has applied what earlier ones committed can say that a turn is not
             // kept: its text is dropped then.
-            Ok(_) if state.lead.is_some() && !state.unusable => KeptReply {
+            Ok(_) if state.leads() => KeptReply {
                 leads: true,
                 turns: state.turns.still_kept(&query.turns),
                 leader: self.context.vm.0,
@@ -220,8 +223,7 @@
 
     /// Tells whether this store leads the group and has applied what earlier leaders committed.
     pub(super) fn leads(&self) -> bool {
-        let state = self.state();
-        state.lead.is_some() && !state.unusable
+        self.state().leads()
     }
 
     /// Tells whether the state lacks what a snapshot held, so that another store should lead.
@@ -261,6 +263,10 @@
     }
 }
 
+fn not_leader(hint: Option<VmId>) -> ReplyBody {
+    ReplyBody::NotLeader(NotLeader { leader: hint.unwrap_or_default().0 })
+}
+
 fn uncertain() -> ReplyBody {
     ReplyBody::Uncertain(Uncertain {})
 }
