Survey the stores in one place for repair and for copies

Repair built the candidates by hand that Discovery::stores_heard gives, and both added what the control group knows of stores to be emptied.

--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -43,6 +43,21 @@
     pub(super) wanted: usize,
 }
 
+/// Returns the stores heard of within `age`.
+///
+/// Which of them are to be emptied is known to members of the control group first, and told to others.
+pub(super) fn candidates(
+    discovery: &Discovery,
+    control: &ControlGroup,
+    age: Duration,
+) -> Vec<Candidate> {
+    let mut stores = discovery.stores_heard(age);
+    for store in &mut stores {
+        store.retiring |= control.is_retiring(store.vm);
+    }
+    stores
+}
+
 /// What the loop remembers between two looks.
 #[derive(Default)]
 struct Memory {
@@ -131,18 +146,8 @@
     }
 
     fn survey(&self, members: &Members, addresses: &BTreeMap<VmId, CompactString>) -> Survey {
-        let now = self.discovery.now();
-        let retiring = self.discovery.retiring();
+        let alive = candidates(&self.discovery, &self.control, SILENT_AFTER);
         let roster = self.discovery.roster();
-        let heard = roster.stores().filter(|(_, at)| now.since(*at) < SILENT_AFTER);
-        let alive = heard.map(|(node, _)| Candidate {
-            vm: VmId(node.vm),
-            domain: node.domain.to_compact_string(),
-            region: node.region.to_compact_string(),
-            // This group's leader may not be a member of the control group.
-            retiring: self.control.is_retiring(VmId(node.vm)) || retiring.contains(&VmId(node.vm)),
-        });
-        let alive = alive.collect();
         let replaced = |vm: &VmId| {
             let address = addresses.get(vm)?;
             roster.at_address(address).filter(|now_there| now_there != vm)
--- a/crates/gypsumglade/src/store/text_copies.rs
+++ b/crates/gypsumglade/src/store/text_copies.rs
@@ -11,6 +11,7 @@
 
 use super::context::StoreContext;
 use super::control_group::ControlGroup;
+use super::repair::candidates;
 use super::turn_group::TurnGroup;
 use crate::discovery::Discovery;
 use crate::rpc::{Method, RpcError};
@@ -211,10 +212,7 @@
     }
 
     fn survey(&self) -> CopySurvey {
-        let mut alive = self.discovery.stores_heard(LOST_AFTER);
-        for store in &mut alive {
-            store.retiring |= self.control.is_retiring(store.vm);
-        }
+        let alive = candidates(&self.discovery, &self.control, LOST_AFTER);
         let now = self.discovery.now();
         let mut memory = self.memory();
         memory.forget(now);
