--- a/crates/gypsumglade/src/store/text_holder.rs
+++ b/crates/gypsumglade/src/store/text_holder.rs
@@ -1,5 +1,6 @@
 //! Texts of kept turns on this store's disk, as others use them.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use gypsumglade_core::prelude::*;
@@ -124,9 +125,11 @@
         }
         let query = KeptQuery { turns: due.iter().map(ToString::to_string).collect() };
         let Some(reply) = self.group.ask(&query, DUE_PATIENCE, verdict).await else { return false };
+        let kept: HashMap<&str, u64> =
+            reply.turns.iter().map(|kept| (kept.turn.as_str(), kept.left_ms)).collect();
         for turn in due {
-            match reply.turns.iter().find(|kept| turn == kept.turn) {
-                Some(kept) => self.texts.extend(&turn, Duration::from_millis(kept.left_ms)),
+            match kept.get(turn.as_str()) {
+                Some(left) => self.texts.extend(&turn, Duration::from_millis(*left)),
                 None => self.texts.drop(&turn),
             }
         }
