Share what tests of texts and of memory wrote out each

Reading the process's memory stood in two files of the core's tests, and four tests of texts began in the same four lines. No assertion is changed.

--- a/crates/core/tests/turns_program_size.rs
+++ b/crates/core/tests/turns_program_size.rs
@@ -1,22 +1,17 @@
 //! What a program's budget takes once its turns are settled.
 
+mod resident;
+
 use gypsumglade_core::turns::Turns;
 use gypsumglade_core::wire::turn::command::Body;
 use gypsumglade_core::wire::turn::{Command, Reserve, Settle};
+use resident::resident;
 
 /// Programs of a test: as many as a grown deployment sees in the ten minutes that they are remembered.
 const PROGRAMS: usize = 17_000;
 /// Most memory of a program whose turns are settled.
 const PROGRAM_BYTES: u64 = 300;
 
-/// Returns the memory of this process, in bytes.
-fn resident() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/status").expect("a process has a status");
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("it has a size");
-    let size: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
-    size * 1024
-}
-
 /// Guards against a state that holds for each program of ten minutes what only a turn under way needs.
 #[test]
 fn settled_programs_take_little_memory() {
--- a/crates/core/tests/turns_size.rs
+++ b/crates/core/tests/turns_size.rs
@@ -1,8 +1,11 @@
 //! What a turn group's state takes: memory of each turn, and bytes of a snapshot.
 
+mod resident;
+
 use gypsumglade_core::turns::Turns;
 use gypsumglade_core::wire::turn::command::Body;
 use gypsumglade_core::wire::turn::{Command, Kept, Settle};
+use resident::resident;
 
 /// Turns of a test: as many as a grown deployment keeps, 141 a second for a retention of 60 s and the
 /// grace of 30 s after it.
@@ -31,14 +34,6 @@
     state
 }
 
-/// Returns the memory of this process, in bytes.
-fn resident() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/status").expect("a process has a status");
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("it has a size");
-    let size: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
-    size * 1024
-}
-
 /// Guards against a state that grows with more than the number of turns: a store has memory for what
 /// load times retention comes to, and for nothing that a turn's text would add.
 #[test]
--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -180,6 +180,19 @@
     panic!("the writer never got there: {:?}", store.status());
 }
 
+/// Begins to put a text, and returns once it is written and its sync is held up.
+async fn put_held(
+    folder: &Folder,
+    store: &TextStore,
+    number: usize,
+) -> (Held, JoinHandle<Result<(), PutError>>) {
+    let held = folder.hold();
+    let put = spawn_put(store, text(number, 1000));
+    queue_all().await;
+    until(store, |_| folder.file_bytes() > 0).await;
+    (held, put)
+}
+
 /// Lets spawned tasks run until each has put what it has to put.
 async fn queue_all() {
     for _ in 0..100 {
@@ -458,10 +471,7 @@
     // Guards against a sync for each text, which a disk of 5 ms a sync can't keep up with.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
-    let held = folder.hold();
-    let first = spawn_put(&store, text(0, 1000));
-    queue_all().await;
-    until(&store, |_| folder.file_bytes() > 0).await;
+    let (held, first) = put_held(&folder, &store, 0).await;
     let others: Vec<_> = (1..50).map(|i| spawn_put(&store, text(i, 1000))).collect();
     queue_all().await;
     drop(held);
@@ -477,10 +487,7 @@
     // Guards against a repeated put that is answered while the first one may still be lost.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
-    let held = folder.hold();
-    let first = spawn_put(&store, text(1, 1000));
-    queue_all().await;
-    until(&store, |_| folder.file_bytes() > 0).await;
+    let (held, first) = put_held(&folder, &store, 1).await;
     let second = spawn_put(&store, text(1, 1000));
     let third = spawn_put(&store, text(1, 1000));
     queue_all().await;
@@ -503,10 +510,7 @@
     // Guards against a queue that is filled by callers who ask again because the disk is slow.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
-    let held = folder.hold();
-    let first = spawn_put(&store, text(0, 1000));
-    queue_all().await;
-    until(&store, |_| folder.file_bytes() > 0).await;
+    let (held, first) = put_held(&folder, &store, 0).await;
     // The first one is being written, the others wait in the queue.
     let mut waiting = vec![first, spawn_put(&store, text(1, 3_000_000))];
     queue_all().await;
@@ -537,10 +541,7 @@
     // Guards against a repeated put that is answered although the first one's sync failed.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
-    let held = folder.hold();
-    let first = spawn_put(&store, text(1, 1000));
-    queue_all().await;
-    until(&store, |_| folder.file_bytes() > 0).await;
+    let (held, first) = put_held(&folder, &store, 1).await;
     let second = spawn_put(&store, text(1, 1000));
     queue_all().await;
     folder.faults.fail_syncs();
