Read a lease's term without the whole status of its replica

Each renewal of an entry VM's lease asks for the term. It was taken from Replica::status, which since members' lags are shown walks over all that a member lacks: work that grows with the log while a member is cut off, on the way of every renewal.

--- a/crates/core/src/replication/status.rs
+++ b/crates/core/src/replication/status.rs
@@ -132,6 +132,11 @@
         self.log.term(index)
     }
 
+    /// Returns the term that this replica is in.
+    pub fn term(&self) -> Term {
+        self.ballot.term
+    }
+
     /// Tells what this replica does.
     pub fn role(&self) -> Role {
         self.role
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::{Effect, Input, Links, LogIndex, MemberChange, Term};
+use gypsumglade_core::replication::{Effect, Input, Links, LogIndex, MemberChange, Replica, Term};
 use tokio::sync::{mpsc, oneshot};
 
 use super::budget::ByteBudget;
@@ -241,7 +241,7 @@
                 let now = self.now();
                 let replica = self.groups.get(&group).map(|group| &group.replica);
                 let held = replica.filter(|replica| replica.holds_lease(now, &self.links));
-                let term = held.map(|replica| replica.status(now, &self.links).term);
+                let term = held.map(Replica::term);
                 let _ = reply.send(term.filter(|_| self.failed.is_none()));
             }
             Command::Receive { from, batch } => {
