--- a/crates/gypsumglade/src/replica/queue.rs
+++ b/crates/gypsumglade/src/replica/queue.rs
@@ -138,26 +138,24 @@
             let Ok(permit) = self.sender.try_reserve() else {
                 return Ok(());
             };
-            match front {
+            let event = match front {
                 Pending::Commit { group, next, last } => {
                     let event = committed(groups, storage, *group, *next)?;
                     *next = next.next();
                     if *next > *last {
                         self.pending.pop_front();
                     }
-                    if let Some(event) = event {
-                        let bytes = length(&event);
-                        permit.send(event);
-                        self.note_sent(bytes);
-                    }
-                }
-                Pending::Event(_) => {
-                    if let Some(Pending::Event(event)) = self.pending.pop_front() {
-                        let bytes = length(&event);
-                        permit.send(event);
-                        self.note_sent(bytes);
-                    }
+                    event
                 }
+                Pending::Event(_) => match self.pending.pop_front() {
+                    Some(Pending::Event(event)) => Some(event),
+                    _ => None,
+                },
+            };
+            if let Some(event) = event {
+                let bytes = length(&event);
+                permit.send(event);
+                self.note_sent(bytes);
             }
         }
         Ok(())
