Log and count requests for the configuration lease

Now: the first unanswered request of a series and its end are logged, with the error, the time and what is left of the lease; "bundle applied" tells the size of the update and how long it took to fetch and to apply; metrics lease_requests, lease_request_seconds by outcome and bundle_update_bytes.

No decision changes. config_spread and the tests of the crate compile and pass with it.

--- a/crates/gypsumglade/src/entry/config.rs
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -9,6 +9,7 @@
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::confirm_reply::Body;
 use gypsumglade_core::wire::control::{ConfirmReply, ConfirmRequest};
+use prost::Message as _;
 use tokio_util::sync::CancellationToken;
 
 use super::active_bundle::ActiveBundle;
@@ -16,6 +17,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::leader_hint::LeaderHint;
+use crate::metrics::LeaseMetrics;
 use crate::rpc::{Method, PeerClients, RpcError};
 
 /// Timeout of a lease request, after which another VM is asked. Outlasts a CPU-quota stall of the
@@ -45,6 +47,8 @@
     pub clock: Clock,
     /// Ends the loop when cancelled.
     pub stop: CancellationToken,
+    /// Instruments of the requests.
+    pub metrics: LeaseMetrics,
     /// Logger of the process.
     pub log: slog::Logger,
 }
@@ -103,23 +107,40 @@
         self.relay.lock().expect("no panic while held")
     }
 
-    fn apply_reply(&self, reply: ConfirmReply, now: Time, log: &slog::Logger) -> bool {
-        let updated = matches!(reply.body, Some(Body::Update(_)));
+    fn apply_reply(&self, reply: ConfirmReply, fetch_ms: u64, now: Time, renewal: &Renewal) {
+        let bytes = reply.encoded_len();
         let mut relay = self.relay();
         match relay.handle_reply(reply, &self.keys, now) {
             Ok(Some(bundle)) => {
                 let revision = relay.lease().applied();
-                slog::info!(log, "bundle applied"; "revision" => revision.0,
-                    "version" => %bundle.version);
+                let apply_ms = renewal.clock.now().since(now).as_millis() as u64;
+                slog::info!(renewal.log, "bundle applied"; "revision" => revision.0,
+                    "version" => %bundle.version, "bytes" => bytes, "fetch_ms" => fetch_ms,
+                    "apply_ms" => apply_ms);
                 let active = Arc::new(ActiveBundle::new(revision, bundle));
                 // Stored before the relay is unlocked, so that no call sees a lease on the new
                 // revision together with the old bundle.
                 *self.active.write().expect("no panic while held") = Some(active);
             }
             Ok(None) => {}
-            Err(error) => slog::error!(log, "failed to apply bundle"; "error" => %error),
+            Err(error) => {
+                slog::error!(renewal.log, "failed to apply bundle"; "error" => %error);
+            }
         }
-        updated
+    }
+}
+
+/// Returns the label of a reply in the metrics, and the size of its update in bytes.
+fn outcome(reply: &Result<ConfirmReply, RpcError>) -> (&'static str, usize) {
+    match reply {
+        Ok(reply) => match &reply.body {
+            Some(Body::Grant(_)) => ("granted", 0),
+            Some(Body::Update(update)) => ("updated", update.encoded_len()),
+            Some(Body::Unavailable(_)) | None => ("unavailable", 0),
+        },
+        Err(RpcError::Unreachable(_)) => ("unreachable", 0),
+        Err(RpcError::Lost(_)) => ("timeout", 0),
+        Err(RpcError::Refused(..)) => ("refused", 0),
     }
 }
 
@@ -127,8 +148,9 @@
 pub async fn renew(view: &ConfigView, renewal: &Renewal, on_applied: impl Fn(&ActiveBundle)) {
     let mut leaders = LeaderHint::default();
     let mut last = RevisionNumber::default();
+    let mut unanswered = 0;
     while !renewal.stop.is_cancelled() {
-        renew_once(view, renewal, &mut leaders).await;
+        renew_once(view, renewal, &mut leaders, &mut unanswered).await;
         let active = view.active.read().expect("no panic while held").clone();
         if let Some(active) = active.filter(|active| active.revision != last) {
             last = active.revision;
@@ -141,10 +163,15 @@
     }
 }
 
-async fn renew_once(view: &ConfigView, renewal: &Renewal, leaders: &mut LeaderHint) {
-    let now = renewal.clock.now();
+async fn renew_once(
+    view: &ConfigView,
+    renewal: &Renewal,
+    leaders: &mut LeaderHint,
+    unanswered: &mut u32,
+) {
+    let sent = renewal.clock.now();
     let failures = view.relay().lease().failures();
-    let Some(request) = view.relay().next_request(now) else { return };
+    let Some(request) = view.relay().next_request(sent) else { return };
     let Some(Target { store, address }) = target(renewal, leaders, failures) else {
         view.relay().request_failed(request.ask);
         return;
@@ -152,8 +179,16 @@
     let call = renewal.peers.ask(address, Method::Lease, &request, REQUEST_TIMEOUT);
     let reply: Result<ConfirmReply, RpcError> = call.await;
     let now = renewal.clock.now();
+    let took = now.since(sent);
+    let (outcome, update_bytes) = outcome(&reply);
+    renewal.metrics.request(took, outcome, update_bytes);
     match reply {
         Ok(reply) => {
+            if *unanswered > 0 {
+                slog::info!(renewal.log, "lease requests are answered again"; "from" => %address,
+                    "outcome" => outcome, "unanswered" => *unanswered);
+                *unanswered = 0;
+            }
             // Only a reply from a store says where the leader is; a relay's does not.
             match (&reply.body, store) {
                 (Some(Body::Unavailable(unavailable)), Some(vm)) => {
@@ -162,9 +197,16 @@
                 (Some(Body::Grant(_)), Some(vm)) => leaders.confirm(vm),
                 _ => {}
             }
-            view.apply_reply(reply, now, &renewal.log);
+            view.apply_reply(reply, took.as_millis() as u64, now, renewal);
         }
-        Err(_) => {
+        Err(error) => {
+            // Only the first of a series is logged.
+            if *unanswered == 0 {
+                slog::warn!(renewal.log, "lease request not answered"; "error" => %error,
+                    "ms" => took.as_millis() as u64, "revision" => request.applied,
+                    "lease_ms" => view.remaining(now).as_millis() as u64);
+            }
+            *unanswered += 1;
             if let Some(vm) = store {
                 leaders.mark_unresponsive(vm, Instant::now());
             }
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -216,6 +216,7 @@
         peers: state.peers.clone(),
         clock: state.clock,
         stop: halt.clone(),
+        metrics: state.metrics.leases(),
         log: state.log.clone(),
     };
     let renewing = Arc::clone(state);
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -241,6 +241,7 @@
         peers: state.peers.clone(),
         clock: state.clock,
         stop: shutdown,
+        metrics: state.metrics.leases(),
         log: state.log.clone(),
     };
     config::renew(&state.config, &renewal, |_| {}).await;
--- a/crates/gypsumglade/src/metrics.rs
+++ b/crates/gypsumglade/src/metrics.rs
@@ -32,6 +32,24 @@
     }
 }
 
+/// Instruments of an entry VM's requests for its configuration lease.
+#[derive(Clone, Debug)]
+pub struct LeaseMetrics {
+    requests: Counter<u64>,
+    update_bytes: Counter<u64>,
+    seconds: Histogram<f64>,
+}
+
+impl LeaseMetrics {
+    /// Records a request, and the size of the update that answered it, if any.
+    pub fn request(&self, took: Duration, outcome: &'static str, update_bytes: usize) {
+        let labels = [label("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.seconds.record(took.as_secs_f64(), &labels);
+        self.update_bytes.add(update_bytes as u64, &[]);
+    }
+}
+
 /// Returns a group's kind, as used in metrics and logs.
 pub fn group_name(group: GroupId) -> &'static str {
     match group {
@@ -67,6 +85,7 @@
     retries: Counter<u64>,
     region_bytes: Counter<u64>,
     commits: CommitLatency,
+    leases: LeaseMetrics,
     resident: IntGauge,
     waiting: UpDownCounter<i64>,
     in_flight: UpDownCounter<i64>,
@@ -116,6 +135,11 @@
             retries: count("call_retries"),
             region_bytes: count("region_link_bytes"),
             commits: CommitLatency(seconds("replica_commit", &COMMIT_SECONDS)),
+            leases: LeaseMetrics {
+                requests: count("lease_requests"),
+                update_bytes: count("bundle_update_bytes"),
+                seconds: seconds("lease_request", &CALL_SECONDS),
+            },
             resident,
             waiting: meter.i64_up_down_counter("calls_waiting").build(),
             in_flight: meter.i64_up_down_counter("calls_in_flight").build(),
@@ -142,6 +166,11 @@
         self.commits.clone()
     }
 
+    /// Returns the instruments for requests of the configuration lease.
+    pub fn leases(&self) -> LeaseMetrics {
+        self.leases.clone()
+    }
+
     /// Records a program's time from first call to last answer.
     pub fn program(&self, seconds: f64) {
         self.program_seconds.record(seconds, &[]);
