--- a/crates/core/tests/replication_repair.rs
+++ b/crates/core/tests/replication_repair.rs
@@ -151,6 +151,24 @@
     assert!(should_transfer_leadership(&voters(&[1, 2, 3]), &view(1, alive)));
 }
 
+/// A leader can't remove itself. A retiring one must wait for its transfer and not remove other voters,
+/// which would be added again at once, over and over.
+#[test]
+fn next_change_retiring_leader() {
+    let mut alive = three_stores();
+    alive[0].retiring = true;
+    alive.push(candidate(4, "a", "south"));
+    let view = view(1, alive);
+    let mut members = voters(&[1, 2, 3]);
+    let mut steps = Vec::new();
+    while let Some(change) = next_change(&members, &view) {
+        members = members.with(change);
+        steps.push(change);
+        assert!(steps.len() < 10, "repair does not terminate: {steps:?}");
+    }
+    assert_eq!(steps, [MemberChange::AddLearner(VmId(4)), MemberChange::Promote(VmId(4))]);
+}
+
 /// Returns eleven stores in six failure domains and two regions, six of them in the south.
 fn eleven_stores() -> Vec<StoreInfo> {
     let south = (0..6).map(|n| candidate(20 + n, ["a", "b", "c"][n as usize % 3], "south"));
--- a/crates/gypsumglade/src/disk/faults.rs
+++ b/crates/gypsumglade/src/disk/faults.rs
@@ -35,6 +35,19 @@
     scans_held: bool,
     /// Delay added to each sync.
     sync_delay: Duration,
+    /// Changes of names in the folder of the log.
+    name_changes: Vec<NameChange>,
+}
+
+/// A change of names in the folder of the log. A power loss may undo each removal that no sync of the
+/// folder followed, independently of the others.
+#[doc(hidden)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NameChange {
+    /// A file was removed.
+    Removed(PathBuf),
+    /// The folder was synced.
+    Synced,
 }
 
 impl Faults {
@@ -92,6 +105,24 @@
         self.plan().sync_delay = delay;
     }
 
+    /// Returns the removals and syncs of the log's folder so far.
+    pub fn name_changes(&self) -> Vec<NameChange> {
+        self.plan().name_changes.clone()
+    }
+
+    /// Removes a file of the log's folder.
+    pub(crate) fn remove_log_file(&self, path: &Path) -> io::Result<()> {
+        self.plan().name_changes.push(NameChange::Removed(path.to_path_buf()));
+        std::fs::remove_file(path)
+    }
+
+    /// Syncs the log's folder.
+    pub(crate) fn sync_log_folder(&self, path: &Path) -> io::Result<()> {
+        folder::sync_folder(path)?;
+        self.plan().name_changes.push(NameChange::Synced);
+        Ok(())
+    }
+
     /// Returns how many of `wanted` bytes may be written, and counts them as used.
     pub(crate) fn allow_write(&self, wanted: usize) -> usize {
         let mut plan = self.plan();
--- a/crates/gypsumglade/src/disk/mod.rs
+++ b/crates/gypsumglade/src/disk/mod.rs
@@ -14,7 +14,7 @@
 mod types;
 mod writer;
 
-pub use faults::Faults;
+pub use faults::{Faults, NameChange};
 pub use folder::owner;
 pub use inspect::{Finding, GroupReport, Report, SegmentReport, inspect};
 pub use reader::Reader;
--- a/crates/gypsumglade/src/disk/writer.rs
+++ b/crates/gypsumglade/src/disk/writer.rs
@@ -137,7 +137,7 @@
             self.append_frame(frame)?;
         }
         for name in stale {
-            fs::remove_file(self.folder.join(name))?;
+            self.options.faults.remove_log_file(&self.folder.join(name))?;
         }
         self.remove_unused_segments()?;
         Ok(done)
@@ -256,7 +256,7 @@
             frame.push(&ballot_record(group, state.ballot));
         }
         self.append_frame(frame)?;
-        sync_folder(&self.folder)?;
+        self.options.faults.sync_log_folder(&self.folder)?;
         Ok(())
     }
 
@@ -268,7 +268,7 @@
             if in_use {
                 return Ok(());
             }
-            fs::remove_file(segment_path(&self.folder, oldest))?;
+            self.options.faults.remove_log_file(&segment_path(&self.folder, oldest))?;
             self.segments.remove(0);
             for group in self.groups.values_mut() {
                 group.written.remove(&oldest);
--- a/crates/gypsumglade/tests/disk_failures.rs
+++ b/crates/gypsumglade/tests/disk_failures.rs
@@ -4,7 +4,9 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use gypsumglade::disk::{Disk, Faults, Job, JobWrite, Options, RestoredGroup, Snapshot, inspect};
+use gypsumglade::disk::{
+    Disk, Faults, Job, JobWrite, NameChange, Options, RestoredGroup, Snapshot, inspect,
+};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{Ballot, LogIndex, Members, Position, Term};
 use gypsumglade_core::wire::replication::{Entry, EntryKind};
@@ -311,3 +313,69 @@
     let read = disk.reader().entry(groups[0].locations[1]).expect("readable");
     assert_eq!((read.term, read.index), (3, 3));
 }
+
+/// Returns every subset of `names`.
+fn subsets(names: &[PathBuf]) -> Vec<Vec<PathBuf>> {
+    let picked = |bits: usize| {
+        names.iter().enumerate().filter(move |(at, _)| bits >> at & 1 == 1).map(|(_, name)| name)
+    };
+    (0..1 << names.len()).map(|bits| picked(bits).cloned().collect()).collect()
+}
+
+/// A power loss undoes some of the removals of old segments. The store must still start.
+#[test]
+fn open_undone_removals() {
+    let folder = Folder::new();
+    let (mut disk, _) = Disk::open(&folder.path, folder.options(200)).expect("opened");
+    disk.write(&mut vec![snapshot(GROUP, 1, b"", true)]).expect("written");
+    for index in 2..20 {
+        disk.write(&mut vec![entries(GROUP, index..=index)]).expect("written");
+    }
+    disk.write(&mut vec![snapshot(GROUP, 15, b"state", false)]).expect("written");
+    let before = Folder::new();
+    copy(&folder.path, &before.path);
+    let earlier = folder.faults.name_changes().len();
+    disk.write(&mut vec![job(GROUP, JobWrite::Compact(LogIndex(15)))]).expect("compacted");
+    let changes = folder.faults.name_changes().split_off(earlier);
+    let removals = changes.iter().filter(|change| **change != NameChange::Synced).count();
+    assert!(removals > 1, "several segments are removed at once: {changes:?}");
+
+    let (mut durable, mut pending): (Vec<PathBuf>, Vec<PathBuf>) = Default::default();
+    for change in changes {
+        match change {
+            NameChange::Removed(path) => pending.push(path),
+            NameChange::Synced => durable.append(&mut pending),
+        }
+        for kept_removals in subsets(&pending) {
+            let lost_power = Folder::new();
+            copy(&before.path, &lost_power.path);
+            for path in durable.iter().chain(&kept_removals) {
+                let name = path.file_name().expect("a name");
+                fs::remove_file(lost_power.path.join(name)).expect("removed");
+            }
+            let (_, groups) = lost_power.open().expect("removed segments aren't needed");
+            assert_eq!(groups[0].state.entries.len(), 4, "without {kept_removals:?}");
+        }
+    }
+}
+
+/// Power is lost while a new segment is created, and only its empty file is kept. What older segments
+/// repeat for it must not go with them.
+#[test]
+fn open_empty_new_segment() {
+    let folder = Folder::new();
+    filled(&folder, 4);
+    let (mut disk, _) = folder.open().expect("opened");
+    disk.write(&mut vec![snapshot(GROUP, 3, b"state", false)]).expect("written");
+    drop(disk);
+    fs::write(folder.path.join("log-0000000002"), b"").expect("created");
+    let (mut disk, _) = folder.open().expect("opened with an empty segment");
+    disk.write(&mut vec![entries(GROUP, 6..=6)]).expect("written");
+    disk.write(&mut vec![snapshot(GROUP, 5, b"newer", false)]).expect("written");
+    disk.write(&mut vec![job(GROUP, JobWrite::Compact(LogIndex(5)))]).expect("compacted");
+    drop(disk);
+    let (_, groups) = folder.open().expect("opened after the old segment went");
+    assert_eq!(groups[0].state.ballot.vote, Some(VmId(4)), "a lost vote could be cast again");
+    assert_eq!(groups[0].state.snapshot.index, LogIndex(5));
+    assert_eq!(groups[0].state.entries.len(), 1);
+}
