Sync the log's folder after each removed segment

A power loss may undo each such removal on its own. If the older of two came back and the newer did not, the start found a gap, took it for damage and refused the folder; the process ended and started again for ever. All voters of a group have about the same log, so all of them are exposed at the same moment, and after two lost disks each of the other three is needed.

Why it works: at most one removal is not synced at any time, and a segment that comes back is then next to the oldest one, which replay takes as before.

--- a/crates/gypsumglade/src/disk/writer.rs
+++ b/crates/gypsumglade/src/disk/writer.rs
@@ -261,6 +261,9 @@
     }
 
     /// Removes the oldest segments that hold no entry that is still needed.
+    ///
+    /// A power loss may undo removals that no sync of the folder followed, each on its own. Each one is
+    /// therefore synced before the next: a gap between the segments would look like damage.
     fn remove_unused_segments(&mut self) -> anyhow::Result<()> {
         while self.segments.len() > 1 {
             let oldest = self.segments[0];
@@ -268,7 +271,9 @@
             if in_use {
                 return Ok(());
             }
-            self.options.faults.remove_log_file(&segment_path(&self.folder, oldest))?;
+            let faults = &self.options.faults;
+            faults.remove_log_file(&segment_path(&self.folder, oldest))?;
+            faults.sync_log_folder(&self.folder)?;
             self.segments.remove(0);
             for group in self.groups.values_mut() {
                 group.written.remove(&oldest);
