Drop a log segment that a crash left without its first frame

After a power loss between the file's creation and that frame's sync, the start kept the empty file and wrote on in it. Once the older segments went, ballots and marks were gone with them: a store could vote twice in a term, or refuse to start for lack of entries.

Why it works: the empty file is removed and synced at the start, and the next segment is created as usual.

--- a/crates/gypsumglade/src/disk/writer.rs
+++ b/crates/gypsumglade/src/disk/writer.rs
@@ -14,7 +14,7 @@
 use super::folder::{check_format, lock, segment_path, sync_folder};
 use super::frame::FrameWriter;
 use super::reader::Reader;
-use super::replay::{Replay, ReplayedGroup, replay};
+use super::replay::{Replay, ReplayedGroup, ReplayedSegment, replay};
 use super::snapshot::{self, SnapshotWriter, WRITE_ADVICE};
 use super::types::{
     CompletedJob, Job, JobWrite, Options, RecordLocation, RestoredGroup, Snapshot, WrittenEntry,
@@ -287,7 +287,13 @@
     }
 
     /// Opens the last segment for appending, and removes an incomplete frame at its end.
-    fn resume(folder: &Path, options: Options, lock: File, replay: Replay) -> anyhow::Result<Disk> {
+    fn resume(
+        folder: &Path,
+        options: Options,
+        lock: File,
+        mut replay: Replay,
+    ) -> anyhow::Result<Disk> {
+        remove_empty_segment(folder, &mut replay.segments)?;
         let mut segments: Vec<u32> = replay.segments.iter().map(|s| s.number).collect();
         let valid_bytes = replay.segments.last().map_or(0, |segment| segment.valid_bytes);
         let fresh = segments.is_empty();
@@ -334,6 +340,21 @@
     }
 }
 
+/// Removes the last segment if a crash left it without its first frame and it isn't the only one.
+///
+/// That frame repeats the ballots and snapshot marks of all groups. Without it they would go with the
+/// older segments.
+fn remove_empty_segment(folder: &Path, segments: &mut Vec<ReplayedSegment>) -> anyhow::Result<()> {
+    let [.., _, last] = segments.as_slice() else { return Ok(()) };
+    if last.valid_bytes > 0 {
+        return Ok(());
+    }
+    fs::remove_file(segment_path(folder, last.number))?;
+    segments.pop();
+    sync_folder(folder)?;
+    Ok(())
+}
+
 /// Fails with a list of all findings, if there are any.
 fn check_findings(replay: &Replay) -> anyhow::Result<()> {
     if replay.findings.is_empty() {
