Compress the updates that entry VMs fetch, once for all of them

Cause, second part: an update was sent as text, and worked out anew for each entry that asked unless it was one revision behind: a delta over several revisions costs a diff of the whole content, for each entry and each retry.

Change: updates of 1 KB and more are deflated, a whole content as the delta that inserts it, and kept by the revision that they start from until the next one is pushed. The field is new; small updates stay as they were. A store and an entry compute one diff less for each revision.

--- a/crates/core/src/control/history.rs
+++ b/crates/core/src/control/history.rs
@@ -3,13 +3,14 @@
 //! The control group keeps revisions to roll back to. An entry VM that relays bundles keeps a few,
 //! so that VMs slightly behind can fetch a delta.
 
-use std::collections::VecDeque;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
 use prost::Message;
 
 use super::Revision;
-use super::delta;
+use super::{delta, packed};
 use crate::prelude::*;
 use crate::wire::control as wire;
 
@@ -42,14 +43,16 @@
     current: Option<Revision>,
     past: VecDeque<Past>,
     max_past: usize,
-    /// Delta from the previous revision to the current one, cached since most clients need it.
-    forward: wire::Delta,
+    /// Updates to the current revision by the revision that they start from, since many clients ask
+    /// for the same one.
+    updates: RefCell<BTreeMap<RevisionNumber, wire::Update>>,
 }
 
 impl History {
     /// Creates an empty history that keeps at most `max_past` earlier revisions.
     pub fn new(max_past: usize) -> History {
-        History { current: None, past: VecDeque::new(), max_past, forward: wire::Delta::default() }
+        let updates = RefCell::default();
+        History { current: None, past: VecDeque::new(), max_past, updates }
     }
 
     /// Returns the newest revision, or `None` before the first.
@@ -74,11 +77,11 @@
     pub(super) fn replace(&mut self, revision: Revision) {
         if let Some(mut before) = self.current.take() {
             let backward = delta::diff(&revision.content, &before.content);
-            self.forward = delta::diff(&before.content, &revision.content);
             before.content = Bytes::new();
             self.past.push_back(Past::new(before, backward));
         }
         self.current = Some(revision);
+        self.updates.get_mut().clear();
         while self.past.len() > self.max_past || self.past_bytes() > MAX_PAST_BYTES {
             self.past.pop_front();
         }
@@ -114,21 +117,28 @@
     /// the whole content otherwise. Returns `None` if there is nothing newer.
     pub fn update(&self, since: RevisionNumber) -> Option<wire::Update> {
         let current = self.current.as_ref().filter(|current| current.number > since)?;
-        let Some(delta) = self.delta_from(since) else {
-            return Some(wire::Update { revision: Some(current.to_wire()), delta: None });
-        };
-        let revision = wire::Revision { content: Bytes::new(), ..current.to_wire() };
-        Some(wire::Update { revision: Some(revision), delta: Some(delta) })
+        let near = self.distance(since).filter(|distance| *distance <= MAX_DELTA_DISTANCE);
+        // All clients whose revision isn't stored get the same update.
+        let since = near.map_or(RevisionNumber::default(), |_| since);
+        if let Some(update) = self.updates.borrow().get(&since) {
+            return Some(update.clone());
+        }
+        let update = self.new_update(current, since);
+        self.updates.borrow_mut().insert(since, update.clone());
+        Some(update)
     }
 
-    fn delta_from(&self, since: RevisionNumber) -> Option<wire::Delta> {
-        let last = self.past.back()?;
-        if last.revision.number == since {
-            return Some(self.forward.clone());
-        }
-        self.distance(since).filter(|distance| *distance <= MAX_DELTA_DISTANCE)?;
-        let base = self.find(since)?;
-        Some(delta::diff(&base.content, &self.current.as_ref()?.content))
+    fn new_update(&self, current: &Revision, since: RevisionNumber) -> wire::Update {
+        let base = self.find(since);
+        let change = base.map(|base| delta::diff(&base.content, &current.content));
+        let whole = change.is_none();
+        let change = change.unwrap_or_else(|| packed::whole(&current.content));
+        let Some(packed) = packed::pack(&change) else {
+            let delta = Some(change).filter(|_| !whole);
+            let revision = if whole { current.to_wire() } else { without_content(current) };
+            return wire::Update { revision: Some(revision), delta, packed: Bytes::new() };
+        };
+        wire::Update { revision: Some(without_content(current)), delta: None, packed }
     }
 
     /// Returns the revision of an update, with a delta applied to the current content.
@@ -137,8 +147,13 @@
     /// must be fetched then. Signatures aren't checked, see [`Revision::verify`].
     pub fn resolve(&self, update: wire::Update) -> Option<Revision> {
         let mut revision = Revision::from_wire(update.revision?)?;
-        if let Some(change) = update.delta {
-            revision.content = delta::apply(&self.current.as_ref()?.content, &change)?;
+        let change = match update.packed.is_empty() {
+            true => update.delta,
+            false => Some(packed::unpack(&update.packed)?),
+        };
+        if let Some(change) = change {
+            let base = self.current.as_ref().map(|current| &current.content);
+            revision.content = delta::apply(base.unwrap_or(&Bytes::new()), &change)?;
         }
         let intact = crate::bundle::Digest::of(&revision.content) == revision.digest;
         intact.then_some(revision)
@@ -167,10 +182,13 @@
         let Some(current) = current else { return Some(history) };
         let current = Revision::from_wire(current)?;
         if let Some(last) = history.past.back() {
-            let before = delta::apply(&current.content, &last.backward)?;
-            history.forward = delta::diff(&before, &current.content);
+            delta::apply(&current.content, &last.backward)?;
         }
         history.current = Some(current);
         Some(history)
     }
 }
+
+fn without_content(revision: &Revision) -> wire::Revision {
+    wire::Revision { content: Bytes::new(), ..revision.to_wire() }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub mod delta;
 mod endpoints;
 mod history;
+mod packed;
 mod placement;
 pub mod plan;
 mod revision;
--- a/crates/core/tests/lease_in_force.rs
+++ b/crates/core/tests/lease_in_force.rs
@@ -179,7 +179,7 @@
             Some(grant) => Body::Grant(grant),
             None if request.applied < current.0 => {
                 let revision = Revision { number: current.0, ..Revision::default() };
-                Body::Update(Update { revision: Some(revision), delta: None })
+                Body::Update(Update { revision: Some(revision), ..Update::default() })
             }
             None => Body::Unavailable(Unavailable { leader: None }),
         };
