Don't give up a configuration update while it arrives

Cause, third part, and the one that made it a collapse: a lease request, with the update in its answer, had 400 ms in all. The link between regions can't carry a large update to all entries of a region in that time. The link carried the repeats, and nobody finished.

Change: PeerClients::fetch counts its timeout from the last bytes that arrived, 4 KB at least in each, and twelve timeouts at most. Lease requests and the entries' query for endpoints use it, the two whose answers grow with the deployment.

Why it works: a transfer under way is finished once instead of begun again, and a peer that sends nothing is still left after 400 ms.

--- a/crates/gypsumglade/src/entry/config.rs
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -20,8 +20,8 @@
 use crate::metrics::LeaseMetrics;
 use crate::rpc::{Method, PeerClients, RpcError};
 
-/// Timeout of a lease request, after which another VM is asked. Outlasts a CPU-quota stall of the
-/// peer, which takes up to 100 ms.
+/// Time without progress of a lease request after which another VM is asked. Outlasts a CPU-quota stall
+/// of the peer, which takes up to 100 ms.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between checks whether a renewal is due.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -176,7 +176,7 @@
         view.relay().request_failed(request.ask);
         return;
     };
-    let call = renewal.peers.ask(address, Method::Lease, &request, REQUEST_TIMEOUT);
+    let call = renewal.peers.fetch(address, Method::Lease, &request, REQUEST_TIMEOUT);
     let reply: Result<ConfirmReply, RpcError> = call.await;
     let now = renewal.clock.now();
     let took = now.since(sent);
--- a/crates/gypsumglade/src/gateway/endpoint_sync.rs
+++ b/crates/gypsumglade/src/gateway/endpoint_sync.rs
@@ -67,7 +67,7 @@
             (_, false) => LONG_POLL,
         };
         let query = EndpointQuery { seen: self.seen_change, wait_ms: wait.as_millis() as u64 };
-        let asking = self.state.peers.ask(address, Method::Endpoints, &query, TIMEOUT);
+        let asking = self.state.peers.fetch(address, Method::Endpoints, &query, TIMEOUT);
         let news: Result<EndpointNews, RpcError> = asking.await;
         match news {
             Ok(news) if !news.unavailable => {
--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -23,6 +23,7 @@
 use tokio_rustls::rustls::pki_types::ServerName;
 
 use super::codec::{decode, encode};
+use super::counted::{Counted, Received};
 use super::link::{self, Link};
 use super::method::Method;
 use super::server::MAX_MESSAGE_BYTES;
@@ -33,6 +34,11 @@
 /// Time after a failed connect in which calls to the address fail without another attempt. Shorter
 /// than a restart of a process takes.
 const RECONNECT_BACKOFF: Duration = Duration::from_millis(150);
+/// Bytes that must arrive within each timeout of a [`PeerClients::fetch`], or it fails. Answers to
+/// other calls on the connection stay below.
+const MIN_PROGRESS: u64 = 4 * 1024;
+/// Longest duration of a [`PeerClients::fetch`], in timeouts.
+const MAX_FETCH_TIMEOUTS: u32 = 12;
 /// Maximum number of calls in flight on one connection.
 const MAX_CALLS: usize = 8_192;
 
@@ -63,10 +69,25 @@
 /// Connection to one address, and the time of the last failed connect.
 #[derive(Default)]
 struct Slot {
-    client: Option<Arc<WsClient>>,
+    client: Option<Arc<Client>>,
     failed_at: Option<Instant>,
 }
 
+/// Client on an open connection.
+struct Client {
+    calls: WsClient,
+    received: Received,
+}
+
+/// How long a call may wait for its answer.
+#[derive(Clone, Copy, Debug)]
+enum Limit {
+    /// Until the timeout ends.
+    Total(Duration),
+    /// For as long as bytes arrive within each timeout.
+    Progress(Duration),
+}
+
 impl PeerClients {
     /// Creates an empty pool. Each connection presents `token`, and uses TLS if `tls` is given.
     pub fn new(token: Secret, tls: Option<Arc<ClientConfig>>) -> PeerClients {
@@ -85,20 +106,7 @@
         parameters: ArrayParams,
         timeout: Duration,
     ) -> Result<String, RpcError> {
-        let deadline = tokio::time::Instant::now() + timeout;
-        let opening = tokio::time::timeout_at(deadline, self.client(address)).await;
-        let client = opening.map_err(|_| RpcError::Unreachable(address))??;
-        let request = client.request::<String, _>(method.name(), parameters);
-        match tokio::time::timeout_at(deadline, request).await {
-            Ok(Ok(text)) => Ok(text),
-            Ok(Err(ClientError::Call(error))) => {
-                Err(RpcError::Refused(address, error.message().to_owned()))
-            }
-            Ok(Err(_)) | Err(_) => {
-                self.discard_broken(address, &client).await;
-                Err(RpcError::Lost(address))
-            }
-        }
+        self.call_within(address, method, parameters, Limit::Total(timeout)).await
     }
 
     /// Sends a protobuf message and returns the decoded answer.
@@ -113,6 +121,41 @@
         request: &Q,
         timeout: Duration,
     ) -> Result<A, RpcError>
+    where
+        Q: Message,
+        A: Message + Default,
+    {
+        self.ask_within(address, method, request, Limit::Total(timeout)).await
+    }
+
+    /// Sends a protobuf message whose answer may be large.
+    ///
+    /// The timeout counts from the last bytes that arrived. A large answer on a busy link would
+    /// otherwise be given up while it arrives, and repeating the call would only add to the load.
+    ///
+    /// # Errors
+    /// Fails as [`PeerClients::ask`] does.
+    pub async fn fetch<Q, A>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        request: &Q,
+        timeout: Duration,
+    ) -> Result<A, RpcError>
+    where
+        Q: Message,
+        A: Message + Default,
+    {
+        self.ask_within(address, method, request, Limit::Progress(timeout)).await
+    }
+
+    async fn ask_within<Q, A>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        request: &Q,
+        limit: Limit,
+    ) -> Result<A, RpcError>
     where
         Q: Message,
         A: Message + Default,
@@ -120,10 +163,38 @@
         let mut parameters = ArrayParams::new();
         let inserted = parameters.insert(encode(request));
         inserted.map_err(|error| RpcError::Refused(address, error.to_string()))?;
-        let text = self.call(address, method, parameters, timeout).await?;
+        let text = self.call_within(address, method, parameters, limit).await?;
         decode(&text).map_err(|error| RpcError::Refused(address, error.to_string()))
     }
 
+    async fn call_within(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        parameters: ArrayParams,
+        limit: Limit,
+    ) -> Result<String, RpcError> {
+        let (Limit::Total(timeout) | Limit::Progress(timeout)) = limit;
+        let deadline = tokio::time::Instant::now() + timeout;
+        let opening = tokio::time::timeout_at(deadline, self.client(address)).await;
+        let client = opening.map_err(|_| RpcError::Unreachable(address))??;
+        let request = client.calls.request::<String, _>(method.name(), parameters);
+        let answer = match limit {
+            Limit::Total(_) => tokio::time::timeout_at(deadline, request).await.ok(),
+            Limit::Progress(_) => while_bytes_arrive(request, &client.received, timeout).await,
+        };
+        match answer {
+            Some(Ok(text)) => Ok(text),
+            Some(Err(ClientError::Call(error))) => {
+                Err(RpcError::Refused(address, error.message().to_owned()))
+            }
+            Some(Err(_)) | None => {
+                self.discard_broken(address, &client).await;
+                Err(RpcError::Lost(address))
+            }
+        }
+    }
+
     /// Opens a link for sending frames to a store, as the process `vm`.
     ///
     /// # Errors
@@ -168,10 +239,10 @@
         HeaderValue::from_str(&format!("Bearer {}", self.token.reveal())).ok()
     }
 
-    async fn client(&self, address: SocketAddr) -> Result<Arc<WsClient>, RpcError> {
+    async fn client(&self, address: SocketAddr) -> Result<Arc<Client>, RpcError> {
         let connection = self.connection(address);
         let mut slot = connection.lock().await;
-        if let Some(client) = slot.client.as_ref().filter(|client| client.is_connected()) {
+        if let Some(client) = slot.client.as_ref().filter(|client| client.calls.is_connected()) {
             return Ok(Arc::clone(client));
         }
         // Without this, calls that wait for the lock behind a failed connect would each retry it in
@@ -193,7 +264,7 @@
         Arc::clone(connections.entry(address).or_default())
     }
 
-    async fn open(&self, address: SocketAddr) -> Option<WsClient> {
+    async fn open(&self, address: SocketAddr) -> Option<Client> {
         let mut headers = HeaderMap::new();
         headers.insert(AUTHORIZATION, self.bearer_header()?);
         let builder = WsClientBuilder::default()
@@ -202,9 +273,12 @@
             .max_concurrent_requests(MAX_CALLS)
             .max_request_size(MAX_MESSAGE_BYTES)
             .max_response_size(MAX_MESSAGE_BYTES);
-        let opening = async {
+        let received = Received::default();
+        let counter = received.clone();
+        let opening = async move {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
+            let stream = Counted::new(stream, counter);
             let url = format!("ws://{address}");
             let Some(tls) = &self.tls else {
                 return builder.build_with_stream(url, stream).await.ok();
@@ -213,13 +287,14 @@
             let stream = TlsConnector::from(Arc::clone(tls)).connect(name, stream).await.ok()?;
             builder.build_with_stream(url, stream).await.ok()
         };
-        tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()?
+        let calls = tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()??;
+        Some(Client { calls, received })
     }
 
     /// Closes a connection on which a call got no answer, unless another task has replaced it.
     ///
     /// The socket of a frozen peer stays open, so that later calls would all time out on it.
-    async fn discard_broken(&self, address: SocketAddr, broken: &Arc<WsClient>) {
+    async fn discard_broken(&self, address: SocketAddr, broken: &Arc<Client>) {
         let connection = self.connection(address);
         let mut slot = connection.lock().await;
         if slot.client.as_ref().is_some_and(|client| Arc::ptr_eq(client, broken)) {
@@ -227,3 +302,24 @@
         }
     }
 }
+
+/// Awaits an answer for as long as bytes arrive within each `timeout`. Returns `None` otherwise.
+async fn while_bytes_arrive<T>(
+    request: impl Future<Output = T>,
+    received: &Received,
+    timeout: Duration,
+) -> Option<T> {
+    let mut request = std::pin::pin!(request);
+    let mut before = received.bytes();
+    for _ in 0..MAX_FETCH_TIMEOUTS {
+        if let Ok(answer) = tokio::time::timeout(timeout, request.as_mut()).await {
+            return Some(answer);
+        }
+        let now = received.bytes();
+        if now - before < MIN_PROGRESS {
+            return None;
+        }
+        before = now;
+    }
+    None
+}
--- a/crates/gypsumglade/src/rpc/mod.rs
+++ b/crates/gypsumglade/src/rpc/mod.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod codec;
+mod counted;
 mod link;
 mod method;
 mod server;
