Don't remove available voters while a retiring leader is one too many

Cause: a leader can't remove itself. With a retiring leader among one voter too many, repair removed an available voter in its place, found one too few, added it again, and so on until leadership moved. Each round is a change of the quorum and a catch-up, at a time when other stores may be lost.

Change: an available voter is removed only if enough available ones remain; a retiring leader waits for its transfer.

--- a/crates/core/src/replication/repair.rs
+++ b/crates/core/src/replication/repair.rs
@@ -60,7 +60,10 @@
         return Some(MemberChange::AddLearner(vm));
     }
     if members.voters.len() > view.target_voters && available >= view.target_voters {
-        return view.removal_candidate(members).map(MemberChange::Remove);
+        // While the leader is the one to leave, removing an available voter would leave one too few.
+        let spare = available > view.target_voters;
+        let candidate = view.removal_candidate(members);
+        return candidate.filter(|vm| spare || !view.is_available(*vm)).map(MemberChange::Remove);
     }
     None
 }
