Transfer leadership to a voter that may keep it

Commits wait during each transfer.

Cause: a transfer went to the most up-to-date voter. The next leader, in the same region, found itself misplaced as well and transferred again.

Change: repair names the voters that should lead (successors), and the replica chooses among them. A planned stop and a store that can't read its turn group still transfer to any voter.

The choice had no test before, as it could not be named.

--- a/crates/core/src/replication/change.rs
+++ b/crates/core/src/replication/change.rs
@@ -47,8 +47,9 @@
         }
     }
 
-    /// Starts a transfer of leadership to the most up-to-date voter that responds.
-    pub(super) fn begin_transfer(&mut self, now: Time) {
+    /// Starts a transfer of leadership to the most up-to-date voter that responds, one of `among`
+    /// unless that is empty.
+    pub(super) fn begin_transfer(&mut self, now: Time, among: &[VmId]) {
         let timeout = self.settings.election_timeout();
         let members = self.log.members().clone();
         let Some(state) = &mut self.leader_state else {
@@ -58,6 +59,7 @@
             .progress
             .iter()
             .filter(|(vm, _)| members.is_voter(**vm))
+            .filter(|(vm, _)| among.is_empty() || among.contains(vm))
             .filter(|(_, progress)| progress.acked.is_some_and(|sent| now < sent + timeout))
             .max_by_key(|(_, progress)| progress.matched);
         let Some((&to, _)) = best else {
--- a/crates/core/src/replication/effect.rs
+++ b/crates/core/src/replication/effect.rs
@@ -32,7 +32,10 @@
     /// Changes the members. Answered by [`Effect::Accepted`] or [`Effect::Refused`].
     ChangeMembers(MemberChange),
     /// Transfers leadership to the most up-to-date voter that responds.
-    Transfer,
+    Transfer {
+        /// Voters to choose from; empty for all.
+        to: Vec<VmId>,
+    },
     /// All writes up to this one are on stable storage.
     Synced(Sequence),
     /// A snapshot of the state machine up to this index is on stable storage.
--- a/crates/core/src/replication/repair.rs
+++ b/crates/core/src/replication/repair.rs
@@ -92,27 +92,27 @@
     (best < view.placement(&voters)).then_some(MemberChange::AddLearner(vm))
 }
 
-/// Returns whether the leader should transfer its leadership before the group is repaired further.
+/// Returns the voters of which one should lead instead of the leader, before the group is repaired
+/// further. Empty if the leader may stay.
 ///
 /// The leader belongs in the region with the most stores. Commits wait for a majority, and the
 /// leader sends learners their data; from a smaller region both would cross the slow, metered link
 /// between regions. Stores are counted instead of voters, since a store that is still being filled
 /// doesn't vote. On a tie the leader stays. A retiring leader transfers its leadership because it
 /// can't remove itself.
-pub fn should_transfer_leadership(members: &Members, view: &ClusterView) -> bool {
-    let Some(leader) = view.alive.iter().find(|store| store.vm == view.leader) else {
-        return false;
-    };
+pub fn successors(members: &Members, view: &ClusterView) -> Vec<VmId> {
+    let Some(leader) = view.find(view.leader) else { return Vec::new() };
     let others = view
         .alive
         .iter()
         .filter(|store| store.vm != leader.vm && !store.retiring && members.is_voter(store.vm));
-    if leader.retiring {
-        return others.count() > 0;
+    let size = |store: &StoreInfo| view.stores_in_region(&store.region);
+    let Some(most) = others.clone().map(size).max() else { return Vec::new() };
+    if !leader.retiring && most <= size(leader) {
+        return Vec::new();
     }
-    let own = view.stores_in_region(&leader.region);
-    let most = others.map(|store| view.stores_in_region(&store.region)).max();
-    most.is_some_and(|most| most > own)
+    // Elsewhere, the next leader would have to transfer its leadership again.
+    others.filter(|store| size(store) == most).map(|store| store.vm).collect()
 }
 
 /// Quality of a placement of voters; the lowest value is the best. The fields are compared in
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -130,7 +130,7 @@
             Input::Propose { commands } => self.propose(commands, out),
             Input::Read { token } => self.read(now, links, token, out),
             Input::ChangeMembers(change) => self.change_members(now, change, out),
-            Input::Transfer => self.begin_transfer(now),
+            Input::Transfer { to } => self.begin_transfer(now, &to),
             Input::Synced(sequence) => self.handle_synced(now, sequence, out),
             Input::Snapshotted(index) => self.handle_snapshotted(index),
         }
--- a/crates/core/tests/replication_repair.rs
+++ b/crates/core/tests/replication_repair.rs
@@ -2,7 +2,7 @@
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::repair::{
-    ClusterView, StoreInfo, next_change, next_swap, should_transfer_leadership,
+    ClusterView, StoreInfo, next_change, next_swap, successors,
 };
 use gypsumglade_core::replication::{MemberChange, Members};
 use proptest::prelude::*;
@@ -121,34 +121,34 @@
 /// With the leader in the region of the minority, every commit crosses the link between regions,
 /// and bursts there delay heartbeats until the leader is replaced.
 #[test]
-fn should_transfer_leadership_from_minority_region() {
+fn successors_from_minority_region() {
     let members = voters(&[1, 2, 3]);
-    assert!(should_transfer_leadership(&members, &view(3, three_stores())));
-    assert!(!should_transfer_leadership(&members, &view(1, three_stores())));
+    assert_eq!(successors(&members, &view(3, three_stores())), [VmId(1), VmId(2)]);
+    assert_eq!(successors(&members, &view(1, three_stores())), []);
 }
 
 /// A replacement in the south would get its state from the northern leader over the slow link. If
 /// another disk is lost before the replacement votes, the group loses its majority.
 #[test]
-fn should_transfer_leadership_before_replacement_catches_up() {
+fn successors_before_replacement_catches_up() {
     let mut alive = three_stores();
     alive[1].vm = VmId(9);
     let members = voters(&[1, 3]);
-    assert!(should_transfer_leadership(&members, &view(3, alive.clone())));
-    assert!(!should_transfer_leadership(&members, &view(1, alive)));
+    assert_eq!(successors(&members, &view(3, alive.clone())), [VmId(1)]);
+    assert_eq!(successors(&members, &view(1, alive)), []);
 }
 
 #[test]
-fn should_transfer_leadership_without_candidate() {
+fn successors_without_candidate() {
     let alive = vec![candidate(3, "c", "north")];
-    assert!(!should_transfer_leadership(&voters(&[1, 2, 3]), &view(3, alive)));
+    assert_eq!(successors(&voters(&[1, 2, 3]), &view(3, alive)), []);
 }
 
 #[test]
-fn should_transfer_leadership_retiring() {
+fn successors_retiring() {
     let mut alive = three_stores();
     alive[0].retiring = true;
-    assert!(should_transfer_leadership(&voters(&[1, 2, 3]), &view(1, alive)));
+    assert_eq!(successors(&voters(&[1, 2, 3]), &view(1, alive)), [VmId(2), VmId(3)]);
 }
 
 /// A leader can't remove itself. A retiring one must wait for its transfer and not remove other voters,
@@ -179,13 +179,13 @@
 /// Applies changes and leadership transfers until none is due, and returns the members.
 fn repaired(mut members: Members, mut view: ClusterView) -> Members {
     for _ in 0..100 {
-        if should_transfer_leadership(&members, &view) {
-            let voters = view.alive.iter().filter(|store| members.is_voter(store.vm));
-            let successors = voters.filter(|store| !store.retiring).map(|store| store.vm);
-            let successor = successors.filter(|vm| *vm != view.leader).find(|vm| {
-                !should_transfer_leadership(&members, &ClusterView { leader: *vm, ..view.clone() })
-            });
-            view.leader = successor.expect("a voter can take over leadership");
+        let successors = successors(&members, &view);
+        if let Some(next) = successors.first() {
+            for vm in &successors {
+                let view = ClusterView { leader: *vm, ..view.clone() };
+                assert!(self::successors(&members, &view).is_empty(), "{vm} would pass it on");
+            }
+            view.leader = *next;
             continue;
         }
         let change = next_change(&members, &view).or_else(|| next_swap(&members, &view));
--- a/crates/core/tests/replication_safeguards.rs
+++ b/crates/core/tests/replication_safeguards.rs
@@ -333,8 +333,25 @@
     // timeout.
     let (mut net, leader) = started(settings(), 3, 0);
     net.propose(leader);
-    net.step(leader, Input::Transfer);
+    net.step(leader, Input::Transfer { to: Vec::new() });
     net.run(100);
     assert_eq!(net.violation, None);
     assert!(net.leader().is_some_and(|next| next != leader));
 }
+
+/// Leadership that goes to any up-to-date voter may come back at once, and commits wait each time.
+#[test]
+fn transfer_named_voter() {
+    let (mut net, mut leader) = started(settings(), 5, 0);
+    for _ in 0..2 {
+        let members = net.node(leader).status().expect("the replica runs").members;
+        for next in members.voters.into_iter().filter(|vm| *vm != leader).collect::<Vec<_>>() {
+            net.propose(leader);
+            net.step(leader, Input::Transfer { to: vec![next] });
+            net.run(100);
+            assert_eq!(net.leader(), Some(next));
+            leader = next;
+        }
+    }
+    assert_eq!(net.violation, None);
+}
--- a/crates/core/tests/replication_safety.rs
+++ b/crates/core/tests/replication_safety.rs
@@ -88,7 +88,7 @@
         }
         Op::SlowSync(millis) => net.sync_millis = millis,
         Op::Snapshot(vm) => net.snapshot(vm),
-        Op::Transfer => drop(leader.map(|vm| net.step(vm, Input::Transfer))),
+        Op::Transfer => drop(leader.map(|vm| net.step(vm, Input::Transfer { to: Vec::new() }))),
         Op::NewEpoch(vm) => net.node(vm).links.next_epoch(),
         Op::AddLearner(vm) => net.change(MemberChange::AddLearner(vm)),
         Op::Promote(vm) => net.change(MemberChange::Promote(vm)),
--- a/crates/gypsumglade/src/replica/calls.rs
+++ b/crates/gypsumglade/src/replica/calls.rs
@@ -185,7 +185,7 @@
         self.transfers.push((until, reply));
         let ids: Vec<_> = self.groups.keys().copied().collect();
         for id in ids {
-            self.step(id, Input::Transfer);
+            self.step(id, Input::Transfer { to: Vec::new() });
         }
     }
 
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -63,6 +63,8 @@
     },
     Transfer {
         group: GroupId,
+        /// Voters to choose from; empty for all.
+        to: Vec<VmId>,
     },
     Change {
         group: GroupId,
@@ -255,7 +257,7 @@
                 self.snapshot(group, index, data, reply);
             }
             Command::TransferAll { reply } => self.transfer_all(reply),
-            Command::Transfer { group } => self.step(group, Input::Transfer),
+            Command::Transfer { group, to } => self.step(group, Input::Transfer { to }),
             Command::Change { group, change, reply } => self.change(group, change, reply),
             Command::Status { reply } => drop(reply.send(self.status(self.queued_commands))),
             Command::Completed(done) => done.into_iter().for_each(|done| self.job_completed(done)),
--- a/crates/gypsumglade/src/replica/host.rs
+++ b/crates/gypsumglade/src/replica/host.rs
@@ -133,9 +133,10 @@
     }
 
     /// Starts to transfer the leadership of a group, if this VM leads it and another voter is ready.
-    pub fn transfer(&self, group: GroupId) {
+    /// The next leader is one of `to`, or any voter if that is empty.
+    pub fn transfer(&self, group: GroupId, to: Vec<VmId>) {
         // The host may have stopped.
-        let _ = self.commands.send(Command::Transfer { group });
+        let _ = self.commands.send(Command::Transfer { group, to });
     }
 
     /// Makes one membership change, and returns its index once it is committed.
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -5,7 +5,7 @@
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::repair::{
-    ClusterView, StoreInfo, next_change, next_swap, should_transfer_leadership,
+    ClusterView, StoreInfo, next_change, next_swap, successors,
 };
 use gypsumglade_core::replication::{MemberChange, Members, Role, Status};
 use gypsumglade_core::wire::discovery::Led;
@@ -141,13 +141,15 @@
         let tried = history.transfers.get(&group.group);
         let paused = tried.is_some_and(|at| now.since(*at) < TRANSFER_BACKOFF);
         let unfit = group.group == GroupId::TURNS && self.turns.is_unusable();
-        let misplaced = group.settled && should_transfer_leadership(&group.members, cluster_view);
-        if paused || !(unfit || misplaced) {
+        let successors =
+            if group.settled { successors(&group.members, cluster_view) } else { Vec::new() };
+        if paused || (successors.is_empty() && !unfit) {
             return false;
         }
         history.transfers.insert(group.group, now);
-        slog::info!(self.context.log, "transferring leadership"; "group" => group.group.0);
-        self.context.host.transfer(group.group);
+        slog::info!(self.context.log, "transferring leadership"; "group" => group.group.0,
+            "to" => ?successors);
+        self.context.host.transfer(group.group, successors);
         true
     }
 
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -137,7 +137,7 @@
         slog::info!(self.context.log, "became leader of the turn group"; "term" => term.0);
         if unusable {
             // Repair retries the transfer if this one fails.
-            self.context.host.transfer(GroupId::TURNS);
+            self.context.host.transfer(GroupId::TURNS, Vec::new());
         }
     }
 
--- a/crates/gypsumglade/tests/text_copies.rs
+++ b/crates/gypsumglade/tests/text_copies.rs
@@ -489,7 +489,7 @@
     while handed.is_empty() || !cluster.is_whole(None).await {
         let leader = cluster.leader().await;
         if handed.insert(leader.state().context.vm) {
-            leader.state().context.host.transfer(GroupId::TURNS);
+            leader.state().context.host.transfer(GroupId::TURNS, Vec::new());
         }
         tokio::time::sleep(PAUSE).await;
     }
