Replicate a change of a bundle as a delta

Change: the leader replaces the whole content of an order with a delta from the current revision, after the order has passed its checks and before it is proposed. The log already took deltas; an order whose base is no longer current is refused as before.

Evidence: shorten_small_change_of_large_bundle (less than 512 bytes for a change of a bundle of 1,000 lines).

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -25,6 +25,7 @@
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
+use prost::Message;
 
 use crate::bundle::{Bundle, Digest, OperatorKeys, RollBackOrder, Signature, Version};
 use crate::prelude::*;
@@ -170,6 +171,27 @@
         checked.map_err(|body| wire::Answer { body: Some(body) })
     }
 
+    /// Replaces an order's whole content with a delta from the current revision if that is smaller.
+    ///
+    /// Call it on a command that has passed [`Control::check`], before it is proposed: every replica
+    /// stores the command, and some of them are behind slow links.
+    pub fn shorten(&self, mut command: wire::Command) -> wire::Command {
+        let Some(CommandBody::Accept(accept)) = &mut command.body else { return command };
+        let Some(content) = &mut accept.content else { return command };
+        let (Some(base), Some(wire::content::Body::Whole(whole))) = (self.current(), &content.body)
+        else {
+            return command;
+        };
+        if base.number.0 != accept.base_revision {
+            return command;
+        }
+        let change = delta::diff(&base.content, whole);
+        if change.encoded_len() < whole.len() {
+            content.body = Some(wire::content::Body::Delta(change));
+        }
+        command
+    }
+
     fn accept(&mut self, accept: &wire::Accept) -> AnswerBody {
         let fingerprint = accept_fingerprint(accept);
         if let Err(answer) = self.check_order_id(&accept.order_id, fingerprint) {
--- a/crates/core/tests/control_revisions.rs
+++ b/crates/core/tests/control_revisions.rs
@@ -15,6 +15,7 @@
 use property::{cases, fixed};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestCaseError, TestRunner};
+use prost::Message as _;
 
 fn bundle(version: u64, text: u8) -> Bytes {
     format!("version: \"{version}\"\n# variant {text}\n").into()
@@ -125,6 +126,30 @@
     assert_eq!(control.current().map(|now| now.content.clone()), Some(bundle(2, 9)));
 }
 
+/// Each small change of a large bundle was replicated whole, also over the link between regions.
+#[test]
+fn shorten_small_change_of_large_bundle() {
+    let large = |version: u64| {
+        let lines = (0..1_000).map(|n| format!("# line {n} of a large bundle\n"));
+        Bytes::from(format!("version: \"{version}\"\n{}", lines.collect::<String>()))
+    };
+    let order = |version: u64| Accept {
+        digest: Digest::of(&large(version)).to_wire(),
+        content: Some(Content { body: Some(content::Body::Whole(large(version))) }),
+        ..accept(&version.to_string(), version - 1, version, 0)
+    };
+    let mut control = Control::new();
+    let first = command(CommandBody::Accept(order(1)));
+    assert_eq!(control.shorten(first.clone()), first, "there is no base yet");
+    control.apply(&first);
+    let short = control.shorten(command(CommandBody::Accept(order(2))));
+    assert!(short.encoded_len() < 512, "{} bytes", short.encoded_len());
+    assert_eq!(revision(&body(control.apply(&short))), Some(2));
+    assert_eq!(control.current().map(|now| now.content.clone()), Some(large(2)));
+    let stale = command(CommandBody::Accept(Accept { base_revision: 1, ..order(3) }));
+    assert_eq!(control.shorten(stale.clone()), stale, "the delta would have another base");
+}
+
 #[test]
 fn roll_back_is_a_higher_revision() {
     let mut control = Control::new();
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -161,6 +161,7 @@
         if let Some(body) = self.reject_early(&command) {
             return body;
         }
+        let command = self.state().control.shorten(command);
         let data = Bytes::from(command.encode_to_vec());
         match self.context.host.propose(GroupId::CONTROL, data).await {
             Ok(index) => match self.answer_at(index).await {
