--- a/crates/gypsumglade/tests/disk_failures.rs
+++ b/crates/gypsumglade/tests/disk_failures.rs
@@ -379,3 +379,23 @@
     assert_eq!(groups[0].state.snapshot.index, LogIndex(5));
     assert_eq!(groups[0].state.entries.len(), 1);
 }
+
+/// The same for a group whose only mark is in the older segment: without it, its entries would seem to
+/// lack those before them, and the store would never start again.
+#[test]
+fn open_empty_new_segment_mark() {
+    let folder = Folder::new();
+    filled(&folder, 4);
+    let (mut disk, _) = folder.open().expect("opened");
+    disk.write(&mut vec![snapshot(OTHER, 9, b"installed", true)]).expect("written");
+    drop(disk);
+    fs::write(folder.path.join("log-0000000002"), b"").expect("created");
+    let (mut disk, _) = folder.open().expect("opened with an empty segment");
+    disk.write(&mut vec![entries(OTHER, 10..=11)]).expect("written");
+    disk.write(&mut vec![snapshot(GROUP, 5, b"state", false)]).expect("written");
+    disk.write(&mut vec![job(GROUP, JobWrite::Compact(LogIndex(5)))]).expect("compacted");
+    drop(disk);
+    let (_, groups) = folder.open().expect("opened after the old segment went");
+    assert_eq!(groups[1].state.snapshot.index, LogIndex(9));
+    assert_eq!(groups[1].state.entries.len(), 2);
+}
