--- a/crates/gypsumglade/src/entry/config.rs
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -146,11 +146,10 @@
 
 /// Renews the lease until the process stops. Calls `on_applied` after each new bundle.
 pub async fn renew(view: &ConfigView, renewal: &Renewal, on_applied: impl Fn(&ActiveBundle)) {
-    let mut leaders = LeaderHint::default();
+    let mut state = RenewalState::default();
     let mut last = RevisionNumber::default();
-    let mut unanswered = 0;
     while !renewal.stop.is_cancelled() {
-        renew_once(view, renewal, &mut leaders, &mut unanswered).await;
+        renew_once(view, renewal, &mut state).await;
         let active = view.active.read().expect("no panic while held").clone();
         if let Some(active) = active.filter(|active| active.revision != last) {
             last = active.revision;
@@ -163,20 +162,23 @@
     }
 }
 
-async fn renew_once(
-    view: &ConfigView,
-    renewal: &Renewal,
-    leaders: &mut LeaderHint,
-    unanswered: &mut u32,
-) {
+/// What the renewal loop knows of the stores.
+#[derive(Default)]
+struct RenewalState {
+    leaders: LeaderHint,
+    /// Number of requests since the last one that was answered.
+    unanswered: u32,
+}
+
+async fn renew_once(view: &ConfigView, renewal: &Renewal, state: &mut RenewalState) {
     let sent = renewal.clock.now();
     let failures = view.relay().lease().failures();
     let Some(request) = view.relay().next_request(sent) else { return };
-    let Some(Target { store, address }) = target(renewal, leaders, failures) else {
+    let Some(target) = target(renewal, &state.leaders, failures) else {
         view.relay().request_failed(request.ask);
         return;
     };
-    let call = renewal.peers.fetch(address, Method::Lease, &request, REQUEST_TIMEOUT);
+    let call = renewal.peers.fetch(target.address, Method::Lease, &request, REQUEST_TIMEOUT);
     let reply: Result<ConfirmReply, RpcError> = call.await;
     let now = renewal.clock.now();
     let took = now.since(sent);
@@ -184,37 +186,47 @@
     renewal.metrics.request(took, outcome, update_bytes);
     match reply {
         Ok(reply) => {
-            if *unanswered > 0 {
-                slog::info!(renewal.log, "lease requests are answered again"; "from" => %address,
-                    "outcome" => outcome, "unanswered" => *unanswered);
-                *unanswered = 0;
-            }
-            // Only a reply from a store says where the leader is; a relay's does not.
-            match (&reply.body, store) {
-                (Some(Body::Unavailable(unavailable)), Some(vm)) => {
-                    leaders.redirect(Some(vm), unavailable.leader.map(VmId));
-                }
-                (Some(Body::Grant(_)), Some(vm)) => leaders.confirm(vm),
-                _ => {}
-            }
+            state.record_answer(renewal, &target, &reply);
             view.apply_reply(reply, took.as_millis() as u64, now, renewal);
         }
         Err(error) => {
             // Only the first of a series is logged.
-            if *unanswered == 0 {
+            if state.unanswered == 0 {
                 slog::warn!(renewal.log, "lease request not answered"; "error" => %error,
                     "ms" => took.as_millis() as u64, "revision" => request.applied,
                     "lease_ms" => view.remaining(now).as_millis() as u64);
             }
-            *unanswered += 1;
-            if let Some(vm) = store {
-                leaders.mark_unresponsive(vm, Instant::now());
-            }
+            state.record_failure(&target);
             view.relay().request_failed(request.ask);
         }
     }
 }
 
+impl RenewalState {
+    fn record_answer(&mut self, renewal: &Renewal, target: &Target, reply: &ConfirmReply) {
+        if self.unanswered > 0 {
+            slog::info!(renewal.log, "lease requests are answered again";
+                "from" => %target.address, "unanswered" => self.unanswered);
+            self.unanswered = 0;
+        }
+        // Only a reply from a store says where the leader is; a relay's does not.
+        match (&reply.body, target.store) {
+            (Some(Body::Unavailable(unavailable)), Some(vm)) => {
+                self.leaders.redirect(Some(vm), unavailable.leader.map(VmId));
+            }
+            (Some(Body::Grant(_)), Some(vm)) => self.leaders.confirm(vm),
+            _ => {}
+        }
+    }
+
+    fn record_failure(&mut self, target: &Target) {
+        self.unanswered += 1;
+        if let Some(vm) = target.store {
+            self.leaders.mark_unresponsive(vm, Instant::now());
+        }
+    }
+}
+
 /// Destination of a lease request.
 struct Target {
     /// Id of the store, or `None` if the destination is another VM that relays the lease.
