--- a/crates/core/src/control/history.rs
+++ b/crates/core/src/control/history.rs
@@ -128,17 +128,22 @@
         Some(update)
     }
 
+    /// Returns the update from `since`, or with the whole content if that revision isn't stored.
     fn new_update(&self, current: &Revision, since: RevisionNumber) -> wire::Update {
         let base = self.find(since);
-        let change = base.map(|base| delta::diff(&base.content, &current.content));
-        let whole = change.is_none();
-        let change = change.unwrap_or_else(|| packed::whole(&current.content));
-        let Some(packed) = packed::pack(&change) else {
-            let delta = Some(change).filter(|_| !whole);
-            let revision = if whole { current.to_wire() } else { without_content(current) };
-            return wire::Update { revision: Some(revision), delta, packed: Bytes::new() };
+        let change = match &base {
+            Some(base) => delta::diff(&base.content, &current.content),
+            None => packed::whole(&current.content),
         };
-        wire::Update { revision: Some(without_content(current)), delta: None, packed }
+        let without_content = wire::Revision { content: Bytes::new(), ..current.to_wire() };
+        if let Some(packed) = packed::pack(&change) {
+            return wire::Update { revision: Some(without_content), delta: None, packed };
+        }
+        let (revision, delta) = match base {
+            Some(_) => (without_content, Some(change)),
+            None => (current.to_wire(), None),
+        };
+        wire::Update { revision: Some(revision), delta, packed: Bytes::new() }
     }
 
     /// Returns the revision of an update, with a delta applied to the current content.
@@ -188,7 +193,3 @@
         Some(history)
     }
 }
-
-fn without_content(revision: &Revision) -> wire::Revision {
-    wire::Revision { content: Bytes::new(), ..revision.to_wire() }
-}
--- a/crates/core/tests/replication_repair.rs
+++ b/crates/core/tests/replication_repair.rs
@@ -25,6 +25,17 @@
     Members::from_voters(vms.iter().map(|vm| VmId(*vm)).collect())
 }
 
+/// Applies the changes that repair a group, and returns them.
+fn steps(mut members: Members, view: &ClusterView) -> Vec<MemberChange> {
+    let mut steps = Vec::new();
+    while let Some(change) = next_change(&members, view) {
+        members = members.with(change);
+        steps.push(change);
+        assert!(steps.len() < 10, "repair does not terminate: {steps:?}");
+    }
+    steps
+}
+
 #[test]
 fn next_change_none_when_whole() {
     assert_eq!(next_change(&voters(&[1, 2, 3]), &view(1, three_stores())), None);
@@ -44,13 +55,8 @@
     let mut alive = three_stores();
     alive[2].vm = VmId(9);
     let wiped = ClusterView { replaced: vec![VmId(3)], ..view(1, alive) };
-    let mut members = voters(&[1, 2, 3]);
-    let mut steps = Vec::new();
-    while let Some(change) = next_change(&members, &wiped) {
-        members = members.with(change);
-        steps.push(change);
-        assert!(steps.len() < 10, "repair does not terminate: {steps:?}");
-    }
+    let members = voters(&[1, 2, 3]);
+    let steps = steps(members, &wiped);
     let expected = [
         MemberChange::Remove(VmId(3)),
         MemberChange::AddLearner(VmId(9)),
@@ -66,13 +72,8 @@
     let mut alive = three_stores();
     alive[2].vm = VmId(9);
     let view = view(1, alive);
-    let mut members = voters(&[1, 2, 3]);
-    let mut steps = Vec::new();
-    while let Some(change) = next_change(&members, &view) {
-        members = members.with(change);
-        steps.push(change);
-        assert!(steps.len() < 10, "repair does not terminate: {steps:?}");
-    }
+    let members = voters(&[1, 2, 3]);
+    let steps = steps(members, &view);
     let expected = [
         MemberChange::AddLearner(VmId(9)),
         MemberChange::Promote(VmId(9)),
@@ -159,13 +160,8 @@
     alive[0].retiring = true;
     alive.push(candidate(4, "a", "south"));
     let view = view(1, alive);
-    let mut members = voters(&[1, 2, 3]);
-    let mut steps = Vec::new();
-    while let Some(change) = next_change(&members, &view) {
-        members = members.with(change);
-        steps.push(change);
-        assert!(steps.len() < 10, "repair does not terminate: {steps:?}");
-    }
+    let members = voters(&[1, 2, 3]);
+    let steps = steps(members, &view);
     assert_eq!(steps, [MemberChange::AddLearner(VmId(4)), MemberChange::Promote(VmId(4))]);
 }
 
--- a/crates/gypsumglade/src/disk/faults.rs
+++ b/crates/gypsumglade/src/disk/faults.rs
@@ -35,8 +35,8 @@
     scans_held: bool,
     /// Delay added to each sync.
     sync_delay: Duration,
-    /// Changes of names in the folder of the log.
-    name_changes: Vec<NameChange>,
+    /// Changes of names in the folder of the log, if a test records them.
+    name_changes: Option<Vec<NameChange>>,
 }
 
 /// A change of names in the folder of the log. A power loss may undo each removal that no sync of the
@@ -105,24 +105,35 @@
         self.plan().sync_delay = delay;
     }
 
-    /// Returns the removals and syncs of the log's folder so far.
+    /// Records the removals and syncs of the log's folder from now on.
+    pub fn record_name_changes(&self) {
+        self.plan().name_changes = Some(Vec::new());
+    }
+
+    /// Returns the recorded removals and syncs of the log's folder.
     pub fn name_changes(&self) -> Vec<NameChange> {
-        self.plan().name_changes.clone()
+        self.plan().name_changes.clone().unwrap_or_default()
     }
 
     /// Removes a file of the log's folder.
     pub(crate) fn remove_log_file(&self, path: &Path) -> io::Result<()> {
-        self.plan().name_changes.push(NameChange::Removed(path.to_path_buf()));
+        self.record_name_change(NameChange::Removed(path.to_path_buf()));
         std::fs::remove_file(path)
     }
 
     /// Syncs the log's folder.
     pub(crate) fn sync_log_folder(&self, path: &Path) -> io::Result<()> {
         folder::sync_folder(path)?;
-        self.plan().name_changes.push(NameChange::Synced);
+        self.record_name_change(NameChange::Synced);
         Ok(())
     }
 
+    fn record_name_change(&self, change: NameChange) {
+        if let Some(changes) = &mut self.plan().name_changes {
+            changes.push(change);
+        }
+    }
+
     /// Returns how many of `wanted` bytes may be written, and counts them as used.
     pub(crate) fn allow_write(&self, wanted: usize) -> usize {
         let mut plan = self.plan();
--- a/crates/gypsumglade/tests/disk_failures.rs
+++ b/crates/gypsumglade/tests/disk_failures.rs
@@ -334,9 +334,9 @@
     disk.write(&mut vec![snapshot(GROUP, 15, b"state", false)]).expect("written");
     let before = Folder::new();
     copy(&folder.path, &before.path);
-    let earlier = folder.faults.name_changes().len();
+    folder.faults.record_name_changes();
     disk.write(&mut vec![job(GROUP, JobWrite::Compact(LogIndex(15)))]).expect("compacted");
-    let changes = folder.faults.name_changes().split_off(earlier);
+    let changes = folder.faults.name_changes();
     let removals = changes.iter().filter(|change| **change != NameChange::Synced).count();
     assert!(removals > 1, "several segments are removed at once: {changes:?}");
 
