Let a new call connect again right after a failed connect

Cause: the pool refused calls to an address for a fixed time after a failed connect. That time was meant for calls that wait for the lock behind a failing connect, but it also refused calls that came later.

Change: a connect answers for the calls that had asked before it began. A later call makes its own attempt. The constant is gone.

--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -31,9 +31,6 @@
 
 /// Timeout for opening a connection, which bounds how long a network partition goes unnoticed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time after a failed connect in which calls to the address fail without another attempt. Shorter
-/// than a restart of a process takes.
-const RECONNECT_BACKOFF: Duration = Duration::from_millis(150);
 /// Bytes that must arrive within each timeout of a [`PeerClients::fetch`], or it fails. Answers to
 /// other calls on the connection stay below.
 const MIN_PROGRESS: u64 = 4 * 1024;
@@ -66,11 +63,11 @@
 
 type Connection = tokio::sync::Mutex<Slot>;
 
-/// Connection to one address, and the time of the last failed connect.
+/// Connection to one address, and the start of the last connect if it failed.
 #[derive(Default)]
 struct Slot {
     client: Option<Arc<Client>>,
-    failed_at: Option<Instant>,
+    failed_connect: Option<Instant>,
 }
 
 /// Client on an open connection.
@@ -240,20 +237,23 @@
     }
 
     async fn client(&self, address: SocketAddr) -> Result<Arc<Client>, RpcError> {
+        let asked = Instant::now();
         let connection = self.connection(address);
         let mut slot = connection.lock().await;
         if let Some(client) = slot.client.as_ref().filter(|client| client.calls.is_connected()) {
             return Ok(Arc::clone(client));
         }
-        // Without this, calls that wait for the lock behind a failed connect would each retry it in
-        // turn, long past their timeouts.
-        if slot.failed_at.is_some_and(|failed| failed.elapsed() < RECONNECT_BACKOFF) {
+        // A connect that began after this call answers for it too. Otherwise calls that wait for the
+        // lock would each repeat a failing connect in turn, long past their timeouts.
+        if slot.failed_connect.is_some_and(|began| began >= asked) {
             return Err(RpcError::Unreachable(address));
         }
         // Set beforehand, since the caller's timeout may cancel the attempt.
-        slot.failed_at = Some(Instant::now());
+        slot.failed_connect = Some(Instant::now());
         let client = self.open(address).await.ok_or(RpcError::Unreachable(address));
-        slot.failed_at = client.is_err().then(Instant::now);
+        if client.is_ok() {
+            slot.failed_connect = None;
+        }
         let client = Arc::new(client?);
         slot.client = Some(Arc::clone(&client));
         Ok(client)
