Redirect callers of a group to its leader from every store

Cause: of 24 stores 5 are members of the control group. A read asks for its status at the leader. Stores that aren't members named no leader, and neither did a member that was asked for the status: it dropped the hint of the read barrier. So a store that had never asked the leader went through all stores in the order of their ids, 30 ms and a round trip each, and its limit of 900 ms ended before it reached one late in the list.

Change: leaders report their groups in hellos already; the directory keeps the latest report. Members and other stores name the leader from their replica or from the report, for the control and the turn group. A client without a leader calls the reported one, then the members, and every fourth time another store, in case all members were replaced.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -42,6 +42,15 @@
     hasher.digest().max(1)
 }
 
+/// A group as its leader reports it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupReport {
+    /// The store that reports to lead the group.
+    pub leader: VmId,
+    /// All members of the group, including the leader.
+    pub members: Vec<VmId>,
+}
+
 /// The stores that were seen recently.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -137,6 +146,18 @@
         fresh.flat_map(|known| known.node.led.iter().cloned()).collect()
     }
 
+    /// Returns the leader and the members of a group, as reported by the leader that was seen last
+    /// within `age`.
+    pub fn group_report(&self, now: Time, age: Duration, group: GroupId) -> Option<GroupReport> {
+        let fresh = self.nodes.values().filter(|known| now.since(known.last_seen) < age);
+        let reports = fresh.flat_map(|known| known.node.led.iter().map(move |led| (known, led)));
+        let (known, led) = reports
+            .filter(|(_, led)| led.group == group.0)
+            .max_by_key(|(known, _)| known.last_seen)?;
+        let members = led.members.iter().copied().map(VmId).collect();
+        Some(GroupReport { leader: VmId(known.node.vm), members })
+    }
+
     /// Returns when a store was last seen.
     pub fn last_seen(&self, vm: VmId) -> Option<Time> {
         self.nodes.get(&vm).map(|known| known.last_seen)
--- a/crates/gypsumglade/src/control_client.rs
+++ b/crates/gypsumglade/src/control_client.rs
@@ -42,7 +42,7 @@
         peers: PeerClients,
         limits: RetryLimits,
     ) -> ControlGroupClient {
-        let leader = LeaderClient::new(directory, peers, Method::Control);
+        let leader = LeaderClient::new(directory, peers, GroupId::CONTROL, Method::Control);
         ControlGroupClient { leader, limits }
     }
 
--- a/crates/gypsumglade/src/directory.rs
+++ b/crates/gypsumglade/src/directory.rs
@@ -5,6 +5,7 @@
 use std::sync::{RwLock, RwLockReadGuard};
 
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::roster::GroupReport;
 
 use crate::settings::Settings;
 
@@ -24,6 +25,7 @@
 pub struct Directory {
     entries: RwLock<Vec<EntryAddress>>,
     stores: RwLock<BTreeMap<VmId, SocketAddr>>,
+    groups: RwLock<BTreeMap<GroupId, GroupReport>>,
 }
 
 impl Directory {
@@ -36,7 +38,11 @@
             peers: peer.peers,
         });
         let stores = settings.peers.iter().filter_map(|peer| Some((peer.id(), peer.store?)));
-        Directory { entries: RwLock::new(entries.collect()), stores: RwLock::new(stores.collect()) }
+        Directory {
+            entries: RwLock::new(entries.collect()),
+            stores: RwLock::new(stores.collect()),
+            groups: RwLock::default(),
+        }
     }
 
     /// Returns the entry VMs that are up, including this one if it is listed.
@@ -74,6 +80,16 @@
         *self.stores.write().expect("no panic while held") = stores;
     }
 
+    /// Returns the latest report on a group, or `None` without a recent one.
+    pub fn group_report(&self, group: GroupId) -> Option<GroupReport> {
+        self.groups.read().expect("no panic while held").get(&group).cloned()
+    }
+
+    /// Replaces the reports on groups.
+    pub fn set_group_reports(&self, reports: BTreeMap<GroupId, GroupReport>) {
+        *self.groups.write().expect("no panic while held") = reports;
+    }
+
     fn read_entries(&self) -> RwLockReadGuard<'_, Vec<EntryAddress>> {
         self.entries.read().expect("no panic while held")
     }
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -262,6 +262,10 @@
             Some((VmId(node.vm), address))
         });
         self.directory.set_stores(stores.collect());
+        let reports = [GroupId::CONTROL, GroupId::TURNS].into_iter().filter_map(|group| {
+            Some((group, roster.group_report(now, LEADER_REPORT_MAX_AGE, group)?))
+        });
+        self.directory.set_group_reports(reports.collect());
     }
 }
 
--- a/crates/gypsumglade/src/gateway/endpoint_sync.rs
+++ b/crates/gypsumglade/src/gateway/endpoint_sync.rs
@@ -47,7 +47,7 @@
         renewal: Renewal::default(),
         state,
     };
-    let mut leader = LeaderHint::starting_at(rand::random_range(0..16));
+    let mut leader = LeaderHint::starting_at(GroupId::CONTROL, rand::random_range(0..16));
     while !shutdown.is_cancelled() {
         let asked = sync.query(&mut leader).await;
         match asked {
--- a/crates/gypsumglade/src/leader_client.rs
+++ b/crates/gypsumglade/src/leader_client.rs
@@ -43,9 +43,15 @@
 }
 
 impl LeaderClient {
-    /// Creates a client for the group that serves `method`, without a known leader.
-    pub fn new(directory: Arc<Directory>, peers: PeerClients, method: Method) -> LeaderClient {
-        LeaderClient { directory, peers, method, leader: Arc::default() }
+    /// Creates a client for a group's `method`, without a known leader.
+    pub fn new(
+        directory: Arc<Directory>,
+        peers: PeerClients,
+        group: GroupId,
+        method: Method,
+    ) -> LeaderClient {
+        let leader = Arc::new(Mutex::new(LeaderHint::of_group(group)));
+        LeaderClient { directory, peers, method, leader }
     }
 
     /// Sends a request until the leader answers. Returns `None` if no leader did within the limits.
--- a/crates/gypsumglade/src/leader_hint.rs
+++ b/crates/gypsumglade/src/leader_hint.rs
@@ -1,5 +1,6 @@
 //! Choice of the store to send a request for a group's leader to.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -12,7 +13,14 @@
 /// Followers go on naming an unresponsive leader for about as long, until they elect another one.
 const UNRESPONSIVE_BACKOFF: Duration = Duration::from_millis(700);
 
-/// The believed leader of a group, corrected by redirects and timeouts.
+/// One of this many attempts calls a store that isn't a reported member, since all of the reported
+/// members may have been replaced.
+const OTHER_STORE_PERIOD: usize = 4;
+
+/// The believed leader of a group, corrected by redirects, timeouts and reports.
+///
+/// Most stores of a large deployment aren't members of the group and know its leader only from its
+/// report. Without a known leader, the reported one is called first, and then the other members.
 ///
 /// A suspended store keeps its connections open and answers nothing, while its followers redirect
 /// to it until they have elected another leader. Each call to it costs a whole timeout, during
@@ -20,22 +28,32 @@
 /// for a while.
 #[derive(Clone, Debug, Default)]
 pub struct LeaderHint {
+    group: GroupId,
     leader: Option<VmId>,
     next: usize,
     unresponsive: Vec<(VmId, Instant)>,
+    /// Stores that have answered that they don't lead, since a leader was last found.
+    not_leading: BTreeSet<VmId>,
 }
 
 impl LeaderHint {
-    /// Creates a hint without a leader that tries the store at index `next` of the list first.
+    /// Creates a hint without a leader for a group.
+    pub fn of_group(group: GroupId) -> LeaderHint {
+        LeaderHint { group, ..LeaderHint::default() }
+    }
+
+    /// Creates a hint like [`LeaderHint::of_group`] that tries the store at index `next` of the
+    /// list first.
     ///
     /// Processes that start at different indexes don't all call the same store.
-    pub fn starting_at(next: usize) -> LeaderHint {
-        LeaderHint { next, ..LeaderHint::default() }
+    pub fn starting_at(group: GroupId, next: usize) -> LeaderHint {
+        LeaderHint { next, ..LeaderHint::of_group(group) }
     }
 
     /// Records that a store answered as the leader.
     pub fn confirm(&mut self, vm: VmId) {
         self.leader = Some(vm);
+        self.not_leading.clear();
         self.unresponsive.retain(|(other, _)| *other != vm);
     }
 
@@ -44,6 +62,7 @@
     /// Moves on to the next store if the redirect names no leader or the store itself.
     pub fn redirect(&mut self, from: Option<VmId>, leader: Option<VmId>) {
         self.leader = leader.filter(|leader| leader.0 != 0 && Some(*leader) != from);
+        self.not_leading.extend(from);
         self.next += 1;
     }
 
@@ -72,11 +91,24 @@
         if let Some(found) = known.and_then(|vm| Some((vm, *stores.get(&vm)?))) {
             return Some(found);
         }
-        let mut candidates: Vec<_> = stores.iter().filter(|(vm, _)| is_responsive(vm)).collect();
-        if candidates.is_empty() {
-            candidates = stores.iter().collect();
+        let report = directory.group_report(self.group);
+        let reported = report.as_ref().map(|report| report.leader);
+        let reported = reported.filter(|vm| is_responsive(vm) && !self.not_leading.contains(vm));
+        if let Some(found) = reported.and_then(|vm| Some((vm, *stores.get(&vm)?))) {
+            return Some(found);
         }
-        let (vm, address) = candidates.get(self.next % candidates.len().max(1))?;
+        let responsive = stores.iter().filter(|(vm, _)| is_responsive(vm));
+        let members = report.map(|report| report.members).unwrap_or_default();
+        let (members, others): (Vec<_>, Vec<_>) =
+            responsive.partition(|(vm, _)| members.contains(vm));
+        let rounds = self.next / OTHER_STORE_PERIOD;
+        let (candidates, index) = match self.next % OTHER_STORE_PERIOD {
+            0 if !others.is_empty() => (others, rounds),
+            _ if !members.is_empty() => (members, self.next - rounds),
+            _ if !others.is_empty() => (others, self.next),
+            _ => (stores.iter().collect(), self.next),
+        };
+        let (vm, address) = candidates.get(index % candidates.len().max(1))?;
         Some((**vm, **address))
     }
 }
--- a/crates/gypsumglade/src/store/context.rs
+++ b/crates/gypsumglade/src/store/context.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Returns the leader of a group to redirect callers to: the one that this store's replica
+    /// knows, or the reported one on a store that has no replica.
+    pub fn known_leader(&self, group: GroupId, leader: Option<VmId>) -> Option<VmId> {
+        let reported = || self.directory.group_report(group).map(|report| report.leader);
+        leader.or_else(reported).filter(|leader| *leader != self.vm)
+    }
+
     /// Returns the entry VMs that are down.
     pub fn dead(&self) -> Vec<VmId> {
         self.dead.lock().expect("no panic while held").iter().copied().collect()
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -27,7 +27,7 @@
 use super::context::StoreContext;
 use super::pending_answers::PendingAnswers;
 use super::program_group::GroupInput;
-use crate::replica::{Event, ProposeError};
+use crate::replica::{Event, ProposeError, ReadError};
 use endpoints::LastAnnounced;
 
 /// The control group's state machine on one store, and the leases that it grants while it leads.
@@ -153,7 +153,10 @@
                 let length = self.lease.length();
                 (serve(control.history(), grants, length, request, now), Some(*term))
             }
-            Role::Follower(leader) => (follower_reply(control, request, *leader), None),
+            Role::Follower(leader) => {
+                let leader = self.context.known_leader(GroupId::CONTROL, *leader);
+                (follower_reply(control, request, leader), None)
+            }
         }
     }
 
@@ -171,7 +174,7 @@
                 }
                 None => ReplyBody::Uncertain(Uncertain {}),
             },
-            Err(ProposeError::NotLeader { hint }) => not_leader(hint),
+            Err(ProposeError::NotLeader { hint }) => self.redirect(hint),
             Err(_) => ReplyBody::Uncertain(Uncertain {}),
         }
     }
@@ -207,11 +210,15 @@
     fn reject_early(&self, command: &Command) -> Option<ReplyBody> {
         let state = self.state();
         if let Role::Follower(leader) = state.role {
-            return Some(not_leader(leader));
+            return Some(self.redirect(leader));
         }
         state.control.check(command, &self.keys).err().map(ReplyBody::Answer)
     }
 
+    fn redirect(&self, leader: Option<VmId>) -> ReplyBody {
+        not_leader(self.context.known_leader(GroupId::CONTROL, leader))
+    }
+
     /// Waits until the entry at `index` is applied here and returns its answer, if it is known.
     async fn answer_at(&self, index: LogIndex) -> Option<Answer> {
         let found = self.state().answers.lookup(index);
@@ -219,8 +226,10 @@
     }
 
     async fn status(&self, query: &StatusQuery) -> ReplyBody {
-        if self.context.host.read_barrier(GroupId::CONTROL).await.is_err() {
-            return not_leader(None);
+        if let Err(ReadError::NotLeader { hint }) =
+            self.context.host.read_barrier(GroupId::CONTROL).await
+        {
+            return self.redirect(hint);
         }
         let now = self.context.clock.now();
         let state = self.state();
--- a/crates/gypsumglade/src/store/control_group/endpoints.rs
+++ b/crates/gypsumglade/src/store/control_group/endpoints.rs
@@ -55,7 +55,7 @@
         let (update, term) = {
             let mut state = self.state();
             let term = match &state.role {
-                Role::Follower(leader) => return not_leader(*leader),
+                Role::Follower(leader) => return self.redirect(*leader),
                 Role::Leader { term, .. } => *term,
             };
             state.last_announced.record(&record.name, now);
@@ -107,7 +107,9 @@
         let (update, term) = {
             let state = self.state();
             match &state.role {
-                Role::Follower(leader) => return no_update(*leader),
+                Role::Follower(leader) => {
+                    return no_update(self.context.known_leader(GroupId::CONTROL, *leader));
+                }
                 Role::Leader { term, .. } => {
                     (state.control.endpoints().changes_since(query.seen), *term)
                 }
--- a/crates/gypsumglade/src/store/text_holder.rs
+++ b/crates/gypsumglade/src/store/text_holder.rs
@@ -40,7 +40,8 @@
     /// Creates the holder of the texts on this store's disk.
     pub fn new(context: Arc<StoreContext>, texts: TextStore) -> Arc<TextHolder> {
         let directory = Arc::clone(&context.directory);
-        let group = LeaderClient::new(directory, context.peers.clone(), Method::KeptTurns);
+        let peers = context.peers.clone();
+        let group = LeaderClient::new(directory, peers, GroupId::TURNS, Method::KeptTurns);
         Arc::new(TextHolder { context, texts, group })
     }
 
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -81,7 +81,7 @@
         let data = Bytes::from(command.encode_to_vec());
         let body = match self.context.host.propose(GroupId::TURNS, data).await {
             Ok(index) => return self.answer_at(index).await,
-            Err(ProposeError::NotLeader { hint }) => not_leader(hint),
+            Err(ProposeError::NotLeader { hint }) => self.redirect(hint),
             Err(ProposeError::Dropped | ProposeError::Uncertain) => uncertain(),
         };
         Reply { body: Some(body) }
@@ -105,10 +105,15 @@
     async fn not_ready_reply(&self) -> ReplyBody {
         match self.context.host.read_barrier(GroupId::TURNS).await {
             Ok(_) => uncertain(),
-            Err(ReadError::NotLeader { hint }) => not_leader(hint),
+            Err(ReadError::NotLeader { hint }) => self.redirect(hint),
         }
     }
 
+    fn redirect(&self, leader: Option<VmId>) -> ReplyBody {
+        let leader = self.context.known_leader(GroupId::TURNS, leader).unwrap_or_default().0;
+        ReplyBody::NotLeader(NotLeader { leader })
+    }
+
     /// Returns the state for a dump.
     pub fn dump(&self) -> serde_json::Value {
         let state = self.state();
@@ -199,7 +204,8 @@
             },
             Ok(_) => KeptReply::default(),
             Err(ReadError::NotLeader { hint }) => {
-                KeptReply { leader: hint.unwrap_or_default().0, ..KeptReply::default() }
+                let leader = self.context.known_leader(GroupId::TURNS, hint);
+                KeptReply { leader: leader.unwrap_or_default().0, ..KeptReply::default() }
             }
         }
     }
@@ -266,10 +272,6 @@
     }
 }
 
-fn not_leader(hint: Option<VmId>) -> ReplyBody {
-    ReplyBody::NotLeader(NotLeader { leader: hint.unwrap_or_default().0 })
-}
-
 fn uncertain() -> ReplyBody {
     ReplyBody::Uncertain(Uncertain {})
 }
--- a/crates/gypsumglade/tests/leader_hint.rs
+++ b/crates/gypsumglade/tests/leader_hint.rs
@@ -1,6 +1,6 @@
 //! Whom a process asks when it doesn't know who leads.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -8,6 +8,7 @@
 use gypsumglade::leader_hint::LeaderHint;
 use gypsumglade::settings::Settings;
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::roster::GroupReport;
 
 const FROZEN: VmId = VmId(2);
 
@@ -54,3 +55,68 @@
     }
     assert!(hint.target(&directory, now).is_some());
 }
+
+/// Stores of the deployment, and those of them that are members of the group.
+const STORES: u16 = 24;
+const MEMBERS: [VmId; 5] = [VmId(4), VmId(9), VmId(13), VmId(18), VmId(23)];
+
+fn large_directory(leader: VmId) -> Directory {
+    let directory = directory();
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let stores = (1..=STORES).map(|vm| (VmId(vm.into()), address(vm)));
+    directory.set_stores(stores.collect());
+    let report = GroupReport { leader, members: MEMBERS.to_vec() };
+    directory.set_group_reports(BTreeMap::from([(GroupId::CONTROL, report)]));
+    directory
+}
+
+/// Guards against a search through all stores, most of which have no replica of the group.
+#[test]
+fn target_reported_leader() {
+    let directory = large_directory(MEMBERS[3]);
+    let hint = LeaderHint::of_group(GroupId::CONTROL);
+    let target = hint.target(&directory, Instant::now());
+    assert_eq!(target.map(|(vm, _)| vm), Some(MEMBERS[3]));
+}
+
+/// Guards against an order or a read that times out because it goes through all stores after the
+/// leader's death.
+#[test]
+fn target_members_after_leader_died() {
+    let (directory, now) = (large_directory(MEMBERS[3]), Instant::now());
+    let mut hint = LeaderHint::of_group(GroupId::CONTROL);
+    let (asked, _) = hint.target(&directory, now).expect("stores are known");
+    hint.mark_unresponsive(asked, now);
+    let mut members: BTreeSet<VmId> = BTreeSet::new();
+    for _ in 0..8 {
+        let (asked, _) = hint.target(&directory, now).expect("stores are known");
+        members.extend(MEMBERS.iter().filter(|member| **member == asked));
+        // Followers name the dead leader until they have elected another one.
+        hint.redirect(Some(asked), Some(MEMBERS[3]));
+    }
+    assert_eq!(members.len(), MEMBERS.len() - 1, "asked only {members:?}");
+}
+
+/// Guards against a client that keeps calling a store whose report is outdated.
+#[test]
+fn target_outdated_report() {
+    let (directory, now) = (large_directory(MEMBERS[3]), Instant::now());
+    let mut hint = LeaderHint::of_group(GroupId::CONTROL);
+    hint.redirect(Some(MEMBERS[3]), None);
+    let (asked, _) = hint.target(&directory, now).expect("stores are known");
+    assert_ne!(asked, MEMBERS[3]);
+}
+
+/// Guards against a client that calls only former members after all of them were replaced.
+#[test]
+fn target_other_stores_too() {
+    let (directory, now) = (large_directory(MEMBERS[3]), Instant::now());
+    let mut hint = LeaderHint::of_group(GroupId::CONTROL);
+    let mut others = 0;
+    for _ in 0..20 {
+        let (asked, _) = hint.target(&directory, now).expect("stores are known");
+        others += usize::from(!MEMBERS.contains(&asked));
+        hint.redirect(Some(asked), None);
+    }
+    assert!(others >= 4, "asked {others} other stores");
+}
