Wait for room on a full disk instead of stopping the replicas

Cause: every failed write was treated like a failed sync, after which the content of the disk isn't known. A write that the disk refused for lack of room was not acknowledged and leaves at most a part of a frame.

The replicas stay in their groups. Meanwhile the store hands over leadership, logs the file and the bytes once, shows the wait in its status, and after 3 s says in its hellos that it is full, so that groups and texts go elsewhere; it counts again when there is room. A failed sync stops the replicas as before.

Tests: propose_full_disk (leadership moves, nothing acknowledged is lost, with room again the store's disk counts towards a quorum) and stop_full_disk (a stop doesn't wait for room). propose_failed_disk filled the disk to make it fail and expected the stop that was the fault; it now fails the sync, with the same assertions. write_full_disk, at the level below, is unchanged.

--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
 use gypsumglade_core::prelude::*;
@@ -64,6 +64,8 @@
     sequence: AtomicU64,
     /// Reports on the groups that this process leads.
     led: Mutex<Vec<Led>>,
+    /// Whether this process's disk has been full for a while.
+    full: AtomicBool,
     /// Retiring stores according to the last answer to a hello.
     retiring: Mutex<Vec<u32>>,
     directory: Arc<Directory>,
@@ -91,6 +93,7 @@
             age_ms: 0,
             sequence: 0,
             led: Vec::new(),
+            full: false,
         };
         let seeds = RwLock::new(options.peers(process.address.port()));
         let (roster, known) = (Mutex::default(), Mutex::default());
@@ -103,6 +106,7 @@
             known,
             sequence,
             led,
+            full: AtomicBool::new(false),
             retiring: Mutex::default(),
             directory,
             peers,
@@ -134,12 +138,17 @@
         *self.led.lock().expect("no panic while held") = led;
     }
 
-    /// Returns the stores that were heard of within `age`.
+    /// Sets whether the next hellos report a full disk.
+    pub fn set_full(&self, full: bool) {
+        self.full.store(full, Ordering::Relaxed);
+    }
+
+    /// Returns the stores that were heard of within `age` and can store further data.
     pub fn recent_stores(&self, age: Duration) -> Vec<StoreInfo> {
         let now = self.now();
         let retiring = self.retiring();
         let roster = self.roster();
-        let recent = roster.stores().filter(|(_, at)| now.since(*at) < age);
+        let recent = roster.stores().filter(|(node, at)| now.since(*at) < age && !node.full);
         let recent = recent.map(|(node, _)| StoreInfo {
             vm: VmId(node.vm),
             domain: node.domain.to_compact_string(),
@@ -246,7 +255,8 @@
         let wall = Clock::wall_millis();
         let before = self.sequence.fetch_max(wall, Ordering::Relaxed);
         let led = self.led.lock().expect("no panic while held").clone();
-        Node { sequence: before.max(wall), led, ..self.own.clone() }
+        let full = self.full.load(Ordering::Relaxed);
+        Node { sequence: before.max(wall), led, full, ..self.own.clone() }
     }
 
     fn observe(&self, nodes: Vec<Node>) {
--- a/crates/gypsumglade/src/disk/mod.rs
+++ b/crates/gypsumglade/src/disk/mod.rs
@@ -10,6 +10,7 @@
 mod inspect;
 mod reader;
 mod replay;
+mod room;
 mod snapshot;
 mod types;
 mod writer;
@@ -18,6 +19,7 @@
 pub use folder::owner;
 pub use inspect::{Finding, GroupReport, Report, SegmentReport, inspect};
 pub use reader::Reader;
+pub use room::{RoomWait, Shortage};
 pub use snapshot::SnapshotWriter;
 pub use types::{
     CompletedJob, Job, JobWrite, Options, RecordLocation, RestoredGroup, Snapshot, WrittenEntry,
--- a/crates/gypsumglade/src/disk/snapshot.rs
+++ b/crates/gypsumglade/src/disk/snapshot.rs
@@ -12,6 +12,7 @@
 
 use super::faults::Faults;
 use super::folder::write_atomically;
+use super::room::RoomWait;
 use super::types::Snapshot;
 
 /// Length of the header in bytes: data length and checksum.
@@ -27,17 +28,20 @@
 pub struct SnapshotWriter {
     folder: PathBuf,
     faults: Faults,
+    room: Option<RoomWait>,
 }
 
 impl SnapshotWriter {
-    pub(super) fn new(folder: PathBuf, faults: Faults) -> SnapshotWriter {
-        SnapshotWriter { folder, faults }
+    pub(super) fn new(folder: PathBuf, faults: Faults, room: Option<RoomWait>) -> SnapshotWriter {
+        SnapshotWriter { folder, faults, room }
     }
 
     /// Writes the file of a snapshot, and clears its data. Only its mark remains to be written to the log.
     pub fn save(&self, group: GroupId, snapshot: &mut Snapshot) -> anyhow::Result<()> {
         let index = snapshot.position.index;
-        write(&self.folder, group, index, &snapshot.data, &self.faults).with_context(|| {
+        let room = self.room.as_ref();
+        let written = write(&self.folder, group, index, &snapshot.data, &self.faults, room);
+        written.with_context(|| {
             format!("the snapshot of {group} at {index} can't be written; {WRITE_ADVICE}")
         })?;
         snapshot.saved = snapshot.length();
@@ -56,14 +60,23 @@
     index: LogIndex,
     data: &[u8],
     faults: &Faults,
+    room: Option<&RoomWait>,
 ) -> io::Result<()> {
+    let write = || write_once(folder, &name(group, index), data, faults);
+    match room {
+        Some(room) => room.retry(&folder.join(name(group, index)), data.len(), write),
+        None => write(),
+    }
+}
+
+fn write_once(folder: &Path, name: &str, data: &[u8], faults: &Faults) -> io::Result<()> {
     if faults.allow_write(data.len()) < data.len() {
         return Err(io::ErrorKind::StorageFull.into());
     }
     faults.check_sync()?;
     let length = (data.len() as u64).to_le_bytes();
     let checksum = crc32fast::hash(data).to_le_bytes();
-    write_atomically(folder, &name(group, index), &[&length, &checksum, data])
+    write_atomically(folder, name, &[&length, &checksum, data])
 }
 
 /// Reads a part of a snapshot. The checksum of the file was verified when the folder was opened.
--- a/crates/gypsumglade/src/disk/writer.rs
+++ b/crates/gypsumglade/src/disk/writer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs::{self, File};
-use std::io::Write;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
 use anyhow::{Context, bail};
@@ -15,6 +15,7 @@
 use super::frame::FrameWriter;
 use super::reader::Reader;
 use super::replay::{Replay, ReplayedGroup, ReplayedSegment, replay};
+use super::room::RoomWait;
 use super::snapshot::{self, SnapshotWriter, WRITE_ADVICE};
 use super::types::{
     CompletedJob, Job, JobWrite, Options, RecordLocation, RestoredGroup, Snapshot, WrittenEntry,
@@ -42,6 +43,8 @@
     /// Whether the last frame is empty.
     sealed: bool,
     groups: BTreeMap<GroupId, GroupState>,
+    /// Waits for room on a full disk; without it, a write fails.
+    room: Option<RoomWait>,
 }
 
 /// State of a group that each new segment repeats, so that older segments can be removed.
@@ -84,7 +87,13 @@
 
     /// Returns a writer of snapshot files that can be used concurrently with this disk.
     pub fn snapshot_writer(&self) -> SnapshotWriter {
-        SnapshotWriter::new(self.folder.clone(), self.options.faults.clone())
+        let (folder, faults) = (self.folder.clone(), self.options.faults.clone());
+        SnapshotWriter::new(folder, faults, self.room.clone())
+    }
+
+    /// Lets writes wait for room on a full disk from now on, instead of failing.
+    pub fn wait_for_room(&mut self, room: RoomWait) {
+        self.room = Some(room);
     }
 
     /// Writes all jobs, and returns once they are synced. After an error the disk must not be used any
@@ -206,7 +215,8 @@
         }
         if !snapshot.data.is_empty() {
             let faults = &self.options.faults;
-            snapshot::write(&self.folder, group, index, &snapshot.data, faults)?;
+            let room = self.room.as_ref();
+            snapshot::write(&self.folder, group, index, &snapshot.data, faults, room)?;
         }
         let mark = wire::SnapshotMark {
             index: index.0,
@@ -229,10 +239,12 @@
     fn append_frame(&mut self, frame: FrameWriter) -> anyhow::Result<()> {
         self.sealed = frame.is_empty();
         let bytes = frame.finish(self.sequence + 1);
-        let writable = self.options.faults.allow_write(bytes.len());
-        self.file.write_all(&bytes[..writable])?;
-        if writable < bytes.len() {
-            bail!(std::io::Error::from(std::io::ErrorKind::StorageFull));
+        match &self.room {
+            Some(room) => {
+                let path = segment_path(&self.folder, self.current_segment());
+                room.retry(&path, bytes.len(), || self.write_bytes(&bytes))?;
+            }
+            None => self.write_bytes(&bytes)?,
         }
         self.options.faults.check_sync()?;
         self.file.sync_data()?;
@@ -241,11 +253,30 @@
         Ok(())
     }
 
+    /// Appends bytes to the segment. Removes what was written of them if the disk is full, so that
+    /// the write can be repeated.
+    fn write_bytes(&self, bytes: &[u8]) -> io::Result<()> {
+        let writable = self.options.faults.allow_write(bytes.len());
+        let mut file = &self.file;
+        let mut written = file.write_all(&bytes[..writable]);
+        if written.is_ok() && writable < bytes.len() {
+            written = Err(io::ErrorKind::StorageFull.into());
+        }
+        if matches!(&written, Err(error) if error.kind() == io::ErrorKind::StorageFull) {
+            self.file.set_len(self.offset)?;
+        }
+        written
+    }
+
     /// Creates a segment that begins with the ballots and snapshot marks of all groups.
     fn begin_segment(&mut self) -> anyhow::Result<()> {
         let number = self.segments.last().map_or(1, |last| last + 1);
         let path = segment_path(&self.folder, number);
-        self.file = File::options().create_new(true).append(true).open(path)?;
+        let create = || File::options().create_new(true).append(true).open(&path);
+        self.file = match &self.room {
+            Some(room) => room.retry(&path, 0, create)?,
+            None => create()?,
+        };
         self.segments.push(number);
         self.rotated = true;
         self.offset = 0;
@@ -318,6 +349,7 @@
             rotated: false,
             sealed: fresh,
             groups: groups.collect(),
+            room: None,
         })
     }
 }
--- a/crates/gypsumglade/src/replica/calls.rs
+++ b/crates/gypsumglade/src/replica/calls.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 use super::engine::{Engine, PendingSnapshot};
-use super::event::{ChangeError, HostStatus, MemoryUsage, ProposeError, ReadError};
+use super::event::{ChangeError, DiskShortage, HostStatus, MemoryUsage, ProposeError, ReadError};
 use super::group::{Group, Reply, Waiter};
 use super::storage::Storage;
 use crate::disk::{Job, JobWrite, RestoredGroup, Snapshot};
@@ -209,6 +209,11 @@
         HostStatus {
             vm: self.settings.vm,
             failed: self.failed.clone(),
+            shortage: self.storage.shortage().map(|shortage| DiskShortage {
+                file: shortage.file.display().to_compact_string(),
+                bytes: shortage.bytes,
+                wait_ms: shortage.since.elapsed().as_millis() as u64,
+            }),
             groups: self
                 .groups
                 .values()
--- a/crates/gypsumglade/src/replica/engine.rs
+++ b/crates/gypsumglade/src/replica/engine.rs
@@ -140,6 +140,8 @@
     pub(super) pending_creates: Vec<(GroupId, oneshot::Sender<bool>)>,
     pub(super) snapshots: Vec<PendingSnapshot>,
     pub(super) transfers: Vec<(Time, oneshot::Sender<()>)>,
+    /// When leadership may be transferred again because the disk is full.
+    next_handover: Time,
     pub(super) last_token: u64,
     /// Bytes of batches and proposals in the inbox.
     pub(super) inbox: Arc<ByteBudget>,
@@ -176,6 +178,7 @@
             pending_creates: Vec::new(),
             snapshots: Vec::new(),
             transfers: Vec::new(),
+            next_handover: Time::ZERO,
             last_token: 0,
             inbox: Arc::new(ByteBudget::new(0)),
             queued_commands: 0,
@@ -307,6 +310,20 @@
             }
             self.step(id, Input::Tick);
         }
+        self.hand_over_if_full(now);
+    }
+
+    /// Transfers the leadership of all groups while a write waits for room on the disk. Such a
+    /// leader can't store a vote, and commits without its own disk tolerate one failure less.
+    fn hand_over_if_full(&mut self, now: Time) {
+        if now < self.next_handover || self.storage.shortage().is_none() {
+            return;
+        }
+        self.next_handover = now + self.settings.replication.election_timeout().mul_f64(1.5);
+        let led = self.groups.iter().filter(|(_, group)| group.can_transfer());
+        for id in led.map(|(&id, _)| id).collect::<Vec<_>>() {
+            self.step(id, Input::Transfer { to: Vec::new() });
+        }
     }
 
     /// Sends a heartbeat to each VM that shares a group with this one.
--- a/crates/gypsumglade/src/replica/event.rs
+++ b/crates/gypsumglade/src/replica/event.rs
@@ -111,12 +111,25 @@
     pub vm: VmId,
     /// Reason why the host stopped serving, if it did.
     pub failed: Option<CompactString>,
+    /// A write that waits for room on the disk.
+    pub shortage: Option<DiskShortage>,
     /// Status of each replica, ordered by group.
     pub groups: Vec<Status>,
     /// Memory usage of the host.
     pub held: MemoryUsage,
 }
 
+/// A write that waits for room on the disk.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DiskShortage {
+    /// The file that can't be written.
+    pub file: CompactString,
+    /// Bytes to be written to it.
+    pub bytes: usize,
+    /// Milliseconds since the first refused attempt.
+    pub wait_ms: u64,
+}
+
 /// Memory usage of a host, by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemoryUsage {
--- a/crates/gypsumglade/src/replica/mod.rs
+++ b/crates/gypsumglade/src/replica/mod.rs
@@ -17,6 +17,8 @@
 mod tail;
 
 pub use budget::ByteBudget;
-pub use event::{ChangeError, Event, HostStatus, MemoryUsage, Outbound, ProposeError, ReadError};
+pub use event::{
+    ChangeError, DiskShortage, Event, HostStatus, MemoryUsage, Outbound, ProposeError, ReadError,
+};
 pub use host::Host;
 pub use settings::HostSettings;
--- a/crates/gypsumglade/src/replica/storage.rs
+++ b/crates/gypsumglade/src/replica/storage.rs
@@ -12,7 +12,8 @@
 use super::engine::Command;
 use super::settings::HostSettings;
 use crate::disk::{
-    self, CompletedJob, Disk, Job, JobWrite, Reader, RecordLocation, RestoredGroup, SnapshotWriter,
+    self, CompletedJob, Disk, Job, JobWrite, Reader, RecordLocation, RestoredGroup, RoomWait,
+    Shortage, SnapshotWriter,
 };
 
 /// Bounds the number of jobs in one sync, and thus the delay of the first one.
@@ -34,6 +35,8 @@
         snapshots: mpsc::Sender<Job>,
         /// Reads synced entries and snapshots.
         reader: Reader,
+        /// Writes of the threads that wait for room.
+        room: RoomWait,
         /// The threads, joined on close.
         threads: Vec<std::thread::JoinHandle<()>>,
     },
@@ -52,8 +55,10 @@
             segment_bytes: settings.segment_bytes,
             faults: settings.faults.clone(),
         };
-        let (disk, groups) = Disk::open(folder, options)
+        let (mut disk, groups) = Disk::open(folder, options)
             .with_context(|| format!("the data folder {} can't be used", folder.display()))?;
+        let room = RoomWait::default();
+        disk.wait_for_room(room.clone());
         let (reader, snapshot_writer) = (disk.reader(), disk.snapshot_writer());
         let (jobs, queue) = mpsc::channel();
         let (snapshots, files) = mpsc::channel();
@@ -64,7 +69,7 @@
                 save_snapshots(&snapshot_writer, &files, &marks, &snapshot_reports)
             })?,
         ];
-        Ok((Storage::Folder { jobs, snapshots, reader, threads }, groups))
+        Ok((Storage::Folder { jobs, snapshots, reader, room, threads }, groups))
     }
 
     /// Submits a write. Returns its result if it is completed at once.
@@ -82,6 +87,14 @@
         }
     }
 
+    /// Returns the oldest write that waits for room on the disk.
+    pub(super) fn shortage(&self) -> Option<Shortage> {
+        match self {
+            Storage::Memory => None,
+            Storage::Folder { room, .. } => room.shortage(),
+        }
+    }
+
     pub(super) fn read_entry(&mut self, location: RecordLocation) -> anyhow::Result<Entry> {
         match self {
             Storage::Memory => anyhow::bail!("the entry is no longer in memory"),
@@ -104,8 +117,9 @@
 
     /// Waits until all submitted jobs are written and the folder is closed.
     pub(super) fn close(self) {
-        if let Storage::Folder { jobs, snapshots, threads, .. } = self {
+        if let Storage::Folder { jobs, snapshots, room, threads, .. } = self {
             drop((jobs, snapshots));
+            room.close();
             for thread in threads {
                 // The panic of a thread was already printed to standard error.
                 let _ = thread.join();
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -16,6 +16,7 @@
 use super::text_copies::TextCopies;
 use super::turn_group::TurnGroup;
 use crate::discovery::Discovery;
+use crate::replica::DiskShortage;
 
 /// Interval between two checks. A repair takes several, since each makes at most one change.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -31,6 +32,9 @@
 /// during which a region seems to have fewer stores.
 const SWAP_DELAY: Duration = Duration::from_secs(10);
 
+/// Time for which the disk must be full before other stores take over its replicas and texts.
+const FULL_DISK_GRACE: Duration = Duration::from_secs(3);
+
 /// Checks the led groups' members and changes them where needed.
 pub(super) struct Repair {
     pub(super) context: Arc<StoreContext>,
@@ -67,6 +71,8 @@
     transfers: BTreeMap<GroupId, Time>,
     /// Swap of voters that is due in each group, and since when.
     pending_swaps: BTreeMap<GroupId, (MemberChange, Time)>,
+    /// Whether a write waited for room on the disk at the last check.
+    short_of_room: bool,
 }
 
 impl Repair {
@@ -75,9 +81,10 @@
         let mut history = RepairHistory::default();
         while !halt.is_cancelled() {
             self.record_addresses(&mut history.addresses);
-            let groups = self.context.host.status().await.groups;
+            let host = self.context.host.status().await;
+            self.report_shortage(host.shortage.as_ref(), &mut history);
             let led: Vec<_> =
-                groups.into_iter().filter(|group| group.role == Role::Leader).collect();
+                host.groups.into_iter().filter(|group| group.role == Role::Leader).collect();
             self.discovery.set_led(led.iter().map(|group| self.leader_report(group)).collect());
             for group in led {
                 self.repair(&group, &mut history).await;
@@ -89,6 +96,22 @@
         }
     }
 
+    /// Logs when the disk becomes full or has room again, and reports a lasting shortage to others.
+    fn report_shortage(&self, shortage: Option<&DiskShortage>, history: &mut RepairHistory) {
+        let log = &self.context.log;
+        match shortage {
+            Some(shortage) if !history.short_of_room => {
+                slog::warn!(log, "disk is full, writes wait for room; see docs/OPERATING.md, \
+                    \"Full disk\""; "file" => %shortage.file, "bytes" => shortage.bytes);
+            }
+            None if history.short_of_room => slog::info!(log, "disk has room again"),
+            Some(_) | None => {}
+        }
+        history.short_of_room = shortage.is_some();
+        let grace_ms = FULL_DISK_GRACE.as_millis() as u64;
+        self.discovery.set_full(shortage.is_some_and(|shortage| shortage.wait_ms >= grace_ms));
+    }
+
     async fn repair(&self, group: &Status, history: &mut RepairHistory) {
         let cluster_view = self.cluster_view(&group.members, &history.addresses);
         if self.transfer_leadership(group, &cluster_view, history) {
--- a/crates/gypsumglade/tests/replica_cluster.rs
+++ b/crates/gypsumglade/tests/replica_cluster.rs
@@ -424,7 +424,7 @@
 
 #[tokio::test]
 async fn propose_failed_disk() {
-    // The leader's disk fills up. Its callers hear that the outcome is uncertain, its owner that
+    // The leader's disk fails to sync. Its callers hear that the outcome is uncertain, its owner that
     // the disk failed, and another VM leads on with all that was acknowledged.
     let mut cluster = Cluster::new();
     let faults: Vec<_> = (0..3).map(|_| Faults::default()).collect();
@@ -434,7 +434,7 @@
     cluster.create(GROUP, 3).await;
     cluster.propose(GROUP, &commands(0..5)).await;
     let old = cluster.leader(GROUP, None).await;
-    faults[old.0 as usize - 1].fill_after(10);
+    faults[old.0 as usize - 1].fail_syncs();
     let lost = cluster.host(old).propose(GROUP, commands(5..6)[0].clone()).await;
     let new = cluster.leader(GROUP, Some(old)).await;
     cluster.host(new).propose(GROUP, commands(6..7)[0].clone()).await.expect("committed");
@@ -449,6 +449,60 @@
     assert_eq!(state[..5], commands(0..5));
 }
 
+/// Guards against a store that is lost until it is restarted because its disk was full for a while.
+#[tokio::test]
+async fn propose_full_disk() {
+    let mut cluster = Cluster::new();
+    let faults: Vec<_> = (0..3).map(|_| Faults::default()).collect();
+    for (vm, faults) in (1..=3).zip(&faults) {
+        cluster.start(VmId(vm), faults.clone()).await;
+    }
+    cluster.create(GROUP, 3).await;
+    cluster.propose(GROUP, &commands(0..5)).await;
+    let old = cluster.leader(GROUP, None).await;
+    let full = &faults[old.0 as usize - 1];
+    full.fill_after(10);
+    let sent = cluster.host(old).propose(GROUP, commands(5..6)[0].clone()).await;
+    let new = cluster.leader(GROUP, Some(old)).await;
+    cluster.host(new).propose(GROUP, commands(6..7)[0].clone()).await.expect("committed");
+    let status = cluster.host(old).status().await;
+    assert!(status.failed.is_none() && status.shortage.is_some(), "{status:?}");
+    let state = cluster.vms[&new].state(GROUP);
+    assert!(sent.is_err() || state.contains(&commands(5..6)[0]));
+    assert_eq!(state[..5], commands(0..5));
+
+    // With room again it has all entries on disk: without the third VM they commit only then.
+    full.clear();
+    let third = (1..=3).map(VmId).find(|vm| *vm != old && *vm != new).expect("three VMs");
+    cluster.cut(third);
+    cluster.propose(GROUP, &commands(7..9)).await;
+    assert_eq!(cluster.host(old).status().await.shortage, None);
+    let state = cluster.vms[&new].state(GROUP);
+    assert!(state.ends_with(&commands(6..9)), "{state:?}");
+    cluster.told(old, GROUP, &state).await;
+}
+
+/// Guards against a process that can't be stopped while its disk is full.
+#[tokio::test]
+async fn stop_full_disk() {
+    let mut cluster = Cluster::new();
+    let faults = Faults::default();
+    cluster.start(VmId(1), faults.clone()).await;
+    cluster.create(GROUP, 1).await;
+    cluster.propose(GROUP, &commands(0..1)).await;
+    faults.fill_after(0);
+    let host = cluster.host(VmId(1)).clone();
+    let proposing = tokio::spawn({
+        let host = host.clone();
+        async move { host.propose(GROUP, commands(1..2)[0].clone()).await }
+    });
+    while host.status().await.shortage.is_none() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    host.stop().await;
+    assert!(proposing.await.expect("no panic").is_err());
+}
+
 #[tokio::test]
 async fn leader_event_after_earlier_terms() {
     // The owner of a state machine is up to date when it hears that it leads.
