Let the turn group's leader assign turns to engines

Cause: each of 171 entry VMs sees the load of an engine in its own answers only, one in some 20 s, while a turn takes 0.4 s and an engine has 6 slots. Its choice is as good as random, so turns queue beside free slots. In the replay choose_high_load_many_entries (59 engines, load 0.85) more than a tenth of the turns find no free slot.

Change: the leader of the turn group sees every turn begin and end. An entry VM offers up to 32 engines with the reservation, with their costs without load; the leader adds calls in flight and prompts that it has assigned, and answers with the engine of least cost. No further message, nothing in the log. The engine is used unless it may not get the call; the router places all else as before. 'policy.off: [assignment]' switches it off. 'stream ended' names the assigned engine, the store's dump the turns in flight.

Tests: assign_high_load_many_entries replays the load (under 1 % without a slot); prompts, repeated, lost and popular ones each have one in turns_assign.

--- a/crates/core/src/policy/mechanism.rs
+++ b/crates/core/src/policy/mechanism.rs
@@ -26,6 +26,9 @@
     Holders,
     /// Looks up in the turn group which engine ran the program's last prompt.
     LastRun,
+    /// Lets the leader of the turn group choose the engine of a turn, as it knows the load and the
+    /// prompts of all entry VMs.
+    Assignment,
     /// Drops an attempt of a repeatable call that takes unusually long, and sends the call to
     /// another endpoint.
     Patience,
@@ -37,7 +40,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order of the enum.
-    pub const ALL: [Mechanism; 12] = [
+    pub const ALL: [Mechanism; 13] = [
         Mechanism::Admission,
         Mechanism::Queue,
         Mechanism::Prefix,
@@ -47,6 +50,7 @@
         Mechanism::Fading,
         Mechanism::Holders,
         Mechanism::LastRun,
+        Mechanism::Assignment,
         Mechanism::Patience,
         Mechanism::SlowStart,
         Mechanism::Ejection,
--- a/crates/core/src/policy/route/cost.rs
+++ b/crates/core/src/policy/route/cost.rs
@@ -137,6 +137,41 @@
     Choice { endpoint: key, cost, prefix, prefill_tokens }
 }
 
+/// Cost of a call at an engine without load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UnloadedCost {
+    /// Key of the engine.
+    pub endpoint: EndpointKey,
+    /// Seconds for the network and the answer, without prefill.
+    pub base: f64,
+    /// Prompt tokens that are expected to be cached.
+    pub cached: u64,
+}
+
+/// Returns the cost of a call at one engine without load, infinite if the registry doesn't have it.
+pub fn unloaded(
+    settings: &RouteSettings,
+    now: Time,
+    registry: &Registry,
+    request: &RouteRequest,
+    key: EndpointKey,
+) -> UnloadedCost {
+    let Some(endpoint) = registry.get(key) else {
+        return UnloadedCost { endpoint: key, base: f64::INFINITY, cached: 0 };
+    };
+    let cached = if settings.mechanisms.has(Mechanism::Prefix) {
+        cached_tokens(settings, now, endpoint, request)
+    } else {
+        0
+    };
+    let decode = match request.batch {
+        Some(batch) => request.expected_output as f64 * batch.base,
+        None => decode_time(endpoint, request.expected_output),
+    };
+    let base = settings.weights.latency * (network(settings, request, endpoint) + decode);
+    UnloadedCost { endpoint: key, base, cached }
+}
+
 /// Accounts for the engine steps that the call shares with concurrent calls.
 ///
 /// Concurrent calls slow this call down. This call delays each of them by lengthening the steps,
--- a/crates/core/src/policy/route/mod.rs
+++ b/crates/core/src/policy/route/mod.rs
@@ -9,10 +9,11 @@
 mod cost;
 mod settings;
 
+use rand::seq::IndexedRandom as _;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-pub use cost::{Cost, Prefix};
+pub use cost::{Cost, Prefix, UnloadedCost};
 pub use settings::{Link, Links, Place, PolicyWeights, RouteSettings};
 
 use super::Class;
@@ -27,6 +28,10 @@
 /// Maximum number of prompt prefixes whose holders are looked up, longest first.
 const MAX_PREFIXES: usize = 8;
 
+/// Maximum number of engines whose cost without load is computed for one call, besides the holders
+/// of its prompt.
+const MAX_UNLOADED: usize = 64;
+
 /// What the call runs on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -194,6 +199,52 @@
         Err(no_endpoint(now, registry, request, all))
     }
 
+    /// Returns up to `limit` engines that may get the call, those with the least cost without load
+    /// first.
+    pub fn unloaded(
+        &mut self,
+        now: Time,
+        registry: &Registry,
+        request: &RouteRequest,
+        limit: usize,
+    ) -> Vec<UnloadedCost> {
+        let Target::Model(model) = &request.target else { return Vec::new() };
+        let all = registry.candidates(model);
+        let mut keys = match all.len() <= MAX_UNLOADED {
+            true => all.to_vec(),
+            false => all.sample(&mut self.rng, MAX_UNLOADED).copied().collect(),
+        };
+        keys.extend(prefix_holders(registry, request));
+        keys.sort_unstable();
+        keys.dedup();
+        let mechanisms = self.settings.mechanisms;
+        keys.retain(|key| usable(now, registry, request, *key, SlowStart::Enforced, mechanisms));
+        let costs =
+            keys.iter().map(|key| cost::unloaded(&self.settings, now, registry, request, *key));
+        let mut costs: Vec<_> = costs.collect();
+        costs.sort_by(|a, b| a.base.total_cmp(&b.base));
+        costs.truncate(limit);
+        costs
+    }
+
+    /// Returns the choice of an engine that was assigned to the call, or `None` if it may not get
+    /// the call.
+    pub fn assigned(
+        &self,
+        now: Time,
+        registry: &Registry,
+        request: &RouteRequest,
+        name: &str,
+    ) -> Option<Choice> {
+        let key = registry.key(name)?;
+        let Target::Model(model) = &request.target else { return None };
+        let mechanisms = self.settings.mechanisms;
+        let allowed = serves(registry, key, model)
+            && usable(now, registry, request, key, SlowStart::Ignored, mechanisms);
+        let means = cost::CandidateMeans::of(now, registry, &[key]);
+        allowed.then(|| cost::price(&self.settings, now, registry, request, key, means))
+    }
+
     fn sample(&mut self, all: &[EndpointKey]) -> Vec<EndpointKey> {
         let wanted = self.settings.sample_size;
         if all.len() <= wanted {
--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -3,9 +3,11 @@
 //! A caller names the turn that it continues. Several turns may continue the same one, so they form
 //! a tree. The group records which turns exist and which stores hold their texts, see
 //! docs/design/texts.md. It also counts the tokens of each program, so that all entry VMs share one
-//! budget, and records which engine last read a prompt, so that its cache can be reused. Every
+//! budget, and records which engine last read a prompt, so that its cache can be reused. Its leader
+//! assigns turns to engines. Every
 //! replica applies the same commands in the same order, see docs/design/provider.md.
 
+mod assign;
 mod budget;
 mod clock;
 mod copies;
@@ -15,6 +17,7 @@
 mod state;
 mod tree;
 
+pub use assign::{AssignRequest, Assignment, Assignments, LoadCost, Offer};
 pub use budget::BudgetExhausted;
 pub use clock::LeaderClock;
 pub use copies::{BatchSize, CopySurvey, Limits, Transfer};
--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -72,7 +72,7 @@
                 let chain = chain.iter().map(Holding::to_wire).collect();
                 let under_way = self.budgets.has_other_turn(&reserve.program, turn);
                 let ran = self.budgets.last_run(&reserve.program, &reserve.prompts).cloned();
-                ReplyBody::Reserved(wire::Reserved { chain, under_way, ran })
+                ReplyBody::Reserved(wire::Reserved { chain, under_way, ran, ..Default::default() })
             }
             Err(spent) => {
                 let budget = reserve.budget.unwrap_or(u64::MAX);
--- a/crates/gypsumglade/src/gateway/attempt.rs
+++ b/crates/gypsumglade/src/gateway/attempt.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use gypsumglade_core::policy::mechanism::Mechanism;
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::turns::Assignment;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -46,6 +47,8 @@
     pub(super) tried: Vec<EndpointName>,
     /// Number of attempts that may have run.
     pub(super) runs: u32,
+    /// The engine that was assigned to the request, until it is tried.
+    pub(super) assigned: Option<Assignment>,
 }
 
 impl Attempts {
@@ -74,7 +77,7 @@
         if left.is_zero() {
             return Err(timeout_refusal(attempts));
         }
-        let dispatch = match place(state, call, body, &attempts.tried) {
+        let dispatch = match place(state, call, body, &attempts.tried, attempts.assigned.take()) {
             Ok(dispatch) => dispatch,
             Err(pause) if attempts.runs == 0 => {
                 let retry_after = if refusals > 0 { FULL_RETRY_AFTER } else { pause };
--- a/crates/gypsumglade/src/gateway/placement.rs
+++ b/crates/gypsumglade/src/gateway/placement.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use gypsumglade_core::policy::Class;
 use gypsumglade_core::policy::batch::BatchCost;
+use gypsumglade_core::policy::mechanism::Mechanism;
 use gypsumglade_core::policy::overload::PoolLoad;
 use gypsumglade_core::policy::registry::{
     DispatchKey, DispatchLoad, EndpointKey, EndpointKind, LoadReport, ModelId, Registry,
@@ -13,7 +14,8 @@
 use gypsumglade_core::policy::route::{Choice, RouteError, RouteRequest, SharedPrefix, Target};
 use gypsumglade_core::policy::stall::{StallCount, StallDetector};
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::wire::turn::PromptRun;
+use gypsumglade_core::turns::Assignment;
+use gypsumglade_core::wire::turn::{self as wire, PromptRun};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -137,7 +139,55 @@
     }
 }
 
-/// Chooses an endpoint that is not in `excluded`, and counts the attempt there.
+/// Maximum number of engines that are offered for a turn, which bounds the message.
+const MAX_OFFERS: usize = 32;
+
+/// Returns the engines that the turn group's leader may assign a turn to, or `None` while the speed
+/// of the pool's engines is unknown.
+pub(super) fn offers(
+    state: &GatewayState,
+    call: &Call,
+    prefixes: &[SharedPrefix],
+) -> Option<wire::Offers> {
+    if !state.settings.policy.mechanisms().has(Mechanism::Assignment) {
+        return None;
+    }
+    let now = state.clock.now();
+    let mut routing = state.routing();
+    let routing = &mut *routing;
+    let request = route_request(state, routing, call, &call.body, &[]);
+    let (batch, prefill) = (request.batch?, request.prefill_seconds?);
+    let costs = routing.router.unloaded(now, &routing.registry, &request, MAX_OFFERS);
+    let offers = costs.into_iter().filter_map(|cost| {
+        let endpoint = routing.registry.get(cost.endpoint)?;
+        Some(wire::Offer {
+            endpoint: endpoint.name.to_string(),
+            slots: endpoint.kind.slots(),
+            base_us: micros(cost.base),
+            cached: cost.cached,
+        })
+    });
+    let offers: Vec<_> = offers.collect();
+    let slots = f64::from(call.engine_slots().max(1));
+    let tokens = request.expected_output as f64;
+    Some(wire::Offers {
+        offers,
+        tokens: prefixes.iter().map(|prefix| prefix.tokens).collect(),
+        token_ns: (prefill * NANOS) as u64,
+        call_us: micros(2.0 * tokens * batch.slope),
+        wait_us: micros(tokens * batch.token_time(slots - 1.0) / slots),
+    })
+}
+
+/// Nanoseconds in a second.
+const NANOS: f64 = 1e9;
+
+fn micros(seconds: f64) -> u64 {
+    (seconds * 1e6) as u64
+}
+
+/// Chooses an endpoint that is not in `excluded`, and counts the attempt there. The assigned one is
+/// chosen if it may get the request.
 ///
 /// # Errors
 /// Returns the recommended delay before a retry if no endpoint is available.
@@ -146,16 +196,25 @@
     call: &Call,
     body: &Bytes,
     excluded: &[EndpointName],
+    assigned: Option<Assignment>,
 ) -> Result<ActiveDispatch, Duration> {
     let now = state.clock.now();
     let mut routing = state.routing();
     let routing = &mut *routing;
     let request = route_request(state, routing, call, body, excluded);
-    let choice =
-        routing.router.choose(now, &routing.registry, &request).map_err(|error| match error {
-            RouteError::NoEndpoint { retry_after, .. }
-            | RouteError::NoneAvailable { retry_after, .. } => retry_after,
-        })?;
+    let assigned = assigned.and_then(|assignment| {
+        record_cached(now, &mut routing.registry, &request, &assignment);
+        routing.router.assigned(now, &routing.registry, &request, &assignment.endpoint)
+    });
+    let choice = match assigned {
+        Some(choice) => choice,
+        None => routing.router.choose(now, &routing.registry, &request).map_err(
+            |error| match error {
+                RouteError::NoEndpoint { retry_after, .. }
+                | RouteError::NoneAvailable { retry_after, .. } => retry_after,
+            },
+        )?,
+    };
     let dispatch =
         start_dispatch(state, &mut routing.registry, &routing.stall_detector, now, &choice);
     for prefix in &request.shared_prefixes {
@@ -164,6 +223,21 @@
     dispatch.ok_or(NO_ADDRESS_RETRY_AFTER)
 }
 
+/// Records the prefixes that the turn group's leader expects in an engine's cache, which may be those
+/// of other VMs.
+fn record_cached(
+    now: Time,
+    registry: &mut Registry,
+    request: &RouteRequest,
+    assignment: &Assignment,
+) {
+    let Some(key) = registry.key(&assignment.endpoint) else { return };
+    for prefix in request.shared_prefixes.iter().filter(|prefix| prefix.tokens <= assignment.cached)
+    {
+        registry.expect_prefix(now, key, prefix.hash, prefix.tokens);
+    }
+}
+
 /// Retry delay when the chosen endpoint's address is invalid; a different one may be available by
 /// then.
 const NO_ADDRESS_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -78,6 +78,8 @@
     events: u64,
     attempts: Attempts,
     pub(super) reservation: Option<Reservation>,
+    /// Engine that the turn group's leader assigned, for logs.
+    pub(super) assigned: Option<EndpointName>,
     pub(super) timeline: Timeline,
 }
 
@@ -98,7 +100,8 @@
         body: Bytes,
         source: Source,
     ) -> Relay {
-        let attempts = Attempts { tried: vec![source.dispatch.name.clone()], runs: 1 };
+        let attempts =
+            Attempts { tried: vec![source.dispatch.name.clone()], runs: 1, assigned: None };
         Relay {
             state,
             call,
@@ -109,6 +112,7 @@
             events: 0,
             attempts,
             reservation: None,
+            assigned: None,
             timeline: Timeline::default(),
         }
     }
@@ -274,6 +278,7 @@
             "settled" => settled == SettlementEnd::Durable, "settlement" => ?settled,
             "put_ms" => times.put.as_millis() as u64,
             "settle_ms" => times.settle.as_millis() as u64, "runs" => self.attempts.runs, "endpoint" => endpoint.as_deref(),
+            "assigned" => self.assigned.as_deref(),
             "reserved_ms" => self.timeline.reserved.as_millis() as u64,
             "first_ms" => self.timeline.first.as_millis() as u64,
             "last_ms" => last.as_millis() as u64,
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -6,7 +6,7 @@
 use gypsumglade_core::policy::group_health::WaitRequest;
 use gypsumglade_core::policy::route::SharedPrefix;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::turns::Holding;
+use gypsumglade_core::turns::{Assignment, Holding};
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
 use gypsumglade_core::wire::turn::{Kept, PromptRun, Reserve, Settle, Text};
@@ -14,7 +14,7 @@
 
 use super::call::Call;
 use super::dialect::Refusal;
-use super::placement::shared_prefixes;
+use super::placement::{offers, shared_prefixes};
 use super::state::GatewayState;
 
 /// A history may take the caller's remaining time divided by this; the rest is left for a retry at
@@ -53,6 +53,8 @@
     pub(super) under_way: bool,
     /// The endpoint that last read a prefix of the prompt.
     pub(super) last_run: Option<PromptRun>,
+    /// The engine that the turn group's leader assigned the turn to.
+    pub(super) assigned: Option<Assignment>,
     /// The reservation to settle; `None` for a turn that has no budget and is not kept.
     pub(super) guard: Option<ReservationGuard>,
 }
@@ -70,7 +72,13 @@
     let turn = call.head.turn.clone().unwrap_or_default();
     if retention_ms.is_none() && turn.budget.is_none() {
         let body = call.body.clone();
-        return Ok(ReservedTurn { body, under_way: true, last_run: None, guard: None });
+        return Ok(ReservedTurn {
+            body,
+            under_way: true,
+            last_run: None,
+            assigned: None,
+            guard: None,
+        });
     }
     let retained = retention_ms.map(|retention_ms| RetainedTurn {
         previous: turn.previous.clone(),
@@ -96,6 +104,7 @@
         held: known.is_some(),
         lasts_ms: u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX),
         prompts: prefixes.iter().map(|prefix| prefix.hash).collect(),
+        offers: offers(state, call, &prefixes),
     };
     let wait =
         WaitRequest { time_left: call.time_left(), bytes: call.body.len(), jitter: rand::random() };
@@ -125,10 +134,15 @@
                 state.metrics.shed("texts_missing");
                 return Err(Refusal::Unavailable { retry_after: NO_TEXT_RETRY_AFTER });
             };
+            let assigned = (!reserved.endpoint.is_empty()).then(|| Assignment {
+                endpoint: reserved.endpoint.into(),
+                cached: reserved.cached,
+            });
             Ok(ReservedTurn {
                 body: concat(&history, &call.body),
                 under_way: reserved.under_way,
                 last_run: reserved.ran,
+                assigned,
                 guard: Some(guard),
             })
         }
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use gypsumglade_core::policy::mechanism::Mechanism;
 use gypsumglade_core::policy::overload::{self, ProgramStatus};
+use gypsumglade_core::turns::Assignment;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use tokio::sync::mpsc;
@@ -28,19 +29,21 @@
 /// The caller gets the head together with the first event. Until then the request can be sent to
 /// another endpoint, or be refused with a status that states whether it may have run.
 pub(super) async fn answer(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Answer, Refusal> {
-    let ReservedTurn { body, under_way, last_run, guard } = reserve(state, &call).await?;
+    let ReservedTurn { body, under_way, last_run, assigned, guard } = reserve(state, &call).await?;
     let mechanisms = state.settings.policy.mechanisms();
     if let Some(run) = last_run.as_ref().filter(|_| mechanisms.has(Mechanism::LastRun)) {
         record_prompt_run(state, run);
     }
     let reserved = call.arrived.elapsed();
+    let engine = assigned.as_ref().map(|assignment| assignment.endpoint.clone());
     let stream = match admit(state, &call, under_way) {
-        Ok(()) => start_stream(state, &call, &body).await,
+        Ok(()) => start_stream(state, &call, &body, assigned).await,
         Err(refusal) => Err(refusal),
     };
     match stream? {
         StreamStart::Stream(mut relay, head) => {
             relay.reservation = guard.and_then(ReservationGuard::take);
+            relay.assigned = engine;
             relay.timeline = Timeline { reserved, first: call.arrived.elapsed() };
             let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
             state.tasks.spawn(relay.run(sender));
@@ -77,8 +80,9 @@
     state: &Arc<GatewayState>,
     call: &Arc<Call>,
     body: &Bytes,
+    assigned: Option<Assignment>,
 ) -> Result<StreamStart, Refusal> {
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts { assigned, ..Attempts::default() };
     loop {
         let answer =
             send_until_answered(state, call, body, call.head.last_event, &mut attempts).await?;
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -4,9 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::Bytes;
+use gypsumglade_core::policy::route::SharedPrefix;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{LogIndex, Term};
-use gypsumglade_core::turns::{CopySurvey, Holding, LeaderClock, Limits, Transfer, Turns};
+use gypsumglade_core::turns::{
+    AssignRequest, Assignments, CopySurvey, Holding, LeaderClock, Limits, LoadCost, Offer,
+    Transfer, Turns,
+};
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
 use gypsumglade_core::wire::turn::{
@@ -35,6 +39,8 @@
     /// still be kept.
     unusable: bool,
     answers: PendingAnswers<Reply>,
+    /// Engines of turns in flight; empty unless this store leads.
+    assignments: Assignments,
 }
 
 impl TurnState {
@@ -56,7 +62,7 @@
             match event {
                 Event::Leader { term, .. } => self.become_leader(term),
                 Event::Follower { leader, .. } => {
-                    self.state().leader_clock = None;
+                    self.end_leadership();
                     let leader = leader.map(|vm| vm.0);
                     slog::info!(self.context.log, "became follower in the turn group"; "leader" => leader);
                 }
@@ -78,15 +84,42 @@
             return Reply { body: Some(self.not_ready_reply().await) };
         };
         set_time(&mut command, time);
+        if let Some(CommandBody::Settle(settle)) = &command.body {
+            self.state().assignments.release(&settle.turn);
+        }
+        let request = take_offers(&mut command);
         let data = Bytes::from(command.encode_to_vec());
         let body = match self.context.host.propose(GroupId::TURNS, data).await {
-            Ok(index) => return self.answer_at(index).await,
+            Ok(index) => {
+                let reply = self.answer_at(index).await;
+                return self.assign(reply, request);
+            }
             Err(ProposeError::NotLeader { hint }) => self.redirect(hint),
             Err(ProposeError::Dropped | ProposeError::Uncertain) => uncertain(),
         };
         Reply { body: Some(body) }
     }
 
+    /// Assigns a reserved turn to one of the engines that its entry VM offered.
+    fn assign(&self, mut reply: Reply, request: Option<AssignRequest>) -> Reply {
+        let (Some(ReplyBody::Reserved(reserved)), Some(mut request)) = (&mut reply.body, request)
+        else {
+            return reply;
+        };
+        let ran = reserved.ran.as_ref();
+        request.last_run = ran.map(|run| (run.endpoint.to_compact_string(), run.tokens));
+        let now = self.context.clock.now();
+        let assignment = self.state().assignments.assign(now, &request).unwrap_or_default();
+        (reserved.endpoint, reserved.cached) = (assignment.endpoint.into(), assignment.cached);
+        reply
+    }
+
+    fn end_leadership(&self) {
+        let mut state = self.state();
+        state.leader_clock = None;
+        state.assignments = Assignments::default();
+    }
+
     /// Returns the group's time for a command in milliseconds, or `None` if none may be proposed.
     ///
     /// A store without a leader clock returns the latest time in the log, so that the group's time
@@ -122,6 +155,7 @@
             "unusable": state.unusable,
             "turns": state.turns.kept(),
             "programs": state.turns.programs(),
+            "assigned": state.assignments.in_flight(),
         })
     }
 
@@ -262,6 +296,33 @@
     pub(super) required_holders: BTreeSet<VmId>,
 }
 
+/// Removes the offers from a command, which the log doesn't need, and returns them as a request.
+fn take_offers(command: &mut Command) -> Option<AssignRequest> {
+    let Some(CommandBody::Reserve(reserve)) = &mut command.body else { return None };
+    let offers = reserve.offers.take()?;
+    let prefixes = reserve.prompts.iter().zip(&offers.tokens);
+    let prefixes = prefixes.map(|(&hash, &tokens)| SharedPrefix { hash, tokens }).collect();
+    let cost = LoadCost {
+        token: Duration::from_nanos(offers.token_ns).as_secs_f64(),
+        call: Duration::from_micros(offers.call_us).as_secs_f64(),
+        wait: Duration::from_micros(offers.wait_us).as_secs_f64(),
+    };
+    let offers = offers.offers.into_iter().map(|offer| Offer {
+        endpoint: offer.endpoint.into(),
+        slots: offer.slots,
+        base: Duration::from_micros(offer.base_us).as_secs_f64(),
+        cached: offer.cached,
+    });
+    Some(AssignRequest {
+        turn: reserve.turn.to_compact_string(),
+        offers: offers.collect(),
+        prefixes,
+        last_run: None,
+        cost,
+        lasts: Duration::from_millis(reserve.lasts_ms),
+    })
+}
+
 /// Sets the time of a command to the leader's, so that entry VMs' clocks don't matter.
 fn set_time(command: &mut Command, now: u64) {
     match &mut command.body {
