Return the configuration from stores without a replica

Cause: a read asked the leader for the current revision and then waited until this store had applied it. Of 24 stores 5 have a replica of the control group; the others never apply anything, so each read there ended with 503 after 600 ms. An operator that reads from stores at random finds only such ones, within its 5 s, now and then.

Change: the leader's answer brings the content that the asking store lacks, as a delta or packed as for entry VMs; it is checked against its digest. Reads are logged with outcome and time.

Looked for the same cause elsewhere: whether a store is retiring was also looked up in the log applied here. At a store without a replica a retired store was never reported as such, and retiring stores counted as left. The registrar asks the control group's leader's report too, as all other users do.

Tests: original_of_store_without_replica and is_retired_at_store_without_replica fail on (Unavailable; not within 20 s) and pass now.

--- a/crates/gypsumglade/src/control_client.rs
+++ b/crates/gypsumglade/src/control_client.rs
@@ -56,7 +56,9 @@
 
 fn classify(reply: &ControlReply) -> ReplyKind {
     match &reply.body {
-        Some(ReplyBody::Answer(_) | ReplyBody::Status(_)) => ReplyKind::Answer,
+        Some(ReplyBody::Answer(_) | ReplyBody::Status(_) | ReplyBody::Content(_)) => {
+            ReplyKind::Answer
+        }
         Some(ReplyBody::NotLeader(hint)) => ReplyKind::Redirect(VmId(hint.leader)),
         Some(ReplyBody::Uncertain(_)) | None => ReplyKind::Uncertain,
     }
--- a/crates/gypsumglade/src/operator.rs
+++ b/crates/gypsumglade/src/operator.rs
@@ -47,7 +47,10 @@
     let request = ControlRequest { body: Some(RequestBody::Command(command)) };
     match control.ask(&request).await?.body? {
         ReplyBody::Answer(answer) => Some(answer),
-        ReplyBody::Status(_) | ReplyBody::NotLeader(_) | ReplyBody::Uncertain(_) => None,
+        ReplyBody::Status(_)
+        | ReplyBody::Content(_)
+        | ReplyBody::NotLeader(_)
+        | ReplyBody::Uncertain(_) => None,
     }
 }
 
@@ -58,6 +61,9 @@
     let request = ControlRequest { body: Some(RequestBody::Status(query)) };
     match control.ask(&request).await?.body? {
         ReplyBody::Status(status) => Some(status),
-        ReplyBody::Answer(_) | ReplyBody::NotLeader(_) | ReplyBody::Uncertain(_) => None,
+        ReplyBody::Answer(_)
+        | ReplyBody::Content(_)
+        | ReplyBody::NotLeader(_)
+        | ReplyBody::Uncertain(_) => None,
     }
 }
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -15,11 +15,14 @@
 use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::control::confirm_reply::Body as ConfirmBody;
-use gypsumglade_core::wire::control::{Answer, Command, ConfirmReply, ConfirmRequest, Unavailable};
+use gypsumglade_core::wire::control::{
+    Answer, Command, ConfirmReply, ConfirmRequest, Unavailable, Update,
+};
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 use gypsumglade_core::wire::operator::control_request::Body as RequestBody;
 use gypsumglade_core::wire::operator::{
-    ControlReply, ControlRequest, NotLeader, Status, StatusQuery, Uncertain, VmState,
+    ContentQuery, ControlReply, ControlRequest, CurrentContent, NotLeader, Status, StatusQuery,
+    Uncertain, VmState,
 };
 use prost::Message as _;
 use tokio::sync::{mpsc, watch};
@@ -38,8 +41,6 @@
     state: Mutex<ControlState>,
     /// Sequence number of the last change to the endpoints.
     endpoint_changes: watch::Sender<u64>,
-    /// Number of the last revision that this store has applied.
-    applied_revision: watch::Sender<u64>,
 }
 
 struct ControlState {
@@ -51,9 +52,6 @@
     order_grants: Option<OrderGrants>,
 }
 
-/// Time that a read on a follower waits for a committed revision to be applied: several heartbeats.
-const APPLY_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Longest delay of an order's answer until its revision is in force: about one renewal interval.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which [`ControlGroup::await_in_force`] checks the leases.
@@ -78,9 +76,8 @@
             last_announced: LastAnnounced::default(),
             order_grants: None,
         };
-        let (endpoint_changes, applied_revision) = (watch::Sender::new(0), watch::Sender::new(0));
-        let state = Mutex::new(state);
-        Arc::new(ControlGroup { context, keys, lease, state, endpoint_changes, applied_revision })
+        let (endpoint_changes, state) = (watch::Sender::new(0), Mutex::new(state));
+        Arc::new(ControlGroup { context, keys, lease, state, endpoint_changes })
     }
 
     /// Applies replication events until the process ends.
@@ -107,6 +104,7 @@
                 _ => self.command(command).await,
             },
             Some(RequestBody::Status(query)) => self.status(&query).await,
+            Some(RequestBody::Content(query)) => self.current_content(&query).await,
             None => not_leader(None),
         };
         ControlReply { body: Some(body) }
@@ -253,6 +251,19 @@
         })
     }
 
+    async fn current_content(&self, query: &ContentQuery) -> ReplyBody {
+        if let Err(ReadError::NotLeader { hint }) =
+            self.context.host.read_barrier(GroupId::CONTROL).await
+        {
+            return self.redirect(hint);
+        }
+        let state = self.state();
+        let Role::Leader { .. } = &state.role else { return not_leader(None) };
+        let history = state.control.history();
+        let update = history.update(RevisionNumber(query.known));
+        ReplyBody::Content(CurrentContent { revision: history.number().0, update })
+    }
+
     fn become_leader(&self, term: Term) {
         slog::info!(self.context.log, "became leader of the control group"; "term" => term.0);
         let now = self.context.clock.now();
@@ -324,20 +335,27 @@
         self.context.feed_all(input).await;
     }
 
-    /// Wakes the tasks that wait for an endpoint change or a revision.
+    /// Wakes the tasks that wait for an endpoint change.
     fn notify_watchers(&self, state: &ControlState) {
         self.endpoint_changes.send_replace(state.control.endpoints().change());
-        self.applied_revision.send_replace(state.control.history().number().0);
     }
 
-    /// Returns the current revision once this store has applied the revision `wanted`.
-    ///
-    /// The outer `Option` is `None` on a timeout, the inner one before the first bundle.
-    pub async fn await_revision(&self, wanted: RevisionNumber) -> Option<Option<Revision>> {
-        let mut applied_revision = self.applied_revision.subscribe();
-        let applied = applied_revision.wait_for(|applied| *applied >= wanted.0);
-        tokio::time::timeout(APPLY_TIMEOUT, applied).await.ok()?.ok()?;
-        Some(self.state().control.current().cloned())
+    /// Returns the number of the revision that this store has applied, which is zero on a store
+    /// without a replica.
+    pub(super) fn applied_revision(&self) -> RevisionNumber {
+        self.state().control.history().number()
+    }
+
+    /// Returns the revision `wanted` if this store has applied it, or can compute it from the update.
+    pub(super) fn resolve(
+        &self,
+        wanted: RevisionNumber,
+        update: Option<Update>,
+    ) -> Option<Revision> {
+        let state = self.state();
+        let history = state.control.history();
+        let found = history.find(wanted).or_else(|| history.resolve(update?))?;
+        (found.number == wanted).then_some(found)
     }
 
     /// Returns `true` if a store is retiring, according to the log applied here.
--- a/crates/gypsumglade/src/store/registrar.rs
+++ b/crates/gypsumglade/src/store/registrar.rs
@@ -15,7 +15,7 @@
 use gypsumglade_core::wire::discovery::{Led, Role};
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 use gypsumglade_core::wire::operator::control_request::Body as RequestBody;
-use gypsumglade_core::wire::operator::{ControlRequest, Status, StatusQuery};
+use gypsumglade_core::wire::operator::{ContentQuery, ControlRequest, Status, StatusQuery};
 
 use super::serve::StoreState;
 use crate::control_client::{ControlGroupClient, PROGRAM_LIMITS};
@@ -144,7 +144,7 @@
     /// Fails when the store is not known, too few stores would be left, or no leader answered.
     pub async fn retire(&self, name: &str) -> Result<(), RetireError> {
         let vm = self.store_named(name).ok_or(RetireError::Unknown)?;
-        if self.state.control.is_retiring(vm) {
+        if self.is_retiring(vm) {
             return Ok(());
         }
         if self.stores_without(vm) < self.target_voters() {
@@ -171,7 +171,7 @@
             reports.peek().is_some()
                 && reports.all(|led| led.settled && !led.members.contains(&vm.0))
         });
-        Ok(empty && !is_required_holder(vm, &led) && self.state.control.is_retiring(vm))
+        Ok(empty && !is_required_holder(vm, &led) && self.is_retiring(vm))
     }
 
     fn store_named(&self, name: &str) -> Option<VmId> {
@@ -181,13 +181,24 @@
         Some(VmId(found.vm))
     }
 
+    /// Returns `true` if a store is retiring, according to the log applied here or to the control
+    /// group's leader. Only the latter is known to a store without a replica of the group.
+    fn is_retiring(&self, vm: VmId) -> bool {
+        let discovery = self.state.discovery.as_ref();
+        let reported = discovery.is_some_and(|discovery| discovery.retiring().contains(&vm));
+        reported || self.state.control.is_retiring(vm)
+    }
+
     fn stores_without(&self, vm: VmId) -> usize {
         let Some(discovery) = &self.state.discovery else { return 0 };
         let now = discovery.now();
-        let roster = discovery.roster();
-        let fresh = roster.stores().filter(|(_, at)| now.since(*at) < LEADER_REPORT_MAX_AGE);
-        let others = fresh.map(|(node, _)| VmId(node.vm)).filter(|other| *other != vm);
-        others.filter(|other| !self.state.control.is_retiring(*other)).count()
+        let stores: Vec<VmId> = {
+            let roster = discovery.roster();
+            let fresh = roster.stores().filter(|(_, at)| now.since(*at) < LEADER_REPORT_MAX_AGE);
+            fresh.map(|(node, _)| VmId(node.vm)).collect()
+        };
+        let others = stores.into_iter().filter(|other| *other != vm);
+        others.filter(|other| !self.is_retiring(*other)).count()
     }
 
     fn target_voters(&self) -> usize {
@@ -201,14 +212,33 @@
     ///
     /// Returns `None` before the first bundle, and for a bundle without an original text.
     ///
+    /// Most stores of a large deployment have no replica of the control group, so the content that
+    /// this store lacks comes with the leader's answer.
+    ///
     /// # Errors
-    /// Fails when no leader answered, or this store has not applied the current revision in time.
+    /// Fails when no leader answered.
     pub async fn original(&self) -> Result<Option<CompactString>, RegistrarError> {
-        let status = self.status().await?;
-        let wanted = RevisionNumber(status.current);
-        let found = self.state.control.await_revision(wanted).await;
-        let revision = found.ok_or(RegistrarError::Unavailable)?;
-        let Some(revision) = revision else { return Ok(None) };
+        let began = Instant::now();
+        let read = self.read_original().await;
+        slog::info!(self.log(), "configuration read"; "outcome" => match &read {
+            Ok(_) => "answered", Err(error) => error.name() },
+            "ms" => began.elapsed().as_millis() as u64);
+        read
+    }
+
+    async fn read_original(&self) -> Result<Option<CompactString>, RegistrarError> {
+        let known = self.state.control.applied_revision().0;
+        let query = RequestBody::Content(ContentQuery { known });
+        let reply = self.control.ask(&ControlRequest { body: Some(query) }).await;
+        let Some(ReplyBody::Content(content)) = reply.and_then(|reply| reply.body) else {
+            return Err(RegistrarError::Unavailable);
+        };
+        if content.revision == 0 {
+            return Ok(None);
+        }
+        let wanted = RevisionNumber(content.revision);
+        let revision = self.state.control.resolve(wanted, content.update);
+        let revision = revision.ok_or(RegistrarError::Unavailable)?;
         let bundle = Bundle::parse(&revision.content).map_err(|_| RegistrarError::Invalid)?;
         Ok(bundle.original)
     }
--- a/crates/gypsumglade/tests/leader_redirect.rs
+++ b/crates/gypsumglade/tests/leader_redirect.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use gypsumglade::directory::Directory;
+use gypsumglade::secret::Secret;
 use gypsumglade::store::Store;
+use gypsumglade_core::bundle::Bundle;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 use gypsumglade_core::wire::operator::control_request::Body as RequestBody;
@@ -17,6 +19,8 @@
 use store_support::StoreSetup;
 
 const PEERS: u16 = 7_314;
+/// Registrar's key of the operator that [`StoreSetup`] trusts.
+const SIGNER: &str = "4c0f3a5be1d2967880b1c4d7e9fa263548596a7b8c9dae0f1a2b3c4d5e6f7081";
 const TIMEOUT: Duration = Duration::from_secs(20);
 const POLL: Duration = Duration::from_millis(50);
 
@@ -29,13 +33,22 @@
 async fn start(number: u8, seed: u8, tolerate: u32, folder: &Path) -> Store {
     let (own, seed) = (ip(number), ip(seed));
     let setup = StoreSetup::alone(own, PEERS, folder);
-    let settings =
-        StoreSetup { seeds: vec![seed], first: own == seed, tolerate, ..setup }.settings();
+    let setup = StoreSetup { seeds: vec![seed], first: own == seed, tolerate, ..setup };
+    let mut settings = setup.settings();
+    settings.store.as_mut().expect("a store").signer = Some(Secret::new(SIGNER));
     let directory = Arc::new(Directory::new(&settings));
     let log = slog::Logger::root(slog::Discard, slog::o!());
     Store::start(settings, directory, log).await.expect("a store starts")
 }
 
+/// Returns a bundle that was generated from an operator's order.
+fn bundle(patch: &str) -> Bundle {
+    let text = include_str!("support/bundle.yaml").replace("PATCH", patch);
+    let text = text.replace("KEY_DIGEST", &"0".repeat(64));
+    let bundle = Bundle::parse(text.as_bytes()).expect("a valid bundle");
+    Bundle { original: Some(format!("order {patch}").into()), ..bundle }
+}
+
 /// Returns the leader that a store names when it is asked for the status of the control group.
 async fn named_by_status(store: &Store) -> VmId {
     let query = RequestBody::Status(StatusQuery { revision: 0 });
@@ -71,6 +84,41 @@
     leader.stop().await;
 }
 
+/// Guards against a configuration that most stores can't return, as they have no replica.
+#[tokio::test]
+async fn original_of_store_without_replica() {
+    let folders = [0; 2].map(|_| tempfile::tempdir().expect("a temporary folder"));
+    let leader = start(21, 21, 0, folders[0].path()).await;
+    let other = start(22, 21, 0, folders[1].path()).await;
+    let (first, second) = (bundle("1"), bundle("2"));
+    for bundle in [&first, &second] {
+        wait_for("the order is taken", async || other.registrar().order(bundle).await.is_ok())
+            .await;
+        for store in [&leader, &other] {
+            let read = store.registrar().original().await;
+            assert_eq!(read, Ok(bundle.original.clone()));
+        }
+    }
+    other.stop().await;
+    leader.stop().await;
+}
+
+/// Guards against a retiring store that is reported as needed for ever.
+#[tokio::test]
+async fn is_retired_at_store_without_replica() {
+    let folders = [0; 3].map(|_| tempfile::tempdir().expect("a temporary folder"));
+    let leader = start(31, 31, 0, folders[0].path()).await;
+    let others =
+        [start(32, 31, 0, folders[1].path()).await, start(33, 31, 0, folders[2].path()).await];
+    let (registrar, name) = (others[0].registrar(), ip(33).to_string());
+    wait_for("it is retiring", async || registrar.retire(&name).await.is_ok()).await;
+    wait_for("it is retired", async || registrar.is_retired(&name) == Ok(true)).await;
+    for other in others {
+        other.stop().await;
+    }
+    leader.stop().await;
+}
+
 /// Guards against a follower that knows the leader and doesn't name it to readers.
 #[tokio::test]
 async fn status_of_follower() {
