--- a/crates/core/src/control/history.rs
+++ b/crates/core/src/control/history.rs
@@ -14,7 +14,8 @@
 use crate::prelude::*;
 use crate::wire::control as wire;
 
-/// Maximum total size of the stored deltas, in bytes.
+/// Maximum total size of the stored deltas, in bytes. Contents that have nothing in common make large
+/// ones.
 const MAX_PAST_BYTES: usize = 32 * 1024 * 1024;
 /// Maximum number of revisions that a client may be behind and still get a delta. Restoring its
 /// base costs one delta for each.
--- a/crates/core/src/lease/holder.rs
+++ b/crates/core/src/lease/holder.rs
@@ -10,8 +10,8 @@
 /// Maximum number of outstanding requests. Replies to older ones are ignored.
 const MAX_PENDING: usize = 8;
 
-/// Factor by which requests are more frequent while none is served. Few of the additional requests
-/// reach the leader.
+/// Factor by which requests are more frequent while none is served: every 0.1 s with the shortest
+/// interval in use. Most of them go to VMs that can't serve either, and few to the leader.
 const RETRY_SPEEDUP: u32 = 4;
 
 /// Maximum age of the lease of a relay that is in touch with the stores, in request intervals. The
--- a/crates/core/src/policy/overload.rs
+++ b/crates/core/src/policy/overload.rs
@@ -29,7 +29,7 @@
 /// Utilisation below which the slowdown is ignored. Without running streams there are no new
 /// samples, so an old value would never be corrected.
 const IDLE_UTILISATION: f64 = 0.05;
-/// Weight of the newest stream in the moving average.
+/// Weight of the newest stream in the moving average: a burst shows after about ten streams.
 const MEAN_GAIN: f64 = 0.1;
 /// Largest sample in the moving average, as a multiple of the average. A single slow engine must
 /// not cause programs to be turned away; a burst slows all engines and still raises the average.
--- a/crates/core/src/policy/regression.rs
+++ b/crates/core/src/policy/regression.rs
@@ -1,6 +1,7 @@
 //! Linear regression over a stream of observations, in which older ones decay.
 
-/// Factor by which older observations decay with each new one: about the last hundred count.
+/// Factor by which older observations decay with each new one: about the last hundred count, so
+/// that a changed speed is followed.
 const DECAY: f64 = 0.99;
 
 /// A straight line, `y = intercept + slope * x`.
--- a/crates/core/src/policy/route/mod.rs
+++ b/crates/core/src/policy/route/mod.rs
@@ -25,7 +25,8 @@
 /// Retry delay given when no endpoint can take the call.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
-/// Maximum number of prompt prefixes whose holders are looked up, longest first.
+/// Maximum number of prompt prefixes whose holders are looked up, longest first. These include the
+/// program's last turns and the parts that it shares with others.
 const MAX_PREFIXES: usize = 8;
 
 /// Maximum number of engines whose cost without load is computed for one call, besides the holders
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -15,7 +15,8 @@
 
 /// Time since a store was last seen after which it is removed.
 ///
-/// It is several times longer than a restart takes.
+/// Processes send hellos every half second, and a restart takes one to two seconds. A store that is
+/// listed too long costs a caller one failed connection.
 const EXPIRE_AFTER: Duration = Duration::from_secs(10);
 
 /// Maximum time since a store was last seen for it to be sent to others, so that processes don't
--- a/crates/core/src/turns/budget.rs
+++ b/crates/core/src/turns/budget.rs
@@ -8,7 +8,8 @@
 
 /// How long a program's budget use is recorded after its last command, in milliseconds.
 ///
-/// It must exceed the time that turns are kept, since a program may continue until then.
+/// It must exceed the time that turns are kept, since a program may continue until then. A program
+/// takes some hundred bytes.
 const PROGRAM_RETENTION_MS: u64 = 600_000;
 
 /// Error returned when a program's budget doesn't allow a further turn.
--- a/crates/core/src/turns/runs.rs
+++ b/crates/core/src/turns/runs.rs
@@ -3,6 +3,7 @@
 use crate::wire::turn::PromptRun;
 
 /// Maximum number of prompts recorded for each program: those of its own turns and of sub-agents.
+/// It bounds programs that start sub-agents without end.
 const MAX_RUNS: usize = 16;
 
 /// The engines that read a program's prompts, oldest first.
--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -7,7 +7,8 @@
 use crate::wire::turn::reply::Body as ReplyBody;
 
 /// Interval between two removals of expired state, in milliseconds of the group's time. Every
-/// replica removes it at the same command.
+/// replica removes it at the same command. Rare enough that going over some ten thousand turns costs
+/// little.
 const SWEEP_MS: u64 = 5_000;
 
 /// The replicated state of a turn group.
--- a/crates/core/src/turns/tree.rs
+++ b/crates/core/src/turns/tree.rs
@@ -13,7 +13,8 @@
 /// before the end extends the retention when it is settled.
 const SETTLE_GRACE_MS: u64 = 30_000;
 
-/// Maximum number of recorded holders of one text, more than hold it at the same time.
+/// Maximum number of recorded holders of one text, more than hold it at the same time, and few enough
+/// that losses one after another don't fill the state.
 const MAX_HOLDERS: usize = 8;
 
 /// A recorded turn. Its text is on the disks of its holders, see docs/design/texts.md.
--- a/crates/gypsumglade/src/control_client.rs
+++ b/crates/gypsumglade/src/control_client.rs
@@ -20,8 +20,8 @@
 };
 /// Limits for a client that turns to another store after a second.
 ///
-/// A call covers a commit across regions on slow disks, and leaves time for a second store if the
-/// first doesn't answer.
+/// A call covers a commit: two round trips between regions and two syncs, 50 ms, or 400 ms on slow
+/// disks. That leaves time for a second store if the first doesn't answer.
 pub const PROGRAM_LIMITS: RetryLimits = RetryLimits {
     per_call: Duration::from_millis(600),
     total: Duration::from_millis(900),
--- a/crates/gypsumglade/src/entry/admit.rs
+++ b/crates/gypsumglade/src/entry/admit.rs
@@ -213,7 +213,7 @@
     Priority::of(class, Attained { service, turns })
 }
 
-/// Estimated engine time of a turn, in seconds.
+/// Estimated engine time of a turn, in seconds, until the program group reports what was attained.
 const TURN_SECONDS: f64 = 2.0;
 
 fn shed(metrics: &Metrics, reason: ShedReason, retry_after: Duration) -> Problem {
--- a/crates/gypsumglade/src/gateway/attempt.rs
+++ b/crates/gypsumglade/src/gateway/attempt.rs
@@ -20,7 +20,8 @@
 /// Number of endpoints that may refuse a request or be unreachable before the caller is told to retry
 /// later; more attempts would add load to a pool that is probably full.
 const MAX_REFUSALS: usize = 3;
-/// Retry delay for callers whose request no endpoint has accepted.
+/// Retry delay for callers whose request no endpoint has accepted; some of the endpoints' requests
+/// have ended by then.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// An endpoint's answer to the request, with its head read and its body unread.
--- a/crates/gypsumglade/src/gateway/connections.rs
+++ b/crates/gypsumglade/src/gateway/connections.rs
@@ -20,7 +20,8 @@
 
 use super::dialect::AnswerHead;
 
-/// Time limit for opening a connection; another endpoint is tried after it.
+/// Time limit for opening a connection; another endpoint is tried after it. Within a region it takes
+/// some milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle timeout assumed for an endpoint that states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
--- a/crates/gypsumglade/src/gateway/leader_search.rs
+++ b/crates/gypsumglade/src/gateway/leader_search.rs
@@ -15,7 +15,7 @@
 use crate::directory::Directory;
 use crate::rpc::{Method, PeerClients};
 
-/// Time limit for one store's answer.
+/// Time limit for one store's answer, which costs a round of heartbeats at most.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Mean delay between requests until every store has been asked once.
 const FIRST_ROUND_INTERVAL: Duration = Duration::from_millis(30);
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -308,7 +308,8 @@
 
 /// How often to check whether the caller's connection has taken all events.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(2);
-/// Time limit for flushing events before the connection is closed.
+/// Time limit for flushing events before the connection is closed. A caller that reads at all takes
+/// them in less than a round trip.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Converts seconds to microseconds.
--- a/crates/gypsumglade/src/gateway/settlement_queue.rs
+++ b/crates/gypsumglade/src/gateway/settlement_queue.rs
@@ -15,7 +15,7 @@
 
 /// Settlements sent at the same time; limits the load on the stores after an election.
 const MAX_CONCURRENT: usize = 4;
-/// Most settlements in progress or queued; bounds memory.
+/// Most settlements in progress or queued, some hundred bytes each; bounds memory.
 const MAX_QUEUED: usize = 2_048;
 /// Time limit of a settlement, retries included; long enough for an election and restarts of stores.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(30);
--- a/crates/gypsumglade/src/gateway/turn_client.rs
+++ b/crates/gypsumglade/src/gateway/turn_client.rs
@@ -18,7 +18,8 @@
 use crate::directory::Directory;
 use crate::rpc::{Method, PeerClients};
 
-/// Time limit of a call to one store, several times the duration of a commit across regions.
+/// Time limit of a call to one store: ten times the duration of a commit across regions, which takes
+/// two round trips and two syncs, some 50 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long the leader may take before a search for another leader starts.
 const SEARCH_DELAY: Duration = Duration::from_millis(150);
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -53,6 +53,7 @@
 }
 
 /// Longest delay of an order's answer until its revision is in force: about one renewal interval.
+/// Operators turn to another store after a second.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which [`ControlGroup::await_in_force`] checks the leases.
 const IN_FORCE_POLL: Duration = Duration::from_millis(20);
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -18,7 +18,8 @@
 use crate::discovery::Discovery;
 use crate::replica::DiskShortage;
 
-/// Interval between two checks. A repair takes several, since each makes at most one change.
+/// Interval between two checks. A repair takes several, since each makes at most one change: add,
+/// promote and remove. A newcomer must have caught up some four seconds after its start.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Silence after which a store counts as failed: three rounds of hellos. A store that is removed
 /// too early rejoins as a learner, without loss of data.
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -54,7 +54,7 @@
 /// Entries that a learner may lack and still be promoted.
 ///
 /// A learner in another region always lacks the entries in flight, so a lower limit would delay its
-/// promotion in a busy group.
+/// promotion in a busy group. This many are about half a second of a busy turn group's entries.
 const PROMOTE_LAG: u64 = 200;
 /// Bytes of uncommitted proposals above which further ones are refused. Callers of proposals behind
 /// a larger backlog would already have timed out.
