--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -3,9 +3,9 @@
 //! A caller names the turn that it continues. Several turns may continue the same one, so they form
 //! a tree. The group records which turns exist and which stores hold their texts, see
 //! docs/design/texts.md. It also counts the tokens of each program, so that all entry VMs share one
-//! budget, and records which engine last read a prompt, so that its cache can be reused. Its leader
-//! assigns turns to engines. Every
-//! replica applies the same commands in the same order, see docs/design/provider.md.
+//! budget, and records which engine last read a prompt, so that its cache can be reused. Every
+//! replica applies the same commands in the same order, see docs/design/provider.md. The leader also
+//! assigns turns to engines, which is not replicated.
 
 mod assign;
 mod budget;
