Identify callers by their organisation's API key at the gateway

Change: a bundle's organisation has any number of key digests, a rank and a rate limit; a route has an access. The gateway finds the holder of the key by digest before anything else, so a caller without a key doesn't learn which routes exist. Endpoints get the organisation's name and never the key. Ids of turns and programs are qualified by the organisation, so another one's turn is unknown. A single key_digest is still read.

bundle_check: the path of a key that is used twice is that of the list now; the check is as strict as before.

--- a/crates/core/src/bundle/check.rs
+++ b/crates/core/src/bundle/check.rs
@@ -4,7 +4,7 @@
 use std::ops::RangeInclusive;
 
 use super::content::{
-    Agent, Bundle, EndpointPattern, Model, Organisation, Policy, Service, Version,
+    Agent, Bundle, EndpointPattern, Model, Organisation, Policy, RateLimit, Service, Version,
 };
 use super::{Digest, Findings, routes};
 
@@ -16,6 +16,8 @@
 const MAX_AMOUNT: u64 = 1 << 50;
 /// Maximum share of an organisation.
 const MAX_SHARE: u64 = 1_000;
+/// Maximum rate limit, in requests per second, and maximum burst.
+const MAX_RATE: f64 = 1_000_000.0;
 /// Maximum weight in the routing policy.
 const MAX_WEIGHT: f64 = 1_000.0;
 
@@ -46,8 +48,11 @@
     for (index, org) in bundle.organisations.iter().enumerate() {
         let path = format!("organisations[{index}]");
         check_organisation(&path, org, &known, &mut names, findings);
-        let allowed = "a key that no other organisation uses";
-        keys.add(&format!("{path}.key_digest"), &org.key_digest, allowed, findings);
+        for (index, digest) in org.key_digests.iter().enumerate() {
+            let path = format!("{path}.key_digests[{index}]");
+            check_digest(&path, digest, findings);
+            keys.add(&path, digest, "a key that is used only once", findings);
+        }
     }
     routes::check(&bundle.routes, &bundle.pools, findings);
     check_policy(&bundle.policy, findings);
@@ -152,9 +157,21 @@
 ) {
     check_name(&format!("{path}.name"), &org.name, findings);
     names.add(&format!("{path}.name"), &org.name, UNIQUE, findings);
-    check_digest(&format!("{path}.key_digest"), &org.key_digest, findings);
     check_range(&format!("{path}.share"), org.share.into(), 1..=MAX_SHARE, findings);
     check_known(&format!("{path}.agents"), &org.agents, &known.agents, findings);
+    if let Some(limit) = &org.limit {
+        check_limit(&format!("{path}.limit"), limit, findings);
+    }
+}
+
+fn check_limit(path: &str, limit: &RateLimit, findings: &mut Findings) {
+    if !(limit.per_second > 0.0 && limit.per_second <= MAX_RATE) {
+        let allowed = "a number above 0, at most 1000000";
+        findings.push(&format!("{path}.per_second"), limit.per_second, allowed);
+    }
+    if !(0.0..=MAX_RATE).contains(&limit.burst) {
+        findings.push(&format!("{path}.burst"), limit.burst, "a number from 0 to 1000000");
+    }
 }
 
 fn check_policy(policy: &Policy, findings: &mut Findings) {
--- a/crates/core/src/bundle/content.rs
+++ b/crates/core/src/bundle/content.rs
@@ -238,19 +238,54 @@
 pub struct Organisation {
     /// Name under which its programs run.
     pub name: CompactString,
-    /// SHA-256 digest of the callers' API key, so that the bundle contains no secret.
-    pub key_digest: CompactString,
+    /// SHA-256 digests of the callers' API keys, so that the bundle contains no secret. Without a
+    /// key, the organisation can't call.
+    #[serde(alias = "key_digest", deserialize_with = "one_or_more")]
+    pub key_digests: Vec<CompactString>,
     /// Weight in the fair sharing of capacity.
     #[serde(default = "one_share")]
     pub share: u32,
     /// Names of the agent programs it may run.
+    #[serde(default)]
     pub agents: Vec<CompactString>,
+    /// Rank of its requests, which replaces the rank of their routes; zero is the most urgent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u8>,
+    /// Limit of its request rate; unlimited if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<RateLimit>,
+}
+
+/// Limit of an organisation's requests to endpoints, over all entry VMs together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RateLimit {
+    /// Requests per second in the long run.
+    pub per_second: f64,
+    /// Number of requests that may exceed the rate for a moment.
+    pub burst: f64,
 }
 
 fn one_share() -> u32 {
     1
 }
 
+/// Deserializes a list, or a single value as a list of one.
+fn one_or_more<'de, D>(deserializer: D) -> Result<Vec<CompactString>, D::Error>
+where
+    D: serde::Deserializer<'de>,
+{
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum OneOrMore {
+        One(CompactString),
+        More(Vec<CompactString>),
+    }
+    Ok(match OneOrMore::deserialize(deserializer)? {
+        OneOrMore::One(value) => vec![value],
+        OneOrMore::More(values) => values,
+    })
+}
+
 /// Weights of the routing policy.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/core/src/bundle/mod.rs
+++ b/crates/core/src/bundle/mod.rs
@@ -12,11 +12,11 @@
 
 pub use content::{
     Agent, AgentBudget, Bundle, Class, EndpointPattern, Fencing, Model, Operation, Organisation,
-    Policy, Quarantine, Service, Version,
+    Policy, Quarantine, RateLimit, Service, Version,
 };
 pub use digest::{DIGEST_LENGTH, Digest};
 pub use findings::{Finding, Findings};
-pub use routes::{CallerLimits, Pool, PoolEngine, Repeat, Route, Share, Stream};
+pub use routes::{Access, CallerLimits, Pool, PoolEngine, Repeat, Route, Share, Stream};
 pub use signing::{
     KeyPair, OperatorKeys, PublicKey, RollBackOrder, Signature, SignatureError, SignedBundle,
 };
--- a/crates/core/src/bundle/routes.rs
+++ b/crates/core/src/bundle/routes.rs
@@ -32,6 +32,26 @@
     /// Settings of event streams, if the route's answers are such.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stream: Option<Stream>,
+    /// Who may send requests.
+    #[serde(default, skip_serializing_if = "Access::is_open")]
+    pub access: Access,
+}
+
+/// Who may send requests to a route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Access {
+    /// Everybody.
+    #[default]
+    Open,
+    /// Callers with an organisation's API key.
+    Key,
+}
+
+impl Access {
+    fn is_open(&self) -> bool {
+        *self == Access::Open
+    }
 }
 
 /// Whether a request may be repeated if it may already have been executed.
--- a/crates/core/tests/bundle_check.rs
+++ b/crates/core/tests/bundle_check.rs
@@ -51,7 +51,10 @@
 fn parse_refuses_a_key_shared_by_two_organisations() {
     let key = Digest::of(b"example-key");
     let duplicate = format!("  - {{name: twin, key_digest: \"{key}\", agents: []}}\n\npolicy:");
-    assert_eq!(paths(&EXAMPLE.replace("\npolicy:", &duplicate)), ["organisations[1].key_digest"]);
+    assert_eq!(
+        paths(&EXAMPLE.replace("\npolicy:", &duplicate)),
+        ["organisations[1].key_digests[0]"]
+    );
 }
 
 fn key_pairs() -> Vec<KeyPair> {
--- a/crates/gypsumglade/src/entry/active_bundle.rs
+++ b/crates/gypsumglade/src/entry/active_bundle.rs
@@ -3,10 +3,9 @@
 use std::collections::HashMap;
 
 use gypsumglade_core::bundle::{
-    Agent, Bundle, Model, Operation, Organisation, Pool, Route, Service,
+    Access, Agent, Bundle, Digest, Model, Operation, Organisation, Pool, Route, Service,
 };
 use gypsumglade_core::prelude::*;
-use sha2::{Digest as _, Sha256};
 
 use super::call::CallHeaders;
 use super::problem::{Problem, ProblemKind};
@@ -18,21 +17,30 @@
     pub revision: RevisionNumber,
     /// Content of the revision.
     pub bundle: Bundle,
-    organisations: HashMap<CompactString, usize>,
+    /// Indexes of the organisations by digest of an API key.
+    organisations: HashMap<Digest, usize>,
     agents: HashMap<CompactString, usize>,
     /// Indexes of the routes by host, longest prefix first.
     routes: HashMap<CompactString, Vec<usize>>,
+    /// Whether callers of routes may present API keys.
+    has_keys: bool,
 }
 
 impl ActiveBundle {
     /// Indexes the content of a revision.
     pub fn new(revision: RevisionNumber, bundle: Bundle) -> ActiveBundle {
-        let organisations = bundle.organisations.iter().enumerate();
-        let organisations = organisations.map(|(i, org)| (org.key_digest.clone(), i)).collect();
+        let organisations = index_keys(&bundle);
         let agents = bundle.agents.iter().enumerate();
         let agents = agents.map(|(i, agent)| (agent.name.clone(), i)).collect();
         let routes = index_routes(&bundle);
-        ActiveBundle { revision, bundle, organisations, agents, routes }
+        let has_keys = !bundle.organisations.is_empty()
+            || bundle.routes.iter().any(|route| route.access == Access::Key);
+        ActiveBundle { revision, bundle, organisations, agents, routes, has_keys }
+    }
+
+    /// Returns whether callers of routes may present API keys.
+    pub fn has_keys(&self) -> bool {
+        self.has_keys
     }
 
     /// Returns the route of a host with the longest prefix of `path`.
@@ -52,12 +60,18 @@
     /// # Errors
     /// Fails when the key belongs to no organisation of the bundle.
     pub fn organisation(&self, token: &str) -> Result<&Organisation, Problem> {
-        let digest = hex::encode(Sha256::digest(token.as_bytes()));
-        let index = self.organisations.get(digest.as_str());
-        let found = index.and_then(|index| self.bundle.organisations.get(*index));
+        let found = self.holder(token);
         found.ok_or_else(|| Problem::not_run(ProblemKind::Unauthorized, "unknown API key"))
     }
 
+    /// Returns the organisation of an API key, or `None` if the key belongs to none.
+    ///
+    /// Keys are compared by digest, so the time doesn't depend on how much of a key is right.
+    pub fn holder(&self, key: &str) -> Option<&Organisation> {
+        let index = self.organisations.get(&Digest::of(key.as_bytes()))?;
+        self.bundle.organisations.get(*index)
+    }
+
     /// Returns the agent program that a call names, or the organisation's first one.
     ///
     /// # Errors
@@ -106,6 +120,16 @@
     }
 }
 
+fn index_keys(bundle: &Bundle) -> HashMap<Digest, usize> {
+    let organisations = bundle.organisations.iter().enumerate();
+    let keys = organisations.flat_map(|(index, org)| {
+        // The bundle's check has verified that every digest parses.
+        let digests = org.key_digests.iter().filter_map(|digest| digest.parse().ok());
+        digests.map(move |digest| (digest, index))
+    });
+    keys.collect()
+}
+
 fn index_routes(bundle: &Bundle) -> HashMap<CompactString, Vec<usize>> {
     let mut routes: HashMap<CompactString, Vec<usize>> = HashMap::new();
     for (index, route) in bundle.routes.iter().enumerate() {
--- a/crates/gypsumglade/src/gateway/attempt.rs
+++ b/crates/gypsumglade/src/gateway/attempt.rs
@@ -230,8 +230,12 @@
     after: Option<u64>,
     dispatch: &ActiveDispatch,
 ) -> Request<Full<Bytes>> {
-    let attempt =
-        AttemptHead { endpoint: &dispatch.name, time_left: call.time_left(), after_event: after };
+    let attempt = AttemptHead {
+        identity: &call.sender.identity,
+        endpoint: &dispatch.name,
+        time_left: call.time_left(),
+        after_event: after,
+    };
     let path = call.parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut request = Request::new(Full::new(body.clone()));
     *request.method_mut() = call.parts.method.clone();
--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use gypsumglade_core::bundle::{PoolEngine, Repeat, Route, Stream};
+use compact_str::format_compact;
+use gypsumglade_core::bundle::{Organisation, PoolEngine, RateLimit, Repeat, Route, Stream};
 use gypsumglade_core::prelude::*;
 use http::{Response, request};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt as _, Full};
 use tokio::time::Instant;
 
-use super::dialect::CallHead;
+use super::dialect::{CallHead, Identity};
 use crate::entry::active_bundle::ActiveBundle;
 
 /// Error that ends a relayed body early; the connection to the caller is closed.
@@ -33,6 +34,25 @@
     pub(super) route: Route,
     pub(super) pool: CompactString,
     pub(super) bundle: Arc<ActiveBundle>,
+    pub(super) sender: Sender,
+}
+
+/// Sender of a request, as the bundle knows it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Sender {
+    pub(super) identity: Identity,
+    /// Rank of the organisation's requests, which replaces that of the route.
+    pub(super) rank: Option<u8>,
+    /// Rate limit of the organisation.
+    pub(super) limit: Option<RateLimit>,
+}
+
+impl Sender {
+    /// Returns the sender of a request with an organisation's API key.
+    pub(super) fn of(org: &Organisation) -> Sender {
+        let identity = Identity::Organisation(org.name.clone());
+        Sender { identity, rank: org.rank, limit: org.limit }
+    }
 }
 
 /// A caller's request that has a route.
@@ -45,6 +65,7 @@
     pub(super) route: Route,
     pub(super) pool: CompactString,
     pub(super) bundle: Arc<ActiveBundle>,
+    pub(super) sender: Sender,
     pub(super) arrived: Instant,
     /// Arrival plus the smaller of the caller's and the route's timeout.
     pub(super) deadline: Instant,
@@ -59,10 +80,10 @@
         matched: RouteMatch,
         arrived: Instant,
     ) -> Call {
-        let RouteMatch { route, pool, bundle } = matched;
+        let RouteMatch { route, pool, bundle, sender } = matched;
         let timeout = Duration::from_millis(route.timeout_ms).min(MAX_TIMEOUT);
         let deadline = arrived + head.timeout.unwrap_or(timeout).min(timeout);
-        Call { head, parts, body, route, pool, bundle, arrived, deadline }
+        Call { head, parts, body, route, pool, bundle, sender, arrived, deadline }
     }
 
     /// Returns the time until the deadline, or zero after it.
@@ -80,6 +101,22 @@
         self.route.stream
     }
 
+    /// Returns the rank of the call: its organisation's, or else its route's.
+    pub(super) fn rank(&self) -> u8 {
+        self.sender.rank.unwrap_or(self.route.rank)
+    }
+
+    /// Qualifies an id with the caller's organisation, as ids are unique within one only. An empty
+    /// id, which names nothing, stays empty.
+    ///
+    /// A caller can't continue the turn of another organisation, since its ids never match.
+    pub(super) fn scoped(&self, id: &str) -> CompactString {
+        match &self.sender.identity {
+            Identity::Organisation(org) if !id.is_empty() => format_compact!("{org}/{id}"),
+            _ => id.into(),
+        }
+    }
+
     /// Returns the program of a turn.
     pub(super) fn program(&self) -> Option<&str> {
         self.head.turn.as_ref().map(|turn| turn.program.as_str())
--- a/crates/gypsumglade/src/gateway/dialect.rs
+++ b/crates/gypsumglade/src/gateway/dialect.rs
@@ -4,6 +4,8 @@
 use gypsumglade_core::prelude::*;
 use http::{HeaderMap, Response, request, response};
 
+use crate::secret::Secret;
+
 /// Reads and writes the headers by which one platform's callers and endpoints communicate.
 ///
 /// A dialect only translates: it keeps no state and makes no routing decisions.
@@ -29,6 +31,8 @@
     pub id: CompactString,
     /// Host header, without a port.
     pub host: CompactString,
+    /// API key that the caller presents.
+    pub key: KeyHeader,
     /// How long the caller waits for the answer; unbounded if `None`.
     pub timeout: Option<Duration>,
     /// Set for a request of a program.
@@ -45,6 +49,30 @@
     pub affinity: Option<CompactString>,
 }
 
+/// API key in a request head.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum KeyHeader {
+    /// The caller presents no key.
+    #[default]
+    Absent,
+    /// The key can't be read, or there is more than one.
+    Malformed,
+    /// The caller's key.
+    Key(Secret),
+}
+
+/// Who sent a request, as its endpoint is told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Identity {
+    /// No route of the bundle asks for a key; the caller's headers are forwarded.
+    #[default]
+    Unchecked,
+    /// The route is open to everybody, and the caller belongs to no known organisation.
+    Anonymous,
+    /// The caller holds a key of this organisation.
+    Organisation(CompactString),
+}
+
 /// Contents of a request head that concern its program.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TurnHead {
@@ -72,6 +100,8 @@
 /// Contents of a request head that differ from one attempt at an endpoint to the next.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptHead<'a> {
+    /// Who sent the request. Unless it is unchecked, the caller's key isn't forwarded.
+    pub identity: &'a Identity,
     /// Name of the intended endpoint; a different one at the same address must refuse the request.
     pub endpoint: &'a str,
     /// Time until the caller's deadline.
@@ -121,6 +151,13 @@
 pub enum Refusal {
     /// A mandatory header is missing, or the body could not be read.
     Malformed,
+    /// The caller's API key is missing or unknown; the request has not run.
+    Unauthorized,
+    /// The organisation has reached its rate limit; the request has not run and will not run.
+    OverLimit {
+        /// Recommended delay before the retry.
+        retry_after: Duration,
+    },
     /// No route matches the host and path.
     NoRoute,
     /// The body exceeds the size limit of the bundle.
@@ -145,6 +182,8 @@
     pub const fn name(self) -> &'static str {
         match self {
             Refusal::Malformed => "malformed",
+            Refusal::Unauthorized => "unauthorized",
+            Refusal::OverLimit { .. } => "over_limit",
             Refusal::NoRoute => "no_route",
             Refusal::TooLarge => "too_large",
             Refusal::BudgetSpent => "budget_spent",
--- a/crates/gypsumglade/src/gateway/ingress.rs
+++ b/crates/gypsumglade/src/gateway/ingress.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gypsumglade_core::bundle::{Access, Route};
 use gypsumglade_core::prelude::*;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, request};
@@ -16,11 +17,12 @@
 use tokio::time::Instant;
 
 use super::buffered::{self, refusal_answer};
-use super::call::{Answer, Call, RouteMatch};
-use super::dialect::Refusal;
+use super::call::{Answer, Call, RouteMatch, Sender};
+use super::dialect::{Identity, KeyHeader, Refusal};
 use super::placement::choose_pool;
 use super::state::GatewayState;
 use super::streaming;
+use crate::entry::active_bundle::ActiveBundle;
 
 /// How long a caller's connection may be idle or take to send a head. Longer than any idle timeout
 /// that callers are told, so that a connection is not closed just as a request arrives.
@@ -137,6 +139,7 @@
     let bundle =
         bundle.map_err(|_| refuse(Refusal::Unavailable { retry_after: NO_BUNDLE_RETRY_AFTER }))?;
     let route = bundle.route(&head.host, parts.uri.path()).cloned();
+    let sender = identify(&bundle, route.as_ref(), &head.key).map_err(refuse)?;
     let route = route.ok_or_else(|| refuse(Refusal::NoRoute))?;
     let limit = usize::try_from(bundle.bundle.callers.body_bytes).unwrap_or(usize::MAX);
     let timeout = Duration::from_millis(route.timeout_ms);
@@ -146,7 +149,30 @@
     let body = body.map_err(refuse)?;
     let program = head.turn.as_ref().map(|turn| &turn.program);
     let pool = choose_pool(&route, program.unwrap_or(&head.id));
-    Ok(Call::new(head, parts, body, RouteMatch { route, pool, bundle }, arrived))
+    Ok(Call::new(head, parts, body, RouteMatch { route, pool, bundle, sender }, arrived))
+}
+
+/// Determines who sends a request.
+///
+/// A caller without a key doesn't learn which routes exist, since the key is checked first.
+fn identify(
+    bundle: &ActiveBundle,
+    route: Option<&Route>,
+    key: &KeyHeader,
+) -> Result<Sender, Refusal> {
+    if !bundle.has_keys() {
+        return Ok(Sender::default());
+    }
+    let holder = match key {
+        KeyHeader::Key(key) => bundle.holder(key.reveal()),
+        KeyHeader::Absent | KeyHeader::Malformed => None,
+    };
+    let is_open = route.is_some_and(|route| route.access == Access::Open);
+    match holder {
+        Some(org) => Ok(Sender::of(org)),
+        None if is_open => Ok(Sender { identity: Identity::Anonymous, ..Sender::default() }),
+        None => Err(Refusal::Unauthorized),
+    }
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -25,8 +25,8 @@
 mod turn_client;
 
 pub use dialect::{
-    AnswerHead, AnswerKind, AttemptHead, CallHead, Dialect, EndpointLoad, PromptPart, Refusal,
-    TurnHead,
+    AnswerHead, AnswerKind, AttemptHead, CallHead, Dialect, EndpointLoad, Identity, KeyHeader,
+    PromptPart, Refusal, TurnHead,
 };
 pub use headers::forwarded_headers;
 pub use serve::{Gateway, GatewayAddresses};
--- a/crates/gypsumglade/src/gateway/placement.rs
+++ b/crates/gypsumglade/src/gateway/placement.rs
@@ -295,7 +295,7 @@
         bytes: Some(body.len() as u64),
         last_runs: Vec::new(),
         shared_prefixes: shared_prefixes(call),
-        class: if call.route.rank == 0 { Class::Urgent } else { Class::Normal },
+        class: if call.rank() == 0 { Class::Urgent } else { Class::Normal },
         place: state.place,
         excluded: excluded.to_vec(),
         isolate: false,
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -81,25 +81,26 @@
         });
     }
     let retained = retention_ms.map(|retention_ms| RetainedTurn {
-        previous: turn.previous.clone(),
+        previous: call.scoped(&turn.previous),
         input: call.body.clone(),
         retention_ms,
     });
     let client = &state.turns;
-    let known = state.histories.get(&turn.previous);
+    let previous = call.scoped(&turn.previous);
+    let known = state.histories.get(&previous);
     let prefixes = shared_prefixes(call);
     let reservation = Reservation {
-        turn: call.head.id.clone(),
-        program: turn.program.clone(),
+        turn: call.scoped(&call.head.id),
+        program: call.scoped(&turn.program),
         prompt: prefixes.last().copied(),
         retained,
     };
     let request = Reserve {
-        turn: call.head.id.to_string(),
-        program: turn.program.to_string(),
+        turn: reservation.turn.to_string(),
+        program: reservation.program.to_string(),
         budget: turn.budget,
         most: call.head.max_tokens,
-        previous: turn.previous.to_string(),
+        previous: previous.to_string(),
         now_ms: 0,
         held: known.is_some(),
         lasts_ms: u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX),
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -59,7 +59,7 @@
         return Ok(());
     }
     let load = pool_load(state, call);
-    let status = ProgramStatus { rank: call.route.rank, under_way };
+    let status = ProgramStatus { rank: call.rank(), under_way };
     let spread = rand::random::<f64>();
     overload::admit(load, status, spread).map_err(|retry_after| {
         slog::info!(state.log, "new program refused, its pool is overloaded"; "request" => %call.head.id,
