Count requests of organisations in sliding windows at the turn group

Change: a turn's reservation counts towards its organisation's limit in the replicated state, so a new leader continues the counts. Other requests ask the leader, which reports its grants with its next command, or after 50 ms. Counts are kept in slots of a window as long as the stated one, so no window of any alignment exceeds the limit. New programs are refused once those that began in a window need the whole limit; programs under way may use three quarters of the stated excess.

--- a/crates/core/src/turns/budget.rs
+++ b/crates/core/src/turns/budget.rs
@@ -74,6 +74,11 @@
         Ok(())
     }
 
+    /// Returns `true` if a turn is reserved and not settled.
+    pub(super) fn is_reserved(&self, program: &str, turn: &str) -> bool {
+        self.programs.get(program).is_some_and(|usage| usage.reserved.contains_key(turn))
+    }
+
     /// Returns `true` if a program had a turn other than this one.
     pub(super) fn has_other_turn(&self, program: &str, turn: &str) -> bool {
         let Some(usage) = self.programs.get(program) else { return false };
--- a/crates/core/src/turns/snapshot.rs
+++ b/crates/core/src/turns/snapshot.rs
@@ -4,6 +4,7 @@
 use prost::Message;
 
 use super::budget::{Budgets, Usage};
+use super::quota::{Account, Accounts};
 use super::runs::Runs;
 use super::state::Turns;
 use super::tree::{Turn, TurnTree};
@@ -37,6 +38,7 @@
             programs: programs.collect(),
             turns: turns.collect(),
             clock_ms: self.clock,
+            accounts: self.accounts.accounts.iter().map(|(name, own)| account(name, own)).collect(),
         };
         snapshot.encode_to_vec().into()
     }
@@ -60,7 +62,9 @@
                 Turn { held_until: record.held_ms, ..Turn::from_wire(&kept, record.until_ms) },
             )
         });
+        let accounts = snapshot.accounts.into_iter().map(limit_use).collect();
         Ok(Turns {
+            accounts: Accounts { accounts },
             budgets: Budgets { programs },
             tree: TurnTree { turns: turns.collect() },
             clock: snapshot.clock_ms,
@@ -97,3 +101,23 @@
     let usage = Usage { spent: record.spent, reserved, last_ms: record.last_ms, runs };
     (record.program.to_compact_string(), usage)
 }
+
+fn account(name: &CompactString, account: &Account) -> wire::AccountRecord {
+    wire::AccountRecord {
+        organisation: name.to_string(),
+        limit: Some(account.limit),
+        slots: account.slots.iter().copied().collect(),
+        programs: account.programs,
+        requests: account.requests,
+    }
+}
+
+fn limit_use(record: wire::AccountRecord) -> (CompactString, Account) {
+    let account = Account {
+        limit: record.limit.unwrap_or_default(),
+        slots: record.slots.into(),
+        programs: record.programs,
+        requests: record.requests,
+    };
+    (record.organisation.to_compact_string(), account)
+}
--- a/crates/gypsumglade/src/gateway/buffered.rs
+++ b/crates/gypsumglade/src/gateway/buffered.rs
@@ -10,6 +10,7 @@
 use super::call::{Answer, Call, full_body};
 use super::dialect::Refusal;
 use super::headers::{forwarded_headers, is_encoded};
+use super::quota;
 use super::state::GatewayState;
 
 /// Largest answer that is buffered.
@@ -20,6 +21,7 @@
 /// The caller gets nothing before the answer has been read to its end, so an incomplete answer can
 /// still lead to a retry or an error and is never taken for a success.
 pub(super) async fn answer(state: &Arc<GatewayState>, call: &Call) -> Result<Answer, Refusal> {
+    quota::admit(state, call).await?;
     let mut attempts = Attempts::default();
     loop {
         let answer = send_until_answered(state, call, &call.body, None, &mut attempts).await?;
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod ingress;
 mod leader_search;
 mod placement;
+mod quota;
 mod relay;
 mod serve;
 mod settlement;
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -15,6 +15,7 @@
 use super::call::Call;
 use super::dialect::Refusal;
 use super::placement::{offers, shared_prefixes};
+use super::quota;
 use super::state::GatewayState;
 
 /// A history may take the caller's remaining time divided by this; the rest is left for a retry at
@@ -71,6 +72,7 @@
     let retention_ms = call.stream().and_then(|stream| stream.keep_ms);
     let turn = call.head.turn.clone().unwrap_or_default();
     if retention_ms.is_none() && turn.budget.is_none() {
+        quota::admit(state, call).await?;
         let body = call.body.clone();
         return Ok(ReservedTurn {
             body,
@@ -106,6 +108,8 @@
         lasts_ms: u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX),
         prompts: prefixes.iter().map(|prefix| prefix.hash).collect(),
         offers: offers(state, call, &prefixes),
+        draw: quota::draw(state, call),
+        granted: Vec::new(),
     };
     let wait =
         WaitRequest { time_left: call.time_left(), bytes: call.body.len(), jitter: rand::random() };
@@ -151,6 +155,10 @@
             guard.take();
             Err(Refusal::BudgetSpent)
         }
+        Some(ReplyBody::Limited(limited)) => {
+            guard.take();
+            Err(quota::refuse(state, call, &limited))
+        }
         Some(ReplyBody::Unknown(_)) => {
             guard.take();
             Err(Refusal::UnknownTurn)
--- a/crates/gypsumglade/src/metrics.rs
+++ b/crates/gypsumglade/src/metrics.rs
@@ -83,6 +83,7 @@
     outcomes: Counter<u64>,
     shed: Counter<u64>,
     retries: Counter<u64>,
+    quota: Counter<u64>,
     region_bytes: Counter<u64>,
     commits: CommitLatency,
     leases: LeaseMetrics,
@@ -133,6 +134,7 @@
             outcomes: count("call_outcomes"),
             shed: count("calls_shed"),
             retries: count("call_retries"),
+            quota: count("quota_requests"),
             region_bytes: count("region_link_bytes"),
             commits: CommitLatency(seconds("replica_commit", &COMMIT_SECONDS)),
             leases: LeaseMetrics {
@@ -219,6 +221,11 @@
         self.retries.add(1, &[label("reason", reason)]);
     }
 
+    /// Counts a request of an organisation with a rate limit, by outcome.
+    pub fn quota(&self, outcome: &'static str) {
+        self.quota.add(1, &[label("outcome", outcome)]);
+    }
+
     /// Counts bytes sent between regions, by class of traffic.
     pub fn region_link(&self, bytes: u64, class: &'static str) {
         self.region_bytes.add(bytes, &[label("class", class)]);
--- a/crates/gypsumglade/src/settings/mod.rs
+++ b/crates/gypsumglade/src/settings/mod.rs
@@ -15,6 +15,7 @@
 mod operators;
 mod peers;
 mod policy;
+mod quota;
 mod store;
 mod timeouts;
 mod tls;
@@ -35,6 +36,7 @@
 pub use self::operators::OperatorSettings;
 pub use self::peers::PeerSettings;
 pub use self::policy::PolicySettings;
+pub use self::quota::QuotaSettings;
 pub use self::store::StoreSettings;
 pub use self::timeouts::TimeoutSettings;
 pub use self::tls::{CertificateSettings, TlsSettings};
@@ -71,6 +73,8 @@
     pub limits: LimitSettings,
     /// Prices of network links, and policy mechanisms that are switched off.
     pub policy: PolicySettings,
+    /// Enforcement of the organisations' rate limits, the same on every VM.
+    pub quota: QuotaSettings,
     /// Timeouts and lease lengths.
     pub timeouts: TimeoutSettings,
     /// Log level and destination.
@@ -98,6 +102,7 @@
             operators: OperatorSettings::default(),
             limits: LimitSettings::default(),
             policy: PolicySettings::default(),
+            quota: QuotaSettings::default(),
             timeouts: TimeoutSettings::default(),
             log: LogSettings::default(),
             tls: TlsSettings::default(),
@@ -200,6 +205,7 @@
         self.operators.check(findings);
         self.limits.check(findings);
         self.policy.check(findings);
+        self.quota.check(findings);
         self.timeouts.check(findings);
         self.tls.check(findings);
     }
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -8,13 +8,13 @@
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::{LogIndex, Term};
 use gypsumglade_core::turns::{
-    AssignRequest, Assignments, CopySurvey, Holding, LeaderClock, Limits, LoadCost, Offer,
-    Transfer, Turns,
+    AssignRequest, Assignments, CopySurvey, Grants, Holding, LeaderClock, Limits, LoadCost, Offer,
+    Transfer, Turns, limited,
 };
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
 use gypsumglade_core::wire::turn::{
-    Command, Copied, KeptQuery, KeptReply, NotLeader, Reply, Uncertain,
+    Command, Copied, Draw, Drawn, Granted, KeptQuery, KeptReply, NotLeader, Reply, Uncertain,
 };
 use prost::Message as _;
 use tokio::sync::mpsc;
@@ -24,6 +24,10 @@
 use crate::clock::Clock;
 use crate::replica::{Event, ProposeError, ReadError};
 
+/// Longest time that grants of requests stay with the leader alone. Another command usually takes
+/// them along earlier.
+const GRANT_DELAY: Duration = Duration::from_millis(50);
+
 /// The turn group's state machine on one store.
 pub struct TurnGroup {
     context: Arc<StoreContext>,
@@ -41,6 +45,8 @@
     answers: PendingAnswers<Reply>,
     /// Engines of turns in flight; empty unless this store leads.
     assignments: Assignments,
+    /// Requests granted by this leader that the log doesn't have yet.
+    grants: Grants,
 }
 
 impl TurnState {
@@ -77,7 +83,10 @@
     /// Serves an entry VM's command and answers once it is committed.
     ///
     /// Answers are computed in log order, so the same tokens are never granted to two entry VMs.
-    pub async fn ask(&self, mut command: Command) -> Reply {
+    pub async fn ask(self: &Arc<Self>, mut command: Command) -> Reply {
+        if let Some(CommandBody::Draw(draw)) = &command.body {
+            return Reply { body: Some(self.draw(draw).await) };
+        }
         let Some(time) = self.command_time() else {
             // A follower redirects to its leader. A leader without a usable state answers
             // `uncertain`, and has transferred its leadership by the time of a retry.
@@ -88,16 +97,34 @@
             self.state().assignments.release(&settle.turn);
         }
         let request = take_offers(&mut command);
-        let data = Bytes::from(command.encode_to_vec());
-        let body = match self.context.host.propose(GroupId::TURNS, data).await {
+        if let Some(CommandBody::Reserve(reserve)) = &mut command.body {
+            reserve.granted = self.state().grants.take();
+        }
+        match self.propose(command).await {
             Ok(index) => {
                 let reply = self.answer_at(index).await;
-                return self.assign(reply, request);
+                self.assign(reply, request)
             }
-            Err(ProposeError::NotLeader { hint }) => self.redirect(hint),
-            Err(ProposeError::Dropped | ProposeError::Uncertain) => uncertain(),
-        };
-        Reply { body: Some(body) }
+            Err(ProposeError::NotLeader { hint }) => Reply { body: Some(self.redirect(hint)) },
+            Err(ProposeError::Dropped | ProposeError::Uncertain) => {
+                Reply { body: Some(uncertain()) }
+            }
+        }
+    }
+
+    /// Proposes a command. Grants that it reports are kept if it may be lost.
+    async fn propose(&self, command: Command) -> Result<LogIndex, ProposeError> {
+        let data = Bytes::from(command.encode_to_vec());
+        let proposed = self.context.host.propose(GroupId::TURNS, data).await;
+        if proposed.is_err() {
+            let draws = match command.body {
+                Some(CommandBody::Reserve(reserve)) => reserve.granted,
+                Some(CommandBody::Granted(granted)) => granted.draws,
+                _ => Vec::new(),
+            };
+            self.state().grants.put_back(draws);
+        }
+        proposed
     }
 
     /// Assigns a reserved turn to one of the engines that its entry VM offered.
@@ -114,9 +141,44 @@
         reply
     }
 
+    /// Grants a request that isn't a turn, if its organisation's limit allows it.
+    async fn draw(self: &Arc<Self>, draw: &Draw) -> ReplyBody {
+        if let Err(ReadError::NotLeader { hint }) =
+            self.context.host.read_barrier(GroupId::TURNS).await
+        {
+            return self.redirect(hint);
+        }
+        let Some(now) = self.command_time() else { return uncertain() };
+        let mut state = self.state();
+        if !state.leads() {
+            return uncertain();
+        }
+        let pending = state.grants.pending(&draw.organisation);
+        if let Err(reached) = state.turns.check_draw(now, draw, pending) {
+            return limited(&reached, Some(draw));
+        }
+        if state.grants.is_empty() {
+            tokio::spawn(Arc::clone(self).report_grants());
+        }
+        state.grants.add(draw);
+        ReplyBody::Drawn(Drawn { requests: draw.requests })
+    }
+
+    /// Commits the leader's grants, unless another command takes them along first.
+    async fn report_grants(self: Arc<Self>) {
+        tokio::time::sleep(GRANT_DELAY).await;
+        let draws = self.state().grants.take();
+        let Some(now_ms) = self.command_time().filter(|_| !draws.is_empty()) else { return };
+        let command = Command { body: Some(CommandBody::Granted(Granted { draws, now_ms })) };
+        if self.propose(command).await.is_err() {
+            slog::warn!(self.context.log, "granted requests not reported to the turn group");
+        }
+    }
+
     fn end_leadership(&self) {
         let mut state = self.state();
         state.leader_clock = None;
+        state.grants = Grants::default();
         state.assignments = Assignments::default();
     }
 
@@ -156,6 +218,7 @@
             "turns": state.turns.kept(),
             "programs": state.turns.programs(),
             "assigned": state.assignments.in_flight(),
+            "limits": state.turns.limits(),
         })
     }
 
@@ -169,6 +232,7 @@
         let unusable = {
             let mut state = self.state();
             let now = self.context.clock.now();
+            state.grants = Grants::default();
             state.leader_clock =
                 Some(LeaderClock::start(state.turns.time(), Clock::wall_millis(), now));
             state.unusable
@@ -195,6 +259,11 @@
         }
         // Every entry was encoded by a leader of this group.
         let command = Command::decode(data).unwrap_or_default();
+        match &command.body {
+            Some(CommandBody::Reserve(reserve)) => state.grants.applied(&reserve.granted),
+            Some(CommandBody::Granted(granted)) => state.grants.applied(&granted.draws),
+            _ => {}
+        }
         let reply = state.turns.apply(&command);
         state.answers.record(index, Some(&reply));
     }
@@ -257,7 +326,7 @@
     }
 
     /// Records the new holders of copied texts. Returns `true` once that is committed.
-    pub(super) async fn record_copied(&self, copied: &[Holding]) -> bool {
+    pub(super) async fn record_copied(self: &Arc<Self>, copied: &[Holding]) -> bool {
         let turns = copied.iter().map(Holding::to_wire).collect();
         let body = CommandBody::Copied(Copied { turns, now_ms: 0 });
         let reply = self.ask(Command { body: Some(body) }).await;
@@ -329,7 +398,8 @@
         Some(CommandBody::Reserve(reserve)) => reserve.now_ms = now,
         Some(CommandBody::Settle(settle)) => settle.now_ms = now,
         Some(CommandBody::Copied(copied)) => copied.now_ms = now,
-        None => {}
+        Some(CommandBody::Granted(granted)) => granted.now_ms = now,
+        Some(CommandBody::Draw(_)) | None => {}
     }
 }
 
