--- a/crates/gypsumglade/tests/bench_policy.rs
+++ b/crates/gypsumglade/tests/bench_policy.rs
@@ -1,9 +1,9 @@
-//! The policy comparison is repeatable.
+//! The policy comparison is reproducible.
 
 use gypsumglade::bench::policy::{PolicyBench, run};
 
-// A figure in docs/measurements must come out again from its seed, byte for byte. Hash maps in the
-// core that are walked in their own order, or threads that finish in another, would break that.
+// The figures in docs/measurements must be reproducible from their seeds. Iteration over hash maps or
+// the order in which threads finish would change them.
 #[test]
 fn run_same_seed_same_bytes() {
     let settings = || PolicyBench {
--- a/crates/gypsumglade/tests/border_files.rs
+++ b/crates/gypsumglade/tests/border_files.rs
@@ -1,4 +1,4 @@
-//! Bad input from files and datagrams: settings, the data folder, membership's socket.
+//! Invalid input from files and datagrams: settings, the data folder, the membership socket.
 
 #[path = "border_support/mod.rs"]
 mod border_support;
@@ -22,7 +22,7 @@
     prop_oneof![Just(Role::Entry), Just(Role::Store)]
 }
 
-/// Opens a folder with the given files as a store does.
+/// Opens a folder with the given files, as a store does.
 fn open(files: &[(&str, &[u8])]) -> (bool, bool) {
     let root = tempfile::tempdir().expect("a folder");
     for (name, bytes) in files {
@@ -33,7 +33,7 @@
     (inspected, Disk::open(root.path(), options).is_ok())
 }
 
-/// Returns the files of a folder that a store has just made.
+/// Returns the files of a folder that a store has just created.
 fn fresh() -> Vec<(String, Vec<u8>)> {
     let root = tempfile::tempdir().expect("a folder");
     let options = Options { vm: VmId(3), segment_bytes: 1 << 20, faults: Faults::default() };
@@ -73,8 +73,8 @@
 
     #[test]
     fn open_survives_any_log(bytes in vec(any::<u8>(), 0..200), kept in any::<bool>()) {
-        // Another program's file lies where the log should be. It is refused or, when nothing in
-        // it was ever a record, taken for a torn end; `inspect` never calls for a panic.
+        // The log is replaced by another program's file. It is refused, or taken for a torn end if it
+        // holds no record; `inspect` must not panic.
         let mut files = if kept { fresh() } else { vec![] };
         files.retain(|(name, _)| name != "log-0000000001");
         files.push(("log-0000000001".to_owned(), bytes));
@@ -99,8 +99,8 @@
 
 #[tokio::test]
 async fn datagrams_of_strangers_are_counted_and_dropped() {
-    // A host without the cluster's key sends garbage, and datagrams of every length up to one
-    // that is longer than any real one. The VM goes on, believes none, and tells how many came.
+    // A host without the cluster's key sends garbage of every length up to one longer than any real
+    // datagram. The VM ignores and counts them.
     let key = ClusterKey::new(Bytes::from_static(b"a secret of the cluster"));
     let settings = MembershipSettings { vm: VmId(1), key, ..MembershipSettings::default() };
     let handle = start(settings.clone()).expect("loopback can be bound");
@@ -111,7 +111,7 @@
         let bytes = vec![length as u8; length];
         socket.send_to(&bytes, handle.address()).await.expect("sent");
     }
-    // The count is published with the next change: a friend that joins.
+    // The count is published with the next change of membership.
     let seeds = vec![handle.address()];
     let _friend = start(MembershipSettings { vm: VmId(2), seeds, ..settings }).expect("bound");
     let mut view = handle.watch();
@@ -119,6 +119,6 @@
     let joined = tokio::time::timeout(Duration::from_secs(30), joined).await;
     let view = joined.expect("the friend joins").expect("membership runs");
     assert_eq!(view.members.len(), 2);
-    // An empty datagram looks like a receive that failed, so it is dropped without a count.
+    // An empty datagram looks like a failed receive, so it is dropped without being counted.
     assert_eq!(view.strangers, lengths.len() as u64 - 1);
 }
--- a/crates/gypsumglade/tests/border_rpc.rs
+++ b/crates/gypsumglade/tests/border_rpc.rs
@@ -1,4 +1,4 @@
-//! Bad input from other processes: strangers, garbage, huge numbers, false announcements.
+//! Invalid input from other processes: no token, garbage, huge numbers, false announcements.
 
 mod border_support;
 
@@ -29,9 +29,9 @@
 use prost::Message as _;
 use serde_json::{Value, json};
 
-/// Longest wait for one answer, far above what it takes.
+/// Bound on the wait for one answer, far above the usual time.
 const PATIENCE: Duration = Duration::from_secs(20);
-/// Wait for answers to garbage; a request may be parked, which is no fault.
+/// Wait for answers to garbage; a request may be parked, which is allowed.
 const SHORT: Duration = Duration::from_millis(300);
 
 const ENTRY_METHODS: &[Method] =
@@ -87,7 +87,7 @@
     wire::Request { body: Some(RequestBody::BeginTurn(turn)) }
 }
 
-/// Asks both processes something sound.
+/// Sends a valid request to both processes.
 async fn check_serving(system: &System, program: &str) {
     let peers = friend(system);
     let members = peers.call(entry(system), Method::Members, ArrayParams::new(), PATIENCE).await;
@@ -107,7 +107,7 @@
         if matches!(answer, Some(ReplyBody::Grant(_))) {
             return;
         }
-        // No leader yet.
+        // There is no leader yet.
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
     panic!("the store grants nothing any more: {answer:?}");
@@ -115,7 +115,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn call_of_a_stranger_is_refused() {
-    // A process that reaches the peers' port without the token could settle calls or vote.
+    // Without a check of the token, any process that reaches the port could settle calls or vote.
     let system = System::bare().await;
     let peers = PeerClients::new(Secret::new("a guess of some length"), None);
     let body = json!({"jsonrpc": "2.0", "id": 1, "method": "members", "params": []}).to_string();
@@ -130,13 +130,13 @@
         let guess = plain.header("authorization", bearer("a guess of some length"));
         assert_eq!(guess.send(address).await.status, 401);
     }
-    // Nor may it open the link over which stores vote.
+    // The token also protects the link over which stores vote.
     let link = peers.open_link(store(&system), VmId(9)).await;
     assert_eq!(link.err(), Some(RpcError::Unreachable(store(&system))));
     check_serving(&system, "good").await;
 }
 
-/// A peer of another version, or with damaged memory, sends frames that are no batches.
+/// A peer of another version, or with damaged memory, sends frames that can't be decoded.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn link_with_garbage_is_survived() {
     let system = System::bare().await;
@@ -169,7 +169,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn call_with_garbage_is_survived() {
-    // A peer of another version, or a broken one, sends what nobody can read.
+    // A peer of another version, or a faulty one, sends requests that can't be decoded.
     let system = System::bare().await;
     let peers = friend(&system);
     let mut runner = TestRunner::new(config(73, 40));
@@ -224,7 +224,7 @@
     requests
 }
 
-/// Replication batches of a VM that is no member, in which every number is `number`.
+/// Replication batches of a VM that isn't a member, in which every number is `number`.
 fn batches(number: u64) -> Vec<log_wire::Batch> {
     let entry = log_wire::Entry { term: number, index: number, ..log_wire::Entry::default() };
     let append = log_wire::Append {
@@ -272,8 +272,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn call_with_huge_numbers_is_survived() {
     let odd_group = group_of("org", "odd", Settings::default().groups);
-    // A peer with a fault sends numbers at the ends of their types: sums of them must not wrap,
-    // and nothing of their size may be reserved.
+    // A faulty peer sends numbers at the limits of their types: sums must not overflow, and no memory
+    // may be allocated by them.
     let system = System::bare().await;
     check_serving(&system, "first").await;
     let peers = friend(&system);
@@ -387,8 +387,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn announce_of_anothers_identity_is_not_taken() {
-    // An endpoint announces itself under the name of another that is up, from another address:
-    // calls, with their histories, would go to it, and the other would get none.
+    // An endpoint announces itself from another address under the name of one that is up. Accepted, it
+    // would receive that endpoint's calls with their histories.
     let system = System::bare().await;
     let token = system.settings.tokens.endpoints.reveal();
     announce(&system, token, &announcement("engine", 5, 5, 4_001)).await;
--- a/crates/gypsumglade/tests/capacity_page.rs
+++ b/crates/gypsumglade/tests/capacity_page.rs
@@ -1,4 +1,4 @@
-//! docs/CAPACITY.md holds the recorded measurements and what follows from them, and nothing else.
+//! docs/CAPACITY.md contains only the recorded measurements and figures derived from them.
 //!
 //! docs/capacity.yaml has the target and the measurements. Each row of the page that begins with a
 //! name in backticks is one of these or one of the figures worked out below.
@@ -12,9 +12,9 @@
 use serde_json::json;
 
 const SECONDS_A_DAY: f64 = 86_400.0;
-/// JSON carries four bytes for each three of a message.
+/// Overhead of base64 in JSON: four bytes for each three of a message.
 const BASE64: f64 = 4.0 / 3.0;
-/// Replicas of a group at the target, as the placement plan has it.
+/// Replicas of a group at the target, according to the placement plan.
 const REPLICAS: f64 = 3.0;
 const MB: f64 = 1e6;
 const GB: f64 = 1e9;
@@ -42,7 +42,7 @@
     command: String,
     date: String,
     seed: String,
-    /// Page below docs/ that holds the same figure, if one does.
+    /// Page below docs/ that has the same figure, if there is one.
     page: Option<PathBuf>,
 }
 
@@ -60,12 +60,12 @@
         value.unwrap_or_else(|| panic!("docs/capacity.yaml has no {name}"))
     }
 
-    /// Returns the growth of a measurement for each unit between two recorded points.
+    /// Returns the slope between two recorded points.
     fn slope(&self, name: &str, (low, x): (&str, f64), (high, y): (&str, f64)) -> f64 {
         (self.get(&format!("{name}_{high}")) - self.get(&format!("{name}_{low}"))) / (y - x)
     }
 
-    /// Returns the straight line through 9 and 36 VMs at the target's size, never below 36 VMs'.
+    /// Extrapolates the line through 9 and 36 VMs to the target's size; at least the value of 36 VMs.
     fn at_target(&self, name: &str) -> f64 {
         let slope = self.slope(name, ("9_vms", 9.0), ("36_vms", 36.0)).max(0.0);
         self.get(&format!("{name}_36_vms")) + slope * (self.get("nodes") - 36.0)
@@ -85,7 +85,7 @@
 
 type Figure = (&'static str, f64, &'static str);
 
-/// What an entry VM spends on calls.
+/// Cost of calls at an entry VM.
 fn call_figures(r: &Recorded) -> Vec<Figure> {
     let requests = r.get("requests") / r.get("nodes");
     let tokens = r.get("tokens") / r.get("nodes");
@@ -102,7 +102,7 @@
     ]
 }
 
-/// What an entry VM spends on control.
+/// Cost of control at an entry VM.
 fn control_figures(r: &Recorded) -> Vec<Figure> {
     let rate = r.get("workers") / r.get("announce_interval");
     let changes = r.get("changes") / SECONDS_A_DAY;
@@ -137,7 +137,7 @@
     ]
 }
 
-/// What the stores spend on programs.
+/// Cost of programs at the stores.
 fn program_figures(r: &Recorded) -> Vec<Figure> {
     let history = r.get("programs") * r.get("program_tokens") * r.get("bytes_per_token");
     let calls = 2.0 * r.get("program_turns");
@@ -164,7 +164,7 @@
     ]
 }
 
-/// What a store process spends without calls.
+/// Cost of an idle store.
 fn store_figures(r: &Recorded) -> Vec<Figure> {
     let peers = r.get("control_vms") - 1.0;
     vec![
@@ -181,7 +181,7 @@
     ]
 }
 
-/// What the control group and operators spend on bundles.
+/// Cost of bundles at the control group.
 fn bundle_figures(r: &Recorded) -> Vec<Figure> {
     let changes = r.get("changes") / SECONDS_A_DAY;
     let whole = changes * r.get("bundle_bytes");
@@ -214,7 +214,7 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs")
 }
 
-/// Writes a number with separators of thousands and no more than `decimals`.
+/// Formats a number with thousands separators and at most `decimals` decimals.
 fn number(value: f64, decimals: usize) -> String {
     let text = format!("{value:.decimals$}");
     let (whole, fraction) =
@@ -229,14 +229,14 @@
     fraction.map_or(grouped.clone(), |fraction| format!("{grouped}.{fraction}"))
 }
 
-/// Writes a recorded value with all its decimals.
+/// Formats a recorded value with all its decimals.
 fn exact(value: f64) -> String {
     let text = value.to_string();
     let decimals = text.split_once('.').map_or(0, |(_, fraction)| fraction.len());
     number(value, decimals)
 }
 
-/// Writes a worked-out value with three figures, or all before the decimal point.
+/// Formats a derived value with three significant figures, or with its whole integer part.
 fn rounded(value: f64) -> String {
     let decimals = 2 - value.abs().max(1e-6).log10().floor() as i64;
     number(value, usize::try_from(decimals).unwrap_or(0))
@@ -284,8 +284,7 @@
 
 #[test]
 fn page_agrees_with_measurements() {
-    // A figure on the page that no run gave, or that an old run gave, would mislead whoever plans
-    // by it: nobody sees from the page alone that its arithmetic is stale.
+    // A figure that no run gave, or that is outdated, would mislead planning.
     let recorded = Recorded::read();
     let mut expected = BTreeMap::new();
     for (name, quantity) in recorded.quantities() {
--- a/crates/gypsumglade/tests/cli_verbs.rs
+++ b/crates/gypsumglade/tests/cli_verbs.rs
@@ -1,4 +1,4 @@
-//! The command line as a script sees it: exit codes, output, and orders on the wire.
+//! Command line: exit codes, output, and orders on the wire.
 
 use std::path::Path;
 use std::process::{Command, Output};
@@ -112,9 +112,9 @@
     assert_eq!(code(&failed), exit::UNREACHABLE);
 }
 
-/// Name of the order that is answered as an earlier one was, whose revision was replaced since.
+/// Name of the order that gets the answer of an earlier one whose revision has been replaced.
 const REPLACED: &str = "replaced";
-/// Name of the order whose answer is garbled on its way.
+/// Name of the order whose answer is corrupted.
 const LOST: &str = "lost";
 
 type Told = Arc<Mutex<Vec<wire::Command>>>;
@@ -126,7 +126,7 @@
     Json(Status { current: 4, in_force: true, ..Status::default() }).into_response()
 }
 
-/// Accepts a bundle, and meets a roll back with a faster operator.
+/// Accepts a bundle, and answers a roll back with a conflict.
 async fn control(State(told): State<Told>, body: Bytes) -> Vec<u8> {
     let command = wire::Command::decode(body).unwrap();
     let answer = match &command.body {
--- a/crates/gypsumglade/tests/config_slow_link.rs
+++ b/crates/gypsumglade/tests/config_slow_link.rs
@@ -1,4 +1,4 @@
-//! Renewal of the configuration lease over a link that carries an update only slowly.
+//! Renewal of the configuration lease over a slow link.
 
 mod store_support;
 
@@ -28,15 +28,15 @@
 
 /// Port of the store.
 const PEERS: u16 = 7_311;
-/// Bytes that the link carries in each of its steps.
+/// Bytes that the link carries in each step.
 const LINK_BYTES: usize = 16 * 1024;
 /// Length of a step of the link.
 const LINK_STEP: Duration = Duration::from_millis(50);
-/// Size of the bundle: several seconds of the link.
+/// Size of the bundle, which the link carries in several seconds.
 const BUNDLE_BYTES: usize = 1024 * 1024;
-/// Looks for a state that must be reached.
+/// Number of polls for an expected state.
 const LOOKS: usize = 1_000;
-/// Pause between two looks.
+/// Interval between polls.
 const PAUSE: Duration = Duration::from_millis(20);
 
 fn ip() -> Ipv4Addr {
@@ -94,8 +94,8 @@
     address
 }
 
-/// An update takes the link longer than a lease request may take. Given up and fetched again each time,
-/// it never arrived, and the VM acted on its old bundle until its lease ended.
+/// An update takes longer than the timeout of a lease request. It was given up and fetched again each
+/// time, so the VM acted on its old bundle until its lease ended.
 #[tokio::test]
 async fn renew_over_slow_link() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/gypsumglade/tests/config_spread.rs
+++ b/crates/gypsumglade/tests/config_spread.rs
@@ -1,4 +1,4 @@
-//! How a newer bundle gets from the stores to the VMs that act on it.
+//! Distribution of a newer bundle from the stores to the VMs that act on it.
 
 mod store_support;
 
@@ -23,9 +23,9 @@
 
 /// Port of every store; each has a loopback address of its own.
 const PEERS: u16 = 7_310;
-/// Looks for something that another store must hear of.
+/// Number of polls for a state that must reach another store.
 const LOOKS: usize = 500;
-/// Pause between two looks.
+/// Interval between polls.
 const PAUSE: Duration = Duration::from_millis(20);
 
 fn key() -> KeyPair {
@@ -96,8 +96,8 @@
     }
 }
 
-/// Requests are handled under a bundle that was replaced seconds ago. The leader that acknowledged the
-/// newer one died, none is elected for a while, and the stores that have it told no VM that asked.
+/// Requests were handled under a bundle that had been replaced seconds earlier. The leader that
+/// acknowledged the newer one had died, and the stores that had it didn't pass it on to VMs that asked.
 #[tokio::test]
 async fn renew_at_follower_tells_newer() {
     let folders = [0, 1].map(|_| tempfile::tempdir().expect("a temporary folder"));
@@ -121,8 +121,8 @@
     first.stop().await;
 }
 
-/// The same, where the leader dies before its followers know that the newer bundle is committed: it
-/// was acknowledged, and nobody but the leader could tell. So VMs that ask are told before.
+/// The same, if the leader dies before its followers know that the newer bundle is committed. VMs
+/// that renew must therefore get it before it is acknowledged.
 #[tokio::test]
 async fn ask_accept_waits_for_vms() {
     let folder = tempfile::tempdir().expect("a temporary folder");
@@ -135,7 +135,7 @@
     let rolled = tokio::spawn(async move { roll(&state, 2).await });
     let mut turns = 0;
     while !rolled.is_finished() {
-        // As a VM that asks a little later than the bundle is committed.
+        // Simulates a VM that asks a little after the commit.
         turns += 1;
         if turns > 5 {
             vm.renew(store.state()).await;
@@ -146,7 +146,7 @@
     store.stop().await;
 }
 
-/// An operator must have an answer although a VM is gone for good.
+/// An operator must get an answer although a VM is lost for good.
 #[tokio::test]
 async fn ask_accept_despite_silent_vm() {
     let folder = tempfile::tempdir().expect("a temporary folder");
--- a/crates/gypsumglade/tests/demo_run.rs
+++ b/crates/gypsumglade/tests/demo_run.rs
@@ -1,4 +1,4 @@
-//! The whole path in one process: caller, entry, program group, endpoint and back.
+//! End-to-end run in one process: caller, entry, program group and endpoint.
 
 use gypsumglade::demo;
 
--- a/crates/gypsumglade/tests/disk_failures.rs
+++ b/crates/gypsumglade/tests/disk_failures.rs
@@ -93,8 +93,8 @@
 
 #[test]
 fn open_torn_at_every_byte() {
-    // The process dies while it writes. Whatever part of the last write reached the disk, the
-    // next start keeps all that was synced before, drops the rest, and can write on.
+    // The process dies during a write. Whatever part of it reached the disk, the next start keeps all
+    // that was synced before, drops the rest, and can append.
     let whole = Folder::new();
     let ends = filled(&whole, 3);
     let (last, end) = (ends[2], ends[3]);
@@ -117,8 +117,8 @@
 
 #[test]
 fn open_flipped_bits() {
-    // A bit flips in what was synced. The start is refused, with the file and the place of the
-    // damage, and leaves the folder as it is: cutting there would drop acknowledged entries.
+    // A bit flips in synced data. The start fails and names the file and offset, and leaves the folder
+    // unchanged: truncating there would drop acknowledged entries.
     let whole = Folder::new();
     let ends = filled(&whole, 4);
     let synced = ends[3];
@@ -152,8 +152,8 @@
 
 #[test]
 fn open_flipped_bit_after_seal() {
-    // The last write of a busy time has nothing after it, so damage to it looks like a write cut
-    // short. Once the log is idle it is sealed, and then that damage is refused too.
+    // Damage to the last write looks like a torn write. An idle log is sealed, after which that damage
+    // is refused too.
     let folder = Folder::new();
     let ends = filled(&folder, 2);
     let (mut disk, _) = folder.open().expect("opened");
@@ -167,8 +167,7 @@
 
 #[test]
 fn write_full_disk() {
-    // The disk fills in the middle of a write. That write fails and says what to do; all that
-    // was written before is there at the next start.
+    // The disk fills up during a write, which fails with advice. Earlier writes survive.
     for room in [0, 1, 19, 40] {
         let folder = Folder::new();
         filled(&folder, 2);
@@ -184,7 +183,7 @@
 
 #[test]
 fn write_failing_sync() {
-    // A sync fails: the write is not reported as done.
+    // After a failed sync, the write is not reported as done.
     let folder = Folder::new();
     filled(&folder, 2);
     let (mut disk, _) = folder.open().expect("opened");
@@ -246,8 +245,8 @@
 
 #[test]
 fn write_snapshot_drops_segments() {
-    // The log would fill the disk without this: once every group's snapshot covers the oldest
-    // files they go, and a later start finds all that is still needed.
+    // Files that the snapshots of all groups cover are removed, or the log would fill the disk. A later
+    // start finds everything that is still needed.
     let folder = Folder::new();
     let (mut disk, _) = Disk::open(&folder.path, folder.options(200)).expect("opened");
     for group in [GROUP, OTHER] {
@@ -282,8 +281,8 @@
 
 #[test]
 fn write_overtaken_snapshot() {
-    // While the file of an own snapshot is written, a leader's newer one is installed. The older
-    // mark must not follow it: the log between the two is gone.
+    // A leader's newer snapshot is installed while an own one is being written. The older mark must not
+    // follow it, since the log between the two is gone.
     let folder = Folder::new();
     filled(&folder, 4);
     let (mut disk, _) = folder.open().expect("opened");
@@ -299,7 +298,7 @@
 
 #[test]
 fn write_replaced_entries() {
-    // A new leader replaces entries that were never committed; a restart must not find them.
+    // A new leader replaces uncommitted entries, which must not reappear after a restart.
     let folder = Folder::new();
     filled(&folder, 4);
     let (mut disk, groups) = folder.open().expect("opened");
@@ -322,7 +321,7 @@
     (0..1 << names.len()).map(|bits| picked(bits).cloned().collect()).collect()
 }
 
-/// A power loss undoes some of the removals of old segments. The store must still start.
+/// A power loss undoes some removals of old segments. The store didn't start again.
 #[test]
 fn open_undone_removals() {
     let folder = Folder::new();
@@ -359,8 +358,8 @@
     }
 }
 
-/// Power is lost while a new segment is created, and only its empty file is kept. What older segments
-/// repeat for it must not go with them.
+/// Power is lost while a new segment is created, and only its empty file survives. Older segments must
+/// be kept for what it would have repeated.
 #[test]
 fn open_empty_new_segment() {
     let folder = Folder::new();
@@ -380,8 +379,8 @@
     assert_eq!(groups[0].state.entries.len(), 1);
 }
 
-/// The same for a group whose only mark is in the older segment: without it, its entries would seem to
-/// lack those before them, and the store would never start again.
+/// The same for a group whose only mark is in the older segment: without it, entries seem to be missing
+/// and the store didn't start again.
 #[test]
 fn open_empty_new_segment_mark() {
     let folder = Folder::new();
--- a/crates/gypsumglade/tests/fault_run/callers.rs
+++ b/crates/gypsumglade/tests/fault_run/callers.rs
@@ -1,4 +1,4 @@
-//! Callers that run programs and send again whatever failed, and remember what they were told.
+//! Callers that run programs, retry failed calls, and record the outcomes that they were given.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,26 +16,26 @@
 
 use super::fleet::{Fleet, PATIENCE, VMS};
 
-/// Answered calls after which the next fault is inflicted.
+/// Number of answered calls between two faults.
 pub const CALLS_BETWEEN_FAULTS: u64 = 30;
-/// Programs under way at one time.
+/// Number of concurrent programs.
 const WORKERS: u64 = 8;
-/// Turns of a program.
+/// Number of turns of a program.
 const TURNS: u64 = 4;
-/// Turn after which a program takes its deposit.
+/// Turn after which a program makes its deposit.
 const DEPOSIT_AFTER: u64 = 2;
-/// Tokens of each answer, as the stand-in counts them.
+/// Tokens of each answer, as counted by the stand-in.
 const ANSWER_TOKENS: u64 = 12;
-/// Times that a caller sends one call.
+/// Maximum number of attempts at a call.
 const SENDS: usize = 40;
-/// Times that it sends a deposit; one in doubt is told in doubt however often it asks.
+/// Maximum number of attempts at a deposit; one in doubt stays in doubt.
 const DEPOSIT_SENDS: usize = 8;
-/// Pause before it sends again.
+/// Delay before a retry.
 const PAUSE: Duration = Duration::from_millis(250);
-/// Longest that one sending may take.
+/// Timeout of one attempt.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// What callers were told in the end.
+/// Final outcomes, as reported to callers.
 #[derive(Debug, Default)]
 pub struct Seen {
     pub finished: Vec<String>,
@@ -45,10 +45,10 @@
     pub wrong: Vec<String>,
 }
 
-/// What one caller learnt of its deposit.
+/// Outcome of one caller's deposit.
 #[derive(Clone, Debug)]
 pub struct Deposit {
-    /// Key under which the service knows it.
+    /// Key of the deposit at the service.
     pub key: String,
     pub told: Told,
 }
@@ -83,14 +83,14 @@
         Load { calls, stop, workers }
     }
 
-    /// Waits until callers were answered this many times more.
+    /// Waits for this many more answers to callers.
     pub async fn wait_calls(&self, more: u64) {
         let wanted = self.calls.load(Ordering::Relaxed) + more;
         let answered = wait_until(PATIENCE, async || self.calls.load(Ordering::Relaxed) >= wanted);
         assert!(answered.await, "callers get no answers any more");
     }
 
-    /// Lets programs under way finish, and returns what callers saw.
+    /// Waits for the programs under way, and returns what callers observed.
     pub async fn finish(self) -> Seen {
         self.stop.cancel();
         let mut all = Seen::default();
@@ -127,7 +127,7 @@
         self.seen
     }
 
-    /// Runs one program; `None` when it was given up.
+    /// Runs one program; `None` if it was abandoned.
     async fn program(&mut self, program: &str) -> Option<()> {
         let mut history = Vec::new();
         for turn in 1..=TURNS {
@@ -200,7 +200,7 @@
         self.seen.deposits.push(Deposit { key, told });
     }
 
-    /// A receipt must be the caller's own, also when the service crosses its answers.
+    /// Checks that a receipt is the caller's own, also if the service swaps answers.
     fn check_receipt(&mut self, program: &str, key: &str, receipt: &str) {
         let named: Value = serde_json::from_str(receipt).unwrap_or_default();
         if named["key"] != key {
@@ -208,7 +208,7 @@
         }
     }
 
-    /// Reads an answer as a caller would: its status, its outcome, and whether it is whole.
+    /// Reads an answer's status, its outcome, and whether it is complete.
     fn read(&mut self, program: &str, answer: &HttpAnswer) -> Read {
         self.calls.fetch_add(1, Ordering::Relaxed);
         let text = String::from_utf8_lossy(&answer.body);
--- a/crates/gypsumglade/tests/fault_run/check.rs
+++ b/crates/gypsumglade/tests/fault_run/check.rs
@@ -1,4 +1,4 @@
-//! Compares what callers saw with what the stand-ins ran and held.
+//! Compares the observations of callers with those of the stand-ins.
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,12 +13,12 @@
 use super::fleet::{Fleet, PATIENCE, VMS};
 use super::outside::Outside;
 
-/// Pause between two looks at the entries' revisions.
+/// Interval between polls of the entries' revisions.
 const LOOK: Duration = Duration::from_millis(100);
-/// Longest that one entry may take to tell its revision; a frozen one is passed over.
+/// Timeout for an entry's revision; a suspended entry is skipped.
 const LOOK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Watches the revisions that entries act on, and collects what is wrong.
+/// Watches the revisions that entries act on, and collects violations.
 pub struct Monitor {
     floor: Arc<AtomicU64>,
     notes: Arc<Mutex<Vec<String>>>,
@@ -33,7 +33,7 @@
         Monitor { floor, notes, task: tokio::spawn(watch) }
     }
 
-    /// Notes that no entry may act on an older revision from here on.
+    /// Records that no entry may act on an older revision from now on.
     pub fn in_force(&self, revision: RevisionNumber) {
         self.floor.fetch_max(revision.0, Ordering::Relaxed);
     }
@@ -98,7 +98,7 @@
     }
 }
 
-/// Judges a run.
+/// Checks the observations of a run.
 pub async fn judge(fleet: &Fleet, outside: &Outside, seen: Seen, monitor: Monitor) -> Report {
     monitor.task.abort();
     let mut broken = seen.wrong.clone();
@@ -125,7 +125,7 @@
     }
 }
 
-/// A deposit runs at most once; told done it ran, and told not run it did not.
+/// Checks that a deposit ran at most once, and as often as its outcome says.
 fn deposits(outside: &Outside, seen: &Seen) -> Vec<String> {
     let runs = outside.runs();
     let mut broken = Vec::new();
@@ -153,7 +153,7 @@
         let caller = fleet.caller(1);
         let ended = wait_until(PATIENCE, async || {
             let answer = caller.end(program).await;
-            // A program that never began is not there to be ended.
+            // A program that never began can't be ended.
             answer.is_ok_and(|answer| answer.status.is_success() || answer.status == 404)
         });
         assert!(ended.await, "{program} was not ended; logs are in {:?}", fleet.folder());
--- a/crates/gypsumglade/tests/fault_run/faults.rs
+++ b/crates/gypsumglade/tests/fault_run/faults.rs
@@ -1,4 +1,4 @@
-//! The faults, each inflicted once a round, in an order that the seed shuffles.
+//! The faults, each injected once per round, in an order that the seed shuffles.
 
 use std::time::Duration;
 
@@ -14,27 +14,27 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// An entry dies and comes back.
+    /// An entry is killed and restarted.
     KillEntry,
-    /// A store dies and comes back.
+    /// A store is killed and restarted.
     KillStore,
-    /// Two entries and a store die at once.
+    /// Two entries and a store are killed at the same time.
     KillTogether,
-    /// A second store dies right after the first came back.
+    /// A second store is killed right after the first one's restart.
     KillAfterRepair,
     /// An entry is silently cut off for longer than its lease.
     FreezeEntry,
     /// A store is silently cut off for longer than its leadership.
     FreezeStore,
-    /// An engine dies with all it runs.
+    /// An engine is killed with its calls.
     CrashEngine,
-    /// An entry is stopped as planned.
+    /// A planned stop of an entry.
     StopEntry,
-    /// A store is stopped as planned.
+    /// A planned stop of a store.
     StopStore,
-    /// Two operators race under one version.
+    /// Two operators roll different bundles under one version.
     RaceOperators,
-    /// A store is away while the configuration changes many times.
+    /// A store is down while the configuration changes many times.
     ManyChanges,
 }
 
@@ -52,9 +52,9 @@
 const BEYOND_LEASE: Duration = Duration::from_secs(8);
 /// Longer than a leadership.
 const BEYOND_LEADERSHIP: Duration = Duration::from_secs(4);
-/// Time that a dead daemon stays away.
+/// Time until a killed daemon is restarted.
 const AWAY: Duration = Duration::from_millis(1_500);
-/// Changes of configuration that pass a store by.
+/// Number of changes that a store misses.
 const CHANGES: u32 = 30;
 
 impl Fault {
@@ -130,7 +130,7 @@
     fleet.spawn(role);
 }
 
-/// Two operators offer other content under one version; at most one may win.
+/// Two operators submit different contents under one version; at most one may be accepted.
 async fn race(fleet: &Fleet, outside: &Outside, monitor: &Monitor, rng: &mut ChaCha8Rng) {
     let version = format!("2.{}.0", rng.random_range(0..1_000_000));
     let (one, two) =
--- a/crates/gypsumglade/tests/fault_run/fleet.rs
+++ b/crates/gypsumglade/tests/fault_run/fleet.rs
@@ -1,4 +1,4 @@
-//! Nine entries and three stores as processes of this machine.
+//! Nine entries and three stores as processes on this machine.
 
 use std::collections::HashMap;
 use std::fs::File;
@@ -18,9 +18,9 @@
 use gypsumglade_core::bundle::KeyPair;
 use rustix::process::{Pid, Signal, kill_process};
 
-/// VMs of the fleet.
+/// Number of VMs.
 pub const VMS: u32 = 9;
-/// VMs with a disk, one in each failure domain.
+/// Number of VMs with a disk, one in each failure domain.
 pub const STORES: [u32; 3] = [1, 4, 7];
 /// Organisation's API key.
 pub const API_KEY: &str = "fault-run-key-of-the-renter";
@@ -28,10 +28,10 @@
 pub const OPERATOR: [u8; 32] = [9; 32];
 /// Token of every listener.
 pub const TOKEN: &str = "fault-run-token-of-all";
-/// Longest wait for the fleet to be whole; only a hang exceeds it.
+/// Bound on the wait until all processes are ready, which only a hang exceeds.
 pub const PATIENCE: Duration = Duration::from_secs(90);
 
-/// Failure domain and region of each third of the VMs.
+/// Failure domains with their regions; each has a third of the VMs.
 const DOMAINS: [(&str, &str); 3] =
     [("south-1", "south"), ("south-2", "south"), ("north-1", "north")];
 
@@ -84,7 +84,7 @@
         self.running.lock().unwrap().insert(role, child);
     }
 
-    /// Ends a daemon at once, as a crash of its VM would.
+    /// Kills a daemon, as a crash of its VM would.
     pub fn kill(&self, role: Role) {
         let child = self.running.lock().unwrap().remove(&role);
         let mut child = child.expect("the daemon runs");
@@ -92,12 +92,12 @@
         child.wait().expect("it ends");
     }
 
-    /// Freezes or thaws a daemon: to the others it is silently cut off.
+    /// Suspends or resumes a daemon, which looks like a silent partition to the others.
     pub fn freeze(&self, role: Role, on: bool) {
         self.signal(role, if on { Signal::STOP } else { Signal::CONT });
     }
 
-    /// Stops a daemon as planned, and tells whether it ended well.
+    /// Performs a planned stop, and returns whether the daemon exited with success.
     pub async fn stop(&self, role: Role) -> bool {
         self.signal(role, Signal::TERM);
         let child = self.running.lock().unwrap().remove(&role);
@@ -212,7 +212,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         for child in self.running.lock().unwrap().values_mut() {
-            // A frozen process dies of this signal too.
+            // This signal also ends a suspended process.
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -223,7 +223,7 @@
     DOMAINS[(vm as usize - 1) / 3]
 }
 
-/// Finds a loopback network on which nobody listens, so that two runs never meet.
+/// Finds an unused loopback network, so that concurrent runs don't interfere.
 fn free_net(seed: u64) -> [u8; 2] {
     let first = seed.wrapping_add(u64::from(std::process::id()));
     let nets = (0..64_u64).map(|step| first.wrapping_add(step * 31));
--- a/crates/gypsumglade/tests/fault_run/main.rs
+++ b/crates/gypsumglade/tests/fault_run/main.rs
@@ -1,8 +1,8 @@
 //! Faults on real processes: nine entries and three stores, killed and frozen under load.
 //!
-//! The stand-ins run in this process, so that the check can compare what callers saw with what
-//! really ran. It judges safety only, never timing. `FAULT_RUN_SEED` and `FAULT_RUN_ROUNDS` make a
-//! longer run of it; docs/OPERATING.md tells how to read its report.
+//! The stand-ins run in this process, so that the check can compare what callers observed with what
+//! ran. It checks safety only, not timing. `FAULT_RUN_SEED` and `FAULT_RUN_ROUNDS` set the seed and the
+//! length; docs/OPERATING.md explains the report.
 
 mod callers;
 mod check;
@@ -24,7 +24,7 @@
 
 /// Seed of the run in CI.
 const SEED: u64 = 20_261_203;
-/// Rounds over all faults of the run in CI.
+/// Number of rounds over all faults in CI.
 const ROUNDS: u64 = 1;
 
 fn variable(name: &str, usual: u64) -> u64 {
@@ -33,9 +33,9 @@
 
 #[test]
 fn fault_run_keeps_promises() {
-    // Callers run programs and take deposits, and send again whatever failed. Meanwhile entries,
-    // stores and engines are killed, frozen and stopped, singly, twice and together, and two
-    // operators race. Whatever the callers saw must agree with what the stand-ins ran.
+    // Callers run programs and make deposits, and retry failures. Meanwhile entries, stores and engines
+    // are killed, suspended and stopped, one by one and together, and two operators race. What callers
+    // observed must agree with what the stand-ins ran.
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
     let report = runtime.block_on(run(variable("FAULT_RUN_SEED", SEED)));
     println!("{report}");
@@ -66,7 +66,7 @@
     check::judge(&fleet, &outside, seen, monitor).await
 }
 
-/// A fault is only worth its name if every one is reached.
+/// Every fault is injected in each round.
 #[test]
 fn schedule_holds_every_fault() {
     let mut rng = ChaCha8Rng::seed_from_u64(SEED);
--- a/crates/gypsumglade/tests/fault_run/outside.rs
+++ b/crates/gypsumglade/tests/fault_run/outside.rs
@@ -1,4 +1,4 @@
-//! The systems outside, in this process, and the operators.
+//! The external systems, as stand-ins in this process, and the operators.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -16,11 +16,11 @@
 
 use super::fleet::{API_KEY, Fleet, OPERATOR, PATIENCE, TOKEN};
 
-/// Endpoints that every entry must know.
+/// Number of endpoints that every entry must know.
 pub const COUNT: usize = 5;
-/// Engines among them.
+/// Number of engines among them.
 const ENGINES: usize = 3;
-/// Bundle content; version, digest and a mark are filled in.
+/// Bundle content; version, digest and a unique value are filled in.
 const BUNDLE: &str = include_str!("../support/bundle.yaml");
 
 pub struct Outside {
@@ -43,7 +43,7 @@
         Outside { engines: Mutex::new(engines), services, urls }
     }
 
-    /// Kills an engine with everything it runs and holds, and starts its next life.
+    /// Kills an engine with its calls and memory, and starts a new incarnation.
     pub async fn crash_engine(&self, number: usize) {
         let next = {
             let engines = self.engines.lock().unwrap();
@@ -55,7 +55,7 @@
         dead.stop();
     }
 
-    /// Returns how often each service key took effect, over all instances.
+    /// Returns how often each key ran at the services, over all instances.
     pub fn runs(&self) -> HashMap<CompactString, u64> {
         let mut runs = HashMap::new();
         for key in self.services.iter().flat_map(|service| service.stats().keys) {
@@ -64,21 +64,21 @@
         runs
     }
 
-    /// Returns the programs that engines hold memory of.
+    /// Returns the programs whose memory engines hold.
     pub fn held(&self) -> Vec<CompactString> {
         let engines = self.engines.lock().unwrap();
         let programs = engines.iter().flat_map(|engine| engine.stats().programs);
         programs.map(|memory| memory.program).collect()
     }
 
-    /// Returns how often each dispatch was started; more than once is a fault of the system.
+    /// Returns how often each dispatch was started; more than once is a violation.
     pub fn most_starts(&self) -> u32 {
         let engines = self.engines.lock().unwrap();
         let dispatches = engines.iter().flat_map(|engine| engine.stats().dispatches);
         dispatches.map(|dispatch| dispatch.runs).max().unwrap_or(0)
     }
 
-    /// Has one operator roll a bundle, and waits until it is in force everywhere.
+    /// Rolls out a bundle, and waits until it is in force everywhere.
     pub async fn roll(&self, fleet: &Fleet, version: &str, mark: &str) -> RevisionNumber {
         let control = fleet.control();
         let accepted = wait_until(PATIENCE, async || {
@@ -95,7 +95,7 @@
         revision
     }
 
-    /// Has one operator offer a bundle once.
+    /// Submits a bundle once.
     pub async fn offer(&self, fleet: &Fleet, version: &str, mark: &str) -> Option<Answer> {
         let control = fleet.control();
         let base = operator::status(&control, RevisionNumber(0)).await?.current;
--- a/crates/gypsumglade/tests/follower_watch.rs
+++ b/crates/gypsumglade/tests/follower_watch.rs
@@ -1,4 +1,4 @@
-//! What a leader's log tells of the members that don't keep up.
+//! Log lines of a leader about members that fall behind.
 
 use std::time::Duration;
 
@@ -61,7 +61,7 @@
     assert_eq!(look(4_000, 50), [(FollowerState::Unresponsive, FollowerState::CaughtUp)]);
 }
 
-/// Guards against a member that comes and goes at each look and fills the disk with lines.
+/// A member that alternated between states at each check filled the disk with log lines.
 #[test]
 fn look_bounded_lines() {
     let mut watch = FollowerWatch::default();
--- a/crates/gypsumglade/tests/group_snapshot.rs
+++ b/crates/gypsumglade/tests/group_snapshot.rs
@@ -1,4 +1,4 @@
-//! Snapshots of the groups on a disk that is slow.
+//! Snapshots of the groups on a slow disk.
 
 mod store_support;
 
@@ -22,7 +22,7 @@
 use store_support::StoreSetup;
 use tokio::sync::mpsc;
 
-/// Looks for what a group must have applied.
+/// Number of polls for an applied entry.
 const LOOKS: usize = 200;
 
 fn settings(own: Ipv4Addr, folder: &Path) -> Settings {
@@ -42,7 +42,7 @@
     panic!("{group} has no leader");
 }
 
-/// Feeds a group an entry, the request for a snapshot and one entry more, while nothing gets to disk.
+/// Feeds a group an entry, the request for a snapshot and another entry, while the disk is stalled.
 async fn feed(events: &mpsc::Sender<Event>, group: GroupId, index: LogIndex) {
     let entry = |index| Event::Committed { group, index, term: Term(1), data: Bytes::new() };
     for event in [entry(index), Event::NeedSnapshot { group }, entry(index.next())] {
@@ -60,8 +60,8 @@
     panic!("{index} isn't applied: {}", applied());
 }
 
-/// Commits of a group are answered, and a new leader serves, only after its snapshot is on disk: on a
-/// disk that takes seconds, callers wait for as long, and so do other groups, whose events stand behind.
+/// Commits were answered, and a new leader served, only once a snapshot was on disk. On a slow disk,
+/// callers of this and of other groups waited for seconds.
 #[tokio::test]
 async fn run_goes_on_beside_snapshot() {
     let folder = tempfile::tempdir().expect("a temporary folder");
--- a/crates/gypsumglade/tests/leader_hint.rs
+++ b/crates/gypsumglade/tests/leader_hint.rs
@@ -1,4 +1,4 @@
-//! Whom a process asks when it doesn't know who leads.
+//! Choice of the store to ask when the leader is unknown.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -20,9 +20,8 @@
     directory
 }
 
-/// An operator's change is in force at most VMs, and one serves callers under the bundle before it
-/// for seconds. The leader was suspended: its connections stay open, and until the followers elect
-/// another they name it, so that the VM goes back to it time after time and waits for nothing.
+/// A VM served callers under an old bundle for seconds. The leader was suspended, and until the
+/// followers had elected another they named it, so the VM kept asking it.
 #[test]
 fn target_not_a_silent_store() {
     let (directory, now) = (directory(), Instant::now());
@@ -70,7 +69,7 @@
     directory
 }
 
-/// Guards against a search through all stores, most of which have no replica of the group.
+/// A search went through all stores, most of which have no replica of the group.
 #[test]
 fn target_reported_leader() {
     let directory = large_directory(MEMBERS[3]);
@@ -79,8 +78,7 @@
     assert_eq!(target.map(|(vm, _)| vm), Some(MEMBERS[3]));
 }
 
-/// Guards against an order or a read that times out because it goes through all stores after the
-/// leader's death.
+/// An order or a read timed out because it went through all stores after the leader's death.
 #[test]
 fn target_members_after_leader_died() {
     let (directory, now) = (large_directory(MEMBERS[3]), Instant::now());
@@ -97,7 +95,7 @@
     assert_eq!(members.len(), MEMBERS.len() - 1, "asked only {members:?}");
 }
 
-/// Guards against a client that keeps calling a store whose report is outdated.
+/// A client kept calling a store whose report was outdated.
 #[test]
 fn target_outdated_report() {
     let (directory, now) = (large_directory(MEMBERS[3]), Instant::now());
@@ -107,7 +105,7 @@
     assert_ne!(asked, MEMBERS[3]);
 }
 
-/// Guards against a client that calls only former members after all of them were replaced.
+/// A client called only former members after all of them had been replaced.
 #[test]
 fn target_other_stores_too() {
     let (directory, now) = (large_directory(MEMBERS[3]), Instant::now());
--- a/crates/gypsumglade/tests/leader_redirect.rs
+++ b/crates/gypsumglade/tests/leader_redirect.rs
@@ -69,7 +69,7 @@
     waited.unwrap_or_else(|_| panic!("not within {TIMEOUT:?}: {what}"));
 }
 
-/// Guards against reads of the configuration that time out while they go through all stores.
+/// Reads of the configuration timed out while they went through all stores.
 #[tokio::test]
 async fn status_of_store_without_replica() {
     let folders = [0; 2].map(|_| tempfile::tempdir().expect("a temporary folder"));
@@ -84,7 +84,7 @@
     leader.stop().await;
 }
 
-/// Guards against a configuration that most stores can't return, as they have no replica.
+/// Most stores couldn't return the configuration, since they have no replica.
 #[tokio::test]
 async fn original_of_store_without_replica() {
     let folders = [0; 2].map(|_| tempfile::tempdir().expect("a temporary folder"));
@@ -103,7 +103,7 @@
     leader.stop().await;
 }
 
-/// Guards against a retiring store that is reported as needed for ever.
+/// A retiring store was reported as required for ever.
 #[tokio::test]
 async fn is_retired_at_store_without_replica() {
     let folders = [0; 3].map(|_| tempfile::tempdir().expect("a temporary folder"));
@@ -119,7 +119,7 @@
     leader.stop().await;
 }
 
-/// Guards against a follower that knows the leader and doesn't name it to readers.
+/// A follower that knew the leader didn't name it to readers.
 #[tokio::test]
 async fn status_of_follower() {
     let folders = [0; 3].map(|_| tempfile::tempdir().expect("a temporary folder"));
--- a/crates/gypsumglade/tests/leak_audit.rs
+++ b/crates/gypsumglade/tests/leak_audit.rs
@@ -1,4 +1,4 @@
-//! The leak audit against engines that hold memory which nobody will release.
+//! The leak audit frees engine memory that nothing else would release.
 
 mod support;
 
@@ -6,14 +6,14 @@
 use gypsumglade::embedded::wait_until;
 use support::{Cluster, PATIENCE, chat};
 
-/// A program of the test's organisation that no program group knows.
+/// A program that no program group knows.
 const UNKNOWN: &str = "lens-rental/never-begun";
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 8)]
 async fn leak_audit_frees_only_unknown() {
-    // Each engine ran a call of a program that no group ever heard of, so no end and no release
-    // will ever name its memory. The audit has all engines free it. A program under way keeps its
-    // prefix on the same engine: its next turn fills nothing again.
+    // Each engine ran a call of a program that no group knows, so nothing else releases its memory. The
+    // audit frees it on all engines. A program under way keeps its cached prefix: its next turn
+    // prefills nothing again.
     let cluster = Cluster::start().await;
     let answer = cluster.caller(1).chat(&chat("kit-5", 1, "one tripod")).await;
     assert!(answer.expect("an answer comes").status.is_success());
--- a/crates/gypsumglade/tests/membership_udp.rs
+++ b/crates/gypsumglade/tests/membership_udp.rs
@@ -61,7 +61,7 @@
 
 #[tokio::test]
 async fn stranger_without_key_is_not_believed() {
-    // A host with another key, or none, sends datagrams that would add a VM or declare one dead.
+    // A host without the key sends datagrams that would add a VM or declare one dead.
     let first = launch(1, &[], key(b"a secret of the cluster"));
     let _stranger = launch(9, &[first.address()], key(b"the secret of another"));
     let friend = launch(2, &[first.address()], key(b"a secret of the cluster"));
--- a/crates/gypsumglade/tests/nine_vms.rs
+++ b/crates/gypsumglade/tests/nine_vms.rs
@@ -11,8 +11,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 8)]
 async fn program_across_vms() {
-    // The balancer sends each call of one program to another VM, in both regions. The caller sees
-    // one conversation: turns in order, nothing forgotten.
+    // The balancer sends each call of a program to another VM, in both regions. Turns stay in order and
+    // the history is complete.
     let cluster = Cluster::start().await;
     let mut said = 0;
     for (turn, vm) in [(1, 1), (2, 5), (3, 9), (4, 2)] {
@@ -26,9 +26,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 8)]
 async fn deposit_resent_elsewhere() {
-    // A caller loses the answer to its deposit and sends it again; the balancer picks other VMs.
-    // All get the receipt of the one deposit that was taken, because the key's outcome is in the
-    // program group and not in the VM that was asked first.
+    // A caller loses the answer to its deposit and resends it to other VMs. All answers are the receipt
+    // of the one deposit, since the outcome is recorded in the program group.
     let cluster = Cluster::start().await;
     let mut receipts = Vec::new();
     for vm in [1, 4, 8] {
@@ -44,8 +43,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 8)]
 async fn stop_store_leads_on() {
-    // A store is stopped as planned between two turns. Its groups hand leadership over before it
-    // goes, so the caller sees the next turn served with the history of the first.
+    // A planned stop of a store between two turns transfers its leadership first, so the next turn is
+    // served with the history of the first.
     let mut cluster = Cluster::start().await;
     let first = cluster.caller(2).chat(&chat("kit-3", 1, "two bodies")).await;
     let first = first.expect("an answer comes");
@@ -59,8 +58,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 8)]
 async fn stop_entry_keeps_stream() {
-    // An entry is stopped as planned while it streams an answer. The caller gets the stream to
-    // its end, because the stop waits for calls in flight before it closes anything.
+    // A planned stop of an entry waits for calls in flight, so the stream is complete.
     let mut cluster = Cluster::start().await;
     let caller = cluster.caller(3);
     let streaming = tokio::spawn(async move {
@@ -81,9 +79,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 8)]
 async fn call_without_lease_is_not_run() {
-    // All stores are gone, so no VM can confirm the bundle in force. The caller is told at once
-    // that its call was not run and when to come back, because a roll elsewhere may count this
-    // VM's lease as over; and no engine has started anything.
+    // All stores are down, so no VM can renew its lease. The call is refused at once as not run, with a
+    // retry delay, and no engine has started anything.
     let mut cluster = Cluster::start().await;
     for store in &mut cluster.stores {
         store.take().expect("the store runs").stop().await;
--- a/crates/gypsumglade/tests/order_swap.rs
+++ b/crates/gypsumglade/tests/order_swap.rs
@@ -1,4 +1,4 @@
-//! A bundle that changes a model's version, on engines that calls run on all the while.
+//! A bundle changes a model's version while the engines serve calls.
 
 mod support;
 
@@ -14,9 +14,9 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 8)]
 async fn order_swap_unnoticed() {
-    // A program calls without a pause while a bundle changes the advisor's version. Each call is
-    // answered: engines with version 1 serve until one has version 2, and each engine loads the
-    // new version before it drops the old one. In the end every engine has version 2 alone.
+    // A program calls continuously while a bundle changes the advisor's version. Every call is
+    // answered, since each engine loads the new version before it drops the old one. In the end every
+    // engine has only version 2.
     let cluster = Cluster::start().await;
     assert!(BUNDLE.contains(OLD));
     let done = CancellationToken::new();
@@ -36,8 +36,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 8)]
 async fn order_swap_after_holder_stops() {
-    // The VM that holds the order lease stops before the bundle changes the version. Another VM
-    // takes the lease once the old one is over, under a higher number, and its orders are obeyed.
+    // The holder of the order lease stops before the bundle changes the version. Another VM takes the
+    // lease after its expiry, with a higher number, and its orders are obeyed.
     let mut cluster = Cluster::start().await;
     let held = wait_until(PATIENCE, async || lease_number(&cluster) == 1).await;
     assert!(held, "nobody took the order lease");
@@ -46,7 +46,7 @@
     let stopped = cluster.entries[holder.0 as usize - 1].take().expect("the entry runs");
     stopped.stop().await;
     for entry in cluster.entries.iter().flatten() {
-        // The test's VMs have no membership, which would take the stopped one off the list.
+        // The test has no membership, which would remove the stopped VM from the list.
         let directory = &entry.state().directory;
         let left = directory.entries().into_iter().filter(|entry| entry.vm != holder);
         directory.set_entries(left.collect());
@@ -59,7 +59,7 @@
     assert_eq!(stale, 0);
 }
 
-/// Returns the highest number of the order lease that a store knows; zero for none yet.
+/// Returns the highest number of the order lease that a store knows, zero if there is none.
 fn lease_number(cluster: &Cluster) -> u64 {
     let dumps = cluster.stores.iter().flatten().map(|store| store.state().control.dump());
     let number = |dump: Value| dump.pointer("/order_lease/number").and_then(Value::as_u64);
@@ -84,7 +84,7 @@
     turn
 }
 
-/// Returns each engine's versions as an entry VM knows them.
+/// Returns each engine's versions, as known to an entry VM.
 fn versions(cluster: &Cluster) -> Vec<String> {
     let dump = cluster.entries.iter().flatten().next().expect("an entry runs").state().dump();
     let mut engines: Vec<&Value> = dump["endpoints"].as_array().into_iter().flatten().collect();
--- a/crates/gypsumglade/tests/replica_cluster.rs
+++ b/crates/gypsumglade/tests/replica_cluster.rs
@@ -1,4 +1,4 @@
-//! Three hosts in one process, joined by channels that a test can cut.
+//! Three hosts in one process, connected by channels that a test can cut.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
@@ -12,7 +12,7 @@
 
 const GROUP: GroupId = GroupId(1);
 
-/// What one VM's state machine was told, by group.
+/// Commands applied by one VM's state machine, by group.
 type Told = Arc<Mutex<BTreeMap<GroupId, Vec<Event>>>>;
 
 struct Vm {
@@ -30,11 +30,11 @@
     root: tempfile::TempDir,
     links: Links,
     vms: BTreeMap<VmId, Vm>,
-    /// Whether the log is cut into small files and compacted often.
+    /// Whether the log has small segments and is compacted often.
     compacts: bool,
 }
 
-/// Half of the default timeouts, so that elections take less of the test's time.
+/// Half of the default timeouts, so that elections take less time.
 fn fast() -> Settings {
     Settings {
         heartbeat: Duration::from_millis(50),
@@ -105,7 +105,7 @@
         &self.vms[&vm].host
     }
 
-    /// Waits for a leader that isn't `but`.
+    /// Waits for a leader other than `but`.
     async fn leader(&self, group: GroupId, but: Option<VmId>) -> VmId {
         loop {
             for (&vm, node) in &self.vms {
@@ -134,7 +134,7 @@
         }
     }
 
-    /// Waits until a VM was told these commands last, and returns all that it was told.
+    /// Waits until a VM has applied these commands last, and returns all that it has applied.
     async fn told_last(&self, vm: VmId, group: GroupId, last: &[Bytes]) -> Vec<Bytes> {
         loop {
             let state = self.vms[&vm].state(group);
@@ -145,7 +145,7 @@
         }
     }
 
-    /// Waits until a VM was told all these commands, by entries or by the last snapshot.
+    /// Waits until a VM has applied all these commands, from entries or the last snapshot.
     async fn told(&self, vm: VmId, group: GroupId, expected: &[Bytes]) {
         loop {
             if self.vms[&vm].state(group) == expected {
@@ -162,7 +162,7 @@
     }
 }
 
-/// Plays the state machine: a list of all commands, and the index of the last one.
+/// State machine of the tests: a list of all commands, and the index of the last one.
 fn state(told: &Told, group: GroupId) -> (Vec<Bytes>, LogIndex) {
     let (mut state, mut last) = (Vec::new(), LogIndex(0));
     for event in told.lock().expect("events").get(&group).into_iter().flatten() {
@@ -211,7 +211,7 @@
     }
 }
 
-/// Commands of one length, so that a snapshot is just all of them.
+/// Commands of one length, so that a snapshot is their concatenation.
 const COMMAND_BYTES: usize = 100;
 
 fn commands(numbers: std::ops::Range<u8>) -> Vec<Bytes> {
@@ -234,7 +234,7 @@
 
 #[tokio::test]
 async fn propose_to_follower() {
-    // A caller asks the wrong VM. It is told the leader, and nothing was appended.
+    // A follower redirects a proposal to the leader and appends nothing.
     let cluster = Cluster::of(3).await;
     let leader = cluster.leader(GROUP, None).await;
     cluster.propose(GROUP, &commands(0..1)).await;
@@ -246,9 +246,8 @@
 
 #[tokio::test]
 async fn propose_cut_off_leader() {
-    // The leader is cut off with a proposal in hand. Its caller hears that the outcome is
-    // uncertain or that it was dropped, never that it was committed; the rest goes on, and what
-    // was acknowledged is there.
+    // The leader is cut off with a proposal in flight, whose outcome is reported as uncertain or
+    // dropped, never as committed. The others continue with all acknowledged entries.
     let cluster = Cluster::of(3).await;
     let first = commands(0..3);
     cluster.propose(GROUP, &first).await;
@@ -268,7 +267,7 @@
 
 #[tokio::test]
 async fn read_barrier_cut_off_leader() {
-    // A leader that was cut off answers no read once its lease is out, for another may lead.
+    // A leader that is cut off answers no reads after its lease, since another may lead.
     let cluster = Cluster::of(3).await;
     let old = cluster.leader(GROUP, None).await;
     cluster.cut(old);
@@ -278,7 +277,7 @@
 
 #[tokio::test]
 async fn restart_all_vms() {
-    // All VMs die and come back; every command is told again, in order.
+    // All VMs restart; every command is applied again, in order.
     let mut cluster = Cluster::of(3).await;
     cluster.propose(GROUP, &commands(0..30)).await;
     for vm in [VmId(1), VmId(2), VmId(3)] {
@@ -293,7 +292,7 @@
     }
 }
 
-/// Stops a follower, and has the others go on to sixty commands without it. Returns it with the last
+/// Stops a follower, and lets the others commit sixty commands without it. Returns it with the last
 /// index of each other VM.
 async fn left_behind(cluster: &mut Cluster) -> (VmId, Vec<(VmId, LogIndex)>) {
     cluster.propose(GROUP, &commands(0..5)).await;
@@ -311,8 +310,8 @@
 
 #[tokio::test]
 async fn restart_behind_snapshot() {
-    // A VM is down while the others go on and drop the log that it lacks. It comes back and
-    // restores their snapshot, which arrives in several pieces.
+    // A VM is down while the others compact the log that it lacks. After its restart it installs their
+    // snapshot, in several chunks.
     let mut cluster = Cluster::of(3).await;
     let (late, others) = left_behind(&mut cluster).await;
     for (vm, commit) in others {
@@ -326,8 +325,8 @@
     assert!(told.iter().any(|event| matches!(event, Event::Restore { .. })));
 }
 
-/// A VM that was down must vote again soon, and a group's state takes long over a narrow link. Its
-/// owner gives something shorter to send; the late VM restores that, and the others keep the whole.
+/// A VM that was down must vote again soon, but a group's state takes long over a narrow link. The owner
+/// provides a shorter snapshot to send, which that VM installs; the others keep the full one.
 #[tokio::test]
 async fn restart_behind_shorter_snapshot() {
     let mut cluster = Cluster::of(3).await;
@@ -349,9 +348,9 @@
 
 #[tokio::test]
 async fn propose_while_compacting() {
-    // The log is compacted all the time, a VM is down for part of it, and another group with a
-    // few old entries holds up the log until it is asked for a snapshot. Nothing is lost, and the
-    // folders stay small and sound.
+    // The log is compacted continuously, a VM is down for part of the time, and another group with a few
+    // old entries delays the removal of segments until it takes a snapshot. Nothing is lost, and the
+    // folders stay small and valid.
     let mut cluster = Cluster::new();
     cluster.compacts = true;
     for vm in 1..=3 {
@@ -386,15 +385,15 @@
         cluster.stop(vm).await;
         let report = inspect(&cluster.root.path().join(vm.to_string())).expect("a report");
         assert!(report.is_sound(), "{report:?}");
-        // Four files are kept without a question, and one or two more until it is answered.
+        // Four files are kept without a request for a snapshot, and up to two more until it is taken.
         assert!(report.segments.len() < 10, "{report:?}");
     }
 }
 
 #[tokio::test]
 async fn change_members_replace_vm() {
-    // A VM is lost for good. A new one with an empty folder takes its place, and counts only
-    // once it has the log.
+    // A VM is lost for good and replaced by one with an empty folder, which votes only once it has the
+    // log.
     let mut cluster = Cluster::of(3).await;
     cluster.propose(GROUP, &commands(0..10)).await;
     let leader = cluster.leader(GROUP, None).await;
@@ -419,8 +418,8 @@
 
 #[tokio::test]
 async fn transfer_all_planned_stop() {
-    // A planned stop hands over first: when it returns, another VM leads every group, and what
-    // was proposed just before is committed.
+    // A planned stop transfers leadership first: when it returns, another VM leads every group, and
+    // earlier proposals are committed.
     let cluster = Cluster::of(3).await;
     cluster.create(GroupId(2), 3).await;
     cluster.propose(GROUP, &commands(0..3)).await;
@@ -435,8 +434,8 @@
 
 #[tokio::test]
 async fn propose_failed_disk() {
-    // The leader's disk fails to sync. Its callers hear that the outcome is uncertain, its owner that
-    // the disk failed, and another VM leads on with all that was acknowledged.
+    // A sync of the leader's disk fails. The outcome of its proposals is uncertain, its owner is
+    // notified, and another VM leads with all acknowledged entries.
     let mut cluster = Cluster::new();
     let faults: Vec<_> = (0..3).map(|_| Faults::default()).collect();
     for (vm, faults) in (1..=3).zip(&faults) {
@@ -460,7 +459,7 @@
     assert_eq!(state[..5], commands(0..5));
 }
 
-/// Guards against a store that is lost until it is restarted because its disk was full for a while.
+/// A store whose disk was full for a while was lost until its restart.
 #[tokio::test]
 async fn propose_full_disk() {
     let mut cluster = Cluster::new();
@@ -479,7 +478,7 @@
     let status = cluster.host(old).status().await;
     assert!(status.failed.is_none() && status.shortage.is_some(), "{status:?}");
 
-    // With room again it has all entries on disk: without the third VM they commit only then.
+    // Without the third VM, the entries commit only once the full disk has room again.
     full.clear();
     let third = (1..=3).map(VmId).find(|vm| *vm != old && *vm != new).expect("three VMs");
     cluster.cut(third);
@@ -491,7 +490,7 @@
     assert_eq!(cluster.told_last(old, GROUP, &commands(6..9)).await, state);
 }
 
-/// Guards against a process that can't be stopped while its disk is full.
+/// A process couldn't be stopped while its disk was full.
 #[tokio::test]
 async fn stop_full_disk() {
     let mut cluster = Cluster::new();
@@ -514,7 +513,7 @@
 
 #[tokio::test]
 async fn leader_event_after_earlier_terms() {
-    // The owner of a state machine is up to date when it hears that it leads.
+    // The state machine is up to date when its owner learns that it leads.
     let cluster = Cluster::of(3).await;
     cluster.propose(GROUP, &commands(0..10)).await;
     let old = cluster.leader(GROUP, None).await;
--- a/crates/gypsumglade/tests/replica_memory.rs
+++ b/crates/gypsumglade/tests/replica_memory.rs
@@ -1,4 +1,4 @@
-//! What a host holds in memory is bounded by bytes.
+//! Memory of a host is bounded by bytes.
 
 use std::path::PathBuf;
 
@@ -27,8 +27,8 @@
     (host, events, batches)
 }
 
-/// Proposes until `bytes` were committed, and returns the last index. Takes events as an owner does, and
-/// notes whether it was asked for a snapshot.
+/// Proposes until `bytes` are committed, and returns the last index. Consumes events as an owner does,
+/// and records whether a snapshot was requested.
 async fn propose(
     host: &Host,
     events: &mut mpsc::Receiver<Event>,
@@ -43,7 +43,7 @@
                 Err(_) => tokio::task::yield_now().await,
             }
         };
-        // The last entry's events may come later; what is asked for is asked well before.
+        // The last entry's events may come later; a request for a snapshot comes well before.
         while let Ok(event) = events.try_recv() {
             asked |= matches!(event, Event::NeedSnapshot { .. });
         }
@@ -51,8 +51,8 @@
     (last, asked)
 }
 
-/// Guards against a store that dies for memory while it takes a snapshot: an entry of a few bytes,
-/// kept for reading, kept all of the frame that it came in, with pieces of other groups' snapshots.
+/// A store exceeded its memory while it took a snapshot: a small entry that was kept retained the whole
+/// frame that it had arrived in, with chunks of other groups' snapshots.
 #[tokio::test]
 async fn receive_keeps_no_frame() {
     let (host, _events, _batches) = started(FOLLOWER, vec![LEADER, FOLLOWER], None).await;
@@ -71,8 +71,7 @@
     assert!(batch.is_unique(), "its frame is still held");
 }
 
-/// Guards against logs of 64 MB that a store of 130 MB reads back, replays and snapshots at once after
-/// a restart.
+/// After a restart, a store of 130 MB read back, replayed and snapshotted a log of 64 MB at once.
 #[tokio::test]
 async fn snapshot_asked_by_state_size() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -89,8 +88,7 @@
     assert!(index > LogIndex(60));
 }
 
-/// Guards against a store that takes batches until its memory is full, while its replicas' thread gets
-/// no processor.
+/// A store accepted batches until its memory was full, while the thread of its replicas was starved.
 #[test]
 fn try_take_up_to_limit() {
     let budget = ByteBudget::new(1_000);
@@ -101,8 +99,8 @@
     assert_eq!((taken, budget.used()), (3, 900));
 }
 
-/// Guards against batches and proposals that are counted in and never out: after 8 MB of them a host
-/// would take no more.
+/// Batches and proposals were added to the count and never removed, so a host accepted no more after
+/// 8 MB.
 #[tokio::test]
 async fn receive_and_propose_give_back() {
     let (host, mut events, _batches) = started(LEADER, vec![LEADER], None).await;
--- a/crates/gypsumglade/tests/replica_restart_memory.rs
+++ b/crates/gypsumglade/tests/replica_restart_memory.rs
@@ -1,4 +1,4 @@
-//! Memory of a host that starts again, in a process of its own: the peak counts whatever runs beside.
+//! Memory of a restarting host, in a separate process, since the peak counts everything in it.
 
 use std::time::Duration;
 
@@ -8,10 +8,10 @@
 use tokio::sync::mpsc;
 
 const GROUP: GroupId = GroupId(1);
-/// Bytes of an entry, and how many are written: more than the memory that a start may take.
+/// Size of an entry, and the number written: together more than the memory that a start may use.
 const ENTRY: usize = 20_000;
 const ENTRIES: usize = 2_500;
-/// What a start may take beyond the peak of writing, in kB.
+/// Memory that a start may use beyond the peak of writing, in kB.
 const MOST: u64 = 8 * 1024;
 
 /// Returns the peak of this process's memory, in kB.
@@ -28,8 +28,7 @@
     (host, events)
 }
 
-/// Guards against a store that dies for memory while it reads its log back, as soon as it is started
-/// again.
+/// A store exceeded its memory while it read its log back, at every restart.
 #[tokio::test]
 async fn start_takes_little_memory() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -54,7 +53,7 @@
     let written = peak();
 
     let (_host, mut events) = start(&settings).await;
-    // As an owner that does something else first.
+    // Simulates an owner that does something else first.
     tokio::time::sleep(Duration::from_millis(500)).await;
     let mut read = 0;
     while read < ENTRIES {
--- a/crates/gypsumglade/tests/replica_single.rs
+++ b/crates/gypsumglade/tests/replica_single.rs
@@ -1,4 +1,4 @@
-//! One VM, one voter: the least that a host must do.
+//! A group with a single voter.
 
 use bytes::Bytes;
 use gypsumglade::replica::{Event, Host, HostSettings};
@@ -12,7 +12,7 @@
     Host::start(settings, outbound).await.expect("the host starts")
 }
 
-/// Takes events until `count` commands were committed.
+/// Consumes events until `count` commands are committed.
 async fn committed(events: &mut mpsc::Receiver<Event>, count: usize) -> Vec<Bytes> {
     let mut commands = Vec::new();
     while commands.len() < count {
--- a/crates/gypsumglade/tests/rpc_reconnect.rs
+++ b/crates/gypsumglade/tests/rpc_reconnect.rs
@@ -1,4 +1,4 @@
-//! Calls to a process that could not be reached a moment ago.
+//! Calls to a process that was unreachable a moment ago.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,7 +30,7 @@
     RpcServer::bind(address, token, module.into(), None, options, stop).await.expect("bound")
 }
 
-/// Guards against a store that answers again and is still treated as unreachable.
+/// A store that answered again was still treated as unreachable.
 #[tokio::test]
 async fn call_after_failed_connect() {
     let token = Secret::new("a-token-for-the-test");
--- a/crates/gypsumglade/tests/settings_load.rs
+++ b/crates/gypsumglade/tests/settings_load.rs
@@ -1,4 +1,4 @@
-//! Settings are accepted whole or refused with every finding.
+//! Settings are accepted as a whole or refused with all findings.
 
 use std::path::Path;
 
@@ -12,7 +12,7 @@
     findings.list.iter().map(|f| f.place.as_str()).collect()
 }
 
-/// The store example with one piece of text replaced, which must occur in it.
+/// Returns the store example with a text, which must occur in it, replaced.
 fn edited(from: &str, to: &str) -> Findings {
     let text = Settings::example(Role::Store);
     assert!(text.contains(from), "{from:?} is not in the example");
@@ -137,7 +137,7 @@
     assert_eq!(places(&findings), ["policy.off[0]", "policy.domain_price", "policy.region_price"]);
 }
 
-/// Operators read on one page what a mechanism is worth before they switch it off.
+/// Every mechanism that can be switched off is documented on one page.
 #[test]
 fn parse_policy_mechanisms_are_documented() {
     use gypsumglade_core::policy::mechanism::Mechanism;
--- a/crates/gypsumglade/tests/settings_log.rs
+++ b/crates/gypsumglade/tests/settings_log.rs
@@ -1,4 +1,4 @@
-//! Log lines are JSON, carry their process, and honour the level and file of the settings.
+//! Log lines are JSON, name their process, and follow the level and file of the settings.
 
 use gypsumglade::logs;
 use gypsumglade::settings::{Level, LogSettings};
--- a/crates/gypsumglade/tests/store_gauges.rs
+++ b/crates/gypsumglade/tests/store_gauges.rs
@@ -31,8 +31,7 @@
     answer
 }
 
-/// Guards against a store that dies for memory or answers late, and tells nothing of what it held
-/// or waited for.
+/// A store that exceeded its memory or answered late had no metrics that showed the reason.
 #[tokio::test]
 async fn page_held_and_commits() {
     let folder = tempfile::tempdir().expect("a temporary folder");
--- a/crates/gypsumglade/tests/store_outbound.rs
+++ b/crates/gypsumglade/tests/store_outbound.rs
@@ -1,11 +1,11 @@
-//! Replication batches on their way to another store.
+//! Queue of replication batches for another store.
 
 use bytes::Bytes;
 use gypsumglade::store::outbound::PeerQueue;
 use gypsumglade_core::wire::replication::{Batch, Message, Pulse};
 use prost::Message as _;
 
-/// Memory that may be held for one peer, which may be gone for good: a hundredth of a store's.
+/// Memory limit for the queue of one peer, which may be down for good: a hundredth of a store's.
 const MOST_BYTES: usize = 2 * 1024 * 1024;
 
 fn batch(term: u64, sent: u64) -> Bytes {
@@ -14,9 +14,9 @@
     Batch { messages: vec![message], pulse: Some(pulse) }.encode_to_vec().into()
 }
 
-/// A leader makes batches faster than a long link answers frames. If each went out in a frame of its
-/// own, they would queue for seconds and followers would depose a healthy leader. So what waits is
-/// joined: every message in order, and the latest pulse.
+/// A leader produces batches faster than a long link acknowledges frames. With a frame for each, they
+/// queued for seconds and followers deposed a healthy leader. Queued batches are joined: every message
+/// in order, and the latest pulse.
 #[test]
 fn take_joins_waiting() {
     let queue = PeerQueue::default();
@@ -41,8 +41,8 @@
     assert_eq!(queue.take(true).expect("a frame").bytes, batch(1, 10));
 }
 
-/// Guards against a store that dies for memory since one peer takes nothing: 256 batches waited for
-/// it, each of up to a megabyte.
+/// A store exceeded its memory since one peer accepted nothing: 256 batches of up to a megabyte each
+/// were queued for it.
 #[test]
 fn push_bounded_bytes() {
     for (bulk, size) in [(false, 100_000), (true, 250_000), (false, 1_000), (false, 3_000_000)] {
@@ -53,8 +53,8 @@
     }
 }
 
-/// Guards against a leader that is deposed while it brings a follower up to date: its heartbeats had
-/// no place behind the entries.
+/// A leader was deposed while it brought a follower up to date: its heartbeats were dropped because
+/// entries filled the queue.
 #[test]
 fn push_heartbeat_when_full() {
     let queue = PeerQueue::default();
@@ -62,7 +62,7 @@
     assert!(queue.push(batch(1, 10), false));
 }
 
-/// Guards against commits and elections that wait behind the snapshot of a newcomer.
+/// Commits and elections waited behind the snapshot of a new member.
 #[test]
 fn take_pieces_last() {
     let queue = PeerQueue::default();
--- a/crates/gypsumglade/tests/store_support/mod.rs
+++ b/crates/gypsumglade/tests/store_support/mod.rs
@@ -1,4 +1,4 @@
-//! Settings of stores that run in the test's own process, each at a loopback address of its own.
+//! Settings of stores that run in the test's process, each at its own loopback address.
 
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
@@ -8,14 +8,14 @@
 
 /// Token of every listener.
 pub const TOKEN: &str = "a-token-for-the-test";
-/// Public key of an operator; tests that sign give their own.
+/// Public key of an operator; tests that sign bundles set their own.
 const OPERATOR: &str = "68130c21391e43a090a1b7c5eb51a54a33104d132e61d9af0d58a5821ba0e743";
 
-/// What differs from one test's store to another's.
+/// Settings that differ between the stores of the tests.
 #[derive(Clone, Debug)]
 pub struct StoreSetup {
     pub own: Ipv4Addr,
-    /// Port of calls between processes.
+    /// Port for calls between processes.
     pub port: u16,
     pub seeds: Vec<Ipv4Addr>,
     /// Whether the seeds form the groups.
@@ -29,7 +29,7 @@
 }
 
 impl StoreSetup {
-    /// Describes a store that is its own seed and forms the groups.
+    /// Returns the settings of a store that is its own seed and forms the groups.
     pub fn alone(own: Ipv4Addr, port: u16, folder: &Path) -> StoreSetup {
         StoreSetup {
             own,
--- a/crates/gypsumglade/tests/support/mod.rs
+++ b/crates/gypsumglade/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A deployment of library instances on loopback addresses, one for each VM of a user.
+//! A deployment of library instances on loopback addresses, one for each VM.
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
@@ -25,11 +25,11 @@
 
 /// API key of the test's organisation.
 pub const API_KEY: &str = "test-key-of-the-lens-rental";
-/// Longest wait for anything that should come at once; only a hang exceeds it.
+/// Bound on waits for immediate events, which only a hang exceeds.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 /// Seed of the one operator's key.
 const OPERATOR: [u8; 32] = [7; 32];
-/// Bundle content; the digest of the API key is filled in.
+/// Bundle content, into which the digest of the API key is filled.
 pub const BUNDLE: &str = include_str!("bundle.yaml");
 
 /// Nine VMs in three failure domains and two regions; the first of each domain has a disk.
@@ -78,7 +78,7 @@
         self.roll_content(BUNDLE, patch, base).await
     }
 
-    /// As [`Cluster::roll`], with other content than the test's bundle.
+    /// Like [`Cluster::roll`], with other content than the test's bundle.
     pub async fn roll_content(
         &self,
         content: &str,
@@ -134,7 +134,7 @@
     ChatCall { program, agent: "kit-planner", turn, model: "advisor", says, ..ChatCall::default() }
 }
 
-/// Returns the prompt tokens that an answer's usage names.
+/// Returns the prompt tokens in an answer's usage.
 pub fn prompt_tokens(answer: &HttpAnswer) -> u64 {
     let usage = answer.json();
     usage.pointer("/usage/prompt_tokens").and_then(serde_json::Value::as_u64).unwrap_or(0)
@@ -181,7 +181,7 @@
         gossip: address(vm),
         domain: domain.into(),
         region: region.into(),
-        // The port becomes known when the store has bound it.
+        // The port is known once the store has bound it.
         store: has_disk(vm).then(|| address(vm)),
     }
 }
--- a/crates/gypsumglade/tests/text_client.rs
+++ b/crates/gypsumglade/tests/text_client.rs
@@ -1,4 +1,4 @@
-//! An entry VM's puts and fetches of texts, where stores are gone.
+//! Puts and fetches of texts by an entry VM while stores are down.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -14,10 +14,10 @@
 use gypsumglade_core::wire::turn::Text;
 use tokio::time::Instant;
 
-/// Longer than any test may take: one that ends only then hangs.
+/// Bound on the duration of a test, which only a hang exceeds.
 const LONG: Duration = Duration::from_secs(3_600);
 
-/// Returns a client of stores at addresses where nothing listens.
+/// Returns a client of stores at addresses without listeners.
 fn client() -> TextClient {
     let directory = Directory::new(&Settings::default());
     let closed = || -> SocketAddr {
@@ -35,7 +35,7 @@
     Holding { turn: "a".into(), holders, bytes: 1 }
 }
 
-/// A caller waits for a turn that can't begin, while another VM could have told it so long before.
+/// A caller waited for a turn that couldn't begin, although it could have been refused much earlier.
 #[tokio::test]
 async fn fetch_no_source_left() {
     let until = Instant::now() + LONG;
@@ -44,7 +44,7 @@
     assert_eq!(client().fetch(&[], until).await, Some(Vec::new().into()));
 }
 
-/// A caller's stream stays open until its own patience ends, though no store is left to ask.
+/// A caller's stream stayed open until its deadline, although no store was left.
 #[tokio::test]
 async fn put_no_store_left() {
     let text = Text { turn: "a".to_owned(), ..Text::default() };
--- a/crates/gypsumglade/tests/text_copies.rs
+++ b/crates/gypsumglade/tests/text_copies.rs
@@ -1,4 +1,4 @@
-//! Texts of kept turns on stores that are lost, restarted and emptied.
+//! Copies of kept turns' texts while stores are lost, restarted and retired.
 
 mod store_support;
 
@@ -31,20 +31,20 @@
 const PEERS: u16 = 7_310;
 /// Turns of each conversation.
 const TURNS: usize = 15;
-/// Conversations; with all their turns, more texts than are copied at one time.
+/// Number of conversations; they have more texts than are copied at one time.
 const PROGRAMS: usize = 12;
-/// Bytes of a turn's input: all turns together are more than a log keeps for followers that lag.
+/// Size of a turn's input: all turns together exceed what a log keeps for slow followers.
 const INPUT_BYTES: usize = 10_000;
-/// How long turns are kept: longer than any test takes.
+/// Retention of turns, longer than any test.
 const RETENTION: Duration = Duration::from_secs(600);
-/// Stores that each text is on.
+/// Number of stores that hold each text.
 const COPIES: usize = 2;
-/// Pause between two looks.
+/// Interval between polls.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Longest wait for one put or fetch.
+/// Timeout of one put or fetch.
 const PATIENCE: Duration = Duration::from_secs(5);
 
-/// Addresses that the tests of this process have taken.
+/// Number of addresses that the tests of this process use.
 static TAKEN: AtomicU8 = AtomicU8::new(1);
 
 fn next_ip() -> Ipv4Addr {
@@ -70,8 +70,8 @@
     tempfile::tempdir().expect("a temporary folder")
 }
 
-/// A store with the threads that it runs on. All that it began ends with them, as with a process; in a
-/// common runtime its replicas would go on, and could even lead.
+/// A store with its own runtime, which ends all of its tasks, as the end of a process would. In a shared
+/// runtime its replicas would continue and could even lead.
 struct Running {
     store: Store,
     runtime: Runtime,
@@ -113,7 +113,7 @@
     ended.await.expect("no panic");
 }
 
-/// Stores of one region, the lost ones left out.
+/// Running stores of one region.
 struct Cluster {
     seeds: Vec<Ipv4Addr>,
     places: Vec<Place>,
@@ -121,7 +121,7 @@
 }
 
 impl Cluster {
-    /// Starts three seeds, each in a failure domain of its own.
+    /// Starts three seeds in different failure domains.
     async fn start() -> Cluster {
         let places: Vec<Place> = ['a', 'b', 'c'].into_iter().map(Place::new).collect();
         let seeds = places.iter().map(|place| place.own).collect();
@@ -132,7 +132,7 @@
         cluster
     }
 
-    /// Adds a store at an address of its own, and returns its number.
+    /// Adds a store at a new address, and returns its number.
     async fn add(&mut self, domain: char) -> usize {
         self.places.push(Place::new(domain));
         let number = self.places.len() - 1;
@@ -154,7 +154,7 @@
         self.stores.remove(&number).expect("a running store").kill().await;
     }
 
-    /// Kills a store, takes its disk, and starts another one at its address.
+    /// Kills a store, deletes its folder, and starts a new one at its address.
     async fn replace(&mut self, number: usize) {
         self.kill(number).await;
         self.places[number].folder = empty();
@@ -175,7 +175,7 @@
         self.stores.values().next().expect("a running store")
     }
 
-    /// Returns a store that leads the turn group. One that failed to hand over leads on without a lease.
+    /// Returns a store that leads the turn group. One whose transfer failed leads without a lease.
     async fn leader(&self) -> &Store {
         loop {
             for store in self.stores.values() {
@@ -215,7 +215,7 @@
         let holders = loop {
             let until = Instant::now() + PATIENCE;
             let put = client.put(&program.to_string(), text(turn), retention, until).await;
-            // Right after its start, a store has not heard of the others.
+            // A store doesn't know the others right after its start.
             if let Some(holders) = put.filter(|holders| holders.len() == COPIES) {
                 break holders;
             }
@@ -247,7 +247,7 @@
         }
     }
 
-    /// Returns where the texts of a conversation are, as the turn group says.
+    /// Returns the holders of a conversation's texts, according to the turn group.
     async fn chain(&self, last: &str) -> Vec<Holding> {
         let next = Reserve {
             turn: "next".to_owned(),
@@ -269,7 +269,7 @@
         chains
     }
 
-    /// Tells whether the turn group names two of the running stores, other than `without`, for each text.
+    /// Returns whether the turn group names two running stores other than `without` for each text.
     async fn is_whole(&self, without: Option<VmId>) -> bool {
         let running = self.stores.values().map(|store| store.state().context.vm);
         let running: BTreeSet<VmId> = running.filter(|vm| Some(*vm) != without).collect();
@@ -285,8 +285,7 @@
         }
     }
 
-    /// Checks that every store that the turn group names has the very bytes, and that each conversation
-    /// reads as it was.
+    /// Checks that every recorded holder has the exact bytes, and that each conversation is unchanged.
     async fn check(&self) {
         let client = self.client();
         let by_vm = self.stores.values().map(|store| (store.state().context.vm, store));
@@ -338,8 +337,8 @@
     turns.any(|group| group.members.voters.contains(&vm))
 }
 
-/// Callers lose what their conversations said, if the next disk is lost before a newcomer has what was on
-/// the last one. Each store is lost in turn, so at the end no text is where it was put.
+/// Each store is lost in turn. Conversations lost texts if a disk was lost before a new store had copies
+/// of those on the previous one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn replace_each_store() {
     let mut cluster = Cluster::start().await;
@@ -359,7 +358,7 @@
     cluster.stop_all().await;
 }
 
-/// A store that never comes back has its texts' place taken by another one, at another address.
+/// The texts of a store that is lost for good are copied to another one, at another address.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn replace_at_other_address() {
     let mut cluster = Cluster::start().await;
@@ -373,8 +372,7 @@
     cluster.stop_all().await;
 }
 
-/// A planned restart would have a store's texts cross the network, while the disk that has them is back
-/// a second later.
+/// A planned restart made a store's texts cross the network, although its disk was back a second later.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restart_copies_nothing() {
     let mut cluster = Cluster::start().await;
@@ -385,7 +383,7 @@
     cluster.run(1, false).await;
     assert_eq!(cluster.vm(1), vm);
     cluster.check().await;
-    // Longer than the silence after which a store counts as lost.
+    // Longer than the time after which a silent store counts as lost.
     tokio::time::sleep(Duration::from_secs(4)).await;
     assert_eq!(cluster.chains().await, before);
     let named = |vm: VmId| before.iter().flatten().filter(move |text| text.holders.contains(&vm));
@@ -399,8 +397,8 @@
     cluster.stop_all().await;
 }
 
-/// An operator takes a store away once it is said to be empty. If texts were on it and one other only, the
-/// next lost disk takes them.
+/// A store was reported as empty while some texts were only on it and one other, so that the next lost
+/// disk lost them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn retire_waits_for_texts() {
     let mut cluster = Cluster::start().await;
@@ -414,7 +412,7 @@
     while registrar.retire(&name).await == Err(RetireError::Unavailable) {
         tokio::time::sleep(PAUSE).await;
     }
-    // Nobody has looked yet which texts rely on it.
+    // It hasn't been checked yet which texts depend on it.
     assert_eq!(registrar.is_retired(&name), Ok(false));
     while registrar.is_retired(&name) != Ok(true) {
         tokio::time::sleep(PAUSE).await;
@@ -425,8 +423,7 @@
     cluster.stop_all().await;
 }
 
-/// An entry VM that hasn't heard that a store is to be emptied puts a text there, on a disk that is about
-/// to be taken away.
+/// An entry VM that doesn't know that a store is retiring puts a text on its disk.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn put_at_retiring_store() {
     let mut cluster = Cluster::start().await;
@@ -452,9 +449,8 @@
     cluster.stop_all().await;
 }
 
-/// A store whose disk was lost comes back empty, as someone new, at the address it had. If an answer didn't
-/// say who gives it, a put or a copy would be credited to the earlier identity, and the group would name a
-/// holder that is gone.
+/// A store that lost its disk returns at its address with a new identity. A put or a copy was credited
+/// to the earlier identity, so that the group named a holder that no longer exists.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn put_and_copy_tell_who_answers() {
     let mut cluster = Cluster::start().await;
@@ -476,13 +472,13 @@
     cluster.stop_all().await;
 }
 
-/// A leader that is deposed while it copies leaves texts at stores that the group doesn't name. The next
-/// one must take up what is left.
+/// A leader is deposed while it copies, and leaves texts on stores that the group doesn't name. The next
+/// leader must finish the copies.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn leader_change_while_copying() {
     let mut cluster = Cluster::start().await;
     cluster.keep_all().await;
-    // Both others have been up for long enough to copy once they lead.
+    // Both other stores have been up for long enough to copy as leader.
     tokio::time::sleep(Duration::from_secs(3)).await;
     cluster.replace(2).await;
     let mut handed = BTreeSet::new();
@@ -497,13 +493,12 @@
     cluster.stop_all().await;
 }
 
-/// Disks fill with texts that nobody can read any more, if they aren't dropped; and conversations end, if
-/// texts are dropped whose turn was continued.
+/// Texts that can't be read any more filled the disks, or texts of continued turns were dropped.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drop_expired() {
     let cluster = Cluster::start().await;
     let short = Duration::from_millis(500);
-    // Holders ask about these texts long before an entry VM's grace is over.
+    // Holders ask about these texts long before the entry VM's grace period ends.
     for turn in ["unsettled", "expired", "continued", "last"] {
         let put = TextPut { texts: vec![text(turn)], retention_ms: 500 };
         for store in cluster.stores.values() {
@@ -523,7 +518,7 @@
         if left == 0 {
             break;
         }
-        // The group's clock goes on with its commands.
+        // The group's clock advances with its commands.
         number += 1;
         cluster.keep(0, &format!("tick-{number}"), "", short).await;
         tokio::time::sleep(Duration::from_millis(500)).await;
--- a/crates/gypsumglade/tests/text_index_memory.rs
+++ b/crates/gypsumglade/tests/text_index_memory.rs
@@ -1,4 +1,4 @@
-//! Memory of the index of texts, in a process of its own: what runs beside it would count.
+//! Memory of the index of texts, in a separate process, since everything in it counts.
 
 use std::time::Duration;
 
@@ -8,10 +8,10 @@
 
 const RETENTION: Duration = Duration::from_secs(3600);
 const LIMITS: TextLimits = TextLimits { disk_bytes: 64 * 1024 * 1024 };
-/// Texts that are put at one time, and how often.
+/// Number of texts in a batch, and number of batches.
 const BATCH: usize = 4_000;
 const BATCHES: usize = 10;
-/// Most memory of a text that is on the disk, with a name of 36 bytes as callers give.
+/// Memory limit for each stored text, with a name of 36 bytes.
 const TEXT_BYTES: u64 = 400;
 
 /// Returns the memory of this process, in bytes.
@@ -30,12 +30,12 @@
     (0..BATCH).map(text).collect()
 }
 
-/// Guards against an index that takes so much for each text that many short ones fill a store's memory.
+/// The index entries of many short texts filled a store's memory.
 #[tokio::test]
 async fn index_takes_little_memory() {
     let folder = tempfile::tempdir().expect("a folder");
     let store = TextStore::open(folder.path(), LIMITS).expect("the folder opens");
-    // The first batch brings the buffers to their size.
+    // The buffers have their full size after the first batch.
     store.put(texts(0), RETENTION).await.expect("the texts are put");
     let before = resident();
     for batch in 1..=BATCHES {
--- a/crates/gypsumglade/tests/text_memory.rs
+++ b/crates/gypsumglade/tests/text_memory.rs
@@ -1,4 +1,4 @@
-//! Memory of a store of texts, in a process of its own: the peak counts whatever runs beside it.
+//! Memory of a store of texts, in a separate process, since the peak counts everything in it.
 
 use std::time::Duration;
 
@@ -8,9 +8,9 @@
 
 const RETENTION: Duration = Duration::from_secs(3600);
 const LIMITS: TextLimits = TextLimits { disk_bytes: 256 * 1024 * 1024 };
-/// What putting may take, in kB; the disk holds ten times as much.
+/// Memory that puts may use, in kB; the disk holds ten times as much.
 const MOST: u64 = 10 * 1024;
-/// What opening may take beyond the peak of putting, in kB.
+/// Memory that opening may use beyond the peak of the puts, in kB.
 const OPEN_MOST: u64 = 1024;
 
 /// Returns the peak of this process's memory, in kB.
@@ -22,12 +22,12 @@
 
 #[tokio::test]
 async fn open_takes_little_memory() {
-    // Guards against a store that reads all its texts into memory, or keeps those it has written.
+    // A store read all texts into memory, or kept those that it had written.
     let folder = tempfile::tempdir().expect("a folder");
     let store = TextStore::open(folder.path(), LIMITS).expect("the folder opens");
     let before = peak();
     for i in 0..400 {
-        // One text is longer than all memory that opening may take.
+        // One text is longer than the memory that opening may use.
         let length = if i == 200 { 3_000_000 } else { 250_000 };
         let (turn, part) = (format!("turn-{i}"), Bytes::from(vec![i as u8; length / 2]));
         let text = Text { turn, input: part.clone(), output: part };
--- a/crates/gypsumglade/tests/text_store.rs
+++ b/crates/gypsumglade/tests/text_store.rs
@@ -1,4 +1,4 @@
-//! Texts on a store's disk: what survives, what is refused, and how space comes back.
+//! Texts on a store's disk: durability, refusals and reclaimed space.
 
 use std::collections::BTreeSet;
 use std::fs::{self, File, OpenOptions};
@@ -19,14 +19,14 @@
 use tokio::task::JoinHandle;
 
 const LONG: Duration = Duration::from_secs(3600);
-/// Looks, with a pause of a millisecond, after which a test gives up.
+/// Number of polls, one each millisecond, after which a test fails.
 const LOOKS: usize = 60_000;
-/// Limit of a roomy disk.
+/// Limit of a large disk.
 const ROOMY: u64 = 256 * 1024 * 1024;
-/// Limit of a small disk, whose segments have an eighth of it.
+/// Limit of a small disk; a segment is an eighth of it.
 const SMALL: u64 = 1024 * 1024;
 const SMALL_SEGMENT: u64 = SMALL / 8;
-/// Bytes of a record beside its text.
+/// Overhead of a record, in bytes.
 const OVERHEAD: u64 = 24;
 
 struct Folder {
@@ -35,17 +35,17 @@
     limit: u64,
     found: Duration,
     pause: Duration,
-    /// Pause before a disk that failed is tried again.
+    /// Delay before a failed disk is retried.
     retry: Duration,
-    /// How long a text that may not be found yet is waited for.
+    /// How long to wait for a text that the scan may still find.
     patience: Duration,
-    /// Messages of the highest level.
+    /// Number of critical messages.
     critical: Arc<AtomicUsize>,
-    /// Messages that something is wrong, or no more.
+    /// Number of warnings.
     warnings: Arc<AtomicUsize>,
 }
 
-/// Lets syncs and scans go on in the end, also when a test panics: a store that is dropped waits for them.
+/// Resumes syncs and scans when dropped, also after a panic, since dropping a store waits for them.
 struct Held(Faults);
 
 impl Drop for Held {
@@ -55,7 +55,7 @@
     }
 }
 
-/// Counts messages of the highest level, and warnings.
+/// Counts critical messages and warnings.
 struct Count(Arc<AtomicUsize>, Arc<AtomicUsize>);
 
 impl slog::Drain for Count {
@@ -88,7 +88,7 @@
         }
     }
 
-    /// Opens the folder, and waits until what is there was found.
+    /// Opens the folder and waits for the end of the scan.
     fn open(&self) -> TextStore {
         let store = self.open_at_once();
         for _ in 0..LOOKS {
@@ -113,13 +113,13 @@
         TextStore::open_with(self.root.path(), options).expect("the folder opens")
     }
 
-    /// Makes syncs wait until the guard goes.
+    /// Blocks syncs until the guard is dropped.
     fn hold(&self) -> Held {
         self.faults.hold_syncs();
         Held(self.faults.clone())
     }
 
-    /// Makes scans wait until the guard goes.
+    /// Blocks scans until the guard is dropped.
     fn hold_scans(&self) -> Held {
         self.faults.hold_scans();
         Held(self.faults.clone())
@@ -141,7 +141,7 @@
     format!("turn-{i:06}")
 }
 
-/// A text of which every byte depends on its number.
+/// Returns a text whose bytes depend on its number.
 fn text(i: usize, length: usize) -> Text {
     let byte = |at: usize| (i * 31 + at * 7) as u8;
     let input = Bytes::from_iter((0..length / 3).map(byte));
@@ -168,7 +168,7 @@
     tokio::spawn(async move { store.put(vec![text], LONG).await })
 }
 
-/// Waits for what the writer does by itself.
+/// Waits for a background action of the writer.
 async fn until(store: &TextStore, reached: impl Fn(TextStatus) -> bool) -> TextStatus {
     for _ in 0..LOOKS {
         let status = store.status();
@@ -180,7 +180,7 @@
     panic!("the writer never got there: {:?}", store.status());
 }
 
-/// Begins to put a text, and returns once it is written and its sync is held up.
+/// Begins to put a text, and returns once it is written and its sync is blocked.
 async fn put_held(
     folder: &Folder,
     store: &TextStore,
@@ -193,7 +193,7 @@
     (held, put)
 }
 
-/// Lets spawned tasks run until each has put what it has to put.
+/// Lets spawned tasks run until each has queued its puts.
 async fn queue_all() {
     for _ in 0..100 {
         tokio::task::yield_now().await;
@@ -221,7 +221,7 @@
 
 #[tokio::test]
 async fn put_answers_after_sync() {
-    // Guards against an answer for a text that a power loss would still take.
+    // A text was acknowledged that a power loss would still lose.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
     let held = folder.hold();
@@ -237,7 +237,7 @@
 
 #[tokio::test]
 async fn put_in_new_segment_waits_for_folder_sync() {
-    // Guards against a power loss that takes a new file whose data was synced and whose name wasn't.
+    // A power loss removed a new file whose data was synced and whose name wasn't.
     let folder = Folder::new(SMALL);
     let store = folder.open();
     let length = SMALL_SEGMENT as usize - 1000;
@@ -250,14 +250,14 @@
 
 #[test]
 fn open_syncs_name_of_folder() {
-    // Guards against a power loss that takes the whole new folder, for its name was never synced.
+    // A power loss removed the new folder, since its name was never synced.
     let folder = Folder::new(ROOMY);
     let root = folder.root.path().canonicalize().expect("a folder");
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let mut options = TextOptions::new(TextLimits { disk_bytes: ROOMY }, log);
     options.faults = folder.faults.clone();
     folder.faults.fail_folder(&root);
-    // The second time the folder is there, left by a process that could not sync its name.
+    // The second time, the folder exists, left by a process that could not sync its name.
     for _ in 0..2 {
         let opened = TextStore::open_with(&root.join("texts"), options.clone());
         assert!(opened.is_err(), "texts could be acknowledged in a folder that may go");
@@ -344,7 +344,7 @@
 
 #[tokio::test]
 async fn open_finds_header_across_pieces() {
-    // Guards against a search that steps over the one header which two of its reads share.
+    // A search missed a header that spans two of its reads.
     let record = record_bytes(&text(0, 64 * 1024));
     for shift in 0..6 {
         let folder = Folder::new(ROOMY);
@@ -378,7 +378,7 @@
 
 #[tokio::test]
 async fn put_refuses_when_disk_full() {
-    // Guards against files that outgrow what the settings allow.
+    // Files exceeded the limit of the settings.
     let folder = Folder::new(SMALL);
     let store = folder.open();
     let mut stored = 0;
@@ -447,14 +447,14 @@
 
 #[tokio::test]
 async fn put_refuses_many_short_ones() {
-    // Guards against short texts that fill the memory with their places long before they fill the disk.
+    // The index entries of short texts filled the memory long before the texts filled the disk.
     let folder = Folder::new(SMALL);
     let store = folder.open();
     let most = (SMALL - SMALL_SEGMENT / 4) / 1024;
     let fitting = (0..most as usize).map(|i| text(i, 10)).collect();
     store.put(fitting, LONG).await.expect("each counts as 1 KiB");
     assert_eq!(store.put(vec![text(5000, 10)], LONG).await, Err(PutError::Full));
-    // What was dropped still has its few bytes on the disk, so one makes no room for another.
+    // A dropped text still has its bytes on the disk, so it makes no room for another.
     (0..2).for_each(|i| store.drop(&name(i)));
     put(&store, 5000, 10).await;
     assert_eq!(store.put(vec![text(5001, 10)], LONG).await, Err(PutError::Full));
@@ -588,7 +588,7 @@
     assert_eq!((store.status().texts, store.status().damaged), (1, 0));
 }
 
-/// A way in which a disk refuses texts.
+/// Kinds of a disk's refusal.
 #[derive(Clone, Copy, Debug)]
 enum Refusal {
     Sync,
@@ -615,7 +615,7 @@
             until(&store, |status| status.failed).await;
             let waiting = store.put(vec![text(3, 10)], LONG).now_or_never();
             assert_eq!(waiting, Some(Err(PutError::Failed)), "it is refused at once");
-            // Several tries fail, and leave nothing.
+            // Several attempts fail and leave nothing behind.
             tokio::time::sleep(10 * folder.retry).await;
             assert!(store.status().failed);
             folder.faults.clear();
@@ -637,7 +637,7 @@
 
 #[tokio::test]
 async fn put_after_recovery_goes_to_new_file() {
-    // Guards against texts that are appended to a file of which a failed sync left nobody knows what.
+    // Texts were appended to a file whose content was unknown after a failed sync.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
     put(&store, 1, 1000).await;
@@ -796,7 +796,7 @@
 
 #[tokio::test]
 async fn due_again_after_pause() {
-    // Guards against a text that is never asked about again because one question got no answer.
+    // A text was never checked again after one query got no answer.
     let mut folder = Folder::new(ROOMY);
     folder.pause = Duration::ZERO;
     let store = folder.open();
@@ -875,7 +875,7 @@
 
 #[tokio::test]
 async fn get_waits_for_scan() {
-    // Guards against turns that can't go on right after all stores were restarted.
+    // Turns couldn't be continued right after all stores had restarted.
     let folder = Folder::new(ROOMY);
     let store = folder.open();
     put(&store, 1, 1000).await;
@@ -896,7 +896,7 @@
 
 #[tokio::test]
 async fn open_finds_newer_of_two_records() {
-    // Guards against an old record, put again during a scan, that keeps a file which could go.
+    // An old record that was put again during a scan kept a removable file.
     let folder = Folder::new(SMALL);
     let store = folder.open();
     put(&store, 1, 1000).await;
@@ -916,7 +916,7 @@
 
 #[tokio::test]
 async fn due_covers_found_texts() {
-    // Guards against a text found by a scan that is never asked about, and stays for ever.
+    // A text found by a scan was never checked, and stayed for ever.
     let mut folder = Folder::new(ROOMY);
     folder.found = Duration::ZERO;
     let store = folder.open();
@@ -1047,7 +1047,7 @@
 
 #[test]
 fn get_after_any_steps() {
-    // Guards against a text that is lost, or dropped and still there, after whatever was done before.
+    // A text was lost, or was still there after it was dropped, after some sequence of operations.
     let runtime = runtime();
     let steps = proptest::collection::vec(step(), 1..250);
     let result = runner(40, 8).run(&steps, |steps| {
--- a/crates/gypsumglade/tests/text_too_few.rs
+++ b/crates/gypsumglade/tests/text_too_few.rs
@@ -1,4 +1,4 @@
-//! Texts while fewer stores are known than each text should be on.
+//! Texts while fewer stores are known than should hold each text.
 
 mod store_support;
 
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 const PEERS: u16 = 7_312;
-/// Stores that each text should be on, and how many are there.
+/// Number of stores that should hold each text, and number of running stores.
 const COPIES: usize = 3;
 const STORES: u8 = 2;
 const RETENTION: Duration = Duration::from_secs(60);
@@ -39,9 +39,8 @@
     Store::start(settings, directory, log).await.expect("a store starts")
 }
 
-/// Guards against a turn that is acknowledged while its text is on as many disks as may be lost at one
-/// time, or on fewer: an entry VM that has just started knows few stores, and after a loss of power few
-/// are there.
+/// A turn was acknowledged while its text was only on as many disks as may be lost at one time: an entry
+/// VM that has just started knows few stores, and after a loss of power few are running.
 #[tokio::test]
 async fn put_needs_all_copies() {
     let folders = [0; STORES as usize].map(|_| tempfile::tempdir().expect("a temporary folder"));
--- a/crates/gypsumglade/tests/turn_clock.rs
+++ b/crates/gypsumglade/tests/turn_clock.rs
@@ -1,4 +1,4 @@
-//! The time of kept turns, where wall clocks of stores differ.
+//! Retention of turns while the wall clocks of stores differ.
 
 mod store_support;
 
@@ -23,15 +23,15 @@
 
 const PEERS: u16 = 7_312;
 const VM: VmId = VmId(77);
-/// What a wall clock is off by.
+/// Error of a wall clock.
 const OFF_MS: u64 = 3_600_000;
-/// Time for which the turns are kept that must be found.
+/// Retention of the turns that must be found.
 const RETENTION_MS: u64 = 60_000;
-/// Looks for what the group must come to.
+/// Number of polls for an expected state.
 const LOOKS: usize = 200;
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Returns an address of this process and test.
+/// Returns an address that is unique to this process and test.
 fn ip(test: u8) -> Ipv4Addr {
     let process = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, 128 | (process[2] & 63), process[3], test)
@@ -48,7 +48,7 @@
     Command { body: Some(Body::Settle(settle)) }
 }
 
-/// Leaves a folder with a turn that a leader with this wall clock kept, and starts a store on it.
+/// Creates a folder with a turn kept by a leader with this wall clock, and starts a store on it.
 async fn start(test: u8, folder: &Path, wall: u64) -> Store {
     let mut turns = Turns::default();
     turns.apply(&settle("kept", RETENTION_MS, wall));
@@ -71,7 +71,7 @@
     Store::start(settings, directory, log).await.expect("a store starts")
 }
 
-/// Asks until the group tells what became of the command.
+/// Retries until the group reports the outcome of the command.
 async fn ask(store: &Store, command: Command) -> Reply {
     for _ in 0..LOOKS {
         match store.state().turns.ask(command.clone()).await.body {
@@ -90,8 +90,7 @@
     Command { body: Some(Body::Reserve(reserve)) }
 }
 
-/// The leadership moves to a store whose wall clock is ahead. Callers were told that turns are unknown
-/// which were kept a moment ago.
+/// Leadership moves to a store whose wall clock is ahead. Turns that had just been kept were unknown.
 #[tokio::test]
 async fn lead_with_clock_ahead() {
     let folder = tempfile::tempdir().expect("a temporary folder");
@@ -101,8 +100,8 @@
     store.stop().await;
 }
 
-/// The former leader's wall clock was ahead. The group's time stood still until the others' clocks had
-/// come that far, and all that callers left meanwhile was kept.
+/// The former leader's wall clock was ahead. The group's time stood still until the other clocks caught
+/// up, and nothing expired meanwhile.
 #[tokio::test]
 async fn lead_after_clock_ahead() {
     let folder = tempfile::tempdir().expect("a temporary folder");
--- a/crates/gypsumglade/tests/turn_snapshot.rs
+++ b/crates/gypsumglade/tests/turn_snapshot.rs
@@ -1,4 +1,4 @@
-//! A store whose snapshot of kept turns can't be read.
+//! A store with an unreadable snapshot of kept turns.
 
 mod store_support;
 
@@ -21,7 +21,7 @@
 
 const PEERS: u16 = 7_311;
 const VM: VmId = VmId(77);
-/// Time for the store to lead and to answer wrongly; an election takes a third of a second.
+/// Time for the store to become leader and answer; an election takes a third of a second.
 const WATCHED: Duration = Duration::from_secs(2);
 
 fn ip() -> Ipv4Addr {
@@ -33,7 +33,7 @@
     StoreSetup { first: false, ..StoreSetup::alone(ip(), PEERS, folder) }.settings()
 }
 
-/// Leaves a folder in which the turn group's snapshot is no state of turns.
+/// Creates a folder in which the turn group's snapshot is invalid.
 async fn spoil(folder: &Path) {
     let (outbound, _batches) = mpsc::channel(16);
     let folder = Some(folder.to_path_buf());
@@ -50,8 +50,8 @@
     host.stop().await;
 }
 
-/// Guards against a store that takes an unreadable snapshot for an empty one: callers would be told that
-/// turns are unknown, and the holders of their texts to drop them.
+/// A store took an unreadable snapshot for an empty one: turns were unknown to callers, and their texts
+/// were dropped by the holders.
 #[tokio::test]
 async fn unreadable_snapshot_is_not_answered_from() {
     let folder = tempfile::tempdir().expect("a temporary folder");
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -1,4 +1,4 @@
-//! The stand-in engine keeps the promises that a real one would.
+//! The stand-in engine behaves as a real engine does.
 
 mod support;
 
@@ -17,7 +17,7 @@
     EngineSettings { prefill_rate: 1_000_000, decode_rate: 100_000, ..EngineSettings::default() }
 }
 
-/// Slow enough that a call is surely under way while a test acts on it.
+/// Slow enough that a call is still in flight while a test acts on it.
 fn slow() -> EngineSettings {
     EngineSettings { decode_rate: 20, resume_ms: 200, ..quick() }
 }
@@ -64,7 +64,7 @@
     let body = json!({"model": "advisor", "messages": messages});
     let second = chat(engine.address(), "d2", &body).await.unwrap().json();
 
-    // The first prompt and its answer are reused; only the last message is filled.
+    // The first prompt and its answer are cached; only the last message is prefilled.
     assert_eq!(second["usage"]["prompt_tokens"], 3 + 16 + 1);
     assert_eq!(second["usage"]["prompt_tokens_details"]["cached_tokens"], 3 + 16);
     assert_eq!(engine.stats().held(PROGRAM), 3 + 16 + 1 + 16);
@@ -76,8 +76,8 @@
 
 #[tokio::test]
 async fn chat_stream_resumed() {
-    // The reader of a stream is lost after the call began. Within the engine's patience another
-    // reader asks for the rest of the same dispatch, and the call must not run twice.
+    // The reader of a stream is lost after the call began. Within the engine's timeout another
+    // reader resumes the same dispatch, and the call must not run twice.
     let engine = Engine::start(slow()).await.unwrap();
     let address = engine.address();
     let body = json!({"model": "advisor", "messages": [user("hello")], "stream": true});
@@ -136,8 +136,8 @@
 
 #[tokio::test]
 async fn leave_finishes_calls() {
-    // The engine announces that it leaves while a call runs. The call must get its whole answer,
-    // and a call that comes later is refused with proof that it did not start.
+    // The engine announces that it leaves while a call runs. The call must get its complete answer,
+    // and a later call is refused as not run.
     let engine = Engine::start(slow()).await.unwrap();
     let address = engine.address();
     let body = json!({"model": "advisor", "messages": [user("hello")]});
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -45,7 +45,7 @@
     let entry = format!("http://{}", listener.local_addr().unwrap());
     tokio::spawn(async move { axum::serve(listener, router).await });
 
-    // The first of the two entries is dead, which must not cost the lease.
+    // The first of the two entries is down, which must not end the lease.
     let entries = vec!["http://127.0.0.1:1".into(), entry.into()];
     let announce = AnnounceSettings { entries, token: "secret".into(), lease_ms: 30 };
     let settings = EngineSettings { announce, ..EngineSettings::default() };
@@ -69,8 +69,8 @@
 
 #[tokio::test]
 async fn announce_cache_events_with_gaps() {
-    // Every second cache event is never told. The system may only notice that by the numbers of
-    // those that are, so these must count the lost ones too.
+    // Every second cache event is dropped. The system detects gaps by the events' numbers, so the
+    // dropped ones must be numbered too.
     let heard = Heard::default();
     let router = Router::new().route(ANNOUNCE_PATH, post(hear)).with_state(Arc::clone(&heard));
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -1,4 +1,4 @@
-//! The stand-in service counts what really ran, also when it shows a fault.
+//! The stand-in service counts the operations that ran, also when it simulates a fault.
 
 mod support;
 
@@ -19,15 +19,14 @@
     let answer = call(service.address(), "k1", "d1", "").await.unwrap();
     assert_eq!(answer.head["x-dispatch-id"], "d1");
     assert_eq!(answer.json()["run"], 1);
-    // The service does not deduplicate, so that a second send shows.
+    // The service does not deduplicate, so that a repeated request is counted.
     assert_eq!(call(service.address(), "k1", "d2", "").await.unwrap().json()["run"], 2);
     assert_eq!(service.stats().runs("k1"), 2);
 }
 
 #[tokio::test]
 async fn call_crash_before_and_after_effect() {
-    // Both faults look the same to the caller: the connection breaks. Only the count tells
-    // whether the operation took effect.
+    // Both faults break the connection. Only the count shows whether the operation ran.
     for (fault, runs) in [("crash-before", 0), ("crash-after", 1)] {
         let settings = ServiceSettings { work_ms: 0, ..ServiceSettings::default() };
         let service = Service::start(settings).await.unwrap();
