--- a/crates/gypsumglade/src/entry/callers.rs
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -28,7 +28,7 @@
 use super::state::EntryState;
 use super::turn_call::TurnCall;
 use super::waiting_caller::Caller;
-use super::{sse, tool, turn};
+use super::{quota, sse, tool, turn};
 
 /// Response header with the program of the call, which may have been generated.
 const PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program-id");
@@ -101,9 +101,10 @@
     let body = check_body(body)?;
     let headers = CallHeaders::read(headers)?;
     let active = state.config.active(state.clock.now())?;
-    active.organisation(&headers.token)?;
+    let org = active.organisation(&headers.token)?;
     let request = ChatRequest::parse(&body)?;
     let call = turn_call(state, &active, &headers, request)?;
+    quota::admit(state, org, active.revision, call.turn > 1, call.deadline).await?;
     let permit =
         state.admission.admit(&state.metrics, &call.model.name, admission_request(&call)).await?;
     let program = call.program.clone();
@@ -273,6 +274,8 @@
     let headers = CallHeaders::read(headers)?;
     let active = state.config.active(state.clock.now())?;
     let call = tool::ToolCall::new(state, &active, &headers, service, operation, body)?;
+    let org = active.organisation(&headers.token)?;
+    quota::admit(state, org, active.revision, true, call.deadline()).await?;
     let program = call.program.clone();
     let (sender, receiver) = oneshot::channel();
     let task_state = Arc::clone(state);
--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod order_holder;
 mod peer_calls;
 pub mod problem;
+mod quota;
 mod retrying;
 mod serve;
 pub mod sse;
--- a/crates/gypsumglade/src/entry/problem.rs
+++ b/crates/gypsumglade/src/entry/problem.rs
@@ -34,6 +34,8 @@
     Quarantined,
     /// The VM, the engines or the program group have no capacity left.
     Overloaded,
+    /// The organisation has reached its rate limit.
+    OverLimit,
     /// No endpoint or no quorum is available.
     Unavailable,
     /// The VM has no valid configuration lease and takes no new calls.
@@ -56,7 +58,7 @@
             ProblemKind::Budget => StatusCode::PAYMENT_REQUIRED,
             ProblemKind::Deadline => StatusCode::GATEWAY_TIMEOUT,
             ProblemKind::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
-            ProblemKind::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+            ProblemKind::Overloaded | ProblemKind::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             ProblemKind::Unavailable | ProblemKind::NoLease => StatusCode::SERVICE_UNAVAILABLE,
             ProblemKind::Uncertain => StatusCode::BAD_GATEWAY,
             ProblemKind::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -75,6 +77,7 @@
             ProblemKind::Deadline => "deadline_passed",
             ProblemKind::Quarantined => "quarantined",
             ProblemKind::Overloaded => "overloaded",
+            ProblemKind::OverLimit => "over_limit",
             ProblemKind::Unavailable => "unavailable",
             ProblemKind::NoLease => "no_lease",
             ProblemKind::Uncertain => "uncertain",
@@ -95,6 +98,9 @@
             ProblemKind::Budget => "end the program, or ask the operators for a larger budget",
             ProblemKind::Deadline => "send it again with a later deadline",
             ProblemKind::Quarantined => "do not resend; ask the operators to lift the quarantine",
+            ProblemKind::OverLimit => {
+                "send it again after Retry-After, or ask the operators for a higher limit"
+            }
             ProblemKind::Overloaded | ProblemKind::Unavailable | ProblemKind::NoLease => {
                 "send the same request again, with the same Idempotency-Key, after Retry-After"
             }
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -23,6 +23,7 @@
 use crate::admin;
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::gateway::TurnClient;
 use crate::listener::{Listener, ListenerOptions};
 use crate::membership::Handle;
 use crate::metrics::Metrics;
@@ -163,6 +164,7 @@
         place,
         clock,
         groups: GroupClient::new(vm, peers.clone(), map, settings.timeouts.peer()),
+        turns: TurnClient::new(Arc::clone(&directory), peers.clone(), clock, log.clone()),
         endpoints: EndpointClient::new(),
         config: ConfigView::new(lease, vm, keys, clock.now()),
         admission: AdmissionController::new(admission_settings(), clock),
--- a/crates/gypsumglade/src/entry/state.rs
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -20,6 +20,7 @@
 use super::groups::GroupClient;
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::gateway::TurnClient;
 use crate::members::EntryMember;
 use crate::metrics::Metrics;
 use crate::rpc::PeerClients;
@@ -42,6 +43,8 @@
     pub peers: PeerClients,
     /// Client of the program groups.
     pub groups: GroupClient,
+    /// Client of the turn group, which counts calls towards the organisations' limits.
+    pub(crate) turns: TurnClient,
     /// HTTP client for endpoints.
     pub endpoints: EndpointClient,
     /// Active bundle and the configuration lease.
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -115,6 +115,11 @@
         })
     }
 
+    /// Returns when the caller stops waiting.
+    pub(super) fn deadline(&self) -> Option<Time> {
+        self.deadline
+    }
+
     fn repeatable(&self) -> bool {
         self.begin.repeatable
     }
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -32,3 +32,4 @@
 pub use headers::forwarded_headers;
 pub use serve::{Gateway, GatewayAddresses};
 pub use text_client::TextClient;
+pub(crate) use turn_client::TurnClient;
--- a/crates/gypsumglade/src/gateway/turn_client.rs
+++ b/crates/gypsumglade/src/gateway/turn_client.rs
@@ -30,7 +30,7 @@
 
 /// Sends commands to the leader of the turn group. Clones share their state.
 #[derive(Clone)]
-pub(super) struct TurnClient {
+pub(crate) struct TurnClient {
     shared: Arc<Shared>,
 }
 
@@ -44,10 +44,10 @@
 }
 
 /// Permission to send one command; see [`TurnClient::admit`].
-pub(super) struct AskPermit {
+pub(crate) struct AskPermit {
     guard: AskGuard,
     /// Time limit for the answer.
-    pub(super) timeout: Duration,
+    pub(crate) timeout: Duration,
 }
 
 /// Result of one call to the believed leader.
@@ -61,7 +61,7 @@
 
 impl TurnClient {
     /// Creates a client that knows no leader yet.
-    pub(super) fn new(
+    pub(crate) fn new(
         directory: Arc<Directory>,
         peers: PeerClients,
         clock: Clock,
@@ -76,7 +76,7 @@
     ///
     /// # Errors
     /// Refuses when the group is unresponsive or too many callers are waiting for it.
-    pub(super) fn admit(&self, wait: WaitRequest) -> Result<AskPermit, AskRefused> {
+    pub(crate) fn admit(&self, wait: WaitRequest) -> Result<AskPermit, AskRefused> {
         let now = self.shared.clock.now();
         match self.shared.health().admit(now, wait) {
             Decision::Proceed { id, timeout } => {
@@ -90,32 +90,32 @@
     }
 
     /// Sends an admitted command until the group answers or the permit's time limit passes.
-    pub(super) async fn ask_with(&self, permit: AskPermit, body: CommandBody) -> Option<ReplyBody> {
+    pub(crate) async fn ask_with(&self, permit: AskPermit, body: CommandBody) -> Option<ReplyBody> {
         let AskPermit { guard, timeout } = permit;
         self.shared.ask(guard, body, timeout).await
     }
 
     /// Sends a command until the group answers or `timeout` passes. Commands are idempotent by turn id,
     /// so retries are safe.
-    pub(super) async fn ask(&self, body: CommandBody, timeout: Duration) -> Option<ReplyBody> {
+    pub(crate) async fn ask(&self, body: CommandBody, timeout: Duration) -> Option<ReplyBody> {
         let id = self.shared.health().begin(self.shared.clock.now(), 0);
         let guard = AskGuard { shared: Arc::clone(&self.shared), id: Some(id) };
         self.shared.ask(guard, body, timeout).await
     }
 
     /// Returns the retry delay for a caller whose command got no answer.
-    pub(super) fn retry_after(&self, wait: WaitRequest) -> Duration {
+    pub(crate) fn retry_after(&self, wait: WaitRequest) -> Duration {
         self.shared.health().retry_after(self.shared.clock.now(), wait)
     }
 }
 
 /// A refusal of [`TurnClient::admit`].
 #[derive(Clone, Copy, Debug)]
-pub(super) struct AskRefused {
+pub(crate) struct AskRefused {
     /// Recommended delay before the caller's retry.
-    pub(super) retry_after: Duration,
+    pub(crate) retry_after: Duration,
     /// Name of the reason in metrics.
-    pub(super) reason: &'static str,
+    pub(crate) reason: &'static str,
 }
 
 impl Shared {
--- a/crates/gypsumglade/tests/border_callers.rs
+++ b/crates/gypsumglade/tests/border_callers.rs
@@ -1,8 +1,8 @@
-//! Bad input at the callers' HTTP border: one error shape, nothing run, nobody else harmed.
+//! Invalid input at the callers' HTTP interface: one error format, nothing runs, others are unaffected.
 
 mod border_support;
 
-use border_support::{Answer, OURS, Raw, System, THEIRS, bearer, config};
+use border_support::{Answer, LIMITED, OURS, Raw, System, THEIRS, bearer, config};
 use gypsumglade::entry::call::CallHeaders;
 use gypsumglade::entry::chat_request::ChatRequest;
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -25,7 +25,7 @@
     json!({"model": "advisor", "messages": [{"role": "user", "content": "hello"}]})
 }
 
-/// JSON of any form, some of its member names those of a chat call.
+/// Arbitrary JSON, in which some member names are those of a chat call.
 fn any_json() -> impl Strategy<Value = Value> {
     let name = prop_oneof![
         Just("model".to_owned()),
@@ -54,7 +54,7 @@
     })
 }
 
-/// A sound chat call of which some members were overwritten.
+/// A valid chat call in which some members are replaced.
 fn bent_chat() -> impl Strategy<Value = Value> {
     let members = vec((0..7_usize, any_json()), 0..3);
     members.prop_map(|members| {
@@ -140,7 +140,7 @@
     body.to_string().into_bytes()
 }
 
-/// Requests that are at fault, each with its name.
+/// Invalid requests, each with its name.
 fn faulty() -> Vec<(&'static str, Raw)> {
     let good = || Raw::chat(sound().to_string());
     let stranger = || Raw::new("POST", "/v1/chat/completions").body(sound().to_string());
@@ -196,8 +196,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn chat_answers_every_fault_alike() {
-    // The caller sends something that cannot be served: it is told what and what to do about it,
-    // in the one shape that client libraries know, and that nothing ran.
+    // Each invalid request is answered in the format that client libraries parse, with the reason, the
+    // advice and the outcome `not-run`.
     let system = System::rolled().await;
     let mut faults = Vec::new();
     for (name, request) in faulty() {
@@ -212,8 +212,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn chat_refuses_a_huge_head() {
-    // The HTTP library turns the head away before a request exists that could be answered in the
-    // error shape; the status alone tells the caller.
+    // The HTTP library refuses the head before there is a request, so only the status is checked.
     let system = System::rolled().await;
     let request = Raw::chat(sound().to_string()).header("x-padding", "p".repeat(64 << 10));
     assert_eq!(request.send(system.callers()).await.status, 431);
@@ -226,8 +225,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn end_by_another_organisation_tells_nothing() {
-    // A caller guesses the id of another organisation's program and ends it. It is told what it
-    // would be told of a program that nobody has, and the other's program goes on.
+    // A caller guesses the id of another organisation's program and ends it. The answer is the same as
+    // for an unknown program, and the program continues.
     let system = System::rolled().await;
     let begin = Raw::chat(sound().to_string()).header("x-program-id", "secret");
     let begun = begin.send(system.callers()).await;
@@ -238,3 +237,25 @@
     let again = begin.send(system.callers()).await;
     assert_eq!(again.error("code"), begun.error("code"), "the program was ended by a stranger");
 }
+
+/// Calls over an organisation's limit ran, or were refused without a time to return.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn chat_over_limit() {
+    let system = System::rolled().await;
+    let call = |key| {
+        Raw::new("POST", "/v1/chat/completions")
+            .header("authorization", bearer(key))
+            .header("x-program-id", "p")
+            .body(sound().to_string())
+    };
+    for number in 0..2 {
+        let answer = call(LIMITED).send(system.callers()).await;
+        assert_ne!(answer.error("code"), "over_limit", "call {number}: {answer:?}");
+    }
+    let refused = call(LIMITED).send(system.callers()).await;
+    assert_eq!((refused.status, refused.error("code")), (429, "over_limit"), "{refused:?}");
+    assert_eq!(refused.error("outcome"), "not-run");
+    assert!(refused.head.to_lowercase().contains("retry-after:"), "{refused:?}");
+    let other = call(OURS).send(system.callers()).await;
+    assert_ne!(other.error("code"), "over_limit", "{other:?}");
+}
--- a/crates/gypsumglade/tests/border_support/mod.rs
+++ b/crates/gypsumglade/tests/border_support/mod.rs
@@ -1,4 +1,4 @@
-//! One system with two organisations, and a caller that can send anything over a plain socket.
+//! A system with three organisations, and a caller that sends arbitrary bytes over a plain socket.
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
@@ -22,12 +22,14 @@
 pub const OURS: &str = "the key of the first organisation";
 /// API key of the second organisation.
 pub const THEIRS: &str = "the key of the second organisation";
-/// Environment variable with the count of cases, for long runs.
+/// API key of an organisation that may send two requests.
+pub const LIMITED: &str = "the key of the limited organisation";
+/// Environment variable with the number of cases, for long runs.
 const CASES_VARIABLE: &str = "GYPSUMGLADE_CASES";
-/// Longest wait for the system, far above what it takes; reaching it means a hang.
+/// Bound on waits for the system, which only a hang exceeds.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// Returns a property's settings: a fixed seed, and `cases` unless the environment says more.
+/// Returns a property's settings: a fixed seed, and `cases` unless the environment sets more.
 pub fn config(seed: u64, cases: u32) -> Config {
     let asked = std::env::var(CASES_VARIABLE).ok().and_then(|text| text.parse().ok());
     Config {
@@ -46,12 +48,12 @@
 }
 
 impl System {
-    /// Starts it without a bundle.
+    /// Starts a system without a bundle.
     pub async fn bare() -> System {
         System::start(KeyPair::from_seed([1; 32])).await
     }
 
-    /// Starts it with a bundle of two organisations in force, and no endpoint.
+    /// Starts a system with a bundle in force and no endpoint.
     pub async fn rolled() -> System {
         let key = KeyPair::from_seed([1; 32]);
         let system = System::start(KeyPair::from_seed([1; 32])).await;
@@ -87,8 +89,11 @@
     let mut text = include_str!("../../src/demo/bundle.yaml")
         .replace("KEY_DIGEST", &Digest::of(OURS.as_bytes()).to_string());
     let line = format!(
-        "  - {{ name: other, key_digest: \"{}\", share: 1, agents: [kit-planner] }}\npolicy:",
-        Digest::of(THEIRS.as_bytes())
+        "  - {{ name: other, key_digest: \"{}\", share: 1, agents: [kit-planner] }}\n  \
+         - {{ name: small, key_digests: [\"{}\"], agents: [kit-planner], \
+         limit: {{ per_second: 0.001, burst: 2 }} }}\npolicy:",
+        Digest::of(THEIRS.as_bytes()),
+        Digest::of(LIMITED.as_bytes())
     );
     text = text.replace("policy:", &line);
     text
@@ -126,7 +131,7 @@
         self
     }
 
-    /// Sends it and reads the whole answer.
+    /// Sends the request and reads the whole answer.
     pub async fn send(&self, address: SocketAddr) -> Answer {
         let mut bytes = format!("{} ", self.method).into_bytes();
         bytes.extend_from_slice(&self.path);
@@ -148,7 +153,7 @@
 async fn exchange(address: SocketAddr, request: Vec<u8>) -> Vec<u8> {
     let stream = TcpStream::connect(address).await.expect("the listener is up");
     let (mut reader, mut writer) = stream.into_split();
-    // A listener may answer and close before the body is through.
+    // A listener may answer and close before it has read the body.
     let writing = tokio::spawn(async move {
         let _ = writer.write_all(&request).await;
         writer
@@ -170,7 +175,7 @@
     format!("Bearer {token}")
 }
 
-/// An answer as it came.
+/// An answer as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
     pub status: u16,
@@ -187,12 +192,12 @@
         Answer { status, head: head.to_ascii_lowercase(), body }
     }
 
-    /// Returns a member of the error, empty if the body is not the error shape.
+    /// Returns a member of the error, or an empty text if the body has another format.
     pub fn error(&self, member: &str) -> &str {
         self.body["error"][member].as_str().unwrap_or("")
     }
 
-    /// Says what is wrong with it as the answer to a request that is at fault.
+    /// Returns what is wrong with the answer to an invalid request.
     pub fn fault(&self) -> Option<String> {
         let members = ["code", "message", "advice", "outcome"];
         let shaped = members.iter().all(|member| !self.error(member).is_empty());
