Give a new leader the full timeout after votes that follow a restart

Cause: a restarted voter scheduled all its elections within 100 to 200 ms until it heard from a leader. A leader elected among busy stores reaches its followers later than that, and was deposed by them.

Change: only pre-votes within the assumed lease are that frequent. After a vote or an election the usual timeout applies.

--- a/crates/core/src/replication/election.rs
+++ b/crates/core/src/replication/election.rs
@@ -29,7 +29,10 @@
         }
         self.role = Role::PreCandidate;
         self.restarted.clear();
-        self.reset_timeout(now);
+        match self.assumed_contact && self.is_in_lease(now) {
+            true => self.reset_restart_timeout(now),
+            false => self.reset_timeout(now),
+        }
         if self.leader.take().is_some() {
             out.push(Effect::Follower { leader: None });
         }
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -122,7 +122,10 @@
             ballot_write: Sequence(0),
             deferred: VecDeque::new(),
         };
-        replica.reset_timeout(now);
+        match assumed_contact {
+            true => replica.reset_restart_timeout(now),
+            false => replica.reset_timeout(now),
+        }
         replica
     }
 
@@ -365,11 +368,18 @@
     }
 
     pub(super) fn reset_timeout(&mut self, now: Time) {
-        // After a restart there may be no leader to wait for.
-        let timeout = match self.assumed_contact && self.settings.safeguards.pre_vote {
-            true => self.settings.heartbeat,
-            false => self.settings.election_timeout(),
-        };
+        self.set_timeout(now, self.settings.election_timeout());
+    }
+
+    /// Schedules a pre-vote soon, since after a restart there may be no leader to wait for.
+    ///
+    /// Only pre-votes are this frequent. After a vote, a new leader gets the full timeout to reach
+    /// its followers; busy ones would depose it otherwise.
+    pub(super) fn reset_restart_timeout(&mut self, now: Time) {
+        self.set_timeout(now, self.settings.heartbeat);
+    }
+
+    fn set_timeout(&mut self, now: Time, timeout: Duration) {
         let spread = self.rng.random::<f64>();
         self.election_deadline = now + timeout + timeout.mul_f64(spread);
     }
