Don't let candidates report that they have restarted

Cause, found in reading the change: a restarted candidate still answered other pre-votes with its restart. It may win its term afterwards and lead in the term of its report. If the voters that replied to it restarted once more, they could elect a second leader while its lease runs.

Change: candidates don't answer such pre-votes. A leader of a later term is no danger: its followers have saved that term.

--- a/crates/core/src/replication/election.rs
+++ b/crates/core/src/replication/election.rs
@@ -61,7 +61,8 @@
             if !self.assumed_contact {
                 return;
             }
-            if request.pre {
+            // A candidate may still win its term, and would lead in the term of its report.
+            if request.pre && self.role != Role::Candidate {
                 return self.send_restarted(from, last, out);
             }
             if !request.leaderless {
@@ -118,7 +119,7 @@
     /// A lease ends with its leader's process, and a leader is one of the voters. So if each of them
     /// has restarted, none holds a lease, and there is nothing to wait for. The reports count in
     /// this replica's term only: a voter that becomes leader after its report is in a later term,
-    /// in which its followers refuse this replica's requests.
+    /// which its followers have saved, so that this replica doesn't win with requests of its own.
     fn handle_restarted(&mut self, now: Time, from: VmId, up_to_date: bool, out: &mut Vec<Effect>) {
         let known = self.restarted.iter().any(|(vm, _)| *vm == from);
         if self.role != Role::PreCandidate || !self.assumed_contact || known {
--- a/crates/core/tests/replication_restart.rs
+++ b/crates/core/tests/replication_restart.rs
@@ -7,7 +7,9 @@
 mod property;
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::replication::Settings;
+use gypsumglade_core::replication::{Input, Role, Settings};
+use gypsumglade_core::wire::replication as wire;
+use gypsumglade_core::wire::replication::message::Body;
 use net::Net;
 use property::fixed;
 use proptest::prelude::*;
@@ -85,6 +87,38 @@
     }
 }
 
+/// A candidate reported that it had restarted, and won its election afterwards: the voters that relied
+/// on the report could elect a second leader under its lease.
+#[test]
+fn report_of_candidate() {
+    let (mut net, _) = started(1);
+    all().for_each(|vm| net.crash(vm));
+    all().for_each(|vm| net.restart(vm));
+    let candidate = loop {
+        let found = net.nodes.iter().find(|node| node.role() == Some(Role::Candidate));
+        if let Some(node) = found {
+            break node.id;
+        }
+        net.run(1);
+    };
+    net.cut_off(candidate);
+    net.run(20);
+    let status = net.node(candidate).status().expect("it runs");
+    assert_eq!(net.node(candidate).role(), Some(Role::Candidate));
+    let other = all().find(|vm| *vm != candidate).expect("several voters");
+    let request = wire::VoteRequest {
+        pre: true,
+        last_index: status.last.index.0,
+        last_term: status.last.term.0,
+        ..wire::VoteRequest::default()
+    };
+    let body = Some(Body::VoteRequest(request));
+    let message = wire::Message { group: net::GROUP.0, term: status.term.0 + 1, body };
+    let sent = net.sent_messages;
+    net.step(candidate, Input::Message { from: other, message });
+    assert_eq!(net.sent_messages, sent, "the candidate answered");
+}
+
 /// Steps of a run in which VMs restart at any moment, at once or one after another.
 #[derive(Clone, Debug)]
 enum Op {
