Tell whether the endpoint ended when it broke off an attempt

Now a line names the endpoint, the digest of the request's content, which stays the same when its caller sends it again, what ran beside it, and whether the endpoint refuses connections right after; a counter has the same by outcome. The check opens one connection for each attempt that broke off.

An attempt whose stream ended before its first event now counts against the endpoint's health, as one that ended after it did already.

--- a/crates/core/src/policy/registry/mod.rs
+++ b/crates/core/src/policy/registry/mod.rs
@@ -250,6 +250,12 @@
         self.close(now, dispatch, |endpoint, _, _| endpoint.load.record_finished(now, None));
     }
 
+    /// Returns the number of calls of this VM that are in flight at an endpoint.
+    pub fn in_flight(&self, key: EndpointKey) -> u32 {
+        let calls = self.dispatches.values().filter(|call| call.endpoint == key);
+        u32::try_from(calls.count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the endpoints that announced a model. The caller has to check each with
     /// [`Registry::is_available`].
     pub fn candidates(&self, model: &ModelId) -> &[EndpointKey] {
--- a/crates/gypsumglade/src/gateway/attempt.rs
+++ b/crates/gypsumglade/src/gateway/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::broken_attempt;
 use super::call::Call;
 use super::connections::{Connection, ConnectionError};
 use super::dialect::{AnswerHead, AnswerKind, AttemptHead, Refusal};
@@ -181,7 +182,7 @@
             DispatchOutcome::NotRun
         }
         Err(ConnectionError::MaybeSent) => {
-            dispatch.failed();
+            broken_attempt::record(state, call, dispatch);
             DispatchOutcome::MaybeRun
         }
     }
--- a/crates/gypsumglade/src/gateway/buffered.rs
+++ b/crates/gypsumglade/src/gateway/buffered.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 
 use super::attempt::{Attempts, EndpointAnswer, send_until_answered};
+use super::broken_attempt;
 use super::call::{Answer, Call, full_body};
 use super::dialect::Refusal;
 use super::headers::{forwarded_headers, is_encoded};
@@ -38,7 +39,7 @@
 /// Reads an answer to its end. Returns `None` if it is incomplete, too large or has a content
 /// encoding.
 pub(super) async fn read_to_end(
-    state: &GatewayState,
+    state: &Arc<GatewayState>,
     call: &Call,
     answer: EndpointAnswer,
 ) -> Result<Option<Answer>, Refusal> {
@@ -47,9 +48,16 @@
     let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
     let read = tokio::time::timeout(call.time_left(), reading).await;
     let read = read.map_err(|_| Refusal::TimedOut)?;
-    let (Ok(collected), false) = (read, is_encoded(&parts)) else {
-        dispatch.failed();
-        return Ok(None);
+    let collected = match read {
+        Ok(collected) if !is_encoded(&parts) => collected,
+        Err(error) if !error.is::<LengthLimitError>() => {
+            broken_attempt::record(state, call, dispatch);
+            return Ok(None);
+        }
+        Ok(_) | Err(_) => {
+            dispatch.failed();
+            return Ok(None);
+        }
     };
     dispatch.finished();
     state.connections.put_back(connection, &head);
--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -1,6 +1,6 @@
 //! A caller's request with its route, and the answer to it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use compact_str::format_compact;
@@ -9,6 +9,7 @@
 use http::{Response, request};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt as _, Full};
+use sha2::{Digest as _, Sha256};
 use tokio::time::Instant;
 
 use super::dialect::{CallHead, Identity};
@@ -69,8 +70,13 @@
     pub(super) arrived: Instant,
     /// Arrival plus the smaller of the caller's and the route's timeout.
     pub(super) deadline: Instant,
+    digest: OnceLock<RequestDigest>,
 }
 
+/// Digest of what an endpoint gets of a request, without what differs when the caller sends the
+/// same again.
+pub(super) type RequestDigest = [u8; 16];
+
 impl Call {
     /// Combines a request with its route and computes its deadline.
     pub(super) fn new(
@@ -83,7 +89,35 @@
         let RouteMatch { route, pool, bundle, sender } = matched;
         let timeout = Duration::from_millis(route.timeout_ms).min(MAX_TIMEOUT);
         let deadline = arrived + head.timeout.unwrap_or(timeout).min(timeout);
-        Call { head, parts, body, route, pool, bundle, sender, arrived, deadline }
+        let digest = OnceLock::new();
+        Call { head, parts, body, route, pool, bundle, sender, arrived, deadline, digest }
+    }
+
+    /// Returns the digest of the caller, the host, the path and the content.
+    ///
+    /// It is computed on first use, since most requests never need it.
+    pub(super) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let path = self.parts.uri.path_and_query().map_or("", |path| path.as_str());
+            let previous = self.head.turn.as_ref().map_or("", |turn| turn.previous.as_str());
+            let (method, host) = (self.parts.method.as_str(), self.head.host.as_str());
+            let mut hash = Sha256::new();
+            for part in [self.organisation(), method, host, path, previous] {
+                hash.update((part.len() as u64).to_be_bytes());
+                hash.update(part);
+            }
+            hash.update(&self.body);
+            let digest: [u8; 32] = hash.finalize().into();
+            std::array::from_fn(|index| digest[index])
+        })
+    }
+
+    /// Returns the name of the caller's organisation, or an empty name if it is unknown.
+    pub(super) fn organisation(&self) -> &str {
+        match &self.sender.identity {
+            Identity::Organisation(name) => name,
+            Identity::Unchecked | Identity::Anonymous => "",
+        }
     }
 
     /// Returns the time until the deadline, or zero after it.
--- a/crates/gypsumglade/src/gateway/connections.rs
+++ b/crates/gypsumglade/src/gateway/connections.rs
@@ -84,6 +84,13 @@
         opened.ok_or(ConnectionError::NotSent)
     }
 
+    /// Returns whether an endpoint accepts connections, or `None` if it doesn't respond in time.
+    pub(super) async fn probe(&self, address: SocketAddr) -> Option<bool> {
+        let connecting = TcpStream::connect(address);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?;
+        Some(connected.is_ok())
+    }
+
     /// Returns a connection to the pool after a complete answer, unless the endpoint closes it. It
     /// expires before the idle timeout that `head` states.
     pub(super) fn put_back(&self, mut connection: Connection, head: &AnswerHead) {
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! reservation. Platform differences are behind [`Dialect`]. See docs/design/provider.md.
 
 mod attempt;
+mod broken_attempt;
 mod buffered;
 mod call;
 mod connections;
--- a/crates/gypsumglade/src/gateway/placement.rs
+++ b/crates/gypsumglade/src/gateway/placement.rs
@@ -324,6 +324,11 @@
         self.state.routing().stall_detector.stalls(now) != self.stalls
     }
 
+    /// Returns the number of other attempts of this VM that are in flight at the endpoint.
+    pub(super) fn others_in_flight(&self) -> u32 {
+        self.state.routing().registry.in_flight(self.endpoint).saturating_sub(1)
+    }
+
     /// Passes the load that came with an answer on to the registry.
     pub(super) fn record_load(&self, load: EndpointLoad) {
         let now = self.state.clock.now();
--- a/crates/gypsumglade/src/gateway/quota.rs
+++ b/crates/gypsumglade/src/gateway/quota.rs
@@ -58,12 +58,8 @@
 /// Returns the refusal of a request that its organisation's limit doesn't allow.
 pub(super) fn refuse(state: &GatewayState, call: &Call, limited: &Limited) -> Refusal {
     state.metrics.quota("refused");
-    let organisation = match &call.sender.identity {
-        Identity::Organisation(name) => name.as_str(),
-        Identity::Unchecked | Identity::Anonymous => "",
-    };
     slog::info!(state.log, "organisation over its limit"; "request" => %call.head.id,
-        "organisation" => organisation, "route" => %call.route.name, "used" => limited.used,
+        "organisation" => call.organisation(), "route" => %call.route.name, "used" => limited.used,
         "limit" => limited.limit, "window_s" => state.settings.quota.window_s,
         "retry_ms" => limited.retry_ms);
     let retry_after = Duration::from_millis(limited.retry_ms);
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use super::attempt::{Attempts, EndpointAnswer, send_until_answered};
+use super::broken_attempt;
 use super::call::{Call, IncompleteBody};
 use super::connections::Connection;
 use super::dialect::AnswerHead;
@@ -194,9 +195,7 @@
     /// if that is not possible.
     async fn resume(&mut self) -> bool {
         let resumable = self.call.stream().is_some_and(|stream| stream.resumable);
-        if let Some(source) = self.source.take() {
-            source.dispatch.failed();
-        }
+        self.record_break();
         if !resumable || !self.attempts.may_retry(&self.call) {
             return false;
         }
@@ -216,6 +215,13 @@
         true
     }
 
+    /// Ends the current attempt, which the endpoint broke off.
+    pub(super) fn record_break(&mut self) {
+        if let Some(source) = self.source.take() {
+            broken_attempt::record(&self.state, &self.call, source.dispatch);
+        }
+    }
+
     /// Updates the pool's decode speed from the stream.
     fn observe_speed(&self, source: &Source, last: Duration) {
         let Some(events) = u32::try_from(self.events).ok().filter(|events| *events > 1) else {
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -99,7 +99,7 @@
         let first = tokio::time::timeout(call.time_left(), relay.read_first_event()).await;
         match first {
             Ok(true) => return Ok(StreamStart::Stream(Box::new(relay), Box::new(parts))),
-            Ok(false) => {}
+            Ok(false) => relay.record_break(),
             Err(_) => return Err(Refusal::TimedOut),
         }
         if !attempts.may_retry(call) {
--- a/crates/gypsumglade/src/metrics.rs
+++ b/crates/gypsumglade/src/metrics.rs
@@ -84,6 +84,7 @@
     shed: Counter<u64>,
     retries: Counter<u64>,
     quota: Counter<u64>,
+    broken_attempts: Counter<u64>,
     region_bytes: Counter<u64>,
     commits: CommitLatency,
     leases: LeaseMetrics,
@@ -135,6 +136,7 @@
             shed: count("calls_shed"),
             retries: count("call_retries"),
             quota: count("quota_requests"),
+            broken_attempts: count("broken_attempts"),
             region_bytes: count("region_link_bytes"),
             commits: CommitLatency(seconds("replica_commit", &COMMIT_SECONDS)),
             leases: LeaseMetrics {
@@ -226,6 +228,11 @@
         self.quota.add(1, &[label("outcome", outcome)]);
     }
 
+    /// Counts an attempt that an endpoint broke off, by the endpoint's state afterwards.
+    pub fn broken_attempt(&self, endpoint: &'static str) {
+        self.broken_attempts.add(1, &[label("endpoint", endpoint)]);
+    }
+
     /// Counts bytes sent between regions, by class of traffic.
     pub fn region_link(&self, bytes: u64, class: &'static str) {
         self.region_bytes.add(bytes, &[label("class", class)]);
