Quarantine passed-through requests that crash endpoints

Cause: nothing recorded which requests an endpoint ran when it ended. Quarantine was built for turns of the chat interface only and listed as not done for the gateway, so each gateway sent each resend on as a new request. Evidence: in the new log line, all crashes of a resent request have one digest, at different gateways, with nothing else beside it, and the endpoint refuses connections. No request had more attempts than its route allows, and endpoints didn't end without it.

Now gateways report an endpoint that ended under a request to the control group, which counts them by the request's content and tells all gateways. From the first crash on one copy runs at a time, and after the third the request is refused as not run. A request that an endpoint answers is cleared, and a quarantined one explains the crashes of those beside it. The count is replicated, so it outlives gateways, leaders and stores.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -14,6 +14,8 @@
 pub mod plan;
 mod revision;
 mod snapshot;
+pub mod suspects;
+mod trials;
 
 pub use dedup::MAX_DEDUP_RECORDS;
 pub use endpoints::Endpoints;
@@ -21,6 +23,8 @@
 pub use placement::group_of;
 pub use revision::{Revision, RevisionError};
 pub use snapshot::RestoreError;
+pub use suspects::Suspects;
+pub use trials::{TrialRequest, Trials};
 
 use std::collections::BTreeSet;
 
@@ -74,6 +78,7 @@
     groups: Vec<wire::GroupPlacement>,
     endpoints: Endpoints,
     retiring: BTreeSet<VmId>,
+    suspects: Suspects,
     mutation: Mutation,
 }
 
@@ -99,6 +104,7 @@
             groups: Vec::new(),
             endpoints: Endpoints::default(),
             retiring: BTreeSet::new(),
+            suspects: Suspects::default(),
             mutation,
         }
     }
@@ -130,6 +136,11 @@
         &self.endpoints
     }
 
+    /// Returns the requests under which endpoints have ended.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
     /// Returns `true` if a store is being drained of its replicas and texts.
     pub fn is_retiring(&self, vm: VmId) -> bool {
         self.retiring.contains(&vm)
@@ -150,6 +161,11 @@
             Some(CommandBody::Register(register)) => self.register(register),
             Some(CommandBody::Deregister(gone)) => self.deregister(gone),
             Some(CommandBody::Retire(retire)) => self.retire(retire),
+            Some(CommandBody::Crash(crash)) => self.crash(crash),
+            Some(CommandBody::ClearSuspect(clear)) => self.clear_suspect(clear),
+            Some(CommandBody::BeginTrial(_) | CommandBody::EndTrial(_)) => {
+                rejected(Fault::Malformed, "trials are granted by the leader alone")
+            }
             None => rejected(Fault::Malformed, "the command is empty"),
         };
         wire::Answer { body: Some(body) }
@@ -303,6 +319,18 @@
         AnswerBody::Registered(wire::Registered {})
     }
 
+    fn crash(&mut self, crash: &wire::Crash) -> AnswerBody {
+        match self.suspects.crash(crash) {
+            Some(status) => AnswerBody::Suspect(status),
+            None => rejected(Fault::Malformed, "a request's digest has 16 bytes"),
+        }
+    }
+
+    fn clear_suspect(&mut self, clear: &wire::ClearSuspect) -> AnswerBody {
+        self.suspects.clear(clear);
+        AnswerBody::Registered(wire::Registered {})
+    }
+
     fn check_accept(&self, accept: &wire::Accept, keys: &OperatorKeys) -> Result<(), AnswerBody> {
         self.check_order_id(&accept.order_id, accept_fingerprint(accept))?;
         let digest = parse_digest(&accept.digest)?;
--- a/crates/core/src/control/snapshot.rs
+++ b/crates/core/src/control/snapshot.rs
@@ -4,7 +4,7 @@
 use prost::Message;
 
 use super::dedup::{DedupRecords, OrderRecord, VersionRecord};
-use super::{Control, Endpoints, History, KEPT_REVISIONS, Mutation};
+use super::{Control, Endpoints, History, KEPT_REVISIONS, Mutation, Suspects};
 use crate::bundle::Digest;
 use crate::prelude::*;
 use crate::wire::control as wire;
@@ -40,6 +40,7 @@
             ..wire::Snapshot::default()
         };
         self.endpoints.save(&mut snapshot);
+        self.suspects.save(&mut snapshot);
         snapshot.encode_to_vec().into()
     }
 
@@ -56,6 +57,7 @@
         }
         let dedup = restore_dedup(&snapshot).ok_or_else(|| damaged("orders or versions"))?;
         let endpoints = Endpoints::load(&snapshot);
+        let suspects = Suspects::load(&snapshot).ok_or_else(|| damaged("suspected requests"))?;
         let history = History::from_wire(KEPT_REVISIONS, snapshot.current, snapshot.past)
             .ok_or_else(|| damaged("revisions"))?;
         let whole = history.current().is_none_or(|now| Digest::of(&now.content) == now.digest);
@@ -69,6 +71,7 @@
             groups: snapshot.groups,
             endpoints,
             retiring: snapshot.retiring.into_iter().map(VmId).collect(),
+            suspects,
             mutation: Mutation::None,
         })
     }
--- /dev/null
+++ b/crates/core/tests/control_suspects.rs
@@ -0,0 +1,209 @@
+//! Requests under which endpoints have ended, as the control group records them.
+
+use gypsumglade_core::control::suspects::{
+    MAX_SUSPECTS, QUARANTINE_CRASHES, QUARANTINE_MS, QUARANTINED_RETENTION_MS, RequestDigest,
+    SUSPECT_RETENTION_MS,
+};
+use gypsumglade_core::control::{Control, TrialRequest, Trials};
+use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::control::answer::Body as AnswerBody;
+use gypsumglade_core::wire::control::command::Body;
+use gypsumglade_core::wire::control::{ClearSuspect, Command, Crash, Suspect};
+
+const START_MS: u64 = 1_000_000;
+
+fn digest(number: u16) -> RequestDigest {
+    let [high, low] = number.to_be_bytes();
+    std::array::from_fn(|index| if index == 0 { high } else { low })
+}
+
+fn apply(control: &mut Control, body: Body) -> Option<AnswerBody> {
+    control.apply(&Command { body: Some(body) }).body
+}
+
+/// Reports that an endpoint ended under a request.
+fn crash(control: &mut Control, request: u16, endpoint: &str, now_ms: u64) -> Suspect {
+    let digest = digest(request).to_vec().into();
+    let crash = Crash { endpoint: endpoint.into(), incarnation: 1, digest, now_ms };
+    match apply(control, Body::Crash(crash)) {
+        Some(AnswerBody::Suspect(suspect)) => suspect,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn clear(control: &mut Control, request: u16) {
+    let digest = digest(request).to_vec().into();
+    let clear = ClearSuspect { digest, now_ms: START_MS };
+    apply(control, Body::ClearSuspect(clear));
+}
+
+fn quarantined(control: &mut Control, request: u16) {
+    for number in 0..QUARANTINE_CRASHES {
+        crash(control, request, &format!("{request}-{number}"), START_MS);
+    }
+}
+
+fn status(control: &Control, request: u16) -> Suspect {
+    control.suspects().status(START_MS, &digest(request))
+}
+
+/// A request went on crashing endpoints, or was refused before the third one.
+#[test]
+fn crash_of_third_endpoint() {
+    let mut control = Control::new();
+    assert_eq!(crash(&mut control, 1, "a", START_MS).quarantine_ms, 0);
+    assert_eq!(crash(&mut control, 1, "b", START_MS).quarantine_ms, 0);
+    let third = crash(&mut control, 1, "c", START_MS);
+    assert_eq!((third.crashes, third.quarantine_ms), (QUARANTINE_CRASHES, QUARANTINE_MS));
+}
+
+/// A report that was sent again counted as another crash.
+#[test]
+fn crash_reported_again() {
+    let mut control = Control::new();
+    for _ in 0..5 {
+        assert_eq!(crash(&mut control, 1, "a", START_MS).crashes, 1);
+    }
+}
+
+/// Requests that had run beside a crashing one were refused as well.
+#[test]
+fn crash_beside_quarantined_request() {
+    let mut control = Control::new();
+    for endpoint in ["a", "b"] {
+        crash(&mut control, 2, endpoint, START_MS);
+        crash(&mut control, 1, endpoint, START_MS);
+    }
+    assert_eq!(status(&control, 2).crashes, 2);
+    crash(&mut control, 1, "c", START_MS);
+    assert_eq!(status(&control, 2).crashes, 0, "explained by the quarantined request");
+    crash(&mut control, 2, "c", START_MS);
+    assert_eq!(status(&control, 2).crashes, 0, "reported after the quarantine");
+    crash(&mut control, 2, "d", START_MS);
+    assert_eq!(status(&control, 2).crashes, 1, "nothing else explains it");
+}
+
+/// A request that is answered between unrelated crashes was refused in the end.
+#[test]
+fn clear_of_answered_request() {
+    let mut control = Control::new();
+    for endpoint in ["a", "b", "c", "d"] {
+        assert_eq!(crash(&mut control, 1, endpoint, START_MS).crashes, 1);
+        clear(&mut control, 1);
+        assert_eq!(status(&control, 1).crashes, 0);
+    }
+}
+
+/// A late answer of another copy lifted a quarantine.
+#[test]
+fn clear_of_quarantined_request() {
+    let mut control = Control::new();
+    quarantined(&mut control, 1);
+    clear(&mut control, 1);
+    assert!(status(&control, 1).quarantine_ms > 0);
+}
+
+/// A quarantine never ended, or cost three endpoints again when it had.
+#[test]
+fn status_after_quarantine() {
+    let mut control = Control::new();
+    quarantined(&mut control, 1);
+    let suspects = control.suspects();
+    let later = START_MS + QUARANTINE_MS;
+    assert_eq!(suspects.status(later - 1, &digest(1)).quarantine_ms, 1);
+    assert_eq!(suspects.status(later, &digest(1)).quarantine_ms, 0);
+    assert_eq!(suspects.status(START_MS + QUARANTINED_RETENTION_MS, &digest(1)).crashes, 0);
+    assert_eq!(crash(&mut control, 1, "d", later).quarantine_ms, QUARANTINE_MS);
+}
+
+/// A request was suspected for good after one crash.
+#[test]
+fn status_after_retention() {
+    let mut control = Control::new();
+    crash(&mut control, 1, "a", START_MS);
+    let later = START_MS + SUSPECT_RETENTION_MS;
+    assert_eq!(control.suspects().status(later - 1, &digest(1)).crashes, 1);
+    assert_eq!(control.suspects().status(later, &digest(1)).crashes, 0);
+    assert_eq!(crash(&mut control, 1, "b", later).crashes, 1);
+}
+
+/// A new leader, or a store that was restarted, had forgotten what requests crashed.
+#[test]
+fn restore_of_suspects() {
+    let mut control = Control::new();
+    quarantined(&mut control, 1);
+    crash(&mut control, 2, "a", START_MS);
+    let mut restored = Control::restore(&control.snapshot()).expect("it is whole");
+    for request in [1, 2] {
+        assert_eq!(status(&restored, request), status(&control, request));
+    }
+    assert_eq!(restored.suspects().change(), control.suspects().change());
+    assert_eq!(crash(&mut restored, 2, "a", START_MS).crashes, 1, "counted before");
+}
+
+/// An entry VM missed a change, or got all requests after each one.
+#[test]
+fn changes_since_known_change() {
+    let mut control = Control::new();
+    crash(&mut control, 1, "a", START_MS);
+    crash(&mut control, 2, "a", START_MS);
+    let seen = control.suspects().change();
+    assert_eq!(control.suspects().changes_since(START_MS, seen), (Vec::new(), true));
+    clear(&mut control, 1);
+    crash(&mut control, 3, "b", START_MS);
+    let (changed, delta) = control.suspects().changes_since(START_MS, seen);
+    let changed: Vec<_> = changed.iter().map(|suspect| suspect.crashes).collect();
+    assert_eq!((changed, delta), (vec![0, 1], true), "cleared, and new");
+    let restored = Control::restore(&control.snapshot()).expect("it is whole");
+    let (all, delta) = restored.suspects().changes_since(START_MS, seen);
+    assert_eq!((all.len(), delta), (2, false), "a restored store knows no earlier changes");
+}
+
+/// A crash of many busy endpoints filled the memory, or pushed a quarantine out.
+#[test]
+fn crash_of_many_requests() {
+    let mut control = Control::new();
+    quarantined(&mut control, 0);
+    for request in 1..=MAX_SUSPECTS as u16 + 10 {
+        crash(&mut control, request, "a", START_MS + 1);
+    }
+    assert_eq!(control.suspects().all().len(), MAX_SUSPECTS);
+    assert!(status(&control, 0).quarantine_ms > 0);
+}
+
+fn trial(request: u16, crashes: u32, endpoint: &str, id: u64) -> TrialRequest {
+    let lasts = Duration::from_secs(1);
+    TrialRequest { digest: digest(request), crashes, endpoint: endpoint.into(), id, lasts }
+}
+
+/// Copies of a request that were sent at the same time each crashed an endpoint.
+#[test]
+fn begin_of_second_copy() {
+    let mut trials = Trials::default();
+    assert!(trials.begin(Time::ZERO, trial(1, 1, "a", 1)));
+    assert!(trials.begin(Time::ZERO, trial(1, 1, "a", 1)), "the same one, asked for again");
+    assert!(!trials.begin(Time::ZERO, trial(1, 1, "b", 2)));
+    trials.end(&digest(1), 2);
+    assert!(!trials.begin(Time::ZERO, trial(1, 1, "b", 2)), "another one's end");
+    trials.end(&digest(1), 1);
+    assert!(trials.begin(Time::ZERO, trial(1, 1, "b", 2)));
+}
+
+/// Two suspects crashed an endpoint together, and both were refused.
+#[test]
+fn begin_beside_other_suspect() {
+    let mut trials = Trials::default();
+    assert!(trials.begin(Time::ZERO, trial(1, 2, "a", 1)));
+    assert!(!trials.begin(Time::ZERO, trial(2, 2, "a", 2)));
+    assert!(trials.begin(Time::ZERO, trial(2, 2, "b", 2)), "at another endpoint");
+    assert!(trials.begin(Time::ZERO, trial(3, 1, "a", 3)), "it was beside one crash only");
+}
+
+/// A trial whose entry VM was lost blocked the request for good.
+#[test]
+fn begin_after_lost_trial() {
+    let mut trials = Trials::default();
+    assert!(trials.begin(Time::ZERO, trial(1, 2, "a", 1)));
+    let later = Time::ZERO + Duration::from_secs(1);
+    assert!(trials.begin(later, trial(1, 2, "a", 2)));
+}
--- a/crates/gypsumglade/src/cli/orders.rs
+++ b/crates/gypsumglade/src/cli/orders.rs
@@ -56,7 +56,15 @@
             let message = format!("{}: {}", fault.as_str_name(), rejected.detail);
             Err(Failure::new(FailureKind::Refused, message, advice(fault)))
         }
-        Some(AnswerBody::Orders(_) | AnswerBody::Placed(_) | AnswerBody::Registered(_)) | None => {
+        Some(
+            AnswerBody::Orders(_)
+            | AnswerBody::Placed(_)
+            | AnswerBody::Registered(_)
+            | AnswerBody::Suspect(_)
+            | AnswerBody::TrialGranted(_)
+            | AnswerBody::TrialPending(_),
+        )
+        | None => {
             let message = "the answer belongs to another kind of order";
             let advice = "use the gypsumglade command of the same version as the process";
             Err(Failure::new(FailureKind::Unknown, message, advice))
--- a/crates/gypsumglade/src/control_client.rs
+++ b/crates/gypsumglade/src/control_client.rs
@@ -46,6 +46,11 @@
         ControlGroupClient { leader, limits }
     }
 
+    /// Returns a client with other limits that shares the known leader.
+    pub fn with_limits(&self, limits: RetryLimits) -> ControlGroupClient {
+        ControlGroupClient { leader: self.leader.clone(), limits }
+    }
+
     /// Sends a request to the control group. Returns `None` if no leader answered in time.
     ///
     /// Orders are safe to retry: a repeated order id gets the answer of the first one.
--- a/crates/gypsumglade/src/gateway/attempt.rs
+++ b/crates/gypsumglade/src/gateway/attempt.rs
@@ -11,12 +11,13 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use super::broken_attempt;
+use super::broken_attempt::{self, CrashReport};
 use super::call::Call;
 use super::connections::{Connection, ConnectionError};
 use super::dialect::{AnswerHead, AnswerKind, AttemptHead, Refusal};
 use super::placement::{ActiveDispatch, place};
 use super::state::GatewayState;
+use super::suspects::{self, TrialDecision};
 
 /// Number of endpoints that may refuse a request or be unreachable before the caller is told to retry
 /// later; more attempts would add load to a pool that is probably full.
@@ -40,6 +41,8 @@
     NotRun,
     /// The endpoint may have run the request.
     MaybeRun,
+    /// The same, and the endpoint has broken off the connection.
+    Broken(CrashReport),
 }
 
 /// Attempts made for a request so far.
@@ -54,6 +57,11 @@
 }
 
 impl Attempts {
+    /// Returns the refusal of a request that must not be sent again: an earlier attempt may have run.
+    fn refusal(&self, not_run: Refusal) -> Refusal {
+        if self.runs == 0 { not_run } else { Refusal::Lost }
+    }
+
     /// Returns whether the request may be sent again although an attempt may have run.
     pub(super) fn may_retry(&self, call: &Call) -> bool {
         call.is_idempotent() && self.runs < call.route.attempts
@@ -87,6 +95,15 @@
             }
             Err(_) => return Err(Refusal::Lost),
         };
+        let dispatch = match suspects::begin_trial(state, call, &dispatch.name).await {
+            Ok(TrialDecision::Proceed(trial)) => dispatch.with_trial(trial),
+            Ok(TrialDecision::Wait) => {
+                drop(dispatch);
+                suspects::await_trial(call).await.map_err(|refusal| attempts.refusal(refusal))?;
+                continue;
+            }
+            Err(refusal) => return Err(attempts.refusal(refusal)),
+        };
         attempts.tried.push(dispatch.name.clone());
         let (endpoint, sent) = (dispatch.endpoint, Instant::now());
         let timeout = answer_timeout(state, call, attempts, left);
@@ -103,6 +120,13 @@
                     return Err(Refusal::Lost);
                 }
             }
+            Ok(DispatchOutcome::Broken(report)) => {
+                attempts.runs += 1;
+                if !attempts.may_retry(call) {
+                    return Err(Refusal::Lost);
+                }
+                report.finish().await;
+            }
             Err(_) if timeout < left => {
                 attempts.runs += 1;
                 let now = state.clock.now();
@@ -182,8 +206,7 @@
             DispatchOutcome::NotRun
         }
         Err(ConnectionError::MaybeSent) => {
-            broken_attempt::record(state, call, dispatch);
-            DispatchOutcome::MaybeRun
+            DispatchOutcome::Broken(broken_attempt::record(state, call, dispatch))
         }
     }
 }
--- a/crates/gypsumglade/src/gateway/broken_attempt.rs
+++ b/crates/gypsumglade/src/gateway/broken_attempt.rs
@@ -1,19 +1,29 @@
-//! Finds out whether an endpoint ended under a request.
+//! Finds out whether an endpoint ended under a request, and reports it.
 //!
 //! A broken attempt alone doesn't tell: an answer may be lost on its way, spoiled, or reset together
 //! with its connection while the endpoint goes on. An endpoint that has ended refuses connections.
 
 use std::sync::Arc;
 
+use gypsumglade_core::prelude::*;
+use tokio::task::JoinHandle;
+
 use super::call::Call;
 use super::placement::ActiveDispatch;
 use super::state::GatewayState;
+use super::suspects::report_crash;
+
+/// Time for which a retry waits until the crash is recorded: a connection attempt and a commit
+/// between regions. A longer wait would cost callers more than the endpoint that it may save.
+const REPORT_WAIT: Duration = Duration::from_millis(250);
 
 /// What is known of an endpoint after it broke off an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EndpointState {
     /// It refuses connections: its process has ended.
     Ended,
+    /// It has announced that it leaves, so its end has another cause than the request.
+    Leaving,
     /// It accepts connections.
     Running,
     /// It doesn't respond in time, which also a partition can cause.
@@ -25,28 +35,54 @@
     const fn name(self) -> &'static str {
         match self {
             EndpointState::Ended => "ended",
+            EndpointState::Leaving => "leaving",
             EndpointState::Running => "running",
             EndpointState::Silent => "silent",
         }
     }
 }
 
+/// A report on a broken attempt, which continues in the background.
+pub(super) struct CrashReport(JoinHandle<()>);
+
+impl CrashReport {
+    /// Waits until a crash is recorded, so that a retry of the request respects it.
+    pub(super) async fn finish(self) {
+        // On a timeout, the count of this VM applies.
+        let _ = tokio::time::timeout(REPORT_WAIT, self.0).await;
+    }
+}
+
 /// Ends an attempt that the endpoint broke off after it may have begun to run the request.
-pub(super) fn record(state: &Arc<GatewayState>, call: &Call, dispatch: ActiveDispatch) {
-    let beside = dispatch.others_in_flight();
+pub(super) fn record(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    mut dispatch: ActiveDispatch,
+) -> CrashReport {
+    let digest = call.digest();
     let log = state.log.new(slog::o!("request" => call.head.id.to_string(),
-        "route" => call.route.name.to_string(), "digest" => hex::encode(call.digest()),
+        "route" => call.route.name.to_string(), "digest" => hex::encode(digest),
         "endpoint" => dispatch.name.to_string(), "incarnation" => dispatch.incarnation,
-        "ran_ms" => dispatch.started.elapsed().as_millis() as u64, "beside" => beside));
-    let (address, state) = (dispatch.address, Arc::clone(state));
+        "ran_ms" => dispatch.started.elapsed().as_millis() as u64,
+        "beside" => dispatch.others_in_flight()));
+    let (name, incarnation) = (dispatch.name.clone(), dispatch.incarnation);
+    let (address, leaving) = (dispatch.address, dispatch.is_leaving());
+    // Another copy of the request must not start before the crash is recorded.
+    let trial = dispatch.take_trial();
     dispatch.failed();
-    tokio::spawn(async move {
+    let state = Arc::clone(state);
+    CrashReport(tokio::spawn(async move {
         let endpoint = match state.connections.probe(address).await {
             Some(true) => EndpointState::Running,
+            Some(false) if leaving => EndpointState::Leaving,
             Some(false) => EndpointState::Ended,
             None => EndpointState::Silent,
         };
         state.metrics.broken_attempt(endpoint.name());
         slog::info!(log, "endpoint broke off an attempt"; "state" => endpoint.name());
-    });
+        if endpoint == EndpointState::Ended {
+            report_crash(&state, digest, name, incarnation).await;
+        }
+        drop(trial);
+    }))
 }
--- a/crates/gypsumglade/src/gateway/buffered.rs
+++ b/crates/gypsumglade/src/gateway/buffered.rs
@@ -7,12 +7,13 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 
 use super::attempt::{Attempts, EndpointAnswer, send_until_answered};
-use super::broken_attempt;
+use super::broken_attempt::{self, CrashReport};
 use super::call::{Answer, Call, full_body};
 use super::dialect::Refusal;
 use super::headers::{forwarded_headers, is_encoded};
 use super::quota;
 use super::state::GatewayState;
+use super::suspects;
 
 /// Largest answer that is buffered.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -27,22 +28,36 @@
     loop {
         let answer = send_until_answered(state, call, &call.body, None, &mut attempts).await?;
         attempts.runs += 1;
-        if let Some(answer) = read_to_end(state, call, answer).await? {
-            return Ok(answer);
-        }
+        let broken = match read_to_end(state, call, answer).await? {
+            ReadEnd::Whole(answer) => return Ok(answer),
+            ReadEnd::Unusable => None,
+            ReadEnd::Broken(report) => Some(report),
+        };
         if !attempts.may_retry(call) {
             return Err(Refusal::Lost);
         }
+        if let Some(report) = broken {
+            report.finish().await;
+        }
     }
 }
 
-/// Reads an answer to its end. Returns `None` if it is incomplete, too large or has a content
-/// encoding.
+/// How reading an answer ended.
+pub(super) enum ReadEnd {
+    /// The answer is complete.
+    Whole(Answer),
+    /// The answer is too large or has a content encoding.
+    Unusable,
+    /// The endpoint has broken off the answer.
+    Broken(CrashReport),
+}
+
+/// Reads an answer to its end.
 pub(super) async fn read_to_end(
     state: &Arc<GatewayState>,
     call: &Call,
     answer: EndpointAnswer,
-) -> Result<Option<Answer>, Refusal> {
+) -> Result<ReadEnd, Refusal> {
     let EndpointAnswer { response, head, connection, dispatch } = answer;
     let (parts, body) = response.into_parts();
     let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
@@ -51,17 +66,17 @@
     let collected = match read {
         Ok(collected) if !is_encoded(&parts) => collected,
         Err(error) if !error.is::<LengthLimitError>() => {
-            broken_attempt::record(state, call, dispatch);
-            return Ok(None);
+            return Ok(ReadEnd::Broken(broken_attempt::record(state, call, dispatch)));
         }
         Ok(_) | Err(_) => {
             dispatch.failed();
-            return Ok(None);
+            return Ok(ReadEnd::Unusable);
         }
     };
     dispatch.finished();
+    suspects::clear(state, call);
     state.connections.put_back(connection, &head);
-    Ok(Some(into_answer(parts, collected.to_bytes())))
+    Ok(ReadEnd::Whole(into_answer(parts, collected.to_bytes())))
 }
 
 fn into_answer(parts: http::response::Parts, body: Bytes) -> Answer {
--- a/crates/gypsumglade/src/gateway/dialect.rs
+++ b/crates/gypsumglade/src/gateway/dialect.rs
@@ -171,6 +171,12 @@
         /// Recommended delay before the retry.
         retry_after: Duration,
     },
+    /// The request has crashed several endpoints and is quarantined; it has not run and will not
+    /// run.
+    Quarantined {
+        /// Remaining time of the quarantine.
+        retry_after: Duration,
+    },
     /// The request may have run, but its answer was lost.
     Lost,
     /// The request may have run, but the deadline has passed.
@@ -189,6 +195,7 @@
             Refusal::BudgetSpent => "budget_spent",
             Refusal::UnknownTurn => "unknown_turn",
             Refusal::Unavailable { .. } => "unavailable",
+            Refusal::Quarantined { .. } => "quarantined",
             Refusal::Lost => "lost",
             Refusal::TimedOut => "timed_out",
         }
--- a/crates/gypsumglade/src/gateway/endpoint_sync.rs
+++ b/crates/gypsumglade/src/gateway/endpoint_sync.rs
@@ -1,4 +1,5 @@
-//! Keeps the registry in sync with the control group's list of endpoints.
+//! Keeps the registry in sync with the control group's list of endpoints, and the table of suspected
+//! requests with the group's.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -32,6 +33,7 @@
 struct EndpointSync {
     state: Arc<GatewayState>,
     seen_change: u64,
+    seen_suspects: u64,
     endpoints: HashMap<CompactString, EndpointRecord>,
     /// Number of the latest announcement; the registry ignores numbers that it has seen.
     sequence: u64,
@@ -42,6 +44,7 @@
 pub(super) async fn run(state: Arc<GatewayState>, shutdown: tokio_util::sync::CancellationToken) {
     let mut sync = EndpointSync {
         seen_change: 0,
+        seen_suspects: 0,
         endpoints: HashMap::new(),
         sequence: 0,
         renewal: Renewal::default(),
@@ -66,7 +69,11 @@
             (_, true) => PENDING_LONG_POLL,
             (_, false) => LONG_POLL,
         };
-        let query = EndpointQuery { seen: self.seen_change, wait_ms: wait.as_millis() as u64 };
+        let query = EndpointQuery {
+            seen: self.seen_change,
+            wait_ms: wait.as_millis() as u64,
+            seen_suspects: self.seen_suspects,
+        };
         let asking = self.state.peers.fetch(address, Method::Endpoints, &query, TIMEOUT);
         let news: Result<EndpointNews, RpcError> = asking.await;
         match news {
@@ -86,6 +93,10 @@
     }
 
     fn apply(&mut self, news: EndpointNews) {
+        if news.suspect_change != self.seen_suspects {
+            self.seen_suspects = news.suspect_change;
+            self.state.suspects.apply(self.state.clock.now(), &news);
+        }
         if news.change == self.seen_change {
             return;
         }
--- a/crates/gypsumglade/src/gateway/ingress.rs
+++ b/crates/gypsumglade/src/gateway/ingress.rs
@@ -22,6 +22,7 @@
 use super::placement::choose_pool;
 use super::state::GatewayState;
 use super::streaming;
+use super::suspects;
 use crate::entry::active_bundle::ActiveBundle;
 
 /// How long a caller's connection may be idle or take to send a head. Longer than any idle timeout
@@ -99,9 +100,10 @@
     let (id, result) = match prepared {
         Ok(call) => {
             let call = Arc::new(call);
-            let result = match call.stream() {
-                Some(_) => streaming::answer(&state, Arc::clone(&call)).await,
-                None => buffered::answer(&state, &call).await,
+            let result = match (suspects::check(&state, &call), call.stream()) {
+                (Err(refusal), _) => Err(refusal),
+                (Ok(()), Some(_)) => streaming::answer(&state, Arc::clone(&call)).await,
+                (Ok(()), None) => buffered::answer(&state, &call).await,
             };
             (call.head.id.clone(), result)
         }
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -23,6 +23,8 @@
 mod settlement_queue;
 mod state;
 mod streaming;
+mod suspect_table;
+mod suspects;
 mod text_client;
 mod turn_client;
 
--- a/crates/gypsumglade/src/gateway/placement.rs
+++ b/crates/gypsumglade/src/gateway/placement.rs
@@ -22,6 +22,7 @@
 use super::call::Call;
 use super::dialect::EndpointLoad;
 use super::state::{GatewayState, RoutingState};
+use super::suspects::Trial;
 
 /// Expected length of an answer, as a fraction of its token limit.
 const OUTPUT_FRACTION: f64 = 0.5;
@@ -40,6 +41,8 @@
     pub(super) started: Instant,
     /// Number of stalls of this process before the start.
     pub(super) stalls: StallCount,
+    /// Leave to run a suspected request, held until the attempt ends.
+    trial: Option<Trial>,
 }
 
 /// Chooses a request's pool by the weights of its route. Equal keys give equal pools, so that a program
@@ -267,6 +270,7 @@
         uncached,
         started: Instant::now(),
         stalls,
+        trial: None,
     })
 }
 
@@ -324,6 +328,22 @@
         self.state.routing().stall_detector.stalls(now) != self.stalls
     }
 
+    /// Returns the dispatch with leave to run a suspected request.
+    pub(super) fn with_trial(mut self, trial: Option<Trial>) -> ActiveDispatch {
+        self.trial = trial;
+        self
+    }
+
+    /// Returns the leave to run a suspected request, which otherwise ends with the attempt.
+    pub(super) fn take_trial(&mut self) -> Option<Trial> {
+        self.trial.take()
+    }
+
+    /// Returns whether the endpoint has announced that it leaves, or has left.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.state.routing().registry.get(self.endpoint).is_none_or(|endpoint| endpoint.leaving)
+    }
+
     /// Returns the number of other attempts of this VM that are in flight at the endpoint.
     pub(super) fn others_in_flight(&self) -> u32 {
         self.state.routing().registry.in_flight(self.endpoint).saturating_sub(1)
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 
 use super::attempt::{Attempts, EndpointAnswer, send_until_answered};
-use super::broken_attempt;
+use super::broken_attempt::{self, CrashReport};
 use super::call::{Call, IncompleteBody};
 use super::connections::Connection;
 use super::dialect::AnswerHead;
@@ -21,6 +21,7 @@
     CompletedTurn, Reservation, SettleTimes, TurnUsage, settle_completed, settle_in_background,
 };
 use super::state::GatewayState;
+use super::suspects;
 
 /// A frame of the answer's body, or the error that cuts it off.
 pub(super) type RelayFrame = Result<Frame<Bytes>, IncompleteBody>;
@@ -195,10 +196,13 @@
     /// if that is not possible.
     async fn resume(&mut self) -> bool {
         let resumable = self.call.stream().is_some_and(|stream| stream.resumable);
-        self.record_break();
+        let broken = self.record_break();
         if !resumable || !self.attempts.may_retry(&self.call) {
             return false;
         }
+        if let Some(report) = broken {
+            report.finish().await;
+        }
         self.scanner.drop_partial();
         let after = self.scanner.last_id().or(self.call.head.last_event);
         let (state, call) = (Arc::clone(&self.state), Arc::clone(&self.call));
@@ -216,10 +220,9 @@
     }
 
     /// Ends the current attempt, which the endpoint broke off.
-    pub(super) fn record_break(&mut self) {
-        if let Some(source) = self.source.take() {
-            broken_attempt::record(&self.state, &self.call, source.dispatch);
-        }
+    pub(super) fn record_break(&mut self) -> Option<CrashReport> {
+        let source = self.source.take()?;
+        Some(broken_attempt::record(&self.state, &self.call, source.dispatch))
     }
 
     /// Updates the pool's decode speed from the stream.
@@ -242,7 +245,7 @@
         let usage = TurnUsage { tokens, endpoint: endpoint.clone().filter(|_| self.events > 0) };
         let uncached = self.source.as_ref().map(|source| source.dispatch.uncached);
         if let Some(source) = self.source.take() {
-            release(&self.state, source, end);
+            release(&self.state, &self.call, source, end);
         }
         let output = self.scanner.into_data();
         let mut times = SettleTimes::default();
@@ -324,11 +327,12 @@
 }
 
 /// Ends the dispatch and returns its connection to the pool if the answer was complete.
-fn release(state: &GatewayState, source: Source, end: StreamEnd) {
+fn release(state: &Arc<GatewayState>, call: &Call, source: Source, end: StreamEnd) {
     let Source { dispatch, connection, head, .. } = source;
     match end {
         StreamEnd::Whole => {
             dispatch.finished();
+            suspects::clear(state, call);
             state.connections.put_back(connection, &head);
         }
         StreamEnd::Broken => dispatch.failed(),
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -25,10 +25,12 @@
 use super::history_cache::HistoryCache;
 use super::settlement_queue::SettlementQueue;
 use super::state::{GatewayState, RoutingState};
+use super::suspects::Suspects;
 use super::text_client::TextClient;
 use super::turn_client::TurnClient;
 use super::{endpoint_sync, ingress};
 use crate::clock::Clock;
+use crate::control_client::{ControlGroupClient, PROGRAM_LIMITS};
 use crate::directory::Directory;
 use crate::discovery::{Discovery, Process, random_identity};
 use crate::entry::config::{self, ConfigView, Renewal, operator_keys};
@@ -169,6 +171,8 @@
         settings.gateway.as_ref().map_or(0, |gateway| gateway.tolerate as usize) + 1,
     );
     let turns = TurnClient::new(Arc::clone(&directory), peers.clone(), clock, log.clone());
+    let control = ControlGroupClient::new(Arc::clone(&directory), peers.clone(), PROGRAM_LIMITS);
+    let suspects = Suspects::new(control);
     let tasks = TaskTracker::new();
     let state = GatewayState {
         vm,
@@ -181,6 +185,7 @@
         turns,
         texts,
         histories: HistoryCache::default(),
+        suspects,
         metrics: Metrics::new()?,
         log,
         stop: CancellationToken::new(),
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use super::dialect::Dialect;
 use super::history_cache::HistoryCache;
 use super::settlement_queue::SettlementQueue;
+use super::suspects::Suspects;
 use super::text_client::TextClient;
 use super::turn_client::TurnClient;
 use crate::clock::Clock;
@@ -42,6 +43,8 @@
     pub(super) settlements: SettlementQueue,
     pub(super) texts: TextClient,
     pub(super) histories: HistoryCache,
+    /// Requests under which endpoints have ended.
+    pub(super) suspects: Suspects,
     pub(super) metrics: Metrics,
     pub(super) log: slog::Logger,
     /// Cancelled at the start of a planned stop.
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -12,7 +12,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use super::attempt::{Attempts, send_until_answered};
-use super::buffered::read_to_end;
+use super::buffered::{ReadEnd, read_to_end};
 use super::call::{Answer, Call};
 use super::dialect::Refusal;
 use super::headers::forwarded_headers;
@@ -89,22 +89,25 @@
         attempts.runs += 1;
         if answer.response.status() != StatusCode::OK {
             match read_to_end(state, call, answer).await? {
-                Some(answer) => return Ok(StreamStart::Whole(answer)),
-                None => return Err(Refusal::Lost),
+                ReadEnd::Whole(answer) => return Ok(StreamStart::Whole(answer)),
+                ReadEnd::Unusable | ReadEnd::Broken(_) => return Err(Refusal::Lost),
             }
         }
         let (parts, stream) = answer.response.into_parts();
         let source = Source::new(stream, answer.dispatch, answer.connection, answer.head);
         let mut relay = Relay::new(Arc::clone(state), Arc::clone(call), body.clone(), source);
         let first = tokio::time::timeout(call.time_left(), relay.read_first_event()).await;
-        match first {
+        let broken = match first {
             Ok(true) => return Ok(StreamStart::Stream(Box::new(relay), Box::new(parts))),
             Ok(false) => relay.record_break(),
             Err(_) => return Err(Refusal::TimedOut),
-        }
+        };
         if !attempts.may_retry(call) {
             return Err(Refusal::Lost);
         }
+        if let Some(report) = broken {
+            report.finish().await;
+        }
     }
 }
 
--- a/crates/gypsumglade/src/metrics.rs
+++ b/crates/gypsumglade/src/metrics.rs
@@ -85,6 +85,7 @@
     retries: Counter<u64>,
     quota: Counter<u64>,
     broken_attempts: Counter<u64>,
+    trials: Counter<u64>,
     region_bytes: Counter<u64>,
     commits: CommitLatency,
     leases: LeaseMetrics,
@@ -137,6 +138,7 @@
             retries: count("call_retries"),
             quota: count("quota_requests"),
             broken_attempts: count("broken_attempts"),
+            trials: count("suspect_trials"),
             region_bytes: count("region_link_bytes"),
             commits: CommitLatency(seconds("replica_commit", &COMMIT_SECONDS)),
             leases: LeaseMetrics {
@@ -233,6 +235,11 @@
         self.broken_attempts.add(1, &[label("endpoint", endpoint)]);
     }
 
+    /// Counts a suspected request that asked leave to run, by outcome.
+    pub fn trial(&self, outcome: &'static str) {
+        self.trials.add(1, &[label("outcome", outcome)]);
+    }
+
     /// Counts bytes sent between regions, by class of traffic.
     pub fn region_link(&self, bytes: u64, class: &'static str) {
         self.region_bytes.add(bytes, &[label("class", class)]);
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -2,6 +2,7 @@
 
 mod endpoints;
 mod order_lease;
+mod suspects;
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -31,7 +32,8 @@
 use super::pending_answers::PendingAnswers;
 use super::program_group::GroupInput;
 use crate::replica::{Event, ProposeError, ReadError};
-use endpoints::LastAnnounced;
+use endpoints::{LastAnnounced, Watched};
+use suspects::TrialState;
 
 /// The control group's state machine on one store, and the leases that it grants while it leads.
 pub struct ControlGroup {
@@ -39,8 +41,8 @@
     keys: OperatorKeys,
     lease: LeaseSettings,
     state: Mutex<ControlState>,
-    /// Sequence number of the last change to the endpoints.
-    endpoint_changes: watch::Sender<u64>,
+    /// Sequence numbers of the last changes that entry VMs wait for.
+    watched: watch::Sender<Watched>,
 }
 
 struct ControlState {
@@ -50,6 +52,8 @@
     last_announced: LastAnnounced,
     /// Renewals of the order lease; set by the first request for it to this leader.
     order_grants: Option<OrderGrants>,
+    /// Trials of suspected requests; used while this store leads.
+    trials: TrialState,
 }
 
 /// Longest delay of an order's answer until its revision is in force: about one renewal interval.
@@ -76,9 +80,10 @@
             role: Role::Follower(None),
             last_announced: LastAnnounced::default(),
             order_grants: None,
+            trials: TrialState::start(None, context.clock.now()),
         };
-        let (endpoint_changes, state) = (watch::Sender::new(0), Mutex::new(state));
-        Arc::new(ControlGroup { context, keys, lease, state, endpoint_changes })
+        let (watched, state) = (watch::Sender::default(), Mutex::new(state));
+        Arc::new(ControlGroup { context, keys, lease, state, watched })
     }
 
     /// Applies replication events until the process ends.
@@ -102,6 +107,10 @@
                 Some(CommandBody::TakeOrders(take)) => self.take_order_lease(take).await,
                 Some(CommandBody::Register(register)) => self.register(register).await,
                 Some(CommandBody::Deregister(deregister)) => self.deregister(deregister).await,
+                Some(CommandBody::Crash(crash)) => self.report_crash(crash).await,
+                Some(CommandBody::ClearSuspect(clear)) => self.clear_suspect(clear).await,
+                Some(CommandBody::BeginTrial(begin)) => self.begin_trial(&begin).await,
+                Some(CommandBody::EndTrial(end)) => self.end_trial(&end),
                 _ => self.command(command).await,
             },
             Some(RequestBody::Status(query)) => self.status(&query).await,
@@ -139,6 +148,7 @@
             "order_lease": state.control.order_lease(),
             "groups": state.control.groups(),
             "endpoints": state.control.endpoints().iter().collect::<Vec<_>>(),
+            "suspects": dump_suspects(&state),
         })
     }
 
@@ -273,6 +283,7 @@
         state.role = Role::Leader { term, grants: Box::new(grants) };
         state.order_grants = None;
         state.last_announced = LastAnnounced::default();
+        state.trials = TrialState::start(state.control.suspects().time(), now);
     }
 
     async fn apply_committed(&self, index: LogIndex, data: &Bytes) {
@@ -336,9 +347,12 @@
         self.context.feed_all(input).await;
     }
 
-    /// Wakes the tasks that wait for an endpoint change.
+    /// Wakes the tasks that wait for a change of endpoints or suspected requests.
     fn notify_watchers(&self, state: &ControlState) {
-        self.endpoint_changes.send_replace(state.control.endpoints().change());
+        self.watched.send_replace(Watched {
+            endpoints: state.control.endpoints().change(),
+            suspects: state.control.suspects().change(),
+        });
     }
 
     /// Returns the number of the revision that this store has applied, which is zero on a store
@@ -374,6 +388,18 @@
     }
 }
 
+fn dump_suspects(state: &ControlState) -> Vec<serde_json::Value> {
+    let all = state.control.suspects().all();
+    let dump = all.iter().map(|suspect| {
+        serde_json::json!({
+            "digest": hex::encode(&suspect.digest),
+            "crashes": suspect.crashes,
+            "quarantine_ms": suspect.quarantine_ms,
+        })
+    });
+    dump.collect()
+}
+
 fn lifted(bundle: &Bundle) -> Vec<Bytes> {
     let digests = bundle.quarantine.lift.iter().filter_map(|text| hex::decode(text).ok());
     digests.map(Bytes::from).collect()
--- a/crates/gypsumglade/src/store/control_group/endpoints.rs
+++ b/crates/gypsumglade/src/store/control_group/endpoints.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::{ControlGroup, Role, not_leader};
+use super::{ControlGroup, ControlState, Role, not_leader};
 
 /// Longest time that a query waits for a change.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -25,6 +25,15 @@
 #[derive(Debug, Default)]
 pub(super) struct LastAnnounced(HashMap<CompactString, Time>);
 
+/// Sequence numbers of the last changes that entry VMs wait for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Watched {
+    /// Of the endpoints.
+    pub(super) endpoints: u64,
+    /// Of the requests under which endpoints have ended.
+    pub(super) suspects: u64,
+}
+
 impl LastAnnounced {
     fn record(&mut self, name: &str, now: Time) {
         match self.0.get_mut(name) {
@@ -86,18 +95,18 @@
         self.command(Command { body: Some(CommandBody::Deregister(deregister)) }).await
     }
 
-    /// Returns the endpoint changes since the query's last one, and waits for a change if there is
-    /// none.
+    /// Returns the changes of endpoints and of suspected requests since the query's last ones, and
+    /// waits for a change if there is none.
     ///
     /// Only a leader with a valid lease answers: a partitioned store would report no changes while
     /// endpoints drain and are replaced.
     pub async fn watch_endpoints(&self, query: &EndpointQuery) -> EndpointNews {
         let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
         let deadline = Instant::now() + wait;
-        let mut changes = self.endpoint_changes.subscribe();
+        let known = Watched { endpoints: query.seen, suspects: query.seen_suspects };
+        let mut changes = self.watched.subscribe();
         loop {
-            let seen = *changes.borrow_and_update();
-            if seen != query.seen {
+            if *changes.borrow_and_update() != known {
                 break;
             }
             if tokio::time::timeout_at(deadline, changes.changed()).await.is_err() {
@@ -110,9 +119,7 @@
                 Role::Follower(leader) => {
                     return no_update(self.context.known_leader(GroupId::CONTROL, *leader));
                 }
-                Role::Leader { term, .. } => {
-                    (state.control.endpoints().changes_since(query.seen), *term)
-                }
+                Role::Leader { term, .. } => (self.changes_since(&state, query), *term),
             }
         };
         if self.context.host.lease_term(GroupId::CONTROL).await != Some(term) {
@@ -121,6 +128,18 @@
         update
     }
 
+    fn changes_since(&self, state: &ControlState, query: &EndpointQuery) -> EndpointNews {
+        let now = state.trials.millis(self.context.clock.now());
+        let known = state.control.suspects();
+        let (suspects, suspect_delta) = known.changes_since(now, query.seen_suspects);
+        EndpointNews {
+            suspect_change: known.change(),
+            suspects,
+            suspect_delta,
+            ..state.control.endpoints().changes_since(query.seen)
+        }
+    }
+
     /// Removes expired endpoints while this store leads, until `halt` is cancelled.
     pub async fn expire_endpoints(self: Arc<Self>, lease: Duration, halt: CancellationToken) {
         let mut last_check = self.context.clock.now();
