List running dispatches in a store's dump, and in the fault run's report

For the known failure of fault_run_keeps_promises: a program group releases an ended program's memory only once none of its dispatches is running, and nothing told which one it waited for, nor who held it.

--- a/crates/core/src/program/mod.rs
+++ b/crates/core/src/program/mod.rs
@@ -37,7 +37,9 @@
 pub use sequencer::Sequencer;
 pub use settings::{Safeguards, Settings};
 pub use snapshot::RestoreError;
-pub use state::{Applied, Attempt, CallKey, Phase, ProgramKey, QualifiedName, State};
+pub use state::{
+    Applied, Attempt, CallKey, Phase, ProgramKey, QualifiedName, RunningDispatch, State,
+};
 
 /// Separates a child's id from its ancestors' in a program id.
 pub const CHILD_SEPARATOR: char = '/';
--- a/crates/core/src/program/state.rs
+++ b/crates/core/src/program/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 
 use bytes::Bytes;
+use compact_str::format_compact;
 use slotmap::{SlotMap, new_key_type};
 
 use super::Safeguards;
@@ -98,6 +99,21 @@
     pub(super) escrowed: bool,
 }
 
+/// A dispatch whose outcome has not been reported.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RunningDispatch {
+    /// Program as `organisation/program`.
+    pub program: CompactString,
+    /// Whether the program has ended.
+    pub ended: bool,
+    /// Id of the dispatch.
+    pub dispatch: CompactString,
+    /// VM that received the grant and reports the outcome.
+    pub holder: VmId,
+    /// Time after which the dispatch counts as lost, in milliseconds.
+    pub left_ms: u64,
+}
+
 /// State of one idempotency key of a program.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Call {
@@ -228,6 +244,21 @@
         self.find(name).is_some_and(|p| p.ended.is_none() || !p.running.is_empty())
     }
 
+    /// Returns the running dispatches, for operators.
+    pub fn running(&self) -> Vec<RunningDispatch> {
+        let running = self.running_attempts().map(|(call, attempt)| {
+            let program = &self.programs[call.program];
+            RunningDispatch {
+                program: format_compact!("{}/{}", program.name.org, program.name.program),
+                ended: program.ended.is_some(),
+                dispatch: call.dispatch.clone(),
+                holder: attempt.holder,
+                left_ms: attempt.expires_ms.saturating_sub(self.clock_ms),
+            }
+        });
+        running.collect()
+    }
+
     /// Returns the amounts that the program and its descendants have spent and have reserved.
     pub fn consumed(&self, name: &QualifiedName) -> Option<(Amounts, Amounts)> {
         self.find(name).map(|p| (p.account.spent, p.account.reserved))
--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -252,6 +252,8 @@
             "programs": self.sequencer.state().program_count(),
             "calls": self.sequencer.state().call_count(),
             "parked": self.sequencer.parked_count(),
+            "leads": self.leads,
+            "running": self.sequencer.state().running(),
         })
     }
 }
--- a/crates/gypsumglade/tests/fault_run/check.rs
+++ b/crates/gypsumglade/tests/fault_run/check.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 
 use super::callers::{Seen, Told};
-use super::fleet::{Fleet, PATIENCE, VMS};
+use super::fleet::{Fleet, PATIENCE, STORES, VMS};
 use super::outside::Outside;
 
 /// Interval between polls of the entries' revisions.
@@ -109,7 +109,8 @@
     let released = released.await;
     let held = outside.held();
     if !released {
-        broken.push(format!("engines hold memory of ended programs: {held:?}"));
+        let running = running_dispatches(fleet).await;
+        broken.push(format!("engines hold memory of ended programs: {held:?}; {running}"));
     }
     if outside.most_starts() > 1 {
         broken.push("a dispatch was started twice".to_owned());
@@ -148,6 +149,21 @@
     broken
 }
 
+/// Returns the dispatches that the program groups' leaders wait for, which keep memory from being
+/// released.
+async fn running_dispatches(fleet: &Fleet) -> String {
+    let mut running = Vec::new();
+    for vm in STORES {
+        let asking =
+            fleet.store_admin(vm).send(http::Method::GET, "/v1/dump", &[], String::new()).await;
+        let Ok(dump) = asking.map(|dump| dump.json()) else { continue };
+        let groups = dump["programs"].as_array().cloned().unwrap_or_default();
+        let led = groups.iter().filter(|group| group["leads"] == true);
+        running.extend(led.flat_map(|group| group["running"].as_array().cloned()).flatten());
+    }
+    format!("running: {running:?}")
+}
+
 async fn end_all(fleet: &Fleet, seen: &Seen) {
     for program in seen.finished.iter().chain(&seen.given_up) {
         let caller = fleet.caller(1);
--- a/crates/gypsumglade/tests/fault_run/fleet.rs
+++ b/crates/gypsumglade/tests/fault_run/fleet.rs
@@ -122,6 +122,11 @@
         Caller::new(self.address(vm, 8083), TOKEN)
     }
 
+    /// Returns an operator's HTTP client of a VM's store.
+    pub fn store_admin(&self, vm: u32) -> Caller {
+        Caller::new(self.address(vm, 8086), TOKEN)
+    }
+
     pub fn endpoints_urls(&self) -> Vec<compact_str::CompactString> {
         let url = |vm| format!("http://{}", self.address(vm, 8081)).into();
         (1..=VMS).map(url).collect()
