Give up dispatches of replaced processes after a change of leader too

Cause: when an entry VM restarts, each store tells its replicas once that the VM's dispatches are lost. A replica that doesn't lead at that moment drops it, and one that becomes leader was told of VMs that are down only, not of those that are up again. A restart during a change of leader, or one that a restarted store never saw, left the dispatch running until it expired, after ten minutes without a deadline.

Now a dispatch records the boot id of the process that got the grant, and a leader is told the boot id that each VM runs: those of other processes are lost, whoever saw the restart. Dispatches of the present process stay, which the former way would have given up as well.

--- a/crates/core/src/program/admission.rs
+++ b/crates/core/src/program/admission.rs
@@ -324,6 +324,7 @@
         max_micros: request.max_micros,
         idle_ms: request.idle_ms,
         nonce: request.nonce.to_string(),
+        boot_id: request.boot_id,
         ..wire::Begin::default()
     }
 }
--- a/crates/core/src/program/call_request.rs
+++ b/crates/core/src/program/call_request.rs
@@ -22,6 +22,8 @@
     /// Milliseconds that the caller still waits; zero for no deadline.
     pub(super) timeout_ms: u64,
     pub(super) nonce: CompactString,
+    /// Boot id of the process that asks.
+    pub(super) boot_id: u32,
     pub(super) repeatable: bool,
     pub(super) digest: Bytes,
     pub(super) model: Option<ModelRequest>,
@@ -57,6 +59,7 @@
             idle_ms: turn.idle_ms,
             timeout_ms: turn.deadline_ms,
             nonce: (&turn.nonce).into(),
+            boot_id: turn.boot_id,
             repeatable: true,
             digest: turn.digest.clone(),
             model: Some(ModelRequest {
@@ -88,6 +91,7 @@
             idle_ms: call.idle_ms,
             timeout_ms: call.deadline_ms,
             nonce: (&call.nonce).into(),
+            boot_id: call.boot_id,
             repeatable: call.repeatable,
             digest: Bytes::copy_from_slice(&content),
             model: None,
--- a/crates/core/src/program/deadlines.rs
+++ b/crates/core/src/program/deadlines.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 
+use super::holder::EndedHolder;
 use super::interface::Effect;
 use super::sequencer::Sequencer;
 use super::settings::Settings;
@@ -39,26 +40,31 @@
         self.release_ended(now, out);
     }
 
-    /// Proposes every dispatch of a dead entry VM as lost and refuses its waiting requests.
+    /// Proposes every dispatch of an ended process as lost and refuses its waiting requests.
     ///
-    /// A grant to a dead VM would block its program until the grant expires.
-    pub(super) fn vm_gone(&mut self, now: Time, vm: VmId, out: &mut Vec<Effect>) {
-        for waiter in self.parked.take_from(vm) {
-            let detail = "the VM that sent the request was declared dead";
+    /// Such a grant would block its program until it expires.
+    pub(super) fn holder_ended(&mut self, now: Time, ended: EndedHolder, out: &mut Vec<Effect>) {
+        for waiter in self.parked.take_from(ended) {
+            let detail = "the process that sent the request has ended";
             let reply = self.final_reply(&waiter, Refusal::DeadlinePassed, detail);
             out.push(Effect::Reply { token: waiter.token, reply });
         }
-        self.withdraw_from(vm, out);
-        self.mark_early_lost(vm);
+        self.withdraw_from(ended, out);
+        self.mark_early_lost(ended);
         match self.leader_state {
-            Some(lead) if lead.ready => self.propose_holder_lost(now, vm, out),
-            Some(_) => self.dead_vms.push(vm),
+            Some(lead) if lead.ready => self.propose_holder_lost(now, ended, out),
+            Some(_) => self.ended_holders.push(ended),
             None => {}
         }
     }
 
-    pub(super) fn propose_holder_lost(&mut self, now: Time, vm: VmId, out: &mut Vec<Effect>) {
-        self.propose_lost(now, |attempt| attempt.holder == vm, out);
+    pub(super) fn propose_holder_lost(
+        &mut self,
+        now: Time,
+        ended: EndedHolder,
+        out: &mut Vec<Effect>,
+    ) {
+        self.propose_lost(now, |attempt| ended.matches(attempt.holder, attempt.boot_id), out);
     }
 
     /// Proposes to remove an endpoint that holds no memory of any program any more.
--- a/crates/core/src/program/early_grants.rs
+++ b/crates/core/src/program/early_grants.rs
@@ -4,6 +4,7 @@
 //! and only while nothing else of the program is pending. See docs/design/budget.md.
 
 use super::escrow::full_reservation;
+use super::holder::EndedHolder;
 use super::interface::{Effect, RequestToken};
 use super::proposals::PendingProposal;
 use super::replies::early_grant;
@@ -19,8 +20,9 @@
     pub(super) name: QualifiedName,
     pub(super) key: CompactString,
     holder: VmId,
-    /// Whether the holder was declared dead after the grant.
-    lost: bool,
+    boot_id: u32,
+    /// Set if the holder has ended since the grant.
+    ended: Option<EndedHolder>,
     /// Outcomes that were reported before the begin was applied.
     settles: Vec<DeferredSettle>,
 }
@@ -75,9 +77,14 @@
         begin.escrowed = true;
         out.push(Effect::Reply { token, reply: early_grant(&self.state, &begin) });
         let dispatch = CompactString::from(&begin.dispatch);
-        let holder = waiter.from;
-        let key = waiter.request.key.clone();
-        let early = EarlyGrant { name: name.clone(), key, holder, lost: false, settles: vec![] };
+        let early = EarlyGrant {
+            name: name.clone(),
+            key: waiter.request.key.clone(),
+            holder: waiter.from,
+            boot_id: waiter.request.boot_id,
+            ended: None,
+            settles: vec![],
+        };
         self.early_grants.insert(dispatch.clone(), early);
         self.pending_programs.insert(name);
         self.propose(now, EntryBody::Begin(begin), PendingProposal::EarlyBegin(dispatch), out);
@@ -104,8 +111,8 @@
         for DeferredSettle { token, from, settle } in early.settles {
             self.settle(now, token, from, settle, out);
         }
-        if early.lost {
-            self.propose_holder_lost(now, early.holder, out);
+        if let Some(ended) = early.ended {
+            self.propose_holder_lost(now, ended, out);
         }
     }
 
@@ -122,10 +129,11 @@
         out.extend(replies.map(|token| Effect::Reply { token, reply: reply.clone() }));
     }
 
-    /// Marks the early grants of a dead VM as lost.
-    pub(super) fn mark_early_lost(&mut self, vm: VmId) {
-        let theirs = self.early_grants.values_mut().filter(|early| early.holder == vm);
-        theirs.for_each(|early| early.lost = true);
+    /// Marks the early grants of an ended process as lost.
+    pub(super) fn mark_early_lost(&mut self, ended: EndedHolder) {
+        let theirs = self.early_grants.values_mut();
+        let theirs = theirs.filter(|early| ended.matches(early.holder, early.boot_id));
+        theirs.for_each(|early| early.ended = Some(ended));
     }
 
     /// Removes all early grants and returns the requests whose outcomes waited for them.
--- a/crates/core/src/program/interface.rs
+++ b/crates/core/src/program/interface.rs
@@ -63,11 +63,20 @@
         /// Digests that the revision lifts from quarantine.
         lifted: Vec<Bytes>,
     },
-    /// Membership declared an entry VM dead or saw it restart.
+    /// Membership declared an entry VM dead.
     VmGone {
-        /// The dead or restarted VM.
+        /// The dead VM.
         vm: VmId,
     },
+    /// Membership reports the process that an entry VM runs. Earlier processes of it have ended.
+    ///
+    /// The daemon also sends it to a replica that becomes leader, for every VM.
+    VmRuns {
+        /// The VM.
+        vm: VmId,
+        /// Boot id of its process.
+        boot_id: u32,
+    },
     /// An endpoint's lease expired or it restarted, so it holds no memory of any program.
     EndpointGone {
         /// Name of the endpoint.
--- a/crates/core/src/program/journal.rs
+++ b/crates/core/src/program/journal.rs
@@ -188,6 +188,7 @@
             && digest.is_some_and(|digest| self.scores.is_suspect(&digest));
         let attempt = Box::new(Attempt {
             holder: VmId(begin.holder),
+            boot_id: begin.boot_id,
             nonce: (&begin.nonce).into(),
             messages: Bytes::copy_from_slice(&begin.messages),
             hashes: Bytes::copy_from_slice(&begin.hashes),
--- a/crates/core/src/program/leadership.rs
+++ b/crates/core/src/program/leadership.rs
@@ -36,8 +36,8 @@
         if let Some(lead) = &mut self.leader_state {
             lead.ready = true;
         }
-        for vm in std::mem::take(&mut self.dead_vms) {
-            self.propose_holder_lost(now, vm, out);
+        for ended in std::mem::take(&mut self.ended_holders) {
+            self.propose_holder_lost(now, ended, out);
         }
         self.propose_lift(now, out);
         self.wake(now, &QueueKey::LeaderReady, out);
@@ -61,7 +61,7 @@
         self.withdrawn.clear();
         self.release_timers.clear();
         self.cancel_timers.clear();
-        self.dead_vms.clear();
+        self.ended_holders.clear();
     }
 
     /// Proposes the barrier again if it failed while this replica still leads.
--- a/crates/core/src/program/mod.rs
+++ b/crates/core/src/program/mod.rs
@@ -15,6 +15,7 @@
 mod early_grants;
 mod escrow;
 mod history;
+mod holder;
 mod interface;
 mod journal;
 mod leadership;
--- a/crates/core/src/program/parked_requests.rs
+++ b/crates/core/src/program/parked_requests.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use super::holder::EndedHolder;
 use super::quarantine::Digest;
 use super::sequencer::CallWaiter;
 use super::settings::Settings;
 use super::state::QualifiedName;
-use crate::prelude::*;
 
 /// Identifies a queue by what its requests wait for.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -84,11 +84,11 @@
         due
     }
 
-    /// Removes and returns the requests of one VM, in order of arrival.
-    pub(super) fn take_from(&mut self, vm: VmId) -> Vec<CallWaiter> {
+    /// Removes and returns the requests of an ended process, in order of arrival.
+    pub(super) fn take_from(&mut self, ended: EndedHolder) -> Vec<CallWaiter> {
         let mut taken = vec![];
         for queue in self.queues.values_mut() {
-            let (theirs, rest) = queue.drain(..).partition(|waiter| waiter.from == vm);
+            let (theirs, rest) = queue.drain(..).partition(|waiter| waiter.is_from(ended));
             let theirs: VecDeque<CallWaiter> = theirs;
             *queue = rest;
             taken.extend(theirs);
--- a/crates/core/src/program/proposals.rs
+++ b/crates/core/src/program/proposals.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use prost::Message;
 
+use super::holder::EndedHolder;
 use super::interface::{Effect, ProposalId, RequestToken};
 use super::replies::{refusal, reply};
 use super::sequencer::{CallWaiter, Sequencer};
@@ -163,9 +164,9 @@
         self.withdraw_pending(|waiter| waiter.deadline_ms <= now_ms, out);
     }
 
-    /// Refuses the pending begins of a dead VM, which could not use a grant.
-    pub(super) fn withdraw_from(&mut self, vm: VmId, out: &mut Vec<Effect>) {
-        self.withdraw_pending(|waiter| waiter.from == vm, out);
+    /// Refuses the pending begins of an ended process, which could not use a grant.
+    pub(super) fn withdraw_from(&mut self, ended: EndedHolder, out: &mut Vec<Effect>) {
+        self.withdraw_pending(|waiter| waiter.is_from(ended), out);
     }
 
     fn withdraw_pending(
--- a/crates/core/src/program/sequencer.rs
+++ b/crates/core/src/program/sequencer.rs
@@ -14,6 +14,7 @@
 use super::crashes::CrashTracker;
 use super::deadlines::ResendTimers;
 use super::early_grants::EarlyGrant;
+use super::holder::EndedHolder;
 use super::interface::{Effect, Input, ProposalId, RequestToken};
 use super::leadership::LeaderState;
 use super::parked_requests::{ParkedRequests, QueueKey};
@@ -72,7 +73,7 @@
     /// Programs whose escrow overstates the remaining budget because an early begin failed.
     pub(super) invalid_escrows: HashSet<QualifiedName>,
     /// VMs declared dead before this leader was ready.
-    pub(super) dead_vms: Vec<VmId>,
+    pub(super) ended_holders: Vec<EndedHolder>,
     pub(super) release_timers: ResendTimers,
     pub(super) cancel_timers: ResendTimers,
     /// Group time of the last scan for due work.
@@ -104,7 +105,7 @@
             withdrawn: HashSet::new(),
             early_grants: HashMap::new(),
             invalid_escrows: HashSet::new(),
-            dead_vms: vec![],
+            ended_holders: vec![],
             release_timers: ResendTimers::default(),
             cancel_timers: ResendTimers::default(),
             scanned_ms: 0,
@@ -142,7 +143,10 @@
             Input::Following { leader } => self.become_follower(leader, out),
             Input::ProposalFailed { proposal } => self.proposal_failed(proposal, out),
             Input::Config { revision, lifted } => self.configure(now, revision, lifted, out),
-            Input::VmGone { vm } => self.vm_gone(now, vm, out),
+            Input::VmGone { vm } => self.holder_ended(now, EndedHolder::dead(vm), out),
+            Input::VmRuns { vm, boot_id } => {
+                self.holder_ended(now, EndedHolder::replaced(vm, boot_id), out)
+            }
             Input::EndpointGone { endpoint } => self.endpoint_gone(now, endpoint, out),
             Input::Scores { scores } => self.import_scores(now, scores, out),
             Input::Tick => self.tick(now, out),
--- a/crates/core/src/program/snapshot.rs
+++ b/crates/core/src/program/snapshot.rs
@@ -214,6 +214,7 @@
 fn attempt_record(attempt: &Attempt) -> wire::DispatchRecord {
     wire::DispatchRecord {
         holder: attempt.holder.0,
+        boot_id: attempt.boot_id,
         nonce: attempt.nonce.to_string(),
         messages: attempt.messages.clone(),
         hashes: attempt.hashes.clone(),
@@ -230,6 +231,7 @@
 fn read_attempt(record: &wire::DispatchRecord) -> Attempt {
     Attempt {
         holder: VmId(record.holder),
+        boot_id: record.boot_id,
         nonce: (&record.nonce).into(),
         messages: record.messages.clone(),
         hashes: record.hashes.clone(),
--- a/crates/core/src/program/state.rs
+++ b/crates/core/src/program/state.rs
@@ -83,6 +83,8 @@
 pub struct Attempt {
     /// VM that received the grant and reports the outcome.
     pub(super) holder: VmId,
+    /// Boot id of the process that received it.
+    pub(super) boot_id: u32,
     /// Identifies the granted request, so that a repeat of it gets the same grant.
     pub(super) nonce: CompactString,
     pub(super) messages: Bytes,
--- a/crates/core/tests/program_ends.rs
+++ b/crates/core/tests/program_ends.rs
@@ -199,3 +199,45 @@
 fn released(program: &str, endpoint: &str) -> Body {
     Body::Released(wire::Released { program: program_ref(program), endpoint: endpoint.into() })
 }
+
+/// A VM restarted while its group changed leaders. Its dispatch stayed in flight for ten minutes, so
+/// callers got no answer and engines kept the memory of the ended program.
+#[test]
+fn end_after_restart_of_holder_during_leader_change() {
+    let mut group = Group::new(3);
+    let before = wire::BeginTurn { boot_id: 1, ..begin_turn("p", "k", &[user("a")]) };
+    let grant = group.grant(Body::BeginTurn(before));
+    group.ask(ENTRY, started("p", &grant.dispatch, "e7"));
+    group.step(1, Input::VmRuns { vm: ENTRY, boot_id: 2 });
+    group.change_leader(1, Fate::Kept);
+    group.step(1, Input::VmRuns { vm: ENTRY, boot_id: 2 });
+    group.ask(OTHER, end("p"));
+    assert_eq!(group.releases(), ["e7"]);
+}
+
+/// A dispatch of a VM's present process was given up after a change of leader.
+#[test]
+fn turn_of_running_process_after_leader_change() {
+    let mut group = Group::new(3);
+    let now = wire::BeginTurn { boot_id: 2, ..begin_turn("p", "k", &[user("a")]) };
+    let grant = group.grant(Body::BeginTurn(now));
+    group.change_leader(1, Fate::Kept);
+    group.step(1, Input::VmRuns { vm: ENTRY, boot_id: 2 });
+    group.step(1, Input::VmRuns { vm: OTHER, boot_id: 3 });
+    let running = group.leader().state().running();
+    assert_eq!(running.first().map(|running| &running.dispatch), Some(&grant.dispatch.into()));
+}
+
+/// The boot id of a holder was lost with a restart of its store.
+#[test]
+fn end_after_restart_of_holder_and_store() {
+    let mut group = Group::new(3);
+    let before = wire::BeginTurn { boot_id: 1, ..begin_turn("p", "k", &[user("a")]) };
+    let grant = group.grant(Body::BeginTurn(before));
+    group.ask(ENTRY, started("p", &grant.dispatch, "e7"));
+    group.restart(1);
+    group.change_leader(1, Fate::Kept);
+    group.step(1, Input::VmRuns { vm: ENTRY, boot_id: 2 });
+    group.ask(OTHER, end("p"));
+    assert_eq!(group.releases(), ["e7"]);
+}
--- a/crates/gypsumglade/src/entry/membership_loop.rs
+++ b/crates/gypsumglade/src/entry/membership_loop.rs
@@ -28,7 +28,7 @@
         key: Some(key),
         ..MembershipSettings::default()
     })?;
-    let digest = EntryDigest { boot_id: rand::random(), peers };
+    let digest = EntryDigest { boot_id: state.boot_id, peers };
     handle.set_digest(digest.to_bytes()).await;
     Ok(handle)
 }
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -160,6 +160,7 @@
     let retries = RetryPolicy::new(RetrySettings::default(), rand::random());
     let map = GroupMap::new(&settings, &directory);
     Ok(EntryState {
+        boot_id: rand::random(),
         vm,
         place,
         clock,
--- a/crates/gypsumglade/src/entry/state.rs
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -31,6 +31,8 @@
 pub struct EntryState {
     /// Id of this VM.
     pub vm: VmId,
+    /// Drawn at the start of the process, to tell it from an earlier one on this VM.
+    pub boot_id: u32,
     /// Settings of the process.
     pub settings: Settings,
     /// Failure domain and region of this VM.
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -182,6 +182,7 @@
 async fn begin_call(state: &EntryState, call: &ToolCall) -> Result<Granted, Problem> {
     let mut begin = call.begin.clone();
     begin.nonce = super::unique_id(state);
+    begin.boot_id = state.boot_id;
     let request = Request { body: Some(RequestBody::BeginCall(begin)) };
     let timeout = call.deadline.map_or(GROUP_TIMEOUT, |at| at.since(state.clock.now()));
     match state.groups.ask(&call.org, &call.program, &request, timeout).await {
--- a/crates/gypsumglade/src/entry/turn_call.rs
+++ b/crates/gypsumglade/src/entry/turn_call.rs
@@ -62,6 +62,7 @@
         digest: call.request.digest(),
         idle_ms: call.agent.idle_ms,
         nonce: super::unique_id(state),
+        boot_id: state.boot_id,
         ..BeginTurn::default()
     }
 }
--- a/crates/gypsumglade/src/members.rs
+++ b/crates/gypsumglade/src/members.rs
@@ -65,7 +65,7 @@
     /// True unless membership considers the VM down.
     pub up: bool,
     /// Boot id of its process, see [`EntryDigest::boot_id`].
-    pub life: u32,
+    pub boot_id: u32,
     /// Address of its listener for calls between VMs.
     pub peers: SocketAddr,
 }
@@ -78,7 +78,7 @@
             vm: member.vm,
             region: member.region,
             up: member.is_up(),
-            life: digest.boot_id,
+            boot_id: digest.boot_id,
             peers: digest.peers,
         })
     }
--- a/crates/gypsumglade/src/store/context.rs
+++ b/crates/gypsumglade/src/store/context.rs
@@ -1,6 +1,6 @@
 //! State that all groups of a store process share.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, RwLock};
 
 use bytes::Bytes;
@@ -45,6 +45,8 @@
     pub(super) groups: RwLock<Vec<ProgramGroup>>,
     /// Entry VMs that are down, for replicas that become leader.
     pub(super) dead: Mutex<BTreeSet<VmId>>,
+    /// Boot ids of the entry VMs that are up, for replicas that become leader.
+    pub(super) boot_ids: Mutex<BTreeMap<VmId, u32>>,
     /// Groups whose snapshot is being written.
     pub(super) snapshotting: Mutex<BTreeSet<GroupId>>,
 }
@@ -151,6 +153,15 @@
         self.dead.lock().expect("no panic while held").iter().copied().collect()
     }
 
+    /// Returns the boot ids of the entry VMs that are up.
+    pub fn running(&self) -> BTreeMap<VmId, u32> {
+        self.boot_ids.lock().expect("no panic while held").clone()
+    }
+
+    pub(super) fn set_running(&self, boot_ids: BTreeMap<VmId, u32>) {
+        *self.boot_ids.lock().expect("no panic while held") = boot_ids;
+    }
+
     pub(super) fn set_dead(&self, dead: BTreeSet<VmId>) {
         *self.dead.lock().expect("no panic while held") = dead;
     }
--- a/crates/gypsumglade/src/store/member_watch.rs
+++ b/crates/gypsumglade/src/store/member_watch.rs
@@ -1,6 +1,6 @@
 //! Polls an entry VM for the membership, and reports failed entry VMs to the program groups.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use gypsumglade_core::prelude::*;
@@ -25,7 +25,7 @@
 /// State of the entry VMs according to the last update.
 #[derive(Default)]
 struct MemberWatch {
-    boot_ids: HashMap<VmId, u32>,
+    boot_ids: BTreeMap<VmId, u32>,
     /// Since when each VM is down; [`Time::MAX`] once it was reported.
     down: HashMap<VmId, Time>,
     members: Vec<EntryMember>,
@@ -41,11 +41,18 @@
         match poll(&context, attempt, watch.digest).await {
             Some(update) => {
                 let members = watch.update(update);
-                for vm in watch.lost_vms(&members, context.clock.now()) {
-                    slog::warn!(context.log, "entry VM has failed or restarted"; "gone" => vm.0);
+                let lost = watch.lost_vms(&members, context.clock.now());
+                let changed = watch.changed_boot_ids(&members);
+                context.set_dead(watch.dead());
+                context.set_running(watch.boot_ids.clone());
+                for vm in lost {
+                    slog::warn!(context.log, "entry VM has failed"; "gone" => vm.0);
                     context.feed_all(|| GroupInput::VmGone(vm)).await;
                 }
-                context.set_dead(watch.dead());
+                for (vm, boot_id) in changed {
+                    slog::info!(context.log, "entry VM runs another process"; "entry" => vm.0);
+                    context.feed_all(|| GroupInput::VmRuns { vm, boot_id }).await;
+                }
                 let up = members.iter().filter(|member| member.up);
                 context.directory.set_entries(up.map(EntryMember::address).collect());
             }
@@ -83,18 +90,19 @@
         self.members.clone()
     }
 
-    /// Returns the VMs whose calls are lost: newly down for the grace period, or restarted.
+    /// Returns the VMs that have newly been down for the grace period, whose calls are lost.
     fn lost_vms(&mut self, members: &[EntryMember], now: Time) -> Vec<VmId> {
-        let mut lost = Vec::new();
-        for member in members {
-            let boot_id = self.boot_ids.insert(member.vm, member.life);
-            let restarted = boot_id.is_some_and(|boot_id| boot_id != member.life);
-            let dead = self.is_newly_dead(member, now);
-            if restarted || dead {
-                lost.push(member.vm);
-            }
-        }
-        lost
+        let lost = members.iter().filter(|member| self.is_newly_dead(member, now));
+        lost.map(|member| member.vm).collect()
+    }
+
+    /// Returns the boot ids that are new, and forgets those of VMs that are down.
+    fn changed_boot_ids(&mut self, members: &[EntryMember]) -> Vec<(VmId, u32)> {
+        let up = members.iter().filter(|member| member.up);
+        let boot_ids: BTreeMap<VmId, u32> = up.map(|member| (member.vm, member.boot_id)).collect();
+        let known = std::mem::replace(&mut self.boot_ids, boot_ids);
+        let changed = self.boot_ids.iter().filter(|(vm, boot_id)| known.get(vm) != Some(boot_id));
+        changed.map(|(vm, boot_id)| (*vm, *boot_id)).collect()
     }
 
     /// Returns the VMs that have been down for the grace period.
--- a/crates/gypsumglade/src/store/program_group.rs
+++ b/crates/gypsumglade/src/store/program_group.rs
@@ -44,8 +44,15 @@
         /// Digests of requests that it releases from quarantine.
         lifted: Vec<Bytes>,
     },
-    /// An entry VM failed or restarted.
+    /// An entry VM failed.
     VmGone(VmId),
+    /// The process that an entry VM runs.
+    VmRuns {
+        /// The VM.
+        vm: VmId,
+        /// Boot id of its process.
+        boot_id: u32,
+    },
     /// An engine no longer exists, and its memory with it.
     EndpointGone(EndpointName),
     /// Crash scores from other groups.
@@ -144,6 +151,7 @@
             GroupInput::ProposalFailed(proposal) => Some(Input::ProposalFailed { proposal }),
             GroupInput::Config { revision, lifted } => Some(Input::Config { revision, lifted }),
             GroupInput::VmGone(vm) => Some(Input::VmGone { vm }),
+            GroupInput::VmRuns { vm, boot_id } => Some(Input::VmRuns { vm, boot_id }),
             GroupInput::EndpointGone(endpoint) => Some(Input::EndpointGone { endpoint }),
             GroupInput::Scores(scores) => Some(Input::Scores { scores }),
             GroupInput::Dump(sender) => {
@@ -169,11 +177,17 @@
             Event::Leader { term, .. } => {
                 slog::info!(self.context.log, "became leader of a program group";
                     "group" => self.group.0, "term" => term.0);
-                // The previous leader may not have handled the VMs that are down.
-                for vm in self.context.dead() {
-                    let (inputs, gone) = (self.inputs.clone(), GroupInput::VmGone(vm));
-                    tokio::spawn(async move { inputs.send(gone).await });
-                }
+                // The previous leader may not have handled the VMs that are down or were restarted.
+                let inputs = self.inputs.clone();
+                let (dead, running) = (self.context.dead(), self.context.running());
+                tokio::spawn(async move {
+                    for vm in dead {
+                        let _ = inputs.send(GroupInput::VmGone(vm)).await;
+                    }
+                    for (vm, boot_id) in running {
+                        let _ = inputs.send(GroupInput::VmRuns { vm, boot_id }).await;
+                    }
+                });
                 self.leads = true;
                 Some(Input::Leading { term: term.0 })
             }
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -149,6 +149,7 @@
             log,
             groups: RwLock::default(),
             dead: Mutex::default(),
+            boot_ids: Mutex::default(),
             snapshotting: Mutex::default(),
         });
         let keys = operator_keys(&settings.operators);
