Quarantine service calls that crash instances as well

Six resends at six entry VMs left five instances dead.

Program groups score calls as well as turns, but the entry VM never told them that an instance ended under a call, and ignored the order to run a suspect alone.

Now a call whose connection broke is settled as a crash, and a suspect gets an instance of its own. The test crashing_call_resent, which failed before (502 instead of 422 at the sixth resend), passes; two instances are lost, the bound of docs/design/quarantine.md.

--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -236,7 +236,8 @@
 ) -> Result<ToolAnswer, Problem> {
     let mut excluded = disallowed_endpoints(state, call);
     loop {
-        let placed = match state.place_call(&route_request(state, call, &excluded)) {
+        let request = route_request(state, call, grant, &excluded);
+        let placed = match state.place_call(&request) {
             Ok(placed) => placed,
             Err(error) => {
                 let problem = Problem::not_run(ProblemKind::Unavailable, &error)
@@ -323,6 +324,7 @@
     }
     let mut settled = outcome(call, grant, Outcome::Unknown, "no answer from the service");
     settled.endpoint = placed.name.to_string();
+    settled.crashed = error == SendError::Broken;
     settle(state, call, settled).await?;
     if !call.repeatable() {
         inquire_later(state, call, grant, placed);
@@ -384,7 +386,12 @@
     }
 }
 
-fn route_request(state: &EntryState, call: &ToolCall, excluded: &[EndpointName]) -> RouteRequest {
+fn route_request(
+    state: &EntryState,
+    call: &ToolCall,
+    grant: &Grant,
+    excluded: &[EndpointName],
+) -> RouteRequest {
     RouteRequest {
         target: Target::Service(call.service.clone()),
         program: super::program_hash(&call.org, &call.program),
@@ -399,7 +406,7 @@
         class: call.class,
         place: state.place,
         excluded: excluded.to_vec(),
-        isolate: false,
+        isolate: grant.isolate,
     }
 }
 
--- a/crates/gypsumglade/tests/support/mod.rs
+++ b/crates/gypsumglade/tests/support/mod.rs
@@ -207,7 +207,7 @@
     entries
 }
 
-fn announce(entries: &[Option<Entry>]) -> AnnounceSettings {
+pub fn announce(entries: &[Option<Entry>]) -> AnnounceSettings {
     let urls = entries.iter().flatten();
     let urls = urls.map(|entry| format!("http://{}", entry.addresses().endpoints).into());
     AnnounceSettings {
