Reserve the network of a fault run for as long as it runs

A run looked for a free network by binding a port and let it go again, so two that start at once could take the same one; seeds and process ids next to each other make that likely.

--- a/crates/gypsumglade/tests/fault_run/fleet.rs
+++ b/crates/gypsumglade/tests/fault_run/fleet.rs
@@ -31,6 +31,9 @@
 /// Bound on the wait until all processes are ready, which only a hang exceeds.
 pub const PATIENCE: Duration = Duration::from_secs(90);
 
+/// Port that is bound for as long as a run uses a network; no daemon listens there.
+const RESERVED_PORT: u16 = 8079;
+
 /// Failure domains with their regions; each has a third of the VMs.
 const DOMAINS: [(&str, &str); 3] =
     [("south-1", "south"), ("south-2", "south"), ("north-1", "north")];
@@ -44,15 +47,17 @@
 
 pub struct Fleet {
     net: [u8; 2],
+    /// Keeps concurrent runs off this run's network.
+    _reserved: TcpListener,
     folder: tempfile::TempDir,
     running: Mutex<HashMap<Role, Child>>,
 }
 
 impl Fleet {
     pub fn start(seed: u64) -> Fleet {
-        let net = free_net(seed);
+        let (net, reserved) = reserve_net(seed);
         let folder = tempfile::tempdir().expect("a temporary folder");
-        let fleet = Fleet { net, folder, running: Mutex::default() };
+        let fleet = Fleet { net, _reserved: reserved, folder, running: Mutex::default() };
         for vm in 1..=VMS {
             std::fs::write(fleet.settings_file(vm), fleet.settings(vm)).expect("it is written");
         }
@@ -228,12 +233,18 @@
     DOMAINS[(vm as usize - 1) / 3]
 }
 
-/// Finds an unused loopback network, so that concurrent runs don't interfere.
-fn free_net(seed: u64) -> [u8; 2] {
+/// Reserves an unused loopback network, so that concurrent runs don't interfere.
+fn reserve_net(seed: u64) -> ([u8; 2], TcpListener) {
     let first = seed.wrapping_add(u64::from(std::process::id()));
     let nets = (0..64_u64).map(|step| first.wrapping_add(step * 31));
     let mut nets = nets.map(|n| [64 + (n % 128) as u8, (n / 128 % 250) as u8]);
-    let address = |net: &[u8; 2]| SocketAddr::from(([127, net[0], net[1], 1], 8080));
-    let free = |net: &[u8; 2]| TcpListener::bind(address(net)).is_ok();
-    nets.find(free).expect("a free loopback network")
+    let bind = |net: [u8; 2], port: u16| {
+        TcpListener::bind(SocketAddr::from(([127, net[0], net[1], 1], port))).ok()
+    };
+    let reserved = nets.find_map(|net| {
+        let reserved = bind(net, RESERVED_PORT)?;
+        // Another program may listen there.
+        bind(net, 8080).map(|_| (net, reserved))
+    });
+    reserved.expect("a free loopback network")
 }
