--- a/crates/gypsumglade/src/gateway/attempt.rs
+++ b/crates/gypsumglade/src/gateway/attempt.rs
@@ -83,8 +83,7 @@
 ) -> Result<EndpointAnswer, Refusal> {
     let mut refusals = 0;
     loop {
-        let left = call.time_left();
-        if left.is_zero() {
+        if call.time_left().is_zero() {
             return Err(timeout_refusal(attempts));
         }
         let dispatch = match place(state, call, body, &attempts.tried, attempts.assigned.take()) {
@@ -105,6 +104,8 @@
             Err(refusal) => return Err(attempts.refusal(refusal)),
         };
         attempts.tried.push(dispatch.name.clone());
+        // Asking leave for a trial may have taken some of the time.
+        let left = call.time_left();
         let (endpoint, sent) = (dispatch.endpoint, Instant::now());
         let timeout = answer_timeout(state, call, attempts, left);
         let sending = send(state, call, body, after, dispatch);
