Tell requests apart that ran together at every crash

A request that had only run beside a crashing one could be quarantined for ten minutes in its place, and a crash could go uncounted.

Now a quarantine needs three crashes that no other request explains, worked out anew from all reports; requests that can't be told apart run one at a time until the next crash tells. An endpoint that still accepts connections is checked again after 50 ms. Unreported crashes are kept apart from recorded ones.

--- a/crates/core/src/control/suspects.rs
+++ b/crates/core/src/control/suspects.rs
@@ -4,6 +4,7 @@
 //! entry VM. The control group counts, for each request, the endpoints that ended while they ran it.
 //! See docs/design/quarantine.md.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
@@ -51,6 +52,8 @@
     /// Latest endpoints that ended, oldest first.
     endpoints: VecDeque<Incarnation>,
     last_ms: u64,
+    /// Number of the change that recorded the last crash.
+    change: u64,
 }
 
 /// Requests under which endpoints have ended, as replicated by the control group.
@@ -75,28 +78,80 @@
         (self.clock > 0).then_some(self.clock)
     }
 
-    /// Returns the number of endpoints that a request has crashed.
-    pub fn crashes(&self, digest: &RequestDigest) -> u32 {
-        self.by_digest.get(digest).map_or(0, |suspect| suspect.crashes)
-    }
-
     /// Returns what is known of a request at the group's time `now`.
     pub fn status(&self, now: u64, digest: &RequestDigest) -> wire::Suspect {
+        self.status_beside(now, digest, &self.causes())
+    }
+
+    /// Returns what is known of a request if `causes` are quarantined.
+    fn status_beside(
+        &self,
+        now: u64,
+        digest: &RequestDigest,
+        causes: &[RequestDigest],
+    ) -> wire::Suspect {
         let digest_bytes = Bytes::copy_from_slice(digest);
         let empty = wire::Suspect { digest: digest_bytes, ..wire::Suspect::default() };
         let known = self.by_digest.get(digest).filter(|suspect| suspect.expires_ms() > now);
         let Some(suspect) = known else { return empty };
+        let is_cause = causes.contains(digest);
+        let crashes = match is_cause {
+            true => suspect.crashes,
+            false => suspect.unexplained(&self.endpoints_of(causes)).len() as u32,
+        };
+        if crashes == 0 {
+            return empty;
+        }
+        let quarantine_end = if is_cause { suspect.last_ms + QUARANTINE_MS } else { 0 };
         wire::Suspect {
-            crashes: suspect.crashes,
-            quarantine_ms: suspect.quarantine_end().saturating_sub(now),
+            crashes,
+            quarantine_ms: quarantine_end.saturating_sub(now),
             left_ms: suspect.expires_ms().saturating_sub(now),
             ..empty
         }
     }
 
+    /// Returns the requests that are quarantined: the fewest that explain the crashes, each by
+    /// [`QUARANTINE_CRASHES`] that no other explains.
+    ///
+    /// Requests that ran together at every crash are not told apart, and none of them is quarantined:
+    /// the next crash of one of them will tell.
+    fn causes(&self) -> Vec<RequestDigest> {
+        let mut causes = Vec::new();
+        let mut explained = Vec::new();
+        let mut open: Vec<_> = self.by_digest.iter().filter(|(_, s)| s.may_be_cause()).collect();
+        while let Some((digest, suspect)) = open.iter().copied().min_by_key(|(_, suspect)| {
+            // Of two with as many, the later one's last crash may have had another reason.
+            (Reverse(suspect.unexplained(&explained).len()), suspect.change)
+        }) {
+            let own = suspect.unexplained(&explained);
+            if own.len() < QUARANTINE_CRASHES as usize {
+                break;
+            }
+            let others = self.by_digest.iter().filter(|(other, _)| *other != digest);
+            let is_tied = others
+                .filter(|(other, _)| !causes.contains(*other))
+                .any(|(_, other)| own.iter().all(|ended| other.endpoints.contains(ended)));
+            open.retain(|(other, _)| *other != digest);
+            if !is_tied {
+                causes.push(*digest);
+                explained.extend(own);
+            }
+        }
+        causes
+    }
+
+    /// Returns the endpoints that ended under any of these requests.
+    fn endpoints_of(&self, digests: &[RequestDigest]) -> Vec<&Incarnation> {
+        let suspects = digests.iter().filter_map(|digest| self.by_digest.get(digest));
+        suspects.flat_map(|suspect| &suspect.endpoints).collect()
+    }
+
     /// Returns what is known of every request at the group's time, for operators.
     pub fn all(&self) -> Vec<wire::Suspect> {
-        self.by_digest.keys().map(|digest| self.status(self.clock, digest)).collect()
+        let causes = self.causes();
+        let digests = self.by_digest.keys();
+        digests.map(|digest| self.status_beside(self.clock, digest, &causes)).collect()
     }
 
     /// Returns the requests that changed after change `seen` and `true`, or all requests and `false`
@@ -105,32 +160,30 @@
         if seen == self.change {
             return (Vec::new(), true);
         }
+        let causes = self.causes();
+        let status = |digest| self.status_beside(now, digest, &causes);
         let oldest = self.recent.front().map_or(u64::MAX, |(change, _)| *change);
         if seen == 0 || seen + 1 < oldest {
-            let all = self.by_digest.keys().map(|digest| self.status(now, digest));
-            return (all.collect(), false);
+            return (self.by_digest.keys().map(status).collect(), false);
         }
         let later = self.recent.iter().filter(|(change, _)| *change > seen);
         let digests: BTreeSet<&RequestDigest> = later.map(|(_, digest)| digest).collect();
-        (digests.into_iter().map(|digest| self.status(now, digest)).collect(), true)
+        (digests.into_iter().map(status).collect(), true)
     }
 
     /// Counts the end of an endpoint that ran a request. Each endpoint counts once.
-    ///
-    /// An end that a quarantined request explains doesn't count for the requests beside it.
     pub(super) fn crash(&mut self, crash: &wire::Crash) -> Option<wire::Suspect> {
         let digest = read_digest(&crash.digest)?;
         let now = self.advance(crash.now_ms);
         let name = crash.endpoint.to_compact_string();
-        let ended = Incarnation { name, number: crash.incarnation };
-        if self.is_explained(&ended) || !self.count(now, digest, ended) {
-            return Some(self.status(now, &digest));
-        }
-        self.record_change(digest);
-        if self.crashes(&digest) >= QUARANTINE_CRASHES {
-            self.clear_explained(&digest);
+        let causes = self.causes();
+        if self.count(now, digest, Incarnation { name, number: crash.incarnation }) {
+            match self.causes() == causes {
+                true => self.record_change(digest),
+                false => self.record_related(digest),
+            }
+            self.evict();
         }
-        self.evict();
         Some(self.status(now, &digest))
     }
 
@@ -138,18 +191,11 @@
     pub(super) fn clear(&mut self, clear: &wire::ClearSuspect) {
         self.advance(clear.now_ms);
         let Some(digest) = read_digest(&clear.digest) else { return };
-        if (1..QUARANTINE_CRASHES).contains(&self.crashes(&digest)) {
+        if !self.causes().contains(&digest) {
             self.remove(digest);
         }
     }
 
-    /// Returns whether a quarantined request has crashed this endpoint.
-    fn is_explained(&self, ended: &Incarnation) -> bool {
-        let mut quarantined =
-            self.by_digest.values().filter(|suspect| suspect.reached_quarantine());
-        quarantined.any(|suspect| suspect.endpoints.contains(ended))
-    }
-
     /// Returns `false` if the endpoint has been counted for this request.
     fn count(&mut self, now: u64, digest: RequestDigest, ended: Incarnation) -> bool {
         let suspect = self.by_digest.entry(digest).or_default();
@@ -162,34 +208,16 @@
         suspect.endpoints.push_back(ended);
         suspect.crashes += 1;
         suspect.last_ms = now;
+        suspect.change = self.change + 1;
         true
     }
 
-    /// Removes the crashes of a quarantined request from the requests that ran beside it.
-    fn clear_explained(&mut self, quarantined: &RequestDigest) {
-        let Some(explained) =
-            self.by_digest.get(quarantined).map(|suspect| suspect.endpoints.clone())
-        else {
-            return;
-        };
-        let mut changed = Vec::new();
-        for (digest, other) in &mut self.by_digest {
-            if other.reached_quarantine() || digest == quarantined {
-                continue;
-            }
-            let before = other.endpoints.len();
-            other.endpoints.retain(|ended| !explained.contains(ended));
-            other.crashes = u32::try_from(other.endpoints.len()).unwrap_or(u32::MAX);
-            if other.endpoints.len() < before {
-                changed.push(*digest);
-            }
-        }
-        for digest in changed {
-            match self.crashes(&digest) {
-                0 => self.remove(digest),
-                _ => self.record_change(digest),
-            }
-        }
+    /// Records a change of a request, and of those whose crashes it may explain now.
+    fn record_related(&mut self, digest: RequestDigest) {
+        let Some(suspect) = self.by_digest.get(&digest) else { return };
+        let related = self.by_digest.iter().filter(|(_, other)| other.shares_endpoint(suspect));
+        let related: Vec<RequestDigest> = related.map(|(other, _)| *other).collect();
+        related.into_iter().for_each(|other| self.record_change(other));
     }
 
     fn evict(&mut self) {
@@ -243,6 +271,7 @@
                 crashes: record.crashes,
                 endpoints: endpoints.collect(),
                 last_ms: record.last_ms,
+                change: record.change,
             };
             by_digest.insert(read_digest(&record.digest)?, suspect);
         }
@@ -252,19 +281,23 @@
 }
 
 impl Suspect {
-    /// Returns whether the request has been quarantined, also if its quarantine is over.
-    fn reached_quarantine(&self) -> bool {
+    /// Returns whether enough endpoints have ended for a quarantine.
+    fn may_be_cause(&self) -> bool {
         self.crashes >= QUARANTINE_CRASHES
     }
 
-    /// Returns the group's time at which the quarantine ends, or zero without one.
-    fn quarantine_end(&self) -> u64 {
-        if self.reached_quarantine() { self.last_ms + QUARANTINE_MS } else { 0 }
+    /// Returns the ended endpoints that are not among `explained`.
+    fn unexplained(&self, explained: &[&Incarnation]) -> Vec<&Incarnation> {
+        self.endpoints.iter().filter(|ended| !explained.contains(ended)).collect()
+    }
+
+    fn shares_endpoint(&self, other: &Suspect) -> bool {
+        self.endpoints.iter().any(|ended| other.endpoints.contains(ended))
     }
 
     fn expires_ms(&self) -> u64 {
         let retention =
-            if self.reached_quarantine() { QUARANTINED_RETENTION_MS } else { SUSPECT_RETENTION_MS };
+            if self.may_be_cause() { QUARANTINED_RETENTION_MS } else { SUSPECT_RETENTION_MS };
         self.last_ms + retention
     }
 }
@@ -279,5 +312,6 @@
         crashes: suspect.crashes,
         endpoints: endpoints.collect(),
         last_ms: suspect.last_ms,
+        change: suspect.change,
     }
 }
--- a/crates/core/tests/control_suspects.rs
+++ b/crates/core/tests/control_suspects.rs
@@ -75,14 +75,45 @@
         crash(&mut control, 1, endpoint, START_MS);
     }
     assert_eq!(status(&control, 2).crashes, 2);
+    let seen = control.suspects().change();
     crash(&mut control, 1, "c", START_MS);
     assert_eq!(status(&control, 2).crashes, 0, "explained by the quarantined request");
-    crash(&mut control, 2, "c", START_MS);
-    assert_eq!(status(&control, 2).crashes, 0, "reported after the quarantine");
+    let (changed, _) = control.suspects().changes_since(START_MS, seen);
+    assert_eq!(changed.len(), 2, "entry VMs learn of both");
     crash(&mut control, 2, "d", START_MS);
     assert_eq!(status(&control, 2).crashes, 1, "nothing else explains it");
 }
 
+/// Of two requests that ran together at every crash, the one that was reported first was refused,
+/// and the other one went on crashing endpoints.
+#[test]
+fn crash_of_requests_that_ran_together() {
+    for order in [[1, 2], [2, 1]] {
+        let mut control = Control::new();
+        for endpoint in ["a", "b", "c"] {
+            order
+                .iter()
+                .for_each(|request| drop(crash(&mut control, *request, endpoint, START_MS)));
+        }
+        let told_apart = [1, 2].map(|request| status(&control, request).quarantine_ms > 0);
+        assert_eq!(told_apart, [false, false], "either may have done it");
+        assert!(crash(&mut control, 1, "d", START_MS).quarantine_ms > 0);
+        assert_eq!(status(&control, 2).crashes, 0);
+    }
+}
+
+/// Two requests that crash endpoints were not both refused, since they had run together once.
+#[test]
+fn crash_of_two_bad_requests() {
+    let mut control = Control::new();
+    for (request, endpoint) in [(1, "a"), (2, "a"), (1, "b"), (1, "c"), (2, "d"), (2, "e")] {
+        crash(&mut control, request, endpoint, START_MS);
+    }
+    crash(&mut control, 2, "f", START_MS);
+    crash(&mut control, 1, "g", START_MS);
+    assert!([1, 2].iter().all(|request| status(&control, *request).quarantine_ms > 0));
+}
+
 /// A request that is answered between unrelated crashes was refused in the end.
 #[test]
 fn clear_of_answered_request() {
--- a/crates/gypsumglade/src/gateway/broken_attempt.rs
+++ b/crates/gypsumglade/src/gateway/broken_attempt.rs
@@ -3,10 +3,11 @@
 //! A broken attempt alone doesn't tell: an answer may be lost on its way, spoiled, or reset together
 //! with its connection while the endpoint goes on. An endpoint that has ended refuses connections.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use gypsumglade_core::prelude::*;
-use tokio::task::JoinHandle;
+use tokio::sync::oneshot;
 
 use super::call::Call;
 use super::placement::ActiveDispatch;
@@ -17,6 +18,10 @@
 /// between regions. A longer wait would cost callers more than the endpoint that it may save.
 const REPORT_WAIT: Duration = Duration::from_millis(250);
 
+/// Delay before an endpoint that still accepts connections is probed again. A process that ends
+/// closes its connections and its listener one after the other.
+const PROBE_DELAY: Duration = Duration::from_millis(50);
+
 /// What is known of an endpoint after it broke off an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EndpointState {
@@ -43,12 +48,14 @@
 }
 
 /// A report on a broken attempt, which continues in the background.
-pub(super) struct CrashReport(JoinHandle<()>);
+pub(super) struct CrashReport(oneshot::Receiver<()>);
 
 impl CrashReport {
-    /// Waits until a crash is recorded, so that a retry of the request respects it.
+    /// Waits until a crash is recorded, so that a retry of the request respects it. An endpoint that
+    /// accepts connections isn't waited for.
     pub(super) async fn finish(self) {
-        // On a timeout, the count of this VM applies.
+        // The sender is dropped when there is nothing more to wait for, and on a timeout the count
+        // of this VM applies.
         let _ = tokio::time::timeout(REPORT_WAIT, self.0).await;
     }
 }
@@ -67,22 +74,34 @@
         "beside" => dispatch.others_in_flight()));
     let (name, incarnation) = (dispatch.name.clone(), dispatch.incarnation);
     let (address, leaving) = (dispatch.address, dispatch.is_leaving());
+    let (recorded, report) = oneshot::channel();
     // Another copy of the request must not start before the crash is recorded.
     let trial = dispatch.take_trial();
     dispatch.failed();
     let state = Arc::clone(state);
-    CrashReport(tokio::spawn(async move {
-        let endpoint = match state.connections.probe(address).await {
-            Some(true) => EndpointState::Running,
-            Some(false) if leaving => EndpointState::Leaving,
-            Some(false) => EndpointState::Ended,
-            None => EndpointState::Silent,
-        };
+    tokio::spawn(async move {
+        let mut recorded = Some(recorded);
+        let mut endpoint = probe(&state, address, leaving).await;
+        if endpoint == EndpointState::Running {
+            recorded = None;
+            tokio::time::sleep(PROBE_DELAY).await;
+            endpoint = probe(&state, address, leaving).await;
+        }
         state.metrics.broken_attempt(endpoint.name());
         slog::info!(log, "endpoint broke off an attempt"; "state" => endpoint.name());
         if endpoint == EndpointState::Ended {
             report_crash(&state, digest, name, incarnation).await;
         }
-        drop(trial);
-    }))
+        drop((trial, recorded));
+    });
+    CrashReport(report)
+}
+
+async fn probe(state: &GatewayState, address: SocketAddr, leaving: bool) -> EndpointState {
+    match state.connections.probe(address).await {
+        Some(true) => EndpointState::Running,
+        Some(false) if leaving => EndpointState::Leaving,
+        Some(false) => EndpointState::Ended,
+        None => EndpointState::Silent,
+    }
 }
--- a/crates/gypsumglade/src/gateway/suspect_table.rs
+++ b/crates/gypsumglade/src/gateway/suspect_table.rs
@@ -3,24 +3,40 @@
 use std::collections::HashMap;
 
 use gypsumglade_core::control::suspects::{
-    QUARANTINE_CRASHES, QUARANTINE_MS, RequestDigest, SUSPECT_RETENTION_MS, read_digest,
+    QUARANTINE_CRASHES, RequestDigest, SUSPECT_RETENTION_MS, read_digest,
 };
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::Suspect;
 
+/// How long a crash counts that this VM could not report.
+const UNREPORTED_RETENTION: Duration = Duration::from_millis(SUSPECT_RETENTION_MS);
+
 /// What is known of one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Suspicion {
-    /// Number of endpoints that ended while they ran it.
-    pub(super) crashes: u32,
+    /// Number of endpoints that ended while they ran it, according to the control group.
+    recorded: u32,
+    /// Number of those that this VM has seen and that the group hasn't recorded yet.
+    unreported: u32,
     quarantine_end: Time,
     expires: Time,
 }
 
 impl Suspicion {
+    /// Returns the number of endpoints that ended while they ran the request.
+    pub(super) fn crashes(&self) -> u32 {
+        self.recorded + self.unreported
+    }
+
     /// Returns the remaining time of the quarantine, or `None` without one.
+    ///
+    /// While the control group doesn't answer, the crashes that this VM has seen count alone.
     pub(super) fn quarantine(&self, now: Time) -> Option<Duration> {
-        (self.quarantine_end > now).then(|| self.quarantine_end.since(now))
+        let end = match self.unreported >= QUARANTINE_CRASHES {
+            true => self.expires,
+            false => self.quarantine_end,
+        };
+        (end > now).then(|| end.since(now))
     }
 }
 
@@ -45,7 +61,8 @@
     /// changed if `delta` is true.
     pub(super) fn apply(&mut self, now: Time, suspects: &[Suspect], delta: bool) {
         if !delta {
-            self.by_digest.clear();
+            self.by_digest.retain(|_, known| known.unreported > 0);
+            self.by_digest.values_mut().for_each(|known| known.recorded = 0);
         }
         for suspect in suspects {
             self.update(now, suspect);
@@ -56,27 +73,29 @@
     /// Takes in what the control group knows of one request.
     pub(super) fn update(&mut self, now: Time, suspect: &Suspect) {
         let Some(digest) = read_digest(&suspect.digest) else { return };
-        if suspect.crashes == 0 {
+        let known = self.by_digest.entry(digest).or_default();
+        known.recorded = suspect.crashes;
+        known.quarantine_end = now + Duration::from_millis(suspect.quarantine_ms);
+        let kept = if known.unreported > 0 { known.expires } else { Time::ZERO };
+        known.expires = kept.max(now + Duration::from_millis(suspect.left_ms));
+        if known.crashes() == 0 {
             self.by_digest.remove(&digest);
-            return;
         }
-        let known = Suspicion {
-            crashes: suspect.crashes,
-            quarantine_end: now + Duration::from_millis(suspect.quarantine_ms),
-            expires: now + Duration::from_millis(suspect.left_ms),
-        };
-        self.by_digest.insert(digest, known);
     }
 
-    /// Counts a crash that this VM has seen, until the control group's count replaces it.
+    /// Counts a crash that this VM has seen.
     pub(super) fn record_crash(&mut self, now: Time, digest: RequestDigest) {
-        let crashes = self.get(now, &digest).map_or(0, |known| known.crashes) + 1;
-        let quarantine_ms = if crashes >= QUARANTINE_CRASHES { QUARANTINE_MS } else { 0 };
-        let known = Suspicion {
-            crashes,
-            quarantine_end: now + Duration::from_millis(quarantine_ms),
-            expires: now + Duration::from_millis(quarantine_ms.max(SUSPECT_RETENTION_MS)),
-        };
-        self.by_digest.insert(digest, known);
+        let known = self.by_digest.entry(digest).or_default();
+        known.unreported += 1;
+        known.expires = known.expires.max(now + UNREPORTED_RETENTION);
+    }
+
+    /// Takes in the control group's answer to the report of a crash that this VM has seen.
+    pub(super) fn reported(&mut self, now: Time, suspect: &Suspect) {
+        let digest = read_digest(&suspect.digest);
+        if let Some(known) = digest.and_then(|digest| self.by_digest.get_mut(&digest)) {
+            known.unreported = known.unreported.saturating_sub(1);
+        }
+        self.update(now, suspect);
     }
 }
--- a/crates/gypsumglade/src/gateway/suspects.rs
+++ b/crates/gypsumglade/src/gateway/suspects.rs
@@ -132,6 +132,7 @@
         endpoint: endpoint.to_string(),
         lasts_ms: u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX),
         trial: trial.id,
+        crashes: known.crashes(),
     };
     let answer = state.suspects.ask(CommandBody::BeginTrial(begin), TRIAL_LIMITS).await;
     let decision = match answer {
@@ -139,11 +140,11 @@
         Some(AnswerBody::Suspect(suspect)) => {
             state.suspects.table().update(state.clock.now(), &suspect);
             check(state, call)?;
-            TrialDecision::Proceed(None)
+            TrialDecision::Wait
         }
         Some(AnswerBody::TrialPending(_)) => TrialDecision::Wait,
         // A request that ran beside one crash is probably harmless. Without a leader it may run.
-        _ if known.crashes < ISOLATION_CRASHES => TrialDecision::Proceed(None),
+        _ if known.crashes() < ISOLATION_CRASHES => TrialDecision::Proceed(None),
         _ => return Err(Refusal::Unavailable { retry_after: TRIAL_RETRY_AFTER }),
     };
     let outcome = match &decision {
@@ -197,7 +198,7 @@
     for _ in 0..REPORT_ATTEMPTS {
         let body = CommandBody::Crash(crash.clone());
         if let Some(AnswerBody::Suspect(known)) = state.suspects.ask(body, PROGRAM_LIMITS).await {
-            state.suspects.table().update(state.clock.now(), &known);
+            state.suspects.table().reported(state.clock.now(), &known);
             return;
         }
     }
--- a/crates/gypsumglade/src/store/control_group/suspects.rs
+++ b/crates/gypsumglade/src/store/control_group/suspects.rs
@@ -91,12 +91,12 @@
         let now = self.context.clock.now();
         let ControlState { control, trials, .. } = state;
         let status = control.suspects().status(trials.millis(now), &digest);
-        if status.crashes == 0 || status.quarantine_ms > 0 {
+        if status.quarantine_ms > 0 {
             return AnswerBody::Suspect(status);
         }
         let request = TrialRequest {
             digest,
-            crashes: status.crashes,
+            crashes: status.crashes.max(begin.crashes),
             endpoint: begin.endpoint.to_compact_string(),
             id: begin.trial,
             lasts: Duration::from_millis(begin.lasts_ms).min(MAX_TRIAL),
