--- a/crates/gypsumglade/src/gateway/leader_search.rs
+++ b/crates/gypsumglade/src/gateway/leader_search.rs
@@ -68,10 +68,11 @@
         });
     }
 
-    /// Starts a search unless one is running. Calls `found` once a leader is found.
-    pub(super) fn start(&self, found: impl FnOnce() + Send + 'static) {
+    /// Starts a search unless one is running. Calls `found` once a leader is found. Returns whether a
+    /// search was started.
+    pub(super) fn start(&self, found: impl FnOnce() + Send + 'static) -> bool {
         if self.shared.searching.swap(true, Ordering::AcqRel) {
-            return;
+            return false;
         }
         let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
@@ -84,6 +85,7 @@
             // own waits for this one to end.
             shared.leader.send_modify(|known| *known = leader.ok().or(*known));
         });
+        true
     }
 }
 
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod suspect_table;
 mod suspects;
 mod text_client;
+mod turn_calls;
 mod turn_client;
 
 pub use dialect::{
--- a/crates/gypsumglade/src/gateway/turn_client.rs
+++ b/crates/gypsumglade/src/gateway/turn_client.rs
@@ -1,7 +1,7 @@
 //! Client of the turn group.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
 
 use gypsumglade_core::policy::group_health::{
     Decision, GroupHealth, HealthChange, RequestEnd, RequestId, WaitRequest,
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::leader_search::LeaderSearch;
+use super::turn_calls::{LOG_INTERVAL, TurnCalls};
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::rpc::{Method, PeerClients};
@@ -41,6 +42,7 @@
     log: slog::Logger,
     health: Mutex<GroupHealth>,
     search: LeaderSearch,
+    calls: TurnCalls,
 }
 
 /// Permission to send one command; see [`TurnClient::admit`].
@@ -69,7 +71,11 @@
     ) -> TurnClient {
         let search = LeaderSearch::new(Arc::clone(&directory), peers.clone());
         let health = Mutex::default();
-        TurnClient { shared: Arc::new(Shared { directory, peers, clock, log, health, search }) }
+        let calls = TurnCalls::default();
+        let shared =
+            Arc::new(Shared { directory, peers, clock, log: log.clone(), health, search, calls });
+        tokio::spawn(log_calls(Arc::downgrade(&shared), log));
+        TurnClient { shared }
     }
 
     /// Decides whether a command may be sent for a caller, which then waits for the answer.
@@ -84,6 +90,7 @@
                 Ok(AskPermit { guard, timeout })
             }
             Decision::Refuse { retry_after, reason } => {
+                self.shared.calls.refused();
                 Err(AskRefused { retry_after, reason: reason.name() })
             }
         }
@@ -166,6 +173,7 @@
         address: SocketAddr,
         leaders: &mut watch::Receiver<Option<VmId>>,
     ) -> AskOutcome {
+        self.calls.sent();
         let asking = self.peers.ask::<_, Reply>(address, Method::Turn, command, CALL_TIMEOUT);
         tokio::pin!(asking);
         let slow = tokio::time::sleep(SEARCH_DELAY);
@@ -192,12 +200,15 @@
             Ok(Some(ReplyBody::Uncertain(_)) | None) | Err(_) => self.search.leader_lost(vm, None),
             Ok(Some(body)) => return AskOutcome::Answered(body),
         }
+        self.calls.failed();
         AskOutcome::Failed
     }
 
     fn find_leader(self: &Arc<Self>) {
         let shared = Arc::clone(self);
-        self.search.start(move || shared.health().leader_found());
+        if self.search.start(move || shared.health().leader_found()) {
+            self.calls.searched();
+        }
     }
 
     fn health(&self) -> MutexGuard<'_, GroupHealth> {
@@ -205,6 +216,14 @@
     }
 }
 
+async fn log_calls(shared: Weak<Shared>, log: slog::Logger) {
+    while let Some(shared) = shared.upgrade() {
+        shared.calls.log(&log);
+        drop(shared);
+        tokio::time::sleep(LOG_INTERVAL).await;
+    }
+}
+
 /// A command that [`GroupHealth`] counts as in flight until its end, or until the guard is dropped.
 struct AskGuard {
     shared: Arc<Shared>,
@@ -218,6 +237,7 @@
 
     fn record_end(&mut self, end: RequestEnd) {
         let Some(id) = self.id.take() else { return };
+        self.shared.calls.ended(end);
         let change = self.shared.health().end(self.shared.clock.now(), id, end);
         match change {
             None => {}
--- a/crates/gypsumglade/src/store/mod.rs
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -16,6 +16,7 @@
 mod text_copies;
 mod text_holder;
 pub mod turn_group;
+mod turn_load;
 
 pub use context::ReleaseAnswer;
 pub(crate) use gauges::metrics_page;
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -23,6 +23,7 @@
 use super::text_copies::TextCopies;
 use super::text_holder::TextHolder;
 use super::turn_group::TurnGroup;
+use super::turn_load::log_load;
 use crate::admin;
 use crate::clock::Clock;
 use crate::directory::Directory;
@@ -317,6 +318,7 @@
     tokio::spawn(Arc::clone(&state.control).run(receiver));
     let (turn_events, receiver) = mpsc::channel(EVENT_BUFFER);
     tokio::spawn(Arc::clone(&state.turns).run(receiver));
+    tokio::spawn(log_load(Arc::downgrade(&state.turns), context.log.clone()));
     let senders = GroupSenders { control: control_events, turns: turn_events };
     tokio::spawn(route_events(Arc::clone(context), senders, events));
     for group in (0..=count).map(GroupId).chain([GroupId::TURNS]) {
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -18,9 +18,11 @@
 };
 use prost::Message as _;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::context::StoreContext;
 use super::pending_answers::PendingAnswers;
+use super::turn_load::TurnLoad;
 use crate::clock::Clock;
 use crate::replica::{Event, ProposeError, ReadError};
 
@@ -32,6 +34,7 @@
 pub struct TurnGroup {
     context: Arc<StoreContext>,
     state: Mutex<TurnState>,
+    pub(super) load: TurnLoad,
 }
 
 #[derive(Default)]
@@ -59,7 +62,7 @@
 impl TurnGroup {
     /// Creates the group's state machine, empty until the log is delivered.
     pub fn new(context: Arc<StoreContext>) -> Arc<TurnGroup> {
-        Arc::new(TurnGroup { context, state: Mutex::default() })
+        Arc::new(TurnGroup { context, state: Mutex::default(), load: TurnLoad::default() })
     }
 
     /// Applies replication events until the process ends.
@@ -83,7 +86,15 @@
     /// Serves an entry VM's command and answers once it is committed.
     ///
     /// Answers are computed in log order, so the same tokens are never granted to two entry VMs.
-    pub async fn ask(self: &Arc<Self>, mut command: Command) -> Reply {
+    pub async fn ask(self: &Arc<Self>, command: Command) -> Reply {
+        self.load.arrived(&command);
+        let began = Instant::now();
+        let reply = self.serve(command).await;
+        self.load.answered(began);
+        reply
+    }
+
+    async fn serve(self: &Arc<Self>, mut command: Command) -> Reply {
         if let Some(CommandBody::Draw(draw)) = &command.body {
             return Reply { body: Some(self.draw(draw).await) };
         }
@@ -295,6 +306,7 @@
 
     /// Returns which of these turns are still kept, if this store leads the group.
     pub async fn still_kept(&self, query: &KeptQuery) -> KeptReply {
+        self.load.queried();
         let barrier = self.context.host.read_barrier(GroupId::TURNS).await;
         let state = self.state();
         match barrier {
