Limit callers that wait for the turn group by how fast its leader answers

Cause: commands queued at the leader without a limit. Each gateway let 256 callers wait. After the 1.2 s of an election the new leader got the whole backlog, answered it after its callers had given up, and their retries (1,500 reserves a second instead of 700) kept it that way. Class: work for callers that have given up, kept up by their retries.

Change: each process has a window of waiting callers that shrinks with slow answers and timeouts and grows with fast ones. Windows grow and shrink in proportion, so that zones with fewer entry VMs keep their share.

--- a/crates/core/src/policy/group_health.rs
+++ b/crates/core/src/policy/group_health.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 
+use super::send_window::SendWindow;
 use crate::prelude::*;
 
 /// Time without an answer after which a group counts as lost. Longer than an election, which is
@@ -27,8 +28,6 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Part of the retry delay that is randomised.
 const RETRY_JITTER: f64 = 0.4;
-/// Maximum number of callers that wait at the same time.
-const MAX_WAITING: usize = 256;
 /// Maximum number of bytes that waiting callers hold.
 const MAX_BYTES: usize = 8 << 20;
 
@@ -68,7 +67,7 @@
 pub enum RefusalReason {
     /// The group hasn't answered for [`LOST_AFTER`].
     Lost,
-    /// The maximum of waiting callers or of their bytes is reached.
+    /// More callers would wait than the group can answer in time, or they would hold too many bytes.
     Crowded,
 }
 
@@ -91,6 +90,9 @@
 pub enum RequestEnd {
     /// The group answered.
     Answered,
+    /// The group answered, and its leader took this long. Unlike the whole time, this is the same
+    /// for entry VMs near to the leader and far from it.
+    AnsweredAfter(Duration),
     /// The group didn't answer in time.
     TimedOut,
     /// The caller stopped waiting, which tells nothing about the group.
@@ -129,6 +131,7 @@
     leader_known: bool,
     /// Whether the loss of the group was reported.
     loss_reported: bool,
+    window: SendWindow,
 }
 
 impl GroupHealth {
@@ -148,7 +151,9 @@
             };
         };
         let bytes: usize = self.in_flight.iter().map(|entry| entry.bytes).sum();
-        if self.in_flight.len() >= MAX_WAITING || bytes + request.bytes > MAX_BYTES {
+        if !self.window.allows(self.in_flight.len(), request.jitter)
+            || bytes + request.bytes > MAX_BYTES
+        {
             return Decision::Refuse {
                 retry_after: self.retry_after(now, request),
                 reason: RefusalReason::Crowded,
@@ -172,15 +177,22 @@
     pub fn end(&mut self, now: Time, id: RequestId, end: RequestEnd) -> Option<HealthChange> {
         let silence = self.silence(now);
         let at = self.in_flight.iter().position(|entry| entry.id == id)?;
+        let in_flight = self.in_flight.len();
         let ended = self.in_flight.remove(at)?;
         match end {
-            RequestEnd::Answered => {
+            RequestEnd::Answered | RequestEnd::AnsweredAfter(_) => {
+                let took = match end {
+                    RequestEnd::AnsweredAfter(took) => took,
+                    _ => now.since(ended.since),
+                };
+                self.window.answered(now, ended.since, took, in_flight);
                 self.last_answer = now;
                 self.failing_since = None;
                 let reported = std::mem::take(&mut self.loss_reported);
                 reported.then_some(HealthChange::Recovered(silence))
             }
             RequestEnd::TimedOut => {
+                self.window.timed_out(now, ended.since);
                 let since = ended.since.max(self.last_answer);
                 self.failing_since =
                     Some(self.failing_since.map_or(since, |earlier| earlier.min(since)));
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -13,6 +13,7 @@
 //! - [`attempt_timeout`]: time that an attempt of a repeatable call may take.
 //! - [`outlier`]: ejection and slow start of endpoints.
 //! - [`group_health`]: whether a replicated group answers, and which callers may wait for it.
+//! - [`send_window`]: how many requests may be in flight to one server.
 //! - [`stall`]: detection of pauses of this process.
 //! - [`mechanism`]: list of the mechanisms that can be disabled.
 
@@ -29,6 +30,7 @@
 pub mod retention;
 pub mod retry;
 pub mod route;
+pub mod send_window;
 pub mod stall;
 
 pub use crate::wire::common::Class;
--- a/crates/core/src/turns/state.rs
+++ b/crates/core/src/turns/state.rs
@@ -34,7 +34,7 @@
             // Draws are answered by the leader and never proposed.
             Some(CommandBody::Draw(_)) | None => ReplyBody::Uncertain(wire::Uncertain {}),
         };
-        wire::Reply { body: Some(body) }
+        wire::Reply { body: Some(body), ..wire::Reply::default() }
     }
 
     /// Returns the number of recorded turns, including those that are only held for a turn in
--- a/crates/gypsumglade/src/gateway/turn_calls.rs
+++ b/crates/gypsumglade/src/gateway/turn_calls.rs
@@ -33,7 +33,7 @@
     /// Counts the end of a call.
     pub(super) fn ended(&self, end: RequestEnd) {
         self.update(|counts| match end {
-            RequestEnd::Answered => counts.answered += 1,
+            RequestEnd::Answered | RequestEnd::AnsweredAfter(_) => counts.answered += 1,
             RequestEnd::TimedOut => counts.timed_out += 1,
             RequestEnd::Cancelled => counts.cancelled += 1,
         });
--- a/crates/gypsumglade/src/gateway/turn_client.rs
+++ b/crates/gypsumglade/src/gateway/turn_client.rs
@@ -52,9 +52,16 @@
     pub(crate) timeout: Duration,
 }
 
+/// Answer of the leader.
+struct Answer {
+    body: ReplyBody,
+    /// Time that the leader took, as it says.
+    took: Option<Duration>,
+}
+
 /// Result of one call to the believed leader.
 enum AskOutcome {
-    Answered(ReplyBody),
+    Answered(Answer),
     /// No usable answer; the command may have been executed.
     Failed,
     /// A different store turned out to lead.
@@ -135,15 +142,19 @@
         let command = Command { body: Some(body) };
         let deadline = Instant::now() + timeout;
         let answer = tokio::time::timeout_at(deadline, self.ask_leader(&command)).await.ok();
-        guard.end(if answer.is_some() { RequestEnd::Answered } else { RequestEnd::TimedOut });
-        answer
+        guard.end(match &answer {
+            Some(Answer { took: Some(took), .. }) => RequestEnd::AnsweredAfter(*took),
+            Some(Answer { took: None, .. }) => RequestEnd::Answered,
+            None => RequestEnd::TimedOut,
+        });
+        answer.map(|answer| answer.body)
     }
 
     /// Sends a command to the current leader until it answers.
     ///
     /// All commands of this process share one search for the leader; a search for each could overload
     /// the stores during an election.
-    async fn ask_leader(self: &Arc<Self>, command: &Command) -> ReplyBody {
+    async fn ask_leader(self: &Arc<Self>, command: &Command) -> Answer {
         let mut leaders = self.search.subscribe();
         let mut backoff = INITIAL_BACKOFF;
         loop {
@@ -156,7 +167,7 @@
                 continue;
             };
             match self.ask_once(command, vm, address, &mut leaders).await {
-                AskOutcome::Answered(body) => return body,
+                AskOutcome::Answered(answer) => return answer,
                 AskOutcome::LeaderChanged => {}
                 AskOutcome::Failed => {
                     tokio::time::sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
@@ -193,12 +204,14 @@
                 }
             }
         };
+        let took = reply.as_ref().ok().and_then(|reply| reply.took_ms);
+        let took = took.map(|millis| Duration::from_millis(millis.into()));
         match reply.map(|reply| reply.body) {
             Ok(Some(ReplyBody::NotLeader(hint))) => {
                 self.search.leader_lost(vm, Some(VmId(hint.leader)))
             }
             Ok(Some(ReplyBody::Uncertain(_)) | None) | Err(_) => self.search.leader_lost(vm, None),
-            Ok(Some(body)) => return AskOutcome::Answered(body),
+            Ok(Some(body)) => return AskOutcome::Answered(Answer { body, took }),
         }
         self.calls.failed();
         AskOutcome::Failed
--- a/crates/gypsumglade/src/store/turn_group.rs
+++ b/crates/gypsumglade/src/store/turn_group.rs
@@ -89,19 +89,21 @@
     pub async fn ask(self: &Arc<Self>, command: Command) -> Reply {
         self.load.arrived(&command);
         let began = Instant::now();
-        let reply = self.serve(command).await;
-        self.load.answered(began);
+        let mut reply = self.serve(command).await;
+        let took = began.elapsed();
+        self.load.answered(took);
+        reply.took_ms = Some(took.as_millis().try_into().unwrap_or(u32::MAX));
         reply
     }
 
     async fn serve(self: &Arc<Self>, mut command: Command) -> Reply {
         if let Some(CommandBody::Draw(draw)) = &command.body {
-            return Reply { body: Some(self.draw(draw).await) };
+            return reply(self.draw(draw).await);
         }
         let Some(time) = self.command_time() else {
             // A follower redirects to its leader. A leader without a usable state answers
             // `uncertain`, and has transferred its leadership by the time of a retry.
-            return Reply { body: Some(self.not_ready_reply().await) };
+            return reply(self.not_ready_reply().await);
         };
         set_time(&mut command, time);
         if let Some(CommandBody::Settle(settle)) = &command.body {
@@ -116,10 +118,8 @@
                 let reply = self.answer_at(index).await;
                 self.assign(reply, request)
             }
-            Err(ProposeError::NotLeader { hint }) => Reply { body: Some(self.redirect(hint)) },
-            Err(ProposeError::Dropped | ProposeError::Uncertain) => {
-                Reply { body: Some(uncertain()) }
-            }
+            Err(ProposeError::NotLeader { hint }) => reply(self.redirect(hint)),
+            Err(ProposeError::Dropped | ProposeError::Uncertain) => reply(uncertain()),
         }
     }
 
@@ -257,13 +257,13 @@
 
     async fn answer_at(&self, index: LogIndex) -> Reply {
         let found = self.state().answers.lookup(index);
-        found.wait().await.unwrap_or_else(|| Reply { body: Some(uncertain()) })
+        found.wait().await.unwrap_or_else(|| reply(uncertain()))
     }
 
     fn apply_committed(&self, index: LogIndex, data: Bytes) {
         let mut state = self.state();
         if state.unusable {
-            return state.answers.record(index, Some(&Reply { body: Some(uncertain()) }));
+            return state.answers.record(index, Some(&reply(uncertain())));
         }
         if data.is_empty() {
             return state.answers.record(index, None);
@@ -415,6 +415,10 @@
     }
 }
 
+fn reply(body: ReplyBody) -> Reply {
+    Reply { body: Some(body), ..Reply::default() }
+}
+
 fn uncertain() -> ReplyBody {
     ReplyBody::Uncertain(Uncertain {})
 }
--- a/crates/gypsumglade/src/store/turn_load.rs
+++ b/crates/gypsumglade/src/store/turn_load.rs
@@ -48,9 +48,8 @@
         }
     }
 
-    /// Counts the answer to a command that arrived at `began`.
-    pub(super) fn answered(&self, began: Instant) {
-        let took = began.elapsed();
+    /// Counts the answer to a command that arrived `took` before.
+    pub(super) fn answered(&self, took: Duration) {
         let mut counts = self.counts.lock().expect("no panic while held");
         counts.waiting = counts.waiting.saturating_sub(1);
         counts.answered += 1;
