Keep commands and connections with a busy leader

Cause: a command that the leader had not answered after 500 ms was sent again, and the connection was closed and opened anew, though the leader answered other commands on it all the while. Each command slower than 150 ms also started a search for another leader, which asks all stores. Class: a slow answer taken for a lost process.

Change: a command waits until its connection has been silent for 500 ms; a search starts when no command has been answered for 150 ms.

ask_responsive_busy_store has a store that answers other calls while a command takes 1 s: one command reaches it. With the call used before, the command is lost after the time limit. ask_responsive_silent_store keeps the failover.

--- a/crates/gypsumglade/src/gateway/turn_client.rs
+++ b/crates/gypsumglade/src/gateway/turn_client.rs
@@ -19,10 +19,10 @@
 use crate::directory::Directory;
 use crate::rpc::{Method, PeerClients};
 
-/// Time limit of a call to one store: ten times the duration of a commit across regions, which takes
-/// two round trips and two syncs, some 50 ms.
+/// Silence of a store after which a command is sent again: ten times the duration of a commit across
+/// regions, which takes two round trips and two syncs, some 50 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long the leader may take before a search for another leader starts.
+/// How long the leader may answer no command before a search for another leader starts.
 const SEARCH_DELAY: Duration = Duration::from_millis(150);
 /// Delay before the first retry after a failed call; it doubles with each.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(25);
@@ -43,6 +43,8 @@
     health: Mutex<GroupHealth>,
     search: LeaderSearch,
     calls: TurnCalls,
+    /// Time of the last answer of a leader.
+    last_answer: Mutex<Instant>,
 }
 
 /// Permission to send one command; see [`TurnClient::admit`].
@@ -79,8 +81,16 @@
         let search = LeaderSearch::new(Arc::clone(&directory), peers.clone());
         let health = Mutex::default();
         let calls = TurnCalls::default();
-        let shared =
-            Arc::new(Shared { directory, peers, clock, log: log.clone(), health, search, calls });
+        let shared = Arc::new(Shared {
+            directory,
+            peers,
+            clock,
+            log: log.clone(),
+            health,
+            search,
+            calls,
+            last_answer: Mutex::new(Instant::now()),
+        });
         tokio::spawn(log_calls(Arc::downgrade(&shared), log));
         TurnClient { shared }
     }
@@ -185,17 +195,21 @@
         leaders: &mut watch::Receiver<Option<VmId>>,
     ) -> AskOutcome {
         self.calls.sent();
-        let asking = self.peers.ask::<_, Reply>(address, Method::Turn, command, CALL_TIMEOUT);
+        let asking =
+            self.peers.ask_responsive::<_, Reply>(address, Method::Turn, command, CALL_TIMEOUT);
         tokio::pin!(asking);
-        let slow = tokio::time::sleep(SEARCH_DELAY);
-        tokio::pin!(slow);
+        let sent = Instant::now();
         let mut searched = false;
         let reply = loop {
+            // A leader that answers other commands is only busy.
+            let search_at = sent.max(self.last_answer()) + SEARCH_DELAY;
             tokio::select! {
                 reply = &mut asking => break reply,
-                () = &mut slow, if !searched => {
-                    searched = true;
-                    self.find_leader();
+                () = tokio::time::sleep_until(search_at), if !searched => {
+                    if self.last_answer() + SEARCH_DELAY <= Instant::now() {
+                        searched = true;
+                        self.find_leader();
+                    }
                 }
                 changed = leaders.wait_for(|leader| leader.is_some_and(|leader| leader != vm)) => {
                     // Both stores may execute the command, which is idempotent by turn id.
@@ -211,7 +225,10 @@
                 self.search.leader_lost(vm, Some(VmId(hint.leader)))
             }
             Ok(Some(ReplyBody::Uncertain(_)) | None) | Err(_) => self.search.leader_lost(vm, None),
-            Ok(Some(body)) => return AskOutcome::Answered(Answer { body, took }),
+            Ok(Some(body)) => {
+                *self.last_answer.lock().expect("no panic while held") = Instant::now();
+                return AskOutcome::Answered(Answer { body, took });
+            }
         }
         self.calls.failed();
         AskOutcome::Failed
@@ -224,6 +241,10 @@
         }
     }
 
+    fn last_answer(&self) -> Instant {
+        *self.last_answer.lock().expect("no panic while held")
+    }
+
     fn health(&self) -> MutexGuard<'_, GroupHealth> {
         self.health.lock().expect("no panic while held")
     }
--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -36,6 +36,10 @@
 const MIN_PROGRESS: u64 = 4 * 1024;
 /// Longest duration of a [`PeerClients::fetch`], in timeouts.
 const MAX_FETCH_TIMEOUTS: u32 = 12;
+/// Number of checks within the timeout of a [`PeerClients::ask_responsive`] for new bytes.
+const SILENCE_CHECKS: u32 = 5;
+/// Longest duration of a [`PeerClients::ask_responsive`], in timeouts.
+const MAX_RESPONSIVE_TIMEOUTS: u32 = 10;
 /// Maximum number of calls in flight on one connection.
 const MAX_CALLS: usize = 8_192;
 
@@ -83,6 +87,8 @@
     Total(Duration),
     /// For as long as bytes arrive within each timeout.
     Progress(Duration),
+    /// Until the connection has been silent for the timeout.
+    Silence(Duration),
 }
 
 impl PeerClients {
@@ -146,6 +152,27 @@
         self.ask_within(address, method, request, Limit::Progress(timeout)).await
     }
 
+    /// Sends a protobuf message, and waits until the other process has sent nothing for `timeout`.
+    ///
+    /// A process that answers other calls is only busy. Repeating the call, or opening another
+    /// connection, would add to its load.
+    ///
+    /// # Errors
+    /// Fails as [`PeerClients::ask`] does.
+    pub async fn ask_responsive<Q, A>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        request: &Q,
+        timeout: Duration,
+    ) -> Result<A, RpcError>
+    where
+        Q: Message,
+        A: Message + Default,
+    {
+        self.ask_within(address, method, request, Limit::Silence(timeout)).await
+    }
+
     async fn ask_within<Q, A>(
         &self,
         address: SocketAddr,
@@ -171,7 +198,7 @@
         parameters: ArrayParams,
         limit: Limit,
     ) -> Result<String, RpcError> {
-        let (Limit::Total(timeout) | Limit::Progress(timeout)) = limit;
+        let (Limit::Total(timeout) | Limit::Progress(timeout) | Limit::Silence(timeout)) = limit;
         let deadline = tokio::time::Instant::now() + timeout;
         let opening = tokio::time::timeout_at(deadline, self.client(address)).await;
         let client = opening.map_err(|_| RpcError::Unreachable(address))??;
@@ -179,6 +206,7 @@
         let answer = match limit {
             Limit::Total(_) => tokio::time::timeout_at(deadline, request).await.ok(),
             Limit::Progress(_) => while_bytes_arrive(request, &client.received, timeout).await,
+            Limit::Silence(_) => until_silent(request, &client.received, timeout).await,
         };
         match answer {
             Some(Ok(text)) => Ok(text),
@@ -323,3 +351,27 @@
     }
     None
 }
+
+/// Awaits an answer until no bytes have arrived for `timeout`. Returns `None` then.
+async fn until_silent<T>(
+    request: impl Future<Output = T>,
+    received: &Received,
+    timeout: Duration,
+) -> Option<T> {
+    let mut request = std::pin::pin!(request);
+    let mut before = received.bytes();
+    let mut silent_checks = 0;
+    for _ in 0..SILENCE_CHECKS * MAX_RESPONSIVE_TIMEOUTS {
+        let check = timeout / SILENCE_CHECKS;
+        if let Ok(answer) = tokio::time::timeout(check, request.as_mut()).await {
+            return Some(answer);
+        }
+        let now = received.bytes();
+        silent_checks = if now == before { silent_checks + 1 } else { 0 };
+        if silent_checks == SILENCE_CHECKS {
+            return None;
+        }
+        before = now;
+    }
+    None
+}
--- a/crates/gypsumglade/tests/rpc_reconnect.rs
+++ b/crates/gypsumglade/tests/rpc_reconnect.rs
@@ -1,11 +1,14 @@
-//! Calls to a process that was unreachable a moment ago.
+//! Calls to a process that was unreachable a moment ago, or that is busy.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use gypsumglade::listener::ListenerOptions;
-use gypsumglade::rpc::{Method, PeerClients, RpcError, RpcServer};
+use gypsumglade::rpc::{Method, PeerClients, RpcError, RpcServer, encode};
 use gypsumglade::secret::Secret;
+use gypsumglade_core::wire::turn::{Command, Reply};
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::types::ErrorObjectOwned;
@@ -43,3 +46,64 @@
         assert_eq!(call().await.as_deref(), Ok(ANSWER));
     }
 }
+
+/// Silence after which a call is given up.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Time in which the server answers a command.
+const BUSY: Duration = Duration::from_millis(1_000);
+
+/// Serves commands that take [`BUSY`], and other calls that take no time. Counts the commands.
+async fn serve_slow_commands(token: Secret) -> (RpcServer, Arc<AtomicUsize>) {
+    let commands = Arc::new(AtomicUsize::new(0));
+    let mut module = RpcModule::new(Arc::clone(&commands));
+    let slow = |_, commands: Arc<Arc<AtomicUsize>>, _| async move {
+        commands.fetch_add(1, Ordering::SeqCst);
+        tokio::time::sleep(BUSY).await;
+        Ok::<_, ErrorObjectOwned>(encode(&Reply::default()))
+    };
+    module.register_async_method(Method::Turn.name(), slow).expect("registered once");
+    let fast = |_: jsonrpsee::types::Params<'_>, _: &Arc<AtomicUsize>, _: &_| {
+        Ok::<_, ErrorObjectOwned>(ANSWER.to_owned())
+    };
+    module.register_method(Method::Hello.name(), fast).expect("registered once");
+    let options = ListenerOptions { tls: None, header_bytes: 16_384, drain: Duration::ZERO };
+    let (address, stop) = (free_address().await, CancellationToken::new());
+    let server = RpcServer::bind(address, token, module.into(), None, options, stop).await;
+    (server.expect("bound"), commands)
+}
+
+async fn ask_command(peers: &PeerClients, address: SocketAddr) -> Result<Reply, RpcError> {
+    peers.ask_responsive(address, Method::Turn, &Command::default(), SILENCE).await
+}
+
+/// A busy store was given up while it answered other calls, and got the command and a connection anew.
+#[tokio::test]
+async fn ask_responsive_busy_store() {
+    let token = Secret::new("a-token-for-the-test");
+    let (server, commands) = serve_slow_commands(token.clone()).await;
+    let (peers, address) = (PeerClients::new(token, None), server.address());
+    let others = async {
+        loop {
+            let answer = peers.call(address, Method::Hello, ArrayParams::new(), TIMEOUT).await;
+            assert_eq!(answer.as_deref(), Ok(ANSWER));
+            tokio::time::sleep(SILENCE / 6).await;
+        }
+    };
+    tokio::select! {
+        reply = ask_command(&peers, address) => assert!(reply.is_ok(), "{reply:?}"),
+        () = others => {}
+    }
+    assert_eq!(commands.load(Ordering::SeqCst), 1);
+}
+
+/// A store that sends nothing is given up after the time limit, so that another one is asked.
+#[tokio::test]
+async fn ask_responsive_silent_store() {
+    let token = Secret::new("a-token-for-the-test");
+    let (server, _) = serve_slow_commands(token.clone()).await;
+    let peers = PeerClients::new(token, None);
+    let began = Instant::now();
+    let reply = ask_command(&peers, server.address()).await;
+    assert_eq!(reply, Err(RpcError::Lost(server.address())));
+    assert!(began.elapsed() < BUSY, "{:?}", began.elapsed());
+}
