--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt as _, Full};
 use sha2::{Digest as _, Sha256};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::dialect::{CallHead, Identity};
 use crate::entry::active_bundle::ActiveBundle;
@@ -98,11 +99,8 @@
     /// It is computed on first use, since most requests never need it.
     pub(super) fn digest(&self) -> RequestDigest {
         *self.digest.get_or_init(|| {
-            let path = self.parts.uri.path_and_query().map_or("", |path| path.as_str());
-            let previous = self.head.turn.as_ref().map_or("", |turn| turn.previous.as_str());
-            let (method, host) = (self.parts.method.as_str(), self.head.host.as_str());
             let mut hash = Sha256::new();
-            for part in [self.organisation(), method, host, path, previous] {
+            for (_, part) in self.digest_parts() {
                 hash.update((part.len() as u64).to_be_bytes());
                 hash.update(part);
             }
@@ -112,6 +110,29 @@
         })
     }
 
+    /// Returns what the digest is made of besides the body, with names.
+    fn digest_parts(&self) -> [(&'static str, &str); 5] {
+        let path = self.parts.uri.path_and_query().map_or("", |path| path.as_str());
+        let previous = self.head.turn.as_ref().map_or("", |turn| turn.previous.as_str());
+        [
+            ("caller", self.organisation()),
+            ("method", self.parts.method.as_str()),
+            ("host", &self.head.host),
+            ("path", path),
+            ("previous", previous),
+        ]
+    }
+
+    /// Returns a short hash of each part of the digest, by which operators see where two digests
+    /// differ without seeing the content.
+    pub(super) fn digest_summary(&self) -> String {
+        let parts = self.digest_parts();
+        let parts = parts.iter().map(|(name, part)| (*name, part.as_bytes()));
+        let all = parts.chain([("body", self.body.as_ref())]);
+        let short = all.map(|(name, part)| format!("{name}={:08x}", xxh3_64(part) as u32));
+        short.collect::<Vec<_>>().join(" ")
+    }
+
     /// Returns the name of the caller's organisation, or an empty name if it is unknown.
     pub(super) fn organisation(&self) -> &str {
         match &self.sender.identity {
