Know a crashing turn again when it continues another turn

Cause: the digest by which a request is known took in the turn that it continues. Its caller sends it again in other programs, after other turns, so that each had a digest of its own and cost three endpoints. Class: an identity that contains what changes when the same thing comes again.

--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -111,15 +111,16 @@
     }
 
     /// Returns what the digest is made of besides the body, with names.
-    fn digest_parts(&self) -> [(&'static str, &str); 5] {
+    ///
+    /// The turn that the request continues is no part of it: its caller sends the same content again
+    /// in another program, after other turns.
+    fn digest_parts(&self) -> [(&'static str, &str); 4] {
         let path = self.parts.uri.path_and_query().map_or("", |path| path.as_str());
-        let previous = self.head.turn.as_ref().map_or("", |turn| turn.previous.as_str());
         [
             ("caller", self.organisation()),
             ("method", self.parts.method.as_str()),
             ("host", &self.head.host),
             ("path", path),
-            ("previous", previous),
         ]
     }
 
