--- a/crates/core/tests/group_overload.rs
+++ b/crates/core/tests/group_overload.rs
@@ -1,7 +1,7 @@
 //! Replays an outage of a replicated group under load: callers, entry VMs and a leader that answers
 //! commands in the order of their arrival, at a fixed rate.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 use gypsumglade_core::policy::group_health::{
     Decision, GroupHealth, RequestEnd, RequestId, WaitRequest,
@@ -53,6 +53,7 @@
 }
 
 struct Waiting {
+    id: RequestId,
     turn: Turn,
     until: Time,
 }
@@ -68,8 +69,8 @@
     sent: Vec<Message>,
     queue: VecDeque<Message>,
     answers: Vec<Message>,
-    waiting: Vec<BTreeMap<u64, (RequestId, Waiting)>>,
-    next: u64,
+    /// Callers that wait at each entry VM.
+    waiting: Vec<Vec<Waiting>>,
     returning: Vec<(Time, Turn)>,
     budget: f64,
     begun: Counts,
@@ -84,12 +85,11 @@
         Replay {
             now: Time::from_millis(1_000),
             rng: StdRng::seed_from_u64(seed),
-            waiting: vms.iter().map(|_| BTreeMap::new()).collect(),
+            waiting: vms.iter().map(|_| Vec::new()).collect(),
             vms,
             sent: Vec::new(),
             queue: VecDeque::new(),
             answers: Vec::new(),
-            next: 0,
             returning: Vec::new(),
             budget: 0.0,
             begun: Counts::default(),
@@ -140,8 +140,7 @@
                 let at = self.now + ZONES[turn.zone].distance;
                 self.sent.push(Message { at, vm, id, took: Duration::ZERO });
                 let until = self.now + timeout;
-                self.waiting[vm].insert(self.next, (id, Waiting { turn, until }));
-                self.next += 1;
+                self.waiting[vm].push(Waiting { id, turn, until });
             }
             Decision::Refuse { retry_after, .. } => self.refuse(turn, retry_after),
         }
@@ -165,9 +164,9 @@
         self.queue.extend(self.sent.extract_if(.., |message| message.at <= now));
         let due: Vec<_> = self.answers.extract_if(.., |message| message.at <= now).collect();
         for Message { vm, id, took, .. } in due {
-            let found = self.waiting[vm].iter().find(|(_, (other, _))| *other == id);
-            let Some(key) = found.map(|(key, _)| *key) else { continue };
-            self.waiting[vm].remove(&key);
+            let found = self.waiting[vm].iter().position(|waiting| waiting.id == id);
+            let Some(at) = found else { continue };
+            self.waiting[vm].remove(at);
             let (zone, health) = &mut self.vms[vm];
             health.end(now, id, RequestEnd::AnsweredAfter(took));
             self.reserved[*zone] += 1;
@@ -190,12 +189,12 @@
         let now = self.now;
         for vm in 0..self.vms.len() {
             let expired: Vec<_> =
-                self.waiting[vm].extract_if(.., |_, (_, waiting)| waiting.until <= now).collect();
-            for (_, (id, waiting)) in expired {
+                self.waiting[vm].extract_if(.., |waiting| waiting.until <= now).collect();
+            for Waiting { id, turn, .. } in expired {
                 self.vms[vm].1.end(now, id, RequestEnd::TimedOut);
-                let request = self.request(&waiting.turn);
+                let request = self.request(&turn);
                 let retry_after = self.vms[vm].1.retry_after(now, request);
-                self.refuse(waiting.turn, retry_after);
+                self.refuse(turn, retry_after);
             }
         }
     }
