--- a/crates/gypsumglade/src/gateway/broken_attempt.rs
+++ b/crates/gypsumglade/src/gateway/broken_attempt.rs
@@ -68,7 +68,8 @@
 ) -> CrashReport {
     let digest = call.digest();
     let log = state.log.new(slog::o!("request" => call.head.id.to_string(),
-        "route" => call.route.name.to_string(), "digest" => hex::encode(digest), "parts" => call.digest_summary(),
+        "route" => call.route.name.to_string(), "digest" => hex::encode(digest),
+        "parts" => call.digest_summary(),
         "endpoint" => dispatch.name.to_string(), "incarnation" => dispatch.incarnation,
         "ran_ms" => dispatch.started.elapsed().as_millis() as u64,
         "beside" => dispatch.others_in_flight()));
