Keep room for a lone caller after a single slow answer

Callers saw: with one caller at a gateway, after one answer for which the turn group's leader took over 150 ms, three of ten next callers were refused though nothing else was in flight.

Cause: a slow answer shrank the window to 0.7 of what was in flight, one request.

Open: a second slow answer within 30 s still shrinks a lone caller's window below one.

--- a/crates/core/src/policy/send_window.rs
+++ b/crates/core/src/policy/send_window.rs
@@ -20,6 +20,9 @@
 const INCREASE: f64 = 0.2;
 /// Factor by which a slow answer shrinks the window.
 const SLOW_FACTOR: f64 = 0.7;
+/// Time without a decrease after which the next one leaves room for one request: a single slow answer
+/// must not get a lone caller refused.
+const CALM: Duration = Duration::from_secs(30);
 /// Factor by which a request without an answer shrinks the window.
 const TIMEOUT_FACTOR: f64 = 0.5;
 
@@ -28,12 +31,12 @@
 pub struct SendWindow {
     size: f64,
     /// Requests that were sent before this time don't shrink the window again.
-    last_decrease: Time,
+    last_decrease: Option<Time>,
 }
 
 impl Default for SendWindow {
     fn default() -> SendWindow {
-        SendWindow { size: MAX_WINDOW as f64, last_decrease: Time::ZERO }
+        SendWindow { size: MAX_WINDOW as f64, last_decrease: None }
     }
 }
 
@@ -64,9 +67,11 @@
 
     /// Shrinks the window once for all requests that were in flight at the same time.
     fn decrease(&mut self, now: Time, sent: Time, size: f64) {
-        if sent >= self.last_decrease {
-            self.last_decrease = now;
-            self.size = size.max(MIN_WINDOW);
+        if self.last_decrease.is_some_and(|last| sent < last) {
+            return;
         }
+        let calm = self.last_decrease.is_none_or(|last| now.since(last) >= CALM);
+        self.last_decrease = Some(now);
+        self.size = size.max(if calm { 1.0 } else { MIN_WINDOW });
     }
 }
