--- a/crates/gypsumglade/src/store/turn_load.rs
+++ b/crates/gypsumglade/src/store/turn_load.rs
@@ -11,7 +11,7 @@
 
 /// Interval between two log lines.
 const INTERVAL: Duration = Duration::from_secs(1);
-/// Answers slower than this are late: entry VMs send the command again after this time.
+/// Answers slower than this are late: most callers have given up by then.
 const LATE_AFTER: Duration = Duration::from_millis(500);
 
 /// Commands of the current interval.
