Derive the endpoints' lease from the interval of their announcements

Cause: an endpoint was dropped after 5 s of silence, whatever the sheet says.

Change: `store.announce_ms` has the interval from the sheet, and the lease lasts three announcements, but not less than `endpoint_lease_ms`. Where endpoints announce themselves every 1.2 s, nothing changes.

--- a/crates/gypsumglade/src/settings/store.rs
+++ b/crates/gypsumglade/src/settings/store.rs
@@ -10,6 +10,9 @@
 use super::listen::LOOPBACK;
 use crate::secret::Secret;
 
+/// Announcements that an endpoint may miss before it is dropped.
+const MISSED_ANNOUNCEMENTS: u64 = 3;
+
 /// Data folder, listen addresses and replication of a store.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default)]
@@ -28,6 +31,9 @@
     pub signer: Option<Secret>,
     /// Time without an announcement after which the registrar drops an endpoint, in milliseconds.
     pub endpoint_lease_ms: u64,
+    /// Interval at which endpoints announce themselves, in milliseconds. An endpoint that misses
+    /// several announcements is dropped, but not before `endpoint_lease_ms`.
+    pub announce_ms: u64,
     /// Number of stores that can be lost at once without losing a group's quorum. Each group has
     /// `2 * tolerate + 1` voters.
     pub tolerate: u32,
@@ -49,6 +55,7 @@
             registrar: None,
             signer: None,
             endpoint_lease_ms: 5_000,
+            announce_ms: 1_000,
             tolerate: 1,
             text_bytes: 256 * 1024 * 1024,
             heartbeat_ms: 200,
@@ -64,6 +71,12 @@
         Some(KeyPair::from_seed(seed))
     }
 
+    /// Returns the time without an announcement after which an endpoint is dropped.
+    pub fn endpoint_lease(&self) -> Duration {
+        let announcements = self.announce_ms.saturating_mul(MISSED_ANNOUNCEMENTS);
+        Duration::from_millis(self.endpoint_lease_ms.max(announcements))
+    }
+
     pub(super) fn check(&self, findings: &mut Findings) {
         if self.signer.is_some() && self.key_pair().is_none() {
             findings.add("store.signer", "a secret", "64 hexadecimal digits");
@@ -77,6 +90,7 @@
         findings.check_range("store.text_bytes", self.text_bytes, texts, "bytes");
         let lease = self.endpoint_lease_ms;
         findings.check_range("store.endpoint_lease_ms", lease, 100..=600_000, "milliseconds");
+        findings.check_range("store.announce_ms", self.announce_ms, 10..=600_000, "milliseconds");
         let minimum = self.heartbeat_ms.saturating_mul(3);
         findings.check_range(
             "store.election_ms",
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -262,7 +262,7 @@
     let discovery = Arc::clone(discovery);
     let repair = Repair { context, control, turns, copies, discovery, target_voters };
     tokio::spawn(repair.run(halt.clone()));
-    let lease = Duration::from_millis(own.endpoint_lease_ms);
+    let lease = own.endpoint_lease();
     tokio::spawn(Arc::clone(&state.control).expire_endpoints(lease, halt.clone()));
 }
 
