Bound the hellos that a seed receives, and allow for their spread

Causes, on the whole fleet (986 processes, 120 stores): - each process sent a hello to every seed each 150 ms until one answered, and to one of the three seeds in each round after that: some 20,000 a second at the start, 650 a second at each seed later. A process asks one seed at a time now, with growing pauses, and one in ten rounds once it knows other stores; entry VMs of a deployment of more than 32 stores send fewer hellos. - a hello of an entry VM rebuilt the list of stores although it changes nothing there, and each answer copied the list before its digest was compared. - a store counted as failed 1.5 s after its last hello, but with 120 stores a hello needs more rounds than that to be known everywhere, so that leaders would replace living members. The time that hellos take to spread is added (none up to 24 stores), and a member that answers its leader counts as alive.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -31,9 +31,9 @@
 
 /// Returns a digest of the identities and addresses of these stores. It is never zero, which stands
 /// for no list.
-pub fn digest(nodes: &[Node]) -> u64 {
+pub fn digest<'a>(nodes: impl IntoIterator<Item = &'a Node>) -> u64 {
     let mut known: Vec<(u32, &str)> =
-        nodes.iter().map(|node| (node.vm, node.peers.as_str())).collect();
+        nodes.into_iter().map(|node| (node.vm, node.peers.as_str())).collect();
     known.sort_unstable();
     let mut hasher = Xxh3::new();
     for (vm, peers) in known {
@@ -98,18 +98,18 @@
     /// `known` is the digest of the list that it received last. If the list is the same, only that
     /// is reported, which keeps the answers to hellos small.
     pub fn nodes(&self, now: Time, known: u64) -> Nodes {
-        let nodes = self.nodes.values().filter(|known| now.since(known.last_seen) < MAX_SHARED_AGE);
-        let aged = nodes.map(|known| {
-            let age = now.since(known.last_seen).as_millis();
-            Node { age_ms: u64::try_from(age).unwrap_or(u64::MAX), ..known.node.clone() }
-        });
-        let nodes: Vec<Node> = aged.collect();
+        let shared =
+            || self.nodes.values().filter(|known| now.since(known.last_seen) < MAX_SHARED_AGE);
         let led = self.led_groups(now, MAX_SHARED_AGE);
         let retiring = led.into_iter().flat_map(|led| led.retiring).collect();
-        match known != 0 && known == digest(&nodes) {
-            true => Nodes { nodes: Vec::new(), same: true, retiring },
-            false => Nodes { nodes, same: false, retiring },
+        if known != 0 && known == digest(shared().map(|known| &known.node)) {
+            return Nodes { nodes: Vec::new(), same: true, retiring };
         }
+        let aged = shared().map(|known| {
+            let age = now.since(known.last_seen).as_millis();
+            Node { age_ms: u64::try_from(age).unwrap_or(u64::MAX), ..known.node.clone() }
+        });
+        Nodes { nodes: aged.collect(), same: false, retiring }
     }
 
     /// Marks these stores as seen now, since another store has just reported that its list is
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -24,8 +24,19 @@
 
 /// Pause between two rounds of hellos.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause between two rounds while no other store is known.
+/// First pause between two rounds while no other store is known; each further one is longer, up to
+/// [`MAX_BOOTSTRAP_INTERVAL`]. All processes of a deployment may start at once.
 const BOOTSTRAP_INTERVAL: Duration = Duration::from_millis(150);
+/// Longest pause between two rounds while no other store is known.
+const MAX_BOOTSTRAP_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Number of stores up to which every process sends hellos at [`HELLO_INTERVAL`]. Processes that
+/// aren't stores send fewer in a larger deployment, so that a store receives a bounded number.
+const FULL_RATE_STORES: usize = 32;
+/// Rounds between two hellos to a seed once other stores are known. The seeds are the same for all
+/// processes, so they would receive the most.
+const SEED_ROUNDS: u32 = 10;
+/// Number of stores up to which the last hello of each is known everywhere within a few rounds.
+const NEAR_STORES: usize = 24;
 /// Timeout of a hello.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(800);
 /// Known stores that receive a hello in each round.
@@ -119,7 +130,10 @@
     /// Adds the sender of a hello to the roster, and returns the list of stores if it differs from
     /// the sender's.
     pub fn handle_hello(&self, hello: Hello) -> Nodes {
-        self.observe(hello.node.into_iter().collect());
+        // Other processes change nothing here, and are the most.
+        if let Some(node) = hello.node.filter(|node| node.role() == Role::Store) {
+            self.observe(vec![node]);
+        }
         self.roster().nodes(self.clock.now(), hello.known)
     }
 
@@ -175,38 +189,63 @@
         *self.seeds.write().expect("no panic while held") = settings.peers(own.port());
     }
 
+    /// Returns the time that the last hello of a store takes to be known to all other stores, in
+    /// addition to the few rounds of a small deployment.
+    ///
+    /// The number of stores that know of it grows by a constant factor in each round.
+    pub fn spread_time(&self) -> Duration {
+        let others = self.roster().stores().count().saturating_sub(1);
+        HELLO_INTERVAL * (others / NEAR_STORES).checked_ilog2().map_or(0, |rounds| rounds + 1)
+    }
+
     /// Sends hellos until `stop` is cancelled.
     pub async fn run(self: Arc<Self>, stop: CancellationToken) {
-        while !stop.is_cancelled() {
+        let mut alone_pause = BOOTSTRAP_INTERVAL;
+        for round in 0.. {
+            if stop.is_cancelled() {
+                return;
+            }
             self.observe(Vec::new());
-            for address in self.targets() {
+            for address in self.targets(round) {
                 // A round must not wait for a process that doesn't answer.
                 let discovery = Arc::clone(&self);
                 tokio::spawn(async move { discovery.send_hello(address).await });
             }
             let alone = self.directory.stores().keys().all(|vm| vm.0 == self.own.vm);
-            let pause = if alone { BOOTSTRAP_INTERVAL } else { HELLO_INTERVAL };
+            let pause = if alone { alone_pause } else { self.hello_interval() };
+            if alone {
+                alone_pause = (alone_pause * 2).min(MAX_BOOTSTRAP_INTERVAL);
+            }
             tokio::select! {
                 () = stop.cancelled() => {}
-                () = tokio::time::sleep(pause) => {}
+                () = tokio::time::sleep(pause.mul_f64(rand::random_range(0.9..1.1))) => {}
+            }
+        }
+    }
+
+    fn hello_interval(&self) -> Duration {
+        match self.own.role() {
+            Role::Store => HELLO_INTERVAL,
+            Role::Entry => {
+                let stores = self.directory.stores().len().max(FULL_RATE_STORES);
+                HELLO_INTERVAL.mul_f64(stores as f64 / FULL_RATE_STORES as f64)
             }
         }
     }
 
-    /// Returns the addresses for a round of hellos: some known stores and a seed.
+    /// Returns the addresses for a round of hellos: some known stores, and now and then a seed.
     ///
-    /// Seeds are always included: after a long partition, in which all known stores may have moved,
-    /// they can be the only ones to reach. A process that knows no other store tries every seed.
-    fn targets(&self) -> Vec<SocketAddr> {
+    /// After a long partition, in which all known stores may have moved, the seeds can be the only
+    /// ones to reach. A process that knows no other store tries a seed in each round.
+    fn targets(&self, round: u32) -> Vec<SocketAddr> {
         let own = self.own.peers.parse().ok();
         let stores = self.directory.stores();
         let known = stores.into_values().filter(|address| Some(*address) != own);
         let mut targets = known.sample(&mut rand::rng(), FANOUT);
         let seeds = self.seeds.read().expect("no panic while held").clone();
         let seeds = seeds.into_iter().filter(|address| Some(*address) != own);
-        if targets.is_empty() {
-            targets.extend(seeds);
-        } else if let Some(seed) = seeds.choose(&mut rand::rng())
+        let seed_due = targets.is_empty() || round.is_multiple_of(SEED_ROUNDS);
+        if let Some(seed) = seeds.filter(|_| seed_due).choose(&mut rand::rng())
             && !targets.contains(&seed)
         {
             targets.push(seed);
--- a/crates/gypsumglade/src/store/registrar.rs
+++ b/crates/gypsumglade/src/store/registrar.rs
@@ -164,7 +164,8 @@
     pub fn is_retired(&self, name: &str) -> Result<bool, RetireError> {
         let discovery = self.state.discovery.as_ref().ok_or(RetireError::Unknown)?;
         let vm = self.store_named(name).ok_or(RetireError::Unknown)?;
-        let led = discovery.roster().led_groups(discovery.now(), LEADER_REPORT_MAX_AGE);
+        let age = LEADER_REPORT_MAX_AGE + discovery.spread_time();
+        let led = discovery.roster().led_groups(discovery.now(), age);
         let groups = (0..=self.state.settings.groups).chain([GroupId::TURNS.0]);
         let empty = groups.into_iter().all(|group| {
             let mut reports = led.iter().filter(|led| led.group == group).peekable();
@@ -192,9 +193,10 @@
     fn stores_without(&self, vm: VmId) -> usize {
         let Some(discovery) = &self.state.discovery else { return 0 };
         let now = discovery.now();
+        let age = LEADER_REPORT_MAX_AGE + discovery.spread_time();
         let stores: Vec<VmId> = {
             let roster = discovery.roster();
-            let fresh = roster.stores().filter(|(_, at)| now.since(*at) < LEADER_REPORT_MAX_AGE);
+            let fresh = roster.stores().filter(|(_, at)| now.since(*at) < age);
             fresh.map(|(node, _)| VmId(node.vm)).collect()
         };
         let others = stores.into_iter().filter(|other| *other != vm);
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -7,7 +7,7 @@
 use gypsumglade_core::replication::repair::{
     ClusterView, StoreInfo, next_change, next_swap, successors,
 };
-use gypsumglade_core::replication::{MemberChange, Members, Role, Status};
+use gypsumglade_core::replication::{MemberChange, Role, Status};
 use gypsumglade_core::wire::discovery::Led;
 use tokio_util::sync::CancellationToken;
 
@@ -21,10 +21,13 @@
 /// Interval between two checks. A repair takes several, since each makes at most one change: add,
 /// promote and remove. A newcomer must have caught up some four seconds after its start.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Silence after which a store counts as failed: three rounds of hellos. A store that is removed
-/// too early rejoins as a learner, without loss of data.
+/// Silence after which a store counts as failed: three rounds of hellos, and the time that a hello
+/// takes to be known. A store that is removed too early rejoins as a learner, without loss of data.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time for which the failure domain of a member is known after its last hello.
+const MEMBER_MEMORY: Duration = Duration::from_secs(8);
+
 /// Pause between two attempts to transfer a group's leadership, since commits wait during an
 /// attempt.
 const TRANSFER_BACKOFF: Duration = Duration::from_secs(3);
@@ -55,7 +58,7 @@
     control: &ControlGroup,
     age: Duration,
 ) -> Vec<StoreInfo> {
-    let mut stores = discovery.recent_stores(age);
+    let mut stores = discovery.recent_stores(age + discovery.spread_time());
     for store in &mut stores {
         store.retiring |= control.is_retiring(store.vm);
     }
@@ -114,7 +117,7 @@
     }
 
     async fn repair(&self, group: &Status, history: &mut RepairHistory) {
-        let cluster_view = self.cluster_view(&group.members, &history.addresses);
+        let cluster_view = self.cluster_view(group, &history.addresses);
         if self.transfer_leadership(group, &cluster_view, history) {
             return;
         }
@@ -177,12 +180,23 @@
         true
     }
 
+    /// Returns the stores as the leader of `group` sees them.
+    ///
+    /// A member that answers the leader is alive, whatever others have heard of it.
     fn cluster_view(
         &self,
-        members: &Members,
+        group: &Status,
         addresses: &BTreeMap<VmId, CompactString>,
     ) -> ClusterView {
-        let alive = live_stores(&self.discovery, &self.control, STORE_TIMEOUT);
+        let members = &group.members;
+        let mut alive = live_stores(&self.discovery, &self.control, STORE_TIMEOUT);
+        let responsive =
+            |vm: VmId| group.followers.iter().any(|lag| lag.vm == vm && lag.silent < STORE_TIMEOUT);
+        for store in live_stores(&self.discovery, &self.control, MEMBER_MEMORY) {
+            if responsive(store.vm) && !alive.contains(&store) {
+                alive.push(store);
+            }
+        }
         let roster = self.discovery.roster();
         let replacement = |vm: &VmId| {
             let address = addresses.get(vm)?;
