Search for the turn group's leader among its members first

Cause: an entry VM that had lost the leader asked all stores one after another, a new one every 30 ms, each over a connection of its own. With 866 entry VMs and 120 stores that is 29,000 calls a second, most of them to stores that have no replica of the group.

Change: the members that the last leader reported are asked first, then samples of sixteen of the others and the members by turns.

--- a/crates/gypsumglade/src/gateway/leader_search.rs
+++ b/crates/gypsumglade/src/gateway/leader_search.rs
@@ -7,7 +7,7 @@
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::turn::{KeptQuery, KeptReply};
-use rand::seq::SliceRandom as _;
+use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -17,10 +17,13 @@
 
 /// Time limit for one store's answer, which costs a round of heartbeats at most.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
-/// Mean delay between requests until every store has been asked once.
+/// Mean delay between requests until each reported member of the group has been asked once, or every
+/// store of a deployment that has few.
 const FIRST_ROUND_INTERVAL: Duration = Duration::from_millis(30);
 /// Mean delay between later requests; longer, since all entry VMs search during an election.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of stores that are asked at [`FIRST_ROUND_INTERVAL`] while no member is reported.
+const FIRST_ROUND_STORES: usize = 16;
 /// How soon a store that others name as the leader may be asked again. Followers of a failed leader
 /// keep naming it for a while.
 const REPEAT_AFTER: Duration = Duration::from_millis(200);
@@ -97,6 +100,7 @@
         let mut next = Instant::now();
         // Start with the last known leader, which is most likely just slow.
         let mut queue: Vec<VmId> = self.leader.borrow().iter().copied().collect();
+        let mut members_first = true;
         loop {
             tokio::select! {
                 Some(answer) = in_flight.join_next(), if !in_flight.is_empty() => {
@@ -113,13 +117,13 @@
                     }
                     let stores = self.directory.stores();
                     if queue.is_empty() {
-                        queue = stores.keys().copied().collect();
-                        queue.shuffle(&mut rand::rng());
+                        queue = self.candidates(&stores, members_first);
+                        members_first = !members_first;
                     }
                     if let Some(vm) = queue.pop() {
                         self.ask(vm, &mut in_flight, &mut asked);
                     }
-                    let first = asked.len() < stores.len();
+                    let first = asked.len() < stores.len().min(FIRST_ROUND_STORES);
                     let interval = if first { FIRST_ROUND_INTERVAL } else { ASK_INTERVAL };
                     next = Instant::now() + interval.mul_f64(rand::random_range(0.7..1.3));
                 }
@@ -127,6 +131,20 @@
         }
     }
 
+    /// Returns the stores to ask next, last one first: the reported members, or every other time a
+    /// few others, since all reported members may have been replaced.
+    fn candidates(&self, stores: &BTreeMap<VmId, SocketAddr>, members_first: bool) -> Vec<VmId> {
+        let report = self.directory.group_report(GroupId::TURNS);
+        let members = report.map(|report| report.members).unwrap_or_default();
+        let mut queue: Vec<VmId> = members;
+        queue.retain(|vm| members_first && stores.contains_key(vm));
+        if queue.is_empty() {
+            queue = stores.keys().copied().sample(&mut rand::rng(), FIRST_ROUND_STORES);
+        }
+        queue.shuffle(&mut rand::rng());
+        queue
+    }
+
     /// Asks a store that was named as the leader, unless it has just been asked.
     fn follow_redirect(
         &self,
