Let stores pass the control group's news on

No configuration was ever acknowledged, 0 of 866 entry VMs became ready, 38 processes ended over their memory, the founders first.

Causes: each entry VM asked the control group's leader for the list of endpoints, without a pause while the list was empty and every 50 ms without a configuration; each change was answered to each of them; whoever was far behind got all endpoints in one answer; each announcement went to the leader and walked all endpoints there up to four times; expired endpoints were removed one by one; and an entry VM announced all endpoints to its registry after each change.

Change: entry VMs follow a store of their failure domain for the list, the suspected requests and the configuration lease, and these follow the first store of the failure domain, which follows the leader, from 16 stores on. The list has a number for each change and is sent in pages of 256 that any relay can continue. Answers carry their age, and a relay refuses to answer once its news are older than 1 s, which bounds how late an acknowledged leaving is known. Stores take unchanged announcements themselves and report the names once a second.

--- a/crates/core/src/control/endpoints.rs
+++ b/crates/core/src/control/endpoints.rs
@@ -3,18 +3,15 @@
 //! An endpoint's draining is committed before it is acknowledged, so that it survives the loss of
 //! the leader.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
+use super::endpoint_list::EndpointList;
 use crate::prelude::*;
-use crate::wire::control::{Deregister, EndpointNews, EndpointRecord, Snapshot};
+use crate::wire::control::{Deregister, EndpointRecord, Snapshot};
 
 /// Maximum number of departed endpoints that are remembered to reject late announcements.
 const MAX_DEPARTED: usize = 4_096;
 
-/// Maximum number of recent changes that are sent as a delta. A client that is further behind gets
-/// all endpoints.
-const MAX_RECENT: usize = 1_024;
-
 /// Order of the announcements of one endpoint: by incarnation, then by sequence number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Stamp {
@@ -25,82 +22,33 @@
 /// The endpoints that are registered and haven't left or expired.
 #[derive(Clone, Debug, Default)]
 pub struct Endpoints {
-    present: BTreeMap<CompactString, EndpointRecord>,
+    list: EndpointList,
+    /// Name of the endpoint at each address. Without it, each announcement would walk all endpoints.
+    by_address: HashMap<CompactString, CompactString>,
     /// Last incarnation of departed endpoints, so that a late announcement doesn't register one
     /// again.
     departed: BTreeMap<CompactString, u64>,
-    change: u64,
-    /// The latest changes, oldest first. Not part of a snapshot, so empty after a restore.
-    recent: VecDeque<RecentChange>,
-}
-
-/// An endpoint that a recent change added, updated or removed.
-#[derive(Clone, Debug)]
-struct RecentChange {
-    change: u64,
-    name: CompactString,
 }
 
 impl Endpoints {
+    /// Returns the list of the registered endpoints.
+    pub fn list(&self) -> &EndpointList {
+        &self.list
+    }
+
     /// Returns the number of the last change, which only grows.
     pub fn change(&self) -> u64 {
-        self.change
+        self.list.change()
     }
 
     /// Returns the endpoint with this name, if it is registered.
     pub fn get(&self, name: &str) -> Option<&EndpointRecord> {
-        self.present.get(name)
+        self.list.get(name)
     }
 
     /// Returns all endpoints, sorted by name.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointRecord> {
-        self.present.values()
-    }
-
-    /// Returns the changes after change `seen`, or all endpoints if these are no longer known.
-    ///
-    /// Deltas keep the traffic low while endpoints are replaced one after another and every entry
-    /// VM asks after each change.
-    pub fn changes_since(&self, seen: u64) -> EndpointNews {
-        if seen == self.change {
-            return EndpointNews { change: self.change, ..EndpointNews::default() };
-        }
-        let Some(names) = self.names_changed_since(seen) else {
-            let endpoints = self.iter().cloned().collect();
-            return EndpointNews { change: self.change, endpoints, ..EndpointNews::default() };
-        };
-        let present = names.iter().filter_map(|name| self.present.get(*name));
-        let gone = names.iter().filter(|name| !self.present.contains_key(**name));
-        EndpointNews {
-            change: self.change,
-            endpoints: present.cloned().collect(),
-            delta: true,
-            gone: gone.map(ToString::to_string).collect(),
-            ..EndpointNews::default()
-        }
-    }
-
-    /// Returns the endpoints that changed after `seen`, or `None` if some of these changes are no
-    /// longer known.
-    fn names_changed_since(&self, seen: u64) -> Option<BTreeSet<&CompactString>> {
-        let oldest = self.recent.front()?.change;
-        if seen == 0 || seen + 1 < oldest || seen > self.change {
-            return None;
-        }
-        let later = self.recent.iter().filter(|recent| recent.change > seen);
-        Some(later.map(|recent| &recent.name).collect())
-    }
-
-    fn record_change(&mut self, name: CompactString) {
-        self.change += 1;
-        self.push_recent(self.change, name);
-    }
-
-    fn push_recent(&mut self, change: u64, name: CompactString) {
-        if self.recent.len() == MAX_RECENT {
-            self.recent.pop_front();
-        }
-        self.recent.push_back(RecentChange { change, name });
+        self.list.iter()
     }
 
     /// Returns `true` if an announcement must be committed: it isn't outdated, and differs from the
@@ -112,9 +60,7 @@
         if !self.accepts(record) {
             return false;
         }
-        let Some(known) = self.present.get(record.name.as_str()) else { return true };
-        let unchanged = EndpointRecord { sequence: record.sequence, ..known.clone() };
-        unchanged != preserve_leaving(known, record)
+        self.get(&record.name).is_none_or(|known| !is_renewal(known, record))
     }
 
     /// Applies an announcement. One that is older than the registered state changes nothing.
@@ -122,26 +68,29 @@
         if !self.is_update(record) {
             return;
         }
-        let record = match self.present.get(record.name.as_str()) {
+        let record = match self.get(&record.name) {
             Some(known) => preserve_leaving(known, record),
             None => record.clone(),
         };
         self.evict_address(&record);
         self.departed.remove(record.name.as_str());
         let name = record.name.to_compact_string();
-        self.present.insert(name.clone(), record);
-        self.record_change(name);
+        if let Some(known) = self.get(&name) {
+            let former = known.address.to_compact_string();
+            self.by_address.remove(&former);
+        }
+        self.by_address.insert(record.address.to_compact_string(), name);
+        self.list.insert(record);
     }
 
     /// Removes an endpoint unless a later incarnation of it is registered, and ignores later
     /// announcements of the removed incarnation.
     pub fn deregister(&mut self, name: &str, incarnation: u64) {
-        let known = self.present.get(name);
-        if known.is_some_and(|known| known.incarnation > incarnation) {
+        if self.get(name).is_some_and(|known| known.incarnation > incarnation) {
             return;
         }
-        if self.present.remove(name).is_some() {
-            self.record_change(name.to_compact_string());
+        if let Some(removed) = self.list.remove(name) {
+            self.by_address.remove(removed.address.as_str());
         }
         self.mark_departed(name.to_compact_string(), incarnation);
     }
@@ -154,21 +103,21 @@
             incarnation: *incarnation,
         });
         snapshot.endpoints = self.iter().cloned().collect();
-        snapshot.endpoint_change = self.change;
+        snapshot.endpoint_change = self.change();
         snapshot.departed = departed.collect();
     }
 
     /// Reads the state that [`Endpoints::save`] wrote.
     pub(super) fn load(snapshot: &Snapshot) -> Endpoints {
-        let present = snapshot.endpoints.iter();
-        let present = present.map(|record| (record.name.to_compact_string(), record.clone()));
+        let addresses = snapshot.endpoints.iter();
+        let addresses = addresses
+            .map(|record| (record.address.to_compact_string(), record.name.to_compact_string()));
         let departed = snapshot.departed.iter();
         let departed = departed.map(|gone| (gone.name.to_compact_string(), gone.incarnation));
         Endpoints {
-            present: present.collect(),
+            list: EndpointList::restore(&snapshot.endpoints, snapshot.endpoint_change),
+            by_address: addresses.collect(),
             departed: departed.collect(),
-            change: snapshot.endpoint_change,
-            recent: VecDeque::new(),
         }
     }
 
@@ -177,31 +126,26 @@
         if ended.is_some_and(|ended| record.incarnation <= *ended) {
             return false;
         }
-        let known = self.present.get(record.name.as_str());
-        if known.is_some_and(|known| stamp(record) <= stamp(known)) {
+        if self.get(&record.name).is_some_and(|known| stamp(record) <= stamp(known)) {
             return false;
         }
         // An address belongs to the latest incarnation that announced it. An announcement that was
         // delayed by a partition must not evict the endpoint that uses the address now.
-        !self.present.values().any(|other| {
-            other.name != record.name
-                && other.address == record.address
-                && other.incarnation > record.incarnation
-        })
+        let holder = self.address_holder(record);
+        holder.is_none_or(|holder| holder.incarnation <= record.incarnation)
+    }
+
+    /// Returns the other endpoint that is registered with the address of `record`.
+    fn address_holder(&self, record: &EndpointRecord) -> Option<&EndpointRecord> {
+        let name = self.by_address.get(record.address.as_str())?;
+        self.get(name).filter(|other| other.name != record.name)
     }
 
     fn evict_address(&mut self, record: &EndpointRecord) {
-        let former: Vec<(CompactString, u64)> = self
-            .present
-            .values()
-            .filter(|other| other.name != record.name && other.address == record.address)
-            .map(|other| (other.name.to_compact_string(), other.incarnation))
-            .collect();
-        for (name, incarnation) in former {
-            self.present.remove(&name);
-            // The caller makes this change when it inserts the record.
-            self.push_recent(self.change + 1, name.clone());
-            self.mark_departed(name, incarnation);
+        let Some(holder) = self.address_holder(record) else { return };
+        let name = holder.name.to_compact_string();
+        if let Some(evicted) = self.list.remove(&name) {
+            self.mark_departed(name, evicted.incarnation);
         }
     }
 
@@ -218,6 +162,13 @@
     Stamp { incarnation: record.incarnation, sequence: record.sequence }
 }
 
+/// Returns `true` if an announcement repeats what is known of the endpoint.
+pub fn is_renewal(known: &EndpointRecord, announced: &EndpointRecord) -> bool {
+    let EndpointRecord { sequence, change, .. } = *announced;
+    let unchanged = EndpointRecord { sequence, change, ..known.clone() };
+    unchanged == preserve_leaving(known, announced)
+}
+
 /// Returns `record`, still leaving if the known record of the same incarnation is: an endpoint that
 /// drains never takes work again.
 fn preserve_leaving(known: &EndpointRecord, record: &EndpointRecord) -> EndpointRecord {
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -7,20 +7,24 @@
 
 mod dedup;
 pub mod delta;
+mod endpoint_list;
 mod endpoints;
 mod history;
 mod packed;
 mod placement;
 pub mod plan;
+mod relayed_news;
 mod revision;
 mod snapshot;
 pub mod suspects;
 mod trials;
 
 pub use dedup::MAX_DEDUP_RECORDS;
-pub use endpoints::Endpoints;
+pub use endpoint_list::{EndpointList, ListChanges, PAGE_CHANGES};
+pub use endpoints::{Endpoints, is_renewal};
 pub use history::History;
 pub use placement::group_of;
+pub use relayed_news::{MAX_AGE, RelayedNews};
 pub use revision::{Revision, RevisionError};
 pub use snapshot::RestoreError;
 pub use suspects::Suspects;
@@ -166,6 +170,9 @@
             Some(CommandBody::BeginTrial(_) | CommandBody::EndTrial(_)) => {
                 rejected(Fault::Malformed, "trials are granted by the leader alone")
             }
+            Some(CommandBody::Renew(_)) => {
+                rejected(Fault::Malformed, "renewals are kept by the leader alone")
+            }
             None => rejected(Fault::Malformed, "the command is empty"),
         };
         wire::Answer { body: Some(body) }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod policy;
 pub mod prelude;
 pub mod program;
+pub mod relays;
 pub mod replication;
 pub mod roster;
 pub mod stream;
--- a/crates/core/src/policy/registry/mod.rs
+++ b/crates/core/src/policy/registry/mod.rs
@@ -161,6 +161,15 @@
         Some(key)
     }
 
+    /// Renews the leases of all endpoints that are not leaving, as if each were announced again
+    /// unchanged.
+    pub fn renew_all(&mut self, now: Time, lease: Duration) {
+        let lease_end = now + lease.min(self.settings.max_lease);
+        for endpoint in self.endpoints.values_mut().filter(|endpoint| !endpoint.leaving) {
+            endpoint.lease_end = endpoint.lease_end.max(lease_end);
+        }
+    }
+
     /// Removes the endpoints whose leases have expired and returns their keys. Also removes names
     /// that were last seen more than `seen_ttl` ago.
     pub fn expire(&mut self, now: Time) -> Vec<EndpointKey> {
--- a/crates/core/tests/control_endpoints.rs
+++ b/crates/core/tests/control_endpoints.rs
@@ -1,8 +1,10 @@
 //! Endpoint registration in the control group's log, and the changes that entries are sent.
 
-use gypsumglade_core::control::Control;
+use gypsumglade_core::control::{Control, PAGE_CHANGES};
 use gypsumglade_core::wire::control::command::Body;
-use gypsumglade_core::wire::control::{Command, Deregister, EndpointRecord, Register, Retire};
+use gypsumglade_core::wire::control::{
+    Command, Deregister, EndpointNews, EndpointRecord, Register, Retire,
+};
 
 fn record(name: &str, incarnation: u64, sequence: u64) -> EndpointRecord {
     EndpointRecord {
@@ -14,9 +16,15 @@
         domain: "a".to_owned(),
         slots: 8,
         leaving: false,
+        change: 0,
     }
 }
 
+/// Returns the page for a caller that knows the list up to `seen`.
+fn page(control: &Control, seen: u64) -> EndpointNews {
+    control.endpoints().list().page(seen, seen, PAGE_CHANGES)
+}
+
 fn register(control: &mut Control, endpoint: EndpointRecord) {
     let register = Register { endpoint: Some(endpoint) };
     control.apply(&Command { body: Some(Body::Register(register)) });
@@ -114,10 +122,10 @@
 fn changes_since_empty_when_unchanged() {
     let mut control = Control::new();
     register(&mut control, record("one", 5, 1));
-    let changes = control.endpoints().changes_since(0);
+    let changes = page(&control, 0);
     assert_eq!((changes.change, changes.endpoints.len()), (1, 1));
 
-    assert!(control.endpoints().changes_since(changes.change).endpoints.is_empty());
+    assert!(page(&control, changes.change).endpoints.is_empty());
 }
 
 /// A replica restored from a snapshot must decide like one that applied every command. If their
@@ -140,8 +148,9 @@
 
 /// Returns the names of endpoints reported as changed and as gone since change `seen`.
 fn reported(control: &Control, seen: u64) -> (Vec<String>, Vec<String>) {
-    let changes = control.endpoints().changes_since(seen);
-    (changes.endpoints.into_iter().map(|record| record.name).collect(), changes.gone)
+    let changes = page(control, seen);
+    let removed = changes.removed.into_iter().map(|removal| removal.name);
+    (changes.endpoints.into_iter().map(|record| record.name).collect(), removed.collect())
 }
 
 /// Guards against sending all endpoints to every entry VM after each change, which would load the
@@ -157,7 +166,7 @@
     deregister(&mut control, "ccc", 3);
 
     assert_eq!(reported(&control, seen), (vec!["bb".to_owned()], vec!["ccc".to_owned()]));
-    assert!(control.endpoints().changes_since(seen).delta);
+    assert!(page(&control, seen).delta);
     assert_eq!(reported(&control, control.endpoints().change()), (Vec::new(), Vec::new()));
 }
 
@@ -179,7 +188,7 @@
     register(&mut control, record("a", 5, 1));
     register(&mut control, record("bb", 6, 1));
 
-    assert!(!control.endpoints().changes_since(0).delta);
+    assert!(!page(&control, 0).delta);
     assert_eq!(reported(&control, 0).0, ["a", "bb"]);
 }
 
@@ -193,7 +202,7 @@
     register(&mut control, record("bb", 6, 1));
     let restored = Control::restore(&control.snapshot()).expect("the snapshot is valid");
 
-    let changes = restored.endpoints().changes_since(seen);
+    let changes = page(&restored, seen);
     assert!(!changes.delta);
     assert_eq!(changes.endpoints.len(), 2);
 }
--- a/crates/gypsumglade/src/entry/config.rs
+++ b/crates/gypsumglade/src/entry/config.rs
@@ -1,12 +1,13 @@
 //! Active bundle of this VM and the configuration lease, without which it takes no new calls.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, RwLock};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Duration;
 
 use gypsumglade_core::bundle::OperatorKeys;
 use gypsumglade_core::lease::{LeaseSettings, Relay, Upstream, VmRegion, upstreams};
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::relays::Source;
 use gypsumglade_core::wire::control::confirm_reply::Body;
 use gypsumglade_core::wire::control::{ConfirmReply, ConfirmRequest};
 use prost::Message as _;
@@ -16,7 +17,7 @@
 use super::problem::{Problem, ProblemKind};
 use crate::clock::Clock;
 use crate::directory::Directory;
-use crate::leader_hint::LeaderHint;
+use crate::feed::{self, Sources};
 use crate::metrics::LeaseMetrics;
 use crate::rpc::{Method, PeerClients, RpcError};
 
@@ -39,6 +40,8 @@
 pub struct Renewal {
     /// Id and region of this VM.
     pub me: VmRegion,
+    /// The stores that answer for the control group.
+    pub sources: Mutex<Sources>,
     /// Addresses of the other VMs.
     pub directory: Arc<Directory>,
     /// RPC clients for the other VMs.
@@ -103,7 +106,7 @@
         self.relay().serve(request, now)
     }
 
-    fn relay(&self) -> std::sync::MutexGuard<'_, Relay> {
+    fn relay(&self) -> MutexGuard<'_, Relay> {
         self.relay.lock().expect("no panic while held")
     }
 
@@ -146,10 +149,22 @@
 
 /// Renews the lease until the process stops. Calls `on_applied` after each new bundle.
 pub async fn renew(view: &ConfigView, renewal: &Renewal, on_applied: impl Fn(&ActiveBundle)) {
+    renew_while(view, renewal, || true, on_applied).await;
+}
+
+/// Renews the lease until the process stops, but only while `wanted` returns true.
+pub async fn renew_while(
+    view: &ConfigView,
+    renewal: &Renewal,
+    wanted: impl Fn() -> bool,
+    on_applied: impl Fn(&ActiveBundle),
+) {
     let mut state = RenewalState::default();
     let mut last = RevisionNumber::default();
     while !renewal.stop.is_cancelled() {
-        renew_once(view, renewal, &mut state).await;
+        if wanted() {
+            renew_once(view, renewal, &mut state).await;
+        }
         let active = view.active.read().expect("no panic while held").clone();
         if let Some(active) = active.filter(|active| active.revision != last) {
             last = active.revision;
@@ -162,10 +177,15 @@
     }
 }
 
-/// What the renewal loop knows of the stores.
+impl Renewal {
+    fn sources(&self) -> MutexGuard<'_, Sources> {
+        self.sources.lock().expect("no panic while held")
+    }
+}
+
+/// What the renewal loop knows of its requests.
 #[derive(Default)]
 struct RenewalState {
-    leaders: LeaderHint,
     /// Number of requests since the last one that was answered.
     unanswered: u32,
 }
@@ -174,7 +194,8 @@
     let sent = renewal.clock.now();
     let failures = view.relay().lease().failures();
     let Some(request) = view.relay().next_request(sent) else { return };
-    let Some(target) = target(renewal, &state.leaders, failures) else {
+    let Some(target) = target(renewal, failures) else {
+        renewal.sources().skip();
         view.relay().request_failed(request.ask);
         return;
     };
@@ -188,6 +209,12 @@
         Ok(reply) => {
             state.record_answer(renewal, &target, &reply);
             view.apply_reply(reply, took.as_millis() as u64, now, renewal);
+            // A relay that is itself cut off grants what remains of an old lease.
+            let stale = view.relay().lease().failures() > failures;
+            if stale && matches!(target.store, Some(feed::Target { source: Source::Relay(_), .. }))
+            {
+                renewal.sources().skip();
+            }
         }
         Err(error) => {
             // Only the first of a series is logged.
@@ -196,7 +223,7 @@
                     "ms" => took.as_millis() as u64, "revision" => request.applied,
                     "lease_ms" => view.remaining(now).as_millis() as u64);
             }
-            state.record_failure(&target);
+            state.record_failure(renewal, &target);
             view.relay().request_failed(request.ask);
         }
     }
@@ -209,32 +236,33 @@
                 "from" => %target.address, "unanswered" => self.unanswered);
             self.unanswered = 0;
         }
-        // Only a reply from a store says where the leader is; a relay's does not.
-        match (&reply.body, target.store) {
-            (Some(Body::Unavailable(unavailable)), Some(vm)) => {
-                self.leaders.redirect(Some(vm), unavailable.leader.map(VmId));
+        // Only a reply from a store says where the leader is; another entry VM's does not.
+        let Some(store) = &target.store else { return };
+        match (&reply.body, store.source) {
+            (Some(Body::Unavailable(unavailable)), Source::Leader) => {
+                renewal.sources().redirect(store, unavailable.leader.map(VmId));
             }
-            (Some(Body::Grant(_)), Some(vm)) => self.leaders.confirm(vm),
+            (Some(Body::Grant(_)), _) => renewal.sources().confirm(store),
             _ => {}
         }
     }
 
-    fn record_failure(&mut self, target: &Target) {
+    fn record_failure(&mut self, renewal: &Renewal, target: &Target) {
         self.unanswered += 1;
-        if let Some(vm) = target.store {
-            self.leaders.mark_unresponsive(vm, Instant::now());
+        if let Some(store) = &target.store {
+            renewal.sources().unresponsive(store);
         }
     }
 }
 
 /// Destination of a lease request.
 struct Target {
-    /// Id of the store, or `None` if the destination is another VM that relays the lease.
-    store: Option<VmId>,
+    /// The store, or `None` if the destination is another entry VM that relays the lease.
+    store: Option<feed::Target>,
     address: SocketAddr,
 }
 
-fn target(renewal: &Renewal, leaders: &LeaderHint, failures: usize) -> Option<Target> {
+fn target(renewal: &Renewal, failures: usize) -> Option<Target> {
     let entries = renewal.directory.entries();
     let members: Vec<VmRegion> =
         entries.iter().map(|entry| VmRegion { vm: entry.vm, region: entry.region }).collect();
@@ -246,8 +274,8 @@
             Some(Target { store: None, address })
         }
         Upstream::Control => {
-            let (vm, address) = leaders.target(&renewal.directory, Instant::now())?;
-            Some(Target { store: Some(vm), address })
+            let store = renewal.sources().target()?;
+            Some(Target { store: Some(store), address: store.address })
         }
     }
 }
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -10,6 +10,7 @@
 use gypsumglade_core::policy::retry::{RetryPolicy, RetrySettings};
 use gypsumglade_core::policy::route::{Place, PolicyWeights, RouteSettings, Router};
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::discovery::Role;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -23,6 +24,7 @@
 use crate::admin;
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::feed::Sources;
 use crate::gateway::TurnClient;
 use crate::listener::{Listener, ListenerOptions};
 use crate::membership::Handle;
@@ -213,7 +215,10 @@
 }
 
 fn spawn_loops(state: &Arc<EntryState>, halt: &CancellationToken) {
+    let directory = Arc::clone(&state.directory);
+    let domain = &state.settings.vm.domain;
     let renewal = Renewal {
+        sources: Sources::new(state.settings.vm.vm(), Role::Entry, domain, directory, None).into(),
         me: VmRegion { vm: state.vm, region: state.place.region },
         directory: Arc::clone(&state.directory),
         peers: state.peers.clone(),
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -35,6 +35,7 @@
 use crate::discovery::{Discovery, Process, random_identity};
 use crate::entry::config::{self, ConfigView, Renewal, operator_keys};
 use crate::entry::listener_options;
+use crate::feed::Sources;
 use crate::listener::Listener;
 use crate::metrics::Metrics;
 use crate::rpc::PeerClients;
@@ -232,16 +233,24 @@
     if let Some(discovery) = discovery {
         tokio::spawn(Arc::clone(discovery).run(shutdown.clone()));
     }
-    tokio::spawn(endpoint_sync::run(Arc::clone(state), shutdown.clone()));
-    tokio::spawn(renew_config(Arc::clone(state), shutdown.clone()));
+    let discovery = discovery.cloned();
+    tokio::spawn(endpoint_sync::run(Arc::clone(state), discovery.clone(), shutdown.clone()));
+    tokio::spawn(renew_config(Arc::clone(state), discovery, shutdown.clone()));
     tokio::spawn(sweep_connections(Arc::clone(state), shutdown.clone()));
     tokio::spawn(watch_stalls(Arc::clone(state), shutdown.clone()));
 }
 
-async fn renew_config(state: Arc<GatewayState>, shutdown: CancellationToken) {
+async fn renew_config(
+    state: Arc<GatewayState>,
+    discovery: Option<Arc<Discovery>>,
+    shutdown: CancellationToken,
+) {
     let me = gypsumglade_core::lease::VmRegion { vm: state.vm, region: state.place.region };
+    let directory = Arc::clone(&state.directory);
+    let domain = &state.settings.vm.domain;
     let renewal = Renewal {
         me,
+        sources: Sources::new(state.vm, Role::Entry, domain, directory, discovery).into(),
         directory: Arc::clone(&state.directory),
         peers: state.peers.clone(),
         clock: state.clock,
--- a/crates/gypsumglade/src/lib.rs
+++ b/crates/gypsumglade/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod disk;
 pub mod embedded;
 pub mod entry;
+pub mod feed;
 pub mod gateway;
 pub mod leader_client;
 pub mod leader_hint;
--- a/crates/gypsumglade/src/store/control_group.rs
+++ b/crates/gypsumglade/src/store/control_group.rs
@@ -32,6 +32,7 @@
 use super::pending_answers::PendingAnswers;
 use super::program_group::GroupInput;
 use crate::replica::{Event, ProposeError, ReadError};
+pub(super) use endpoints::no_update;
 use endpoints::{LastAnnounced, Watched};
 use suspects::TrialState;
 
@@ -111,6 +112,7 @@
                 Some(CommandBody::ClearSuspect(clear)) => self.clear_suspect(clear).await,
                 Some(CommandBody::BeginTrial(begin)) => self.begin_trial(&begin).await,
                 Some(CommandBody::EndTrial(end)) => self.end_trial(&end),
+                Some(CommandBody::Renew(renew)) => self.renew_endpoints(&renew),
                 _ => self.command(command).await,
             },
             Some(RequestBody::Status(query)) => self.status(&query).await,
@@ -373,6 +375,11 @@
         (found.number == wanted).then_some(found)
     }
 
+    /// Returns `true` while this store leads the group.
+    pub(super) fn leads(&self) -> bool {
+        matches!(self.state().role, Role::Leader { .. })
+    }
+
     /// Returns `true` if a store is retiring, according to the log applied here.
     pub fn is_retiring(&self, vm: VmId) -> bool {
         self.state().control.is_retiring(vm)
--- a/crates/gypsumglade/src/store/control_group/endpoints.rs
+++ b/crates/gypsumglade/src/store/control_group/endpoints.rs
@@ -3,10 +3,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use futures::future::join_all;
+
+use gypsumglade_core::control::PAGE_CHANGES;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::control::{
-    Answer, Command, Deregister, EndpointNews, EndpointQuery, Register, Registered, answer,
+    Answer, Command, Deregister, EndpointNews, EndpointQuery, Register, Registered, Renew, answer,
 };
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 use tokio::time::Instant;
@@ -18,6 +21,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Interval between two checks for expired endpoints.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Removals of expired endpoints that wait for their commit at the same time.
+const EXPIRIES_IN_FLIGHT: usize = 256;
 /// Time between two checks from which the process counts as paused.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_500);
 
@@ -83,6 +88,22 @@
         ReplyBody::Answer(Answer { body: Some(body) })
     }
 
+    /// Renews the leases of endpoints that have announced themselves unchanged to another store.
+    pub(super) fn renew_endpoints(&self, renew: &Renew) -> ReplyBody {
+        let now = self.context.clock.now();
+        let mut state = self.state();
+        let ControlState { control, last_announced, role, .. } = &mut *state;
+        if let Role::Follower(leader) = role {
+            return self.redirect(*leader);
+        }
+        for name in &renew.names {
+            if control.endpoints().get(name).is_some() {
+                last_announced.record(name, now);
+            }
+        }
+        ReplyBody::Answer(Answer { body: Some(answer::Body::Registered(Registered {})) })
+    }
+
     /// Removes an endpoint that has shut down or is about to.
     pub(super) async fn deregister(&self, mut deregister: Deregister) -> ReplyBody {
         if deregister.incarnation == 0 {
@@ -102,7 +123,8 @@
     /// endpoints drain and are replaced.
     pub async fn watch_endpoints(&self, query: &EndpointQuery) -> EndpointNews {
         let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
-        let deadline = Instant::now() + wait;
+        let began = Instant::now();
+        let deadline = began + wait;
         let known = Watched { endpoints: query.seen, suspects: query.seen_suspects };
         let mut changes = self.watched.subscribe();
         loop {
@@ -113,7 +135,8 @@
                 break;
             }
         }
-        let (update, term) = {
+        let held = began.elapsed();
+        let (mut update, term) = {
             let state = self.state();
             match &state.role {
                 Role::Follower(leader) => {
@@ -125,6 +148,7 @@
         if self.context.host.lease_term(GroupId::CONTROL).await != Some(term) {
             return no_update(None);
         }
+        update.held_ms = held.as_millis() as u64;
         update
     }
 
@@ -136,7 +160,7 @@
             suspect_change: known.change(),
             suspects,
             suspect_delta,
-            ..state.control.endpoints().changes_since(query.seen)
+            ..state.control.endpoints().list().page(query.seen, query.since, PAGE_CHANGES)
         }
     }
 
@@ -151,12 +175,9 @@
                 self.state().last_announced = LastAnnounced::default();
             }
             last_check = now;
-            for deregister in self.expired_endpoints(lease) {
-                slog::warn!(self.context.log, "removing expired endpoint";
-                    "endpoint" => &deregister.name, "incarnation" => deregister.incarnation);
-                let command = Command { body: Some(CommandBody::Deregister(deregister)) };
-                // If leadership is lost, the next leader removes the endpoint.
-                self.command(command).await;
+            for expired in self.expired_endpoints(lease).chunks(EXPIRIES_IN_FLIGHT) {
+                // If leadership is lost, the next leader removes the endpoints.
+                join_all(expired.iter().map(|expired| self.remove_expired(expired))).await;
             }
             tokio::select! {
                 () = halt.cancelled() => {}
@@ -165,6 +186,12 @@
         }
     }
 
+    async fn remove_expired(&self, expired: &Deregister) {
+        slog::warn!(self.context.log, "removing expired endpoint";
+            "endpoint" => &expired.name, "incarnation" => expired.incarnation);
+        self.command(Command { body: Some(CommandBody::Deregister(expired.clone())) }).await;
+    }
+
     fn expired_endpoints(&self, lease: Duration) -> Vec<Deregister> {
         let now = self.context.clock.now();
         let mut state = self.state();
@@ -183,7 +210,7 @@
     }
 }
 
-fn no_update(leader: Option<VmId>) -> EndpointNews {
+pub(in crate::store) fn no_update(leader: Option<VmId>) -> EndpointNews {
     EndpointNews {
         unavailable: true,
         leader: leader.unwrap_or_default().0,
--- a/crates/gypsumglade/src/store/peer_calls.rs
+++ b/crates/gypsumglade/src/store/peer_calls.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::wire::control::{ConfirmRequest, EndpointQuery};
+use gypsumglade_core::wire::control::confirm_reply::Body as ConfirmBody;
+use gypsumglade_core::wire::control::{ConfirmReply, ConfirmRequest, EndpointQuery};
 use gypsumglade_core::wire::discovery::Hello;
 use gypsumglade_core::wire::operator::ControlRequest;
 use gypsumglade_core::wire::program::request::Body;
@@ -43,7 +44,7 @@
     module.register_async_method(Method::Lease.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
         let request: ConfirmRequest = decode(&text).map_err(|error| invalid_payload(&error))?;
-        Ok::<_, ErrorObjectOwned>(encode(&state.control.renew(&request).await))
+        Ok::<_, ErrorObjectOwned>(encode(&renew_lease(&state, &request).await))
     })?;
     module.register_method(Method::Hello.name(), |parameters, state, _| {
         let text: String = parameters.one()?;
@@ -54,7 +55,11 @@
     module.register_async_method(Method::Endpoints.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
         let query: EndpointQuery = decode(&text).map_err(|error| invalid_payload(&error))?;
-        Ok::<_, ErrorObjectOwned>(encode(&state.control.watch_endpoints(&query).await))
+        let news = match state.control.leads() {
+            true => state.control.watch_endpoints(&query).await,
+            false => state.relay.watch(&query).await,
+        };
+        Ok::<_, ErrorObjectOwned>(encode(&news))
     })?;
     module.register_async_method(Method::Turn.name(), |parameters, state, _| async move {
         let text: String = parameters.one()?;
@@ -95,6 +100,16 @@
     Ok(module)
 }
 
+/// Renews a configuration lease: as the leader of the control group, or with what remains of this
+/// store's own lease.
+async fn renew_lease(state: &StoreState, request: &ConfirmRequest) -> ConfirmReply {
+    let reply = state.control.renew(request).await;
+    let now = state.context.clock.now();
+    let unavailable = matches!(reply.body, Some(ConfirmBody::Unavailable(_)) | None);
+    let holds_lease = !state.config.remaining(now).is_zero();
+    if unavailable && holds_lease { state.config.serve(request, now) } else { reply }
+}
+
 /// Returns `true` if this store knows that it is retiring.
 fn is_retiring(state: &StoreState) -> bool {
     let vm = state.context.vm;
--- a/crates/gypsumglade/src/store/registrar.rs
+++ b/crates/gypsumglade/src/store/registrar.rs
@@ -91,6 +91,10 @@
     /// # Errors
     /// Fails when no leader answered; the endpoint should try another store.
     pub async fn announce(&self, endpoint: EndpointRecord) -> Result<(), RegistrarError> {
+        if self.state.relay.is_renewal(&endpoint) {
+            self.state.renewals.add(&endpoint.name);
+            return Ok(());
+        }
         let register = Register { endpoint: Some(endpoint) };
         self.command(CommandBody::Register(register)).await.map(drop)
     }
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -4,8 +4,10 @@
 use std::sync::{Arc, Mutex, RwLock};
 
 use anyhow::Context as _;
+use gypsumglade_core::lease::VmRegion;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::program;
+use gypsumglade_core::relays::MIN_STORES;
 use gypsumglade_core::replication;
 use gypsumglade_core::wire::discovery::Role;
 use tokio::sync::mpsc;
@@ -15,10 +17,12 @@
 use super::control_group::ControlGroup;
 use super::follower_watch;
 use super::member_watch;
+use super::news_relay::NewsRelay;
 use super::outbound::{self, Queues};
 use super::peer_calls;
 use super::program_group::{GroupInput, ProgramGroup};
 use super::registrar::Registrar;
+use super::renewals::Renewals;
 use super::repair::Repair;
 use super::text_copies::TextCopies;
 use super::text_holder::TextHolder;
@@ -26,11 +30,13 @@
 use super::turn_load::log_load;
 use crate::admin;
 use crate::clock::Clock;
+use crate::control_client::{ControlGroupClient, PROGRAM_LIMITS};
 use crate::directory::Directory;
 use crate::discovery::{Discovery, Process, random_identity, seed_identity};
 use crate::disk::{self, Faults};
-use crate::entry::config::operator_keys;
+use crate::entry::config::{self, ConfigView, Renewal, operator_keys};
 use crate::entry::listener_options;
+use crate::feed::{EndpointFeed, Sources};
 use crate::listener::Listener;
 use crate::metrics::Metrics;
 use crate::replica::{Event, Host, HostSettings};
@@ -75,6 +81,12 @@
     pub turns: Arc<TurnGroup>,
     /// Texts of kept turns on this store's disk.
     pub texts: Arc<TextHolder>,
+    /// News of the control group that this store passes on.
+    pub relay: Arc<NewsRelay>,
+    /// Configuration lease that this store passes on.
+    pub config: ConfigView,
+    /// Renewals of endpoints' leases that the leader hasn't heard of.
+    pub(super) renewals: Renewals,
     /// Discovery of the other processes, unless the settings list them.
     pub discovery: Option<Arc<Discovery>>,
     /// Settings of the process.
@@ -155,14 +167,26 @@
         });
         let keys = operator_keys(&settings.operators);
         let lease = settings.timeouts.config_lease();
-        let control = ControlGroup::new(Arc::clone(&context), keys, lease);
+        let control = ControlGroup::new(Arc::clone(&context), keys.clone(), lease);
+        let config = ConfigView::new(lease, vm, keys, clock.now());
+        let relay = NewsRelay::new(Arc::clone(&context), Arc::clone(&control));
         let turns = TurnGroup::new(Arc::clone(&context));
         let limits = TextLimits { disk_bytes: own.text_bytes };
         let options = TextOptions::new(limits, context.log.clone());
         let texts = TextStore::open_with(&own.folder.join(TEXTS_FOLDER), options)?;
         let texts = TextHolder::new(Arc::clone(&context), texts);
         tokio::spawn(outbound::send_batches(Arc::clone(&context), batches));
-        let state = Arc::new(StoreState { context, control, turns, texts, discovery, settings });
+        let state = Arc::new(StoreState {
+            context,
+            control,
+            turns,
+            texts,
+            relay,
+            config,
+            renewals: Renewals::default(),
+            discovery,
+            settings,
+        });
         start_groups(&state, events).await?;
         spawn_loops(&state, &own, &halt);
         let (rpc, admin) = listeners(&state, &own, &halt).await?;
@@ -251,6 +275,7 @@
         return;
     };
     tokio::spawn(Arc::clone(discovery).run(halt.clone()));
+    spawn_relays(state, discovery, halt);
     let target_voters = 2 * own.tolerate as usize + 1;
     let control = Arc::clone(&state.control);
     let turns = Arc::clone(&state.turns);
@@ -266,6 +291,40 @@
     tokio::spawn(Arc::clone(&state.control).expire_endpoints(lease, halt.clone()));
 }
 
+/// Starts to pass on news and leases once the deployment has enough stores for that.
+fn spawn_relays(state: &Arc<StoreState>, discovery: &Arc<Discovery>, halt: &CancellationToken) {
+    let context = &state.context;
+    let sources = || {
+        let (directory, discovery) = (Arc::clone(&context.directory), Arc::clone(discovery));
+        let domain = &state.settings.vm.domain;
+        Sources::new(context.vm, Role::Store, domain, directory, Some(discovery))
+    };
+    let feed = EndpointFeed::new(sources(), context.peers.clone(), context.clock);
+    let directory = Arc::clone(&context.directory);
+    let is_large = move || directory.stores().len() >= MIN_STORES;
+    tokio::spawn(Arc::clone(&state.relay).follow(feed, is_large.clone(), halt.clone()));
+    let region = state.settings.region_id(&state.settings.vm.region).unwrap_or_default();
+    let renewal = Renewal {
+        me: VmRegion { vm: context.vm, region },
+        sources: sources().into(),
+        directory: Arc::clone(&context.directory),
+        peers: context.peers.clone(),
+        clock: context.clock,
+        stop: halt.clone(),
+        metrics: context.metrics.leases(),
+        log: context.log.clone(),
+    };
+    let shared = Arc::clone(state);
+    tokio::spawn(async move {
+        let wanted = || is_large() && !shared.control.leads();
+        config::renew_while(&shared.config, &renewal, wanted, |_| {}).await;
+    });
+    let (directory, peers) = (Arc::clone(&context.directory), context.peers.clone());
+    let control = ControlGroupClient::new(directory, peers, PROGRAM_LIMITS);
+    let (shared, halt) = (Arc::clone(state), halt.clone());
+    tokio::spawn(async move { shared.renewals.report(control, halt).await });
+}
+
 fn host_settings(vm: VmId, own: &StoreSettings) -> HostSettings {
     HostSettings {
         vm,
--- a/crates/gypsumglade/tests/config_slow_link.rs
+++ b/crates/gypsumglade/tests/config_slow_link.rs
@@ -9,6 +9,7 @@
 use gypsumglade::clock::Clock;
 use gypsumglade::directory::Directory;
 use gypsumglade::entry::config::{ConfigView, Renewal, operator_keys, renew};
+use gypsumglade::feed::Sources;
 use gypsumglade::metrics::Metrics;
 use gypsumglade::operator;
 use gypsumglade::rpc::PeerClients;
@@ -17,6 +18,7 @@
 use gypsumglade_core::bundle::KeyPair;
 use gypsumglade_core::lease::VmRegion;
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::wire::discovery::Role;
 use gypsumglade_core::wire::operator::ControlRequest;
 use gypsumglade_core::wire::operator::control_reply::Body as Reply;
 use gypsumglade_core::wire::operator::control_request::Body as Request;
@@ -117,6 +119,7 @@
     let stop = CancellationToken::new();
     let renewal = Renewal {
         me,
+        sources: Sources::new(me.vm, Role::Entry, "", Arc::clone(&directory), None).into(),
         directory,
         peers: PeerClients::new(Secret::new(TOKEN), None),
         clock,
