Prefer endpoints with an open connection

Change: the cost of a candidate includes the time to open a connection, a round trip and a millisecond, unless an idle one is open and less than half of its slots are known to be taken; endpoints with an idle connection are always among the candidates.

--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -60,6 +60,7 @@
         place: Place::default(),
         excluded: Vec::new(),
         isolate: false,
+        connected: Vec::new(),
     }
 }
 
--- a/crates/core/src/policy/mechanism.rs
+++ b/crates/core/src/policy/mechanism.rs
@@ -32,6 +32,8 @@
     /// Drops an attempt of a repeatable call that takes unusually long, and sends the call to
     /// another endpoint.
     Patience,
+    /// Includes the time to open a connection in the cost.
+    Reuse,
     /// Limits the calls of new and returned endpoints, with a growing share.
     SlowStart,
     /// Takes endpoints that keep failing out of use for some time.
@@ -40,7 +42,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order of the enum.
-    pub const ALL: [Mechanism; 13] = [
+    pub const ALL: [Mechanism; 14] = [
         Mechanism::Admission,
         Mechanism::Queue,
         Mechanism::Prefix,
@@ -52,6 +54,7 @@
         Mechanism::LastRun,
         Mechanism::Assignment,
         Mechanism::Patience,
+        Mechanism::Reuse,
         Mechanism::SlowStart,
         Mechanism::Ejection,
     ];
--- a/crates/core/tests/scenario_policy.rs
+++ b/crates/core/tests/scenario_policy.rs
@@ -179,6 +179,7 @@
             place: Place::default(),
             excluded: Vec::new(),
             isolate: false,
+            connected: Vec::new(),
         })
     }
 
--- a/crates/gypsumglade/src/bench/policy/run.rs
+++ b/crates/gypsumglade/src/bench/policy/run.rs
@@ -287,6 +287,7 @@
             place: program.plan.place,
             excluded: Vec::new(),
             isolate: false,
+            connected: Vec::new(),
         }
     }
 
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -407,6 +407,7 @@
         place: state.place,
         excluded: excluded.to_vec(),
         isolate: grant.isolate,
+        connected: Vec::new(),
     }
 }
 
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -229,6 +229,7 @@
         place: state.place,
         excluded: excluded.to_vec(),
         isolate: grant.isolate,
+        connected: Vec::new(),
     }
 }
 
--- a/crates/gypsumglade/src/gateway/placement.rs
+++ b/crates/gypsumglade/src/gateway/placement.rs
@@ -303,6 +303,7 @@
         place: state.place,
         excluded: excluded.to_vec(),
         isolate: false,
+        connected: state.connections.idle_endpoints(),
     }
 }
 
