Keep a busy turn group's leader from being searched for

Causes: an entry VM of a large deployment has one or two commands under way, so it can't tell from other answers that the leader is only busy: after 150 ms it searched, and after 500 ms it sent the command again; a search without an answer in time closed the connection that carried the commands. And nothing kept the leaders of both groups apart.

--- a/crates/gypsumglade/src/gateway/leader_search.rs
+++ b/crates/gypsumglade/src/gateway/leader_search.rs
@@ -171,6 +171,6 @@
 
 async fn ask_one(peers: PeerClients, vm: VmId, address: SocketAddr) -> (VmId, Option<KeptReply>) {
     let query = KeptQuery { turns: Vec::new() };
-    let reply = peers.ask(address, Method::KeptTurns, &query, ASK_TIMEOUT).await;
+    let reply = peers.ask_briefly(address, Method::KeptTurns, &query, ASK_TIMEOUT).await;
     (vm, reply.ok())
 }
--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -85,6 +85,8 @@
 enum Limit {
     /// Until the timeout ends.
     Total(Duration),
+    /// Until the timeout ends, without closing the connection then.
+    Brief(Duration),
     /// For as long as bytes arrive within each timeout.
     Progress(Duration),
     /// Until the connection has been silent for the timeout.
@@ -131,6 +133,28 @@
         self.ask_within(address, method, request, Limit::Total(timeout)).await
     }
 
+    /// Sends a protobuf message whose answer is of use only within `timeout`.
+    ///
+    /// Without an answer the connection stays open, since other calls on it may still be answered: a
+    /// process that is only busy would otherwise have to accept a new connection, and be sent those
+    /// calls again.
+    ///
+    /// # Errors
+    /// Fails as [`PeerClients::ask`] does.
+    pub async fn ask_briefly<Q, A>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        request: &Q,
+        timeout: Duration,
+    ) -> Result<A, RpcError>
+    where
+        Q: Message,
+        A: Message + Default,
+    {
+        self.ask_within(address, method, request, Limit::Brief(timeout)).await
+    }
+
     /// Sends a protobuf message whose answer may be large.
     ///
     /// The timeout counts from the last bytes that arrived. A large answer on a busy link would
@@ -198,13 +222,18 @@
         parameters: ArrayParams,
         limit: Limit,
     ) -> Result<String, RpcError> {
-        let (Limit::Total(timeout) | Limit::Progress(timeout) | Limit::Silence(timeout)) = limit;
+        let (Limit::Total(timeout)
+        | Limit::Brief(timeout)
+        | Limit::Progress(timeout)
+        | Limit::Silence(timeout)) = limit;
         let deadline = tokio::time::Instant::now() + timeout;
         let opening = tokio::time::timeout_at(deadline, self.client(address)).await;
         let client = opening.map_err(|_| RpcError::Unreachable(address))??;
         let request = client.calls.request::<String, _>(method.name(), parameters);
         let answer = match limit {
-            Limit::Total(_) => tokio::time::timeout_at(deadline, request).await.ok(),
+            Limit::Total(_) | Limit::Brief(_) => {
+                tokio::time::timeout_at(deadline, request).await.ok()
+            }
             Limit::Progress(_) => while_bytes_arrive(request, &client.received, timeout).await,
             Limit::Silence(_) => until_silent(request, &client.received, timeout).await,
         };
@@ -213,6 +242,7 @@
             Some(Err(ClientError::Call(error))) => {
                 Err(RpcError::Refused(address, error.message().to_owned()))
             }
+            None if matches!(limit, Limit::Brief(_)) => Err(RpcError::Lost(address)),
             Some(Err(_)) | None => {
                 self.discard_broken(address, &client).await;
                 Err(RpcError::Lost(address))
--- a/crates/gypsumglade/src/store/repair.rs
+++ b/crates/gypsumglade/src/store/repair.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::relays::MIN_STORES;
 use gypsumglade_core::replication::repair::{
     ClusterView, StoreInfo, next_change, next_swap, successors,
 };
@@ -90,8 +91,9 @@
             let led: Vec<_> =
                 host.groups.into_iter().filter(|group| group.role == Role::Leader).collect();
             self.discovery.set_led(led.iter().map(|group| self.leader_report(group)).collect());
+            let leads_control = led.iter().any(|group| group.group == GroupId::CONTROL);
             for group in led {
-                self.repair(&group, &mut history).await;
+                self.repair(&group, leads_control, &mut history).await;
             }
             tokio::select! {
                 () = halt.cancelled() => {}
@@ -116,9 +118,9 @@
         self.discovery.set_full(shortage.is_some_and(|shortage| shortage.wait_ms >= grace_ms));
     }
 
-    async fn repair(&self, group: &Status, history: &mut RepairHistory) {
+    async fn repair(&self, group: &Status, leads_control: bool, history: &mut RepairHistory) {
         let cluster_view = self.cluster_view(group, &history.addresses);
-        if self.transfer_leadership(group, &cluster_view, history) {
+        if self.transfer_leadership(group, leads_control, &cluster_view, history) {
             return;
         }
         let repair = next_change(&group.members, &cluster_view);
@@ -161,13 +163,16 @@
     fn transfer_leadership(
         &self,
         group: &Status,
+        leads_control: bool,
         cluster_view: &ClusterView,
         history: &mut RepairHistory,
     ) -> bool {
         let now = self.context.clock.now();
         let tried = history.transfers.get(&group.group);
         let paused = tried.is_some_and(|at| now.since(*at) < TRANSFER_BACKOFF);
-        let unfit = group.group == GroupId::TURNS && self.turns.is_unusable();
+        // In a large deployment one store's processor is too small for the leaders of both groups.
+        let crowded = leads_control && cluster_view.alive.len() >= MIN_STORES;
+        let unfit = group.group == GroupId::TURNS && (self.turns.is_unusable() || crowded);
         let successors =
             if group.settled { successors(&group.members, cluster_view) } else { Vec::new() };
         if paused || (successors.is_empty() && !unfit) {
