--- a/crates/gypsumglade/src/gateway/turn_client.rs
+++ b/crates/gypsumglade/src/gateway/turn_client.rs
@@ -6,6 +6,7 @@
 use gypsumglade_core::policy::group_health::{
     Decision, GroupHealth, HealthChange, RequestEnd, RequestId, WaitRequest,
 };
+use gypsumglade_core::policy::leader_patience::LeaderPatience;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
@@ -19,20 +20,6 @@
 use crate::directory::Directory;
 use crate::rpc::{Method, PeerClients};
 
-/// Silence of a store after which a command is sent again: ten times the duration of a commit across
-/// regions, which takes two round trips and two syncs, some 50 ms.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// The longest that this silence is extended to while the leader's answers take long.
-const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long the leader may answer no command before a search for another leader starts.
-const SEARCH_DELAY: Duration = Duration::from_millis(150);
-/// The longest that a search is delayed while the leader's answers take long.
-const MAX_SEARCH_DELAY: Duration = Duration::from_millis(600);
-/// Times that the last answer took after which a leader counts as silent.
-///
-/// In a large deployment an entry VM has few commands under way, so it can't tell from other answers
-/// that the leader is only busy. Searches and repeated commands would keep it busy for good.
-const SILENT_ANSWERS: u32 = 2;
 /// Delay before the first retry after a failed call; it doubles with each.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(25);
 /// Longest delay between retries.
@@ -54,8 +41,7 @@
     calls: TurnCalls,
     /// Time of the last answer of a leader.
     last_answer: Mutex<Instant>,
-    /// Time that it took.
-    last_latency: Mutex<Duration>,
+    patience: Mutex<LeaderPatience>,
 }
 
 /// Permission to send one command; see [`TurnClient::admit`].
@@ -101,7 +87,7 @@
             search,
             calls,
             last_answer: Mutex::new(Instant::now()),
-            last_latency: Mutex::default(),
+            patience: Mutex::default(),
         });
         tokio::spawn(log_calls(Arc::downgrade(&shared), log));
         TurnClient { shared }
@@ -207,9 +193,8 @@
         leaders: &mut watch::Receiver<Option<VmId>>,
     ) -> AskOutcome {
         self.calls.sent();
-        let patience = self.last_latency() * SILENT_ANSWERS;
-        let timeout = patience.clamp(CALL_TIMEOUT, MAX_CALL_TIMEOUT);
-        let search_delay = patience.clamp(SEARCH_DELAY, MAX_SEARCH_DELAY);
+        let patience = *self.patience();
+        let (timeout, search_delay) = (patience.resend_delay(), patience.search_delay());
         let asking = self.peers.ask_responsive::<_, Reply>(address, Method::Turn, command, timeout);
         tokio::pin!(asking);
         let sent = Instant::now();
@@ -241,7 +226,7 @@
             Ok(Some(ReplyBody::Uncertain(_)) | None) | Err(_) => self.search.leader_lost(vm, None),
             Ok(Some(body)) => {
                 *self.last_answer.lock().expect("no panic while held") = Instant::now();
-                *self.last_latency.lock().expect("no panic while held") = sent.elapsed();
+                self.patience().answered(sent.elapsed());
                 return AskOutcome::Answered(Answer { body, took });
             }
         }
@@ -260,8 +245,8 @@
         *self.last_answer.lock().expect("no panic while held")
     }
 
-    fn last_latency(&self) -> Duration {
-        *self.last_latency.lock().expect("no panic while held")
+    fn patience(&self) -> MutexGuard<'_, LeaderPatience> {
+        self.patience.lock().expect("no panic while held")
     }
 
     fn health(&self) -> MutexGuard<'_, GroupHealth> {
--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -85,7 +85,7 @@
 enum Limit {
     /// Until the timeout ends.
     Total(Duration),
-    /// Until the timeout ends, without closing the connection then.
+    /// Until the timeout ends; the connection is kept then.
     Brief(Duration),
     /// For as long as bytes arrive within each timeout.
     Progress(Duration),
@@ -135,9 +135,8 @@
 
     /// Sends a protobuf message whose answer is of use only within `timeout`.
     ///
-    /// Without an answer the connection stays open, since other calls on it may still be answered: a
-    /// process that is only busy would otherwise have to accept a new connection, and be sent those
-    /// calls again.
+    /// Without an answer the connection is kept. A process that is only busy would otherwise have to
+    /// accept another one for the next call.
     ///
     /// # Errors
     /// Fails as [`PeerClients::ask`] does.
--- a/crates/gypsumglade/tests/rpc_reconnect.rs
+++ b/crates/gypsumglade/tests/rpc_reconnect.rs
@@ -107,3 +107,38 @@
     assert_eq!(reply, Err(RpcError::Lost(server.address())));
     assert!(began.elapsed() < BUSY, "{:?}", began.elapsed());
 }
+
+/// Passes connections on to `server`, and counts them.
+async fn counting_proxy(server: SocketAddr) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&count);
+    tokio::spawn(async move {
+        while let Ok((mut caller, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(async move {
+                let mut server = tokio::net::TcpStream::connect(server).await.expect("it listens");
+                // Ends with either side.
+                let _ = tokio::io::copy_bidirectional(&mut caller, &mut server).await;
+            });
+        }
+    });
+    (address, count)
+}
+
+/// Each search for a leader that was only busy made it accept another connection.
+#[tokio::test]
+async fn ask_briefly_keeps_connection() {
+    let token = Secret::new("a-token-for-the-test");
+    let (server, commands) = serve_slow_commands(token.clone()).await;
+    let (address, connections) = counting_proxy(server.address()).await;
+    let peers = PeerClients::new(token, None);
+    for _ in 0..3 {
+        let command = Command::default();
+        let asking = peers.ask_briefly::<_, Reply>(address, Method::Turn, &command, SILENCE);
+        assert_eq!(asking.await, Err(RpcError::Lost(address)));
+    }
+    assert_eq!(commands.load(Ordering::SeqCst), 3);
+    assert_eq!(connections.load(Ordering::SeqCst), 1);
+}
