--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -60,7 +60,6 @@
         place: Place::default(),
         excluded: Vec::new(),
         isolate: false,
-        connected: Vec::new(),
     }
 }
 
--- a/crates/core/src/policy/mechanism.rs
+++ b/crates/core/src/policy/mechanism.rs
@@ -32,8 +32,6 @@
     /// Drops an attempt of a repeatable call that takes unusually long, and sends the call to
     /// another endpoint.
     Patience,
-    /// Includes the time to open a connection in the cost.
-    Reuse,
     /// Limits the calls of new and returned endpoints, with a growing share.
     SlowStart,
     /// Takes endpoints that keep failing out of use for some time.
@@ -42,7 +40,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order of the enum.
-    pub const ALL: [Mechanism; 14] = [
+    pub const ALL: [Mechanism; 13] = [
         Mechanism::Admission,
         Mechanism::Queue,
         Mechanism::Prefix,
@@ -54,7 +52,6 @@
         Mechanism::LastRun,
         Mechanism::Assignment,
         Mechanism::Patience,
-        Mechanism::Reuse,
         Mechanism::SlowStart,
         Mechanism::Ejection,
     ];
--- a/crates/core/src/policy/route/cost.rs
+++ b/crates/core/src/policy/route/cost.rs
@@ -113,8 +113,7 @@
         wait: wait(settings, request, endpoint, &load, means.usage),
         prefill: prefill_time(request, endpoint, prefill_tokens)
             + source.as_ref().map_or(0.0, |i| i.cost),
-        network: network(settings, request, endpoint)
-            + opening(settings, request, endpoint, key, &load),
+        network: network(settings, request, endpoint),
         decode: decode_time(endpoint, request.expected_output),
         interference: 0.0,
         waste: waste(settings, request, endpoint, &load, request.prompt_tokens - prefill_tokens),
@@ -169,9 +168,7 @@
         Some(batch) => request.expected_output as f64 * batch.base,
         None => decode_time(endpoint, request.expected_output),
     };
-    let opening = opening(settings, request, endpoint, key, &endpoint.load(now));
-    let network = network(settings, request, endpoint) + opening;
-    let base = settings.weights.latency * (network + decode);
+    let base = settings.weights.latency * (network(settings, request, endpoint) + decode);
     UnloadedCost { endpoint: key, base, cached }
 }
 
@@ -251,29 +248,6 @@
     2.0 * link.latency.as_secs_f64() + bytes / link.rate + bytes * link.price
 }
 
-/// Returns the time to open a connection, unless an idle one to the endpoint is open.
-///
-/// Where endpoints are many, each call would otherwise go to another one, over a connection of its own.
-/// An endpoint that is half busy is not preferred: its load report is old, and other processes may
-/// prefer it too.
-fn opening(
-    settings: &RouteSettings,
-    request: &RouteRequest,
-    endpoint: &Endpoint,
-    key: EndpointKey,
-    load: &LoadView,
-) -> f64 {
-    if !settings.mechanisms.has(Mechanism::Reuse) || request.connected.is_empty() {
-        return 0.0;
-    }
-    let is_quiet = load.total.saturating_mul(2) < endpoint.kind.slots();
-    if is_quiet && request.connected.contains(&key) {
-        return 0.0;
-    }
-    let link = settings.links.between(request.place, place(endpoint));
-    2.0 * link.latency.as_secs_f64() + settings.connect_time
-}
-
 /// Returns the prefill time that is wasted: tokens prefilled twice, and prefixes that this call
 /// evicts.
 fn waste(
--- a/crates/core/src/policy/route/mod.rs
+++ b/crates/core/src/policy/route/mod.rs
@@ -19,7 +19,7 @@
 use super::Class;
 use super::batch::BatchCost;
 use super::mechanism::{Mechanism, Mechanisms};
-use super::registry::{EndpointKey, EndpointKind, ModelId, Registry};
+use super::registry::{EndpointKey, ModelId, Registry};
 use crate::prelude::*;
 
 /// Retry delay given when no endpoint can take the call.
@@ -93,8 +93,6 @@
     pub place: Place,
     /// Endpoints that must not get the call: already tried, or not allowed by the bundle.
     pub excluded: Vec<EndpointName>,
-    /// Endpoints that this process has an idle connection to.
-    pub connected: Vec<EndpointKey>,
     /// Whether the call is suspected of crashing engines, and so must run alone on its engine.
     pub isolate: bool,
 }
@@ -184,7 +182,6 @@
         };
         let mut keys = self.sample(all);
         keys.extend(previous_engines(registry, request, all));
-        keys.extend(self.connected_endpoints(registry, request));
         if self.settings.mechanisms.has(Mechanism::Holders) {
             keys.extend(prefix_holders(registry, request));
         }
@@ -219,7 +216,6 @@
             false => all.sample(&mut self.rng, MAX_UNLOADED).copied().collect(),
         };
         keys.extend(prefix_holders(registry, request));
-        keys.extend(self.connected_endpoints(registry, request));
         keys.sort_unstable();
         keys.dedup();
         let mechanisms = self.settings.mechanisms;
@@ -250,23 +246,6 @@
         allowed.then(|| cost::price(&self.settings, now, registry, request, key, means))
     }
 
-    /// Returns the endpoints with an idle connection that serve the target. A sample of many endpoints
-    /// would miss most of them.
-    fn connected_endpoints(&self, registry: &Registry, request: &RouteRequest) -> Vec<EndpointKey> {
-        if !self.settings.mechanisms.has(Mechanism::Reuse) {
-            return Vec::new();
-        }
-        let serves_target = |key: &EndpointKey| {
-            match &request.target {
-            Target::Model(model) => serves(registry, *key, model),
-            Target::Service(service) => registry.get(*key).is_some_and(|endpoint| {
-                matches!(&endpoint.kind, EndpointKind::Service { name, .. } if name == service)
-            }),
-        }
-        };
-        request.connected.iter().copied().filter(serves_target).collect()
-    }
-
     fn sample(&mut self, all: &[EndpointKey]) -> Vec<EndpointKey> {
         let wanted = self.settings.sample_size;
         if all.len() <= wanted {
--- a/crates/core/src/policy/route/settings.rs
+++ b/crates/core/src/policy/route/settings.rs
@@ -94,8 +94,6 @@
     pub record_age: Duration,
     /// Service time in seconds that is assumed until a call has finished at the endpoint.
     pub service_time: f64,
-    /// Seconds that opening a connection takes at the endpoint, besides a round trip.
-    pub connect_time: f64,
     /// Mechanisms that are enabled.
     pub mechanisms: Mechanisms,
 }
@@ -111,7 +109,6 @@
             import: false,
             record_age: Duration::from_secs(1800),
             service_time: 4.0,
-            connect_time: 0.001,
             mechanisms: Mechanisms::default(),
         }
     }
--- a/crates/core/tests/policy_route.rs
+++ b/crates/core/tests/policy_route.rs
@@ -86,7 +86,6 @@
         place: Place::default(),
         excluded: Vec::new(),
         isolate: false,
-        connected: Vec::new(),
     }
 }
 
@@ -369,37 +368,3 @@
     let choice = router().choose(NOW, &registry, &request).expect("an engine is available");
     assert_ne!(choice.endpoint, keys[93]);
 }
-
-/// With many endpoints, each call went to another one, over a connection that had to be opened.
-#[test]
-fn choose_reuses_connection() {
-    let (registry, keys) = fleet(900);
-    let connected = vec![keys[3], keys[300]];
-    let request = RouteRequest { connected: connected.clone(), ..request() };
-    let mut router = router();
-    for _ in 0..200 {
-        let choice = router.choose(NOW, &registry, &request).expect("idle engines");
-        assert!(connected.contains(&choice.endpoint));
-    }
-}
-
-/// Entry VMs that all have a connection to a busy endpoint must not all stay with it.
-#[test]
-fn choose_leaves_busy_connection() {
-    let (mut registry, keys) = fleet(900);
-    fill(&mut registry, keys[3], 2);
-    let request = RouteRequest { connected: vec![keys[3]], ..request() };
-    let mut router = router();
-    let chosen = (0..200).map(|_| router.choose(NOW, &registry, &request).expect("idle engines"));
-    let stayed = chosen.filter(|choice| choice.endpoint == keys[3]).count();
-    assert!(stayed < 100, "{stayed} of 200 calls");
-}
-
-/// A connection into another region must not keep calls there.
-#[test]
-fn choose_near_without_connection() {
-    let (registry, keys) = fleet(900);
-    let request = RouteRequest { connected: vec![keys[2]], ..request() };
-    let choice = router().choose(NOW, &registry, &request).expect("idle engines");
-    assert_ne!(choice.endpoint, keys[2]);
-}
--- a/crates/core/tests/scenario_policy.rs
+++ b/crates/core/tests/scenario_policy.rs
@@ -179,7 +179,6 @@
             place: Place::default(),
             excluded: Vec::new(),
             isolate: false,
-            connected: Vec::new(),
         })
     }
 
--- a/crates/core/tests/turns_assign.rs
+++ b/crates/core/tests/turns_assign.rs
@@ -101,7 +101,6 @@
         place: Place::default(),
         excluded: Vec::new(),
         isolate: false,
-        connected: Vec::new(),
     }
 }
 
--- a/crates/gypsumglade/src/bench/policy/run.rs
+++ b/crates/gypsumglade/src/bench/policy/run.rs
@@ -287,7 +287,6 @@
             place: program.plan.place,
             excluded: Vec::new(),
             isolate: false,
-            connected: Vec::new(),
         }
     }
 
--- a/crates/gypsumglade/src/entry/tool.rs
+++ b/crates/gypsumglade/src/entry/tool.rs
@@ -407,7 +407,6 @@
         place: state.place,
         excluded: excluded.to_vec(),
         isolate: grant.isolate,
-        connected: Vec::new(),
     }
 }
 
--- a/crates/gypsumglade/src/entry/turn.rs
+++ b/crates/gypsumglade/src/entry/turn.rs
@@ -229,7 +229,6 @@
         place: state.place,
         excluded: excluded.to_vec(),
         isolate: grant.isolate,
-        connected: Vec::new(),
     }
 }
 
--- a/crates/gypsumglade/src/gateway/buffered.rs
+++ b/crates/gypsumglade/src/gateway/buffered.rs
@@ -73,9 +73,9 @@
             return Ok(ReadEnd::Unusable);
         }
     };
-    state.connections.put_back(connection, dispatch.endpoint, &head);
     dispatch.finished();
     suspects::clear(state, call);
+    state.connections.put_back(connection, &head);
     Ok(ReadEnd::Whole(into_answer(parts, collected.to_bytes())))
 }
 
--- a/crates/gypsumglade/src/gateway/connections.rs
+++ b/crates/gypsumglade/src/gateway/connections.rs
@@ -9,7 +9,6 @@
 use std::sync::Mutex;
 
 use bytes::Bytes;
-use gypsumglade_core::policy::registry::EndpointKey;
 use gypsumglade_core::prelude::*;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -52,7 +51,6 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    endpoint: EndpointKey,
     expires: Instant,
 }
 
@@ -93,14 +91,9 @@
         Some(connected.is_ok())
     }
 
-    /// Returns a connection to the pool after a complete answer of `endpoint`, unless the endpoint
-    /// closes it. It expires before the idle timeout that `head` states.
-    pub(super) fn put_back(
-        &self,
-        mut connection: Connection,
-        endpoint: EndpointKey,
-        head: &AnswerHead,
-    ) {
+    /// Returns a connection to the pool after a complete answer, unless the endpoint closes it. It
+    /// expires before the idle timeout that `head` states.
+    pub(super) fn put_back(&self, mut connection: Connection, head: &AnswerHead) {
         if head.closes || connection.sender.is_closed() {
             return;
         }
@@ -110,18 +103,10 @@
         let mut all = self.idle.lock().expect("no panic while held");
         let kept = all.entry(connection.address).or_default();
         if kept.len() < MAX_IDLE {
-            kept.push(Idle { connection, endpoint, expires });
+            kept.push(Idle { connection, expires });
         }
     }
 
-    /// Returns the endpoints with an idle connection.
-    pub(super) fn idle_endpoints(&self) -> Vec<EndpointKey> {
-        let now = Instant::now();
-        let all = self.idle.lock().expect("no panic while held");
-        let latest = all.values().filter_map(|kept| kept.last());
-        latest.filter(|idle| idle.expires > now).map(|idle| idle.endpoint).collect()
-    }
-
     /// Closes idle connections that have expired or that the endpoint has closed.
     pub(super) fn close_expired(&self) {
         let now = Instant::now();
--- a/crates/gypsumglade/src/gateway/placement.rs
+++ b/crates/gypsumglade/src/gateway/placement.rs
@@ -303,7 +303,6 @@
         place: state.place,
         excluded: excluded.to_vec(),
         isolate: false,
-        connected: state.connections.idle_endpoints(),
     }
 }
 
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -331,9 +331,9 @@
     let Source { dispatch, connection, head, .. } = source;
     match end {
         StreamEnd::Whole => {
-            state.connections.put_back(connection, dispatch.endpoint, &head);
             dispatch.finished();
             suspects::clear(state, call);
+            state.connections.put_back(connection, &head);
         }
         StreamEnd::Broken => dispatch.failed(),
         // Dropping the dispatch cancels it, and closing the connection stops the endpoint's work.
