Announce endpoints that change while a renewal is due

An entry VM announces a change of the list to its registry, but left that to the renewal of all endpoints when one was due, and the renewal announces only endpoints of pools that a new revision changes. So a change that arrived when the ten seconds of a renewal were over, or just after a new revision, was lost at that entry VM.

Change: changes are always announced, unless an announcement of all is pending.

Evidence: drain_told_while_renewal_is_due, 48 endpoints that leave one after another for 12 s: before, one of them still gets calls (leaving-38); after, none.

--- a/crates/gypsumglade/src/gateway/endpoint_sync.rs
+++ b/crates/gypsumglade/src/gateway/endpoint_sync.rs
@@ -113,10 +113,10 @@
     }
 
     /// Announces changed endpoints to the registry, or makes an announcement of all due if there is no
-    /// bundle for it now.
+    /// bundle for it now. A renewal that is due doesn't include them.
     fn announce_changed(&mut self, now: Time, changed: &[CompactString]) {
         let Ok(bundle) = self.state.config.active(now) else { return self.renewal.make_due() };
-        if self.renewal.is_due(now, Some(bundle.revision)) {
+        if self.renewal.is_pending() {
             return;
         }
         let records = changed.iter().filter_map(|name| self.list.get(name));
