--- a/crates/core/src/relays.rs
+++ b/crates/core/src/relays.rs
@@ -43,8 +43,8 @@
 
 /// Returns the sources of an entry VM, in order of preference.
 ///
-/// Each entry VM has its own order of the stores of its failure domain, followed by the others and the leader, so
-/// that the entry VMs of a failed relay spread over all remaining ones.
+/// Each entry VM has its own order of the stores of its failure domain, followed by the others and
+/// the leader, so that the entry VMs of a failed relay spread over all remaining ones.
 pub fn entry_sources(me: VmId, domain: &str, stores: &[StoreInfo]) -> Vec<Source> {
     if stores.len() < MIN_STORES {
         return vec![Source::Leader];
