Let a store that starts greet all seeds

Cause: since hellos to seeds were bounded, a process that knows no store asked one seed in each round. A store was then known to one seed at once and to the others up to a second later. Entry VMs lose nothing by that, but a store does: texts are put without it, and a request to retire it is refused because too few other stores are known.

What callers saw: a text put while its caller knew one store only left a copy that the group doesn't name; POST /retire answered 409 for a moment although enough stores were up.

Change: a store that knows no other tries all seeds; entry VMs still try one. The choice is `seed_hellos` in the core. It costs each seed one hello of each store at the start: 120 in the whole fleet, 240 at twice its size.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -23,6 +23,10 @@
 /// keep a dead store listed by sending it to each other.
 const MAX_SHARED_AGE: Duration = Duration::from_secs(5);
 
+/// Rounds between two hellos to a seed once other stores are known. The seeds are the same for all
+/// processes, so they would receive the most.
+const SEED_ROUNDS: u32 = 10;
+
 #[derive(Clone, Debug)]
 struct KnownNode {
     node: Node,
@@ -43,6 +47,20 @@
     hasher.digest().max(1)
 }
 
+/// Returns how many of the seeds receive a hello in a round.
+///
+/// A store that knows no other one tries all of them, so that all know it as soon as it has started:
+/// otherwise its domain counts as empty for some rounds, texts are put without it, and a store can't be
+/// retired. Entry VMs are many and nobody waits for them, so one seed is enough. After a long partition
+/// in which all known stores have moved, the seeds can be the only ones to reach.
+pub fn seed_hellos(role: Role, alone: bool, round: u32, seeds: usize) -> usize {
+    match role {
+        Role::Store if alone => seeds,
+        _ if alone || round.is_multiple_of(SEED_ROUNDS) => seeds.min(1),
+        _ => 0,
+    }
+}
+
 /// A group as its leader reports it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GroupReport {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -1,7 +1,7 @@
 //! Processes known through their announcements.
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::roster::{Roster, digest};
+use gypsumglade_core::roster::{Roster, digest, seed_hellos};
 use gypsumglade_core::wire::discovery::{Led, Node, Role};
 
 fn store(vm: u32, peers: &str, sequence: u64, age_ms: u64) -> Node {
@@ -168,3 +168,24 @@
     roster.expire(Time::from_millis(31_000));
     assert!(!roster.contains_all(&[VmId(1)]));
 }
+
+/// A store that started was unknown to most seeds for some rounds: it was given no texts, and a request
+/// to retire it was refused because too few other stores were known.
+#[test]
+fn seed_hellos_lone_store() {
+    assert_eq!((0..20).map(|round| seed_hellos(Role::Store, true, round, 3)).min(), Some(3));
+}
+
+/// Entry VMs that know no store must not overload the seeds.
+#[test]
+fn seed_hellos_lone_entry() {
+    assert_eq!((0..20).map(|round| seed_hellos(Role::Entry, true, round, 3)).max(), Some(1));
+}
+
+/// A process whose known stores have all moved finds the others through the seeds.
+#[test]
+fn seed_hellos_known_stores() {
+    for role in [Role::Store, Role::Entry] {
+        assert_eq!((0..20).map(|round| seed_hellos(role, false, round, 3)).sum::<usize>(), 2);
+    }
+}
--- a/crates/gypsumglade/src/discovery.rs
+++ b/crates/gypsumglade/src/discovery.rs
@@ -11,7 +11,7 @@
 
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::replication::repair::StoreInfo;
-use gypsumglade_core::roster::{Roster, digest};
+use gypsumglade_core::roster::{Roster, digest, seed_hellos};
 use gypsumglade_core::wire::discovery::{Hello, Led, Node, Nodes, Role};
 use rand::seq::IteratorRandom as _;
 use tokio_util::sync::CancellationToken;
@@ -32,9 +32,6 @@
 /// Number of stores up to which every process sends hellos at [`HELLO_INTERVAL`]. Processes that
 /// aren't stores send fewer in a larger deployment, so that a store receives a bounded number.
 const FULL_RATE_STORES: usize = 32;
-/// Rounds between two hellos to a seed once other stores are known. The seeds are the same for all
-/// processes, so they would receive the most.
-const SEED_ROUNDS: u32 = 10;
 /// Number of stores up to which the last hello of each is known everywhere within a few rounds.
 const NEAR_STORES: usize = 24;
 /// Timeout of a hello.
@@ -233,22 +230,19 @@
         }
     }
 
-    /// Returns the addresses for a round of hellos: some known stores, and now and then a seed.
-    ///
-    /// After a long partition, in which all known stores may have moved, the seeds can be the only
-    /// ones to reach. A process that knows no other store tries a seed in each round.
+    /// Returns the addresses for a round of hellos: some known stores, and now and then some seeds.
     fn targets(&self, round: u32) -> Vec<SocketAddr> {
         let own = self.own.peers.parse().ok();
         let stores = self.directory.stores();
         let known = stores.into_values().filter(|address| Some(*address) != own);
         let mut targets = known.sample(&mut rand::rng(), FANOUT);
         let seeds = self.seeds.read().expect("no panic while held").clone();
+        let tried = seed_hellos(self.own.role(), targets.is_empty(), round, seeds.len());
         let seeds = seeds.into_iter().filter(|address| Some(*address) != own);
-        let seed_due = targets.is_empty() || round.is_multiple_of(SEED_ROUNDS);
-        if let Some(seed) = seeds.filter(|_| seed_due).choose(&mut rand::rng())
-            && !targets.contains(&seed)
-        {
-            targets.push(seed);
+        for seed in seeds.sample(&mut rand::rng(), tried) {
+            if !targets.contains(&seed) {
+                targets.push(seed);
+            }
         }
         targets
     }
