Accept a connection of every VM of a large deployment

Cause: a process accepted 1,024 connections of peers. In the whole fleet 986 processes may have one with the turn group's leader and with a seed, and after a restart of all some have given up one that is still open there. Those whose connection came last were refused.

Change: 4,096. At twice the size 1,972 VMs have one each. A store with 1,179 files peaked at 51.9 MB; if all of that were connections, 2,000 of them would take 88 MB of its 180. Stores may open 8,200 files.

Test: call_from_a_thousand_processes, which fails with the former limit at the 1,025th.

--- a/crates/gypsumglade/src/rpc/server.rs
+++ b/crates/gypsumglade/src/rpc/server.rs
@@ -18,8 +18,9 @@
 
 /// Maximum size of a call or answer, in bytes; a whole history in base64 fits.
 pub(super) const MAX_MESSAGE_BYTES: u32 = 32 * 1024 * 1024;
-/// Maximum number of connections from peers.
-const MAX_CONNECTIONS: u32 = 1_024;
+/// Maximum number of connections from peers. Every VM of a deployment may have one, and after a restart
+/// of all of them some have given up one that is still open here.
+const MAX_CONNECTIONS: u32 = 4_096;
 
 /// A running listener for peers.
 pub struct RpcServer {
--- a/crates/gypsumglade/tests/rpc_reconnect.rs
+++ b/crates/gypsumglade/tests/rpc_reconnect.rs
@@ -142,3 +142,27 @@
     assert_eq!(commands.load(Ordering::SeqCst), 3);
     assert_eq!(connections.load(Ordering::SeqCst), 1);
 }
+
+/// VMs of a deployment of a thousand, with a tenth of spares.
+const VMS: usize = 1_100;
+/// VMs that connect at the same time.
+const AT_ONCE: usize = 50;
+
+/// The leader of a group refused the VMs whose connection came last, so that these could serve no turns.
+#[tokio::test]
+async fn call_from_a_thousand_processes() {
+    let token = Secret::new("a-token-for-the-test");
+    let address = free_address().await;
+    let _server = serve(address, token.clone()).await;
+    let processes: Vec<PeerClients> =
+        (0..VMS).map(|_| PeerClients::new(token.clone(), None)).collect();
+    for some in processes.chunks(AT_ONCE) {
+        let call = |peers: PeerClients| async move {
+            peers.call(address, Method::Hello, ArrayParams::new(), TIMEOUT).await
+        };
+        let answers = futures::future::join_all(some.iter().cloned().map(call)).await;
+        for answer in answers {
+            assert_eq!(answer.as_deref(), Ok(ANSWER));
+        }
+    }
+}
