Wait for a relay that has no list of endpoints yet

Cause: a store or entry VM that found its relay without a list turned to the next source at once, and within a second to the leader. After a restart of all processes relays get the list one level after the other, so most stores asked the leader, 40 pages each: by the replay below 20 times the pages that one store of each failure domain needs. That this is what kept the leader busy is read from the code and shown by the change's effect; it was not profiled.

Change: a process without a list keeps to a relay that answers that it has none yet, for four seconds (`keeps_to_relay`). With a list it turns to another one at once, as before: only its age matters for endpoints that leave. Stores log when they have fetched the list.

Test: restart_list_from_leader_once_per_domain replays 120 stores that fetch 10 pages: 60 pages from the leader, 1,200 before.

Tried beside it and not kept: putting off announcements at stores that have no list yet, instead of passing them to the leader.

--- a/crates/core/src/control/relayed_news.rs
+++ b/crates/core/src/control/relayed_news.rs
@@ -23,6 +23,8 @@
     list: EndpointList,
     suspects: BTreeMap<RequestDigest, (Suspect, Time)>,
     suspect_change: u64,
+    /// Whether the list has been complete since the start.
+    has_list: bool,
     /// Time at which the list was current; zero before the first news.
     as_of: Time,
 }
@@ -33,6 +35,11 @@
         &self.list
     }
 
+    /// Returns `true` once the whole list has been fetched.
+    pub fn has_list(&self) -> bool {
+        self.has_list
+    }
+
     /// Returns the query for what has changed since the last news.
     pub fn query(&self) -> EndpointQuery {
         EndpointQuery {
@@ -51,6 +58,7 @@
     /// Takes in news that were current at `as_of`.
     pub fn merge(&mut self, now: Time, as_of: Time, news: &EndpointNews) {
         self.list.merge(news);
+        self.has_list |= self.list.is_complete();
         if !news.suspect_delta {
             self.suspects.clear();
         }
--- a/crates/core/src/relays.rs
+++ b/crates/core/src/relays.rs
@@ -17,6 +17,9 @@
 /// Stores of each failure domain that other stores follow: one, and one for when it fails.
 const HEADS: usize = 2;
 
+/// Longest time for which a process that has no list of endpoints keeps to a relay that has none either.
+const START_PATIENCE: Duration = Duration::from_secs(4);
+
 /// A process that answers for the control group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -58,3 +61,13 @@
     let relays = order.into_iter().map(|(_, vm)| Source::Relay(vm));
     relays.chain([Source::Leader]).collect()
 }
+
+/// Returns whether a process keeps to a relay that is reachable but can't answer yet, after it has waited
+/// for `waited`.
+///
+/// After a restart of all processes the list of endpoints reaches one level of relays after the other. If
+/// those that wait for it asked others, and at last the leader, the leader would send the list to each of
+/// them. A process that has a list turns to another source at once, since its list gets old.
+pub fn keeps_to_relay(has_list: bool, waited: Duration) -> bool {
+    !has_list && waited < START_PATIENCE
+}
--- a/crates/core/tests/relays.rs
+++ b/crates/core/tests/relays.rs
@@ -2,9 +2,12 @@
 
 use std::collections::BTreeMap;
 
+use gypsumglade_core::control::{Control, PAGE_CHANGES, RelayedNews};
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::relays::{MIN_STORES, Source, entry_sources, store_sources};
+use gypsumglade_core::relays::{MIN_STORES, Source, entry_sources, keeps_to_relay, store_sources};
 use gypsumglade_core::replication::repair::StoreInfo;
+use gypsumglade_core::wire::control::command::Body;
+use gypsumglade_core::wire::control::{Command, EndpointRecord, Register};
 
 const DOMAINS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
@@ -83,3 +86,78 @@
     assert_eq!(entry_sources(VmId(9), "a", &stores), [Source::Leader]);
     assert_eq!(store_sources(stores[3].vm, &stores[3].domain, &stores), [Source::Leader]);
 }
+
+/// Endpoints of the test below, some pages of them.
+const ENDPOINTS: u64 = 2_560;
+/// Interval at which each store asks.
+const STEP: Duration = Duration::from_millis(50);
+
+/// A store that has restarted and fetches the list of endpoints.
+#[derive(Default)]
+struct Follower {
+    news: RelayedNews,
+    position: usize,
+    moved: Time,
+}
+
+fn leader_with_endpoints() -> Control {
+    let mut control = Control::new();
+    for number in 0..ENDPOINTS {
+        let endpoint = EndpointRecord {
+            name: format!("endpoint-{number}"),
+            incarnation: 1,
+            sequence: 1,
+            address: format!("10.0.0.1:{number}"),
+            ..EndpointRecord::default()
+        };
+        let body = Some(Body::Register(Register { endpoint: Some(endpoint) }));
+        control.apply(&Command { body });
+    }
+    control
+}
+
+/// After all processes had restarted, stores that found their relay without a list turned to the leader.
+/// It sent the list to each of them, page by page, and was too busy for that to end.
+#[test]
+fn restart_list_from_leader_once_per_domain() {
+    let control = leader_with_endpoints();
+    let pages = ENDPOINTS.div_ceil(PAGE_CHANGES as u64) as usize;
+    let list = control.endpoints().list();
+    let mut stores = stores(120);
+    stores.sort_by_key(|store| store.vm);
+    let mut followers: BTreeMap<VmId, Follower> =
+        stores.iter().map(|store| (store.vm, Follower::default())).collect();
+    let (mut now, mut from_leader) = (Time::from_millis(1), 0);
+    while followers.values().any(|follower| !follower.news.has_list()) {
+        for store in &stores {
+            let sources = store_sources(store.vm, &store.domain, &stores);
+            let follower = &followers[&store.vm];
+            let (query, has_list) = (follower.news.query(), follower.news.has_list());
+            let source = sources[follower.position % sources.len()];
+            let answer = match source {
+                Source::Leader => {
+                    from_leader += usize::from(!has_list);
+                    Some(list.page(query.seen, query.since, PAGE_CHANGES))
+                }
+                Source::Relay(vm) => followers[&vm].news.answer(now, &query),
+            };
+            let follower = followers.get_mut(&store.vm).expect("each store follows");
+            match answer {
+                Some(page) => follower.news.merge(now, now, &page),
+                None if keeps_to_relay(has_list, now.since(follower.moved)) => {}
+                None => (follower.position, follower.moved) = (follower.position + 1, now),
+            }
+        }
+        now = now + STEP;
+    }
+    assert_eq!(from_leader, DOMAINS.len() * pages);
+}
+
+/// A process that has a list must not wait for a relay that is cut off: it would send calls to endpoints
+/// that have left.
+#[test]
+fn keeps_to_relay_without_list_only() {
+    assert!(!keeps_to_relay(true, Duration::ZERO));
+    assert!(keeps_to_relay(false, Duration::ZERO));
+    assert!(!keeps_to_relay(false, Duration::from_secs(4)), "the relay may be cut off");
+}
--- a/crates/gypsumglade/src/feed/endpoint_feed.rs
+++ b/crates/gypsumglade/src/feed/endpoint_feed.rs
@@ -1,7 +1,7 @@
 //! Client for the list of endpoints.
 
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::relays::Source;
+use gypsumglade_core::relays::{Source, keeps_to_relay};
 use gypsumglade_core::wire::control::{EndpointNews, EndpointQuery};
 use gypsumglade_core::wire::discovery::Role;
 
@@ -52,10 +52,11 @@
     }
 
     /// Asks for the changes after those of `query`, whose wait is set here. Returns `None` if the
-    /// asked process can't answer; the next call asks another one.
-    pub async fn next(&mut self, query: EndpointQuery) -> Option<News> {
+    /// asked process can't answer; the next call asks another one, unless the caller has no list yet and
+    /// the asked relay may get it soon.
+    pub async fn next(&mut self, query: EndpointQuery, has_list: bool) -> Option<News> {
         tokio::time::sleep(self.delay).await;
-        let news = self.ask(query).await;
+        let news = self.ask(query, has_list).await;
         self.delay = match &news {
             Some(news) if news.page.change < news.page.latest => Duration::ZERO,
             Some(news) if news.page.change == query.seen => Duration::ZERO,
@@ -69,7 +70,7 @@
         news
     }
 
-    async fn ask(&mut self, query: EndpointQuery) -> Option<News> {
+    async fn ask(&mut self, query: EndpointQuery, has_list: bool) -> Option<News> {
         let Some(target) = self.sources.target() else {
             self.sources.skip();
             return None;
@@ -91,6 +92,12 @@
                 let as_of = sent + held.min(wait) - Duration::from_millis(page.age_ms);
                 Some(News { page, as_of })
             }
+            Ok(_)
+                if matches!(target.source, Source::Relay(_))
+                    && keeps_to_relay(has_list, self.sources.waited()) =>
+            {
+                None
+            }
             Ok(page) => {
                 self.sources.redirect(&target, Some(VmId(page.leader)));
                 None
--- a/crates/gypsumglade/src/feed/sources.rs
+++ b/crates/gypsumglade/src/feed/sources.rs
@@ -81,6 +81,11 @@
         Some(Target { source, vm, address })
     }
 
+    /// Returns the time since the current source was first asked.
+    pub fn waited(&self) -> Duration {
+        self.moved.elapsed()
+    }
+
     /// Records that a process has answered.
     pub fn confirm(&mut self, target: &Target) {
         match target.source {
--- a/crates/gypsumglade/src/gateway/endpoint_sync.rs
+++ b/crates/gypsumglade/src/gateway/endpoint_sync.rs
@@ -55,7 +55,8 @@
     while !shutdown.is_cancelled() {
         let query = sync.query();
         let news = {
-            let fetching = feed.next(query);
+            let has_list = query.seen != 0 && sync.list.is_complete();
+            let fetching = feed.next(query, has_list);
             tokio::pin!(fetching);
             loop {
                 tokio::select! {
--- a/crates/gypsumglade/src/store/news_relay.rs
+++ b/crates/gypsumglade/src/store/news_relay.rs
@@ -42,18 +42,27 @@
         wanted: impl Fn() -> bool,
         halt: CancellationToken,
     ) {
+        let began = Instant::now();
         while !halt.is_cancelled() {
             if self.control.leads() || !wanted() {
                 tokio::time::sleep(IDLE_INTERVAL).await;
                 continue;
             }
-            let query = self.news().query();
-            let Some(found) = feed.next(query).await else { continue };
-            let changes = {
+            let (query, has_list) = {
+                let news = self.news();
+                (news.query(), news.has_list())
+            };
+            let Some(found) = feed.next(query, has_list).await else { continue };
+            let (changes, first_list) = {
                 let mut news = self.news();
                 news.merge(self.context.clock.now(), found.as_of, &found.page);
-                news.changes()
+                let first_list = !has_list && news.has_list();
+                (news.changes(), first_list.then(|| news.list().len()))
             };
+            if let Some(endpoints) = first_list {
+                slog::info!(self.context.log, "endpoint list fetched"; "endpoints" => endpoints,
+                    "change" => changes.0, "ms" => began.elapsed().as_millis() as u64);
+            }
             self.changes.send_if_modified(|known| std::mem::replace(known, changes) != changes);
         }
     }
