Answer queries for endpoints at once at a store that doesn't lead

Cause: a store held a query until a change or the end of its wait, and looked only then whether it leads. An entry VM that has just started knows no change, as does a store that isn't a member of the group or hasn't applied its log, so its first query waited there for up to 0.8 s.

Change: a store that doesn't lead answers at once.

--- a/crates/gypsumglade/src/store/control_group/endpoints.rs
+++ b/crates/gypsumglade/src/store/control_group/endpoints.rs
@@ -127,6 +127,10 @@
         let deadline = began + wait;
         let known = Watched { endpoints: query.seen, suspects: query.seen_suspects };
         let mut changes = self.watched.subscribe();
+        // A store that doesn't lead would hold the query in vain.
+        if let Role::Follower(leader) = &self.state().role {
+            return no_update(self.context.known_leader(GroupId::CONTROL, *leader));
+        }
         loop {
             if *changes.borrow_and_update() != known {
                 break;
