Log the digest of attempts that are given up, and whose turn is unknown

An attempt that a gateway gives up has a line without the digest of its request, so the end of the endpoint right after it can't be joined to the request. A turn that continues an unknown one doesn't say for which organisation it was looked up, and the turn before doesn't say whose it is. No logic changes.

--- a/crates/gypsumglade/src/gateway/attempt.rs
+++ b/crates/gypsumglade/src/gateway/attempt.rs
@@ -134,7 +134,7 @@
                 state.routing().registry.timed_out(now, endpoint);
                 slog::info!(state.log, "no answer in time, another endpoint is tried"; "request" => %call.head.id,
                     "route" => %call.route.name, "endpoint" => attempts.tried.last().map(|name| name.as_str()),
-                    "ms" => timeout.as_millis() as u64);
+                    "digest" => hex::encode(call.digest()), "ms" => timeout.as_millis() as u64);
             }
             Err(_) => return Err(Refusal::TimedOut),
         }
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -277,7 +277,7 @@
         };
         let estimate = speed_estimate(&self.state, &self.call);
         slog::info!(self.state.log, "stream ended"; "request" => %self.call.head.id,
-            "program" => self.call.program(), "session" => self.call.session(),
+            "organisation" => self.call.organisation(), "program" => self.call.program(), "session" => self.call.session(),
             "route" => %self.call.route.name, "end" => ?end, "events" => self.events,
             "finish_ms" => self.call.finish_within().map(|finish| finish.as_millis() as u64),
             "prompt" => self.call.head.prompt_tokens, "unread" => uncached,
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -160,6 +160,8 @@
             Err(quota::refuse(state, call, &limited))
         }
         Some(ReplyBody::Unknown(_)) => {
+            slog::info!(state.log, "turn to continue is unknown"; "request" => %call.head.id,
+                "organisation" => call.organisation(), "previous" => %turn.previous);
             guard.take();
             Err(Refusal::UnknownTurn)
         }
