Count the end of an endpoint after an attempt was given up

What callers saw: one request of a plain service ended endpoint after endpoint long after the third, and all programs that need the service failed for three seconds each time.

Cause: a crash was counted only if the attempt was still open when the endpoint ended. A gateway gives an idempotent request up after a part of its time and tries another endpoint; a caller leaves at its deadline. What that attempt would have told ended with it.

Change: an attempt that ends without an answer after its request was sent is remembered for half a second, its endpoint is probed every 100 ms meanwhile (one probe for all attempts there), and its end counts for these requests. A trial lasts until then. Why it works: the rule counts endpoints that ended under a request, whoever still waits for it.

--- a/crates/gypsumglade/src/gateway/attempt.rs
+++ b/crates/gypsumglade/src/gateway/attempt.rs
@@ -76,7 +76,7 @@
 /// request that is not idempotent is never sent again after an endpoint may have read it.
 pub(super) async fn send_until_answered(
     state: &Arc<GatewayState>,
-    call: &Call,
+    call: &Arc<Call>,
     body: &Bytes,
     after: Option<u64>,
     attempts: &mut Attempts,
@@ -179,15 +179,16 @@
 
 async fn send(
     state: &Arc<GatewayState>,
-    call: &Call,
+    call: &Arc<Call>,
     body: &Bytes,
     after: Option<u64>,
-    dispatch: ActiveDispatch,
+    mut dispatch: ActiveDispatch,
 ) -> DispatchOutcome {
     let Ok(mut connection) = state.connections.open(dispatch.address).await else {
         dispatch.failed();
         return DispatchOutcome::NotRun;
     };
+    dispatch.sent(call);
     let mut sent = connection.send(endpoint_request(state, call, body, after, &dispatch)).await;
     if sent.as_ref().is_err_and(|error| *error == ConnectionError::NotSent)
         && connection.is_reused()
@@ -235,7 +236,10 @@
             }))
         }
         // A full endpoint is healthy; the load recorded above keeps other requests away from it.
-        AnswerKind::NotRun => DispatchOutcome::NotRun,
+        AnswerKind::NotRun => {
+            dispatch.not_run();
+            DispatchOutcome::NotRun
+        }
         AnswerKind::OtherEndpoint => {
             dispatch.misdirected();
             DispatchOutcome::NotRun
--- a/crates/gypsumglade/src/gateway/broken_attempt.rs
+++ b/crates/gypsumglade/src/gateway/broken_attempt.rs
@@ -3,13 +3,14 @@
 //! A broken attempt alone doesn't tell: an answer may be lost on its way, spoiled, or reset together
 //! with its connection while the endpoint goes on. An endpoint that has ended refuses connections.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use gypsumglade_core::prelude::*;
 use tokio::sync::oneshot;
 
+use super::abandoned_attempts::{self, Incarnation};
 use super::call::Call;
+use super::endpoint_state::{EndpointState, probe};
 use super::placement::ActiveDispatch;
 use super::state::GatewayState;
 use super::suspects::report_crash;
@@ -22,31 +23,6 @@
 /// closes its connections and its listener one after the other.
 const PROBE_DELAY: Duration = Duration::from_millis(50);
 
-/// What is known of an endpoint after it broke off an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum EndpointState {
-    /// It refuses connections: its process has ended.
-    Ended,
-    /// It has announced that it leaves, so its end has another cause than the request.
-    Leaving,
-    /// It accepts connections.
-    Running,
-    /// It doesn't respond in time, which also a partition can cause.
-    Silent,
-}
-
-impl EndpointState {
-    /// Returns the name used in logs and metrics.
-    const fn name(self) -> &'static str {
-        match self {
-            EndpointState::Ended => "ended",
-            EndpointState::Leaving => "leaving",
-            EndpointState::Running => "running",
-            EndpointState::Silent => "silent",
-        }
-    }
-}
-
 /// A report on a broken attempt, which continues in the background.
 pub(super) struct CrashReport(oneshot::Receiver<()>);
 
@@ -91,18 +67,11 @@
         state.metrics.broken_attempt(endpoint.name());
         slog::info!(log, "endpoint broke off an attempt"; "state" => endpoint.name());
         if endpoint == EndpointState::Ended {
+            let ended = Incarnation { name: name.clone(), number: incarnation };
+            abandoned_attempts::report(&state, &ended);
             report_crash(&state, digest, name, incarnation).await;
         }
         drop((trial, recorded));
     });
     CrashReport(report)
 }
-
-async fn probe(state: &GatewayState, address: SocketAddr, leaving: bool) -> EndpointState {
-    match state.connections.probe(address).await {
-        Some(true) => EndpointState::Running,
-        Some(false) if leaving => EndpointState::Leaving,
-        Some(false) => EndpointState::Ended,
-        None => EndpointState::Silent,
-    }
-}
--- a/crates/gypsumglade/src/gateway/buffered.rs
+++ b/crates/gypsumglade/src/gateway/buffered.rs
@@ -22,7 +22,7 @@
 ///
 /// The caller gets nothing before the answer has been read to its end, so an incomplete answer can
 /// still lead to a retry or an error and is never taken for a success.
-pub(super) async fn answer(state: &Arc<GatewayState>, call: &Call) -> Result<Answer, Refusal> {
+pub(super) async fn answer(state: &Arc<GatewayState>, call: &Arc<Call>) -> Result<Answer, Refusal> {
     quota::admit(state, call).await?;
     let mut attempts = Attempts::default();
     loop {
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -4,12 +4,14 @@
 //! reserve tokens if it is a turn, choose an endpoint, send the request, relay the answer, settle the
 //! reservation. Platform differences are behind [`Dialect`]. See docs/design/provider.md.
 
+mod abandoned_attempts;
 mod attempt;
 mod broken_attempt;
 mod buffered;
 mod call;
 mod connections;
 mod dialect;
+mod endpoint_state;
 mod endpoint_sync;
 mod headers;
 mod history_cache;
--- a/crates/gypsumglade/src/gateway/placement.rs
+++ b/crates/gypsumglade/src/gateway/placement.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::abandoned_attempts::{self, AbandonedAttempt, Incarnation};
 use super::call::Call;
 use super::dialect::EndpointLoad;
 use super::state::{GatewayState, RoutingState};
@@ -27,8 +28,8 @@
 /// Expected length of an answer, as a fraction of its token limit.
 const OUTPUT_FRACTION: f64 = 0.5;
 
-/// An attempt in flight at an endpoint. Dropping it without [`ActiveDispatch::finished`] or
-/// [`ActiveDispatch::failed`] cancels it, which has no effect on the endpoint's health.
+/// An attempt in flight at an endpoint. Dropping it without a call of one of the methods that end it
+/// abandons it, which has no effect on the endpoint's health; the endpoint may still run the request.
 pub(super) struct ActiveDispatch {
     state: Arc<GatewayState>,
     pub(super) endpoint: EndpointKey,
@@ -43,6 +44,8 @@
     pub(super) stalls: StallCount,
     /// Leave to run a suspected request, held until the attempt ends.
     trial: Option<Trial>,
+    /// The request, once the endpoint may have begun to run it.
+    sent: Option<Arc<Call>>,
 }
 
 /// Chooses a request's pool by the weights of its route. Equal keys give equal pools, so that a program
@@ -271,6 +274,7 @@
         started: Instant::now(),
         stalls,
         trial: None,
+        sent: None,
     })
 }
 
@@ -339,9 +343,14 @@
         self.trial.take()
     }
 
+    /// Records that the endpoint may run the request from now on.
+    pub(super) fn sent(&mut self, call: &Arc<Call>) {
+        self.sent = Some(Arc::clone(call));
+    }
+
     /// Returns whether the endpoint has announced that it leaves, or has left.
     pub(super) fn is_leaving(&self) -> bool {
-        self.state.routing().registry.get(self.endpoint).is_none_or(|endpoint| endpoint.leaving)
+        self.state.is_leaving(&self.name, self.incarnation)
     }
 
     /// Returns the number of other attempts of this VM that are in flight at the endpoint.
@@ -364,8 +373,14 @@
         }
     }
 
+    /// Ends the attempt, which the endpoint has not run.
+    pub(super) fn not_run(mut self) {
+        self.sent = None;
+    }
+
     /// Ends the attempt with an answer.
     pub(super) fn finished(mut self) {
+        self.sent = None;
         if let Some(key) = self.key.take() {
             let now = self.state.clock.now();
             self.state.routing().registry.finished(now, key);
@@ -374,6 +389,7 @@
 
     /// Ends the attempt with a failure, which counts against the endpoint's health.
     pub(super) fn failed(mut self) {
+        self.sent = None;
         if let Some(key) = self.key.take() {
             let now = self.state.clock.now();
             self.state.routing().registry.failed(now, key);
@@ -382,7 +398,8 @@
 
     /// Ends the attempt because a different endpoint has the address, and marks the intended one as
     /// leaving, so that it gets no more work.
-    pub(super) fn misdirected(self) {
+    pub(super) fn misdirected(mut self) {
+        self.sent = None;
         let now = self.state.clock.now();
         self.state.routing().registry.leave(now, &self.name, self.incarnation);
     }
@@ -394,6 +411,11 @@
             let now = self.state.clock.now();
             self.state.routing().registry.cancelled(now, key);
         }
+        if let Some(call) = self.sent.take() {
+            let endpoint = Incarnation { name: self.name.clone(), number: self.incarnation };
+            let attempt = AbandonedAttempt::new(call.digest(), self.trial.take());
+            abandoned_attempts::watch(&self.state, endpoint, self.address, attempt);
+        }
     }
 }
 
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -20,6 +20,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::abandoned_attempts::AbandonedAttempts;
 use super::connections::ConnectionPool;
 use super::dialect::Dialect;
 use super::history_cache::HistoryCache;
@@ -187,6 +188,7 @@
         texts,
         histories: HistoryCache::default(),
         suspects,
+        abandoned: AbandonedAttempts::default(),
         metrics: Metrics::new()?,
         log,
         stop: CancellationToken::new(),
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::abandoned_attempts::AbandonedAttempts;
 use super::connections::ConnectionPool;
 use super::dialect::Dialect;
 use super::history_cache::HistoryCache;
@@ -45,6 +46,8 @@
     pub(super) histories: HistoryCache,
     /// Requests under which endpoints have ended.
     pub(super) suspects: Suspects,
+    /// Attempts that were given up a moment ago.
+    pub(super) abandoned: AbandonedAttempts,
     pub(super) metrics: Metrics,
     pub(super) log: slog::Logger,
     /// Cancelled at the start of a planned stop.
@@ -81,6 +84,14 @@
         self.routing.lock().expect("no panic while held")
     }
 
+    /// Returns whether an endpoint has announced that it leaves, or has left.
+    pub(super) fn is_leaving(&self, name: &str, incarnation: u64) -> bool {
+        let routing = self.routing();
+        let endpoint = routing.registry.key(name).and_then(|key| routing.registry.get(key));
+        let same = endpoint.filter(|endpoint| endpoint.incarnation == incarnation);
+        same.is_none_or(|endpoint| endpoint.leaving)
+    }
+
     /// Returns whether the balancer should send callers here: a bundle is in force, at least one
     /// endpoint is known and no stop has begun.
     pub(super) fn is_ready(&self) -> bool {
