Keep suspected requests from the last endpoint of a pool

What callers saw: a crashing request of a plain service ended all three of its endpoints within 0.3 s, and every program that calls it failed for three seconds.

Cause: after a crash, retries and resends went to each endpoint that was left.

Change: the control group's leader, whom suspected requests ask anyway, remembers which endpoints were reported as ended, and grants a trial within 5 s of the last crash only if another endpoint of the pool runs no suspected request: it waits for those, and is refused at once, as not run, if no other endpoint runs. After 5 s it may run anywhere, so a pool of one endpoint doesn't refuse a harmless request for long.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -28,7 +28,7 @@
 pub use revision::{Revision, RevisionError};
 pub use snapshot::RestoreError;
 pub use suspects::Suspects;
-pub use trials::{TrialRequest, Trials};
+pub use trials::{SPARE_TIME, Spare, TrialRequest, Trials};
 
 use std::collections::BTreeSet;
 
--- a/crates/core/src/control/suspects.rs
+++ b/crates/core/src/control/suspects.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Returns the time since the last crash under a request, or `None` if it isn't suspected.
+    pub fn since_crash(&self, now: u64, digest: &RequestDigest) -> Option<Duration> {
+        let suspect = self.by_digest.get(digest)?;
+        Some(Duration::from_millis(now.saturating_sub(suspect.last_ms)))
+    }
+
     /// Returns what is known of every request at the group's time, for operators.
     pub fn all(&self) -> Vec<wire::Suspect> {
         self.by_digest.keys().map(|digest| self.status(self.clock, digest)).collect()
--- a/crates/core/src/control/trials.rs
+++ b/crates/core/src/control/trials.rs
@@ -4,11 +4,17 @@
 //! suspects at one endpoint it is unknown which one crashed it. Trials are not replicated: a new
 //! leader may grant a second one of a request while the first is in flight.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use super::suspects::{ISOLATION_CRASHES, RequestDigest};
 use crate::prelude::*;
 
+/// How long after its last crash a request is kept from the last endpoint of a pool. Most endpoints
+/// are replaced by then.
+pub const SPARE_TIME: Duration = Duration::from_secs(5);
+/// How long the end of an endpoint is remembered: until its announcements have expired.
+const ENDED_TIME: Duration = Duration::from_secs(30);
+
 #[derive(Clone, Debug)]
 struct Trial {
     id: u64,
@@ -32,10 +38,23 @@
     pub lasts: Duration,
 }
 
-/// Trials in flight, by request.
+/// Whether a pool has an endpoint to spare for a suspected request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spare {
+    /// Another endpoint of the pool runs no suspected request.
+    Free,
+    /// All the others run suspected requests.
+    Busy,
+    /// No other endpoint of the pool runs.
+    Last,
+}
+
+/// Trials in flight, by request, and endpoints that have just ended.
 #[derive(Clone, Debug, Default)]
 pub struct Trials {
     running: BTreeMap<RequestDigest, Trial>,
+    /// Incarnations of endpoints whose end was reported, and when.
+    ended: HashMap<EndpointName, (u64, Time)>,
 }
 
 impl Trials {
@@ -65,4 +84,30 @@
             self.running.remove(digest);
         }
     }
+
+    /// Records that an endpoint has ended.
+    pub fn ended(&mut self, now: Time, name: &str, incarnation: u64) {
+        self.ended.retain(|_, (_, at)| now.since(*at) < ENDED_TIME);
+        self.ended.insert(name.into(), (incarnation, now));
+    }
+
+    /// Returns whether a suspected request may run at an endpoint without putting all of its pool at
+    /// risk.
+    ///
+    /// The load pattern is a service of few endpoints, which a crashing request ends one after the
+    /// other within a second, so that nobody else is served until they are replaced. `pool` has the
+    /// names and incarnations of the pool's endpoints.
+    pub fn spare<'a>(&self, endpoint: &str, pool: impl Iterator<Item = (&'a str, u64)>) -> Spare {
+        let has_ended =
+            |name: &str, number| self.ended.get(name).is_some_and(|(ended, _)| *ended >= number);
+        let others = pool.filter(|(name, number)| *name != endpoint && !has_ended(name, *number));
+        let mut spare = Spare::Last;
+        for (name, _) in others {
+            if !self.running.values().any(|trial| trial.endpoint == name) {
+                return Spare::Free;
+            }
+            spare = Spare::Busy;
+        }
+        spare
+    }
 }
--- a/crates/core/tests/control_suspects.rs
+++ b/crates/core/tests/control_suspects.rs
@@ -4,7 +4,7 @@
     MAX_SUSPECTS, QUARANTINE_CRASHES, QUARANTINE_MS, QUARANTINED_RETENTION_MS,
     RESOURCE_QUARANTINE_MS, RequestDigest, SUSPECT_RETENTION_MS,
 };
-use gypsumglade_core::control::{Control, TrialRequest, Trials};
+use gypsumglade_core::control::{Control, Spare, TrialRequest, Trials};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body;
@@ -324,3 +324,20 @@
     let later = Time::ZERO + Duration::from_secs(1);
     assert!(trials.begin(later, trial(1, 2, "a", 2)));
 }
+
+/// A crashing request ended the last endpoint of a pool, and nobody else was served.
+#[test]
+fn spare_of_small_pool() {
+    let mut trials = Trials::default();
+    let pool = || [("a", 1), ("b", 1), ("c", 1)].into_iter();
+    assert_eq!(trials.spare("a", pool()), Spare::Free);
+    trials.ended(Time::ZERO, "c", 1);
+    assert!(trials.begin(Time::ZERO, trial(1, 1, "a", 1)));
+    assert_eq!(trials.spare("a", pool()), Spare::Free, "beside the first one");
+    assert_eq!(trials.spare("b", pool()), Spare::Busy, "the other one may end");
+    trials.ended(Time::ZERO, "a", 1);
+    trials.end(&digest(1), 1);
+    assert_eq!(trials.spare("b", pool()), Spare::Last);
+    let replaced = [("a", 2), ("b", 1)].into_iter();
+    assert_eq!(trials.spare("b", replaced), Spare::Free, "a new incarnation runs");
+}
--- a/crates/gypsumglade/src/cli/orders.rs
+++ b/crates/gypsumglade/src/cli/orders.rs
@@ -62,7 +62,8 @@
             | AnswerBody::Registered(_)
             | AnswerBody::Suspect(_)
             | AnswerBody::TrialGranted(_)
-            | AnswerBody::TrialPending(_),
+            | AnswerBody::TrialPending(_)
+            | AnswerBody::TrialRefused(_),
         )
         | None => {
             let message = "the answer belongs to another kind of order";
--- a/crates/gypsumglade/src/gateway/suspects.rs
+++ b/crates/gypsumglade/src/gateway/suspects.rs
@@ -147,8 +147,8 @@
 /// Asks leave to send a request to an endpoint; only suspected requests need it.
 ///
 /// # Errors
-/// Fails when the request is quarantined, or when there is no time left to wait for a trial. It has
-/// not been sent.
+/// Fails when the request is quarantined, or when only one endpoint of its pool runs. It has not been
+/// sent.
 pub(super) async fn begin_trial(
     state: &Arc<GatewayState>,
     call: &Call,
@@ -173,6 +173,10 @@
             TrialDecision::Wait
         }
         Some(AnswerBody::TrialPending(_)) => TrialDecision::Wait,
+        Some(AnswerBody::TrialRefused(_)) => {
+            state.metrics.trial("refused");
+            return Err(Refusal::Unavailable { retry_after: TRIAL_RETRY_AFTER });
+        }
         // A request that ran beside one crash is probably harmless. Without a leader it may run.
         _ if known.crashes() < ISOLATION_CRASHES => TrialDecision::Proceed(None),
         _ => return Err(Refusal::Unavailable { retry_after: TRIAL_RETRY_AFTER }),
--- a/crates/gypsumglade/src/store/control_group/suspects.rs
+++ b/crates/gypsumglade/src/store/control_group/suspects.rs
@@ -1,14 +1,14 @@
 //! Reports on requests that crash endpoints, and trials of such requests.
 
 use gypsumglade_core::control::suspects::{RequestDigest, read_digest};
-use gypsumglade_core::control::{TrialRequest, Trials};
+use gypsumglade_core::control::{Control, SPARE_TIME, Spare, TrialRequest, Trials};
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::turns::LeaderClock;
 use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::control::{
     Answer, BeginTrial, ClearSuspect, Command, Crash, EndTrial, Registered, TrialGranted,
-    TrialPending,
+    TrialPending, TrialRefused,
 };
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 
@@ -44,6 +44,8 @@
     pub(super) async fn report_crash(&self, mut crash: Crash) -> ReplyBody {
         let Some(now_ms) = self.suspect_time() else { return self.redirect(None) };
         crash.now_ms = now_ms;
+        let now = self.context.clock.now();
+        self.state().trials.running.ended(now, &crash.endpoint, crash.incarnation);
         slog::info!(self.context.log, "endpoint ended while it ran a request";
             "endpoint" => &crash.endpoint, "incarnation" => crash.incarnation,
             "digest" => hex::encode(&crash.digest));
@@ -94,6 +96,16 @@
         if status.quarantine_ms > 0 {
             return AnswerBody::Suspect(status);
         }
+        let since = control.suspects().since_crash(trials.millis(now), &digest);
+        let spare = match since.is_none_or(|since| since < SPARE_TIME) {
+            true => spare(control, &trials.running, &begin.endpoint),
+            false => Spare::Free,
+        };
+        match spare {
+            Spare::Free => {}
+            Spare::Busy => return AnswerBody::TrialPending(TrialPending {}),
+            Spare::Last => return AnswerBody::TrialRefused(TrialRefused {}),
+        }
         let request = TrialRequest {
             digest,
             crashes: status.crashes.max(begin.crashes),
@@ -126,3 +138,12 @@
         matches!(state.role, Role::Leader { .. }).then(|| state.trials.millis(now))
     }
 }
+
+/// Returns whether the endpoint's pool has one to spare for a suspected request. An endpoint that is
+/// not registered may be alone in its pool, which isn't known.
+fn spare(control: &Control, trials: &Trials, endpoint: &str) -> Spare {
+    let endpoints = control.endpoints();
+    let Some(chosen) = endpoints.get(endpoint) else { return Spare::Free };
+    let pool = endpoints.iter().filter(|record| record.pool == chosen.pool && !record.leaving);
+    trials.spare(endpoint, pool.map(|record| (record.name.as_str(), record.incarnation)))
+}
