Find two crashing requests that end the same few endpoints

Who is quarantined was worked out anew from all crashes after each report. When the second request had more crashes than the first, it explained two of the first one's three, and the first was free again; the second in turn had to crash three endpoints that the first was not at. Evidence: the store quarantines at 5.912 s, then at 10.358 s, and reaches an endpoint at 10.532 s and is quarantined again at 14.084 s.

Change: a quarantine that has stood for a second stays, and a request is quarantined from three crashes of which no other explains two. A harmless request beside both would need two further ends of endpoints without an answer in between. One that is quarantined wrongly for longer than a second stays so for its ten minutes, unless operators lift it.

--- a/crates/core/src/control/suspects.rs
+++ b/crates/core/src/control/suspects.rs
@@ -34,6 +34,9 @@
 pub const QUARANTINED_RETENTION_MS: u64 = RETENTION_FACTOR * QUARANTINE_MS;
 /// Time for which a request that has been quarantined is recorded, in multiples of its quarantine.
 const RETENTION_FACTOR: u64 = 6;
+/// Time after which a quarantine stays although other requests would explain the crashes as well, in
+/// milliseconds. All reports of a crash have come by then.
+const SETTLE_MS: u64 = 1_000;
 /// Maximum number of recorded requests. Those with the fewest crashes are removed first.
 pub const MAX_SUSPECTS: usize = 1_024;
 /// Maximum number of endpoints that are recorded for a request, to count each once.
@@ -79,6 +82,8 @@
     /// Latest endpoints that ended, oldest first.
     endpoints: VecDeque<EndedEndpoint>,
     last_ms: u64,
+    /// When the request was found to be the cause of crashes, which it is since.
+    quarantined_ms: Option<u64>,
     /// Number of the change that recorded the last crash.
     change: u64,
 }
@@ -238,10 +243,16 @@
 
     /// Works out which requests are quarantined. Returns `true` if they are others than before.
     fn find_causes(&mut self) -> bool {
-        let causes = Causes::find(&self.by_digest);
-        let changed = causes != self.causes;
+        let causes = Causes::find(&self.by_digest, self.clock);
+        if causes == self.causes {
+            return false;
+        }
+        for (digest, suspect) in &mut self.by_digest {
+            let since = suspect.quarantined_ms.unwrap_or(self.clock);
+            suspect.quarantined_ms = causes.contains(digest).then_some(since);
+        }
         self.causes = causes;
-        changed
+        true
     }
 
     /// Records a change of these requests, and of those whose crashes they may explain now.
@@ -313,12 +324,13 @@
                 crashes: record.crashes,
                 endpoints: endpoints.collect(),
                 last_ms: record.last_ms,
+                quarantined_ms: (record.quarantined_ms > 0).then_some(record.quarantined_ms),
                 change: record.change,
             };
             by_digest.insert(read_digest(&record.digest)?, suspect);
         }
         let (change, clock) = (snapshot.suspect_change, snapshot.suspect_clock_ms);
-        let causes = Causes::find(&by_digest);
+        let causes = Causes::find(&by_digest, clock);
         Some(Suspects { by_digest, causes, change, recent: VecDeque::new(), clock })
     }
 }
@@ -336,6 +348,11 @@
         self.crashes >= QUARANTINE_CRASHES
     }
 
+    /// Returns whether the request has been quarantined for long enough to stay so.
+    fn is_settled(&self, now: u64) -> bool {
+        self.quarantined_ms.is_some_and(|since| now.saturating_sub(since) >= SETTLE_MS)
+    }
+
     /// Adds an endpoint that ended. Returns `false` if it is known.
     fn add(&mut self, ended: EndedEndpoint) -> bool {
         if self.endpoints.contains(&ended) {
@@ -387,5 +404,6 @@
         change: suspect.change,
         scope: scope.into(),
         resource: resource.unwrap_or_default(),
+        quarantined_ms: suspect.quarantined_ms.unwrap_or_default(),
     }
 }
--- a/crates/core/src/control/suspects/causes.rs
+++ b/crates/core/src/control/suspects/causes.rs
@@ -5,8 +5,9 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::ops::Range;
 
-use super::{EndKey, QUARANTINE_CRASHES, RequestDigest, Scope, Suspect};
+use super::{EndKey, ISOLATION_CRASHES, RequestDigest, Scope, Suspect};
 
 /// Fewest contents under which endpoints have ended before all requests for a resource are refused.
 /// Crashes of one content say nothing of the others.
@@ -35,22 +36,34 @@
 
 /// Suspects by the endpoints that ended under them.
 struct Index<'a> {
-    all: &'a BTreeMap<RequestDigest, Suspect>,
-    by_end: HashMap<EndKey, Vec<RequestDigest>>,
+    suspects: Vec<(&'a RequestDigest, &'a Suspect)>,
+    /// Each end with the position of a suspect that ran there, sorted.
+    ends: Vec<(EndKey, usize)>,
+    /// Where the suspects of an end are in `ends`.
+    spans: HashMap<EndKey, Range<usize>>,
     /// Number of suspected contents of each resource.
     contents: HashMap<RequestDigest, u32>,
 }
 
 impl Causes {
-    /// Returns the requests that are quarantined: each explains [`QUARANTINE_CRASHES`] crashes that no
-    /// other explains.
+    /// Returns the requests that are quarantined at the group's time `now`. Each has crashed enough
+    /// endpoints, at least [`ISOLATION_CRASHES`] of which no other explains.
     ///
+    /// Two crashing requests that end the same few endpoints are both found, each by its own ends.
     /// Requests that ran together at every crash are not told apart, and none of them is quarantined:
-    /// the next crash of one of them will tell.
-    pub(super) fn find(all: &BTreeMap<RequestDigest, Suspect>) -> Causes {
+    /// the next crash of one of them will tell. One that has been quarantined for some time stays so:
+    /// another that is found later would otherwise explain its crashes, and free it.
+    pub(super) fn find(all: &BTreeMap<RequestDigest, Suspect>, now: u64) -> Causes {
         let mut causes = Causes::default();
-        let may_be_cause = all.iter().filter(|(_, suspect)| suspect.may_be_cause());
-        let mut open: BinaryHeap<Candidate> = may_be_cause
+        for (digest, suspect) in all.iter().filter(|(_, suspect)| suspect.is_settled(now)) {
+            causes.add(*digest, suspect);
+        }
+        let may_be_cause = |(digest, suspect): &(&RequestDigest, &Suspect)| {
+            suspect.may_be_cause() && !causes.contains(digest)
+        };
+        let mut open: BinaryHeap<Candidate> = all
+            .iter()
+            .filter(may_be_cause)
             .map(|(digest, suspect)| Candidate::new(*digest, suspect, suspect.endpoints.len()))
             .collect();
         if open.is_empty() {
@@ -61,7 +74,7 @@
             let digest = candidate.digest;
             let suspect = &all[&digest];
             let own = causes.unexplained(&digest, suspect);
-            if own.len() < QUARANTINE_CRASHES as usize || !index.has_contents(&digest, suspect) {
+            if own.len() < ISOLATION_CRASHES as usize || !index.has_contents(&digest, suspect) {
                 continue;
             }
             if own.len() < candidate.unexplained {
@@ -117,17 +130,23 @@
 
 impl Index<'_> {
     fn new(all: &BTreeMap<RequestDigest, Suspect>) -> Index<'_> {
-        let mut by_end: HashMap<EndKey, Vec<RequestDigest>> = HashMap::new();
+        let suspects: Vec<_> = all.iter().collect();
+        let mut ends = Vec::new();
         let mut contents: HashMap<RequestDigest, u32> = HashMap::new();
-        for (digest, suspect) in all {
-            for ended in &suspect.endpoints {
-                by_end.entry(ended.key).or_default().push(*digest);
-            }
+        for (position, (_, suspect)) in suspects.iter().enumerate() {
+            ends.extend(suspect.endpoints.iter().map(|ended| (ended.key, position)));
             if let Some(resource) = suspect.resource {
                 *contents.entry(resource).or_default() += 1;
             }
         }
-        Index { all, by_end, contents }
+        ends.sort_unstable();
+        let mut spans = HashMap::with_capacity(ends.len());
+        let mut start = 0;
+        for span in ends.chunk_by(|(one, _), (other, _)| one == other) {
+            spans.insert(span[0].0, start..start + span.len());
+            start += span.len();
+        }
+        Index { suspects, ends, spans, contents }
     }
 
     /// Returns whether a resource has crashed endpoints under several contents. A content needs none.
@@ -148,16 +167,17 @@
         own: &[EndKey],
         causes: &Causes,
     ) -> bool {
-        let rarest = own.iter().map(|ended| &self.by_end[ended]).min_by_key(|beside| beside.len());
-        let mut beside = rarest.into_iter().flatten().filter(|other| {
+        let spans = own.iter().filter_map(|ended| self.spans.get(ended));
+        let rarest = spans.min_by_key(|span| span.len()).cloned().unwrap_or_default();
+        let others = self.ends[rarest].iter().map(|(_, position)| self.suspects[*position]);
+        let mut others = others.filter(|(other, beside)| {
             *other != digest
                 && suspect.resource != Some(**other)
-                && self.all[*other].resource != Some(*digest)
+                && beside.resource != Some(*digest)
                 && !causes.contains(other)
         });
-        beside.any(|other| {
-            let ends = &self.all[other].endpoints;
-            own.iter().all(|key| ends.iter().any(|ended| ended.key == *key))
+        others.any(|(_, beside)| {
+            own.iter().all(|key| beside.endpoints.iter().any(|ended| ended.key == *key))
         })
     }
 }
--- a/crates/core/tests/control_suspects.rs
+++ b/crates/core/tests/control_suspects.rs
@@ -137,6 +137,31 @@
     assert!([1, 2].iter().all(|request| status(&control, *request).quarantine_ms > 0));
 }
 
+/// Of two crashing requests at one service of few endpoints, the one that was found first was sent on
+/// again, since the other one explained its crashes.
+#[test]
+fn crash_of_two_requests_at_few_endpoints() {
+    let mut control = Control::new();
+    // Times in milliseconds, as two requests came to three endpoints that were replaced.
+    let runs = [
+        (1, "a", 0),
+        (2, "a", 0),
+        (2, "b", 130),
+        (1, "b", 130),
+        (2, "c", 3_470),
+        (1, "d", 3_690),
+        (1, "e", 7_920),
+    ];
+    for (request, endpoint, after) in runs {
+        crash(&mut control, request, endpoint, START_MS + after);
+    }
+    let quarantined = [1, 2].map(|request| status(&control, request).quarantine_ms > 0);
+    assert_eq!(quarantined, [true, true]);
+    let restored = Control::restore(&control.snapshot()).expect("it is whole");
+    let restored = [1, 2].map(|request| status(&restored, request).quarantine_ms > 0);
+    assert_eq!(restored, quarantined);
+}
+
 /// A request that is answered between unrelated crashes was refused in the end.
 #[test]
 fn clear_of_answered_request() {
