Keep the times of quarantines the same on a restored replica

Found in reading: the time since which a request is quarantined was set only when the quarantined requests changed. A replica that was restored works them out at its restore, could see no change at the next command where the others see one, and would then have no time for a new one. The times are set with each command that works them out now.

--- a/crates/core/src/control/suspects.rs
+++ b/crates/core/src/control/suspects.rs
@@ -244,15 +244,14 @@
     /// Works out which requests are quarantined. Returns `true` if they are others than before.
     fn find_causes(&mut self) -> bool {
         let causes = Causes::find(&self.by_digest, self.clock);
-        if causes == self.causes {
-            return false;
-        }
+        // Also if they are the same, so that a replica that was restored since keeps the same times.
         for (digest, suspect) in &mut self.by_digest {
             let since = suspect.quarantined_ms.unwrap_or(self.clock);
             suspect.quarantined_ms = causes.contains(digest).then_some(since);
         }
+        let changed = causes != self.causes;
         self.causes = causes;
-        true
+        changed
     }
 
     /// Records a change of these requests, and of those whose crashes they may explain now.
--- a/crates/core/tests/control_suspects.rs
+++ b/crates/core/tests/control_suspects.rs
@@ -9,6 +9,7 @@
 use gypsumglade_core::wire::control::answer::Body as AnswerBody;
 use gypsumglade_core::wire::control::command::Body;
 use gypsumglade_core::wire::control::{ClearSuspect, Command, Crash, Suspect};
+use proptest::prelude::*;
 
 const START_MS: u64 = 1_000_000;
 
@@ -366,3 +367,33 @@
     let replaced = [("a", 2), ("b", 1)].into_iter();
     assert_eq!(trials.spare("b", replaced), Spare::Free, "a new incarnation runs");
 }
+
+proptest! {
+    /// A replica that was restored from a snapshot recorded other crashes or quarantines afterwards.
+    #[test]
+    fn restore_between_crashes(
+        runs in prop::collection::vec((0u16..6, 0u8..6, 0u64..1_500), 1..60),
+        cut in 0usize..60,
+    ) {
+        let mut control = Control::new();
+        let mut restored = None;
+        let mut now = START_MS;
+        for (number, (request, endpoint, after)) in runs.into_iter().enumerate() {
+            now += after;
+            // An endpoint that ended is replaced within a second.
+            let endpoint = format!("{endpoint}-{}", now / 1_000);
+            if number == cut {
+                restored = Some(Control::restore(&control.snapshot()).expect("it is whole"));
+            }
+            for replica in restored.iter_mut().chain([&mut control]) {
+                match request {
+                    5 => clear(replica, number as u16 % 5),
+                    _ => drop(crash_at(replica, request, &endpoint, now)),
+                }
+            }
+        }
+        if let Some(restored) = restored {
+            prop_assert_eq!(restored.snapshot(), control.snapshot());
+        }
+    }
+}
