Look a suspected request up once, and name what records and ends things

Found in reading the change again; behaviour stays as it is.

- check and begin_trial each looked the same request up; check returns what it found, and the answer's clear uses the same lookup.
- The relation of a content and its resource stood in causes.rs twice; is_same serves both.
A leader's time for one decision is read once.
- Names: ActiveDispatch::mark_sent and Trials::record_end (a field and a method had one name), update_causes (it stores them), count_content, into_digest.

--- a/crates/core/src/control/suspects.rs
+++ b/crates/core/src/control/suspects.rs
@@ -174,11 +174,11 @@
         {
             counted.push(resource);
         }
-        if self.count(now, digest, resource, ended) {
+        if self.count_content(now, digest, resource, ended) {
             counted.push(digest);
         }
         self.evict();
-        match self.find_causes() {
+        match self.update_causes() {
             false => counted.into_iter().for_each(|digest| self.record_change(digest)),
             true => self.record_related(&counted),
         }
@@ -191,12 +191,12 @@
         let Some(digest) = read_digest(&clear.digest) else { return };
         if !self.causes.contains(&digest) {
             self.remove(digest);
-            self.find_causes();
+            self.update_causes();
         }
     }
 
     /// Counts the end of an endpoint for a content. Returns `false` if it has been counted.
-    fn count(
+    fn count_content(
         &mut self,
         now: u64,
         digest: RequestDigest,
@@ -242,7 +242,7 @@
     }
 
     /// Works out which requests are quarantined. Returns `true` if they are others than before.
-    fn find_causes(&mut self) -> bool {
+    fn update_causes(&mut self) -> bool {
         let causes = Causes::find(&self.by_digest, self.clock);
         // Also if they are the same, so that a replica that was restored since keeps the same times.
         for (digest, suspect) in &mut self.by_digest {
@@ -295,7 +295,7 @@
         let (clock, before) = (self.clock, self.by_digest.len());
         self.by_digest.retain(|_, suspect| suspect.expires_ms() > clock);
         if self.by_digest.len() < before {
-            self.find_causes();
+            self.update_causes();
         }
         clock
     }
--- a/crates/core/src/control/suspects/causes.rs
+++ b/crates/core/src/control/suspects/causes.rs
@@ -98,9 +98,8 @@
     /// A content and its resource stand for the same runs, so neither explains the other's.
     pub(super) fn unexplained(&self, digest: &RequestDigest, suspect: &Suspect) -> Vec<EndKey> {
         let is_other = |cause: &RequestDigest| {
-            cause != digest
-                && suspect.resource != Some(*cause)
-                && self.digests.get(cause).copied().flatten() != Some(*digest)
+            let resource = self.digests.get(cause).copied().flatten();
+            !is_same((digest, suspect.resource), (cause, resource))
         };
         let is_explained = |ended: &EndKey| {
             self.explained.get(ended).is_some_and(|causes| causes.iter().any(is_other))
@@ -171,9 +170,7 @@
         let rarest = spans.min_by_key(|span| span.len()).cloned().unwrap_or_default();
         let others = self.ends[rarest].iter().map(|(_, position)| self.suspects[*position]);
         let mut others = others.filter(|(other, beside)| {
-            *other != digest
-                && suspect.resource != Some(**other)
-                && beside.resource != Some(*digest)
+            !is_same((digest, suspect.resource), (other, beside.resource))
                 && !causes.contains(other)
         });
         others.any(|(_, beside)| {
@@ -181,3 +178,12 @@
         })
     }
 }
+
+/// Returns whether two records, each a digest and the resource that its content was for, stand for the
+/// same runs: they are the same, or a content and its resource.
+fn is_same(
+    (one, its_resource): (&RequestDigest, Option<RequestDigest>),
+    (other, other_resource): (&RequestDigest, Option<RequestDigest>),
+) -> bool {
+    one == other || its_resource == Some(*other) || other_resource == Some(*one)
+}
--- a/crates/core/src/control/trials.rs
+++ b/crates/core/src/control/trials.rs
@@ -86,7 +86,7 @@
     }
 
     /// Records that an endpoint has ended.
-    pub fn ended(&mut self, now: Time, name: &str, incarnation: u64) {
+    pub fn record_end(&mut self, now: Time, name: &str, incarnation: u64) {
         self.ended.retain(|_, (_, at)| now.since(*at) < ENDED_TIME);
         self.ended.insert(name.into(), (incarnation, now));
     }
--- a/crates/core/tests/control_suspects.rs
+++ b/crates/core/tests/control_suspects.rs
@@ -357,11 +357,11 @@
     let mut trials = Trials::default();
     let pool = || [("a", 1), ("b", 1), ("c", 1)].into_iter();
     assert_eq!(trials.spare("a", pool()), Spare::Free);
-    trials.ended(Time::ZERO, "c", 1);
+    trials.record_end(Time::ZERO, "c", 1);
     assert!(trials.begin(Time::ZERO, trial(1, 1, "a", 1)));
     assert_eq!(trials.spare("a", pool()), Spare::Free, "beside the first one");
     assert_eq!(trials.spare("b", pool()), Spare::Busy, "the other one may end");
-    trials.ended(Time::ZERO, "a", 1);
+    trials.record_end(Time::ZERO, "a", 1);
     trials.end(&digest(1), 1);
     assert_eq!(trials.spare("b", pool()), Spare::Last);
     let replaced = [("a", 2), ("b", 1)].into_iter();
--- a/crates/gypsumglade/src/gateway/attempt.rs
+++ b/crates/gypsumglade/src/gateway/attempt.rs
@@ -188,7 +188,7 @@
         dispatch.failed();
         return DispatchOutcome::NotRun;
     };
-    dispatch.sent(call);
+    dispatch.mark_sent(call);
     let mut sent = connection.send(endpoint_request(state, call, body, after, &dispatch)).await;
     if sent.as_ref().is_err_and(|error| *error == ConnectionError::NotSent)
         && connection.is_reused()
--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -99,13 +99,13 @@
     ///
     /// It is computed on first use, since most requests never need it.
     pub(super) fn digest(&self) -> RequestDigest {
-        *self.digest.get_or_init(|| finish(self.hash_parts().chain_update(&self.body)))
+        *self.digest.get_or_init(|| into_digest(self.hash_parts().chain_update(&self.body)))
     }
 
     /// Returns the digest of the caller, the host and the path, which stays the same where the caller
     /// sends the content with another history each time.
     pub(super) fn resource(&self) -> RequestDigest {
-        *self.resource.get_or_init(|| finish(self.hash_parts().chain_update(RESOURCE_LABEL)))
+        *self.resource.get_or_init(|| into_digest(self.hash_parts().chain_update(RESOURCE_LABEL)))
     }
 
     fn hash_parts(&self) -> Sha256 {
@@ -213,7 +213,7 @@
 /// Keeps the digest of a resource apart from that of a request with an empty body.
 const RESOURCE_LABEL: &[u8] = b"all requests for this resource";
 
-fn finish(hash: Sha256) -> RequestDigest {
+fn into_digest(hash: Sha256) -> RequestDigest {
     let digest: [u8; 32] = hash.finalize().into();
     std::array::from_fn(|index| digest[index])
 }
--- a/crates/gypsumglade/src/gateway/ingress.rs
+++ b/crates/gypsumglade/src/gateway/ingress.rs
@@ -102,8 +102,8 @@
             let call = Arc::new(call);
             let result = match (suspects::check(&state, &call), call.stream()) {
                 (Err(refusal), _) => Err(refusal),
-                (Ok(()), Some(_)) => streaming::answer(&state, Arc::clone(&call)).await,
-                (Ok(()), None) => buffered::answer(&state, &call).await,
+                (Ok(_), Some(_)) => streaming::answer(&state, Arc::clone(&call)).await,
+                (Ok(_), None) => buffered::answer(&state, &call).await,
             };
             (call.head.id.clone(), result)
         }
--- a/crates/gypsumglade/src/gateway/placement.rs
+++ b/crates/gypsumglade/src/gateway/placement.rs
@@ -344,7 +344,7 @@
     }
 
     /// Records that the endpoint may run the request from now on.
-    pub(super) fn sent(&mut self, call: &Arc<Call>) {
+    pub(super) fn mark_sent(&mut self, call: &Arc<Call>) {
         self.sent = Some(Arc::clone(call));
     }
 
--- a/crates/gypsumglade/src/gateway/suspects.rs
+++ b/crates/gypsumglade/src/gateway/suspects.rs
@@ -107,40 +107,42 @@
     }
 }
 
-/// Returns what is known of a request's content, or `None` if it isn't suspected or operators have
-/// lifted its quarantine.
-fn suspicion(state: &GatewayState, call: &Call) -> Option<Suspicion> {
-    if state.suspects.table().is_empty() {
-        return None;
-    }
-    suspicion_of(state, call, &call.digest())
+/// What is known of a request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Suspicions {
+    /// Of its content.
+    content: Option<Suspicion>,
+    /// Of all the caller's requests for its resource.
+    resource: Option<Suspicion>,
 }
 
-/// Returns what is known of all the caller's requests for the resource of a request.
-fn resource_suspicion(state: &GatewayState, call: &Call) -> Option<Suspicion> {
+/// Returns what is known of a request, without what is not suspected and what operators have lifted the
+/// quarantine of.
+fn suspicions(state: &GatewayState, call: &Call) -> Suspicions {
     if state.suspects.table().is_empty() {
-        return None;
+        return Suspicions::default();
     }
-    suspicion_of(state, call, &call.resource())
-}
-
-fn suspicion_of(state: &GatewayState, call: &Call, digest: &RequestDigest) -> Option<Suspicion> {
-    let known = state.suspects.table().get(state.clock.now(), digest)?;
+    let now = state.clock.now();
     let lifted = &call.bundle.bundle.quarantine.lift;
-    (!lifted.contains(&hex::encode(digest).into())).then_some(known)
+    let known = |digest: RequestDigest| {
+        let known = state.suspects.table().get(now, &digest)?;
+        (!lifted.contains(&hex::encode(digest).into())).then_some(known)
+    };
+    Suspicions { content: known(call.digest()), resource: known(call.resource()) }
 }
 
-/// Refuses a request that is quarantined, or whose resource is.
+/// Refuses a request that is quarantined, or whose resource is. Returns what is known of the content of
+/// one that may run.
 ///
 /// # Errors
 /// Fails when the request is quarantined. It has not run.
-pub(super) fn check(state: &GatewayState, call: &Call) -> Result<(), Refusal> {
-    let known = [resource_suspicion(state, call), suspicion(state, call)];
+pub(super) fn check(state: &GatewayState, call: &Call) -> Result<Option<Suspicion>, Refusal> {
+    let Suspicions { content, resource } = suspicions(state, call);
     let now = state.clock.now();
-    let quarantine = known.into_iter().flatten().filter_map(|known| known.quarantine(now)).max();
-    match quarantine {
+    let known = [content, resource].into_iter().flatten();
+    match known.filter_map(|known| known.quarantine(now)).max() {
         Some(retry_after) => Err(Refusal::Quarantined { retry_after }),
-        None => Ok(()),
+        None => Ok(content),
     }
 }
 
@@ -154,8 +156,7 @@
     call: &Call,
     endpoint: &EndpointName,
 ) -> Result<TrialDecision, Refusal> {
-    check(state, call)?;
-    let Some(known) = suspicion(state, call) else { return Ok(TrialDecision::Proceed(None)) };
+    let Some(known) = check(state, call)? else { return Ok(TrialDecision::Proceed(None)) };
     let trial = Trial { state: Arc::clone(state), digest: call.digest(), id: rand::random() };
     let begin = BeginTrial {
         digest: Bytes::copy_from_slice(&trial.digest),
@@ -203,10 +204,11 @@
 
 /// Clears a request that an endpoint has answered, and its resource, if they were suspected.
 pub(super) fn clear(state: &Arc<GatewayState>, call: &Call) {
-    if suspicion(state, call).is_some() {
+    let Suspicions { content, resource } = suspicions(state, call);
+    if content.is_some() {
         clear_digest(state, call, call.digest());
     }
-    if resource_suspicion(state, call).is_some() {
+    if resource.is_some() {
         clear_digest(state, call, call.resource());
     }
 }
--- a/crates/gypsumglade/src/store/control_group/suspects.rs
+++ b/crates/gypsumglade/src/store/control_group/suspects.rs
@@ -45,7 +45,7 @@
         let Some(now_ms) = self.suspect_time() else { return self.redirect(None) };
         crash.now_ms = now_ms;
         let now = self.context.clock.now();
-        self.state().trials.running.ended(now, &crash.endpoint, crash.incarnation);
+        self.state().trials.running.record_end(now, &crash.endpoint, crash.incarnation);
         slog::info!(self.context.log, "endpoint ended while it ran a request";
             "endpoint" => &crash.endpoint, "incarnation" => crash.incarnation,
             "digest" => hex::encode(&crash.digest));
@@ -92,11 +92,12 @@
     ) -> AnswerBody {
         let now = self.context.clock.now();
         let ControlState { control, trials, .. } = state;
-        let status = control.suspects().status(trials.millis(now), &digest);
+        let millis = trials.millis(now);
+        let status = control.suspects().status(millis, &digest);
         if status.quarantine_ms > 0 {
             return AnswerBody::Suspect(status);
         }
-        let since = control.suspects().since_crash(trials.millis(now), &digest);
+        let since = control.suspects().since_crash(millis, &digest);
         let spare = match since.is_none_or(|since| since < SPARE_TIME) {
             true => spare(control, &trials.running, &begin.endpoint),
             false => Spare::Free,
