--- a/review/rig.rs
+++ b/review/rig.rs
@@ -21,6 +21,8 @@
 mod foreign_reports;
 #[path = "retention.rs"]
 mod retention;
+#[path = "silent_crash.rs"]
+mod silent_crash;
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
@@ -595,14 +597,18 @@
     format!("{request} event {number} {}", "x".repeat(60))
 }
 
-/// Returns a configuration with one route, which keeps turns for a minute.
+/// Returns a configuration with a route that keeps turns for a minute, and one for lookups.
 pub fn config(version: u64) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-keep\",\"host\":\"{HOST}\",\
          \"path_prefix\":\"/keep/\",\"kind\":\"streaming\",\"timeout_ms\":4000,\
          \"target_latency_ms\":300,\"priority\":0,\"service\":\"models\",\"max_attempts\":2,\
          \"retained\":true,\"retention_s\":60.0,\"sticky\":true,\"resumable\":false,\
-         \"gap_aim_ms\":400}}],\"services\":[{{\"name\":\"models\",\"health_path\":\"/health\",\
+         \"gap_aim_ms\":400}},{{\"name\":\"r-look\",\"host\":\"{HOST}\",\
+         \"path_prefix\":\"/look/\",\"kind\":\"safe\",\"timeout_ms\":1200,\
+         \"target_latency_ms\":120,\"priority\":2,\"service\":\"desk\",\"max_attempts\":2}}],\
+         \"services\":[{{\"name\":\"desk\",\"health_path\":\"/health\",\
+         \"max_connections\":110,\"protocol\":\"h1\",\"tls\":false}},{{\"name\":\"models\",\"health_path\":\"/health\",\
          \"max_connections\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\
          \"kv_capacity_tokens\":851871,\"kv_token_bytes\":18432,\"link_mbps\":1100000.0,\
          \"moves\":true,\"backups\":true,\"tokens_per_event\":17,\"most\":12,\"pin_ms\":4000.0,\
@@ -715,6 +721,7 @@
     let verdict = match case.as_str() {
         "retention" => retention::run(trouble, &record),
         "foreign-reports" => foreign_reports::run(trouble, &record),
+        "silent-crash" => silent_crash::run(trouble, &record),
         "cut-workers" => cut_workers::run(trouble, &record),
         _ => Verdict::CannotRun(format!("no case is named {case}")),
     };
