--- a/review/retention.rs
+++ b/review/retention.rs
@@ -17,8 +17,8 @@
 /// How long the entry is suspended.
 const FREEZE: Duration = Duration::from_millis(2_200);
 /// Programs that send a turn at the same time.
-const WAVE: usize = 60;
-const WAVES: usize = 2;
+const WAVE: usize = 100;
+const WAVES: usize = 6;
 
 struct Kept {
     id: String,
@@ -77,12 +77,12 @@
             }));
         }
         if trouble {
-            // The second wave is stopped a little later after half of its streams have ended.
+            // Each wave is stopped a little later after half of its streams have ended.
             let until = Instant::now() + Duration::from_secs(4);
             while ended() < before + WAVE / 2 && Instant::now() < until {
                 thread::sleep(Duration::from_micros(200));
             }
-            thread::sleep(ms(2 + 6 * wave as u64));
+            thread::sleep(ms(2 * wave as u64));
             deployment.fronts[0].signal(SIGSTOP);
             record.line(&format!("entry {} is suspended", deployment.fronts[0].name));
             thread::sleep(FREEZE);
