--- a/review/rig2.rs
+++ b/review/rig2.rs
@@ -22,6 +22,8 @@
 mod anonymous;
 #[path = "rig2/attempts.rs"]
 mod attempts;
+#[path = "rig2/bodies.rs"]
+mod bodies;
 #[path = "rig2/resumed.rs"]
 mod resumed;
 
@@ -58,6 +60,7 @@
     let played = match case.as_str() {
         "anonymous" => anonymous::play(&record),
         "attempts" => attempts::play(&record),
+        "bodies" => bodies::play(&record),
         "resumed" => resumed::play(&record),
         other => Err(format!("no case is called {other}")),
     };
@@ -115,6 +118,13 @@
     }
 }
 
+/// Kills a process that was started, by its id.
+fn end(id: u32) {
+    if let Some(child) = STARTED.lock().unwrap().iter_mut().find(|child| child.id() == id) {
+        let _ = child.kill();
+    }
+}
+
 /// A machine with one process of the system.
 pub struct Machine {
     pub name: String,
@@ -456,9 +466,10 @@
     stopped: Arc<AtomicBool>,
 }
 
-/// Events of a complete stream, and the pause between two.
+/// Events of a complete stream.
 pub const EVENTS: u64 = 15;
-const EVENT_PAUSE: Duration = Duration::from_millis(5);
+/// Pause between two events, in milliseconds.
+pub static EVENT_PAUSE_MS: AtomicU64 = AtomicU64::new(5);
 
 /// Returns the id of a worker.
 pub fn worker_name(number: u8) -> String {
@@ -573,7 +584,7 @@
                 let _ = out.write_all(b"5\r\nid: 1\r\n");
                 return;
             }
-            thread::sleep(EVENT_PAUSE);
+            thread::sleep(Duration::from_millis(EVENT_PAUSE_MS.load(Ordering::Relaxed)));
             let event = format!("id: {number}\ndata: {}\n\n", event_data(&id, number));
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if out.write_all(chunk.as_bytes()).is_err() {
