Qualify ids of turns and programs by an owner that no caller can write

Cause: the turn group and the stores of texts know a turn by one text, ORGANISATION/ID with a key and the bare ID without one. The bare id is what the caller writes, so it could be spelled like anybody's qualified id.

Change: QualifiedId is made only from a checked owner and an id. An id without an owner that contains the separator gets one more at its start, so that two are equal only if owner and id are. Ids without a separator keep their text: state that is recorded already still matches. Reservations, settlements and the cache of histories take the type, so a caller's text no longer fits there. An empty id has an owner too; the empty program was shared by all organisations.

--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -3,9 +3,9 @@
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use compact_str::format_compact;
 use gypsumglade_core::bundle::{Organisation, PoolEngine, RateLimit, Repeat, Route, Stream};
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::turns::QualifiedId;
 use http::{Response, request};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt as _, Full};
@@ -169,15 +169,13 @@
         self.sender.rank.unwrap_or(self.route.rank)
     }
 
-    /// Qualifies an id with the caller's organisation, as ids are unique within one only. An empty
-    /// id, which names nothing, stays empty.
-    ///
-    /// A caller can't continue the turn of another organisation, since its ids never match.
-    pub(super) fn scoped(&self, id: &str) -> CompactString {
-        match &self.sender.identity {
-            Identity::Organisation(org) if !id.is_empty() => format_compact!("{org}/{id}"),
-            _ => id.into(),
-        }
+    /// Returns the id of a turn or a program that the caller names, which is always one of its own.
+    pub(super) fn qualified(&self, id: &str) -> QualifiedId {
+        let owner = match &self.sender.identity {
+            Identity::Organisation(org) => Some(org.as_str()),
+            Identity::Unchecked | Identity::Anonymous => None,
+        };
+        QualifiedId::new(owner, id)
     }
 
     /// Returns the program of a turn.
--- a/crates/gypsumglade/src/gateway/history_cache.rs
+++ b/crates/gypsumglade/src/gateway/history_cache.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use gypsumglade_core::prelude::*;
+use gypsumglade_core::turns::QualifiedId;
 use tokio::time::Instant;
 
 /// How long a history stays in the cache.
@@ -25,12 +26,12 @@
 /// Histories by the id of their last turn.
 #[derive(Debug, Default)]
 pub(super) struct HistoryCache {
-    entries: Mutex<HashMap<CompactString, Entry>>,
+    entries: Mutex<HashMap<QualifiedId, Entry>>,
 }
 
 impl HistoryCache {
     /// Returns the history that ends with a turn, unless it has expired or was never cached.
-    pub(super) fn get(&self, turn: &str) -> Option<Bytes> {
+    pub(super) fn get(&self, turn: &QualifiedId) -> Option<Bytes> {
         let entries = self.entries.lock().expect("no panic while held");
         let found = entries.get(turn).filter(|entry| entry.expires > Instant::now());
         found.map(|entry| entry.history.clone())
@@ -38,10 +39,12 @@
 
     /// Caches the history that ends with `turn` and removes that of `previous`, since few turns are
     /// continued more than once. Does nothing if the cache is full.
-    pub(super) fn put(&self, turn: CompactString, previous: &str, history: Bytes) {
+    pub(super) fn put(&self, turn: QualifiedId, previous: Option<&QualifiedId>, history: Bytes) {
         let now = Instant::now();
         let mut entries = self.entries.lock().expect("no panic while held");
-        entries.remove(previous);
+        if let Some(previous) = previous {
+            entries.remove(previous);
+        }
         entries.retain(|_, entry| entry.expires > now);
         let held: usize = entries.values().map(|entry| entry.history.len()).sum();
         if held + history.len() <= MAX_BYTES {
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -6,7 +6,7 @@
 use gypsumglade_core::policy::group_health::WaitRequest;
 use gypsumglade_core::policy::route::SharedPrefix;
 use gypsumglade_core::prelude::*;
-use gypsumglade_core::turns::{Assignment, Holding};
+use gypsumglade_core::turns::{Assignment, Holding, QualifiedId};
 use gypsumglade_core::wire::turn::command::Body as CommandBody;
 use gypsumglade_core::wire::turn::reply::Body as ReplyBody;
 use gypsumglade_core::wire::turn::{Kept, PromptRun, Reserve, Settle, Text};
@@ -31,8 +31,8 @@
 /// A turn whose tokens are reserved.
 #[derive(Clone, Debug)]
 pub(super) struct Reservation {
-    turn: CompactString,
-    program: CompactString,
+    turn: QualifiedId,
+    program: QualifiedId,
     /// The entire prompt, if the caller described its parts.
     prompt: Option<SharedPrefix>,
     /// Set if the turn is kept for turns that continue it.
@@ -41,7 +41,7 @@
 
 #[derive(Clone, Debug)]
 struct RetainedTurn {
-    previous: CompactString,
+    previous: Option<QualifiedId>,
     input: Bytes,
     retention_ms: u64,
 }
@@ -82,18 +82,18 @@
             guard: None,
         });
     }
+    let previous = (!turn.previous.is_empty()).then(|| call.qualified(&turn.previous));
     let retained = retention_ms.map(|retention_ms| RetainedTurn {
-        previous: call.scoped(&turn.previous),
+        previous: previous.clone(),
         input: call.body.clone(),
         retention_ms,
     });
     let client = &state.turns;
-    let previous = call.scoped(&turn.previous);
-    let known = state.histories.get(&previous);
+    let known = previous.as_ref().and_then(|previous| state.histories.get(previous));
     let prefixes = shared_prefixes(call);
     let reservation = Reservation {
-        turn: call.scoped(&call.head.id),
-        program: call.scoped(&turn.program),
+        turn: call.qualified(&call.head.id),
+        program: call.qualified(&turn.program),
         prompt: prefixes.last().copied(),
         retained,
     };
@@ -102,7 +102,7 @@
         program: reservation.program.to_string(),
         budget: turn.budget,
         most: call.head.max_tokens,
-        previous: previous.to_string(),
+        previous: optional_id(previous.as_ref()),
         now_ms: 0,
         held: known.is_some(),
         lasts_ms: u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX),
@@ -249,12 +249,12 @@
     let turn = reservation.turn.to_string();
     let text = Text { turn, input: retained.input.clone(), output: output.clone() };
     let retention = Duration::from_millis(retained.retention_ms);
-    let put = put_text(state, call, &reservation.program, text, retention).await;
+    let put = put_text(state, call, reservation.program.as_str(), text, retention).await;
     times.put = began.elapsed();
     record_wait(state, began, "put", if put.is_some() { "answered" } else { "silent" });
     let Some(holders) = put else { return false };
     let kept = Kept {
-        previous: retained.previous.to_string(),
+        previous: optional_id(retained.previous.as_ref()),
         retention_ms: retained.retention_ms,
         holders: holders.into_iter().map(|vm| vm.0).collect(),
         bytes: bytes as u64,
@@ -267,7 +267,7 @@
     let settled = matches!(answer, Some(ReplyBody::Settled(_)));
     if settled {
         let history = concat(sent, output);
-        state.histories.put(reservation.turn.clone(), &retained.previous, history);
+        state.histories.put(reservation.turn.clone(), retained.previous.as_ref(), history);
     }
     settled
 }
@@ -329,6 +329,11 @@
     }
 }
 
+/// Returns the id as messages hold it: empty for no turn.
+fn optional_id(id: Option<&QualifiedId>) -> String {
+    id.map(ToString::to_string).unwrap_or_default()
+}
+
 fn concat(start: &Bytes, rest: &Bytes) -> Bytes {
     if start.is_empty() {
         return rest.clone();
