Refuse requests whose ids are ambiguous

Callers would see: a turn whose Previous-Turn is not text, is stated twice, or comes without Program-Id ran without its history and was answered 200; its answer then counted as the first turn of another conversation.

Cause: an id that can't be read was taken for an absent one, of several the first counted, and the predecessor was read only beside a program.

An ambiguous one is answered 400 before anything runs.

--- a/crates/gypsumglade/src/gateway/dialect.rs
+++ b/crates/gypsumglade/src/gateway/dialect.rs
@@ -10,7 +10,8 @@
 ///
 /// A dialect only translates: it keeps no state and makes no routing decisions.
 pub trait Dialect: Send + Sync + 'static {
-    /// Reads the head of a caller's request. Returns `None` if a mandatory header is missing.
+    /// Reads the head of a caller's request. Returns `None` if a mandatory header is missing, or an id
+    /// can't be read without doubt.
     fn read_call(&self, head: &request::Parts) -> Option<CallHead>;
 
     /// Returns the headers of a request to an endpoint: those of the caller that may be forwarded,
@@ -149,7 +150,7 @@
 /// Why a request has no answer from an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// A mandatory header is missing, or the body could not be read.
+    /// A mandatory header is missing, an id is ambiguous, or the body could not be read.
     Malformed,
     /// The caller's API key is missing or unknown; the request has not run.
     Unauthorized,
