--- a/crates/core/src/turns/copies.rs
+++ b/crates/core/src/turns/copies.rs
@@ -1,5 +1,6 @@
 //! Planning of text copies, which restore the redundancy of texts after a store is lost or retires.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::holders::preferred_stores;
@@ -8,6 +9,10 @@
 use crate::prelude::*;
 use crate::replication::repair::StoreInfo;
 
+/// How long after the deadline of a turn its settlement may arrive, which extends the retention of the
+/// turns that it continues.
+const LATE_SETTLEMENT_MS: u64 = 5_000;
+
 /// State of the stores as known to the turn group's leader.
 #[derive(Clone, Debug, Default)]
 pub struct CopySurvey {
@@ -43,7 +48,8 @@
     }
 }
 
-/// Limits of the texts in one plan.
+/// Limits of the texts in one plan. They apply to each store and each way separately, so that neither
+/// way holds up the other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Limit for a store that fetches from its own region.
@@ -52,6 +58,12 @@
     pub cross_region: BatchSize,
 }
 
+impl Limits {
+    fn of(&self, cross_region: bool) -> BatchSize {
+        if cross_region { self.cross_region } else { self.same_region }
+    }
+}
+
 /// Texts that one store should fetch from others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Transfer {
@@ -66,6 +78,12 @@
 }
 
 impl Transfer {
+    /// Returns `true` if only one store is left that the texts can be read from. The loss of another
+    /// disk would lose them.
+    pub fn is_last_copy(&self) -> bool {
+        self.sources.len() == 1
+    }
+
     /// Splits the transfer into parts within `limit`, each with at least one text.
     pub fn split(self, limit: BatchSize) -> Vec<Transfer> {
         let mut parts: Vec<Transfer> = Vec::new();
@@ -91,26 +109,29 @@
 }
 
 impl Turns {
-    /// Plans the next transfers, within `limits` for each target.
+    /// Plans the next transfers, within `limits`, in order of need: texts that the loss of the
+    /// fewest disks would lose come first, and among these the ones that are kept longest.
     ///
     /// Texts with the same remaining holders get the same target, so that the texts of a
     /// conversation stay together. Texts without a readable holder are skipped.
     pub fn plan_copies(&self, survey: &CopySurvey, limits: &Limits) -> Vec<Transfer> {
         let wanted = survey.copies.min(survey.serving().count());
         let mut plans: BTreeMap<BTreeSet<VmId>, Option<Transfer>> = BTreeMap::new();
-        let mut taken: BTreeMap<VmId, BatchSize> = BTreeMap::new();
-        for (id, turn) in self.under_replicated(survey, wanted) {
-            if survey.deferred.contains(id) {
-                continue;
-            }
-            let remaining: BTreeSet<VmId> =
-                turn.holders.iter().copied().filter(|vm| survey.is_readable(*vm)).collect();
-            let plan =
-                plans.entry(remaining).or_insert_with_key(|remaining| survey.plan(remaining));
+        let mut taken: BTreeMap<(VmId, bool), BatchSize> = BTreeMap::new();
+        let lacking = self.under_replicated(survey, wanted);
+        let lacking = lacking.filter(|(id, _)| !survey.deferred.contains(*id));
+        let mut lacking: Vec<_> = lacking
+            .map(|(id, turn)| {
+                let left = turn.holders.iter().copied().filter(|vm| survey.is_readable(*vm));
+                (left.collect::<BTreeSet<VmId>>(), id, turn)
+            })
+            .collect();
+        lacking.sort_by_key(|(left, _, turn)| (left.len(), Reverse(turn.needed_until())));
+        for (left, id, turn) in lacking {
+            let plan = plans.entry(left).or_insert_with_key(|left| survey.plan(left));
             let Some(copy) = plan else { continue };
-            let sum = taken.entry(copy.target).or_default();
-            if sum.reaches(if copy.cross_region { limits.cross_region } else { limits.same_region })
-            {
+            let sum = taken.entry((copy.target, copy.cross_region)).or_default();
+            if sum.reaches(limits.of(copy.cross_region)) {
                 continue;
             }
             sum.add(turn.bytes);
@@ -119,7 +140,10 @@
             holding.holders.push(copy.target);
             copy.turns.push(holding);
         }
-        plans.into_values().flatten().filter(|copy| !copy.turns.is_empty()).collect()
+        let planned = plans.into_values().flatten().filter(|copy| !copy.turns.is_empty());
+        let mut planned: Vec<Transfer> = planned.collect();
+        planned.sort_by_key(|copy| copy.sources.len());
+        planned
     }
 
     /// Returns the holders of texts that are on too few stores. None of them may be removed.
@@ -131,16 +155,18 @@
         under_replicated.flat_map(|(_, turn)| turn.holders.iter().copied()).collect()
     }
 
-    /// Returns the turns whose texts are on fewer than `wanted` stores.
+    /// Returns the turns that may still be continued and whose texts are on fewer than `wanted`
+    /// stores.
     fn under_replicated(
         &self,
         survey: &CopySurvey,
         wanted: usize,
     ) -> impl Iterator<Item = (&CompactString, &Turn)> {
         let serving: BTreeSet<VmId> = survey.serving().map(|store| store.vm).collect();
+        let settled = self.clock.saturating_sub(LATE_SETTLEMENT_MS);
         self.tree.turns.iter().filter(move |(_, turn)| {
             let kept = turn.holders.iter().filter(|vm| serving.contains(vm)).count();
-            kept < wanted
+            kept < wanted && turn.needed_until() >= settled
         })
     }
 }
--- a/crates/core/src/turns/tree.rs
+++ b/crates/core/src/turns/tree.rs
@@ -47,9 +47,15 @@
         }
     }
 
+    /// Returns the group's time until which a turn that continues it may begin or run, in
+    /// milliseconds.
+    pub(super) fn needed_until(&self) -> u64 {
+        self.kept_until.max(self.held_until)
+    }
+
     /// Returns the group's time at which the turn is removed, in milliseconds.
     fn expires_at(&self) -> u64 {
-        self.kept_until.max(self.held_until).saturating_add(SETTLE_GRACE_MS)
+        self.needed_until().saturating_add(SETTLE_GRACE_MS)
     }
 
     pub(super) fn holding(&self, id: &str) -> Holding {
--- a/crates/core/tests/turns_copies.rs
+++ b/crates/core/tests/turns_copies.rs
@@ -31,13 +31,17 @@
 }
 
 fn keep(turns: &mut Turns, turn: &str, previous: &str, holders: &[u32]) {
+    keep_at(turns, 1, turn, previous, holders);
+}
+
+fn keep_at(turns: &mut Turns, now_ms: u64, turn: &str, previous: &str, holders: &[u32]) {
     let kept = Kept {
         previous: previous.to_owned(),
         retention_ms: 60_000,
         holders: holders.to_vec(),
         bytes: TEXT_BYTES,
     };
-    let settle = Settle { turn: turn.to_owned(), kept: Some(kept), now_ms: 1, ..Settle::default() };
+    let settle = Settle { turn: turn.to_owned(), kept: Some(kept), now_ms, ..Settle::default() };
     apply(turns, Body::Settle(settle));
 }
 
@@ -295,6 +299,72 @@
     assert_eq!((plan[0].cross_region, plan[0].turns.len()), (false, 40));
 }
 
+/// Texts that one more lost disk would lose waited behind others.
+#[test]
+fn plan_copies_last_copy_first() {
+    let mut turns = Turns::default();
+    keep(&mut turns, "a", "", &[1, 2, 9]);
+    keep(&mut turns, "b", "", &[1, 8, 9]);
+    let limits = same_limits(BatchSize { texts: 1, ..UNLIMITED });
+    let alive = [store(1, "a"), store(2, "b"), store(3, "c")];
+    // Both texts have the same target.
+    let failing = BTreeSet::from([VmId(2)]);
+    let survey = CopySurvey { copies: 3, failing, ..survey(alive) };
+    let plan = turns.plan_copies(&survey, &limits);
+    assert!(plan[0].is_last_copy());
+    assert_eq!(plan[0].turns[0].turn, "b");
+}
+
+/// Texts of old turns were copied before those of new ones, which callers need for longer.
+#[test]
+fn plan_copies_longest_kept_first() {
+    let mut turns = Turns::default();
+    for (turn, previous, now) in [("a", "", 1), ("b", "", 2), ("c", "", 3), ("d", "a", 4)] {
+        keep_at(&mut turns, now, turn, previous, &[1, 9]);
+    }
+    let plan = turns.plan_copies(&survey([store(1, "a"), store(2, "b")]), &NO_LIMITS);
+    let order: Vec<&str> = plan[0].turns.iter().map(|holding| holding.turn.as_str()).collect();
+    assert_eq!(order, ["a", "d", "c", "b"]);
+}
+
+/// Texts that no caller may name any more took the time of others.
+#[test]
+fn plan_copies_no_longer_kept() {
+    let mut turns = Turns::default();
+    keep_at(&mut turns, 1, "old", "", &[1, 9]);
+    keep_at(&mut turns, 1, "held", "", &[1, 9]);
+    let ask = Reserve {
+        turn: "x".to_owned(),
+        previous: "held".to_owned(),
+        now_ms: 59_000,
+        lasts_ms: 20_000,
+        ..Reserve::default()
+    };
+    apply(&mut turns, Body::Reserve(ask));
+    keep_at(&mut turns, 70_000, "new", "", &[1, 9]);
+    let survey = survey([store(1, "a"), store(2, "b")]);
+    let plan = turns.plan_copies(&survey, &NO_LIMITS);
+    let mut order: Vec<&str> = plan[0].turns.iter().map(|holding| holding.turn.as_str()).collect();
+    order.sort_unstable();
+    assert_eq!(order, ["held", "new"]);
+    assert_eq!(turns.required_holders(&survey), BTreeSet::from([VmId(1), VmId(9)]));
+}
+
+/// Many texts of a store's own region kept it from fetching those of another one.
+#[test]
+fn plan_copies_both_ways() {
+    let mut turns = Turns::default();
+    for number in 0..40 {
+        keep(&mut turns, &format!("a{number}"), "", &[1, 9]);
+        keep(&mut turns, &format!("b{number}"), "", &[3, 9]);
+    }
+    let limits = same_limits(BatchSize { texts: 10, ..UNLIMITED });
+    let plan =
+        turns.plan_copies(&survey([store(1, "a"), store(2, "b"), remote_store(3, "n")]), &limits);
+    let ways: Vec<_> = plan.iter().map(|copy| (copy.cross_region, copy.turns.len())).collect();
+    assert!(ways.contains(&(false, 10)) && ways.contains(&(true, 10)), "{ways:?}");
+}
+
 #[test]
 fn split_parts() {
     let mut turns = Turns::default();
@@ -385,17 +455,18 @@
 }
 
 /// Checks that targets are neither retiring nor sources, that sources are available with those in
-/// the target's region first, and that texts with the same sources share a target within `limit`.
+/// the target's region first, and that texts with the same sources share a target within `limit` for
+/// each way.
 fn check_plan(
     plan: &[Transfer],
     survey: &CopySurvey,
     limit: BatchSize,
 ) -> Result<(), TestCaseError> {
     let find = |vm: VmId| survey.alive.iter().find(|store| store.vm == vm);
-    let mut counts: BTreeMap<VmId, usize> = BTreeMap::new();
+    let mut counts: BTreeMap<(VmId, bool), usize> = BTreeMap::new();
     let mut sources = BTreeSet::new();
     for copy in plan {
-        *counts.entry(copy.target).or_default() += copy.turns.len();
+        *counts.entry((copy.target, copy.cross_region)).or_default() += copy.turns.len();
         prop_assert!(sources.insert(&copy.sources));
         let region = |vm: VmId| find(vm).map(|store| store.region.clone());
         let is_remote = |vm: &VmId| region(*vm) != region(copy.target);
--- a/crates/gypsumglade/src/store/text_copies.rs
+++ b/crates/gypsumglade/src/store/text_copies.rs
@@ -23,19 +23,20 @@
 ///
 /// A store whose identity was replaced is lost at once, since the roster drops it.
 const LOST_AFTER: Duration = Duration::from_secs(3);
-/// Texts planned for one store at a time. Several batches are planned together, since planning
+/// Texts planned for one store and way at a time. Several batches are planned together, since planning
 /// scans all kept turns.
 const PLAN_LIMITS: Limits = Limits {
     same_region: BatchSize { texts: 4_096, bytes: 8 * 1024 * 1024 },
-    cross_region: BatchSize { texts: 256, bytes: 512 * 1024 },
+    cross_region: BatchSize { texts: 1_024, bytes: 2 * 1024 * 1024 },
 };
 /// Size of a batch, which bounds the memory that it takes at its source and its target.
 const SAME_REGION_BATCH: BatchSize = BatchSize { texts: 256, bytes: 512 * 1024 };
 /// Size of a batch from another region, which bounds the delay of heartbeats behind it.
 const CROSS_REGION_BATCH: BatchSize = BatchSize { texts: 64, bytes: 128 * 1024 };
-/// Pause after a batch from another region, so that copies use only a part of the link.
+/// Pause after a batch from another region, so that copies use only a part of the link. Texts that
+/// are left on one disk are copied without it: their callers would lose more than the others wait.
 const CROSS_REGION_PAUSE: Duration = Duration::from_millis(50);
-/// Batches in flight to one store: one is synced while the next one is fetched.
+/// Batches in flight to one store and way: one is synced while the next one is fetched.
 const MAX_IN_FLIGHT: usize = 2;
 /// Timeout of a batch.
 const COPY_TIMEOUT: Duration = Duration::from_secs(3);
@@ -73,6 +74,14 @@
     deferred: BTreeMap<CompactString, Time>,
 }
 
+/// A store that fetches texts, and by which way. Both ways go on side by side, since only the one
+/// between regions is slow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct CopyLane {
+    target: VmId,
+    cross_region: bool,
+}
+
 /// Report by the turn group's leader on the stores that hold texts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct HolderReport {
@@ -97,15 +106,15 @@
     /// Copies texts until `halt` is cancelled.
     pub(super) async fn run(self: Arc<Self>, halt: CancellationToken) {
         let began = self.discovery.now();
-        let mut fetching: JoinSet<VmId> = JoinSet::new();
-        let mut busy: BTreeSet<VmId> = BTreeSet::new();
+        let mut fetching: JoinSet<CopyLane> = JoinSet::new();
+        let mut busy: BTreeSet<CopyLane> = BTreeSet::new();
         while !halt.is_cancelled() {
             // After a start, stores that were not heard of yet would count as lost.
             let settled = self.discovery.now().since(began) >= LOST_AFTER;
             if settled && self.turns.leads() {
-                for (target, copies) in self.plan_transfers(&busy) {
-                    busy.insert(target);
-                    fetching.spawn(Arc::clone(&self).copy_to(target, copies));
+                for (lane, copies) in self.plan_transfers(&busy) {
+                    busy.insert(lane);
+                    fetching.spawn(Arc::clone(&self).copy_to(lane, copies));
                 }
             } else {
                 *self.history() = CopyHistory::default();
@@ -113,8 +122,8 @@
             tokio::select! {
                 () = halt.cancelled() => {}
                 Some(filled) = fetching.join_next() => match filled {
-                    Ok(target) => drop(busy.remove(&target)),
-                    // The target of a task that panicked is not known.
+                    Ok(lane) => drop(busy.remove(&lane)),
+                    // The lane of a task that panicked is not known.
                     Err(_) => busy.clear(),
                 },
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
@@ -131,8 +140,8 @@
         }
     }
 
-    /// Returns the batches that each idle store should fetch.
-    fn plan_transfers(&self, busy: &BTreeSet<VmId>) -> BTreeMap<VmId, Vec<Transfer>> {
+    /// Returns the batches to fetch in each idle lane.
+    fn plan_transfers(&self, busy: &BTreeSet<CopyLane>) -> BTreeMap<CopyLane, Vec<Transfer>> {
         // Read before planning: a store may be reported as retiring only once a plan has taken that
         // into account.
         let mut retiring = self.discovery.retiring();
@@ -140,38 +149,38 @@
         let survey = self.survey();
         let plan = self.turns.plan_copies(&survey, &PLAN_LIMITS);
         self.history().update(self.discovery.now(), plan.required_holders, retiring);
-        let mut targets: BTreeMap<VmId, Vec<Transfer>> = BTreeMap::new();
+        let mut lanes: BTreeMap<CopyLane, Vec<Transfer>> = BTreeMap::new();
         for copy in plan.copies {
-            let target = copy.target;
-            if !busy.contains(&target) && !survey.failing.contains(&target) {
+            let lane = CopyLane { target: copy.target, cross_region: copy.cross_region };
+            if !busy.contains(&lane) && !survey.failing.contains(&lane.target) {
                 let batch = if copy.cross_region { CROSS_REGION_BATCH } else { SAME_REGION_BATCH };
-                targets.entry(target).or_default().extend(copy.split(batch));
+                lanes.entry(lane).or_default().extend(copy.split(batch));
             }
         }
-        targets
+        lanes
     }
 
     /// Makes a store fetch its batches, until one fails.
-    async fn copy_to(self: Arc<Self>, target: VmId, copies: Vec<Transfer>) -> VmId {
+    async fn copy_to(self: Arc<Self>, lane: CopyLane, copies: Vec<Transfer>) -> CopyLane {
         let mut in_flight: JoinSet<bool> = JoinSet::new();
         let mut copies = copies.into_iter();
         loop {
             while in_flight.len() < MAX_IN_FLIGHT
                 && let Some(copy) = copies.next()
             {
-                let cross_region = copy.cross_region;
+                let is_slowed = is_slowed(&copy);
                 in_flight.spawn(Arc::clone(&self).copy_batch(copy));
-                if cross_region {
+                if is_slowed {
                     break;
                 }
             }
             match in_flight.join_next().await {
                 Some(Ok(true)) => {}
                 Some(Ok(false) | Err(_)) => {
-                    self.history().failing.insert(target, self.discovery.now());
-                    return target;
+                    self.history().failing.insert(lane.target, self.discovery.now());
+                    return lane;
                 }
-                None => return target,
+                None => return lane,
             }
         }
     }
@@ -190,6 +199,7 @@
                 return false;
             }
         };
+        let is_slowed = is_slowed(&copy);
         let here: BTreeSet<&str> = held.turns.iter().map(String::as_str).collect();
         let (copied, missing): (Vec<Holding>, Vec<Holding>) =
             copy.turns.into_iter().partition(|holding| here.contains(holding.turn.as_str()));
@@ -198,7 +208,7 @@
         let noted = copied.is_empty() || self.turns.record_copied(&copied).await;
         slog::info!(self.context.log, "texts copied"; "store" => %copy.target,
             "texts" => copied.len(), "asked" => order.turns.len(), "noted" => noted);
-        if copy.cross_region {
+        if is_slowed {
             tokio::time::sleep(CROSS_REGION_PAUSE).await;
         }
         noted && !copied.is_empty()
@@ -244,6 +254,11 @@
     }
 }
 
+/// Returns whether a batch should leave most of the link to others.
+fn is_slowed(copy: &Transfer) -> bool {
+    copy.cross_region && !copy.is_last_copy()
+}
+
 /// Reason why a store fetched nothing.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 enum CopyError {
