Bound what an endpoint may send without end

Cause: three bounds were missing. hyper bounds one head, drops interim heads uncounted and reads for as long as bytes are there. The relay counted neither the bytes of an event nor those of a stream, and asked for the time limit only beside a read that was always ready. EventScanner looked for the other kind of blank line through all that was left, at each event.

An event has 256 KiB at most, a stream 4 MiB as whole answers have; beyond, the connection is closed, the failure counts, and a stream that may be resumed goes on elsewhere after its last whole event. The time limit is asked before each read. Ends of events are found in one pass.

Not covered: the chat interface reads endpoints without these bounds, and all streams together have none.

--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -5,6 +5,7 @@
 //! "Server-sent events".
 
 use bytes::{Buf, Bytes, BytesMut};
+use memchr::memchr;
 
 /// The events that a piece of the stream completed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -15,7 +16,12 @@
     pub events: u64,
 }
 
-/// Splits a stream into complete events.
+/// Largest event, in bytes. An endpoint in trouble may send one without end.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Largest stream, in bytes, all events together.
+pub const MAX_STREAM_BYTES: usize = 4 << 20;
+
+/// Splits a stream into complete events, within bounds; see docs/CAPACITY.md.
 ///
 /// An endpoint may fail in the middle of an event. Since only complete events are passed on, the
 /// stream can be resumed after the last one.
@@ -25,12 +31,15 @@
     /// Length of the prefix of `pending` that contains no end of an event.
     scanned: usize,
     data: BytesMut,
+    /// Bytes that were fed.
+    fed: usize,
     last_id: Option<u64>,
 }
 
 impl EventScanner {
     /// Adds the next piece of the stream and returns the events that it completed.
     pub fn feed(&mut self, piece: &[u8]) -> Completed {
+        self.fed = self.fed.saturating_add(piece.len());
         self.pending.extend_from_slice(piece);
         let mut end = 0;
         let mut events = 0;
@@ -44,6 +53,12 @@
         Completed { bytes, events }
     }
 
+    /// Returns `true` if the stream, or the event that is incomplete, exceeds its bound. No more of it
+    /// should be read.
+    pub fn is_too_large(&self) -> bool {
+        self.fed > MAX_STREAM_BYTES || self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Discards an incomplete event, before the stream is resumed after the last complete one.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
@@ -67,22 +82,22 @@
 
     /// Returns the position after the blank line that ends the event at `start`.
     fn event_end(&self, start: usize) -> Option<usize> {
-        let from = start.max(self.scanned.min(self.pending.len()));
-        let from = from.saturating_sub(2).max(start);
-        let bytes = &self.pending[from..];
-        let lf = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| from + at + 2);
-        let crlf = bytes.windows(3).position(|three| three == b"\n\r\n").map(|at| from + at + 3);
-        match (lf, crlf) {
-            (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-            (lf, crlf) => lf.or(crlf),
+        // The line feed that ends the last line may stand before what was scanned.
+        let mut from = self.scanned.min(self.pending.len()).saturating_sub(2).max(start);
+        loop {
+            let line_end = from + memchr(b'\n', &self.pending[from..])?;
+            match &self.pending[line_end + 1..] {
+                [b'\n', ..] => return Some(line_end + 2),
+                [b'\r', b'\n', ..] => return Some(line_end + 3),
+                _ => from = line_end + 1,
+            }
         }
     }
 
     /// Collects the data and id of an event. Returns `true` if it has data.
     fn read_event(&mut self, start: usize, end: usize) -> bool {
         let mut found = false;
-        let event = self.pending[start..end].to_vec();
-        for line in event.split(|byte| *byte == b'\n') {
+        for line in self.pending[start..end].split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if let Some(data) = field(line, b"data") {
                 self.data.extend_from_slice(data);
--- a/crates/core/tests/stream_scanner.rs
+++ b/crates/core/tests/stream_scanner.rs
@@ -1,6 +1,6 @@
 //! Detection of events in a forwarded stream.
 
-use gypsumglade_core::stream::EventScanner;
+use gypsumglade_core::stream::{EventScanner, MAX_EVENT_BYTES, MAX_STREAM_BYTES};
 use proptest::prelude::*;
 
 const STREAM: &[u8] =
@@ -48,6 +48,34 @@
     assert_eq!(feed_all(&[]), (Vec::new(), 0, Vec::new()));
 }
 
+/// Returns how many bytes of a repeated piece are read until they are too many.
+fn bytes_read(scanner: &mut EventScanner, piece: &[u8]) -> usize {
+    let mut bytes = 0;
+    while !scanner.is_too_large() {
+        scanner.feed(piece);
+        bytes += piece.len();
+    }
+    bytes
+}
+
+/// An event without end took memory until the time limit.
+#[test]
+fn feed_endless_event() {
+    let mut scanner = EventScanner::default();
+    let piece = [b'x'; 1_000];
+    assert!(bytes_read(&mut scanner, &piece) <= MAX_EVENT_BYTES + piece.len());
+    scanner.drop_partial();
+    assert!(!scanner.is_too_large());
+}
+
+/// Events without end were passed on until the time limit.
+#[test]
+fn feed_endless_events() {
+    let event = b"id: 1\ndata: more\n\n";
+    let read = bytes_read(&mut EventScanner::default(), event);
+    assert!(read <= MAX_STREAM_BYTES + event.len());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, rng_seed: prop::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
 
--- a/crates/gypsumglade/src/gateway/connections.rs
+++ b/crates/gypsumglade/src/gateway/connections.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use super::dialect::AnswerHead;
+use super::endpoint_io::{EndpointIo, HeadLimit};
 
 /// Time limit for opening a connection; another endpoint is tried after it. Within a region it takes
 /// some milliseconds.
@@ -36,6 +37,7 @@
 pub(super) struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    head: HeadLimit,
     reused: bool,
 }
 
@@ -74,11 +76,12 @@
         let opening = async {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            let io = TokioIo::new(stream);
+            let head = HeadLimit::new();
+            let io = TokioIo::new(EndpointIo::new(stream, head.clone()));
             let (sender, connection) = Builder::new().handshake(io).await.ok()?;
             // A connection error is reported by the request in flight.
             tokio::spawn(async move { drop(connection.await) });
-            Some(Connection { address, sender, reused: false })
+            Some(Connection { address, sender, head, reused: false })
         };
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok().flatten();
         opened.ok_or(ConnectionError::NotSent)
@@ -142,7 +145,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ConnectionError> {
-        match self.sender.try_send_request(request).await {
+        self.head.begin();
+        let sent = self.sender.try_send_request(request).await;
+        self.head.end();
+        match sent {
             Ok(response) => Ok(response),
             // hyper returns the request only if it has written nothing of it.
             Err(error) if error.message().is_some() => Err(ConnectionError::NotSent),
--- a/crates/gypsumglade/src/gateway/mod.rs
+++ b/crates/gypsumglade/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod call;
 mod connections;
 mod dialect;
+mod endpoint_io;
 mod endpoint_state;
 mod endpoint_sync;
 mod headers;
--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -151,6 +151,9 @@
                 return StreamEnd::Abandoned;
             }
             let left = self.call.time_left();
+            if left.is_zero() {
+                return StreamEnd::Abandoned;
+            }
             let chunk = tokio::select! {
                 chunk = self.next_chunk() => chunk,
                 // Stops the engine's work when the caller has disconnected.
@@ -178,6 +181,12 @@
     /// Reads the next chunk and returns the events that it completes, or `None` at the end of the answer.
     async fn next_chunk(&mut self) -> Option<Result<Completed, IncompleteBody>> {
         let source = self.source.as_mut()?;
+        if self.scanner.is_too_large() {
+            slog::warn!(self.state.log, "stream or event too large, the endpoint is given up";
+                "request" => %self.call.head.id, "route" => %self.call.route.name,
+                "endpoint" => %source.dispatch.name);
+            return Some(Err(IncompleteBody));
+        }
         let frame = match source.body.frame().await? {
             Ok(frame) => frame,
             Err(_) => return Some(Err(IncompleteBody)),
