Count the attempts of a stream in one list

Cause: the relay began a list of its own, with the endpoint being read as the only one, and forgot what the request had reached before its first event.

Change: one list goes with the request from the first dispatch to the last.

--- a/crates/gypsumglade/src/gateway/relay.rs
+++ b/crates/gypsumglade/src/gateway/relay.rs
@@ -78,7 +78,7 @@
     /// Complete events that have been read but not forwarded.
     pending: Bytes,
     events: u64,
-    attempts: Attempts,
+    pub(super) attempts: Attempts,
     pub(super) reservation: Option<Reservation>,
     /// Engine that the turn group's leader assigned, for logs.
     pub(super) assigned: Option<EndpointName>,
@@ -96,14 +96,14 @@
 
 impl Relay {
     /// Creates a relay that starts with `source`; `body` is sent again if the stream resumes elsewhere.
+    /// `attempts` are all that were made for the request, that of `source` included.
     pub(super) fn new(
         state: Arc<GatewayState>,
         call: Arc<Call>,
         body: Bytes,
         source: Source,
+        attempts: Attempts,
     ) -> Relay {
-        let attempts =
-            Attempts { tried: vec![source.dispatch.name.clone()], runs: 1, assigned: None };
         Relay {
             state,
             call,
--- a/crates/gypsumglade/src/gateway/streaming.rs
+++ b/crates/gypsumglade/src/gateway/streaming.rs
@@ -95,14 +95,16 @@
         }
         let (parts, stream) = answer.response.into_parts();
         let source = Source::new(stream, answer.dispatch, answer.connection, answer.head);
-        let mut relay = Relay::new(Arc::clone(state), Arc::clone(call), body.clone(), source);
+        let (state, call) = (Arc::clone(state), Arc::clone(call));
+        let mut relay = Relay::new(state, Arc::clone(&call), body.clone(), source, attempts);
         let first = tokio::time::timeout(call.time_left(), relay.read_first_event()).await;
         let broken = match first {
             Ok(true) => return Ok(StreamStart::Stream(Box::new(relay), Box::new(parts))),
             Ok(false) => relay.record_break(),
             Err(_) => return Err(Refusal::TimedOut),
         };
-        if !attempts.may_retry(call) {
+        attempts = relay.attempts;
+        if !attempts.may_retry(&call) {
             return Err(Refusal::Lost);
         }
         if let Some(report) = broken {
