Keep a turn for its retention from the end of its answer on

Cause: a turn was kept from the leader's stamp on its settlement. The answer ends after the commit, the reply and the entry VM's own step, and whatever held these up shortened the retention.

Change: a settlement asks for the retention and the time that the caller has left, since it doesn't wait past its deadline. Up to 7 in 100 more room for turns with a limit of 4 s and 60 s of retention.

--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -255,7 +255,7 @@
     let Some(holders) = put else { return false };
     let kept = Kept {
         previous: optional_id(retained.previous.as_ref()),
-        retention_ms: retained.retention_ms,
+        retention_ms: kept_for_ms(call, retained),
         holders: holders.into_iter().map(|vm| vm.0).collect(),
         bytes: bytes as u64,
     };
@@ -272,6 +272,15 @@
     settled
 }
 
+/// Returns how long a turn is kept from its settlement on, in milliseconds.
+///
+/// Retention counts from the end of the answer, which the settlement precedes. When the caller gets it
+/// isn't known yet, but it doesn't wait past its deadline.
+fn kept_for_ms(call: &Call, retained: &RetainedTurn) -> u64 {
+    let left = u64::try_from(call.time_left().as_millis()).unwrap_or(u64::MAX);
+    retained.retention_ms.saturating_add(left)
+}
+
 /// Texts of a turn that has run to its end.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CompletedTurn<'a> {
