Take an endpoint back after its silence

Callers saw: an endpoint that control didn't hear of for 5 s got no work ever again, though it ran on and each of its reports was acknowledged. One report of another writer did the same to the endpoint whose address it named.

Cause: silence was taken for departure. Goodbye, the end of a lease and the loss of an address to a later start were one record, after which no report of that incarnation counts. The entry VMs' registry did the same: what left the list was marked as leaving, for good.

Change: Departure is Left, which is final, or Unheard with the last sequence, after which a later report brings the endpoint back, still draining if it was. The new command Expire names the last sequence heard, so an endpoint that reports meanwhile stays. Entry VMs withdraw an endpoint until it is listed again. At the bound the longest gone is forgotten, not the first by name.

Left: a report under a service that isn't named still takes an endpoint away, for a lease at most.

--- a/crates/core/src/control/endpoints.rs
+++ b/crates/core/src/control/endpoints.rs
@@ -3,11 +3,13 @@
 //! An endpoint's draining is committed before it is acknowledged, so that it survives the loss of
 //! the leader.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
+
+use indexmap::IndexMap;
 
 use super::endpoint_list::EndpointList;
 use crate::prelude::*;
-use crate::wire::control::{Deregister, EndpointRecord, Snapshot};
+use crate::wire::control::{Departed, EndpointRecord, Expire, Snapshot};
 
 /// Maximum number of departed endpoints that are remembered to reject late announcements.
 const MAX_DEPARTED: usize = 4_096;
@@ -19,15 +21,78 @@
     sequence: u64,
 }
 
+/// Why an incarnation of an endpoint isn't in the list any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// It said that it leaves, and never comes back.
+    Left,
+    /// It fell silent, or a later incarnation announced its address. Silence is no departure: it may be
+    /// cut off, so a later announcement brings it back.
+    Unheard {
+        /// Sequence of its last announcement.
+        sequence: u64,
+        /// Whether it took no new work.
+        draining: bool,
+    },
+}
+
+/// The last incarnation of an endpoint that isn't in the list any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Gone {
+    incarnation: u64,
+    departure: Departure,
+}
+
+impl Gone {
+    /// Returns the state of an endpoint that is removed without having said that it leaves.
+    fn unheard(record: &EndpointRecord) -> Gone {
+        let departure = Departure::Unheard { sequence: record.sequence, draining: record.leaving };
+        Gone { incarnation: record.incarnation, departure }
+    }
+
+    /// Returns `true` if an announcement brings the endpoint back.
+    fn allows(&self, record: &EndpointRecord) -> bool {
+        if record.incarnation != self.incarnation {
+            return record.incarnation > self.incarnation;
+        }
+        match self.departure {
+            Departure::Left => false,
+            Departure::Unheard { sequence, .. } => record.sequence > sequence,
+        }
+    }
+
+    /// Returns `true` if this incarnation was draining, which it does until it restarts.
+    fn is_draining(&self, incarnation: u64) -> bool {
+        let draining = matches!(self.departure, Departure::Unheard { draining: true, .. });
+        draining && self.incarnation == incarnation
+    }
+
+    fn to_wire(self, name: &str) -> Departed {
+        let (sequence, draining) = match self.departure {
+            Departure::Left => (None, false),
+            Departure::Unheard { sequence, draining } => (Some(sequence), draining),
+        };
+        Departed { name: name.to_owned(), incarnation: self.incarnation, sequence, draining }
+    }
+
+    fn from_wire(departed: &Departed) -> Gone {
+        let departure = match departed.sequence {
+            Some(sequence) => Departure::Unheard { sequence, draining: departed.draining },
+            None => Departure::Left,
+        };
+        Gone { incarnation: departed.incarnation, departure }
+    }
+}
+
 /// The endpoints that are registered and haven't left or expired.
 #[derive(Clone, Debug, Default)]
 pub struct Endpoints {
     list: EndpointList,
     /// Name of the endpoint at each address. Without it, each announcement would walk all endpoints.
     by_address: HashMap<CompactString, CompactString>,
-    /// Last incarnation of departed endpoints, so that a late announcement doesn't register one
+    /// Departed endpoints, the longest gone first, so that a late announcement doesn't register one
     /// again.
-    departed: BTreeMap<CompactString, u64>,
+    departed: IndexMap<CompactString, Gone>,
 }
 
 impl Endpoints {
@@ -68,12 +133,15 @@
         if !self.is_update(record) {
             return;
         }
-        let record = match self.get(&record.name) {
+        let gone = self.departed.get(record.name.as_str());
+        let was_draining = gone.is_some_and(|gone| gone.is_draining(record.incarnation));
+        let mut record = match self.get(&record.name) {
             Some(known) => preserve_leaving(known, record),
             None => record.clone(),
         };
+        record.leaving |= was_draining;
         self.evict_address(&record);
-        self.departed.remove(record.name.as_str());
+        self.departed.shift_remove(record.name.as_str());
         let name = record.name.to_compact_string();
         if let Some(known) = self.get(&name) {
             let former = known.address.to_compact_string();
@@ -92,16 +160,30 @@
         if let Some(removed) = self.list.remove(name) {
             self.by_address.remove(removed.address.as_str());
         }
-        self.mark_departed(name.to_compact_string(), incarnation);
+        let gone = Gone { incarnation, departure: Departure::Left };
+        self.mark_departed(name.to_compact_string(), gone);
+    }
+
+    /// Removes an endpoint that fell silent, unless it has announced itself since.
+    pub fn expire(&mut self, silent: &Expire) {
+        let known = self.get(&silent.name);
+        let last = Stamp { incarnation: silent.incarnation, sequence: silent.sequence };
+        let Some(known) = known.filter(|known| stamp(known) <= last) else { return };
+        let mut gone = Gone::unheard(known);
+        if known.incarnation == silent.incarnation
+            && let Departure::Unheard { sequence, .. } = &mut gone.departure
+        {
+            *sequence = silent.sequence;
+        }
+        if let Some(removed) = self.list.remove(&silent.name) {
+            self.by_address.remove(removed.address.as_str());
+        }
+        self.mark_departed(silent.name.to_compact_string(), gone);
     }
 
     /// Writes the state into a snapshot.
     pub(super) fn save(&self, snapshot: &mut Snapshot) {
-        let departed = self.departed.iter();
-        let departed = departed.map(|(name, incarnation)| Deregister {
-            name: name.to_string(),
-            incarnation: *incarnation,
-        });
+        let departed = self.departed.iter().map(|(name, gone)| gone.to_wire(name));
         snapshot.endpoints = self.iter().cloned().collect();
         snapshot.endpoint_change = self.change();
         snapshot.departed = departed.collect();
@@ -113,7 +195,7 @@
         let addresses = addresses
             .map(|record| (record.address.to_compact_string(), record.name.to_compact_string()));
         let departed = snapshot.departed.iter();
-        let departed = departed.map(|gone| (gone.name.to_compact_string(), gone.incarnation));
+        let departed = departed.map(|gone| (gone.name.to_compact_string(), Gone::from_wire(gone)));
         Endpoints {
             list: EndpointList::restore(&snapshot.endpoints, snapshot.endpoint_change),
             by_address: addresses.collect(),
@@ -122,8 +204,8 @@
     }
 
     fn accepts(&self, record: &EndpointRecord) -> bool {
-        let ended = self.departed.get(record.name.as_str());
-        if ended.is_some_and(|ended| record.incarnation <= *ended) {
+        let gone = self.departed.get(record.name.as_str());
+        if gone.is_some_and(|gone| !gone.allows(record)) {
             return false;
         }
         if self.get(&record.name).is_some_and(|known| stamp(record) <= stamp(known)) {
@@ -145,16 +227,21 @@
         let Some(holder) = self.address_holder(record) else { return };
         let name = holder.name.to_compact_string();
         if let Some(evicted) = self.list.remove(&name) {
-            self.mark_departed(name, evicted.incarnation);
+            self.mark_departed(name, Gone::unheard(&evicted));
         }
     }
 
-    fn mark_departed(&mut self, name: CompactString, incarnation: u64) {
+    /// Records a departure, unless a later incarnation has departed.
+    fn mark_departed(&mut self, name: CompactString, gone: Gone) {
+        let before = self.departed.get(&name);
+        if before.is_some_and(|before| before.incarnation > gone.incarnation) {
+            return;
+        }
+        self.departed.shift_remove(&name);
         if self.departed.len() == MAX_DEPARTED {
-            self.departed.pop_first();
+            self.departed.shift_remove_index(0);
         }
-        let ended = self.departed.entry(name).or_default();
-        *ended = incarnation.max(*ended);
+        self.departed.insert(name, gone);
     }
 }
 
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -164,6 +164,7 @@
             Some(CommandBody::Place(place)) => self.place(place),
             Some(CommandBody::Register(register)) => self.register(register),
             Some(CommandBody::Deregister(gone)) => self.deregister(gone),
+            Some(CommandBody::Expire(silent)) => self.expire(silent),
             Some(CommandBody::Retire(retire)) => self.retire(retire),
             Some(CommandBody::Crash(crash)) => self.crash(crash),
             Some(CommandBody::ClearSuspect(clear)) => self.clear_suspect(clear),
@@ -319,6 +320,11 @@
         AnswerBody::Registered(wire::Registered {})
     }
 
+    fn expire(&mut self, silent: &wire::Expire) -> AnswerBody {
+        self.endpoints.expire(silent);
+        AnswerBody::Registered(wire::Registered {})
+    }
+
     /// Marks a store for draining. The mark is permanent, since a drained store is removed and its
     /// identity is never used again.
     fn retire(&mut self, retire: &wire::Retire) -> AnswerBody {
--- a/crates/core/src/policy/registry/endpoint.rs
+++ b/crates/core/src/policy/registry/endpoint.rs
@@ -21,8 +21,10 @@
     pub region: RegionId,
     /// Whether the endpoint checks fencing numbers of orders.
     pub fencing: bool,
-    /// Whether the endpoint takes no new work.
+    /// Whether the endpoint has said that it takes no new work.
     pub leaving: bool,
+    /// Whether nobody lists the endpoint any more, until it is announced again.
+    pub withdrawn: bool,
     /// Time at which the lease expires.
     pub lease_end: Time,
     /// Ejection and slow start.
@@ -44,6 +46,7 @@
             region: announcement.region,
             fencing: announcement.fencing,
             leaving: announcement.leaving,
+            withdrawn: false,
             lease_end: now + announcement.lease.min(max_lease),
             health: Health::new(now),
             load: LoadTracker::default(),
@@ -57,6 +60,11 @@
         endpoint
     }
 
+    /// Returns whether the endpoint gets no new work, whatever its lease.
+    pub fn is_ending(&self) -> bool {
+        self.leaving || self.withdrawn
+    }
+
     /// Returns the estimated load at `now`.
     pub fn load(&self, now: Time) -> LoadView {
         self.load.view(now)
--- a/crates/core/src/policy/registry/mod.rs
+++ b/crates/core/src/policy/registry/mod.rs
@@ -161,11 +161,22 @@
         Some(key)
     }
 
-    /// Renews the leases of all endpoints that are not leaving, as if each were announced again
+    /// Gives an incarnation no new work until it is announced again, since nobody lists it any more.
+    ///
+    /// It may have left, or control may not hear of it; only the list knows.
+    pub fn withdraw(&mut self, name: &str, incarnation: u64) {
+        let key = self.seen.get(name).filter(|seen| seen.incarnation == incarnation);
+        let key = key.and_then(|seen| seen.key);
+        if let Some(endpoint) = key.and_then(|key| self.endpoints.get_mut(key)) {
+            endpoint.withdrawn = true;
+        }
+    }
+
+    /// Renews the leases of all endpoints that take new work, as if each were announced again
     /// unchanged.
     pub fn renew_all(&mut self, now: Time, lease: Duration) {
         let lease_end = now + lease.min(self.settings.max_lease);
-        for endpoint in self.endpoints.values_mut().filter(|endpoint| !endpoint.leaving) {
+        for endpoint in self.endpoints.values_mut().filter(|endpoint| !endpoint.is_ending()) {
             endpoint.lease_end = endpoint.lease_end.max(lease_end);
         }
     }
@@ -283,7 +294,7 @@
     pub fn is_available(&self, now: Time, key: EndpointKey) -> bool {
         let Some(endpoint) = self.endpoints.get(key) else { return false };
         let leased = endpoint.lease_end > now || !self.settings.safeguards.lease;
-        leased && !endpoint.leaving
+        leased && !endpoint.is_ending()
     }
 
     /// Returns the endpoint of a key, unless it has been removed.
@@ -338,7 +349,7 @@
     fn address_conflicts(&self, now: Time, seen: &LastSeen, announcement: &Announcement) -> bool {
         let held = seen.key.and_then(|key| self.endpoints.get(key));
         held.is_some_and(|held| {
-            held.lease_end > now && !held.leaving && held.address != announcement.address
+            held.lease_end > now && !held.is_ending() && held.address != announcement.address
         })
     }
 
@@ -351,6 +362,7 @@
         endpoint.address = announcement.address.clone();
         endpoint.lease_end = lease_end;
         endpoint.leaving = announcement.leaving || (sticky && endpoint.leaving);
+        endpoint.withdrawn = false;
         if let Some(load) = announcement.load {
             endpoint.load.record_report(now, load);
         }
--- a/crates/core/tests/control_endpoints.rs
+++ b/crates/core/tests/control_endpoints.rs
@@ -3,7 +3,7 @@
 use gypsumglade_core::control::{Control, PAGE_CHANGES};
 use gypsumglade_core::wire::control::command::Body;
 use gypsumglade_core::wire::control::{
-    Command, Deregister, EndpointNews, EndpointRecord, Register, Retire,
+    Command, Deregister, EndpointNews, EndpointRecord, Expire, Register, Retire,
 };
 
 fn record(name: &str, incarnation: u64, sequence: u64) -> EndpointRecord {
@@ -35,6 +35,11 @@
     control.apply(&Command { body: Some(Body::Deregister(gone)) });
 }
 
+fn expire(control: &mut Control, name: &str, incarnation: u64, sequence: u64) {
+    let silent = Expire { name: name.to_owned(), incarnation, sequence };
+    control.apply(&Command { body: Some(Body::Expire(silent)) });
+}
+
 fn names(control: &Control) -> Vec<&str> {
     control.endpoints().iter().map(|record| record.name.as_str()).collect()
 }
@@ -109,6 +114,80 @@
     assert_eq!(names(&control), ["one"], "a later incarnation can register");
 }
 
+/// An endpoint that was cut off for longer than its lease never got work again.
+#[test]
+fn expire_then_later_report() {
+    let mut control = Control::new();
+    register(&mut control, record("one", 5, 1));
+    expire(&mut control, "one", 5, 4);
+    assert!(names(&control).is_empty());
+
+    register(&mut control, record("one", 5, 4));
+    assert!(names(&control).is_empty(), "it was sent before the silence");
+    register(&mut control, record("one", 5, 5));
+    assert_eq!(names(&control), ["one"]);
+}
+
+/// An endpoint that drains got work again after it was cut off.
+#[test]
+fn expire_keeps_draining() {
+    let mut control = Control::new();
+    register(&mut control, EndpointRecord { leaving: true, ..record("one", 5, 3) });
+    expire(&mut control, "one", 5, 3);
+    let mut control = Control::restore(&control.snapshot()).expect("the snapshot is valid");
+    register(&mut control, record("one", 5, 4));
+
+    assert!(control.endpoints().get("one").expect("present").leaving);
+}
+
+/// An endpoint was removed although it had announced itself since it was found silent.
+#[test]
+fn expire_after_later_report() {
+    let mut control = Control::new();
+    register(&mut control, record("one", 5, 1));
+    register(&mut control, EndpointRecord { leaving: true, ..record("one", 5, 2) });
+    expire(&mut control, "one", 5, 1);
+    assert_eq!(names(&control), ["one"]);
+
+    expire(&mut control, "one", 4, 9);
+    assert_eq!(names(&control), ["one"], "another incarnation was silent");
+}
+
+/// A report that took an endpoint's address kept it out of the list for good.
+#[test]
+fn register_after_address_is_free() {
+    let mut control = Control::new();
+    let address = "10.0.0.7:8000".to_owned();
+    let taken = |name, incarnation, sequence| EndpointRecord {
+        address: address.clone(),
+        ..record(name, incarnation, sequence)
+    };
+    register(&mut control, taken("own", 5, 1));
+    register(&mut control, taken("other", 8, 1));
+    register(&mut control, taken("own", 5, 2));
+    assert_eq!(names(&control), ["other"], "the later incarnation has the address");
+
+    expire(&mut control, "other", 8, 1);
+    register(&mut control, taken("own", 5, 3));
+    assert_eq!(names(&control), ["own"]);
+}
+
+/// The endpoint that was first by name was forgotten in place of the one gone for longest.
+#[test]
+fn deregister_forgets_longest_gone() {
+    let mut control = Control::new();
+    for name in ["zz", "a"] {
+        deregister(&mut control, name, 5);
+    }
+    for number in 0..4_095 {
+        deregister(&mut control, &format!("m{number}"), 5);
+    }
+    register(&mut control, record("a", 5, 9));
+    assert!(names(&control).is_empty(), "it said that it leaves");
+    register(&mut control, record("zz", 5, 9));
+    assert_eq!(names(&control), ["zz"], "no more than the bound are kept");
+}
+
 #[test]
 fn deregister_older_incarnation() {
     let mut control = Control::new();
--- a/crates/gypsumglade/src/gateway/endpoint_sync.rs
+++ b/crates/gypsumglade/src/gateway/endpoint_sync.rs
@@ -97,19 +97,19 @@
             return;
         }
         let now = self.state.clock.now();
-        self.leave(now, &changes.ended);
+        self.withdraw(&changes.ended);
         self.announce_changed(now, &changes.changed);
         slog::info!(self.state.log, "endpoint list updated"; "change" => self.list.change(),
             "endpoints" => self.list.len(), "changed" => changes.changed.len(),
             "ended" => changes.ended.len());
     }
 
-    /// Marks endpoints that are gone or have restarted as leaving. A restarted one may have a new
-    /// address, which the registry refuses while the old incarnation is in use.
-    fn leave(&self, now: Time, ended: &[EndpointRecord]) {
+    /// Gives no new work to endpoints that are gone from the list or have restarted. A restarted one may
+    /// have a new address, which the registry refuses while the old incarnation is in use.
+    fn withdraw(&self, ended: &[EndpointRecord]) {
         let mut routing = self.state.routing();
         for record in ended {
-            routing.registry.leave(now, &record.name, record.incarnation);
+            routing.registry.withdraw(&record.name, record.incarnation);
         }
     }
 
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -89,7 +89,7 @@
         let routing = self.routing();
         let endpoint = routing.registry.key(name).and_then(|key| routing.registry.get(key));
         let same = endpoint.filter(|endpoint| endpoint.incarnation == incarnation);
-        same.is_none_or(|endpoint| endpoint.leaving)
+        same.is_none_or(|endpoint| endpoint.is_ending())
     }
 
     /// Returns whether the balancer should send callers here: a bundle is in force, at least one
--- a/crates/gypsumglade/src/store/control_group/endpoints.rs
+++ b/crates/gypsumglade/src/store/control_group/endpoints.rs
@@ -9,7 +9,8 @@
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::control::{
-    Answer, Command, Deregister, EndpointNews, EndpointQuery, Register, Registered, Renew, answer,
+    Answer, Command, Deregister, EndpointNews, EndpointQuery, Expire, Register, Registered, Renew,
+    answer,
 };
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 use tokio::time::Instant;
@@ -26,9 +27,16 @@
 /// Time between two checks from which the process counts as paused.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(1_500);
 
-/// Time of each endpoint's last announcement to this leader.
+/// Each endpoint's last announcement to this leader.
 #[derive(Debug, Default)]
-pub(super) struct LastAnnounced(HashMap<CompactString, Time>);
+pub(super) struct LastAnnounced(HashMap<CompactString, Announced>);
+
+#[derive(Clone, Copy, Debug)]
+struct Announced {
+    at: Time,
+    /// Sequence of the announcement, or zero if another store took it.
+    sequence: u64,
+}
 
 /// Sequence numbers of the last changes that entry VMs wait for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -40,20 +48,24 @@
 }
 
 impl LastAnnounced {
-    fn record(&mut self, name: &str, now: Time) {
+    fn record(&mut self, name: &str, now: Time, sequence: u64) {
         match self.0.get_mut(name) {
-            Some(at) => *at = now,
-            None => drop(self.0.insert(name.into(), now)),
+            Some(last) => *last = Announced { at: now, sequence: sequence.max(last.sequence) },
+            None => drop(self.0.insert(name.into(), Announced { at: now, sequence })),
         }
     }
 
+    fn sequence(&self, name: &str) -> u64 {
+        self.0.get(name).map_or(0, |last| last.sequence)
+    }
+
     /// Returns `true` if an endpoint has not announced itself for longer than `lease`.
     ///
     /// For an endpoint that this leader has never heard from, the time starts at the first check: a
     /// new leader must not remove endpoints that announced themselves to the previous one.
     fn is_expired(&mut self, name: &str, now: Time, lease: Duration) -> bool {
-        let at = *self.0.entry(name.into()).or_insert(now);
-        now.since(at) > lease
+        let last = self.0.entry(name.into()).or_insert(Announced { at: now, sequence: 0 });
+        now.since(last.at) > lease
     }
 }
 
@@ -72,7 +84,7 @@
                 Role::Follower(leader) => return self.redirect(*leader),
                 Role::Leader { term, .. } => *term,
             };
-            state.last_announced.record(&record.name, now);
+            state.last_announced.record(&record.name, now, record.sequence);
             (state.control.endpoints().is_update(record), term)
         };
         if update {
@@ -98,7 +110,7 @@
         }
         for name in &renew.names {
             if control.endpoints().get(name).is_some() {
-                last_announced.record(name, now);
+                last_announced.record(name, now, 0);
             }
         }
         ReplyBody::Answer(Answer { body: Some(answer::Body::Registered(Registered {})) })
@@ -190,27 +202,27 @@
         }
     }
 
-    async fn remove_expired(&self, expired: &Deregister) {
+    async fn remove_expired(&self, expired: &Expire) {
         slog::warn!(self.context.log, "removing expired endpoint";
             "endpoint" => &expired.name, "incarnation" => expired.incarnation);
-        self.command(Command { body: Some(CommandBody::Deregister(expired.clone())) }).await;
+        self.command(Command { body: Some(CommandBody::Expire(expired.clone())) }).await;
     }
 
-    fn expired_endpoints(&self, lease: Duration) -> Vec<Deregister> {
+    fn expired_endpoints(&self, lease: Duration) -> Vec<Expire> {
         let now = self.context.clock.now();
         let mut state = self.state();
         let super::ControlState { control, last_announced, role, .. } = &mut *state;
         if matches!(role, Role::Follower(_)) {
             return Vec::new();
         }
-        let endpoints = control.endpoints().iter();
-        let expired =
-            endpoints.filter(|record| last_announced.is_expired(&record.name, now, lease));
-        let expired = expired.map(|record| Deregister {
-            name: record.name.clone(),
-            incarnation: record.incarnation,
+        let endpoints = control.endpoints().iter().filter_map(|record| {
+            let name = &record.name;
+            let is_expired = last_announced.is_expired(name, now, lease);
+            let sequence = record.sequence.max(last_announced.sequence(name));
+            let incarnation = record.incarnation;
+            is_expired.then(|| Expire { name: name.clone(), incarnation, sequence })
         });
-        expired.collect()
+        endpoints.collect()
     }
 }
 
