Remember the goodbye of an endpoint that control no longer lists

Callers could see: an endpoint whose lease had run out says goodbye without its start; a report of it that comes late lists it again, and it gets requests after its drain time.

Cause: a goodbye without an incarnation was looked up among the listed endpoints alone, and counted for incarnation 0.

Change: the last incarnation of one that isn't listed counts too. The expiry compares incarnation and sequence plainly; the flag for batches that leave the link free has a name of its own.

Evidence: worker_that_left_in_silence_stays_away failed with the old lookup (200 for 503).

--- a/crates/core/src/control/endpoints.rs
+++ b/crates/core/src/control/endpoints.rs
@@ -111,6 +111,12 @@
         self.list.get(name)
     }
 
+    /// Returns the last incarnation of an endpoint, whether it is registered or not.
+    pub fn last_incarnation(&self, name: &str) -> Option<u64> {
+        let known = self.get(name).map(|record| record.incarnation);
+        known.or_else(|| self.departed.get(name).map(|gone| gone.incarnation))
+    }
+
     /// Returns all endpoints, sorted by name.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointRecord> {
         self.list.iter()
@@ -166,19 +172,16 @@
 
     /// Removes an endpoint that fell silent, unless it has announced itself since.
     pub fn expire(&mut self, silent: &Expire) {
-        let known = self.get(&silent.name);
-        let last = Stamp { incarnation: silent.incarnation, sequence: silent.sequence };
-        let Some(known) = known.filter(|known| stamp(known) <= last) else { return };
-        let mut gone = Gone::unheard(known);
-        if known.incarnation == silent.incarnation
-            && let Departure::Unheard { sequence, .. } = &mut gone.departure
-        {
-            *sequence = silent.sequence;
-        }
-        if let Some(removed) = self.list.remove(&silent.name) {
-            self.by_address.remove(removed.address.as_str());
+        let same = self.get(&silent.name).filter(|known| {
+            known.incarnation == silent.incarnation && known.sequence <= silent.sequence
+        });
+        if same.is_none() {
+            return;
         }
-        self.mark_departed(silent.name.to_compact_string(), gone);
+        let Some(removed) = self.list.remove(&silent.name) else { return };
+        self.by_address.remove(removed.address.as_str());
+        let last = EndpointRecord { sequence: silent.sequence, ..removed };
+        self.mark_departed(silent.name.to_compact_string(), Gone::unheard(&last));
     }
 
     /// Writes the state into a snapshot.
--- a/crates/gypsumglade/src/store/control_group/endpoints.rs
+++ b/crates/gypsumglade/src/store/control_group/endpoints.rs
@@ -120,8 +120,8 @@
     pub(super) async fn deregister(&self, mut deregister: Deregister) -> ReplyBody {
         if deregister.incarnation == 0 {
             let state = self.state();
-            let known = state.control.endpoints().get(&deregister.name);
-            deregister.incarnation = known.map(|record| record.incarnation).unwrap_or_default();
+            let known = state.control.endpoints().last_incarnation(&deregister.name);
+            deregister.incarnation = known.unwrap_or_default();
         }
         slog::info!(self.context.log, "deregistering endpoint"; "endpoint" => &deregister.name,
             "incarnation" => deregister.incarnation);
--- a/crates/gypsumglade/src/store/text_copies.rs
+++ b/crates/gypsumglade/src/store/text_copies.rs
@@ -168,9 +168,9 @@
             while in_flight.len() < MAX_IN_FLIGHT
                 && let Some(copy) = copies.next()
             {
-                let is_slowed = is_slowed(&copy);
+                let is_alone = leaves_link_free(&copy);
                 in_flight.spawn(Arc::clone(&self).copy_batch(copy));
-                if is_slowed {
+                if is_alone {
                     break;
                 }
             }
@@ -199,7 +199,7 @@
                 return false;
             }
         };
-        let is_slowed = is_slowed(&copy);
+        let pauses = leaves_link_free(&copy);
         let here: BTreeSet<&str> = held.turns.iter().map(String::as_str).collect();
         let (copied, missing): (Vec<Holding>, Vec<Holding>) =
             copy.turns.into_iter().partition(|holding| here.contains(holding.turn.as_str()));
@@ -208,7 +208,7 @@
         let noted = copied.is_empty() || self.turns.record_copied(&copied).await;
         slog::info!(self.context.log, "texts copied"; "store" => %copy.target,
             "texts" => copied.len(), "asked" => order.turns.len(), "noted" => noted);
-        if is_slowed {
+        if pauses {
             tokio::time::sleep(CROSS_REGION_PAUSE).await;
         }
         noted && !copied.is_empty()
@@ -254,8 +254,8 @@
     }
 }
 
-/// Returns whether a batch should leave most of the link to others.
-fn is_slowed(copy: &Transfer) -> bool {
+/// Returns whether a batch should leave most of the link between regions to others.
+fn leaves_link_free(copy: &Transfer) -> bool {
     copy.cross_region && !copy.is_last_copy()
 }
 
