Settle before the holders may ask, in drop_expired

Cause, shown by a run: the test stored the texts for 500 ms and settled their turns after that, one by one. A holder that asks the leader in between is told that no such turn is kept, and drops the text, as it should.

Change: the turns are settled first, with the holders that then get the texts. The assertions, the retentions and the number of stores stay as they are.

--- a/crates/gypsumglade/tests/text_copies.rs
+++ b/crates/gypsumglade/tests/text_copies.rs
@@ -120,6 +120,10 @@
     stores: BTreeMap<usize, Running>,
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).expect("a short time")
+}
+
 impl Cluster {
     /// Starts three seeds in different failure domains.
     async fn start() -> Cluster {
@@ -223,10 +227,15 @@
         };
         let kept = Kept {
             previous: previous.to_owned(),
-            retention_ms: u64::try_from(retention.as_millis()).expect("a short time"),
+            retention_ms: millis(retention),
             holders: holders.into_iter().map(|vm| vm.0).collect(),
             bytes: INPUT_BYTES as u64,
         };
+        self.settle(program, turn, kept).await;
+    }
+
+    /// Settles a turn, whose text is stored before or after.
+    async fn settle(&self, program: usize, turn: &str, kept: Kept) {
         let settle = Settle {
             turn: turn.to_owned(),
             program: program.to_string(),
@@ -498,6 +507,20 @@
 async fn drop_expired() {
     let cluster = Cluster::start().await;
     let short = Duration::from_millis(500);
+    let holders: Vec<u32> =
+        cluster.stores.values().map(|store| store.state().context.vm.0).take(COPIES).collect();
+    // A holder may ask about a text as soon as it has it.
+    for (turn, previous, retention) in
+        [("expired", "", short), ("continued", "", short), ("last", "continued", RETENTION)]
+    {
+        let kept = Kept {
+            previous: previous.to_owned(),
+            retention_ms: millis(retention),
+            holders: holders.clone(),
+            bytes: INPUT_BYTES as u64,
+        };
+        cluster.settle(0, turn, kept).await;
+    }
     // Holders ask about these texts long before the entry VM's grace period ends.
     for turn in ["unsettled", "expired", "continued", "last"] {
         let put = TextPut { texts: vec![text(turn)], retention_ms: 500 };
@@ -505,9 +528,6 @@
             assert!(store.state().texts.put(put.clone()).await.stored);
         }
     }
-    cluster.keep(0, "expired", "", short).await;
-    cluster.keep(0, "continued", "", short).await;
-    cluster.keep(0, "last", "continued", RETENTION).await;
     let mut number = 0;
     loop {
         let mut left = 0;
