Tell the sequences of an endpoint's starts apart

Callers could see: an endpoint that restarts under its name, and is cut off for longer than its lease after that, stays away until it has counted as far as before its restart, 11 s in the test.

Cause: the leader kept the highest sequence that it heard under a name, whatever the incarnation, and a restart begins to count anew.

Change: the last announcement is kept with its incarnation.

Evidence: worker_cut_off_after_restart_returns failed before (11.4 s, 2.4 are allowed) and passes.

--- a/crates/gypsumglade/src/store/control_group/endpoints.rs
+++ b/crates/gypsumglade/src/store/control_group/endpoints.rs
@@ -9,8 +9,8 @@
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::wire::control::command::Body as CommandBody;
 use gypsumglade_core::wire::control::{
-    Answer, Command, Deregister, EndpointNews, EndpointQuery, Expire, Register, Registered, Renew,
-    answer,
+    Answer, Command, Deregister, EndpointNews, EndpointQuery, EndpointRecord, Expire, Register,
+    Registered, Renew, answer,
 };
 use gypsumglade_core::wire::operator::control_reply::Body as ReplyBody;
 use tokio::time::Instant;
@@ -34,7 +34,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Announced {
     at: Time,
-    /// Sequence of the announcement, or zero if another store took it.
+    /// Incarnation and sequence of the announcement, or of an earlier one if another store took the
+    /// last.
+    incarnation: u64,
     sequence: u64,
 }
 
@@ -47,16 +49,33 @@
     pub(super) suspects: u64,
 }
 
+impl Announced {
+    /// Returns the state of an endpoint that this leader hasn't heard itself.
+    fn unheard(at: Time) -> Announced {
+        Announced { at, incarnation: 0, sequence: 0 }
+    }
+}
+
 impl LastAnnounced {
-    fn record(&mut self, name: &str, now: Time, sequence: u64) {
+    fn record(&mut self, record: &EndpointRecord, now: Time) {
+        self.renew(&record.name, now);
+        let Some(last) = self.0.get_mut(record.name.as_str()) else { return };
+        let newest = (last.incarnation, last.sequence).max((record.incarnation, record.sequence));
+        (last.incarnation, last.sequence) = newest;
+    }
+
+    /// Records an announcement that another store took.
+    fn renew(&mut self, name: &str, now: Time) {
         match self.0.get_mut(name) {
-            Some(last) => *last = Announced { at: now, sequence: sequence.max(last.sequence) },
-            None => drop(self.0.insert(name.into(), Announced { at: now, sequence })),
+            Some(last) => last.at = now,
+            None => drop(self.0.insert(name.into(), Announced::unheard(now))),
         }
     }
 
-    fn sequence(&self, name: &str) -> u64 {
-        self.0.get(name).map_or(0, |last| last.sequence)
+    /// Returns the last sequence of an incarnation, or zero if none was heard.
+    fn sequence(&self, name: &str, incarnation: u64) -> u64 {
+        let last = self.0.get(name).filter(|last| last.incarnation == incarnation);
+        last.map_or(0, |last| last.sequence)
     }
 
     /// Returns `true` if an endpoint has not announced itself for longer than `lease`.
@@ -64,7 +83,7 @@
     /// For an endpoint that this leader has never heard from, the time starts at the first check: a
     /// new leader must not remove endpoints that announced themselves to the previous one.
     fn is_expired(&mut self, name: &str, now: Time, lease: Duration) -> bool {
-        let last = self.0.entry(name.into()).or_insert(Announced { at: now, sequence: 0 });
+        let last = self.0.entry(name.into()).or_insert(Announced::unheard(now));
         now.since(last.at) > lease
     }
 }
@@ -84,7 +103,7 @@
                 Role::Follower(leader) => return self.redirect(*leader),
                 Role::Leader { term, .. } => *term,
             };
-            state.last_announced.record(&record.name, now, record.sequence);
+            state.last_announced.record(record, now);
             (state.control.endpoints().is_update(record), term)
         };
         if update {
@@ -110,7 +129,7 @@
         }
         for name in &renew.names {
             if control.endpoints().get(name).is_some() {
-                last_announced.record(name, now, 0);
+                last_announced.renew(name, now);
             }
         }
         ReplyBody::Answer(Answer { body: Some(answer::Body::Registered(Registered {})) })
@@ -218,8 +237,8 @@
         let endpoints = control.endpoints().iter().filter_map(|record| {
             let name = &record.name;
             let is_expired = last_announced.is_expired(name, now, lease);
-            let sequence = record.sequence.max(last_announced.sequence(name));
             let incarnation = record.incarnation;
+            let sequence = record.sequence.max(last_announced.sequence(name, incarnation));
             is_expired.then(|| Expire { name: name.clone(), incarnation, sequence })
         });
         endpoints.collect()
