--- a/crates/gypsumglade/tests/fault_run/fleet.rs
+++ b/crates/gypsumglade/tests/fault_run/fleet.rs
@@ -50,14 +50,21 @@
     /// Keeps concurrent runs off this run's network.
     _reserved: TcpListener,
     folder: tempfile::TempDir,
+    /// Settings that all VMs have besides.
+    extra: &'static str,
     running: Mutex<HashMap<Role, Child>>,
 }
 
 impl Fleet {
     pub fn start(seed: u64) -> Fleet {
+        Fleet::start_with(seed, "")
+    }
+
+    /// Starts all processes with settings besides those of each run.
+    pub fn start_with(seed: u64, extra: &'static str) -> Fleet {
         let (net, reserved) = reserve_net(seed);
         let folder = tempfile::tempdir().expect("a temporary folder");
-        let fleet = Fleet { net, _reserved: reserved, folder, running: Mutex::default() };
+        let fleet = Fleet { net, _reserved: reserved, folder, extra, running: Mutex::default() };
         for vm in 1..=VMS {
             std::fs::write(fleet.settings_file(vm), fleet.settings(vm)).expect("it is written");
         }
@@ -111,6 +118,18 @@
         waiting.await.expect("no panic").expect("it ends").success()
     }
 
+    /// Returns the process id of a daemon that runs.
+    pub fn id(&self, role: Role) -> u32 {
+        self.running.lock().unwrap()[&role].id()
+    }
+
+    /// Returns whether a daemon still runs.
+    pub fn is_alive(&self, role: Role) -> bool {
+        let mut running = self.running.lock().unwrap();
+        let child = running.get_mut(&role).expect("the daemon was started");
+        child.try_wait().expect("its state can be read").is_none()
+    }
+
     fn signal(&self, role: Role, signal: Signal) {
         let running = self.running.lock().unwrap();
         let id = running[&role].id() as i32;
@@ -122,6 +141,11 @@
         Caller::new(self.address(vm, 8080), API_KEY)
     }
 
+    /// Returns the address of a VM's listener for callers.
+    pub fn callers_address(&self, vm: u32) -> String {
+        self.address(vm, 8080).to_string()
+    }
+
     /// Returns an operator's HTTP client of a VM's entry.
     pub fn admin(&self, vm: u32) -> Caller {
         Caller::new(self.address(vm, 8083), TOKEN)
@@ -182,12 +206,13 @@
              peers:\n{peers}{store}\
              tokens: {{ peers: {TOKEN}, admin: {TOKEN}, endpoints: {TOKEN} }}\n\
              operators: {{ keys: [\"{key}\"], threshold: 1 }}\n\
-             log: {{ level: info }}\n",
+             log: {{ level: info }}\n{}",
             at(vm, 8080),
             at(vm, 8081),
             at(vm, 8082),
             at(vm, 8083),
             at(vm, 8084),
+            self.extra,
         )
     }
 
--- a/crates/gypsumglade/tests/fault_run/main.rs
+++ b/crates/gypsumglade/tests/fault_run/main.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod check;
 mod faults;
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod fleet;
 mod outside;
 
