--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Time and seeds are passed in, and state machines return the actions to take as effects. The
 //! modules can be embedded separately; docs/ARCHITECTURE.md shows how the daemons combine them.
 
+pub mod arena;
 pub mod bundle;
 pub mod control;
 pub mod ids;
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -14,12 +14,14 @@
 //! - [`outlier`]: ejection and slow start of endpoints.
 //! - [`group_health`]: whether a replicated group answers, and which callers may wait for it.
 //! - [`send_window`]: how many requests may be in flight to one server.
+//! - [`connection_limit`]: connections that a listener keeps (docs/design/callers.md).
 //! - [`stall`]: detection of pauses of this process.
 //! - [`mechanism`]: list of the mechanisms that can be disabled.
 
 pub mod admission;
 pub mod attempt_timeout;
 pub mod batch;
+pub mod connection_limit;
 pub mod group_health;
 pub mod mechanism;
 pub mod outlier;
--- a/crates/gypsumglade/src/entry/mod.rs
+++ b/crates/gypsumglade/src/entry/mod.rs
@@ -42,7 +42,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use problem::{Problem, ProblemKind};
-pub use serve::{Entry, EntryAddresses, listener_options};
+pub(crate) use serve::listener_options;
+pub use serve::{Entry, EntryAddresses};
 use state::EntryState;
 
 /// Returns a globally unique id.
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -23,14 +23,16 @@
 use super::{announce, callers, leak_audit, membership_loop, order_holder};
 use crate::admin;
 use crate::clock::Clock;
+use crate::connection_guard::ConnectionLimiter;
 use crate::directory::Directory;
 use crate::feed::Sources;
 use crate::gateway::TurnClient;
+use crate::limit_report::LimitReport;
 use crate::listener::{Listener, ListenerOptions};
 use crate::membership::Handle;
 use crate::metrics::Metrics;
 use crate::rpc::{PeerClients, RpcServer};
-use crate::settings::{CertificateSettings, Settings};
+use crate::settings::{CertificateSettings, ListenerRole, Settings};
 use crate::tls;
 
 /// A running entry VM.
@@ -72,24 +74,25 @@
     ) -> anyhow::Result<Entry> {
         let state = Arc::new(entry_state(settings, directory, log)?);
         let halt = CancellationToken::new();
-        let with_tls = |certificate: Option<&CertificateSettings>| {
-            listener_options(&state.settings, certificate)
+        let options_of = |role, certificate: Option<&CertificateSettings>| {
+            let limiter = state.limits.limiter(&state.settings.limits, role);
+            listener_options(&state.settings, certificate, limiter)
         };
         let certificates = state.settings.tls.clone();
         let listen = state.settings.listen.clone();
         let stop = state.stop.clone();
         let callers = callers::routes(Arc::clone(&state));
-        let options = with_tls(certificates.callers.as_ref())?;
+        let options = options_of(ListenerRole::Callers, certificates.callers.as_ref())?;
         let callers = Listener::bind(listen.callers, callers, options, stop.clone()).await?;
         let endpoints = announce::routes(Arc::clone(&state));
-        let options = with_tls(certificates.endpoints.as_ref())?;
+        let options = options_of(ListenerRole::Registrar, certificates.endpoints.as_ref())?;
         let endpoints = Listener::bind(listen.endpoints, endpoints, options, halt.clone()).await?;
         let admin = admin::entry_routes(Arc::clone(&state));
-        let options = with_tls(certificates.admin.as_ref())?;
+        let options = options_of(ListenerRole::Admin, certificates.admin.as_ref())?;
         let admin = Listener::bind(listen.admin, admin, options, halt.clone()).await?;
         let methods = peer_calls::methods(Arc::clone(&state))?;
         let token = state.settings.tokens.peers.clone();
-        let options = with_tls(certificates.peers.as_ref())?;
+        let options = options_of(ListenerRole::Peers, certificates.peers.as_ref())?;
         let rpc = RpcServer::bind(listen.peers, token, methods.into(), None, options, halt.clone())
             .await?;
         let membership = membership_loop::join(&state, rpc.address()).await?;
@@ -161,6 +164,8 @@
     let router = Router::new(RouteSettings::default(), rand::random());
     let retries = RetryPolicy::new(RetrySettings::default(), rand::random());
     let map = GroupMap::new(&settings, &directory);
+    let metrics = Metrics::new()?;
+    let limits = LimitReport::new(metrics.limits(), clock, log.clone());
     Ok(EntryState {
         boot_id: rand::random(),
         vm,
@@ -171,7 +176,8 @@
         endpoints: EndpointClient::new(),
         config: ConfigView::new(lease, vm, keys, clock.now()),
         admission: AdmissionController::new(admission_settings(), clock),
-        metrics: Metrics::new()?,
+        limits,
+        metrics,
         stop: CancellationToken::new(),
         tasks: TaskTracker::new(),
         running: RunningCalls::default(),
@@ -199,18 +205,21 @@
     })
 }
 
-/// Returns the options of a listener: TLS with `certificate` if given, header limit and drain time.
+/// Returns the options of a listener: TLS with `certificate` if given, header limit, drain time and the
+/// bound on its connections.
 ///
 /// # Errors
 /// Fails when the certificate or key can't be read.
-pub fn listener_options(
+pub(crate) fn listener_options(
     settings: &Settings,
     certificate: Option<&CertificateSettings>,
+    connections: ConnectionLimiter,
 ) -> anyhow::Result<ListenerOptions> {
     Ok(ListenerOptions {
         tls: tls::server(certificate)?,
         header_bytes: usize::try_from(settings.limits.header_bytes).unwrap_or(usize::MAX),
         drain: settings.timeouts.drain(),
+        connections,
     })
 }
 
--- a/crates/gypsumglade/src/entry/state.rs
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::gateway::TurnClient;
+use crate::limit_report::LimitReport;
 use crate::members::EntryMember;
 use crate::metrics::Metrics;
 use crate::rpc::PeerClients;
@@ -55,6 +56,8 @@
     pub admission: AdmissionController,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Counts limits that callers reach.
+    pub(crate) limits: LimitReport,
     /// Logger of the process.
     pub log: slog::Logger,
     /// Cancelled when a graceful shutdown begins.
--- a/crates/gypsumglade/src/gateway/ingress.rs
+++ b/crates/gypsumglade/src/gateway/ingress.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use gypsumglade_core::bundle::{Access, Route};
+use gypsumglade_core::bundle::{Access, CallerLimits, Route};
 use gypsumglade_core::prelude::*;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, request};
+use http::{Request, Response, request};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -17,16 +17,18 @@
 use tokio::time::Instant;
 
 use super::buffered::{self, refusal_answer};
-use super::call::{Answer, Call, RouteMatch, Sender};
+use super::call::{AnswerBody, Call, RouteMatch, Sender};
 use super::dialect::{Identity, KeyHeader, Refusal};
 use super::placement::choose_pool;
 use super::state::GatewayState;
 use super::streaming;
 use super::suspects;
+use crate::client_io::{ClientConnection, RequestGuard};
 use crate::entry::active_bundle::ActiveBundle;
+use crate::guarded_body::GuardedBody;
 
-/// How long a caller's connection may be idle or take to send a head. Longer than any idle timeout
-/// that callers are told, so that a connection is not closed just as a request arrives.
+/// How long a caller's connection may be idle. Longer than any idle timeout that callers are told, so
+/// that a connection is not closed just as a request arrives.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// How long a planned stop keeps accepting connections and keeps idle ones open. By its end the
 /// balancer sends no more callers, and most callers have got a `Connection: close`.
@@ -37,6 +39,8 @@
 /// Upper bound of the time for a caller to send its body, so that unresponsive callers don't hold
 /// resources.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Added to the time that callers are given for a head, for delays of the network.
+const HEAD_SLACK: Duration = Duration::from_secs(1);
 /// Delay after a failed accept (typically: out of file descriptors), which prevents a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -54,7 +58,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                drop(state.tasks.spawn(serve_connection(Arc::clone(&state), stream)))
+                // Without room the caller learns at once that it has to connect elsewhere.
+                let Some(guard) = state.caller_connections.admit().await else { continue };
+                let connection = ClientConnection::new(guard);
+                drop(state.tasks.spawn(serve_connection(Arc::clone(&state), stream, connection)));
             }
             Err(error) => {
                 slog::warn!(state.log, "cannot accept a connection"; "error" => %error);
@@ -64,19 +71,35 @@
     }
 }
 
-/// Serves a caller's connection until the caller or a planned stop closes it.
-async fn serve_connection(state: Arc<GatewayState>, stream: TcpStream) {
+/// Returns the limits for callers in force.
+fn caller_limits(state: &GatewayState) -> CallerLimits {
+    let active = state.config.active(state.clock.now());
+    active.map(|active| active.bundle.callers).unwrap_or_default()
+}
+
+/// Serves a caller's connection until the caller, a limit or a planned stop closes it.
+async fn serve_connection(
+    state: Arc<GatewayState>,
+    stream: TcpStream,
+    connection: ClientConnection,
+) {
     // Send the small frames of a token stream at once (Nagle's algorithm would delay them).
     let _ = stream.set_nodelay(true);
+    let limits = caller_limits(&state);
+    let io = connection.wrap(stream, Duration::from_millis(limits.header_ms) + HEAD_SLACK);
+    let closed = connection.closed();
     let serving = Arc::clone(&state);
+    // A request's state is large, and most connections are idle most of the time.
     let service = service_fn(move |request| {
-        let state = Arc::clone(&serving);
-        async move { Ok::<_, Infallible>(serve_request(state, request).await) }
+        let (state, guard) = (Arc::clone(&serving), connection.begin_request());
+        let serving =
+            async move { Ok::<_, Infallible>(serve_request(state, request, guard).await) };
+        Box::pin(serving)
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(io), service);
     tokio::pin!(served);
     let closing = async {
         state.stop.cancelled().await;
@@ -85,18 +108,30 @@
     tokio::select! {
         // Errors on a caller's connection need no handling: the caller notices them.
         _ = served.as_mut() => return,
+        () = closed.cancelled() => return,
         () = closing => {}
     }
     served.as_mut().graceful_shutdown();
-    let _ = served.await;
+    tokio::select! {
+        _ = served => {}
+        () = closed.cancelled() => {}
+    }
 }
 
+/// Answer to a caller, whose request ends when it has been sent.
+type SentAnswer = Response<GuardedBody<AnswerBody, RequestGuard>>;
+
 /// Handles one request from its head to the caller's answer.
-async fn serve_request(state: Arc<GatewayState>, request: Request<Incoming>) -> Answer {
+async fn serve_request(
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+    guard: RequestGuard,
+) -> SentAnswer {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let request_line = format!("{} {}", parts.method, parts.uri.path());
     let prepared = prepare(&state, parts, body, arrived).await;
+    guard.received();
     let (id, result) = match prepared {
         Ok(call) => {
             let call = Arc::new(call);
@@ -123,7 +158,7 @@
         // Makes the caller open its next connection, which the balancer sends to another VM.
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    answer
+    answer.map(|body| GuardedBody::new(body, guard))
 }
 
 type Refused = (CompactString, Refusal);
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -37,10 +37,11 @@
 use crate::entry::config::{self, ConfigView, Renewal, operator_keys};
 use crate::entry::listener_options;
 use crate::feed::Sources;
+use crate::limit_report::LimitReport;
 use crate::listener::Listener;
 use crate::metrics::Metrics;
 use crate::rpc::PeerClients;
-use crate::settings::{DiscoverySettings, PolicySettings, Settings};
+use crate::settings::{DiscoverySettings, ListenerRole, PolicySettings, Settings};
 use crate::tls;
 
 /// Time limit of a planned stop, after which requests in flight are abandoned. Shorter than the 8 s
@@ -90,13 +91,16 @@
                 gateway.callers
             )
         })?;
-        let options = listener_options(&state.settings, None)?;
+        let options = || {
+            let limiter = state.limits.limiter(&state.settings.limits, ListenerRole::Admin);
+            listener_options(&state.settings, None, limiter)
+        };
         let ready = ready_routes(&state);
-        let ready = Listener::bind(gateway.ready, ready, options.clone(), shutdown.clone()).await?;
+        let ready = Listener::bind(gateway.ready, ready, options()?, shutdown.clone()).await?;
         let metrics = match state.settings.listen.metrics {
             Some(address) => {
                 let routes = metrics_routes(&state);
-                Some(Listener::bind(address, routes, options, shutdown.clone()).await?)
+                Some(Listener::bind(address, routes, options()?, shutdown.clone()).await?)
             }
             None => None,
         };
@@ -176,6 +180,9 @@
     let control = ControlGroupClient::new(Arc::clone(&directory), peers.clone(), PROGRAM_LIMITS);
     let suspects = Suspects::new(control);
     let tasks = TaskTracker::new();
+    let metrics = Metrics::new()?;
+    let report = LimitReport::new(metrics.limits(), clock, log.clone());
+    let limits = settings.limits.clone();
     let state = GatewayState {
         vm,
         place,
@@ -189,7 +196,9 @@
         histories: HistoryCache::default(),
         suspects,
         abandoned: AbandonedAttempts::default(),
-        metrics: Metrics::new()?,
+        caller_connections: report.limiter(&limits, ListenerRole::Callers),
+        limits: report,
+        metrics,
         log,
         stop: CancellationToken::new(),
         tasks,
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -22,8 +22,10 @@
 use super::text_client::TextClient;
 use super::turn_client::TurnClient;
 use crate::clock::Clock;
+use crate::connection_guard::ConnectionLimiter;
 use crate::directory::Directory;
 use crate::entry::config::ConfigView;
+use crate::limit_report::LimitReport;
 use crate::metrics::Metrics;
 use crate::rpc::PeerClients;
 use crate::settings::Settings;
@@ -48,6 +50,9 @@
     pub(super) suspects: Suspects,
     /// Attempts that were given up a moment ago.
     pub(super) abandoned: AbandonedAttempts,
+    pub(super) caller_connections: ConnectionLimiter,
+    /// Counts limits that callers reach.
+    pub(super) limits: LimitReport,
     pub(super) metrics: Metrics,
     pub(super) log: slog::Logger,
     /// Cancelled at the start of a planned stop.
--- a/crates/gypsumglade/src/listener.rs
+++ b/crates/gypsumglade/src/listener.rs
@@ -1,22 +1,29 @@
 //! Accept loop of the listeners, with optional TLS, limits and graceful shutdown.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context as _;
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::rustls::ServerConfig;
 use tokio_util::sync::CancellationToken;
+use tower::ServiceExt as _;
+
+use crate::client_io::{ClientConnection, ClientIo, RequestGuard};
+use crate::connection_guard::ConnectionLimiter;
+use crate::guarded_body::GuardedBody;
+use crate::limit_report::LimitReport;
+use crate::settings::{LimitSettings, ListenerRole};
 
 /// Timeout for the TLS handshake and for a request head, so that idle peers don't hold sockets open.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
@@ -32,6 +39,18 @@
     pub header_bytes: usize,
     /// Time that requests in flight get to finish once the listener stops.
     pub drain: Duration,
+    /// Bound on the open connections.
+    pub connections: ConnectionLimiter,
+}
+
+impl ListenerOptions {
+    /// Returns options without TLS, with the default bound on connections and without reports, for
+    /// listeners outside a daemon.
+    pub fn plain(header_bytes: usize, drain: Duration) -> ListenerOptions {
+        let connections =
+            LimitReport::silent().limiter(&LimitSettings::default(), ListenerRole::Peers);
+        ListenerOptions { tls: None, header_bytes, drain, connections }
+    }
 }
 
 /// A bound listener and the task that serves it.
@@ -56,7 +75,7 @@
         S: tower::Service<Request<Incoming>, Response = Response<B>> + Clone + Send + 'static,
         S::Future: Send + 'static,
         S::Error: Into<Box<dyn std::error::Error + Send + Sync>> + Send + Sync,
-        B: http_body::Body<Data = Bytes> + Send + 'static,
+        B: http_body::Body<Data = Bytes> + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let socket = TcpListener::bind(address).await.with_context(|| {
@@ -89,7 +108,7 @@
     S: tower::Service<Request<Incoming>, Response = Response<B>> + Clone + Send + 'static,
     S::Future: Send + 'static,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>> + Send + Sync,
-    B: http_body::Body<Data = Bytes> + Send + 'static,
+    B: http_body::Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let graceful = GracefulShutdown::new();
@@ -105,26 +124,31 @@
                 }
             },
         };
+        // Without room the client learns at once that it has to connect elsewhere.
+        let Some(guard) = options.connections.admit().await else { continue };
+        let connection = ClientConnection::new(guard);
         // Sends the small frames of a token stream at once (disables Nagle's algorithm).
         let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(service.clone());
+        let stream = connection.wrap(stream, HEADER_TIMEOUT);
+        let closed = connection.closed();
+        let service = TrackedService { inner: service.clone(), connection };
         let builder = connection_builder(&options);
         let watcher = graceful.watcher();
         match acceptor.clone() {
             Some(acceptor) => {
-                tokio::spawn(async move {
+                tokio::spawn(closed.run_until_cancelled_owned(async move {
                     let Some(stream) = handshake(acceptor, stream).await else { return };
                     let io = TokioIo::new(stream);
                     let served = builder.serve_connection_with_upgrades(io, service).into_owned();
                     let _ = watcher.watch(served).await;
-                });
+                }));
             }
             None => {
-                tokio::spawn(async move {
+                tokio::spawn(closed.run_until_cancelled_owned(async move {
                     let io = TokioIo::new(stream);
                     let served = builder.serve_connection_with_upgrades(io, service).into_owned();
                     let _ = watcher.watch(served).await;
-                });
+                }));
             }
         }
     }
@@ -132,6 +156,42 @@
     let _ = tokio::time::timeout(options.drain, graceful.shutdown()).await;
 }
 
+/// Service that records what its connection is used for.
+#[derive(Clone)]
+struct TrackedService<S> {
+    inner: S,
+    connection: ClientConnection,
+}
+
+impl<S, B> hyper::service::Service<Request<Incoming>> for TrackedService<S>
+where
+    S: tower::Service<Request<Incoming>, Response = Response<B>> + Clone + Send + 'static,
+    S::Future: Send + 'static,
+    S::Error: Send + 'static,
+    B: 'static,
+{
+    type Response = Response<GuardedBody<B, Option<RequestGuard>>>;
+    type Error = S::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, S::Error>> + Send>>;
+
+    fn call(&self, request: Request<Incoming>) -> Self::Future {
+        let guard = self.connection.begin_request();
+        let response = self.inner.clone().oneshot(request);
+        Box::pin(async move {
+            let response = response.await?;
+            guard.received();
+            let guard = match response.status() {
+                StatusCode::SWITCHING_PROTOCOLS => {
+                    guard.keep();
+                    None
+                }
+                _ => Some(guard),
+            };
+            Ok(response.map(|body| GuardedBody::new(body, guard)))
+        })
+    }
+}
+
 fn connection_builder(options: &ListenerOptions) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -151,7 +211,7 @@
 
 async fn handshake(
     acceptor: TlsAcceptor,
-    stream: TcpStream,
-) -> Option<tokio_rustls::server::TlsStream<TcpStream>> {
+    stream: ClientIo,
+) -> Option<tokio_rustls::server::TlsStream<ClientIo>> {
     tokio::time::timeout(HEADER_TIMEOUT, acceptor.accept(stream)).await.ok()?.ok()
 }
--- a/crates/gypsumglade/src/metrics.rs
+++ b/crates/gypsumglade/src/metrics.rs
@@ -82,6 +82,7 @@
     output_tokens: Counter<u64>,
     outcomes: Counter<u64>,
     shed: Counter<u64>,
+    limits: Counter<u64>,
     retries: Counter<u64>,
     quota: Counter<u64>,
     broken_attempts: Counter<u64>,
@@ -135,6 +136,7 @@
             output_tokens: count("output_tokens"),
             outcomes: count("call_outcomes"),
             shed: count("calls_shed"),
+            limits: count("limits_reached"),
             retries: count("call_retries"),
             quota: count("quota_requests"),
             broken_attempts: count("broken_attempts"),
@@ -177,6 +179,11 @@
         self.leases.clone()
     }
 
+    /// Returns the counter of limits that callers reach.
+    pub fn limits(&self) -> Counter<u64> {
+        self.limits.clone()
+    }
+
     /// Records a program's time from first call to last answer.
     pub fn program(&self, seconds: f64) {
         self.program_seconds.record(seconds, &[]);
--- a/crates/gypsumglade/src/settings/limits.rs
+++ b/crates/gypsumglade/src/settings/limits.rs
@@ -16,6 +16,44 @@
     pub concurrent: u64,
     /// Maximum number of calls that wait for an endpoint.
     pub queue: u64,
+    /// Memory of the machine that the process may use, in MB. The bounds on connections follow
+    /// from it.
+    pub memory_mb: u64,
+    /// Descriptors that the process may have open. The bounds on connections follow from it.
+    pub open_files: u64,
+}
+
+/// Part of the memory for connections of callers.
+const CONNECTION_SHARE: u64 = 8;
+/// Memory of a connection that awaits the rest of a head, in bytes.
+const CONNECTION_BYTES: u64 = 24 << 10;
+/// Descriptors that are kept for files and libraries.
+const RESERVED_FILES: u64 = 200;
+/// Fewest connections of a listener.
+const MIN_CONNECTIONS: u64 = 8;
+
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerRole {
+    /// Callers.
+    Callers,
+    /// Endpoints and operators at the registrar.
+    Registrar,
+    /// Other processes of the system.
+    Peers,
+    /// Health checks, metrics and the operators' listener.
+    Admin,
+}
+
+impl ListenerRole {
+    /// Returns the part of the descriptors that the connections of the listener may use.
+    const fn share(self) -> u64 {
+        match self {
+            ListenerRole::Callers | ListenerRole::Peers => 2,
+            ListenerRole::Registrar => 4,
+            ListenerRole::Admin => 16,
+        }
+    }
 }
 
 impl Default for LimitSettings {
@@ -26,15 +64,34 @@
             header_bytes: 16 << 10,
             concurrent: 2_048,
             queue: 1_024,
+            memory_mb: 1_024,
+            open_files: 16_384,
         }
     }
 }
 
 impl LimitSettings {
+    /// Returns the number of connections that a listener may have.
+    pub fn connections(&self, role: ListenerRole) -> usize {
+        let files = self.open_files.saturating_sub(RESERVED_FILES) / role.share();
+        let memory = self.memory_bytes() / CONNECTION_SHARE / CONNECTION_BYTES;
+        let most = match role {
+            ListenerRole::Callers | ListenerRole::Registrar => files.min(memory),
+            ListenerRole::Peers | ListenerRole::Admin => files,
+        };
+        usize::try_from(most.max(MIN_CONNECTIONS)).unwrap_or(usize::MAX)
+    }
+
+    fn memory_bytes(&self) -> u64 {
+        self.memory_mb * 1_000_000
+    }
+
     pub(super) fn check(&self, findings: &mut Findings) {
         findings.check_range("limits.body_bytes", self.body_bytes, 1_024..=64 << 20, "bytes");
         findings.check_range("limits.header_bytes", self.header_bytes, 1_024..=1 << 20, "bytes");
         findings.check_range("limits.concurrent", self.concurrent, 1..=65_536, "calls");
         findings.check_range("limits.queue", self.queue, 0..=65_536, "calls");
+        findings.check_range("limits.memory_mb", self.memory_mb, 32..=1 << 20, "MB");
+        findings.check_range("limits.open_files", self.open_files, 256..=1 << 20, "files");
     }
 }
--- a/crates/gypsumglade/src/settings/mod.rs
+++ b/crates/gypsumglade/src/settings/mod.rs
@@ -30,7 +30,7 @@
 pub use self::example::Role;
 pub use self::finding::{Finding, Findings};
 pub use self::gateway::GatewaySettings;
-pub use self::limits::LimitSettings;
+pub use self::limits::{LimitSettings, ListenerRole};
 pub use self::listen::ListenSettings;
 pub use self::log::{Level, LogSettings};
 pub use self::operators::OperatorSettings;
--- a/crates/gypsumglade/src/store/serve.rs
+++ b/crates/gypsumglade/src/store/serve.rs
@@ -37,11 +37,12 @@
 use crate::entry::config::{self, ConfigView, Renewal, operator_keys};
 use crate::entry::listener_options;
 use crate::feed::{EndpointFeed, Sources};
+use crate::limit_report::LimitReport;
 use crate::listener::Listener;
 use crate::metrics::Metrics;
 use crate::replica::{Event, Host, HostSettings};
 use crate::rpc::{FrameHandler, PeerClients, RpcServer};
-use crate::settings::{DiscoverySettings, Settings, StoreSettings};
+use crate::settings::{DiscoverySettings, ListenerRole, Settings, StoreSettings};
 use crate::texts::{TextLimits, TextOptions, TextStore};
 use crate::tls;
 
@@ -89,6 +90,8 @@
     pub(super) renewals: Renewals,
     /// Discovery of the other processes, unless the settings list them.
     pub discovery: Option<Arc<Discovery>>,
+    /// Counts limits that clients reach.
+    pub(super) limits: LimitReport,
     /// Settings of the process.
     pub settings: Settings,
 }
@@ -146,6 +149,7 @@
         let discovery = Discovery::new(&settings, process, shared, callers, clock);
         let (outbound, batches) = mpsc::channel(outbound::CHANNEL_CAPACITY);
         let metrics = Metrics::new()?;
+        let limits = LimitReport::new(metrics.limits(), clock, log.clone());
         let mut host_settings = host_settings(vm, &own);
         host_settings.commits = Some(metrics.commits());
         host_settings.faults = faults;
@@ -171,8 +175,8 @@
         let config = ConfigView::new(lease, vm, keys, clock.now());
         let relay = NewsRelay::new(Arc::clone(&context), Arc::clone(&control));
         let turns = TurnGroup::new(Arc::clone(&context));
-        let limits = TextLimits { disk_bytes: own.text_bytes };
-        let options = TextOptions::new(limits, context.log.clone());
+        let text_limits = TextLimits { disk_bytes: own.text_bytes };
+        let options = TextOptions::new(text_limits, context.log.clone());
         let texts = TextStore::open_with(&own.folder.join(TEXTS_FOLDER), options)?;
         let texts = TextHolder::new(Arc::clone(&context), texts);
         tokio::spawn(outbound::send_batches(Arc::clone(&context), batches));
@@ -184,15 +188,18 @@
             relay,
             config,
             renewals: Renewals::default(),
+            limits,
             discovery,
             settings,
         });
         start_groups(&state, events).await?;
         spawn_loops(&state, &own, &halt);
         let (rpc, admin) = listeners(&state, &own, &halt).await?;
+        let limiter = |role| state.limits.limiter(&state.settings.limits, role);
         let metrics = match state.settings.listen.metrics {
             Some(address) => {
-                let options = listener_options(&state.settings, None)?;
+                let options =
+                    listener_options(&state.settings, None, limiter(ListenerRole::Admin))?;
                 let routes = admin::unauthenticated_metrics(Arc::clone(&state));
                 Some(Listener::bind(address, routes, options, halt.clone()).await?)
             }
@@ -227,7 +234,9 @@
         let own = self.state.settings.store.as_ref();
         let address = own.and_then(|own| own.registrar);
         let address = address.context("the settings name no `store.registrar`")?;
-        let options = listener_options(&self.state.settings, None)?;
+        let settings = &self.state.settings;
+        let limiter = self.state.limits.limiter(&settings.limits, ListenerRole::Registrar);
+        let options = listener_options(settings, None, limiter)?;
         let listener = Listener::bind(address, routes, options, self.halt.clone()).await?;
         let address = listener.address();
         self.registrar = Some(listener);
@@ -350,7 +359,9 @@
     halt: &CancellationToken,
 ) -> anyhow::Result<(RpcServer, Listener)> {
     let pairs = &state.settings.tls;
-    let options = listener_options(&state.settings, pairs.peers.as_ref())?;
+    let limiter = |role| state.limits.limiter(&state.settings.limits, role);
+    let connections = limiter(ListenerRole::Peers);
+    let options = listener_options(&state.settings, pairs.peers.as_ref(), connections)?;
     let methods = peer_calls::methods(Arc::clone(state))?;
     let token = state.settings.tokens.peers.clone();
     let host = state.context.host.clone();
@@ -358,7 +369,8 @@
     let methods = methods.into();
     let rpc =
         RpcServer::bind(own.peers, token, methods, Some(handler), options, halt.clone()).await?;
-    let options = listener_options(&state.settings, pairs.admin.as_ref())?;
+    let connections = limiter(ListenerRole::Admin);
+    let options = listener_options(&state.settings, pairs.admin.as_ref(), connections)?;
     let routes = admin::store_routes(Arc::clone(state));
     let admin = Listener::bind(own.admin, routes, options, halt.clone()).await?;
     Ok((rpc, admin))
--- a/crates/gypsumglade/tests/cli_verbs.rs
+++ b/crates/gypsumglade/tests/cli_verbs.rs
@@ -214,8 +214,7 @@
     let settings = CertificateSettings { certificate: certificate.clone().into(), key: key.into() };
     let options = ListenerOptions {
         tls: tls::server(Some(&settings)).unwrap(),
-        header_bytes: 16 << 10,
-        drain: Duration::from_secs(1),
+        ..ListenerOptions::plain(16 << 10, Duration::from_secs(1))
     };
     let router = Router::new().route("/v1/status", get(status));
     let any = "127.0.0.1:0".parse().unwrap();
--- a/crates/gypsumglade/tests/rpc_reconnect.rs
+++ b/crates/gypsumglade/tests/rpc_reconnect.rs
@@ -28,7 +28,7 @@
         Ok::<_, ErrorObjectOwned>(ANSWER.to_owned())
     };
     module.register_method(Method::Hello.name(), answer).expect("registered once");
-    let options = ListenerOptions { tls: None, header_bytes: 16_384, drain: Duration::ZERO };
+    let options = ListenerOptions::plain(16_384, Duration::ZERO);
     let stop = CancellationToken::new();
     RpcServer::bind(address, token, module.into(), None, options, stop).await.expect("bound")
 }
@@ -66,7 +66,7 @@
         Ok::<_, ErrorObjectOwned>(ANSWER.to_owned())
     };
     module.register_method(Method::Hello.name(), fast).expect("registered once");
-    let options = ListenerOptions { tls: None, header_bytes: 16_384, drain: Duration::ZERO };
+    let options = ListenerOptions::plain(16_384, Duration::ZERO);
     let (address, stop) = (free_address().await, CancellationToken::new());
     let server = RpcServer::bind(address, token, module.into(), None, options, stop).await;
     (server.expect("bound"), commands)
