--- a/crates/gypsumglade/src/gateway/buffered.rs
+++ b/crates/gypsumglade/src/gateway/buffered.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 
 use super::attempt::{Attempts, EndpointAnswer, send_until_answered};
 use super::broken_attempt::{self, CrashReport};
@@ -14,6 +13,7 @@
 use super::quota;
 use super::state::GatewayState;
 use super::suspects;
+use crate::request_body::{self, BodyError};
 
 /// Largest answer that is buffered.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -60,15 +60,14 @@
 ) -> Result<ReadEnd, Refusal> {
     let EndpointAnswer { response, head, connection, dispatch } = answer;
     let (parts, body) = response.into_parts();
-    let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let reading = request_body::read(body, MAX_ANSWER_BYTES);
     let read = tokio::time::timeout(call.time_left(), reading).await;
-    let read = read.map_err(|_| Refusal::TimedOut)?;
-    let collected = match read {
-        Ok(collected) if !is_encoded(&parts) => collected,
-        Err(error) if !error.is::<LengthLimitError>() => {
+    let body = match read.map_err(|_| Refusal::TimedOut)? {
+        Ok(body) if !is_encoded(&parts) => body,
+        Err(BodyError::Incomplete) => {
             return Ok(ReadEnd::Broken(broken_attempt::record(state, call, dispatch)));
         }
-        Ok(_) | Err(_) => {
+        Ok(_) | Err(BodyError::TooLarge) => {
             dispatch.failed();
             return Ok(ReadEnd::Unusable);
         }
@@ -76,7 +75,7 @@
     dispatch.finished();
     suspects::clear(state, call);
     state.connections.put_back(connection, &head);
-    Ok(ReadEnd::Whole(into_answer(parts, collected.to_bytes())))
+    Ok(ReadEnd::Whole(into_answer(parts, body)))
 }
 
 fn into_answer(parts: http::response::Parts, body: Bytes) -> Answer {
--- a/crates/gypsumglade/src/gateway/ingress.rs
+++ b/crates/gypsumglade/src/gateway/ingress.rs
@@ -3,12 +3,10 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use gypsumglade_core::bundle::{Access, CallerLimits, Route};
 use gypsumglade_core::prelude::*;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, request};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,6 +24,7 @@
 use crate::client_io::{ClientConnection, RequestGuard};
 use crate::entry::active_bundle::ActiveBundle;
 use crate::guarded_body::GuardedBody;
+use crate::request_body::{self, BodyError};
 
 /// How long a caller's connection may be idle. Longer than any idle timeout that callers are told, so
 /// that a connection is not closed just as a request arrives.
@@ -181,8 +180,15 @@
     let limit = usize::try_from(bundle.bundle.callers.body_bytes).unwrap_or(usize::MAX);
     let timeout = Duration::from_millis(route.timeout_ms);
     let body_timeout = head.timeout.unwrap_or(timeout).min(timeout).min(BODY_TIMEOUT);
-    let reading = tokio::time::timeout_at(arrived + body_timeout, read_body(body, limit)).await;
-    let body = reading.unwrap_or(Err(Refusal::Unavailable { retry_after: Duration::ZERO }));
+    let reading = request_body::read(body, limit);
+    let body = match tokio::time::timeout_at(arrived + body_timeout, reading).await {
+        Ok(read) => read.map_err(|error| match error {
+            BodyError::TooLarge => Refusal::TooLarge,
+            // The caller has disconnected and does not read the answer.
+            BodyError::Incomplete => Refusal::Malformed,
+        }),
+        Err(_) => Err(Refusal::Unavailable { retry_after: Duration::ZERO }),
+    };
     let body = body.map_err(refuse)?;
     let program = head.turn.as_ref().map(|turn| &turn.program);
     let pool = choose_pool(&route, program.unwrap_or(&head.id));
@@ -211,13 +217,3 @@
         None => Err(Refusal::Unauthorized),
     }
 }
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit).collect();
-    match reading.await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        // The caller has disconnected and does not read the answer.
-        Err(_) => Err(Refusal::Malformed),
-    }
-}
--- a/crates/gypsumglade/src/lib.rs
+++ b/crates/gypsumglade/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod replica;
+mod request_body;
 pub mod rpc;
 pub mod secret;
 pub mod settings;
