--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -14,6 +14,7 @@
 //! - [`outlier`]: ejection and slow start of endpoints.
 //! - [`group_health`]: whether a replicated group answers, and which callers may wait for it.
 //! - [`send_window`]: how many requests may be in flight to one server.
+//! - [`memory_budget`]: memory that requests may hold (docs/design/callers.md).
 //! - [`connection_limit`]: connections that a listener keeps (docs/design/callers.md).
 //! - [`stall`]: detection of pauses of this process.
 //! - [`mechanism`]: list of the mechanisms that can be disabled.
@@ -24,6 +25,7 @@
 pub mod connection_limit;
 pub mod group_health;
 pub mod mechanism;
+pub mod memory_budget;
 pub mod outlier;
 pub mod overload;
 pub mod priority;
--- a/crates/gypsumglade/src/client_io.rs
+++ b/crates/gypsumglade/src/client_io.rs
@@ -74,6 +74,11 @@
         self.connection.guard.set_state(ConnectionState::Busy);
     }
 
+    /// Returns the token that is cancelled when the connection must close.
+    pub fn closed(&self) -> CancellationToken {
+        self.connection.closed()
+    }
+
     /// Keeps the connection in use until it closes, after an upgrade to another protocol.
     pub fn keep(self) {
         std::mem::forget(self);
--- a/crates/gypsumglade/src/entry/callers.rs
+++ b/crates/gypsumglade/src/entry/callers.rs
@@ -29,6 +29,8 @@
 use super::turn_call::TurnCall;
 use super::waiting_caller::Caller;
 use super::{quota, sse, tool, turn};
+use crate::guarded_body::GuardedBody;
+use crate::request_body::{self, BodyError};
 
 /// Response header with the program of the call, which may have been generated.
 const PROGRAM_HEADER: HeaderName = HeaderName::from_static("x-program-id");
@@ -56,11 +58,39 @@
         .fallback(no_route)
         .method_not_allowed_fallback(no_method)
         .layer(DefaultBodyLimit::max(limit))
+        .layer(from_fn_with_state(Arc::clone(&state), buffer_body))
         .layer(from_fn_with_state(Arc::new(Semaphore::new(max_calls)), limit_calls))
         .with_state(state)
 }
 
-/// Refuses calls beyond the limit, since each waiting call holds its body in memory.
+/// Reads the body of a call into accounted memory, which it holds until its answer has been sent.
+async fn buffer_body(
+    State(state): State<Arc<EntryState>>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let limit = usize::try_from(state.settings.limits.body_bytes).unwrap_or(usize::MAX);
+    let (request, held) = match request_body::buffer(&state.memory, request, limit).await {
+        Ok(buffered) => buffered,
+        Err(error) => return body_problem(error).into_response(),
+    };
+    next.run(request).await.map(|body| Body::new(GuardedBody::new(body, held)))
+}
+
+fn body_problem(error: BodyError) -> Problem {
+    let kind = match error {
+        BodyError::TooLarge => ProblemKind::TooLarge,
+        BodyError::Incomplete => ProblemKind::BadRequest,
+        BodyError::TimedOut | BodyError::OutOfMemory(_) => ProblemKind::Overloaded,
+    };
+    let problem = Problem::not_run(kind, error);
+    match kind {
+        ProblemKind::Overloaded => problem.retry_after(OVERLOAD_RETRY_MS),
+        _ => problem,
+    }
+}
+
+/// Refuses calls beyond the limit.
 async fn limit_calls(
     State(limiter): State<Arc<Semaphore>>,
     request: Request,
--- a/crates/gypsumglade/src/entry/serve.rs
+++ b/crates/gypsumglade/src/entry/serve.rs
@@ -31,6 +31,7 @@
 use crate::listener::{Listener, ListenerOptions};
 use crate::membership::Handle;
 use crate::metrics::Metrics;
+use crate::request_memory::RequestMemory;
 use crate::rpc::{PeerClients, RpcServer};
 use crate::settings::{CertificateSettings, ListenerRole, Settings};
 use crate::tls;
@@ -176,6 +177,7 @@
         endpoints: EndpointClient::new(),
         config: ConfigView::new(lease, vm, keys, clock.now()),
         admission: AdmissionController::new(admission_settings(), clock),
+        memory: RequestMemory::new(settings.limits.request_bytes(), clock, limits.clone()),
         limits,
         metrics,
         stop: CancellationToken::new(),
--- a/crates/gypsumglade/src/entry/state.rs
+++ b/crates/gypsumglade/src/entry/state.rs
@@ -24,6 +24,7 @@
 use crate::limit_report::LimitReport;
 use crate::members::EntryMember;
 use crate::metrics::Metrics;
+use crate::request_memory::RequestMemory;
 use crate::rpc::PeerClients;
 use crate::settings::Settings;
 use crate::store::ReleaseAnswer;
@@ -56,6 +57,8 @@
     pub admission: AdmissionController,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Memory that callers' requests may hold.
+    pub(crate) memory: RequestMemory,
     /// Counts limits that callers reach.
     pub(crate) limits: LimitReport,
     /// Logger of the process.
--- a/crates/gypsumglade/src/gateway/buffered.rs
+++ b/crates/gypsumglade/src/gateway/buffered.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gypsumglade_core::policy::memory_budget::RequestPhase;
 use http::Response;
 
 use super::attempt::{Attempts, EndpointAnswer, send_until_answered};
@@ -60,18 +61,22 @@
 ) -> Result<ReadEnd, Refusal> {
     let EndpointAnswer { response, head, connection, dispatch } = answer;
     let (parts, body) = response.into_parts();
-    let reading = request_body::read(body, MAX_ANSWER_BYTES);
+    let reading = request_body::read(body, MAX_ANSWER_BYTES, &call.memory);
     let read = tokio::time::timeout(call.time_left(), reading).await;
-    let body = match read.map_err(|_| Refusal::TimedOut)? {
+    let body = match read.unwrap_or(Err(BodyError::TimedOut)) {
         Ok(body) if !is_encoded(&parts) => body,
         Err(BodyError::Incomplete) => {
             return Ok(ReadEnd::Broken(broken_attempt::record(state, call, dispatch)));
         }
+        // The endpoint is not at fault, and has run the request.
+        Err(BodyError::OutOfMemory(_)) => return Err(Refusal::Lost),
+        Err(BodyError::TimedOut) => return Err(Refusal::TimedOut),
         Ok(_) | Err(BodyError::TooLarge) => {
             dispatch.failed();
             return Ok(ReadEnd::Unusable);
         }
     };
+    call.memory.set_phase(RequestPhase::Answering);
     dispatch.finished();
     suspects::clear(state, call);
     state.connections.put_back(connection, &head);
--- a/crates/gypsumglade/src/gateway/call.rs
+++ b/crates/gypsumglade/src/gateway/call.rs
@@ -15,6 +15,7 @@
 
 use super::dialect::{CallHead, Identity};
 use crate::entry::active_bundle::ActiveBundle;
+use crate::request_memory::HeldMemory;
 
 /// Error that ends a relayed body early; the connection to the caller is closed.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
@@ -57,6 +58,13 @@
     }
 }
 
+/// The body of a request, and the memory that the request holds.
+#[derive(Debug)]
+pub(super) struct Received {
+    pub(super) body: Bytes,
+    pub(super) memory: Arc<HeldMemory>,
+}
+
 /// A caller's request that has a route.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -64,6 +72,7 @@
     pub(super) parts: request::Parts,
     /// The body as the caller sent it.
     pub(super) body: Bytes,
+    pub(super) memory: Arc<HeldMemory>,
     pub(super) route: Route,
     pub(super) pool: CompactString,
     pub(super) bundle: Arc<ActiveBundle>,
@@ -84,15 +93,28 @@
     pub(super) fn new(
         head: CallHead,
         parts: request::Parts,
-        body: Bytes,
+        received: Received,
         matched: RouteMatch,
         arrived: Instant,
     ) -> Call {
         let RouteMatch { route, pool, bundle, sender } = matched;
         let timeout = Duration::from_millis(route.timeout_ms).min(MAX_TIMEOUT);
         let deadline = arrived + head.timeout.unwrap_or(timeout).min(timeout);
-        let (digest, resource) = (OnceLock::new(), OnceLock::new());
-        Call { head, parts, body, route, pool, bundle, sender, arrived, deadline, digest, resource }
+        let Received { body, memory } = received;
+        Call {
+            head,
+            parts,
+            body,
+            memory,
+            route,
+            pool,
+            bundle,
+            sender,
+            arrived,
+            deadline,
+            digest: OnceLock::new(),
+            resource: OnceLock::new(),
+        }
     }
 
     /// Returns the digest of the caller, the host, the path and the content.
--- a/crates/gypsumglade/src/gateway/ingress.rs
+++ b/crates/gypsumglade/src/gateway/ingress.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use gypsumglade_core::bundle::{Access, CallerLimits, Route};
+use gypsumglade_core::policy::memory_budget::{OutOfMemory, RequestPhase};
 use gypsumglade_core::prelude::*;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, request};
@@ -15,7 +16,7 @@
 use tokio::time::Instant;
 
 use super::buffered::{self, refusal_answer};
-use super::call::{AnswerBody, Call, RouteMatch, Sender};
+use super::call::{AnswerBody, Call, Received, RouteMatch, Sender};
 use super::dialect::{Identity, KeyHeader, Refusal};
 use super::placement::choose_pool;
 use super::state::GatewayState;
@@ -25,6 +26,7 @@
 use crate::entry::active_bundle::ActiveBundle;
 use crate::guarded_body::GuardedBody;
 use crate::request_body::{self, BodyError};
+use crate::request_memory::HeldMemory;
 
 /// How long a caller's connection may be idle. Longer than any idle timeout that callers are told, so
 /// that a connection is not closed just as a request arrives.
@@ -38,8 +40,14 @@
 /// Upper bound of the time for a caller to send its body, so that unresponsive callers don't hold
 /// resources.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Retry delay for callers whose request has no room in memory; some of the others have ended by then.
+pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Added to the time that callers are given for a head, for delays of the network.
 const HEAD_SLACK: Duration = Duration::from_secs(1);
+/// Memory of a parsed header besides its text, as received and as forwarded, in bytes.
+const FIELD_MEMORY: usize = 256;
+/// Memory of a request without headers and body, in bytes.
+const REQUEST_MEMORY: usize = 4 << 10;
 /// Delay after a failed accept (typically: out of file descriptors), which prevents a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -117,8 +125,8 @@
     }
 }
 
-/// Answer to a caller, whose request ends when it has been sent.
-type SentAnswer = Response<GuardedBody<AnswerBody, RequestGuard>>;
+/// Answer to a caller that holds the request's memory until it has been sent.
+type SentAnswer = Response<GuardedBody<AnswerBody, (RequestGuard, Arc<HeldMemory>)>>;
 
 /// Handles one request from its head to the caller's answer.
 async fn serve_request(
@@ -129,8 +137,10 @@
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let request_line = format!("{} {}", parts.method, parts.uri.path());
-    let prepared = prepare(&state, parts, body, arrived).await;
+    let memory = Arc::new(state.memory.open(guard.closed()));
+    let prepared = prepare(&state, parts, body, arrived, &memory).await;
     guard.received();
+    memory.set_phase(RequestPhase::Running);
     let (id, result) = match prepared {
         Ok(call) => {
             let call = Arc::new(call);
@@ -157,7 +167,7 @@
         // Makes the caller open its next connection, which the balancer sends to another VM.
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    answer.map(|body| GuardedBody::new(body, guard))
+    answer.map(|body| GuardedBody::new(body, (guard, memory)))
 }
 
 type Refused = (CompactString, Refusal);
@@ -167,7 +177,10 @@
     parts: request::Parts,
     body: Incoming,
     arrived: Instant,
+    memory: &Arc<HeldMemory>,
 ) -> Result<Call, Refused> {
+    let full = |OutOfMemory| Refusal::Unavailable { retry_after: MEMORY_RETRY_AFTER };
+    memory.grow(head_memory(&parts)).map_err(|error| (CompactString::default(), full(error)))?;
     let head = state.dialect.read_call(&parts);
     let head = head.ok_or((CompactString::default(), Refusal::Malformed))?;
     let refuse = |refusal| (head.id.clone(), refusal);
@@ -180,19 +193,26 @@
     let limit = usize::try_from(bundle.bundle.callers.body_bytes).unwrap_or(usize::MAX);
     let timeout = Duration::from_millis(route.timeout_ms);
     let body_timeout = head.timeout.unwrap_or(timeout).min(timeout).min(BODY_TIMEOUT);
-    let reading = request_body::read(body, limit);
-    let body = match tokio::time::timeout_at(arrived + body_timeout, reading).await {
-        Ok(read) => read.map_err(|error| match error {
-            BodyError::TooLarge => Refusal::TooLarge,
-            // The caller has disconnected and does not read the answer.
-            BodyError::Incomplete => Refusal::Malformed,
-        }),
-        Err(_) => Err(Refusal::Unavailable { retry_after: Duration::ZERO }),
-    };
-    let body = body.map_err(refuse)?;
+    let reading = request_body::read(body, limit, memory);
+    let reading = tokio::time::timeout_at(arrived + body_timeout, reading).await;
+    let body = reading.unwrap_or(Err(BodyError::TimedOut)).map_err(|error| match error {
+        BodyError::TooLarge => Refusal::TooLarge,
+        // The caller has disconnected and does not read the answer.
+        BodyError::Incomplete => Refusal::Malformed,
+        BodyError::TimedOut => Refusal::Unavailable { retry_after: Duration::ZERO },
+        BodyError::OutOfMemory(error) => full(error),
+    });
+    let received = Received { body: body.map_err(refuse)?, memory: Arc::clone(memory) };
     let program = head.turn.as_ref().map(|turn| &turn.program);
     let pool = choose_pool(&route, program.unwrap_or(&head.id));
-    Ok(Call::new(head, parts, body, RouteMatch { route, pool, bundle, sender }, arrived))
+    Ok(Call::new(head, parts, received, RouteMatch { route, pool, bundle, sender }, arrived))
+}
+
+/// Returns the memory of a request's head.
+fn head_memory(parts: &request::Parts) -> usize {
+    let text = |(name, value): (&http::HeaderName, &HeaderValue)| name.as_str().len() + value.len();
+    let texts: usize = parts.headers.iter().map(text).sum();
+    REQUEST_MEMORY + texts + parts.headers.len() * FIELD_MEMORY
 }
 
 /// Determines who sends a request.
--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -40,6 +40,7 @@
 use crate::limit_report::LimitReport;
 use crate::listener::Listener;
 use crate::metrics::Metrics;
+use crate::request_memory::RequestMemory;
 use crate::rpc::PeerClients;
 use crate::settings::{DiscoverySettings, ListenerRole, PolicySettings, Settings};
 use crate::tls;
@@ -196,6 +197,7 @@
         histories: HistoryCache::default(),
         suspects,
         abandoned: AbandonedAttempts::default(),
+        memory: RequestMemory::new(limits.request_bytes(), clock, report.clone()),
         caller_connections: report.limiter(&limits, ListenerRole::Callers),
         limits: report,
         metrics,
--- a/crates/gypsumglade/src/gateway/settlement.rs
+++ b/crates/gypsumglade/src/gateway/settlement.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use gypsumglade_core::policy::group_health::WaitRequest;
+use gypsumglade_core::policy::memory_budget::OutOfMemory;
 use gypsumglade_core::policy::route::SharedPrefix;
 use gypsumglade_core::prelude::*;
 use gypsumglade_core::turns::{Assignment, Holding, QualifiedId};
@@ -14,6 +15,7 @@
 
 use super::call::Call;
 use super::dialect::Refusal;
+use super::ingress::MEMORY_RETRY_AFTER;
 use super::placement::{offers, shared_prefixes};
 use super::quota;
 use super::state::GatewayState;
@@ -21,6 +23,9 @@
 /// A history may take the caller's remaining time divided by this; the rest is left for a retry at
 /// another VM.
 const FETCH_DIVISOR: u32 = 4;
+/// Copies of a history in memory while it is fetched: the answer of a store, its decoded text, and the
+/// texts in order.
+const FETCH_COPIES: usize = 4;
 /// Time limit of one attempt at storing a text, after which stores are chosen anew.
 const PUT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Initial delay between attempts at storing a text; it doubles with each.
@@ -127,9 +132,7 @@
             let fetch_began = Instant::now();
             let history = match known {
                 Some(history) => Some(history),
-                None => {
-                    state.texts.fetch(&chain, fetch_began + call.time_left() / FETCH_DIVISOR).await
-                }
+                None => fetch_history(state, call, &chain).await?,
             };
             if !chain.is_empty() {
                 let outcome = if history.is_some() { "answered" } else { "silent" };
@@ -143,6 +146,9 @@
                 endpoint: reserved.endpoint.into(),
                 cached: reserved.cached,
             });
+            if !history.is_empty() {
+                call.memory.grow(history.len() + call.body.len()).map_err(full)?;
+            }
             Ok(ReservedTurn {
                 body: concat(&history, &call.body),
                 under_way: reserved.under_way,
@@ -175,6 +181,28 @@
     }
 }
 
+/// Fetches the history of a turn. Returns `None` if the stores don't have it in time.
+///
+/// # Errors
+/// Fails if there is not enough memory for it. The turn has not run.
+async fn fetch_history(
+    state: &GatewayState,
+    call: &Call,
+    chain: &[Holding],
+) -> Result<Option<Bytes>, Refusal> {
+    let bytes: u64 = chain.iter().map(|holding| holding.bytes).sum();
+    let bytes = usize::try_from(bytes).unwrap_or(usize::MAX).saturating_mul(FETCH_COPIES);
+    call.memory.grow(bytes).map_err(full)?;
+    let deadline = Instant::now() + call.time_left() / FETCH_DIVISOR;
+    let history = state.texts.fetch(chain, deadline).await;
+    call.memory.shrink(bytes);
+    Ok(history)
+}
+
+fn full(_: OutOfMemory) -> Refusal {
+    Refusal::Unavailable { retry_after: MEMORY_RETRY_AFTER }
+}
+
 /// A reservation that may have been made. Dropping the guard settles it with zero tokens unless it has
 /// been taken, so that its tokens don't stay reserved.
 pub(super) struct ReservationGuard {
--- a/crates/gypsumglade/src/gateway/state.rs
+++ b/crates/gypsumglade/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use crate::entry::config::ConfigView;
 use crate::limit_report::LimitReport;
 use crate::metrics::Metrics;
+use crate::request_memory::RequestMemory;
 use crate::rpc::PeerClients;
 use crate::settings::Settings;
 
@@ -50,6 +51,8 @@
     pub(super) suspects: Suspects,
     /// Attempts that were given up a moment ago.
     pub(super) abandoned: AbandonedAttempts,
+    /// Memory that callers' requests may hold.
+    pub(super) memory: RequestMemory,
     pub(super) caller_connections: ConnectionLimiter,
     /// Counts limits that callers reach.
     pub(super) limits: LimitReport,
--- a/crates/gypsumglade/src/lib.rs
+++ b/crates/gypsumglade/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod operator;
 pub mod replica;
 mod request_body;
+mod request_memory;
 pub mod rpc;
 pub mod secret;
 pub mod settings;
--- a/crates/gypsumglade/src/limit_report.rs
+++ b/crates/gypsumglade/src/limit_report.rs
@@ -17,6 +17,8 @@
 /// Limit that callers may reach.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Limit {
+    /// Memory of all requests together.
+    Memory,
     /// Open connections of a listener.
     Connections,
     /// Time for a request's head.
@@ -28,6 +30,7 @@
 impl Limit {
     const fn name(self) -> &'static str {
         match self {
+            Limit::Memory => "memory",
             Limit::Connections => "connections",
             Limit::HeadTime => "head_time",
             Limit::WriteTime => "write_time",
--- a/crates/gypsumglade/src/request_body.rs
+++ b/crates/gypsumglade/src/request_body.rs
@@ -1,14 +1,22 @@
-//! Reads bodies into memory.
+//! Reads bodies into memory that is accounted for.
 //!
-//! The load pattern is a body in very small chunks, of which each would otherwise be an allocation of its
-//! own until the end. See docs/design/callers.md.
+//! The load patterns are many large bodies at once, and bodies in very small chunks, of which each would
+//! otherwise be an allocation of its own until the end. See docs/design/callers.md.
 
 use bytes::{BufMut as _, Bytes, BytesMut};
+use gypsumglade_core::policy::memory_budget::{OutOfMemory, RequestPhase};
+use gypsumglade_core::prelude::*;
+use http::Request;
 use http_body::Body;
 use http_body_util::BodyExt as _;
+use tokio_util::sync::CancellationToken;
+
+use crate::request_memory::{HeldMemory, RequestMemory};
 
 /// Size of the first part of a body whose size isn't known, in bytes.
 const FIRST_PART: usize = 4 << 10;
+/// Upper bound of the time for a client to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Size of the parts that a large body is read into, in bytes.
 const MAX_PART: usize = 64 << 10;
 
@@ -21,13 +29,50 @@
     /// The sender has broken it off.
     #[error("the body is incomplete")]
     Incomplete,
+    /// The sender takes too long.
+    #[error("the body takes too long")]
+    TimedOut,
+    /// There is not enough memory for it.
+    #[error(transparent)]
+    OutOfMemory(#[from] OutOfMemory),
+}
+
+/// Reads the body of a request to one of this VM's listeners within [`BODY_TIMEOUT`], and returns the
+/// request with the memory that it holds.
+///
+/// # Errors
+/// Fails as [`read`] does, or if the sender takes too long.
+pub async fn buffer(
+    memory: &RequestMemory,
+    request: Request<axum::body::Body>,
+    limit: usize,
+) -> Result<(Request<axum::body::Body>, HeldMemory), BodyError> {
+    // No connection depends on it, since an answer is never held back for its client.
+    let held = memory.open(CancellationToken::new());
+    let (parts, body) = request.into_parts();
+    let reading = tokio::time::timeout(BODY_TIMEOUT, read(body, limit, &held)).await;
+    let body = reading.unwrap_or(Err(BodyError::TimedOut))?;
+    held.set_phase(RequestPhase::Running);
+    Ok((Request::from_parts(parts, body.into()), held))
 }
 
-/// Reads a body of at most `limit` bytes to its end.
+/// Reads a body of at most `limit` bytes to its end. What is read so far is released at once if `memory`
+/// has to give way.
 ///
 /// # Errors
-/// Fails if the body is too large or incomplete.
-pub async fn read<B>(mut body: B, limit: usize) -> Result<Bytes, BodyError>
+/// Fails if the body is too large or incomplete, or there is not enough memory.
+pub async fn read<B>(body: B, limit: usize, memory: &HeldMemory) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    tokio::select! {
+        biased;
+        () = memory.evicted() => Err(BodyError::OutOfMemory(OutOfMemory)),
+        read = read_parts(body, limit, memory) => read,
+    }
+}
+
+async fn read_parts<B>(mut body: B, limit: usize, memory: &HeldMemory) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -44,7 +89,7 @@
         if parts.bytes + data.len() > limit {
             return Err(BodyError::TooLarge);
         }
-        parts.append(&data);
+        parts.append(&data, memory)?;
     }
     Ok(parts.join())
 }
@@ -63,10 +108,10 @@
         Parts { full: Vec::new(), last: BytesMut::new(), bytes: 0, announced }
     }
 
-    fn append(&mut self, mut data: &[u8]) {
+    fn append(&mut self, mut data: &[u8], memory: &HeldMemory) -> Result<(), OutOfMemory> {
         while !data.is_empty() {
             if self.last.len() == self.last.capacity() {
-                self.add_part();
+                self.add_part(memory)?;
             }
             let room = self.last.capacity() - self.last.len();
             let (now, later) = data.split_at(room.min(data.len()));
@@ -74,17 +119,20 @@
             self.bytes += now.len();
             data = later;
         }
+        Ok(())
     }
 
-    fn add_part(&mut self) {
+    fn add_part(&mut self, memory: &HeldMemory) -> Result<(), OutOfMemory> {
         let size = match self.announced {
             Some(announced) => announced.saturating_sub(self.bytes).clamp(1, MAX_PART),
             None => self.bytes.clamp(FIRST_PART, MAX_PART),
         };
+        memory.grow(size)?;
         let full = std::mem::replace(&mut self.last, BytesMut::with_capacity(size));
         if !full.is_empty() {
             self.full.push(full);
         }
+        Ok(())
     }
 
     fn join(self) -> Bytes {
--- a/crates/gypsumglade/src/settings/limits.rs
+++ b/crates/gypsumglade/src/settings/limits.rs
@@ -1,5 +1,6 @@
 //! Limits on request size and concurrency.
 
+use gypsumglade_core::policy::memory_budget::largest_request;
 use gypsumglade_core::prelude::*;
 
 use super::Findings;
@@ -16,17 +17,22 @@
     pub concurrent: u64,
     /// Maximum number of calls that wait for an endpoint.
     pub queue: u64,
-    /// Memory of the machine that the process may use, in MB. The bounds on connections follow
-    /// from it.
+    /// Memory of the machine that the process may use, in MB. The bounds on what callers' requests and
+    /// connections hold follow from it.
     pub memory_mb: u64,
     /// Descriptors that the process may have open. The bounds on connections follow from it.
     pub open_files: u64,
 }
 
+/// Part of the memory for requests of callers, from their first byte to the end of their answer. What
+/// is read of a body is copied once when it is complete.
+const REQUEST_SHARE: u64 = 4;
 /// Part of the memory for connections of callers.
 const CONNECTION_SHARE: u64 = 8;
 /// Memory of a connection that awaits the rest of a head, in bytes.
 const CONNECTION_BYTES: u64 = 24 << 10;
+/// Part of the memory for texts that are on their way to stores.
+const TEXT_SHARE: u64 = 8;
 /// Descriptors that are kept for files and libraries.
 const RESERVED_FILES: u64 = 200;
 /// Fewest connections of a listener.
@@ -71,6 +77,16 @@
 }
 
 impl LimitSettings {
+    /// Returns the bytes that all requests of callers may hold together.
+    pub fn request_bytes(&self) -> u64 {
+        self.memory_bytes() / REQUEST_SHARE
+    }
+
+    /// Returns the bytes that texts on their way to stores may hold together.
+    pub fn text_bytes(&self) -> u64 {
+        self.memory_bytes() / TEXT_SHARE
+    }
+
     /// Returns the number of connections that a listener may have.
     pub fn connections(&self, role: ListenerRole) -> usize {
         let files = self.open_files.saturating_sub(RESERVED_FILES) / role.share();
@@ -92,6 +108,10 @@
         findings.check_range("limits.concurrent", self.concurrent, 1..=65_536, "calls");
         findings.check_range("limits.queue", self.queue, 0..=65_536, "calls");
         findings.check_range("limits.memory_mb", self.memory_mb, 32..=1 << 20, "MB");
+        if self.body_bytes > largest_request(self.request_bytes()) {
+            let allowed = "more: six bytes for each of limits.body_bytes";
+            findings.add("limits.memory_mb", self.memory_mb, allowed);
+        }
         findings.check_range("limits.open_files", self.open_files, 256..=1 << 20, "files");
     }
 }
--- a/crates/gypsumglade/src/store/mod.rs
+++ b/crates/gypsumglade/src/store/mod.rs
@@ -12,6 +12,7 @@
 mod pending_answers;
 pub mod program_group;
 mod registrar;
+mod registrar_body;
 mod renewals;
 mod repair;
 mod serve;
--- a/crates/gypsumglade/tests/settings_load.rs
+++ b/crates/gypsumglade/tests/settings_load.rs
@@ -149,3 +149,10 @@
         assert!(page.contains(&format!("`{name}`")), "docs/decisions.md lacks `{name}`");
     }
 }
+
+/// A body within its limit had no room in the memory for requests.
+#[test]
+fn parse_memory_below_body() {
+    let findings = edited("body_bytes: 4194304", "body_bytes: 67108864\n  memory_mb: 256");
+    assert_eq!(places(&findings), ["limits.memory_mb"]);
+}
