--- a/crates/gypsumglade/src/gateway/serve.rs
+++ b/crates/gypsumglade/src/gateway/serve.rs
@@ -176,7 +176,8 @@
         peers.clone(),
         settings.vm.region.clone(),
         settings.gateway.as_ref().map_or(0, |gateway| gateway.tolerate as usize) + 1,
-    );
+    )
+    .with_memory(settings.limits.text_bytes());
     let turns = TurnClient::new(Arc::clone(&directory), peers.clone(), clock, log.clone());
     let control = ControlGroupClient::new(Arc::clone(&directory), peers.clone(), PROGRAM_LIMITS);
     let suspects = Suspects::new(control);
--- a/crates/gypsumglade/src/gateway/text_client.rs
+++ b/crates/gypsumglade/src/gateway/text_client.rs
@@ -9,6 +9,7 @@
 use gypsumglade_core::replication::repair::StoreInfo;
 use gypsumglade_core::turns::{Holding, preferred_stores};
 use gypsumglade_core::wire::turn::{Text, TextPut, TextQuery, TextStored, Texts};
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -20,6 +21,10 @@
 const PUT_HEDGE_DELAY: Duration = Duration::from_millis(200);
 /// Time limit of a put to one store.
 const PUT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Copies of a text in memory while it is sent to one store: the message, its text form, and the frame.
+const PUT_COPIES: usize = 6;
+/// Unit in which the memory for texts on their way is counted, in bytes.
+const WINDOW_UNIT: usize = 1 << 10;
 /// Hedge delay of fetches: how long a store may take before another one is asked as well.
 const FETCH_HEDGE_DELAY: Duration = Duration::from_millis(200);
 /// Time limit of a fetch from one store.
@@ -46,6 +51,9 @@
     /// When each store last failed to answer; removed when it answers.
     unresponsive: Arc<Mutex<HashMap<VmId, Instant>>>,
     hedging: RetrySettings,
+    /// Memory for texts on their way to stores, in [`WINDOW_UNIT`]s.
+    window: Arc<Semaphore>,
+    window_units: u32,
     /// Limits hedged puts to a fraction of all puts, so that they don't overload slow stores.
     hedge_budget: Arc<Mutex<RetryBudget>>,
 }
@@ -59,6 +67,8 @@
         region: CompactString,
         copies: usize,
     ) -> TextClient {
+        let window_units = u32::MAX;
+        let window = Arc::new(Semaphore::new(window_units as usize));
         let unresponsive = Arc::default();
         let hedging = RetrySettings::default();
         let hedge_budget = Arc::new(Mutex::new(RetryBudget::full(&hedging)));
@@ -70,10 +80,19 @@
             copies,
             unresponsive,
             hedging,
+            window,
+            window_units,
             hedge_budget,
         }
     }
 
+    /// Returns the client with a bound on the memory for texts that are on their way to stores. A single
+    /// text may exceed it.
+    pub fn with_memory(self, bytes: u64) -> TextClient {
+        let window_units = u32::try_from(bytes / WINDOW_UNIT as u64).unwrap_or(u32::MAX).max(1);
+        TextClient { window: Arc::new(Semaphore::new(window_units as usize)), window_units, ..self }
+    }
+
     /// Writes a text to the configured number of stores and returns them. Returns `None` if too few have
     /// confirmed it by the deadline, or too few stores are left to ask.
     pub async fn put(
@@ -210,6 +229,9 @@
         let (client, put) = (self.clone(), Arc::clone(put));
         putting.spawn(async move {
             let Some(address) = client.directory.store(vm) else { return (vm, false) };
+            // Held by the first store's put, a large text waits before it is copied for the next one.
+            let waiting = tokio::time::timeout_at(deadline, client.enter_window(&put)).await;
+            let Ok(_permit) = waiting else { return (vm, false) };
             let timeout = deadline.saturating_duration_since(Instant::now()).min(PUT_TIMEOUT);
             let stored = client.peers.ask(address, Method::PutTexts, put.as_ref(), timeout).await;
             client.record_response(vm, stored.is_ok());
@@ -218,6 +240,13 @@
         });
     }
 
+    /// Waits until there is memory for sending texts to a store.
+    async fn enter_window(&self, put: &TextPut) -> Option<SemaphorePermit<'_>> {
+        let bytes: usize = put.texts.iter().map(|text| text.input.len() + text.output.len()).sum();
+        let units = u32::try_from(bytes * PUT_COPIES / WINDOW_UNIT).unwrap_or(u32::MAX);
+        self.window.acquire_many(units.min(self.window_units)).await.ok()
+    }
+
     /// Returns the stores in order of preference for a program's texts, the unresponsive ones last.
     fn preferred(&self, program: &str) -> Vec<VmId> {
         let mut order = preferred_stores(program, &self.region, &self.known_stores());
--- a/crates/gypsumglade/src/rpc/client.rs
+++ b/crates/gypsumglade/src/rpc/client.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use jsonrpsee::core::client::{ClientT as _, Error as ClientError};
 use jsonrpsee::core::params::ArrayParams;
+use jsonrpsee::core::traits::ToRpcParams;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use prost::Message;
 use thiserror::Error;
@@ -22,7 +23,7 @@
 use tokio_rustls::rustls::ClientConfig;
 use tokio_rustls::rustls::pki_types::ServerName;
 
-use super::codec::{decode, encode};
+use super::codec::{Payload, decode};
 use super::counted::{Counted, Received};
 use super::link::{self, Link};
 use super::method::Method;
@@ -207,18 +208,15 @@
         Q: Message,
         A: Message + Default,
     {
-        let mut parameters = ArrayParams::new();
-        let inserted = parameters.insert(encode(request));
-        inserted.map_err(|error| RpcError::Refused(address, error.to_string()))?;
-        let text = self.call_within(address, method, parameters, limit).await?;
+        let text = self.call_within(address, method, Payload::new(request), limit).await?;
         decode(&text).map_err(|error| RpcError::Refused(address, error.to_string()))
     }
 
-    async fn call_within(
+    async fn call_within<P: ToRpcParams + Send>(
         &self,
         address: SocketAddr,
         method: Method,
-        parameters: ArrayParams,
+        parameters: P,
         limit: Limit,
     ) -> Result<String, RpcError> {
         let (Limit::Total(timeout)
