--- a/crates/gypsumglade/src/gateway/ingress.rs
+++ b/crates/gypsumglade/src/gateway/ingress.rs
@@ -25,6 +25,7 @@
 use crate::client_io::{ClientConnection, RequestGuard};
 use crate::entry::active_bundle::ActiveBundle;
 use crate::guarded_body::GuardedBody;
+use crate::listener::MIN_FIELD_BYTES;
 use crate::request_body::{self, BodyError};
 use crate::request_memory::HeldMemory;
 
@@ -44,6 +45,8 @@
 pub(super) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Added to the time that callers are given for a head, for delays of the network.
 const HEAD_SLACK: Duration = Duration::from_secs(1);
+/// Bytes that a connection may have read besides a head of the full size.
+const HEAD_MARGIN: usize = 1 << 10;
 /// Memory of a parsed header besides its text, as received and as forwarded, in bytes.
 const FIELD_MEMORY: usize = 256;
 /// Memory of a request without headers and body, in bytes.
@@ -78,10 +81,12 @@
     }
 }
 
-/// Returns the limits for callers in force.
+/// Returns the limits for callers in force, and at least the default size of a head.
 fn caller_limits(state: &GatewayState) -> CallerLimits {
-    let active = state.config.active(state.clock.now());
-    active.map(|active| active.bundle.callers).unwrap_or_default()
+    let least = CallerLimits::default();
+    let Ok(active) = state.config.active(state.clock.now()) else { return least };
+    let limits = active.bundle.callers;
+    CallerLimits { header_bytes: limits.header_bytes.max(least.header_bytes), ..limits }
 }
 
 /// Serves a caller's connection until the caller, a limit or a planned stop closes it.
@@ -93,6 +98,7 @@
     // Send the small frames of a token stream at once (Nagle's algorithm would delay them).
     let _ = stream.set_nodelay(true);
     let limits = caller_limits(&state);
+    let head_bytes = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX);
     let io = connection.wrap(stream, Duration::from_millis(limits.header_ms) + HEAD_SLACK);
     let closed = connection.closed();
     let serving = Arc::clone(&state);
@@ -106,6 +112,8 @@
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(head_bytes + HEAD_MARGIN)
+        .max_headers(head_bytes / MIN_FIELD_BYTES)
         .serve_connection(TokioIo::new(io), service);
     tokio::pin!(served);
     let closing = async {
--- a/crates/gypsumglade/src/listener.rs
+++ b/crates/gypsumglade/src/listener.rs
@@ -198,6 +198,7 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
+        .max_headers(options.header_bytes / MIN_FIELD_BYTES)
         .max_buf_size(options.header_bytes.max(MIN_HEADER_BYTES));
     builder
         .http2()
@@ -206,6 +207,8 @@
     builder
 }
 
+/// Size of the shortest header on the wire, in bytes.
+pub const MIN_FIELD_BYTES: usize = 4;
 /// Minimum buffer size that hyper accepts.
 const MIN_HEADER_BYTES: usize = 8_192;
 
