--- a/crates/core/src/policy/memory_budget.rs
+++ b/crates/core/src/policy/memory_budget.rs
@@ -109,10 +109,10 @@
             false => largest_request(self.capacity),
         };
         let needed = self.held.saturating_add(bytes).saturating_sub(limit);
-        let evicted = self.choose_evicted(now, key, grown, needed).ok_or(OutOfMemory)?;
-        if !is_small && self.leaving_with(&evicted) > self.capacity / LEAVING_SHARE {
+        if needed > 0 && !is_small && self.leaving > self.capacity / LEAVING_SHARE {
             return Err(OutOfMemory);
         }
+        let evicted = self.choose_evicted(now, key, grown, needed).ok_or(OutOfMemory)?;
         evicted.iter().for_each(|key| self.set_phase(now, *key, RequestPhase::Leaving));
         if let Some(request) = self.requests.get_mut(key) {
             *request = grown;
@@ -160,12 +160,6 @@
         self.held
     }
 
-    /// Returns what requests that have to give way would hold together with these.
-    fn leaving_with(&self, evicted: &[RequestKey]) -> u64 {
-        let more = evicted.iter().filter_map(|key| self.requests.get(*key));
-        self.leaving + more.map(|request| request.bytes).sum::<u64>()
-    }
-
     /// Chooses requests that free this many bytes, each of which has cost more than `grown`. Returns `None`
     /// if there are too few.
     fn choose_evicted(
