--- a/crates/gypsumglade/src/request_memory.rs
+++ b/crates/gypsumglade/src/request_memory.rs
@@ -30,10 +30,22 @@
     evictions: HashMap<RequestKey, Eviction>,
 }
 
-/// What ends when a request gives way.
+/// How a request is ended when it gives way.
 struct Eviction {
     request: CancellationToken,
     connection: CancellationToken,
+    /// Whether its answer is being sent, so that nothing but closing the connection ends it.
+    answering: bool,
+}
+
+impl Eviction {
+    fn end(self) {
+        match self.answering {
+            true => self.connection.cancel(),
+            // Its caller still gets a refusal.
+            false => self.request.cancel(),
+        }
+    }
 }
 
 impl RequestMemory {
@@ -49,7 +61,8 @@
         let evicted = CancellationToken::new();
         let mut state = self.shared.lock();
         let key = state.budget.open(self.shared.clock.now());
-        state.evictions.insert(key, Eviction { request: evicted.clone(), connection });
+        let eviction = Eviction { request: evicted.clone(), connection, answering: false };
+        state.evictions.insert(key, eviction);
         drop(state);
         HeldMemory { shared: Arc::clone(&self.shared), key, evicted }
     }
@@ -65,8 +78,7 @@
         let grown = state.budget.grow(self.clock.now(), key, bytes);
         for evicted in grown.as_deref().unwrap_or_default() {
             if let Some(eviction) = state.evictions.remove(evicted) {
-                eviction.request.cancel();
-                eviction.connection.cancel();
+                eviction.end();
             }
         }
         drop(state);
@@ -103,7 +115,11 @@
     /// Records what the request does from now on, which decides whether it may have to give way.
     pub fn set_phase(&self, phase: RequestPhase) {
         let now = self.shared.clock.now();
-        self.shared.lock().budget.set_phase(now, self.key, phase);
+        let mut state = self.shared.lock();
+        state.budget.set_phase(now, self.key, phase);
+        if let Some(eviction) = state.evictions.get_mut(&self.key) {
+            eviction.answering = phase == RequestPhase::Answering;
+        }
     }
 
     /// Waits until the request has to give way.
