--- a/crates/gypsumglade/src/client_io.rs
+++ b/crates/gypsumglade/src/client_io.rs
@@ -55,7 +55,7 @@
         if self.requests.fetch_add(1, Ordering::Relaxed) == 0 {
             self.guard.set_state(ConnectionState::Receiving);
         }
-        RequestGuard { connection: self.clone() }
+        RequestGuard { connection: self.clone(), ends: true }
     }
 
     fn awaits_head(&self) -> bool {
@@ -66,6 +66,8 @@
 /// A request on a client's connection, from its head to the end of its answer.
 pub struct RequestGuard {
     connection: ClientConnection,
+    /// Whether the request ends with the guard.
+    ends: bool,
 }
 
 impl RequestGuard {
@@ -80,15 +82,15 @@
     }
 
     /// Keeps the connection in use until it closes, after an upgrade to another protocol.
-    pub fn keep(self) {
-        std::mem::forget(self);
+    pub fn keep(mut self) {
+        self.ends = false;
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let ClientConnection { guard, requests } = &self.connection;
-        if requests.fetch_sub(1, Ordering::Relaxed) == 1 {
+        if self.ends && requests.fetch_sub(1, Ordering::Relaxed) == 1 {
             guard.set_state(ConnectionState::Idle);
         }
     }
