--- a/crates/gypsumglade/src/client_io.rs
+++ b/crates/gypsumglade/src/client_io.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -28,14 +28,21 @@
 #[derive(Clone)]
 pub struct ClientConnection {
     guard: ConnectionGuard,
+    state: Arc<State>,
+}
+
+#[derive(Default)]
+struct State {
     /// Requests whose head has arrived and whose answer has not been sent.
-    requests: Arc<AtomicUsize>,
+    requests: AtomicUsize,
+    /// Whether the connection has been upgraded to another protocol, and stays in use until it closes.
+    upgraded: AtomicBool,
 }
 
 impl ClientConnection {
     /// Creates the state of a new connection, on which the first head is awaited.
     pub fn new(guard: ConnectionGuard) -> ClientConnection {
-        ClientConnection { guard, requests: Arc::default() }
+        ClientConnection { guard, state: Arc::default() }
     }
 
     /// Wraps the connection's socket. A head may take `head_timeout` from its first byte on.
@@ -52,14 +59,26 @@
 
     /// Begins a request whose head has arrived. It ends when the returned guard is dropped.
     pub fn begin_request(&self) -> RequestGuard {
-        if self.requests.fetch_add(1, Ordering::Relaxed) == 0 {
+        if self.state.requests.fetch_add(1, Ordering::Relaxed) == 0 {
             self.guard.set_state(ConnectionState::Receiving);
         }
         RequestGuard { connection: self.clone(), ends: true }
     }
 
+    /// Records that the request is complete and under way.
+    pub fn request_received(&self) {
+        self.guard.set_state(ConnectionState::Busy);
+    }
+
+    /// Records whether the peer has stopped to read. What uses an upgraded connection notices it itself.
+    fn set_blocked(&self, blocked: bool) {
+        if !self.state.upgraded.load(Ordering::Relaxed) {
+            self.guard.set_blocked(blocked);
+        }
+    }
+
     fn awaits_head(&self) -> bool {
-        self.requests.load(Ordering::Relaxed) == 0
+        self.state.requests.load(Ordering::Relaxed) == 0
     }
 }
 
@@ -73,7 +92,7 @@
 impl RequestGuard {
     /// Records that the request is complete and under way.
     pub fn received(&self) {
-        self.connection.guard.set_state(ConnectionState::Busy);
+        self.connection.request_received();
     }
 
     /// Returns the token that is cancelled when the connection must close.
@@ -84,13 +103,14 @@
     /// Keeps the connection in use until it closes, after an upgrade to another protocol.
     pub fn keep(mut self) {
         self.ends = false;
+        self.connection.state.upgraded.store(true, Ordering::Relaxed);
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let ClientConnection { guard, requests } = &self.connection;
-        if self.ends && requests.fetch_sub(1, Ordering::Relaxed) == 1 {
+        let ClientConnection { guard, state } = &self.connection;
+        if self.ends && state.requests.fetch_sub(1, Ordering::Relaxed) == 1 {
             guard.set_state(ConnectionState::Idle);
         }
     }
@@ -127,12 +147,12 @@
     ) -> Poll<io::Result<T>> {
         if written.is_ready() {
             if self.write_timer.take().is_some() {
-                self.connection.guard.set_blocked(false);
+                self.connection.set_blocked(false);
             }
             return written;
         }
         if self.write_timer.is_none() {
-            self.connection.guard.set_blocked(true);
+            self.connection.set_blocked(true);
         }
         let timer = || Box::pin(tokio::time::sleep(WRITE_TIMEOUT));
         ready!(self.write_timer.get_or_insert_with(timer).as_mut().poll(cx));
--- a/crates/gypsumglade/src/listener.rs
+++ b/crates/gypsumglade/src/listener.rs
@@ -8,6 +8,7 @@
 use anyhow::Context as _;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -174,8 +175,13 @@
     type Error = S::Error;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, S::Error>> + Send>>;
 
-    fn call(&self, request: Request<Incoming>) -> Self::Future {
+    fn call(&self, mut request: Request<Incoming>) -> Self::Future {
         let guard = self.connection.begin_request();
+        if request.body().is_end_stream() {
+            guard.received();
+        }
+        // Whoever reads the body records its end.
+        request.extensions_mut().insert(self.connection.clone());
         let response = self.inner.clone().oneshot(request);
         Box::pin(async move {
             let response = response.await?;
--- a/crates/gypsumglade/src/request_body.rs
+++ b/crates/gypsumglade/src/request_body.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt as _;
 use tokio_util::sync::CancellationToken;
 
+use crate::client_io::ClientConnection;
 use crate::request_memory::{HeldMemory, RequestMemory};
 
 /// Size of the first part of a body whose size isn't known, in bytes.
@@ -53,6 +54,9 @@
     let reading = tokio::time::timeout(BODY_TIMEOUT, read(body, limit, &held)).await;
     let body = reading.unwrap_or(Err(BodyError::TimedOut))?;
     held.set_phase(RequestPhase::Running);
+    if let Some(connection) = parts.extensions.get::<ClientConnection>() {
+        connection.request_received();
+    }
     Ok((Request::from_parts(parts, body.into()), held))
 }
 
