--- a/crates/gypsumglade/tests/settings_load.rs
+++ b/crates/gypsumglade/tests/settings_load.rs
@@ -153,6 +153,9 @@
 /// A body within its limit had no room in the memory for requests.
 #[test]
 fn parse_memory_below_body() {
-    let findings = edited("body_bytes: 4194304", "body_bytes: 67108864\n  memory_mb: 256");
+    let text = Settings::example(Role::Store)
+        .replace("body_bytes: 4194304", "body_bytes: 67108864")
+        .replace("memory_mb: 1024", "memory_mb: 256");
+    let findings = parse(&text).expect_err("the edits must be found");
     assert_eq!(places(&findings), ["limits.memory_mb"]);
 }
